Add the design page, the configuration, selectors and sessions between VMs

Cause: the project starts; every later part relies on the design page, on the configuration's entities and on the transport between VMs. Nothing is served yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,22 @@
+# Targets for developers. The linters are pinned in tools/go.mod.
+TOOL = go tool -modfile=tools/go.mod
+
+.PHONY: demo test lint generate bench
+
+demo: ## Start the demo deployment, send requests, print the answers, stop.
+	go run . demo
+
+test: ## Run all tests with fixed seeds.
+	go test -count=1 ./...
+
+lint: ## Check format and lint rules.
+	@unformatted=$$(gofmt -l .); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
+	go vet ./...
+	$(TOOL) revive -config revive.toml -formatter friendly ./...
+	$(TOOL) staticcheck ./...
+
+generate: ## Regenerate the codec of the wire types.
+	cd vmwire && go tool -modfile=../tools/go.mod msgp -file schema.go -o schema_gen.go -tests=false
+
+bench: ## Run the benchmarks.
+	go test -run '^$$' -bench . -benchmem ./...
--- /dev/null
+++ b/event/events.go
@@ -0,0 +1,54 @@
+package event
+
+import "log/slog"
+
+// Events of the process itself.
+var (
+	Started     = New(1001, slog.LevelInfo, "vm started", "none")
+	Ready       = New(1002, slog.LevelInfo, "vm ready", "none")
+	Draining    = New(1003, slog.LevelInfo, "vm draining", "none")
+	Stopped     = New(1004, slog.LevelInfo, "vm stopped", "none")
+	StartFailed = New(1005, slog.LevelError, "vm could not start", "Correct the setting that the line names.")
+	LatePause   = New(1006, slog.LevelWarn, "process paused", "Look for an overloaded host; the VM discarded its tokens.")
+	Superseded  = New(1007, slog.LevelError, "superseded by a newer incarnation", "None if the VM was replaced; otherwise two processes run under one slot name.")
+)
+
+// Events of the configuration.
+var (
+	ConfigAccepted = New(1101, slog.LevelInfo, "configuration accepted", "none")
+	ConfigRejected = New(1102, slog.LevelError, "configuration rejected", "Correct the problems that the line lists and publish a higher version.")
+	ConfigStale    = New(1103, slog.LevelWarn, "configuration older than the accepted one ignored", "Check whether the configuration service serves an old replica.")
+	ConfigDown     = New(1104, slog.LevelWarn, "configuration service unreachable", "Check the service; the accepted configuration stays in force.")
+)
+
+// Events of sessions between VMs.
+var (
+	PeerUp       = New(1201, slog.LevelInfo, "session with vm established", "none")
+	PeerDown     = New(1202, slog.LevelWarn, "session with vm lost", "Check the VM and the link if it does not return.")
+	PeerRefused  = New(1203, slog.LevelWarn, "vm handshake refused", "Check the fleet key and the protocol version of the named peer.")
+	FrameInvalid = New(1204, slog.LevelWarn, "invalid frame from vm; session closed", "Check that all VMs run compatible versions.")
+)
+
+// Events of requests.
+var (
+	RequestDone    = New(1301, slog.LevelDebug, "request completed", "none")
+	RequestRefused = New(1302, slog.LevelInfo, "request refused", "See the page on refusals for the code.")
+	RequestFailed  = New(1303, slog.LevelWarn, "request failed", "See the page on refusals for the code.")
+	StreamResumed  = New(1304, slog.LevelInfo, "stream resumed at another upstream", "none")
+	KeyCut         = New(1305, slog.LevelInfo, "stream cancelled because its key was withdrawn", "none")
+)
+
+// Events of upstreams.
+var (
+	UpstreamDown    = New(1401, slog.LevelWarn, "upstream failed", "Check the upstream if it does not return.")
+	UpstreamUp      = New(1402, slog.LevelInfo, "upstream returned", "none")
+	ChunkMismatched = New(1403, slog.LevelWarn, "chunk does not belong to its stream", "Check the engine's version; the stream was resumed elsewhere.")
+)
+
+// Broken invariants. Each of them stops the process.
+var (
+	BrokenConfigReverted = New(9001, slog.LevelError, "invariant broken: configuration reverted", "Report a fault with the log.")
+	BrokenSecondHop      = New(9002, slog.LevelError, "invariant broken: forwarded request forwarded again", "Report a fault with the log.")
+	BrokenRegion         = New(9003, slog.LevelError, "invariant broken: request outside its allowed regions", "Report a fault with the log.")
+	BrokenChunkOrder     = New(9004, slog.LevelError, "invariant broken: chunk out of order towards a caller", "Report a fault with the log.")
+)
--- /dev/null
+++ b/vmwire/schema.go
@@ -0,0 +1,243 @@
+// Package vmwire defines the messages between VMs. The msgpack codec in schema_gen.go is generated
+// from this schema by "make generate". Messages are encoded as tuples: a field may only be appended,
+// together with a new protocol version.
+package vmwire
+
+// Protocol is the version of this schema. VMs with another version are refused.
+const Protocol = 1
+
+// Kinds of frames.
+const (
+	KindHello uint8 = iota + 1
+	KindOpen
+	KindData
+	KindEnd
+	KindReset
+	KindWindow
+	KindHeartbeat
+	KindHeartbeatAck
+	KindConfigGet
+	KindConfigParts
+	KindLoad
+	KindSummary
+	KindTokenAsk
+	KindTokenGive
+	KindSuspect
+	KindHandover
+	KindHandoverTake
+)
+
+//msgp:tuple Frame Hello Open Chunk End Window Heartbeat SlotView ConfigGet ConfigParts Part
+//msgp:tuple Load UpstreamLoad Summary PoolSummary TokenAsk TokenGive Suspect Handover HandoverTake HandoverRecord
+
+// Frame is the envelope of every message.
+type Frame struct {
+	Kind uint8
+	// Stream is the number of the stream, zero for control messages. The dialing side opens odd
+	// numbers, the accepting side even ones.
+	Stream uint64
+	// Seq numbers the Data frames of a stream and direction, from zero without gaps.
+	Seq uint64
+	// Body is the encoded message, or raw bytes in a Data frame.
+	Body []byte
+}
+
+// Hello is the first frame in each direction.
+type Hello struct {
+	Protocol      uint32
+	Slot          string
+	Incarnation   uint64
+	Region        string
+	FailureDomain string
+	// StartedAtUnixMilli orders the incarnations of a slot, in milliseconds.
+	StartedAtUnixMilli int64
+}
+
+// Open starts a forwarded request. The body follows in Data frames.
+type Open struct {
+	RequestID string
+	// OriginSlot is the VM that the caller is connected to.
+	OriginSlot   string
+	OriginRegion string
+	// ConfigNumber and ConfigDigest are the version that admitted the request.
+	ConfigNumber uint64
+	ConfigDigest string
+	Route        string
+	Workspace    string
+	KeyID        string
+	// Hops is 1: a forwarded request is never forwarded again.
+	Hops uint8
+	// Method, Path and Header describe a service call.
+	Method string
+	Path   string
+	Header map[string]string
+	// ResumeFrom is the token offset at which the answer continues.
+	ResumeFrom int64
+	// MaxTokens is the largest number of answer tokens, and PromptTokens a bound of the prompt.
+	MaxTokens    int64
+	PromptTokens int64
+	// RemainingMillis is the time left until the deadline, in milliseconds. Clocks are not compared.
+	RemainingMillis int64
+	IdempotencyKey  string
+	BodyBytes       int64
+}
+
+// Chunk is a piece of an answer, carried in a Data frame from the running VM.
+type Chunk struct {
+	// Start and End are token offsets of the piece: it holds tokens [Start, End).
+	Start int64
+	End   int64
+	// Status is set in the first piece of a service answer.
+	Status int32
+	Header map[string]string
+	Data   []byte
+}
+
+// End closes a stream with the outcome of the request.
+type End struct {
+	// Code is empty for success, otherwise a code of the caller's protocol.
+	Code    string
+	Message string
+	// Ran is "notRun", "ran" or "unknown".
+	Ran              string
+	Status           int32
+	RetryAfterMillis int64
+	PromptTokens     int64
+	AnswerTokens     int64
+	Upstream         string
+}
+
+// Window lets the sender of a stream send more bytes.
+type Window struct {
+	Bytes int64
+}
+
+// SlotView is what the sender knows about another slot.
+type SlotView struct {
+	Slot               string
+	Incarnation        uint64
+	StartedAtUnixMilli int64
+}
+
+// Heartbeat tells that the sender lives, and what it knows.
+type Heartbeat struct {
+	// Sequence is returned in the acknowledgement.
+	Sequence     uint64
+	ConfigNumber uint64
+	ConfigDigest string
+	Leaving      bool
+	// Ready says that the sender accepts requests.
+	Ready bool
+	// Queue is the number of requests waiting in the sender.
+	Queue int32
+	Slots []SlotView
+}
+
+// ConfigGet asks for parts. Without digests it asks for the head only.
+type ConfigGet struct {
+	Digests []string
+}
+
+// Part is one immutable part of a configuration.
+type Part struct {
+	Digest string
+	Bytes  []byte
+}
+
+// ConfigParts carries a head as JSON and parts.
+type ConfigParts struct {
+	Head  []byte
+	Parts []Part
+}
+
+// UpstreamLoad is the load report of one upstream.
+type UpstreamLoad struct {
+	Upstream string
+	Running  int32
+	Waiting  int32
+	// AgeMillis is the age of the report when it was sent, in milliseconds.
+	AgeMillis int64
+	// CachedTokens is the size of the prefix cache in use, in tokens.
+	CachedTokens int64
+	Down         bool
+}
+
+// Load carries load reports within a region.
+type Load struct {
+	Upstreams []UpstreamLoad
+}
+
+// PoolSummary condenses the upstreams of a route in one region.
+type PoolSummary struct {
+	Route string
+	// Replicas is the number of usable upstreams.
+	Replicas int32
+	Capacity int32
+	Running  int32
+	Waiting  int32
+	// FirstTokenMillis is the expected time to the first token, in milliseconds.
+	FirstTokenMillis int64
+}
+
+// Summary carries a region's pools to other regions.
+type Summary struct {
+	Region string
+	Pools  []PoolSummary
+}
+
+// TokenAsk asks a holder of a workspace for tokens.
+type TokenAsk struct {
+	ID        uint64
+	Workspace string
+	Tokens    int64
+}
+
+// TokenGive answers TokenAsk; the giver has deducted the tokens.
+type TokenGive struct {
+	ID        uint64
+	Workspace string
+	Tokens    int64
+	// WaitMillis tells after what time more can be expected, in milliseconds.
+	WaitMillis int64
+}
+
+// Suspect spreads the suspicion against a request within a region.
+type Suspect struct {
+	Fingerprint []byte
+	Crashes     int32
+	Quarantined bool
+	// Cleared says that the request completed.
+	Cleared bool
+	// TTLMillis is the remaining life of the entry, in milliseconds.
+	TTLMillis int64
+}
+
+// HandoverRecord is one record of a call that may not be repeated.
+type HandoverRecord struct {
+	Workspace string
+	Route     string
+	Key       string
+	Body      []byte
+	// State is the state of the call, see package once.
+	State  uint8
+	Status int32
+	Header map[string]string
+	Answer []byte
+	// AgeMillis is the time since the key's first use, in milliseconds.
+	AgeMillis int64
+}
+
+// Handover is the sealed table of a VM that stops.
+type Handover struct {
+	Slot        string
+	Incarnation uint64
+	// Index and Count number the frames of one handover.
+	Index   int32
+	Count   int32
+	Records []HandoverRecord
+}
+
+// HandoverTake asks for the handover of a slot; the holder deletes it when it answers.
+type HandoverTake struct {
+	Slot string
+}
