Add the request path: callers, gateway, upstreams, platform

Cause: the thin path needs every hop once before any part is deep. Calls that may not be repeated use a connection of their own, because Go's HTTP client repeats requests that carry an Idempotency-Key.

--- /dev/null
+++ b/gateway/chat.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"parsleyhatch/config"
+)
+
+// prefixBytes is the length of the prompt's start that is taken as its shared prefix when there is
+// no system message, in bytes.
+const prefixBytes = 1024
+
+// Chat is the part of a chat completion request that the gateway reads.
+type Chat struct {
+	Model    string        `json:"model"`
+	Messages []ChatMessage `json:"messages"`
+	// MaxTokens is zero if the caller names none.
+	MaxTokens int64 `json:"max_tokens"`
+	Stream    bool  `json:"stream"`
+}
+
+// ChatMessage is one message of a conversation.
+type ChatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// ParseChat decodes and checks a chat completion request.
+func ParseChat(body []byte) (*Chat, error) {
+	var c Chat
+	if err := json.Unmarshal(body, &c); err != nil {
+		return nil, fmt.Errorf("decode chat completion: %w", err)
+	}
+	switch {
+	case c.Model == "":
+		return nil, errors.New("field model is empty")
+	case len(c.Messages) == 0:
+		return nil, errors.New("field messages is empty")
+	case c.MaxTokens < 0:
+		return nil, errors.New("field max_tokens is negative")
+	}
+	return &c, nil
+}
+
+// Prefix returns the key of the prompt's shared prefix. It is salted with the workspace, so that
+// two workspaces never share an entry of an engine's prefix cache.
+func (c *Chat) Prefix(workspace string) string {
+	text := c.Messages[0].Content
+	if c.Messages[0].Role != "system" && len(text) > prefixBytes {
+		text = text[:prefixBytes]
+	}
+	h := sha256.New()
+	h.Write([]byte(workspace))
+	h.Write([]byte{0})
+	h.Write([]byte(c.Model))
+	h.Write([]byte{0})
+	h.Write([]byte(text))
+	return hex.EncodeToString(h.Sum(nil)[:8])
+}
+
+// PromptBound returns an upper bound of the prompt's tokens on a route.
+func (c *Chat) PromptBound(r *config.Route) int64 {
+	total := 0
+	for _, m := range c.Messages {
+		total += len(m.Content)
+	}
+	perToken := max(r.MinBytesPerToken, 1)
+	return int64(float64(total)/perToken) + 1
+}
+
+// AnswerBound returns the largest number of answer tokens on a route.
+func (c *Chat) AnswerBound(r *config.Route) int64 {
+	if c.MaxTokens == 0 || c.MaxTokens > r.MaxTokens {
+		return r.MaxTokens
+	}
+	return c.MaxTokens
+}
--- /dev/null
+++ b/gateway/forward.go
@@ -0,0 +1,224 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"time"
+
+	"parsleyhatch/config"
+	"parsleyhatch/event"
+	"parsleyhatch/vm"
+	"parsleyhatch/vmwire"
+)
+
+// forward runs a request at a VM of another region.
+func (g *Gateway) forward(ctx context.Context, r *Request, region string, p *progress) Outcome {
+	s := g.sessionTo(region)
+	if s == nil {
+		return refuseUntil(UnreachableRegion, "region "+region+" is unreachable", retrySoon)
+	}
+	return g.forwardTo(ctx, r, s, p)
+}
+
+// sessionTo returns a session with the least loaded usable VM of a region.
+func (g *Gateway) sessionTo(region string) *vm.Session {
+	now := g.Now()
+	list := g.VMs(now)
+	sort.SliceStable(list, func(i, j int) bool { return list[i].Queue < list[j].Queue })
+	for _, info := range list {
+		if info.Region != region || !info.Alive || !info.Ready || info.Leaving {
+			continue
+		}
+		if s := g.peers.session(info.Name); s != nil {
+			return s
+		}
+	}
+	return nil
+}
+
+// forwardTo passes a request over a session and its answer back.
+func (g *Gateway) forwardTo(ctx context.Context, r *Request, s *vm.Session, p *progress) Outcome {
+	if r.Forwarded {
+		event.Broken(g.Log, event.BrokenSecondHop, "request", r.ID, "origin", r.OriginSlot)
+	}
+	st, err := s.Open(ctx, g.openOf(r, p))
+	if err != nil {
+		return refuseUntil(UnreachableRegion, "vm "+s.Peer.Slot+" is unreachable", retrySoon)
+	}
+	if err := st.Send(ctx, r.Body); err != nil && !errors.Is(err, vm.ErrStreamReset) {
+		st.Reset()
+		return brokenForward(ctx, s)
+	}
+	for {
+		body, end, err := st.Recv(ctx)
+		switch {
+		case err != nil:
+			st.Reset()
+			return brokenForward(ctx, s)
+		case end != nil:
+			out := outcomeOf(end)
+			out.Region = s.Peer.Region
+			out.AnswerTokens = p.tokens
+			return out
+		}
+		var c vmwire.Chunk
+		if _, err := c.UnmarshalMsg(body); err != nil || c.Start != p.next || c.End < c.Start {
+			event.ChunkMismatched.Log(g.Log, "request", r.ID, "peer", s.Peer.Slot)
+			st.Reset()
+			return brokenForward(ctx, s)
+		}
+		if err := p.pass(ctx, &c); err != nil {
+			st.Reset()
+			return Outcome{Code: CallerGone, Message: "the caller closed the connection", Ran: DidRun}
+		}
+	}
+}
+
+// brokenForward is the outcome of a forwarded request whose stream broke.
+func brokenForward(ctx context.Context, s *vm.Session) Outcome {
+	if ctx.Err() != nil {
+		return cancelled(ctx, Unknown)
+	}
+	return Outcome{
+		Code:       UpstreamFailed,
+		Message:    "the connection to vm " + s.Peer.Slot + " broke",
+		Ran:        Unknown,
+		RetryAfter: retrySoon,
+	}
+}
+
+func (g *Gateway) openOf(r *Request, p *progress) *vmwire.Open {
+	return &vmwire.Open{
+		RequestID:       r.ID,
+		OriginSlot:      g.Self.Slot,
+		OriginRegion:    g.Self.Region,
+		ConfigNumber:    r.Snapshot.Version.Number,
+		ConfigDigest:    r.Snapshot.Version.Digest,
+		Route:           r.Route.Name,
+		Workspace:       r.Workspace.Name,
+		KeyID:           r.KeyID,
+		Hops:            1,
+		Method:          r.Method,
+		Path:            r.Path,
+		Header:          r.Header,
+		ResumeFrom:      p.next,
+		MaxTokens:       r.MaxTokens,
+		PromptTokens:    r.PromptTokens,
+		RemainingMillis: r.Deadline.Sub(g.Now()).Milliseconds(),
+		IdempotencyKey:  r.IdempotencyKey,
+		BodyBytes:       int64(len(r.Body)),
+	}
+}
+
+// MaxBodyBytes bounds the body of a request.
+const MaxBodyBytes = 4 << 20
+
+// bodyTimeout bounds the arrival of a forwarded body.
+const bodyTimeout = 30 * time.Second
+
+// serveStream runs a request that another VM forwarded.
+func (g *Gateway) serveStream(st *vm.Stream, open vmwire.Open) {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
+	r, out := g.receive(ctx, st, &open)
+	if r == nil {
+		g.endStream(st, out)
+		return
+	}
+	if !g.streams.add(r, cancel, g.Settings.MaxStreams) {
+		g.endStream(st, refuseUntil(Overloaded, "too many open requests at this vm", retrySoon))
+		return
+	}
+	defer g.streams.remove(r.ID)
+	go g.runReset(ctx, st, cancel)
+	p := &progress{next: r.ResumeFrom, sink: func(ctx context.Context, c *vmwire.Chunk) error {
+		return st.SendChunk(ctx, c)
+	}}
+	out = g.runLocal(ctx, r, p)
+	g.report(r, out)
+	g.endStream(st, out)
+}
+
+// runReset cancels the work when the origin abandons the stream.
+func (g *Gateway) runReset(ctx context.Context, st *vm.Stream, cancel context.CancelCauseFunc) {
+	if _, _, err := st.Recv(ctx); err != nil && ctx.Err() == nil {
+		cancel(errCallerGone)
+	}
+}
+
+func (g *Gateway) endStream(st *vm.Stream, out Outcome) {
+	ctx, cancel := context.WithTimeout(context.Background(), bodyTimeout)
+	defer cancel()
+	_ = st.SendEnd(ctx, endOf(out))
+}
+
+// receive checks a forwarded request against the own configuration and reads its body. The checks
+// come before the body, so that a request that may not run here leaves no data.
+func (g *Gateway) receive(ctx context.Context, st *vm.Stream, open *vmwire.Open) (*Request, Outcome) {
+	r, out := g.checkOpen(open)
+	if r == nil {
+		return nil, out
+	}
+	ctx, cancel := context.WithTimeout(ctx, bodyTimeout)
+	defer cancel()
+	r.Body = make([]byte, 0, open.BodyBytes)
+	for int64(len(r.Body)) < open.BodyBytes {
+		data, end, err := st.Recv(ctx)
+		if err != nil || end != nil || int64(len(r.Body)+len(data)) > open.BodyBytes {
+			return nil, refuse(InvalidRequest, "the forwarded body is incomplete")
+		}
+		r.Body = append(r.Body, data...)
+	}
+	if r.Route.Kind == config.KindModel {
+		chat, err := ParseChat(r.Body)
+		if err != nil {
+			return nil, refuse(InvalidRequest, err.Error())
+		}
+		r.Prefix = chat.Prefix(r.Workspace.Name)
+	}
+	return r, Outcome{}
+}
+
+// checkOpen builds the request, or refuses it.
+func (g *Gateway) checkOpen(open *vmwire.Open) (*Request, Outcome) {
+	s := g.Snapshot()
+	if g.leaving.Load() {
+		return nil, refuseUntil(Leaving, "vm "+g.Self.Slot+" is leaving", retrySoon)
+	}
+	admitted := config.Version{Number: open.ConfigNumber, Digest: open.ConfigDigest}
+	if s == nil || admitted.After(s.Version) {
+		return nil, refuseUntil(StaleConfig, "vm "+g.Self.Slot+" has not got the configuration yet", retrySoon)
+	}
+	route, workspace := s.Routes[open.Route], s.Workspaces[open.Workspace]
+	if route == nil || workspace == nil || open.Hops != 1 || open.BodyBytes < 0 || open.BodyBytes > MaxBodyBytes {
+		return nil, refuse(InvalidRequest, "route or workspace unknown, or more than one hop")
+	}
+	if !contains(s.AllowedRegions(route, workspace), g.Self.Region) {
+		return nil, refuse(WrongRegion, "region "+g.Self.Region+" may not run this request")
+	}
+	if key := s.Keys[open.KeyID]; open.KeyID != "" && (key == nil || key.Withdrawn || key.Workspace != workspace.Name) {
+		return nil, refuse(KeyWithdrawn, "key withdrawn")
+	}
+	if open.KeyID == "" && !route.Open {
+		return nil, refuse(Unauthorized, "the route needs a key")
+	}
+	now := g.Now()
+	return &Request{
+		ID: open.RequestID, Snapshot: s, Route: route, Workspace: workspace, KeyID: open.KeyID,
+		Method: open.Method, Path: open.Path, Header: open.Header,
+		ResumeFrom: open.ResumeFrom, MaxTokens: open.MaxTokens, PromptTokens: open.PromptTokens,
+		IdempotencyKey: open.IdempotencyKey, Arrived: now,
+		Deadline:  now.Add(time.Duration(open.RemainingMillis) * time.Millisecond),
+		Forwarded: true, OriginSlot: open.OriginSlot,
+	}, Outcome{}
+}
+
+func contains(list []string, s string) bool {
+	for _, v := range list {
+		if v == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/gateway/progress.go
@@ -0,0 +1,36 @@
+package gateway
+
+import (
+	"context"
+
+	"parsleyhatch/event"
+	"parsleyhatch/vmwire"
+)
+
+// progress passes the chunks of one answer on, over all attempts, exactly once and in order.
+type progress struct {
+	// next is the offset of the first token that the caller has not got.
+	next int64
+	// started says that the caller has got a part of the answer.
+	started bool
+	// tokens counts the tokens passed on.
+	tokens int64
+	sink   Sink
+}
+
+// pass checks and passes on a chunk. An error means that the caller is gone.
+func (p *progress) pass(ctx context.Context, c *vmwire.Chunk) error {
+	if c.Start != p.next || c.End < c.Start {
+		event.Broken(nil, event.BrokenChunkOrder, "start", c.Start, "end", c.End, "next", p.next)
+	}
+	if p.started {
+		c.Status, c.Header = 0, nil
+	}
+	if err := p.sink(ctx, c); err != nil {
+		return err
+	}
+	p.started = true
+	p.tokens += c.End - c.Start
+	p.next = c.End
+	return nil
+}
--- /dev/null
+++ b/gateway/request.go
@@ -0,0 +1,171 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"parsleyhatch/config"
+	"parsleyhatch/vmwire"
+)
+
+// Code is the stable code of an outcome. The empty code is success.
+type Code string
+
+// Codes of outcomes.
+const (
+	OK                 Code = ""
+	InvalidRequest     Code = "invalidRequest"
+	Unauthorized       Code = "unauthorized"
+	WrongRegion        Code = "wrongRegion"
+	RateLimited        Code = "rateLimited"
+	Overloaded         Code = "overloaded"
+	DeadlineExceeded   Code = "deadlineExceeded"
+	NoUpstream         Code = "noUpstream"
+	UpstreamFailed     Code = "upstreamFailed"
+	KeyWithdrawn       Code = "keyWithdrawn"
+	Leaving            Code = "leaving"
+	OwnerGone          Code = "ownerGone"
+	TicketExpired      Code = "ticketExpired"
+	KeyReused          Code = "keyReused"
+	IdempotencyMissing Code = "idempotencyKeyRequired"
+	Horizon            Code = "horizon"
+	TableFull          Code = "tableFull"
+	Poisoned           Code = "poisoned"
+	StaleConfig        Code = "staleConfig"
+	TooLarge           Code = "tooLarge"
+	NotFound           Code = "notFound"
+	UnreachableRegion  Code = "unreachableRegion"
+	CallerGone         Code = "callerGone"
+	Internal           Code = "internal"
+)
+
+// Ran says whether an upstream ran the request.
+type Ran string
+
+// Values of Ran.
+const (
+	NotRun  Ran = "notRun"
+	DidRun  Ran = "ran"
+	Unknown Ran = "unknown"
+)
+
+var statuses = map[Code]int{
+	OK:                 http.StatusOK,
+	InvalidRequest:     http.StatusBadRequest,
+	Unauthorized:       http.StatusUnauthorized,
+	WrongRegion:        http.StatusMisdirectedRequest,
+	RateLimited:        http.StatusTooManyRequests,
+	Overloaded:         http.StatusServiceUnavailable,
+	DeadlineExceeded:   http.StatusGatewayTimeout,
+	NoUpstream:         http.StatusServiceUnavailable,
+	UpstreamFailed:     http.StatusBadGateway,
+	KeyWithdrawn:       http.StatusUnauthorized,
+	Leaving:            http.StatusServiceUnavailable,
+	OwnerGone:          http.StatusConflict,
+	TicketExpired:      http.StatusConflict,
+	KeyReused:          http.StatusUnprocessableEntity,
+	IdempotencyMissing: http.StatusBadRequest,
+	Horizon:            http.StatusConflict,
+	TableFull:          http.StatusServiceUnavailable,
+	Poisoned:           http.StatusUnprocessableEntity,
+	StaleConfig:        http.StatusServiceUnavailable,
+	TooLarge:           http.StatusRequestEntityTooLarge,
+	NotFound:           http.StatusNotFound,
+	UnreachableRegion:  http.StatusServiceUnavailable,
+	CallerGone:         499,
+	Internal:           http.StatusInternalServerError,
+}
+
+// Outcome is how a request ended.
+type Outcome struct {
+	Code    Code
+	Message string
+	// Ran is true to its word: NotRun only if no byte reached an upstream and none will.
+	Ran Ran
+	// RetryAfter tells when to come back; zero means that coming back does not help.
+	RetryAfter   time.Duration
+	Upstream     string
+	Region       string
+	PromptTokens int64
+	// AnswerTokens counts the tokens that were passed on.
+	AnswerTokens int64
+}
+
+// Status returns the HTTP status of the outcome.
+func (o Outcome) Status() int {
+	if status, ok := statuses[o.Code]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
+
+// refuse returns an outcome of a request that did not run.
+func refuse(code Code, message string) Outcome {
+	return Outcome{Code: code, Message: message, Ran: NotRun}
+}
+
+// refuseUntil returns a refusal that tells when to come back.
+func refuseUntil(code Code, message string, after time.Duration) Outcome {
+	return Outcome{Code: code, Message: message, Ran: NotRun, RetryAfter: after}
+}
+
+// endOf converts an outcome for another VM.
+func endOf(o Outcome) *vmwire.End {
+	return &vmwire.End{
+		Code:             string(o.Code),
+		Message:          o.Message,
+		Ran:              string(o.Ran),
+		RetryAfterMillis: o.RetryAfter.Milliseconds(),
+		PromptTokens:     o.PromptTokens,
+		AnswerTokens:     o.AnswerTokens,
+		Upstream:         o.Upstream,
+	}
+}
+
+// outcomeOf converts another VM's end.
+func outcomeOf(e *vmwire.End) Outcome {
+	return Outcome{
+		Code:         Code(e.Code),
+		Message:      e.Message,
+		Ran:          Ran(e.Ran),
+		RetryAfter:   time.Duration(e.RetryAfterMillis) * time.Millisecond,
+		PromptTokens: e.PromptTokens,
+		AnswerTokens: e.AnswerTokens,
+		Upstream:     e.Upstream,
+	}
+}
+
+// Request is one request on its way through a VM.
+type Request struct {
+	// ID is unique over the fleet.
+	ID string
+	// Snapshot is the configuration that admitted the request; it finishes under it.
+	Snapshot  *config.Snapshot
+	Route     *config.Route
+	Workspace *config.Workspace
+	// KeyID is empty on open routes.
+	KeyID string
+	Body  []byte
+	// Method, Path and Header describe a service call.
+	Method string
+	Path   string
+	Header map[string]string
+	// ResumeFrom is the token offset at which the answer continues.
+	ResumeFrom int64
+	MaxTokens  int64
+	// PromptTokens is an upper bound of the prompt's tokens.
+	PromptTokens   int64
+	IdempotencyKey string
+	// Prefix is the key of the prompt's prefix; it is salted with the workspace.
+	Prefix string
+	// Arrived is when this VM admitted the request, and Deadline when its first byte is due.
+	Arrived  time.Time
+	Deadline time.Time
+	// Forwarded requests came from another VM and are only ever run here.
+	Forwarded  bool
+	OriginSlot string
+}
+
+// Sink takes the chunks of an answer in order. An error means that the caller is gone.
+type Sink func(ctx context.Context, c *vmwire.Chunk) error
--- /dev/null
+++ b/gateway/streams.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"parsleyhatch/config"
+)
+
+// Causes of a cancelled request.
+var (
+	errKeyWithdrawn = errors.New("key withdrawn")
+	errDeadline     = errors.New("deadline for the first byte passed")
+	errCallerGone   = errors.New("caller gone")
+)
+
+// openStream is a request that this VM works on.
+type openStream struct {
+	request *Request
+	cancel  context.CancelCauseFunc
+}
+
+// streamTable holds the open requests.
+type streamTable struct {
+	mu   sync.Mutex
+	open map[string]*openStream
+}
+
+// add registers a request unless the table has limit entries or one of its id.
+func (t *streamTable) add(r *Request, cancel context.CancelCauseFunc, limit int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, ok := t.open[r.ID]; ok || len(t.open) >= limit {
+		return false
+	}
+	t.open[r.ID] = &openStream{request: r, cancel: cancel}
+	return true
+}
+
+func (t *streamTable) remove(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.open, id)
+}
+
+func (t *streamTable) count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.open)
+}
+
+// cutWithdrawn cancels the requests whose key is withdrawn or gone in the snapshot. It returns the
+// ids of the requests.
+func (t *streamTable) cutWithdrawn(s *config.Snapshot) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var cut []string
+	for id, o := range t.open {
+		if o.request.KeyID == "" {
+			continue
+		}
+		key := s.Keys[o.request.KeyID]
+		if key == nil || key.Withdrawn || key.Workspace != o.request.Workspace.Name {
+			o.cancel(errKeyWithdrawn)
+			cut = append(cut, id)
+		}
+	}
+	return cut
+}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -31,6 +31,7 @@
 // commands lists the subcommands in the order of the help text.
 func commands() []command {
 	return []command{
+		serveCommand,
 		versionCommand,
 	}
 }
--- /dev/null
+++ b/operator/serve.go
@@ -0,0 +1,110 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"parsleyhatch/caller"
+	"parsleyhatch/event"
+	"parsleyhatch/gateway"
+)
+
+// stopGrace is the time that open connections get after the last request has ended.
+const stopGrace = 2 * time.Second
+
+var serveCommand = command{
+	name:    "serve",
+	summary: "run a VM",
+	run:     runServe,
+}
+
+func runServe(e env) int {
+	fs := newFlags("serve")
+	var s gateway.Settings
+	fs.StringVar(&s.Slot, "slot", "", "name of this VM in the roster")
+	fs.StringVar(&s.Region, "region", "", "region of this VM")
+	fs.StringVar(&s.FailureDomain, "failure-domain", "", "failure domain of this VM")
+	fs.StringVar(&s.CallerListen, "listen", "127.0.0.1:8080", "address for callers, IP:port")
+	fs.StringVar(&s.PeerListen, "peer-listen", "127.0.0.1:7000", "address for other VMs, IP:port")
+	fs.StringVar(&s.AdminListen, "admin", "127.0.0.1:8081", "address for operators, IP:port")
+	fs.StringVar(&s.PlatformURL, "platform", "", "base URL of the platform's configuration service")
+	fs.DurationVar(&s.DrainLimit, "drain-limit", 10*time.Minute, "longest time for running requests at a planned stop")
+	fs.IntVar(&s.MaxStreams, "max-streams", 20000, "most requests open at a time")
+	fs.StringVar(&s.UpstreamCredential, "upstream-credential", "", "bearer token that the platform gave for upstreams")
+	seeds := fs.String("seeds", "", "peer addresses of VMs to learn the configuration from, IP:port, separated by commas")
+	fleetKey := fs.String("fleet-key", "", "secret shared by all VMs, 16 bytes or more; prefer the environment variable")
+	level := fs.String("log-level", "info", "lowest level to log: debug, info, warn or error")
+	if code, done := parseSettings(fs, e); done {
+		return code
+	}
+	if fs.NArg() > 0 {
+		fmt.Fprintf(e.stderr, "parsleyhatch serve: unexpected argument %q\n", fs.Arg(0))
+		return exitUsage
+	}
+	var logLevel slog.Level
+	if err := logLevel.UnmarshalText([]byte(*level)); err != nil {
+		fmt.Fprintf(e.stderr, "parsleyhatch serve: setting log-level: %v\n", err)
+		return exitUsage
+	}
+	log := slog.New(slog.NewJSONHandler(e.stderr, &slog.HandlerOptions{Level: logLevel}))
+	s.FleetKey = []byte(*fleetKey)
+	if *seeds != "" {
+		s.Seeds = strings.Split(*seeds, ",")
+	}
+	if err := serve(s, log); err != nil {
+		event.StartFailed.Log(log, "error", err.Error())
+		return exitFailed
+	}
+	return exitOK
+}
+
+// serve runs a VM until a signal, and then stops it gracefully. A second signal stops it at once.
+func serve(s gateway.Settings, log *slog.Logger) error {
+	g, err := gateway.New(s, log)
+	if err != nil {
+		return err
+	}
+	peers, err := net.Listen("tcp", s.PeerListen)
+	if err != nil {
+		return fmt.Errorf("setting peer-listen: %w", err)
+	}
+	callers, err := net.Listen("tcp", s.CallerListen)
+	if err != nil {
+		_ = peers.Close()
+		return fmt.Errorf("setting listen: %w", err)
+	}
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	run, halt := context.WithCancel(context.Background())
+	defer halt()
+	server := caller.New(g, callers, log)
+	failed := make(chan error, 1)
+	go func() { failed <- server.Run(run) }()
+	finished := make(chan struct{})
+	go func() {
+		defer close(finished)
+		_ = g.Run(run, peers)
+	}()
+	select {
+	case <-stop.Done():
+	case err := <-failed:
+		halt()
+		<-finished
+		return err
+	}
+	cancel() // A second signal ends the process.
+	g.Drain(context.Background())
+	grace, done := context.WithTimeout(context.Background(), stopGrace)
+	defer done()
+	_ = server.Stop(grace)
+	halt()
+	<-finished
+	return nil
+}
--- /dev/null
+++ b/upstream/service.go
@@ -0,0 +1,95 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+// MaxServiceAnswerBytes bounds the answer of a plain service.
+const MaxServiceAnswerBytes = 1 << 20
+
+// ServiceCall is a call of a plain service.
+type ServiceCall struct {
+	RequestID string
+	Method    string
+	// Path starts with a slash and includes the query.
+	Path           string
+	Header         map[string]string
+	IdempotencyKey string
+	Body           []byte
+}
+
+// ServiceAnswer is the answer of a plain service.
+type ServiceAnswer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// errWithdrawn says that the caller's last check before sending failed.
+var errWithdrawn = errors.New("call withdrawn before it was sent")
+
+// CallOnce sends the request on a connection of its own and never repeats it. Go's HTTP client is
+// not used, since it repeats a request that carries an Idempotency-Key when a connection breaks.
+// sending is asked after the connection stands and just before the first byte; if it returns false
+// nothing is sent. A failure of kind NotSent means that no byte left and none will.
+func (c *Client) CallOnce(ctx context.Context, address string, call ServiceCall, sending func() bool) (ServiceAnswer, *Failure) {
+	conn, err := c.DialFunc(ctx, "tcp", address)
+	if err != nil {
+		return ServiceAnswer{}, &Failure{Kind: NotSent, Err: fmt.Errorf("connect to service: %w", err)}
+	}
+	defer func() { _ = conn.Close() }()
+	req, err := c.serviceRequest(ctx, address, call)
+	if err != nil {
+		return ServiceAnswer{}, &Failure{Kind: NotSent, Err: err}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if ctx.Err() != nil || !sending() {
+		return ServiceAnswer{}, &Failure{Kind: NotSent, Err: errWithdrawn}
+	}
+	return roundTrip(conn, req)
+}
+
+func (c *Client) serviceRequest(ctx context.Context, address string, call ServiceCall) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, fmt.Errorf("build service request: %w", err)
+	}
+	for name, value := range call.Header {
+		req.Header.Set(name, value)
+	}
+	req.Header.Set("Authorization", "Bearer "+c.Credential)
+	req.Header.Set(headerRequestID, call.RequestID)
+	if call.IdempotencyKey != "" {
+		req.Header.Set("Idempotency-Key", call.IdempotencyKey)
+	}
+	req.Close = true
+	return req, nil
+}
+
+func roundTrip(conn net.Conn, req *http.Request) (ServiceAnswer, *Failure) {
+	if err := req.Write(conn); err != nil {
+		return ServiceAnswer{}, &Failure{Kind: Broken, Err: fmt.Errorf("send to service: %w", err)}
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), req)
+	if err != nil {
+		return ServiceAnswer{}, &Failure{Kind: Broken, Err: fmt.Errorf("read from service: %w", err)}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxServiceAnswerBytes+1))
+	if err != nil {
+		return ServiceAnswer{}, &Failure{Kind: Broken, Err: fmt.Errorf("read from service: %w", err)}
+	}
+	if len(body) > MaxServiceAnswerBytes {
+		return ServiceAnswer{}, &Failure{Kind: Broken, Err: fmt.Errorf("service answer above %d bytes", MaxServiceAnswerBytes)}
+	}
+	return ServiceAnswer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
+}
