--- a/caller/server.go
+++ b/caller/server.go
@@ -12,8 +12,10 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
+	kratoslog "github.com/go-kratos/kratos/v2/log"
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"parsleyhatch/config"
@@ -38,9 +40,15 @@
 	http    *kratoshttp.Server
 }
 
+// quietKratos keeps the transport's own lines out of the log: the numbered events replace them.
+var quietKratos = sync.OnceFunc(func() {
+	kratoslog.SetLogger(kratoslog.NewFilter(kratoslog.DefaultLogger, kratoslog.FilterLevel(kratoslog.LevelError)))
+})
+
 // New returns a server on the listener. Kratos' request timeout is switched off, since it would cut
 // streams; headers, bodies and writes have limits of their own.
 func New(g *gateway.Gateway, l net.Listener, log *slog.Logger) *Server {
+	quietKratos()
 	s := &Server{Gateway: g, Log: log}
 	s.http = kratoshttp.NewServer(kratoshttp.Listener(l), kratoshttp.Timeout(0))
 	s.http.ReadHeaderTimeout = headerTimeout
@@ -65,6 +73,9 @@
 // Stop closes the listener and waits for open requests until ctx ends.
 func (s *Server) Stop(ctx context.Context) error { return s.http.Stop(ctx) }
 
+// Close ends the listener and all connections at once.
+func (s *Server) Close() { _ = s.http.Close() }
+
 // admitted is what the header of a request tells.
 type admitted struct {
 	snapshot *config.Snapshot
