Add metrics, the operators' listener, status and explanations

Cause: operators need to see what a VM decided and why. Change: tally metrics on a Prometheus page; GET /admin/status and /admin/explain on a listener of their own; each request keeps a bounded list of decisions.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 
 	"parsleyhatch/config"
 	"parsleyhatch/event"
+	"parsleyhatch/metrics"
 	"parsleyhatch/platform"
 	"parsleyhatch/upstream"
 	"parsleyhatch/vm"
@@ -45,6 +46,7 @@
 	Endpoint  *vm.Endpoint
 	Upstreams *upstream.Client
 	Platform  *platform.Client
+	Metrics   *metrics.Metrics
 	// Now is the clock; tests replace it.
 	Now func() time.Time
 
@@ -54,6 +56,7 @@
 	streams  streamTable
 	peers    peerTable
 	health   healthTable
+	traces   traceRing
 
 	control    chan message
 	sessions   chan sessionChange
@@ -80,7 +83,12 @@
 	if err != nil {
 		return nil, err
 	}
+	values, err := metrics.New(s.Slot, s.Region)
+	if err != nil {
+		return nil, err
+	}
 	g := &Gateway{
+		Metrics:    values,
 		Settings:   s,
 		Self:       self,
 		Log:        log,
@@ -131,6 +139,7 @@
 	_ = peerListener.Close()
 	g.peers.closeAll()
 	g.wait.Wait()
+	_ = g.Metrics.Close()
 	event.Stopped.Log(g.Log, "slot", g.Self.Slot)
 	return nil
 }
@@ -160,6 +169,7 @@
 	g.dialPeers(ctx, now)
 	g.sendHeartbeats(now)
 	g.becomeReady(now)
+	g.Metrics.Gauge("open_streams", float64(g.streams.count()))
 }
 
 func (g *Gateway) onControl(s *vm.Session, f vmwire.Frame) {
--- a/gateway/health.go
+++ b/gateway/health.go
@@ -53,3 +53,25 @@
 	defer t.mu.Unlock()
 	t.failedUntil[name] = now.Add(failurePause)
 }
+
+// upstreamStatus lists the upstreams of the own region.
+func (g *Gateway) upstreamStatus(s *config.Snapshot, now time.Time) []UpstreamStatus {
+	g.health.mu.Lock()
+	defer g.health.mu.Unlock()
+	var list []UpstreamStatus
+	for i := range s.File.Upstreams {
+		u := &s.File.Upstreams[i]
+		if u.Region != g.Self.Region {
+			continue
+		}
+		state := u.State
+		switch {
+		case now.Before(g.health.failedUntil[u.Name]):
+			state = "failed"
+		case state == "":
+			state = config.StateActive
+		}
+		list = append(list, UpstreamStatus{Name: u.Name, State: state, Outstanding: g.health.outstanding[u.Name]})
+	}
+	return list
+}
--- a/gateway/local.go
+++ b/gateway/local.go
@@ -56,6 +56,7 @@
 			break
 		}
 		tried[u.Name] = true
+		r.note(g.Now(), "upstream "+u.Name, "fewest outstanding requests")
 		var retry bool
 		out, retry = g.streamFrom(ctx, r, u, p, first)
 		g.health.release(u.Name)
@@ -100,6 +101,7 @@
 		first.Stop()
 		chunk := vmwire.Chunk{Start: c.Start, End: c.End, Data: c.Data}
 		if !p.started {
+			g.Metrics.FirstToken(r.Route.Name, g.Now().Sub(r.Arrived))
 			chunk.Status = 200
 			chunk.Header = map[string]string{HeaderServedRegion: g.Self.Region, HeaderServedBy: u.Name}
 		}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -165,6 +165,8 @@
 	// Forwarded requests came from another VM and are only ever run here.
 	Forwarded  bool
 	OriginSlot string
+
+	steps []Step
 }
 
 // Sink takes the chunks of an answer in order. An error means that the caller is gone.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strconv"
 	"time"
 
 	"parsleyhatch/event"
@@ -54,6 +55,7 @@
 		if !ok {
 			break
 		}
+		r.note(g.Now(), "region "+region, "attempt "+strconv.Itoa(attempt+1))
 		if region == g.Self.Region {
 			out = g.runLocal(ctx, r, progress)
 		} else {
@@ -125,6 +127,11 @@
 
 // report logs the outcome of a request. It never logs a key or content.
 func (g *Gateway) report(r *Request, out Outcome) {
+	now := g.Now()
+	r.note(now, "outcome "+codeText(out.Code), out.Message)
+	g.traces.add(r)
+	sentAway := !r.Forwarded && out.Region != "" && out.Region != g.Self.Region
+	g.Metrics.Request(r.Route.Name, codeText(out.Code), string(out.Ran), sentAway, now.Sub(r.Arrived), out.AnswerTokens)
 	args := []any{"request", r.ID, "route", r.Route.Name, "workspace", r.Workspace.Name, "code", string(out.Code), "ran", string(out.Ran)}
 	switch {
 	case out.Code == OK:
@@ -135,3 +142,11 @@
 		event.RequestFailed.Log(g.Log, append(args, "message", out.Message)...)
 	}
 }
+
+// codeText names a code in logs and metrics.
+func codeText(c Code) string {
+	if c == OK {
+		return "ok"
+	}
+	return string(c)
+}
--- a/operator/serve.go
+++ b/operator/serve.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"parsleyhatch/admin"
 	"parsleyhatch/caller"
 	"parsleyhatch/event"
 	"parsleyhatch/gateway"
@@ -84,9 +85,16 @@
 	defer cancel()
 	run, halt := context.WithCancel(context.Background())
 	defer halt()
-	server := caller.New(g, callers, log)
-	failed := make(chan error, 1)
+	operators, err := net.Listen("tcp", s.AdminListen)
+	if err != nil {
+		_ = peers.Close()
+		_ = callers.Close()
+		return fmt.Errorf("setting admin: %w", err)
+	}
+	server, pages := caller.New(g, callers, log), admin.New(g, operators)
+	failed := make(chan error, 2)
 	go func() { failed <- server.Run(run) }()
+	go func() { failed <- pages.Run(run) }()
 	finished := make(chan struct{})
 	go func() {
 		defer close(finished)
@@ -104,6 +112,7 @@
 	grace, done := context.WithTimeout(context.Background(), stopGrace)
 	defer done()
 	_ = server.Stop(grace)
+	_ = pages.Stop(grace)
 	halt()
 	<-finished
 	return nil
