--- a/standin/engine.go
+++ b/standin/engine.go
@@ -49,12 +49,12 @@
 	settings EngineSettings
 	mux      *http.ServeMux
 	host     host
-	restarts sync.WaitGroup
 
 	mu       sync.Mutex
 	rng      *rand.Rand
 	closed   bool
 	down     bool
+	up       chan struct{} // Closed unless a restart is pending.
 	bootID   string
 	life     context.Context // Ends at a crash.
 	kill     context.CancelFunc
@@ -91,8 +91,10 @@
 		ran:      map[string]int{},
 		authSeen: map[string]int{},
 		thawed:   make(chan struct{}),
+		up:       make(chan struct{}),
 	}
 	close(e.thawed)
+	close(e.up)
 	for _, m := range settings.Models {
 		e.models[m] = true
 	}
@@ -154,7 +156,15 @@
 	e.kill()
 	e.mu.Unlock()
 	e.host.close()
-	e.restarts.Wait()
+	e.waitUp()
+}
+
+// waitUp waits for the end of a pending restart.
+func (e *Engine) waitUp() {
+	e.mu.Lock()
+	up := e.up
+	e.mu.Unlock()
+	<-up
 }
 
 // Crash aborts all connections, as a prompt with the poison word does.
@@ -167,12 +177,12 @@
 	e.down = true
 	e.crashes++
 	e.kill()
-	e.restarts.Add(1)
-	go e.runRestart()
+	e.up = make(chan struct{})
+	go e.runRestart(e.up)
 }
 
-func (e *Engine) runRestart() {
-	defer e.restarts.Done()
+func (e *Engine) runRestart(up chan struct{}) {
+	defer close(up)
 	e.host.suspend()
 	time.Sleep(e.settings.RestartTime)
 	e.mu.Lock()
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -119,7 +119,7 @@
 	if err == nil {
 		t.Fatal("a crashed engine ended the answer properly")
 	}
-	e.restarts.Wait()
+	e.waitUp()
 	var load Load
 	_, data, err := call(t, "GET", url+"/v1/load", "")
 	if err != nil || json.Unmarshal([]byte(data), &load) != nil {
@@ -158,3 +158,43 @@
 	check("/v1/values/a/b", 503, "")
 	check("/v1/values/a/b", 429, "")
 }
+
+// Guards against executions that are lost or merged, since tests count them to find repeated calls.
+func TestServiceCountsExecutions(t *testing.T) {
+	s := NewService(ServiceSettings{})
+	if err := s.Listen("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	deposit := func(key string) (int, error) {
+		status, _, err := call(t, "POST", "http://"+s.Address()+"/deposit", "body", "Idempotency-Key", key)
+		return status, err
+	}
+	if status, err := deposit("k1"); err != nil || status != 200 {
+		t.Fatalf("status %d, error %v", status, err)
+	}
+	_ = s.SetMode(ServiceRefuse, 1)
+	if status, err := deposit("k2"); err != nil || status != 503 {
+		t.Errorf("refused call: status %d, error %v", status, err)
+	}
+	if _, err := deposit("k1"); err != nil {
+		t.Errorf("the mode did not end: %v", err)
+	}
+	_ = s.SetMode(ServiceCrash, 0)
+	if _, err := deposit("k3"); err == nil {
+		t.Error("a crashed call was answered")
+	}
+	_ = s.SetMode(ServiceDown, 0)
+	if _, err := deposit("k4"); err == nil {
+		t.Error("a call reached a service that is down")
+	}
+	got := map[string]int{}
+	for _, x := range s.Executions() {
+		got[x.Key] = x.Count
+	}
+	// The HTTP client repeats calls with an Idempotency-Key on a reused connection that breaks, so
+	// the crashed call may have been executed more than once.
+	if got["k1"] != 2 || got["k2"] != 0 || got["k3"] == 0 || got["k4"] != 0 {
+		t.Errorf("executions %v", got)
+	}
+}
