--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -86,36 +86,80 @@
 	RouteUpstreams map[string][]*Upstream
 	// Links maps an ordered pair of region names to the link between them.
 	Links map[[2]string]*Link
+
+	// parsed holds the decoded parts by digest; it is nil for a snapshot without parts. The parts
+	// are shared with later snapshots and never modified.
+	parsed map[string]*File
 }
 
 // Assemble merges parts, validates the result as a whole and builds its snapshot.
 func Assemble(head Head, parts map[string][]byte) (*Snapshot, []Problem) {
+	return AssembleAfter(nil, head, parts)
+}
+
+// AssembleAfter is Assemble for a VM that already has a snapshot: parts with a digest that previous
+// contains are neither hashed nor parsed again, and need not be in parts. previous may be nil.
+func AssembleAfter(previous *Snapshot, head Head, parts map[string][]byte) (*Snapshot, []Problem) {
 	if !head.Consistent() {
 		return nil, []Problem{{Path: "head", Message: "digest does not match the list of parts"}}
 	}
-	file := &File{}
 	kept := make(map[string][]byte, len(head.Parts))
+	parsed := make(map[string]*File, len(head.Parts))
+	list := make([]*File, 0, len(head.Parts))
 	for i, digest := range head.Parts {
-		path := fmt.Sprintf("parts[%d]", i)
-		data, ok := parts[digest]
-		if !ok || PartDigest(data) != digest {
-			return nil, []Problem{{Path: path, Message: "bytes do not match digest " + digest}}
-		}
-		part, err := Parse(data)
-		if err != nil {
-			return nil, []Problem{{Path: path, Message: err.Error()}}
+		data, part := previous.part(digest)
+		if part == nil {
+			var err error
+			data = parts[digest]
+			if part, err = parsePart(digest, data); err != nil {
+				return nil, []Problem{{Path: fmt.Sprintf("parts[%d]", i), Message: err.Error()}}
+			}
 		}
-		file.Merge(part)
-		kept[digest] = data
+		kept[digest], parsed[digest] = data, part
+		list = append(list, part)
 	}
-	s, problems := NewSnapshot(file)
+	s, problems := NewSnapshot(mergeAll(list))
 	if len(problems) > 0 {
 		return nil, problems
 	}
-	s.Version, s.Head, s.Parts = head.Version, head, kept
+	s.Version, s.Head, s.Parts, s.parsed = head.Version, head, kept, parsed
 	return s, nil
 }
 
+// part returns a part of the snapshot by digest, or nil. The receiver may be nil.
+func (s *Snapshot) part(digest string) ([]byte, *File) {
+	if s == nil || s.parsed == nil {
+		return nil, nil
+	}
+	return s.Parts[digest], s.parsed[digest]
+}
+
+func parsePart(digest string, data []byte) (*File, error) {
+	if PartDigest(data) != digest {
+		return nil, fmt.Errorf("bytes do not match digest %s", digest)
+	}
+	return Parse(data)
+}
+
+// mergeAll merges parts into a new file, whose sections are allocated once at their final size.
+func mergeAll(parts []*File) *File {
+	var upstreams, workspaces, keys int
+	for _, p := range parts {
+		upstreams += len(p.Upstreams)
+		workspaces += len(p.Workspaces)
+		keys += len(p.Keys)
+	}
+	f := &File{
+		Upstreams:  make([]Upstream, 0, upstreams),
+		Workspaces: make([]Workspace, 0, workspaces),
+		Keys:       make([]Key, 0, keys),
+	}
+	for _, p := range parts {
+		f.Merge(p)
+	}
+	return f
+}
+
 // NewSnapshot validates a file and indexes it. The version is left zero.
 func NewSnapshot(f *File) (*Snapshot, []Problem) {
 	if problems := f.Validate(); len(problems) > 0 {
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -125,12 +125,12 @@
 	var values []string
 	for _, v := range strings.Split(list, ",") {
 		v = strings.TrimSpace(v)
-		if err := checkWord("value", v); err != nil {
+		if err := CheckWord("value", v); err != nil {
 			return Requirement{}, err
 		}
 		values = append(values, v)
 	}
-	if err := checkWord("key", fields[0]); err != nil {
+	if err := CheckWord("key", fields[0]); err != nil {
 		return Requirement{}, err
 	}
 	return Requirement{Key: fields[0], Operator: Operator(fields[1]), Values: values}, nil
@@ -138,10 +138,10 @@
 
 func valueRequirement(key string, op Operator, value string) (Requirement, error) {
 	key, value = strings.TrimSpace(key), strings.TrimSpace(value)
-	if err := checkWord("key", key); err != nil {
+	if err := CheckWord("key", key); err != nil {
 		return Requirement{}, err
 	}
-	if err := checkWord("value", value); err != nil {
+	if err := CheckWord("value", value); err != nil {
 		return Requirement{}, err
 	}
 	return Requirement{Key: key, Operator: op, Values: []string{value}}, nil
@@ -149,14 +149,15 @@
 
 func keyRequirement(key string, op Operator) (Requirement, error) {
 	key = strings.TrimSpace(key)
-	if err := checkWord("key", key); err != nil {
+	if err := CheckWord("key", key); err != nil {
 		return Requirement{}, err
 	}
 	return Requirement{Key: key, Operator: op}, nil
 }
 
-// checkWord accepts letters, digits and "-_./" only.
-func checkWord(what, word string) error {
+// CheckWord returns an error unless word, a label key or value, consists of letters, digits and
+// "-_./". what names the word in the error.
+func CheckWord(what, word string) error {
 	if word == "" {
 		return fmt.Errorf("empty %s", what)
 	}
