Add the stand-in and roster subcommands and the demo script

Cause: the path has to run as separate processes. Change: parsleyhatch standin runs all simulated upstreams of a configuration; demo/run.sh starts one process for each VM and ends them by id. The script starts the processes, since a process of the system starts no other one.

--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,12 @@
 # Targets for developers. The linters are pinned in tools/go.mod.
+DEPLOYMENT = association
+KEEP =
 TOOL = go tool -modfile=tools/go.mod
 
 .PHONY: demo test lint generate bench
 
-demo: ## Start the demo deployment, send requests, print the answers, stop.
-	go run . demo
+demo: ## Run the demo deployment; DEPLOYMENT=registry runs the other one, KEEP=keep keeps it running.
+	demo/run.sh $(DEPLOYMENT) $(KEEP)
 
 test: ## Run all tests with fixed seeds.
 	go test -count=1 ./...
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,12 +83,8 @@
 	if err != nil {
 		return nil, err
 	}
-	values, err := metrics.New(s.Slot, s.Region)
-	if err != nil {
-		return nil, err
-	}
 	g := &Gateway{
-		Metrics:    values,
+		Metrics:    metrics.New(s.Slot, s.Region),
 		Settings:   s,
 		Self:       self,
 		Log:        log,
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -3,7 +3,6 @@
 package metrics
 
 import (
-	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -28,7 +27,7 @@
 }
 
 // New returns metrics whose values carry the VM's slot and region.
-func New(slot, region string) (*Metrics, error) {
+func New(slot, region string) *Metrics {
 	registry := prometheus.NewRegistry()
 	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
@@ -38,10 +37,7 @@
 		Separator:              tallyprom.DefaultSeparator,
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
-	if scope == nil {
-		return nil, fmt.Errorf("create metrics of slot %s", slot)
-	}
-	return &Metrics{scope: scope, closer: closer, registry: registry}, nil
+	return &Metrics{scope: scope, closer: closer, registry: registry}
 }
 
 // Close stops reporting.
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -32,6 +32,8 @@
 func commands() []command {
 	return []command{
 		serveCommand,
+		standinCommand,
+		rosterCommand,
 		versionCommand,
 	}
 }
--- a/operator/serve.go
+++ b/operator/serve.go
@@ -15,6 +15,7 @@
 	"parsleyhatch/caller"
 	"parsleyhatch/event"
 	"parsleyhatch/gateway"
+	"parsleyhatch/standin"
 )
 
 // stopGrace is the time that open connections get after the last request has ended.
@@ -41,6 +42,7 @@
 	fs.StringVar(&s.UpstreamCredential, "upstream-credential", "", "bearer token that the platform gave for upstreams")
 	seeds := fs.String("seeds", "", "peer addresses of VMs to learn the configuration from, IP:port, separated by commas")
 	fleetKey := fs.String("fleet-key", "", "secret shared by all VMs, 16 bytes or more; prefer the environment variable")
+	emulate := fs.String("emulate-links", "", "for tests and demos: configuration file whose links' delay and bandwidth are imposed on connections to other VMs")
 	level := fs.String("log-level", "info", "lowest level to log: debug, info, warn or error")
 	if code, done := parseSettings(fs, e); done {
 		return code
@@ -59,7 +61,12 @@
 	if *seeds != "" {
 		s.Seeds = strings.Split(*seeds, ",")
 	}
-	if err := serve(s, log); err != nil {
+	dial, err := emulatedDial(*emulate, s.Region)
+	if err != nil {
+		fmt.Fprintf(e.stderr, "parsleyhatch serve: setting emulate-links: %v\n", err)
+		return exitUsage
+	}
+	if err := serve(s, dial, log); err != nil {
 		event.StartFailed.Log(log, "error", err.Error())
 		return exitFailed
 	}
@@ -67,11 +74,14 @@
 }
 
 // serve runs a VM until a signal, and then stops it gracefully. A second signal stops it at once.
-func serve(s gateway.Settings, log *slog.Logger) error {
+func serve(s gateway.Settings, dial standin.DialFunc, log *slog.Logger) error {
 	g, err := gateway.New(s, log)
 	if err != nil {
 		return err
 	}
+	if dial != nil {
+		g.Endpoint.DialFunc = dial
+	}
 	peers, err := net.Listen("tcp", s.PeerListen)
 	if err != nil {
 		return fmt.Errorf("setting peer-listen: %w", err)
@@ -117,3 +127,16 @@
 	<-finished
 	return nil
 }
+
+// emulatedDial returns a dial function that imposes the links of a configuration file, nil if no
+// file is named.
+func emulatedDial(name, region string) (standin.DialFunc, error) {
+	if name == "" {
+		return nil, nil
+	}
+	file, err := readConfig(name)
+	if err != nil {
+		return nil, err
+	}
+	return standin.NewWAN(standin.RegionsOf(file), file.Links).Dialer(region, nil), nil
+}
