--- /dev/null
+++ b/loadgen/settings.go
@@ -0,0 +1,153 @@
+// Package loadgen sends seeded open-loop load to a deployment, validates each response and computes
+// the five measures of the design page.
+package loadgen
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"parsleyhatch/config"
+)
+
+const (
+	defaultMaxOutstanding = 500
+	defaultMaxAttempts    = 4
+	defaultRequestTimeout = time.Minute
+)
+
+// Kind is what a request does.
+type Kind string
+
+// Kinds of requests.
+const (
+	// KindChat is a streamed chat completion.
+	KindChat Kind = "chat"
+	// KindCall is a service call that must not run twice.
+	KindCall Kind = "call"
+	// KindCheck is a service call that may be repeated.
+	KindCheck Kind = "check"
+)
+
+// Work is one kind of request of a workload.
+type Work struct {
+	Name string
+	Kind Kind
+	// Class is the label of the measures, such as config.ClassDraft.
+	Class string
+	// Route is the route's name; for KindChat it is the model, too.
+	Route string
+	// Share is the weight of this work in the mix.
+	Share float64
+	// Systems is the number of shared system prompts; 0 means that there is none.
+	Systems int
+	// SystemBytes is the length of a system prompt.
+	SystemBytes int
+	// UserBytes is the largest length of the user's own text or of a call's body.
+	UserBytes int
+	// MaxTokens limits the answer; it must not exceed the route's limit.
+	MaxTokens int
+	// Tickets is the share of calls that use a ticket instead of a key of their own.
+	Tickets float64
+	// Anonymous requests carry no key.
+	Anonymous bool
+}
+
+// Association returns the workload of the Association's deployment.
+func Association() []Work {
+	return []Work{
+		{Name: "proposal", Kind: KindChat, Class: config.ClassDraft, Route: "redator", Share: 5,
+			Systems: 6, SystemBytes: 4000, UserBytes: 1200, MaxTokens: 512},
+		{Name: "question", Kind: KindChat, Class: config.ClassInteractive, Route: "balcao", Share: 3,
+			Systems: 1, SystemBytes: 400, UserBytes: 200, MaxTokens: 64},
+		{Name: "deposit", Kind: KindCall, Class: "call", Route: "deposit", Share: 1, UserBytes: 300, Tickets: 0.7},
+		{Name: "confirm", Kind: KindCall, Class: "call", Route: "confirm", Share: 1, UserBytes: 300, Tickets: 0.7},
+		{Name: "status", Kind: KindCheck, Class: "check", Route: "status", Share: 2, UserBytes: 60, Anonymous: true},
+	}
+}
+
+// Registry returns the workload of the registry's deployment.
+func Registry() []Work {
+	return []Work{
+		{Name: "dossier", Kind: KindChat, Class: config.ClassDraft, Route: "parsley-pool", Share: 2,
+			Systems: 4, SystemBytes: 4000, UserBytes: 2000, MaxTokens: 384},
+		{Name: "lookup", Kind: KindChat, Class: config.ClassInteractive, Route: "counter-app", Share: 6,
+			Systems: 1, SystemBytes: 300, UserBytes: 120, MaxTokens: 32},
+		{Name: "filing", Kind: KindCall, Class: "call", Route: "filing", Share: 1, UserBytes: 600, Tickets: 0.7},
+		{Name: "status", Kind: KindCheck, Class: "check", Route: "status", Share: 2, UserBytes: 60, Anonymous: true},
+	}
+}
+
+// Workspace is a customer who sends load.
+type Workspace struct {
+	Name string
+	// Key is the bearer key.
+	Key string
+	// Region is where its callers are.
+	Region string
+	// RequestsPerSecond is the mean arrival rate.
+	RequestsPerSecond float64
+	// Rate and Burst are the configured limits in tokens; they decide which refusals count as
+	// refusals within the rate. A Rate of 0 means that all requests are within it.
+	Rate, Burst int64
+	// CallTokens is the charge of one service call, in tokens.
+	CallTokens int64
+}
+
+// Workspaces returns those workspaces of a configuration for which there is a key. The requests a
+// second are divided in proportion to the configured rates.
+func Workspaces(f *config.File, keys map[string]string, requestsPerSecond float64) []Workspace {
+	var list []Workspace
+	total := 0.0
+	for _, w := range f.Workspaces {
+		if keys[w.Name] == "" {
+			continue
+		}
+		total += float64(w.Rate)
+		list = append(list, Workspace{Name: w.Name, Key: keys[w.Name], Region: w.Home, Rate: w.Rate, Burst: w.Burst})
+	}
+	for i := range list {
+		list[i].RequestsPerSecond = requestsPerSecond * float64(list[i].Rate) / total
+	}
+	return list
+}
+
+// Settings configures a run.
+type Settings struct {
+	// Entries are the caller addresses of VMs, IP:port, which are asked for the directory.
+	Entries    []string
+	Workspaces []Workspace
+	Work       []Work
+	// Duration is the time over which requests arrive. The run ends when all of them have ended.
+	Duration time.Duration
+	Seed     uint64
+	// MaxOutstanding bounds the requests in flight; an arrival above it is not sent and counts as
+	// dropped. 0 means 500.
+	MaxOutstanding int
+	// MaxAttempts bounds the HTTP requests of one request. 0 means 4.
+	MaxAttempts int
+	// RequestTimeout bounds one request with all its attempts. 0 means one minute.
+	RequestTimeout time.Duration
+	// DialFunc opens connections; nil means plain TCP.
+	DialFunc func(ctx context.Context, address string) (net.Conn, error)
+	// UpstreamTokens returns the prompt and answer tokens that all engines have processed so far;
+	// nil means that the cost in tokens is not measured.
+	UpstreamTokens func() int64
+}
+
+func (s *Settings) prepare() error {
+	if len(s.Entries) == 0 || len(s.Workspaces) == 0 || len(s.Work) == 0 {
+		return fmt.Errorf("load needs entries, workspaces and work")
+	}
+	if s.MaxOutstanding <= 0 {
+		s.MaxOutstanding = defaultMaxOutstanding
+	}
+	if s.MaxAttempts <= 0 {
+		s.MaxAttempts = defaultMaxAttempts
+	}
+	if s.RequestTimeout <= 0 {
+		s.RequestTimeout = defaultRequestTimeout
+	}
+	return nil
+}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -50,25 +50,27 @@
 	mux      *http.ServeMux
 	host     host
 
-	mu       sync.Mutex
-	rng      *rand.Rand
-	closed   bool
-	down     bool
-	up       chan struct{} // Closed unless a restart is pending.
-	bootID   string
-	life     context.Context // Ends at a crash.
-	kill     context.CancelFunc
-	thawed   chan struct{} // Closed unless the engine is frozen.
-	batch    batch
-	cache    prefixCache
-	loads    loadHistory
-	streams  map[string]map[*stream]bool
-	models   map[string]bool
-	fencing  uint64
-	orders   []Order
-	crashes  int
-	ran      map[string]int
-	authSeen map[string]int
+	mu      sync.Mutex
+	rng     *rand.Rand
+	closed  bool
+	down    bool
+	up      chan struct{} // Closed unless a restart is pending.
+	bootID  string
+	life    context.Context // Ends at a crash.
+	kill    context.CancelFunc
+	thawed  chan struct{} // Closed unless the engine is frozen.
+	batch   batch
+	cache   prefixCache
+	loads   loadHistory
+	streams map[string]map[*stream]bool
+	models  map[string]bool
+	fencing uint64
+	orders  []Order
+	crashes int
+	ran     map[string]int
+	// processed counts the prompt tokens read and the answer tokens generated.
+	processed int64
+	authSeen  map[string]int
 }
 
 // stream is one running or waiting completion.
@@ -267,6 +269,14 @@
 	return maps.Clone(e.ran)
 }
 
+// Processed returns the tokens that the engine has worked on: prompts without their cached part, the
+// tokens re-read by a resume, and answers.
+func (e *Engine) Processed() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.processed
+}
+
 // Running lists the request ids in the batch now, with the number of their streams.
 func (e *Engine) Running() map[string]int {
 	e.mu.Lock()
--- a/standin/stream.go
+++ b/standin/stream.go
@@ -214,6 +214,7 @@
 		if !e.pauseUntil(ctx, due) {
 			return false
 		}
+		e.work(end - at)
 		if !out.piece(at, end, strings.Join(answer[at:end], "")) {
 			return false
 		}
@@ -232,12 +233,19 @@
 	if !e.pauseUntil(ctx, time.Now().Add(tokenTime(todo, e.settings.PrefillPerSecond))) {
 		return false
 	}
+	e.work(todo)
 	if cached == 0 {
 		e.cachePrefix(j.prefix, j.prefixTokens)
 	}
 	return true
 }
 
+func (e *Engine) work(tokens int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.processed += int64(tokens)
+}
+
 func tokenTime(tokens int, perSecond float64) time.Duration {
 	if perSecond <= 0 {
 		return 0
