Free the batch slot when a caller's connection closes early

The HTTP server notices a closed connection only after the whole request body was read; the JSON decoder could leave the end of a chunked body. The load's call charge moves to the kind of work, demo keys can be parsed.

go test -race -count=5 ./loadgen ./standin ./config: ok.

--- a/loadgen/schedule.go
+++ b/loadgen/schedule.go
@@ -113,7 +113,7 @@
 // cost returns the tokens that the request really takes.
 func (r *request) cost() int64 {
 	if r.work.Kind != KindChat {
-		return r.workspace.CallTokens
+		return r.work.CallTokens
 	}
 	return int64(standin.PromptTokens(r.messages) + len(r.want)/tokenBytes)
 }
--- a/loadgen/settings.go
+++ b/loadgen/settings.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"time"
 
 	"parsleyhatch/config"
@@ -50,6 +51,9 @@
 	MaxTokens int
 	// Tickets is the share of calls that use a ticket instead of a key of their own.
 	Tickets float64
+	// CallTokens is the charge of a service call to the sender, in tokens. It is 0 for an anonymous
+	// call, which is charged to the route's own workspace.
+	CallTokens int64
 	// Anonymous requests carry no key.
 	Anonymous bool
 }
@@ -61,8 +65,8 @@
 			Systems: 6, SystemBytes: 4000, UserBytes: 1200, MaxTokens: 512},
 		{Name: "question", Kind: KindChat, Class: config.ClassInteractive, Route: "balcao", Share: 3,
 			Systems: 1, SystemBytes: 400, UserBytes: 200, MaxTokens: 64},
-		{Name: "deposit", Kind: KindCall, Class: "call", Route: "deposit", Share: 1, UserBytes: 300, Tickets: 0.7},
-		{Name: "confirm", Kind: KindCall, Class: "call", Route: "confirm", Share: 1, UserBytes: 300, Tickets: 0.7},
+		{Name: "deposit", Kind: KindCall, Class: "call", Route: "deposit", Share: 1, UserBytes: 300, Tickets: 0.7, CallTokens: 10},
+		{Name: "confirm", Kind: KindCall, Class: "call", Route: "confirm", Share: 1, UserBytes: 300, Tickets: 0.7, CallTokens: 10},
 		{Name: "status", Kind: KindCheck, Class: "check", Route: "status", Share: 2, UserBytes: 60, Anonymous: true},
 	}
 }
@@ -74,7 +78,7 @@
 			Systems: 4, SystemBytes: 4000, UserBytes: 2000, MaxTokens: 384},
 		{Name: "lookup", Kind: KindChat, Class: config.ClassInteractive, Route: "counter-app", Share: 6,
 			Systems: 1, SystemBytes: 300, UserBytes: 120, MaxTokens: 32},
-		{Name: "filing", Kind: KindCall, Class: "call", Route: "filing", Share: 1, UserBytes: 600, Tickets: 0.7},
+		{Name: "filing", Kind: KindCall, Class: "call", Route: "filing", Share: 1, UserBytes: 600, Tickets: 0.7, CallTokens: 10},
 		{Name: "status", Kind: KindCheck, Class: "check", Route: "status", Share: 2, UserBytes: 60, Anonymous: true},
 	}
 }
@@ -91,8 +95,6 @@
 	// Rate and Burst are the configured limits in tokens; they decide which refusals count as
 	// refusals within the rate. A Rate of 0 means that all requests are within it.
 	Rate, Burst int64
-	// CallTokens is the charge of one service call, in tokens.
-	CallTokens int64
 }
 
 // Workspaces returns those workspaces of a configuration for which there is a key. The requests a
@@ -113,6 +115,19 @@
 	return list
 }
 
+// ParseKeys reads demo keys by workspace; each line is "workspace ph_<id>_<secret>".
+func ParseKeys(data []byte) (map[string]string, error) {
+	keys := map[string]string{}
+	for i, line := range strings.Split(strings.TrimSpace(string(data)), "\n") {
+		fields := strings.Fields(line)
+		if len(fields) != 2 {
+			return nil, fmt.Errorf("keys line %d: want a workspace and a key", i+1)
+		}
+		keys[fields[0]] = fields[1]
+	}
+	return keys, nil
+}
+
 // Settings configures a run.
 type Settings struct {
 	// Entries are the caller addresses of VMs, IP:port, which are asked for the directory.
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -130,6 +130,31 @@
 	}
 }
 
+// Guards against batch slots that stay taken after a cancellation or a closed connection.
+func TestEndedStreamFreesSlot(t *testing.T) {
+	_, url := startEngine(t, EngineSettings{MaxBatch: 1, TokensPerSecond: 1e-6})
+	// start returns once the stream has the slot, since the engine sends headers only then.
+	start := func(id string) *http.Response {
+		req, _ := http.NewRequest("POST", url+"/v1/chat/completions", strings.NewReader(chatBody(t, "m", "p", 5)))
+		req.Header.Set("X-Request-Id", id)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return resp
+	}
+	first := start("r1")
+	if status, _, err := call(t, "DELETE", url+"/v1/streams/r1", ""); err != nil || status != 204 {
+		t.Fatalf("cancel: status %d, error %v", status, err)
+	}
+	if _, err := io.ReadAll(first.Body); err == nil {
+		t.Error("a cancelled stream ended properly")
+	}
+	second := start("r2")
+	_ = second.Body.Close()
+	_ = start("r3").Body.Close()
+}
+
 // Guards against reads that exceed the budget, and against a stale service that shows new values.
 func TestPlatformBudgetAndStaleValues(t *testing.T) {
 	p := NewPlatform(PlatformSettings{ReadsPerSecond: 1e-9, ReadBurst: 4})
--- a/standin/stream.go
+++ b/standin/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -87,8 +88,13 @@
 }
 
 func parseJob(w http.ResponseWriter, r *http.Request) (*job, error) {
+	// The whole body must be read, or the server does not notice a closed connection.
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	if err != nil {
+		return nil, fmt.Errorf("read completion request: %w", err)
+	}
 	var req chatRequest
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&req); err != nil {
+	if err := json.Unmarshal(body, &req); err != nil {
 		return nil, fmt.Errorf("read completion request: %w", err)
 	}
 	j := &job{id: r.Header.Get("X-Request-Id"), model: req.Model, prefix: r.Header.Get("X-Prefix")}
