--- a/standin/stream.go
+++ b/standin/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -87,8 +88,13 @@
 }
 
 func parseJob(w http.ResponseWriter, r *http.Request) (*job, error) {
+	// The whole body must be read, or the server does not notice a closed connection.
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	if err != nil {
+		return nil, fmt.Errorf("read completion request: %w", err)
+	}
 	var req chatRequest
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&req); err != nil {
+	if err := json.Unmarshal(body, &req); err != nil {
 		return nil, fmt.Errorf("read completion request: %w", err)
 	}
 	j := &job{id: r.Header.Get("X-Request-Id"), model: req.Model, prefix: r.Header.Get("X-Prefix")}
@@ -214,6 +220,7 @@
 		if !e.pauseUntil(ctx, due) {
 			return false
 		}
+		e.work(end - at)
 		if !out.piece(at, end, strings.Join(answer[at:end], "")) {
 			return false
 		}
@@ -232,12 +239,19 @@
 	if !e.pauseUntil(ctx, time.Now().Add(tokenTime(todo, e.settings.PrefillPerSecond))) {
 		return false
 	}
+	e.work(todo)
 	if cached == 0 {
 		e.cachePrefix(j.prefix, j.prefixTokens)
 	}
 	return true
 }
 
+func (e *Engine) work(tokens int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.processed += int64(tokens)
+}
+
 func tokenTime(tokens int, perSecond float64) time.Duration {
 	if perSecond <= 0 {
 		return 0
