--- a/config/bench_test.go
+++ b/config/bench_test.go
@@ -15,7 +15,7 @@
 	scaleWorkspaces = 5900
 	scaleUpstreams  = 12000
 	scaleModels     = 8
-	scalePerPart    = 500
+	scalePerPart    = 100
 )
 
 // scaleFile returns a valid configuration of the target size.
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -246,3 +246,21 @@
 		}
 	})
 }
+
+// Guards against a division in which the removal of one entity changes many parts, all of which
+// every VM would have to fetch.
+func TestSplitKeepsOtherParts(t *testing.T) {
+	f := scaleFile()
+	_, before := publish(t, 1, f)
+	f.Upstreams, f.Workspaces[0].Rate = f.Upstreams[1:], 1
+	_, after := publish(t, 2, f)
+	changed := 0
+	for digest := range after {
+		if before[digest] == nil {
+			changed++
+		}
+	}
+	if changed != 2 {
+		t.Errorf("%d of %d parts changed, want 2", changed, len(after))
+	}
+}
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"slices"
 	"sort"
@@ -262,35 +261,3 @@
 	}
 	return key
 }
-
-// Split divides a file into parts of bounded size, as operators publish it.
-func Split(f *File, perPart int) ([][]byte, error) {
-	var parts [][]byte
-	add := func(p *File) error {
-		data, err := json.Marshal(p)
-		if err != nil {
-			return fmt.Errorf("encode configuration part: %w", err)
-		}
-		parts = append(parts, data)
-		return nil
-	}
-	if err := add(&File{Regions: f.Regions, Links: f.Links, VMs: f.VMs, Routes: f.Routes}); err != nil {
-		return nil, err
-	}
-	for c := range slices.Chunk(f.Workspaces, perPart) {
-		if err := add(&File{Workspaces: c}); err != nil {
-			return nil, err
-		}
-	}
-	for c := range slices.Chunk(f.Keys, perPart) {
-		if err := add(&File{Keys: c}); err != nil {
-			return nil, err
-		}
-	}
-	for c := range slices.Chunk(f.Upstreams, perPart) {
-		if err := add(&File{Upstreams: c}); err != nil {
-			return nil, err
-		}
-	}
-	return parts, nil
-}
--- /dev/null
+++ b/operator/admin.go
@@ -0,0 +1,123 @@
+package operator
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+)
+
+// Limits of a request to the admin listener of a VM.
+const (
+	adminTimeout  = 10 * time.Second
+	adminMaxBytes = 64 << 20
+)
+
+// adminFlag defines -admin.
+func adminFlag(fs *flag.FlagSet) *string {
+	return fs.String("admin", "", "URL or IP:port of a VM's admin listener")
+}
+
+// adminURL returns the URL of an admin page. An address without a scheme means http.
+func adminURL(admin, path string, query url.Values) (string, error) {
+	if admin == "" {
+		return "", errors.New("-admin is not set")
+	}
+	if !strings.Contains(admin, "://") {
+		admin = "http://" + admin
+	}
+	u, err := url.Parse(admin)
+	if err != nil {
+		return "", fmt.Errorf("-admin: %w", err)
+	}
+	if u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return "", fmt.Errorf("-admin: %q is not an http URL", admin)
+	}
+	u.Path, u.RawQuery = strings.TrimSuffix(u.Path, "/")+path, query.Encode()
+	return u.String(), nil
+}
+
+// getAdmin returns the body of an admin page.
+func getAdmin(address string) ([]byte, error) {
+	client := http.Client{Timeout: adminTimeout}
+	resp, err := client.Get(address)
+	if err != nil {
+		return nil, fmt.Errorf("-admin: %w", err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, adminMaxBytes))
+	if err != nil {
+		return nil, fmt.Errorf("-admin: read %s: %w", address, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("-admin: %s answered %s: %s", address, resp.Status, bytes.TrimSpace(data))
+	}
+	return data, nil
+}
+
+// printIndented prints JSON as received, with line breaks.
+func printIndented(w io.Writer, data []byte) error {
+	var out bytes.Buffer
+	if err := json.Indent(&out, bytes.TrimSpace(data), "", "  "); err != nil {
+		return fmt.Errorf("decode answer: %w", err)
+	}
+	_, err := fmt.Fprintln(w, out.String())
+	return err
+}
+
+// field is a member of a JSON object, in the order of the document.
+type field struct {
+	name  string
+	value json.RawMessage
+}
+
+// fields returns the members of a JSON object.
+func fields(data []byte) ([]field, error) {
+	dec := json.NewDecoder(bytes.NewReader(data))
+	if t, err := dec.Token(); err != nil || t != json.Delim('{') {
+		return nil, errors.New("decode answer: not a JSON object")
+	}
+	var list []field
+	for dec.More() {
+		name, err := dec.Token()
+		if err != nil {
+			return nil, fmt.Errorf("decode answer: %w", err)
+		}
+		var value json.RawMessage
+		if err := dec.Decode(&value); err != nil {
+			return nil, fmt.Errorf("decode answer: %w", err)
+		}
+		list = append(list, field{name: name.(string), value: value})
+	}
+	return list, nil
+}
+
+// printField prints a member: objects and arrays as nested lines, anything else after the name.
+func printField(w io.Writer, indent string, f field) {
+	if inner, err := fields(f.value); err == nil {
+		fmt.Fprintf(w, "%s%s:\n", indent, f.name)
+		for _, i := range inner {
+			printField(w, indent+"  ", i)
+		}
+		return
+	}
+	var items []json.RawMessage
+	if bytes.HasPrefix(f.value, []byte("[")) && json.Unmarshal(f.value, &items) == nil {
+		fmt.Fprintf(w, "%s%s:\n", indent, f.name)
+		for i, item := range items {
+			printField(w, indent+"  ", field{name: fmt.Sprint(i), value: item})
+		}
+		return
+	}
+	var text string
+	if json.Unmarshal(f.value, &text) != nil {
+		text = string(f.value)
+	}
+	fmt.Fprintf(w, "%s%s: %s\n", indent, f.name, text)
+}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -31,6 +31,13 @@
 // commands lists the subcommands in the order of the help text.
 func commands() []command {
 	return []command{
+		checkCommand,
+		selectCommand,
+		publishPartsCommand,
+		keyCommand,
+		statusCommand,
+		auditCommand,
+		explainCommand,
 		versionCommand,
 	}
 }
@@ -59,7 +66,7 @@
 	fmt.Fprintln(w, "usage: parsleyhatch SUBCOMMAND [flags]")
 	fmt.Fprintln(w)
 	for _, c := range commands() {
-		fmt.Fprintf(w, "  %-10s %s\n", c.name, c.summary)
+		fmt.Fprintf(w, "  %-14s %s\n", c.name, c.summary)
 	}
 	fmt.Fprintln(w)
 	fmt.Fprintln(w, "\"parsleyhatch SUBCOMMAND -h\" shows the flags with units and defaults.")
--- /dev/null
+++ b/operator/operator_test.go
@@ -0,0 +1,166 @@
+package operator
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+
+	"parsleyhatch/config"
+)
+
+// invoke runs the program and returns exit code, standard output and standard error as one text.
+func invoke(args ...string) string {
+	var stdout, stderr bytes.Buffer
+	code := Main(args, nil, &stdout, &stderr)
+	return fmt.Sprintf("exit %d\n--- stdout\n%s--- stderr\n%s", code, stdout.String(), stderr.String())
+}
+
+// Guards against help texts, tables and messages that change unnoticed: operators' scripts and
+// pages refer to them.
+func TestOutput(t *testing.T) {
+	const dir = "testdata/config/"
+	cases := []struct{ name, args string }{
+		{"check-help", "check -h"},
+		{"select-help", "select -h"},
+		{"publish-parts-help", "publish-parts -h"},
+		{"key-help", "key -h"},
+		{"status-help", "status -h"},
+		{"audit-help", "audit -h"},
+		{"explain-help", "explain -h"},
+		{"check-valid", "check " + dir + "valid.json"},
+		{"check-parts", "check " + dir + "base.json " + dir + "keys.json"},
+		{"check-json", "check " + dir + "base.json " + dir + "keys.json -json"},
+		{"check-unreadable", "check missing.json " + dir + "unknown-field.json"},
+		{"check-no-file", "check"},
+		{"select-labels", "select -config " + dir + "valid.json model=redator"},
+		{"select-route", "select -route drafts -config " + dir + "valid.json"},
+		{"select-route-unknown", "select -route x -config " + dir + "valid.json"},
+		{"select-both", "select -route drafts -config " + dir + "valid.json model=redator"},
+		{"select-neither", "select -config " + dir + "valid.json"},
+		{"select-invalid", "select -config " + dir + "valid.json model="},
+		{"select-no-config", "select model=redator"},
+		{"publish-parts-no-number", "publish-parts " + dir + "valid.json -out x"},
+		{"publish-parts-invalid", "publish-parts -number 1 -out x " + dir + "base.json"},
+		{"key-no-workspace", "key new"},
+		{"status-no-admin", "status"},
+		{"status-no-url", "status -admin ftp://127.0.0.1"},
+		{"explain-no-id", "explain -admin 127.0.0.1:1"},
+		{"unknown-flag", "check -quick x.json"},
+	}
+	golden := goldie.New(t)
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			golden.Assert(t, c.name, []byte(invoke(strings.Fields(c.args)...)))
+		})
+	}
+}
+
+// admin serves fixed admin pages; a request for anything else gets 404.
+func admin(t *testing.T) string {
+	pages := map[string]string{
+		"/admin/status":           "status.json",
+		"/admin/audit?after=6":    "audit.json",
+		"/admin/explain?id=r-123": "explain.json",
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		name, ok := pages[r.URL.RequestURI()]
+		if !ok {
+			http.Error(w, `{"error":{"code":"notFound"}}`, http.StatusNotFound)
+			return
+		}
+		http.ServeFile(w, r, "testdata/admin/"+name)
+	}))
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+// Guards against a page that is fetched from a wrong path or shown incompletely: members that this
+// program does not know must appear as well.
+func TestAdminOutput(t *testing.T) {
+	url := admin(t)
+	cases := []struct{ name, args string }{
+		{"status", "status -admin URL"},
+		{"status-json", "status -json -admin URL"},
+		{"audit", "audit -after 6 -admin URL"},
+		{"explain", "explain r-123 -admin URL"},
+		{"explain-unknown", "explain -admin URL r-999"},
+	}
+	golden := goldie.New(t)
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			text := invoke(strings.Fields(strings.ReplaceAll(c.args, "URL", url))...)
+			golden.Assert(t, c.name, []byte(strings.ReplaceAll(text, url, "URL")))
+		})
+	}
+}
+
+// Guards against a -admin setting that is ignored when it comes from the environment or has no scheme.
+func TestAdminFromEnvironment(t *testing.T) {
+	address := strings.TrimPrefix(admin(t), "http://")
+	var stdout, stderr bytes.Buffer
+	code := Main([]string{"explain", "r-123"}, []string{"PARSLEYHATCH_ADMIN=" + address}, &stdout, &stderr)
+	if code != exitOK || stdout.Len() == 0 {
+		t.Errorf("exit %d, stderr %q", code, stderr.String())
+	}
+}
+
+// Guards against a printed key that the configuration entry printed with it does not accept.
+func TestNewKey(t *testing.T) {
+	var stdout, stderr bytes.Buffer
+	if code := Main([]string{"key", "new", "-workspace", "alfama"}, nil, &stdout, &stderr); code != exitOK {
+		t.Fatalf("exit %d: %s", code, stderr.String())
+	}
+	lines := strings.Split(stdout.String(), "\n")
+	var entry config.Key
+	if err := json.Unmarshal([]byte(strings.TrimPrefix(lines[1], "entry: ")), &entry); err != nil {
+		t.Fatal(err)
+	}
+	read, _ := readConfig([]string{"testdata/config/valid.json"})
+	read.merged.Keys = append(read.merged.Keys, entry)
+	snapshot, problems := config.NewSnapshot(read.merged)
+	if problems != nil {
+		t.Fatal(problems)
+	}
+	key := snapshot.Authenticate(strings.TrimPrefix(lines[0], "key:   "))
+	if key == nil || key.Workspace != "alfama" {
+		t.Errorf("key of %q gives %v", stdout.String(), key)
+	}
+}
+
+// Guards against published values from which a VM cannot assemble the configuration again.
+func TestPublishParts(t *testing.T) {
+	out := t.TempDir()
+	text := invoke("publish-parts", "-number", "7", "testdata/config/valid.json", "-out", out, "-per-part", "1")
+	goldie.New(t).Assert(t, "publish-parts", []byte(strings.ReplaceAll(text, out, "DIR")))
+	data, err := os.ReadFile(filepath.Join(out, "parsleyhatch", "head"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var head config.Head
+	if err := json.Unmarshal(data, &head); err != nil {
+		t.Fatal(err)
+	}
+	parts := map[string][]byte{}
+	for _, digest := range head.Parts {
+		part, err := os.ReadFile(filepath.Join(out, "parsleyhatch", "parts", digest))
+		if err != nil {
+			t.Fatal(err)
+		}
+		parts[digest] = part
+	}
+	snapshot, problems := config.Assemble(head, parts)
+	if problems != nil {
+		t.Fatal(problems)
+	}
+	if snapshot.Version.Number != 7 || len(snapshot.Upstreams) != 3 {
+		t.Errorf("version %s with %d upstreams", snapshot.Version, len(snapshot.Upstreams))
+	}
+}
--- a/operator/settings.go
+++ b/operator/settings.go
@@ -18,8 +18,13 @@
 // parseSettings sets the flags from the environment and then from the arguments, so that a flag
 // wins. done is true if the command is to end with the given exit code.
 func parseSettings(fs *flag.FlagSet, e env) (code int, done bool) {
+	return parseUsage(fs, e, "")
+}
+
+// parseUsage is parseSettings with a usage line that names operands.
+func parseUsage(fs *flag.FlagSet, e env, operands string) (code int, done bool) {
 	fs.SetOutput(e.stderr)
-	fs.Usage = func() { printFlags(fs, e) }
+	fs.Usage = func() { printFlags(fs, e, operands) }
 	if err := setFromEnvironment(fs, e.environ); err != nil {
 		fmt.Fprintf(e.stderr, "parsleyhatch %s: %v\n", fs.Name(), err)
 		return exitUsage, true
@@ -50,8 +55,8 @@
 	return nil
 }
 
-func printFlags(fs *flag.FlagSet, e env) {
-	fmt.Fprintf(e.stderr, "usage: parsleyhatch %s [flags]\n", fs.Name())
+func printFlags(fs *flag.FlagSet, e env, operands string) {
+	fmt.Fprintln(e.stderr, strings.TrimRight("usage: parsleyhatch "+fs.Name()+" [flags] "+operands, " "))
 	fs.VisitAll(func(f *flag.Flag) {
 		fmt.Fprintf(e.stderr, "  -%s (%s)\n    \t%s", f.Name, envName(f.Name), f.Usage)
 		if f.DefValue != "" {
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -27,6 +27,12 @@
 	KindHandoverTake
 )
 
+// The limits bound what a decoder allocates for a length that a faulty peer announces: without them,
+// a frame of 23 bytes made a VM allocate 128 GiB. The longest legitimate array is the list of parts
+// of a configuration, about 700 at the target scale. Fields of raw bytes may fill a frame of 256 KiB.
+
+//msgp:limit arrays:4096 maps:256
+
 //msgp:tuple Frame Hello Open Chunk End Window Heartbeat SlotView ConfigGet ConfigParts Part
 //msgp:tuple Load UpstreamLoad Summary PoolSummary TokenAsk TokenGive Suspect Handover HandoverTake HandoverRecord
 
@@ -39,7 +45,7 @@
 	// Seq numbers the Data frames of a stream and direction, from zero without gaps.
 	Seq uint64
 	// Body is the encoded message, or raw bytes in a Data frame.
-	Body []byte
+	Body []byte `msg:"Body,limit=262144"`
 }
 
 // Hello is the first frame in each direction.
@@ -90,7 +96,7 @@
 	// Status is set in the first piece of a service answer.
 	Status int32
 	Header map[string]string
-	Data   []byte
+	Data   []byte `msg:"Data,limit=262144"`
 }
 
 // End closes a stream with the outcome of the request.
@@ -141,12 +147,12 @@
 // Part is one immutable part of a configuration.
 type Part struct {
 	Digest string
-	Bytes  []byte
+	Bytes  []byte `msg:"Bytes,limit=262144"`
 }
 
 // ConfigParts carries a head as JSON and parts.
 type ConfigParts struct {
-	Head  []byte
+	Head  []byte `msg:"Head,limit=262144"`
 	Parts []Part
 }
 
@@ -217,12 +223,12 @@
 	Workspace string
 	Route     string
 	Key       string
-	Body      []byte
+	Body      []byte `msg:"Body,limit=262144"`
 	// State is the state of the call, see package once.
 	State  uint8
 	Status int32
 	Header map[string]string
-	Answer []byte
+	Answer []byte `msg:"Answer,limit=262144"`
 	// AgeMillis is the time since the key's first use, in milliseconds.
 	AgeMillis int64
 }
--- a/vmwire/schema_gen.go
+++ b/vmwire/schema_gen.go
@@ -6,6 +6,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	zb417a25dlimitArrays = 4096
+	zb417a25dlimitMaps   = 256
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *Chunk) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -14,6 +20,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 5 {
 		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
@@ -39,6 +49,10 @@
 		err = msgp.WrapError(err, "Header")
 		return
 	}
+	if zb0002 > zb417a25dlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if z.Header == nil {
 		z.Header = make(map[string]string, zb0002)
 	} else if len(z.Header) > 0 {
@@ -62,7 +76,10 @@
 		}
 		z.Header[za0001] = za0002
 	}
-	z.Data, err = dc.ReadBytes(z.Data)
+	z.Data, err = dc.ReadBytesLimit(z.Data, 262144)
+	if err == nil && z.Data == nil {
+		z.Data = []byte{}
+	}
 	if err != nil {
 		err = msgp.WrapError(err, "Data")
 		return
@@ -167,6 +184,10 @@
 		err = msgp.WrapError(err, "Header")
 		return
 	}
+	if zb0002 > zb417a25dlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if z.Header == nil {
 		z.Header = make(map[string]string, zb0002)
 	} else if len(z.Header) > 0 {
@@ -190,11 +211,27 @@
 		}
 		z.Header[za0001] = za0002
 	}
-	z.Data, bts, err = msgp.ReadBytesBytes(bts, z.Data)
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadBytesHeader(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Data")
 		return
 	}
+	if zb0003 > 262144 {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Data == nil || uint32(cap(z.Data)) < zb0003 {
+		z.Data = make([]byte, zb0003)
+	} else {
+		z.Data = z.Data[:zb0003]
+	}
+	if uint32(len(bts)) < zb0003 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Data, bts[:zb0003])
+	bts = bts[zb0003:]
 	o = bts
 	return
 }
@@ -220,6 +257,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 1 {
 		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
 		return
@@ -230,6 +271,10 @@
 		err = msgp.WrapError(err, "Digests")
 		return
 	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Digests) >= int(zb0002) {
 		z.Digests = (z.Digests)[:zb0002]
 	} else {
@@ -297,6 +342,10 @@
 		err = msgp.WrapError(err, "Digests")
 		return
 	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Digests) >= int(zb0002) {
 		z.Digests = (z.Digests)[:zb0002]
 	} else {
@@ -330,11 +379,18 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 2 {
 		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
 	}
-	z.Head, err = dc.ReadBytes(z.Head)
+	z.Head, err = dc.ReadBytesLimit(z.Head, 262144)
+	if err == nil && z.Head == nil {
+		z.Head = []byte{}
+	}
 	if err != nil {
 		err = msgp.WrapError(err, "Head")
 		return
@@ -345,6 +401,10 @@
 		err = msgp.WrapError(err, "Parts")
 		return
 	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Parts) >= int(zb0002) {
 		z.Parts = (z.Parts)[:zb0002]
 	} else {
@@ -357,6 +417,10 @@
 			err = msgp.WrapError(err, "Parts", za0001)
 			return
 		}
+		if zb0003 > zb417a25dlimitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
 		if zb0003 != 2 {
 			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
 			return
@@ -366,7 +430,10 @@
 			err = msgp.WrapError(err, "Parts", za0001, "Digest")
 			return
 		}
-		z.Parts[za0001].Bytes, err = dc.ReadBytes(z.Parts[za0001].Bytes)
+		z.Parts[za0001].Bytes, err = dc.ReadBytesLimit(z.Parts[za0001].Bytes, 262144)
+		if err == nil && z.Parts[za0001].Bytes == nil {
+			z.Parts[za0001].Bytes = []byte{}
+		}
 		if err != nil {
 			err = msgp.WrapError(err, "Parts", za0001, "Bytes")
 			return
@@ -440,31 +507,51 @@
 		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
 	}
-	z.Head, bts, err = msgp.ReadBytesBytes(bts, z.Head)
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadBytesHeader(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Head")
 		return
 	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if zb0002 > 262144 {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Head == nil || uint32(cap(z.Head)) < zb0002 {
+		z.Head = make([]byte, zb0002)
+	} else {
+		z.Head = z.Head[:zb0002]
+	}
+	if uint32(len(bts)) < zb0002 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Head, bts[:zb0002])
+	bts = bts[zb0002:]
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Parts")
 		return
 	}
-	if cap(z.Parts) >= int(zb0002) {
-		z.Parts = (z.Parts)[:zb0002]
+	if zb0003 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Parts) >= int(zb0003) {
+		z.Parts = (z.Parts)[:zb0003]
 	} else {
-		z.Parts = make([]Part, zb0002)
+		z.Parts = make([]Part, zb0003)
 	}
 	for za0001 := range z.Parts {
-		var zb0003 uint32
-		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		var zb0004 uint32
+		zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Parts", za0001)
 			return
 		}
-		if zb0003 != 2 {
-			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+		if zb0004 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0004}
 			return
 		}
 		z.Parts[za0001].Digest, bts, err = msgp.ReadStringBytes(bts)
@@ -472,11 +559,27 @@
 			err = msgp.WrapError(err, "Parts", za0001, "Digest")
 			return
 		}
-		z.Parts[za0001].Bytes, bts, err = msgp.ReadBytesBytes(bts, z.Parts[za0001].Bytes)
+		var zb0005 uint32
+		zb0005, bts, err = msgp.ReadBytesHeader(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Parts", za0001, "Bytes")
 			return
 		}
+		if zb0005 > 262144 {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		if z.Parts[za0001].Bytes == nil || uint32(cap(z.Parts[za0001].Bytes)) < zb0005 {
+			z.Parts[za0001].Bytes = make([]byte, zb0005)
+		} else {
+			z.Parts[za0001].Bytes = z.Parts[za0001].Bytes[:zb0005]
+		}
+		if uint32(len(bts)) < zb0005 {
+			err = msgp.ErrShortBytes
+			return
+		}
+		copy(z.Parts[za0001].Bytes, bts[:zb0005])
+		bts = bts[zb0005:]
 	}
 	o = bts
 	return
@@ -499,6 +602,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 8 {
 		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
@@ -682,6 +789,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 4 {
 		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
@@ -701,7 +812,10 @@
 		err = msgp.WrapError(err, "Seq")
 		return
 	}
-	z.Body, err = dc.ReadBytes(z.Body)
+	z.Body, err = dc.ReadBytesLimit(z.Body, 262144)
+	if err == nil && z.Body == nil {
+		z.Body = []byte{}
+	}
 	if err != nil {
 		err = msgp.WrapError(err, "Body")
 		return
@@ -778,11 +892,27 @@
 		err = msgp.WrapError(err, "Seq")
 		return
 	}
-	z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadBytesHeader(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Body")
 		return
 	}
+	if zb0002 > 262144 {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Body == nil || uint32(cap(z.Body)) < zb0002 {
+		z.Body = make([]byte, zb0002)
+	} else {
+		z.Body = z.Body[:zb0002]
+	}
+	if uint32(len(bts)) < zb0002 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Body, bts[:zb0002])
+	bts = bts[zb0002:]
 	o = bts
 	return
 }
@@ -801,6 +931,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 5 {
 		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
@@ -831,6 +965,10 @@
 		err = msgp.WrapError(err, "Records")
 		return
 	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Records) >= int(zb0002) {
 		z.Records = (z.Records)[:zb0002]
 	} else {
@@ -946,6 +1084,10 @@
 		err = msgp.WrapError(err, "Records")
 		return
 	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Records) >= int(zb0002) {
 		z.Records = (z.Records)[:zb0002]
 	} else {
@@ -979,6 +1121,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 9 {
 		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
@@ -998,7 +1144,10 @@
 		err = msgp.WrapError(err, "Key")
 		return
 	}
-	z.Body, err = dc.ReadBytes(z.Body)
+	z.Body, err = dc.ReadBytesLimit(z.Body, 262144)
+	if err == nil && z.Body == nil {
+		z.Body = []byte{}
+	}
 	if err != nil {
 		err = msgp.WrapError(err, "Body")
 		return
@@ -1019,6 +1168,10 @@
 		err = msgp.WrapError(err, "Header")
 		return
 	}
+	if zb0002 > zb417a25dlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if z.Header == nil {
 		z.Header = make(map[string]string, zb0002)
 	} else if len(z.Header) > 0 {
@@ -1042,7 +1195,10 @@
 		}
 		z.Header[za0001] = za0002
 	}
-	z.Answer, err = dc.ReadBytes(z.Answer)
+	z.Answer, err = dc.ReadBytesLimit(z.Answer, 262144)
+	if err == nil && z.Answer == nil {
+		z.Answer = []byte{}
+	}
 	if err != nil {
 		err = msgp.WrapError(err, "Answer")
 		return
@@ -1170,11 +1326,27 @@
 		err = msgp.WrapError(err, "Key")
 		return
 	}
-	z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadBytesHeader(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Body")
 		return
 	}
+	if zb0002 > 262144 {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Body == nil || uint32(cap(z.Body)) < zb0002 {
+		z.Body = make([]byte, zb0002)
+	} else {
+		z.Body = z.Body[:zb0002]
+	}
+	if uint32(len(bts)) < zb0002 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Body, bts[:zb0002])
+	bts = bts[zb0002:]
 	z.State, bts, err = msgp.ReadUint8Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "State")
@@ -1185,22 +1357,26 @@
 		err = msgp.WrapError(err, "Status")
 		return
 	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Header")
 		return
 	}
+	if zb0003 > zb417a25dlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if z.Header == nil {
-		z.Header = make(map[string]string, zb0002)
+		z.Header = make(map[string]string, zb0003)
 	} else if len(z.Header) > 0 {
 		clear(z.Header)
 	}
 	var field []byte
 	_ = field
-	for zb0002 > 0 {
+	for zb0003 > 0 {
 		var za0002 string
-		zb0002--
+		zb0003--
 		var za0001 string
 		za0001, bts, err = msgp.ReadStringBytes(bts)
 		if err != nil {
@@ -1214,11 +1390,27 @@
 		}
 		z.Header[za0001] = za0002
 	}
-	z.Answer, bts, err = msgp.ReadBytesBytes(bts, z.Answer)
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadBytesHeader(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Answer")
 		return
 	}
+	if zb0004 > 262144 {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Answer == nil || uint32(cap(z.Answer)) < zb0004 {
+		z.Answer = make([]byte, zb0004)
+	} else {
+		z.Answer = z.Answer[:zb0004]
+	}
+	if uint32(len(bts)) < zb0004 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Answer, bts[:zb0004])
+	bts = bts[zb0004:]
 	z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "AgeMillis")
@@ -1249,6 +1441,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 1 {
 		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
 		return
@@ -1320,6 +1516,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 7 {
 		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
@@ -1360,6 +1560,10 @@
 		err = msgp.WrapError(err, "Slots")
 		return
 	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Slots) >= int(zb0002) {
 		z.Slots = (z.Slots)[:zb0002]
 	} else {
@@ -1372,6 +1576,10 @@
 			err = msgp.WrapError(err, "Slots", za0001)
 			return
 		}
+		if zb0003 > zb417a25dlimitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
 		if zb0003 != 3 {
 			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
 			return
@@ -1532,6 +1740,10 @@
 		err = msgp.WrapError(err, "Slots")
 		return
 	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Slots) >= int(zb0002) {
 		z.Slots = (z.Slots)[:zb0002]
 	} else {
@@ -1585,6 +1797,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 6 {
 		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
@@ -1736,6 +1952,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 1 {
 		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
 		return
@@ -1746,6 +1966,10 @@
 		err = msgp.WrapError(err, "Upstreams")
 		return
 	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Upstreams) >= int(zb0002) {
 		z.Upstreams = (z.Upstreams)[:zb0002]
 	} else {
@@ -1817,6 +2041,10 @@
 		err = msgp.WrapError(err, "Upstreams")
 		return
 	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Upstreams) >= int(zb0002) {
 		z.Upstreams = (z.Upstreams)[:zb0002]
 	} else {
@@ -1850,6 +2078,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 18 {
 		err = msgp.ArrayError{Wanted: 18, Got: zb0001}
 		return
@@ -1915,6 +2147,10 @@
 		err = msgp.WrapError(err, "Header")
 		return
 	}
+	if zb0002 > zb417a25dlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if z.Header == nil {
 		z.Header = make(map[string]string, zb0002)
 	} else if len(z.Header) > 0 {
@@ -2186,6 +2422,10 @@
 		err = msgp.WrapError(err, "Header")
 		return
 	}
+	if zb0002 > zb417a25dlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if z.Header == nil {
 		z.Header = make(map[string]string, zb0002)
 	} else if len(z.Header) > 0 {
@@ -2264,6 +2504,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 2 {
 		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
@@ -2273,7 +2517,10 @@
 		err = msgp.WrapError(err, "Digest")
 		return
 	}
-	z.Bytes, err = dc.ReadBytes(z.Bytes)
+	z.Bytes, err = dc.ReadBytesLimit(z.Bytes, 262144)
+	if err == nil && z.Bytes == nil {
+		z.Bytes = []byte{}
+	}
 	if err != nil {
 		err = msgp.WrapError(err, "Bytes")
 		return
@@ -2328,11 +2575,27 @@
 		err = msgp.WrapError(err, "Digest")
 		return
 	}
-	z.Bytes, bts, err = msgp.ReadBytesBytes(bts, z.Bytes)
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadBytesHeader(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Bytes")
 		return
 	}
+	if zb0002 > 262144 {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Bytes == nil || uint32(cap(z.Bytes)) < zb0002 {
+		z.Bytes = make([]byte, zb0002)
+	} else {
+		z.Bytes = z.Bytes[:zb0002]
+	}
+	if uint32(len(bts)) < zb0002 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Bytes, bts[:zb0002])
+	bts = bts[zb0002:]
 	o = bts
 	return
 }
@@ -2351,6 +2614,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 6 {
 		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
@@ -2502,6 +2769,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 3 {
 		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
@@ -2605,6 +2876,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 2 {
 		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
@@ -2620,6 +2895,10 @@
 		err = msgp.WrapError(err, "Pools")
 		return
 	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Pools) >= int(zb0002) {
 		z.Pools = (z.Pools)[:zb0002]
 	} else {
@@ -2702,6 +2981,10 @@
 		err = msgp.WrapError(err, "Pools")
 		return
 	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Pools) >= int(zb0002) {
 		z.Pools = (z.Pools)[:zb0002]
 	} else {
@@ -2735,11 +3018,18 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 5 {
 		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
-	z.Fingerprint, err = dc.ReadBytes(z.Fingerprint)
+	z.Fingerprint, err = dc.ReadBytesLimit(z.Fingerprint, zb417a25dlimitArrays)
+	if err == nil && z.Fingerprint == nil {
+		z.Fingerprint = []byte{}
+	}
 	if err != nil {
 		err = msgp.WrapError(err, "Fingerprint")
 		return
@@ -2827,11 +3117,27 @@
 		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
-	z.Fingerprint, bts, err = msgp.ReadBytesBytes(bts, z.Fingerprint)
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadBytesHeader(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Fingerprint")
 		return
 	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Fingerprint == nil || uint32(cap(z.Fingerprint)) < zb0002 {
+		z.Fingerprint = make([]byte, zb0002)
+	} else {
+		z.Fingerprint = z.Fingerprint[:zb0002]
+	}
+	if uint32(len(bts)) < zb0002 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Fingerprint, bts[:zb0002])
+	bts = bts[zb0002:]
 	z.Crashes, bts, err = msgp.ReadInt32Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Crashes")
@@ -2870,6 +3176,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 3 {
 		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
@@ -2973,6 +3283,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 4 {
 		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
@@ -3092,6 +3406,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 6 {
 		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
@@ -3243,6 +3561,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 1 {
 		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
 		return
