--- a/operator/arguments.go
+++ b/operator/arguments.go
@@ -51,8 +51,8 @@
 	merged *config.File
 }
 
-// readConfig reads the files and merges them. It returns all files that cannot be read or parsed.
-func readConfig(names []string) (configFiles, []fileProblem) {
+// readConfigs reads the files and merges them. It returns all files that cannot be read or parsed.
+func readConfigs(names []string) (configFiles, []fileProblem) {
 	c := configFiles{names: names, merged: &config.File{}}
 	var problems []fileProblem
 	for _, name := range names {
--- a/operator/check.go
+++ b/operator/check.go
@@ -45,7 +45,7 @@
 
 func check(names []string) checkResult {
 	result := checkResult{Problems: []fileProblem{}, Warnings: []fileProblem{}}
-	files, problems := readConfig(names)
+	files, problems := readConfigs(names)
 	if len(problems) > 0 {
 		result.Problems = problems
 		return result
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -123,7 +123,7 @@
 	if err := json.Unmarshal([]byte(strings.TrimPrefix(lines[1], "entry: ")), &entry); err != nil {
 		t.Fatal(err)
 	}
-	read, _ := readConfig([]string{"testdata/config/valid.json"})
+	read, _ := readConfigs([]string{"testdata/config/valid.json"})
 	read.merged.Keys = append(read.merged.Keys, entry)
 	snapshot, problems := config.NewSnapshot(read.merged)
 	if problems != nil {
--- a/operator/publish_parts.go
+++ b/operator/publish_parts.go
@@ -59,7 +59,7 @@
 
 // writeParts writes the head last, since it must not name a part that is missing.
 func writeParts(files []string, number uint64, perPart int, out string) (config.Head, error) {
-	read, problems := readConfig(files)
+	read, problems := readConfigs(files)
 	if len(problems) > 0 {
 		return config.Head{}, fmt.Errorf("%s", problems[0].text(len(files)))
 	}
--- a/operator/select.go
+++ b/operator/select.go
@@ -35,7 +35,7 @@
 	case *route == "" && len(operands) == 0:
 		return fail(e, "select", exitUsage, "no selector given and -route is not set")
 	}
-	read, problems := readConfig(strings.Split(*files, ","))
+	read, problems := readConfigs(strings.Split(*files, ","))
 	if len(problems) > 0 {
 		return failProblems(e, problems, len(read.names))
 	}
