--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -63,8 +63,8 @@
 	}
 }
 
-// admin serves fixed admin pages; a request for anything else gets 404.
-func admin(t *testing.T) string {
+// adminServer serves fixed admin pages; a request for anything else gets 404.
+func adminServer(t *testing.T) string {
 	pages := map[string]string{
 		"/admin/status":           "status.json",
 		"/admin/audit?after=6":    "audit.json",
@@ -85,7 +85,7 @@
 // Guards against a page that is fetched from a wrong path or shown incompletely: members that this
 // program does not know must appear as well.
 func TestAdminOutput(t *testing.T) {
-	url := admin(t)
+	url := adminServer(t)
 	cases := []struct{ name, args string }{
 		{"status", "status -admin URL"},
 		{"status-json", "status -json -admin URL"},
@@ -104,7 +104,7 @@
 
 // Guards against a -admin setting that is ignored when it comes from the environment or has no scheme.
 func TestAdminFromEnvironment(t *testing.T) {
-	address := strings.TrimPrefix(admin(t), "http://")
+	address := strings.TrimPrefix(adminServer(t), "http://")
 	var stdout, stderr bytes.Buffer
 	code := Main([]string{"explain", "r-123"}, []string{"PARSLEYHATCH_ADMIN=" + address}, &stdout, &stderr)
 	if code != exitOK || stdout.Len() == 0 {
