--- a/event/event_test.go
+++ b/event/event_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"fmt"
+	"log/slog"
+	"os"
 	"strings"
 	"testing"
 
@@ -53,3 +55,20 @@
 		}
 	}
 }
+
+// Guards against an alarm without advice: each event of level WARN or ERROR is on the page of alarms.
+// Broken invariants share one section.
+func TestAlarmsPage(t *testing.T) {
+	page, err := os.ReadFile("../docs/operators/alarms.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range event.Catalogue() {
+		if e.Level < slog.LevelWarn || e.ID >= brokenBase {
+			continue
+		}
+		if !bytes.Contains(page, fmt.Appendf(nil, "| %d |", e.ID)) {
+			t.Errorf("event %d %q is not in docs/operators/alarms.md", e.ID, e.Message)
+		}
+	}
+}
