--- a/operator/operator.go
+++ b/operator/operator.go
@@ -32,8 +32,16 @@
 func commands() []command {
 	return []command{
 		serveCommand,
+		loadCommand,
 		standinCommand,
 		rosterCommand,
+		checkCommand,
+		selectCommand,
+		publishPartsCommand,
+		keyCommand,
+		statusCommand,
+		auditCommand,
+		explainCommand,
 		versionCommand,
 	}
 }
@@ -62,7 +70,7 @@
 	fmt.Fprintln(w, "usage: parsleyhatch SUBCOMMAND [flags]")
 	fmt.Fprintln(w)
 	for _, c := range commands() {
-		fmt.Fprintf(w, "  %-10s %s\n", c.name, c.summary)
+		fmt.Fprintf(w, "  %-14s %s\n", c.name, c.summary)
 	}
 	fmt.Fprintln(w)
 	fmt.Fprintln(w, "\"parsleyhatch SUBCOMMAND -h\" shows the flags with units and defaults.")
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -45,7 +45,7 @@
 
 // fleet is a deployment in this process.
 type fleet struct {
-	t        *testing.T
+	t        testing.TB
 	file     *config.File
 	number   uint64
 	platform *standin.Platform
@@ -67,7 +67,7 @@
 }
 
 // freeAddress reserves a loopback address.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -83,7 +83,7 @@
 }
 
 // startFleet starts the platform, the engines and the VMs, and waits until all VMs are ready.
-func startFleet(t *testing.T, o fleetOptions) *fleet {
+func startFleet(t testing.TB, o fleetOptions) *fleet {
 	t.Helper()
 	level := slog.LevelError
 	if os.Getenv("PROOF_LOG") != "" {
