Add package limit: rate and burst in tokens over all slots

Change: limit.Table holds one slot's part of each bucket. It charges at admission, settles by the highest occupancy since the charge, transfers tokens between slots, and accrues and spends only within intervals that heartbeats confirm. Tokens for which a requester has no room (a slot without a share, a request above the cap) are lent: the grantor keeps the room occupied for 1.1 s, the requester uses them within 1 s of its request. Events 9011 to 9014 are the assertions.

Near the full rate the slots refuse more than one bucket would.

--- a/event/events.go
+++ b/event/events.go
@@ -51,4 +51,9 @@
 	BrokenSecondHop      = New(9002, slog.LevelError, "invariant broken: forwarded request forwarded again", "Report a fault with the log.")
 	BrokenRegion         = New(9003, slog.LevelError, "invariant broken: request outside its allowed regions", "Report a fault with the log.")
 	BrokenChunkOrder     = New(9004, slog.LevelError, "invariant broken: chunk out of order towards a caller", "Report a fault with the log.")
+
+	BrokenBucket     = New(9011, slog.LevelError, "invariant broken: tokens and promised room exceed the share", "Report a fault with the log.")
+	BrokenSettlement = New(9012, slog.LevelError, "invariant broken: charge settled twice", "Report a fault with the log.")
+	BrokenLease      = New(9013, slog.LevelError, "invariant broken: authorised interval reversed, in the future or too long", "Report a fault with the log.")
+	BrokenShares     = New(9014, slog.LevelError, "invariant broken: shares exceed the workspace's rate or burst", "Report a fault with the log.")
 )
--- /dev/null
+++ b/limit/bench_test.go
@@ -0,0 +1,63 @@
+package limit
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+)
+
+var sizes = []int{100, 1000, 5900}
+
+func manyShares(n int) []Share {
+	shares := make([]Share, n)
+	for i := range shares {
+		shares[i] = Share{Workspace: fmt.Sprint("workspace-", i), Slot: "a", Rate: 1e6, Burst: 1e9, TotalRate: 1e6, TotalBurst: 1e9}
+	}
+	return shares
+}
+
+func manyBuckets(shares []Share) (*Table, time.Time) {
+	t := New("a")
+	t.Configure(epoch, shares)
+	return t, run(t, epoch.Add(IncreaseDelay), 10*time.Second)
+}
+
+// BenchmarkTakeSettle measures one admission and its settlement, and the memory of a workspace.
+func BenchmarkTakeSettle(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			shares := manyShares(n)
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			t, now := manyBuckets(shares)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				now = now.Add(time.Microsecond)
+				if i%1000 == 0 {
+					t.Authorise(now, now, now.Add(MaxLease))
+				}
+				c, _ := t.Take(now, shares[i%n].Workspace, 100)
+				t.Settle(now, c, 60)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "B/workspace")
+		})
+	}
+}
+
+// BenchmarkTick measures one pass over all workspaces.
+func BenchmarkTick(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			t, now := manyBuckets(manyShares(n))
+			for range b.N {
+				now = now.Add(100 * time.Millisecond)
+				t.Tick(now)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/limit/transfer.go
@@ -0,0 +1,153 @@
+package limit
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// maxAsks bounds the outstanding requests for tokens of one workspace.
+const maxAsks = 64
+
+// TokenAsk asks another slot for tokens. The message goes to one slot, over the session with its
+// current incarnation.
+type TokenAsk struct {
+	// ID is never used by another request of the slot's incarnations.
+	ID        uint64
+	Workspace string
+	// Tokens is the amount asked for, above zero.
+	Tokens int64
+	// Loan is the part of Tokens for which the requester has no room: the grantor keeps the room
+	// occupied until the loan has ended. It is between zero and Tokens.
+	Loan int64
+}
+
+// TokenGive answers a TokenAsk. The grantor has deducted Tokens, which is at least zero and at
+// most what was asked; the part without room is given last.
+type TokenGive struct {
+	ID        uint64
+	Workspace string
+	Tokens    int64
+	// Wait is the time after which the grantor expects to have the rest, zero if unknown.
+	Wait time.Duration
+}
+
+// ask is an outstanding request for tokens.
+type ask struct {
+	id       uint64
+	bucket   *bucket
+	room     int64
+	loan     int64
+	deadline time.Time
+}
+
+// Ask prepares a request for tokens and reserves room for it where the cap allows. The rest is
+// asked as a loan, which Take can use only within AskLife of this call; so slots without a share,
+// and requests above the cap, are served without room of their own. It returns false if the
+// workspace is unknown or too many requests are outstanding.
+func (t *Table) Ask(now time.Time, workspace string, tokens int64) (TokenAsk, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now = t.advance(now)
+	b := t.buckets[workspace]
+	if b == nil || tokens <= 0 {
+		return TokenAsk{}, false
+	}
+	t.sync(b, now)
+	if len(b.asks) >= maxAsks {
+		return TokenAsk{}, false
+	}
+	room := int64(0)
+	if t.leased(now) { // otherwise a successor of this incarnation may own the room
+		room = min(tokens, int64(math.Max(0, b.cap-b.occupied())))
+	}
+	t.nextID++
+	a := &ask{id: t.nextID, bucket: b, room: room, loan: tokens - room, deadline: now.Add(AskLife)}
+	b.reserved += float64(room)
+	b.observe()
+	b.asks = append(b.asks, a)
+	t.asks[a.id] = a
+	t.check(b, workspace)
+	return TokenAsk{ID: a.id, Workspace: workspace, Tokens: tokens, Loan: a.loan}, true
+}
+
+// Give deducts as much of the requested amount as the level holds, before the answer is sent. A
+// lost answer therefore loses tokens and never doubles them.
+func (t *Table) Give(now time.Time, a TokenAsk) TokenGive {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now = t.advance(now)
+	give := TokenGive{ID: a.ID, Workspace: a.Workspace}
+	b := t.buckets[a.Workspace]
+	if b == nil || a.Tokens <= 0 || a.Loan < 0 || a.Loan > a.Tokens || !t.leased(now) {
+		return give
+	}
+	t.sync(b, now)
+	give.Tokens = min(a.Tokens, int64(math.Max(0, b.level+tolerance)))
+	b.level -= float64(give.Tokens)
+	if lent := give.Tokens - (a.Tokens - a.Loan); lent > 0 {
+		b.lent = append(b.lent, loan{tokens: float64(lent), until: now.Add(lendTime)})
+	}
+	if rest := a.Tokens - give.Tokens; rest > 0 && b.rate > 0 {
+		give.Wait = seconds(float64(rest) / b.rate)
+	}
+	t.check(b, a.Workspace)
+	return give
+}
+
+// Accept applies a grant if its request is outstanding, and reports whether it did. A duplicate,
+// a late grant or one above the requested amount is void.
+func (t *Table) Accept(now time.Time, g TokenGive) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now = t.advance(now)
+	a := t.asks[g.ID]
+	if a == nil {
+		return false
+	}
+	b := a.bucket
+	t.sync(b, now)
+	if t.asks[g.ID] == nil {
+		return false // sync found the request expired.
+	}
+	t.endAsk(a)
+	b.asks = slices.DeleteFunc(b.asks, func(o *ask) bool { return o == a })
+	if b != t.buckets[g.Workspace] || g.Tokens < 0 || g.Tokens > a.room+a.loan {
+		return false
+	}
+	own := min(g.Tokens, a.room)
+	b.level += float64(own)
+	b.observe()
+	if rest := g.Tokens - own; rest > 0 {
+		b.loans = append(b.loans, loan{tokens: float64(rest), until: a.deadline})
+	}
+	t.check(b, g.Workspace)
+	return true
+}
+
+// expireAsks frees the room of requests that were outstanding for AskLife. They are in the order
+// of their deadlines.
+func (t *Table) expireAsks(b *bucket, now time.Time) {
+	n := 0
+	for n < len(b.asks) && !b.asks[n].deadline.After(now) {
+		t.endAsk(b.asks[n])
+		n++
+	}
+	if n > 0 {
+		b.asks = slices.Delete(b.asks, 0, n)
+	}
+}
+
+// cancelAsks ends all requests of a bucket; their grants are then void.
+func (t *Table) cancelAsks(b *bucket) {
+	for _, a := range b.asks {
+		t.endAsk(a)
+	}
+	b.asks = nil
+}
+
+// endAsk frees the room of one request and forgets its number.
+func (t *Table) endAsk(a *ask) {
+	a.bucket.reserved -= float64(a.room)
+	delete(t.asks, a.id)
+}
--- /dev/null
+++ b/member/doc.go
@@ -0,0 +1,2 @@
+// Package member keeps the table of the roster's VMs.
+package member
