Add package member: liveness, incarnations, roles and authority

Change: member.Table keeps a row for each slot of the roster. It tells whom to send heartbeats to and what to put into them, relays liveness between failure domains of a large region with ages that add up, detects pauses and superseded incarnations, and yields the intervals that limit.Authorise takes. An interval needs an acknowledgement by a VM that is itself announced; a VM that has just started confirms nothing, since it may not know the newest incarnation. The first interval comes 4 s after the announcement, when the predecessor's last interval and the tokens it lent have ended. Roles are chosen by rendezvous hashing over the live VMs.

--- a/event/events.go
+++ b/event/events.go
@@ -56,4 +56,5 @@
 	BrokenSettlement = New(9012, slog.LevelError, "invariant broken: charge settled twice", "Report a fault with the log.")
 	BrokenLease      = New(9013, slog.LevelError, "invariant broken: authorised interval reversed, in the future or too long", "Report a fault with the log.")
 	BrokenShares     = New(9014, slog.LevelError, "invariant broken: shares exceed the workspace's rate or burst", "Report a fault with the log.")
+	BrokenAuthority  = New(9015, slog.LevelError, "invariant broken: authority confirmed outside the present run", "Report a fault with the log.")
 )
--- a/member/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package member keeps the table of the roster's VMs.
-package member
--- /dev/null
+++ b/member/member_test.go
@@ -0,0 +1,461 @@
+package member
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"parsleyhatch/config"
+)
+
+// TestMain fixes the seed, so that every run has the same verdict; -rapid.seed replaces it.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("7")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+var epoch = time.UnixMilli(1_700_000_000_000)
+
+// roster builds regions r0, r1, ... of size VMs each, over domains failure domains.
+func roster(regions, size, domains int) []config.VM {
+	var vms []config.VM
+	for r := range regions {
+		for i := range size {
+			vms = append(vms, config.VM{Name: fmt.Sprintf("r%d-%02d", r, i), Region: fmt.Sprint("r", r), FailureDomain: fmt.Sprintf("r%d-d%d", r, i%domains)})
+		}
+	}
+	return vms
+}
+
+// process is one incarnation in the simulated deployment.
+type process struct {
+	slot, region string
+	table        *Table
+	dead         bool
+	asleep       time.Time
+	isolated     time.Time
+	next         time.Time
+	leaseTo      time.Time
+}
+
+type message struct {
+	at       time.Time
+	from, to *process
+	beat     *Heartbeat
+	ack      *Ack
+}
+
+// world passes heartbeats between processes and records their leases.
+type world struct {
+	fatalf    func(string, ...any)
+	rng       *rand.Rand
+	now       time.Time
+	vms       []config.VM
+	processes []*process
+	messages  []message
+	loss      int
+	incs      uint64
+	views     int
+	died      []string
+}
+
+func newWorld(fatalf func(string, ...any), seed uint64, vms []config.VM) *world {
+	w := &world{fatalf: fatalf, rng: rand.New(rand.NewPCG(seed, 1)), now: epoch, vms: vms}
+	for _, vm := range vms {
+		w.start(vm)
+	}
+	return w
+}
+
+func (w *world) start(vm config.VM) *process {
+	w.incs++
+	p := &process{slot: vm.Name, region: vm.Region, next: w.now.Add(w.millis(500))}
+	p.table = New(w.now, vm.Name, Incarnation{Number: w.incs, StartedAtUnixMilli: w.now.UnixMilli()})
+	p.table.SetRoster(w.vms)
+	w.processes = append(w.processes, p)
+	return p
+}
+
+func (w *world) millis(most int) time.Duration {
+	return time.Duration(w.rng.IntN(most+1)) * time.Millisecond
+}
+
+// step advances by 50 ms.
+func (w *world) step() {
+	w.now = w.now.Add(50 * time.Millisecond)
+	for _, p := range w.processes {
+		if p.dead || p.asleep.After(w.now) {
+			continue
+		}
+		w.tick(p)
+	}
+	var due []message
+	w.messages = slices.DeleteFunc(w.messages, func(m message) bool {
+		if m.at.After(w.now) || m.to.asleep.After(w.now) {
+			return false
+		}
+		due = append(due, m)
+		return true
+	})
+	for _, m := range due {
+		w.deliver(m)
+	}
+	w.check()
+}
+
+// tick runs one process; the list of VMs shows every slot with a running process as live.
+func (w *world) tick(p *process) {
+	if p.next.After(w.now) {
+		w.note(p, p.table.Tick(w.now))
+		return
+	}
+	p.next = w.now.Add(Interval)
+	var list []Listed
+	for _, o := range w.processes {
+		if !o.dead {
+			list = append(list, Listed{Slot: o.slot, Live: true})
+		}
+	}
+	p.table.SetList(list)
+	w.note(p, p.table.Tick(w.now))
+	sequence := p.table.Next(w.now)
+	for _, target := range p.table.Targets(w.now) {
+		h := p.table.Heartbeat(w.now, target, sequence)
+		w.views += len(h.Views)
+		for _, o := range w.processes {
+			if o.slot == target {
+				w.send(message{from: p, to: o, beat: &h})
+			}
+		}
+	}
+}
+
+func (w *world) note(p *process, c Changes) {
+	w.died = append(w.died, c.Died...)
+	if c.Paused > 0 {
+		p.leaseTo = earlier(p.leaseTo, w.now)
+	}
+	w.hold(p, c.Lease)
+}
+
+func (w *world) hold(p *process, l Lease) {
+	if l.Valid() {
+		p.leaseTo = later(p.leaseTo, l.To)
+	}
+	if p.table.Superseded() {
+		p.leaseTo = earlier(p.leaseTo, w.now)
+	}
+}
+
+func (w *world) send(m message) {
+	if m.from.isolated.After(w.now) || m.to.isolated.After(w.now) || w.rng.IntN(100) < w.loss {
+		return
+	}
+	m.at = w.now.Add(w.millis(20))
+	w.messages = append(w.messages, m)
+}
+
+func (w *world) deliver(m message) {
+	if m.to.dead {
+		return
+	}
+	if m.ack != nil {
+		w.hold(m.to, m.to.table.Acked(w.now, *m.ack))
+		return
+	}
+	m.to.table.Heard(w.now, *m.beat)
+	if a, ok := m.to.table.Reply(w.now, *m.beat); ok {
+		w.send(message{from: m.to, to: m.from, ack: &a})
+	}
+}
+
+// check fails if two incarnations of a slot have authority at once, with the second that tokens
+// in transfer outlive it.
+func (w *world) check() {
+	holders := map[string]*process{}
+	for _, p := range w.processes {
+		if p.dead || !p.leaseTo.Add(time.Second).After(w.now) {
+			continue
+		}
+		if o := holders[p.slot]; o != nil && (p.leaseTo.After(w.now) || o.leaseTo.After(w.now)) {
+			w.fatalf("two incarnations of %s have authority at %v", p.slot, w.now.Sub(epoch))
+		}
+		holders[p.slot] = p
+	}
+}
+
+// Guards against two incarnations of a slot that accrue its tokens at the same time.
+func TestOneAuthority(t *testing.T) {
+	leased, total := 0, 0
+	rapid.Check(t, func(rt *rapid.T) {
+		vms := roster(1, rapid.IntRange(2, 10).Draw(rt, "size"), 3)
+		w := newWorld(rt.Fatalf, rapid.Uint64().Draw(rt, "seed"), vms)
+		w.loss = []int{0, 10, 30}[w.rng.IntN(3)]
+		for range 900 {
+			p := w.processes[w.rng.IntN(len(w.processes))]
+			switch w.rng.IntN(300) {
+			case 0: // replaced while the old process still runs, perhaps cut off
+				p.isolated = w.now.Add(w.millis(8000))
+				w.start(vms[slices.IndexFunc(vms, func(v config.VM) bool { return v.Name == p.slot })])
+			case 1: // restarted, which forgets what it knew
+				p.dead = true
+				w.start(vms[slices.IndexFunc(vms, func(v config.VM) bool { return v.Name == p.slot })])
+			case 2:
+				p.asleep = w.now.Add(w.millis(4000))
+			case 3:
+				p.isolated = w.now.Add(w.millis(5000))
+			}
+			w.step()
+			for _, p := range w.processes {
+				if p.leaseTo.After(w.now) {
+					leased++
+				}
+			}
+			total += len(vms)
+		}
+	})
+	t.Logf("slots had authority for %.1f%% of the time", 100*float64(leased)/float64(total))
+}
+
+// Guards against VMs of a large region that lose sight of each other although nothing failed, and
+// against a death that is detected late.
+func TestLivenessInLargeRegion(t *testing.T) {
+	w := newWorld(t.Fatalf, 1, roster(3, 21, 4))
+	run := func(d time.Duration) {
+		for end := w.now.Add(d); w.now.Before(end); {
+			w.step()
+		}
+	}
+	run(5 * time.Second)
+	w.died, w.views = nil, 0
+	run(20 * time.Second)
+	inRegion := slices.DeleteFunc(w.died, func(s string) bool { return s[:2] != "r0" })
+	if len(inRegion) > 0 {
+		t.Errorf("counted as dead without a failure: %v", inRegion)
+	}
+	t.Logf("%.0f views a second and VM", float64(w.views)/20/float64(len(w.vms)))
+	for _, p := range w.processes[1:] {
+		if p.region == "r0" && len(p.table.Live(w.now, "r0")) != 21 {
+			t.Errorf("%s sees %d of 21 VMs", p.slot, len(p.table.Live(w.now, "r0")))
+		}
+	}
+	w.processes[0].dead = true
+	for range 60 {
+		w.step()
+		seen := 0
+		for _, p := range w.processes[1:21] {
+			if p.table.Alive(w.now, w.processes[0].slot) {
+				seen++
+			}
+		}
+		if seen == 0 {
+			return
+		}
+	}
+	t.Error("a dead VM was still taken as live after 3 s")
+}
+
+// Guards against VMs with equal views that choose different readers, watchers or representatives,
+// and against roles in the hands of dead VMs.
+func TestRolesAgree(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		vms := roster(rapid.IntRange(1, 3).Draw(rt, "regions"), rapid.IntRange(1, 12).Draw(rt, "size"), 3)
+		state := map[string]int{} // 0 lives, 1 leaves, 2 is dead
+		for _, vm := range vms {
+			state[vm.Name] = rapid.IntRange(0, 2).Draw(rt, vm.Name)
+		}
+		first := map[string]string{}
+		for _, self := range vms {
+			if state[self.Name] == 2 {
+				continue
+			}
+			table := New(epoch, self.Name, Incarnation{Number: 1})
+			table.SetRoster(vms)
+			table.SetState(true, state[self.Name] == 1)
+			for _, vm := range vms {
+				if vm.Name != self.Name && state[vm.Name] < 2 {
+					table.Heard(epoch, Heartbeat{Slot: vm.Name, Incarnation: Incarnation{Number: 1}, Ready: true, Leaving: state[vm.Name] == 1})
+				}
+			}
+			for _, vm := range vms {
+				roles := map[string][]string{
+					"readers":         table.Readers(epoch, vm.Region),
+					"representatives": table.Representatives(epoch, vm.Region),
+					"watcher":         {table.Watcher(epoch, "u"+vm.Name, vm.Region, vm.FailureDomain)},
+				}
+				for role, slots := range roles {
+					key := role + vm.Name
+					if got := fmt.Sprint(slots); first[key] == "" {
+						first[key] = got
+					} else if first[key] != got {
+						rt.Fatalf("%s of %s: %s and %s", role, vm.Name, first[key], got)
+					}
+					if len(slots) > 2 || slices.ContainsFunc(slots, func(s string) bool { return state[s] == 2 && s != "" }) {
+						rt.Fatalf("%s of %s are %v", role, vm.Name, slots)
+					}
+				}
+			}
+		}
+	})
+}
+
+// Guards against targets that leave a small region's VMs without heartbeats or flood a large one.
+func TestTargets(t *testing.T) {
+	cases := []struct {
+		name                   string
+		regions, size, domains int
+		least, most            int
+	}{
+		{"one VM", 1, 1, 1, 0, 0},
+		{"full mesh of 8", 1, 8, 3, 7, 7},
+		{"large region", 1, 21, 4, 7, 8},
+		{"three regions", 3, 3, 3, 2, 6},
+		{"35 regions", 35, 21, 4, 7, 8 + 34},
+	}
+	for _, c := range cases {
+		vms := roster(c.regions, c.size, c.domains)
+		for _, self := range vms {
+			table := New(epoch, self.Name, Incarnation{Number: 1})
+			table.SetRoster(vms)
+			table.announced = epoch
+			for _, vm := range vms {
+				table.Heard(epoch, Heartbeat{Slot: vm.Name, Incarnation: Incarnation{Number: 1}})
+			}
+			got := table.Targets(epoch)
+			if len(got) < c.least || len(got) > c.most || slices.Contains(got, self.Name) {
+				t.Errorf("%s: %s has %d targets %v, want %d to %d", c.name, self.Name, len(got), got, c.least, c.most)
+			}
+		}
+	}
+}
+
+// Guards against a superseded or paused VM that keeps its authority.
+func TestSupersededAndPause(t *testing.T) {
+	w := newWorld(t.Fatalf, 1, roster(1, 3, 3))
+	for range 200 {
+		w.step()
+	}
+	p := w.processes[0]
+	if !p.leaseTo.After(w.now) {
+		t.Fatal("no authority after 10 s")
+	}
+	sequence := p.table.Next(w.now)
+	ack := Ack{Slot: "r0-01", Incarnation: w.processes[1].table.incarnation, Sequence: sequence, Newest: p.table.incarnation, Confirms: true}
+	if !p.table.Acked(w.now, ack).Valid() {
+		t.Error("an acknowledged heartbeat confirmed nothing")
+	}
+	late := w.now.Add(PauseGap + 100*time.Millisecond)
+	if p.table.Acked(late, ack).Valid() {
+		t.Error("confirmed by a heartbeat of before a pause that no tick has seen")
+	}
+	if c := p.table.Tick(late); c.Paused == 0 || len(c.Died) > 0 {
+		t.Errorf("pause not detected, or others taken as dead: %+v", c)
+	}
+	if p.table.Acked(late, ack).Valid() {
+		t.Error("confirmed by a heartbeat of before the pause")
+	}
+	tie := p.table.incarnation
+	tie.Number += 100
+	p.table.Heard(late, Heartbeat{Slot: "r0-01", Incarnation: ack.Incarnation, Views: []View{{Slot: p.slot, Incarnation: tie}}})
+	if !p.table.Superseded() {
+		t.Error("a newer incarnation with the same start time was not noticed")
+	}
+}
+
+// Guards against an incarnation that takes over while a VM that may confirm its predecessor does
+// not know it, and against a list of VMs that blocks it forever.
+func TestAnnouncement(t *testing.T) {
+	cases := []struct {
+		name   string
+		list   []Listed
+		silent bool // the second peer does not respond
+		after  time.Duration
+		want   bool
+	}{
+		{"all told", nil, false, 0, true},
+		{"silent and listed live", []Listed{{Slot: "r0-02", Live: true}}, true, time.Minute, false},
+		{"silent and not listed, at once", []Listed{{Slot: "r0-01", Live: true}}, true, time.Second, false},
+		{"silent and not listed", []Listed{{Slot: "r0-01", Live: true}}, true, DeadAfter, true},
+		{"silent without a list, early", nil, true, listWait - time.Second, false},
+		{"silent without a list", nil, true, listWait, true},
+	}
+	for _, c := range cases {
+		table := New(epoch, "r0-00", Incarnation{Number: 9})
+		table.SetRoster(roster(1, 3, 3))
+		if c.list != nil {
+			table.SetList(c.list)
+		}
+		sequence := table.Next(epoch)
+		for _, slot := range []string{"r0-01", "r0-02"} {
+			if slot == "r0-01" || !c.silent {
+				table.Acked(epoch, Ack{Slot: slot, Incarnation: Incarnation{Number: 1}, Sequence: sequence, Newest: table.incarnation})
+			}
+		}
+		if got := table.announcedBy(epoch.Add(c.after)); got != c.want {
+			t.Errorf("%s: announced %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// Guards against a VM that has just started, and may not know the newest incarnations, confirming
+// a superseded one.
+func TestFreshVMConfirmsNothing(t *testing.T) {
+	vms := roster(1, 2, 2)
+	old, fresh := New(epoch, "r0-00", Incarnation{Number: 1}), New(epoch, "r0-01", Incarnation{Number: 2})
+	old.SetRoster(vms)
+	fresh.SetRoster(vms)
+	now := epoch
+	for ; now.Before(epoch.Add(6 * time.Second)); now = now.Add(Interval) {
+		old.Tick(now)
+		fresh.Tick(now)
+		for _, pair := range [][2]*Table{{old, fresh}, {fresh, old}} {
+			h := pair[0].Heartbeat(now, pair[1].self, pair[0].Next(now))
+			pair[1].Heard(now, h)
+			a, _ := pair[1].Reply(now, h)
+			pair[0].Acked(now, a)
+		}
+	}
+	restarted := New(now, "r0-01", Incarnation{Number: 3, StartedAtUnixMilli: 1})
+	restarted.SetRoster(vms)
+	for _, acker := range []*Table{fresh, restarted} {
+		h := old.Heartbeat(now, "r0-01", old.Next(now))
+		acker.Heard(now, h)
+		a, _ := acker.Reply(now, h)
+		if got := old.Acked(now, a).Valid(); got != (acker == fresh) {
+			t.Errorf("incarnation %d confirmed: %v", acker.incarnation.Number, got)
+		}
+	}
+}
+
+// Guards against an order that changes for the other names when one is added.
+func TestRank(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		names := rapid.SliceOfNDistinct(rapid.StringN(1, 6, 6), 1, 20, rapid.ID).Draw(rt, "names")
+		key := rapid.String().Draw(rt, "key")
+		with := Rank(key, names)
+		without := Rank(key, names[1:])
+		if got := slices.DeleteFunc(with, func(s string) bool { return s == names[0] }); !slices.Equal(got, without) {
+			rt.Fatalf("%v became %v", without, got)
+		}
+	})
+	first := map[string]int{}
+	names := []string{"a1", "a2", "a3", "a4"}
+	for i := range 4000 {
+		first[Rank(fmt.Sprint("workspace-", i), names)[0]]++
+	}
+	for _, n := range names {
+		if first[n] < 900 || first[n] > 1100 {
+			t.Errorf("%s is first for %d of 4000 keys", n, first[n])
+		}
+	}
+}
