--- a/admin/server.go
+++ b/admin/server.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
@@ -30,6 +31,7 @@
 	s.http.WriteTimeout = 30 * time.Second
 	s.http.HandleFunc("/admin/status", s.status)
 	s.http.HandleFunc("/admin/explain", s.explain)
+	s.http.HandleFunc("/admin/audit", s.audit)
 	s.http.Handle("/metrics", g.Metrics.Handler())
 	s.http.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprintln(w, "ok") })
 	return s
@@ -47,7 +49,7 @@
 func (s *Server) Stop(ctx context.Context) error { return s.http.Stop(ctx) }
 
 func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, s.Gateway.Status(s.Gateway.Now()))
+	writeJSON(w, http.StatusOK, s.Gateway.Status())
 }
 
 func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
@@ -64,3 +66,19 @@
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(v)
 }
+
+// maxAuditEntries bounds the entries of one answer.
+const maxAuditEntries = 1000
+
+func (s *Server) audit(w http.ResponseWriter, r *http.Request) {
+	var after uint64
+	if text := r.URL.Query().Get("after"); text != "" {
+		n, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			writeJSON(w, http.StatusBadRequest, map[string]string{"error": "parameter after is not a sequence number"})
+			return
+		}
+		after = n
+	}
+	writeJSON(w, http.StatusOK, s.Gateway.Audit.Since(after, maxAuditEntries))
+}
--- a/caller/directory.go
+++ b/caller/directory.go
@@ -3,17 +3,20 @@
 import (
 	"encoding/json"
 	"net/http"
-	"slices"
-	"sort"
 	"strconv"
+	"strings"
+	"time"
 
 	"parsleyhatch/gateway"
 )
 
+// maxTickets bounds the tickets of one directory answer.
+const maxTickets = 16
+
 // directoryAnswer lists the VMs to use, best first.
 type directoryAnswer struct {
 	VMs []directoryVM `json:"vms"`
-	// Tickets are idempotency keys for calls that may not be repeated.
+	// Tickets are idempotency keys for calls that may not be repeated. This VM owns them.
 	Tickets []string `json:"tickets,omitempty"`
 }
 
@@ -23,39 +26,45 @@
 	Region  string `json:"region"`
 }
 
-// directory serves GET /v1/directory?route=NAME.
+// directory serves GET /v1/directory?route=NAME&region=REGION&tickets=N.
 func (s *Server) directory(w http.ResponseWriter, r *http.Request) {
-	snapshot := s.Gateway.Snapshot()
-	if snapshot == nil {
-		writeError(w, "", refusal(gateway.Leaving, "this vm has no configuration yet", 0))
+	answer, out := s.directoryAnswer(r)
+	if out.Code != gateway.OK {
+		writeError(w, "", out)
 		return
 	}
-	route := snapshot.Routes[r.URL.Query().Get("route")]
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+func (s *Server) directoryAnswer(r *http.Request) (directoryAnswer, gateway.Outcome) {
+	var answer directoryAnswer
+	query := r.URL.Query()
+	a := admitted{snapshot: s.Gateway.Snapshot()}
+	if a.snapshot == nil {
+		return answer, refusal(gateway.Leaving, "this vm has no configuration yet", time.Second)
+	}
+	route := a.snapshot.Routes[query.Get("route")]
 	if route == nil {
-		writeError(w, "", refusal(gateway.NotFound, "unknown route "+strconv.Quote(r.URL.Query().Get("route")), 0))
-		return
+		return answer, refusal(gateway.NotFound, "unknown route "+strconv.Quote(query.Get("route")), 0)
 	}
-	a := admitted{snapshot: snapshot}
-	if header := r.Header.Get("Authorization"); len(header) > len("Bearer ") {
-		a.key = snapshot.Authenticate(header[len("Bearer "):])
+	if bearer, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer "); ok {
+		a.key = a.snapshot.Authenticate(bearer)
 	}
 	workspace, out := a.workspace(route)
 	if out.Code != gateway.OK {
-		writeError(w, "", out)
-		return
+		return answer, out
 	}
-	allowed := snapshot.AllowedRegions(route, workspace)
-	list := s.Gateway.VMs(s.Gateway.Now())
-	sort.SliceStable(list, func(i, j int) bool { return list[i].Queue < list[j].Queue })
-	var answer directoryAnswer
-	for _, home := range []bool{true, false} {
-		for _, info := range list {
-			usable := info.Alive && info.Ready && !info.Leaving && slices.Contains(allowed, info.Region)
-			if usable && (info.Region == workspace.Home) == home {
-				answer.VMs = append(answer.VMs, directoryVM{Name: info.Name, Address: info.Address, Region: info.Region})
-			}
+	now := s.Gateway.Now()
+	for _, m := range s.Gateway.Directory(now, a.snapshot, route, workspace, query.Get("region")) {
+		answer.VMs = append(answer.VMs, directoryVM{Name: m.Name, Address: m.CallerAddress, Region: m.Region})
+	}
+	if text := query.Get("tickets"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 0 || n > maxTickets {
+			return answer, refusal(gateway.InvalidRequest, "parameter tickets must be between 0 and "+strconv.Itoa(maxTickets), 0)
 		}
+		answer.Tickets = s.Gateway.Tickets(now, a.snapshot, route, workspace, n)
 	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(answer)
+	return answer, gateway.Outcome{}
 }
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -36,7 +36,7 @@
 done <<<"$roster"
 echo "started $(wc -l <<<"$roster") VMs and the stand-ins of deployment $deployment"
 
-if "$binary" load -config "$config" -keys "config/examples/$deployment.keys" -wait 20s -duration 5s -rate 20 -seed 1 -show 8; then
+if "$binary" load -config "$config" -keys "config/examples/$deployment.keys" -wait 20s -duration 5s -rate 20 -seed 1 -tickets 1 -show 8; then
   status=0
 else
   status=$?
--- a/event/events.go
+++ b/event/events.go
@@ -23,10 +23,13 @@
 
 // Events of sessions between VMs.
 var (
-	PeerUp       = New(1201, slog.LevelInfo, "session with vm established", "none")
-	PeerDown     = New(1202, slog.LevelWarn, "session with vm lost", "Check the VM and the link if it does not return.")
-	PeerRefused  = New(1203, slog.LevelWarn, "vm handshake refused", "Check the fleet key and the protocol version of the named peer.")
-	FrameInvalid = New(1204, slog.LevelWarn, "invalid frame from vm; session closed", "Check that all VMs run compatible versions.")
+	PeerUp         = New(1201, slog.LevelInfo, "session with vm established", "none")
+	PeerDown       = New(1202, slog.LevelWarn, "session with vm lost", "Check the VM and the link if it does not return.")
+	PeerRefused    = New(1203, slog.LevelWarn, "vm handshake refused", "Check the fleet key and the protocol version of the named peer.")
+	MemberDied     = New(1205, slog.LevelWarn, "vm counts as dead", "Check the VM if it does not return.")
+	MemberReturned = New(1206, slog.LevelInfo, "vm is alive", "none")
+	HandoverSent   = New(1207, slog.LevelInfo, "records of calls handed over", "none")
+	FrameInvalid   = New(1204, slog.LevelWarn, "invalid frame from vm; session closed", "Check that all VMs run compatible versions.")
 )
 
 // Events of requests.
--- a/gateway/configure.go
+++ b/gateway/configure.go
@@ -6,8 +6,11 @@
 	"fmt"
 	"time"
 
+	"parsleyhatch/audit"
+	"parsleyhatch/choose"
 	"parsleyhatch/config"
 	"parsleyhatch/event"
+	"parsleyhatch/limit"
 	"parsleyhatch/vm"
 	"parsleyhatch/vmwire"
 )
@@ -21,6 +24,8 @@
 	downPause = time.Second
 	// fetchTimeout bounds the exchange of a configuration between VMs.
 	fetchTimeout = 5 * time.Second
+	// joinWait is how long a new VM waits for a confirmation before it serves.
+	joinWait = 12 * time.Second
 )
 
 // candidate is a configuration that may be accepted.
@@ -35,6 +40,10 @@
 func (g *Gateway) runWatch(ctx context.Context) {
 	var revision uint64
 	for ctx.Err() == nil {
+		if !g.isReader.Load() && g.Snapshot() != nil {
+			sleep(ctx, watchPause)
+			continue
+		}
 		err := g.readPlatform(ctx)
 		if err != nil {
 			event.ConfigDown.Log(g.Log, "error", err.Error())
@@ -109,8 +118,10 @@
 		}
 		return
 	}
-	next, problems := config.Assemble(c.head, c.parts)
+	next, problems := config.AssembleAfter(current, c.head, c.parts)
 	if len(problems) > 0 {
+		g.Audit.Add(g.Now(), audit.Entry{Kind: audit.ConfigRejected, Subject: c.from, Version: c.head.Version, Detail: problems[0].String()})
+		g.Metrics.Count("config_rejected", 1)
 		event.ConfigRejected.Log(g.Log, "from", c.from, "version", c.head.Version.String(), "problems", len(problems), "first", problems[0].String())
 		return
 	}
@@ -123,13 +134,55 @@
 	if current != nil && !next.Version.After(current.Version) {
 		event.Broken(g.Log, event.BrokenConfigReverted, "from", current.Version.String(), "to", next.Version.String())
 	}
+	now := g.Now()
 	g.snapshot.Store(next)
 	event.ConfigAccepted.Log(g.Log, "version", next.Version.String(), "from", from)
+	g.Audit.Add(now, audit.Entry{Kind: audit.ConfigAccepted, Subject: from, Version: next.Version})
+	for _, e := range audit.FromChanges(next.Version, config.Diff(current, next)) {
+		g.Audit.Add(now, e)
+	}
 	for _, id := range g.streams.cutWithdrawn(next) {
 		event.KeyCut.Log(g.Log, "request", id)
 	}
-	g.peers.reconcile(next, g.Self)
-	g.heartbeatAll()
+	g.configureTables(now, current, next)
+	g.publish(now)
+	// The heartbeats tell the other VMs at once that there is a later version.
+	g.lastBeat = time.Time{}
+}
+
+// configureTables brings the tables in line with a new snapshot.
+func (g *Gateway) configureTables(now time.Time, old, next *config.Snapshot) {
+	g.members.SetRoster(next.File.VMs)
+	g.tokens.Configure(now, limit.Shares(next.File.Workspaces, next.File.VMs, g.Self.Slot))
+	g.configureCalls(now, old, next)
+	g.importHandover(now)
+	g.choices.Configure(now, g.upstreamMembers(next))
+	g.watch(now, next)
+	regions := make([]string, 0, len(next.File.Regions))
+	for i := range next.File.Regions {
+		regions = append(regions, next.File.Regions[i].Name)
+	}
+	g.retries.Configure(regions)
+}
+
+// upstreamMembers lists the upstreams of the own region with their routes.
+func (g *Gateway) upstreamMembers(s *config.Snapshot) []choose.Member {
+	routes := map[string][]string{}
+	for route, list := range s.RouteUpstreams {
+		for _, u := range list {
+			if u.Region == g.Self.Region {
+				routes[u.Name] = append(routes[u.Name], route)
+			}
+		}
+	}
+	members := make([]choose.Member, 0, len(routes))
+	for name, list := range routes {
+		u := s.Upstreams[name]
+		members = append(members, choose.Member{
+			Name: name, Routes: list, MaxBatch: u.MaxBatch, Draining: u.State == config.StateDraining,
+		})
+	}
+	return members
 }
 
 // onConfigGet answers a VM that asks for the head or for parts.
@@ -164,49 +217,56 @@
 	if !g.decode(m, &parts) {
 		return
 	}
-	p := g.peers.row(m.from.Peer.Slot)
-	if p == nil {
-		return
-	}
 	select {
-	case p.parts <- parts:
+	case g.sessions.exchange(m.from.Peer.Slot) <- parts:
 	default:
 	}
 }
 
+// compareVersion fetches the configuration of a VM that has a later one.
+func (g *Gateway) compareVersion(ctx context.Context, s *vm.Session, theirs config.Version) {
+	current := g.Snapshot()
+	if theirs.Number == 0 || (current != nil && !theirs.After(current.Version)) {
+		return
+	}
+	g.fetchFrom(ctx, s)
+}
+
 // fetchFrom asks a VM for its configuration. The control loop starts at most one exchange at a time.
 func (g *Gateway) fetchFrom(ctx context.Context, s *vm.Session) {
 	if g.fetching {
 		return
 	}
-	p := g.peers.row(s.Peer.Slot)
-	if p == nil {
-		return
-	}
 	g.fetching = true
-	g.wait.Go(func() { g.runFetch(ctx, s, p) })
+	e := exchange{session: s, parts: g.sessions.exchange(s.Peer.Slot)}
+	g.wait.Go(func() { g.runFetch(ctx, e) })
 }
 
-func (g *Gateway) runFetch(ctx context.Context, s *vm.Session, p *peer) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+// exchange is a transfer of the configuration from another VM.
+type exchange struct {
+	session *vm.Session
+	parts   <-chan vmwire.ConfigParts
+}
+
+func (g *Gateway) runFetch(ctx context.Context, e exchange) {
+	limited, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	c := candidate{from: s.Peer.Slot}
-	c.head, c.err = g.fetchHead(ctx, s, p)
+	c := candidate{from: e.session.Peer.Slot}
+	c.head, c.err = e.head(limited)
 	if c.err == nil {
-		c.parts, c.err = g.fetchParts(ctx, c.head, func(ctx context.Context, digest string) ([]byte, error) {
-			return fetchPart(ctx, s, p, digest)
-		})
+		c.parts, c.err = g.fetchParts(limited, c.head, e.part)
 	}
-	_ = g.offer(context.WithoutCancel(ctx), c)
+	_ = g.offer(ctx, c)
 }
 
-func (g *Gateway) fetchHead(ctx context.Context, s *vm.Session, p *peer) (config.Head, error) {
+// head asks for the head.
+func (e exchange) head(ctx context.Context) (config.Head, error) {
 	var head config.Head
-	if !s.Control(vmwire.KindConfigGet, &vmwire.ConfigGet{}) {
+	if !e.session.Control(vmwire.KindConfigGet, &vmwire.ConfigGet{}) {
 		return head, vm.ErrSessionClosed
 	}
 	for {
-		parts, err := p.nextParts(ctx)
+		parts, err := e.next(ctx)
 		if err != nil {
 			return head, err
 		}
@@ -214,18 +274,19 @@
 			continue
 		}
 		if err := json.Unmarshal(parts.Head, &head); err != nil {
-			return head, fmt.Errorf("decode head from vm %s: %w", s.Peer.Slot, err)
+			return head, fmt.Errorf("decode head from vm %s: %w", e.session.Peer.Slot, err)
 		}
 		return head, nil
 	}
 }
 
-func fetchPart(ctx context.Context, s *vm.Session, p *peer, digest string) ([]byte, error) {
-	if !s.Control(vmwire.KindConfigGet, &vmwire.ConfigGet{Digests: []string{digest}}) {
+// part asks for one part and checks its digest.
+func (e exchange) part(ctx context.Context, digest string) ([]byte, error) {
+	if !e.session.Control(vmwire.KindConfigGet, &vmwire.ConfigGet{Digests: []string{digest}}) {
 		return nil, vm.ErrSessionClosed
 	}
 	for {
-		parts, err := p.nextParts(ctx)
+		parts, err := e.next(ctx)
 		if err != nil {
 			return nil, err
 		}
@@ -237,23 +298,24 @@
 	}
 }
 
-// nextParts waits for a message of an exchange.
-func (p *peer) nextParts(ctx context.Context) (vmwire.ConfigParts, error) {
+// next waits for a message of the exchange.
+func (e exchange) next(ctx context.Context) (vmwire.ConfigParts, error) {
 	select {
-	case parts := <-p.parts:
+	case parts := <-e.parts:
 		return parts, nil
 	case <-ctx.Done():
 		return vmwire.ConfigParts{}, ctx.Err()
 	}
 }
 
-// becomeReady lets the VM serve once it has a configuration and has had the time to learn of a
-// later one from the VMs that it reaches.
+// becomeReady lets the VM serve once it has a configuration and a VM of its region has confirmed
+// that it occupies its slot. By then it has compared versions with that VM. If nobody confirms, it
+// serves after joinWait all the same, as a region of which one VM is left must.
 func (g *Gateway) becomeReady(now time.Time) {
 	if g.ready.Load() || g.Snapshot() == nil {
 		return
 	}
-	if !g.peers.allAsked(now, g.Self.StartedAt) {
+	if !g.authorised && now.Sub(g.Self.StartedAt) < joinWait {
 		return
 	}
 	g.ready.Store(true)
--- /dev/null
+++ b/gateway/fleet.go
@@ -0,0 +1,136 @@
+package gateway
+
+import (
+	"time"
+
+	"parsleyhatch/config"
+	"parsleyhatch/directory"
+	"parsleyhatch/limit"
+	"parsleyhatch/member"
+	"parsleyhatch/vmwire"
+)
+
+// regionEntries are the VMs of another region that take forwarded requests.
+type regionEntries struct {
+	at   time.Time
+	list []vmwire.EntryVM
+}
+
+// fleetView is what traffic sees of the other VMs. It is immutable.
+type fleetView struct {
+	// vms are those of the own region, and the entry VMs of others.
+	vms []directory.VM
+	// info lists the roster for the status.
+	info []PeerInfo
+}
+
+// PeerInfo is what the status says of a VM.
+type PeerInfo struct {
+	Name        string `json:"name"`
+	Region      string `json:"region"`
+	Address     string `json:"address"`
+	Alive       bool   `json:"alive"`
+	Ready       bool   `json:"ready"`
+	Leaving     bool   `json:"leaving"`
+	Queue       int    `json:"queue"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// publish builds the views that traffic reads.
+func (g *Gateway) publish(now time.Time) {
+	snapshot := g.Snapshot()
+	if snapshot == nil {
+		return
+	}
+	g.setProfiles()
+	g.setLinks(now, snapshot)
+	g.view.Store(g.choices.View(now))
+	f := &fleetView{}
+	for i := range snapshot.File.VMs {
+		m := &snapshot.File.VMs[i]
+		f.add(now, g, m)
+	}
+	g.fleet.Store(f)
+}
+
+// add appends one VM of the roster.
+func (f *fleetView) add(now time.Time, g *Gateway, m *config.VM) {
+	row, ok := g.members.Row(m.Name)
+	if !ok {
+		return
+	}
+	info := PeerInfo{
+		Name: m.Name, Region: m.Region, Address: m.CallerAddress,
+		Alive: g.members.Alive(now, m.Name), Ready: row.Ready, Leaving: row.Leaving,
+		Queue: int(g.peerQueues[m.Name]), Incarnation: row.Incarnation.Number,
+	}
+	if m.Name == g.Self.Slot {
+		info.Ready, info.Leaving, info.Queue = g.ready.Load(), g.leaving.Load(), g.streams.count()
+	}
+	if m.Region != g.Self.Region {
+		g.fillFromSummary(now, &info)
+	}
+	f.info = append(f.info, info)
+	v := directory.VM{
+		Slot: m.Name, Region: m.Region, FailureDomain: m.FailureDomain,
+		Listed: row.ListedLive, ListedLeaving: row.ListedLeaving,
+		Ready: info.Ready, Leaving: info.Leaving, Queue: info.Queue, QueueLimit: g.Settings.MaxStreams,
+	}
+	switch {
+	case info.Alive:
+		v.Heartbeat = now
+	case row.Incarnation.Number != 0:
+		v.Heartbeat = now.Add(-member.DeadAfter) // Silent since at least this time.
+	}
+	f.vms = append(f.vms, v)
+}
+
+// fillFromSummary applies what another region said of its VM, unless heartbeats tell more.
+func (g *Gateway) fillFromSummary(now time.Time, info *PeerInfo) {
+	entries, ok := g.entries[info.Region]
+	if !ok || info.Alive || now.Sub(entries.at) > summaryLife {
+		return
+	}
+	for _, e := range entries.list {
+		if e.Slot == info.Name {
+			info.Alive, info.Ready, info.Leaving, info.Queue = true, true, false, int(e.Queue)
+		}
+	}
+}
+
+// VMs lists the roster as this VM sees it, itself included.
+func (g *Gateway) VMs() []PeerInfo { return g.fleet.Load().info }
+
+// Directory returns the VMs that a caller of the workspace should use, best first.
+func (g *Gateway) Directory(now time.Time, s *config.Snapshot, r *config.Route, w *config.Workspace, callerRegion string) []*config.VM {
+	allowed := s.AllowedRegions(r, w)
+	var holders []string
+	for _, region := range allowed {
+		holders = append(holders, limit.Holders(w.Name, region, s.File.VMs)...)
+	}
+	if callerRegion == "" {
+		callerRegion = w.Home
+	}
+	slots := directory.Order(now, g.fleet.Load().vms, directory.Query{
+		Workspace: w.Name, Allowed: allowed, Holders: holders, Region: callerRegion,
+	})
+	list := make([]*config.VM, 0, len(slots))
+	for _, slot := range slots {
+		if m := s.VMs[slot]; m != nil {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// Tickets returns idempotency tickets that this incarnation owns, if this VM may run the calls.
+func (g *Gateway) Tickets(now time.Time, s *config.Snapshot, r *config.Route, w *config.Workspace, n int) []string {
+	if r.Idempotent || !g.Ready() || !contains(s.AllowedRegions(r, w), g.Self.Region) {
+		return nil
+	}
+	tickets := make([]string, 0, n)
+	for range n {
+		tickets = append(tickets, g.calls.Issue(now, w.Name))
+	}
+	return tickets
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"sort"
+	"slices"
 	"time"
 
 	"parsleyhatch/config"
@@ -14,7 +14,7 @@
 
 // forward runs a request at a VM of another region.
 func (g *Gateway) forward(ctx context.Context, r *Request, region string, p *progress) Outcome {
-	s := g.sessionTo(region)
+	s := g.sessionTo(ctx, region)
 	if s == nil {
 		return refuseUntil(UnreachableRegion, "region "+region+" is unreachable", retrySoon)
 	}
@@ -22,15 +22,14 @@
 }
 
 // sessionTo returns a session with the least loaded usable VM of a region.
-func (g *Gateway) sessionTo(region string) *vm.Session {
-	now := g.Now()
-	list := g.VMs(now)
-	sort.SliceStable(list, func(i, j int) bool { return list[i].Queue < list[j].Queue })
+func (g *Gateway) sessionTo(ctx context.Context, region string) *vm.Session {
+	list := slices.Clone(g.VMs())
+	slices.SortStableFunc(list, func(a, b PeerInfo) int { return a.Queue - b.Queue })
 	for _, info := range list {
 		if info.Region != region || !info.Alive || !info.Ready || info.Leaving {
 			continue
 		}
-		if s := g.peers.session(info.Name); s != nil {
+		if s := g.sessionWith(ctx, info.Name); s != nil {
 			return s
 		}
 	}
@@ -81,7 +80,7 @@
 		return cancelled(ctx, Unknown)
 	}
 	return Outcome{
-		Code:       UpstreamFailed,
+		Code:       PeerLost,
 		Message:    "the connection to vm " + s.Peer.Slot + " broke",
 		Ran:        Unknown,
 		RetryAfter: retrySoon,
@@ -177,6 +176,7 @@
 		}
 		r.Prefix = chat.Prefix(r.Workspace.Name)
 	}
+	g.identify(r)
 	return r, Outcome{}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,16 +3,24 @@
 import (
 	"context"
 	"fmt"
+	"hash/fnv"
 	"log/slog"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"parsleyhatch/audit"
+	"parsleyhatch/choose"
 	"parsleyhatch/config"
 	"parsleyhatch/event"
+	"parsleyhatch/limit"
+	"parsleyhatch/member"
 	"parsleyhatch/metrics"
+	"parsleyhatch/once"
 	"parsleyhatch/platform"
+	"parsleyhatch/poison"
+	"parsleyhatch/retry"
 	"parsleyhatch/upstream"
 	"parsleyhatch/vm"
 	"parsleyhatch/vmwire"
@@ -47,24 +55,58 @@
 	Upstreams *upstream.Client
 	Platform  *platform.Client
 	Metrics   *metrics.Metrics
+	Audit     *audit.Trail
 	// Now is the clock; tests replace it.
 	Now func() time.Time
 
+	// Published by the control loop for traffic.
 	snapshot atomic.Pointer[config.Snapshot]
+	view     atomic.Pointer[choose.View]
+	fleet    atomic.Pointer[fleetView]
 	ready    atomic.Bool
 	leaving  atomic.Bool
-	streams  streamTable
-	peers    peerTable
-	health   healthTable
-	traces   traceRing
+	// superseded is closed when a newer incarnation of the slot is known.
+	superseded chan struct{}
 
+	// Used by traffic; each type locks itself.
+	streams   streamTable
+	sessions  sessionTable
+	traces    traceRing
+	tokens    *limit.Table
+	grants    grantTable
+	calls     *once.Table
+	signer    *once.Signer
+	handovers *once.HandoverStore
+	poisons   *poison.Table
+	hasher    *poison.Hasher
+	running   runningTable
+	queues    queueTable
+	retries   *retry.Budget
+	profiles  profileTable
+	nextID    atomic.Uint64
+
+	// Channels into the control loop.
 	control    chan message
-	sessions   chan sessionChange
+	changes    chan sessionChange
 	candidates chan candidate
-	nextID     atomic.Uint64
-	// fetching is owned by the control loop.
-	fetching bool
-	wait     sync.WaitGroup
+	loads      chan []loadResult
+	lists      chan []platform.VMState
+
+	// Owned by the control loop.
+	members     *member.Table
+	choices     *choose.Table
+	peerQueues  map[string]int32
+	entries     map[string]regionEntries
+	takenFrom   map[string]bool
+	handover    []vmwire.Handover
+	fetching    bool
+	authorised  bool
+	lastBeat    time.Time
+	lastSummary time.Time
+	watched     atomic.Pointer[[]watchedUpstream]
+	isReader    atomic.Bool
+
+	wait sync.WaitGroup
 }
 
 // New returns a gateway that does not listen yet.
@@ -72,35 +114,69 @@
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
+	now := time.Now()
 	self := vm.Identity{
 		Slot:          s.Slot,
 		Incarnation:   vm.NewIncarnation(),
 		Region:        s.Region,
 		FailureDomain: s.FailureDomain,
-		StartedAt:     time.Now(),
+		StartedAt:     now,
 	}
 	endpoint, err := vm.NewEndpoint(self, s.FleetKey, log)
 	if err != nil {
 		return nil, err
 	}
+	signer, err := once.NewSigner(s.FleetKey)
+	if err != nil {
+		return nil, err
+	}
+	hasher, err := poison.NewHasher(s.FleetKey)
+	if err != nil {
+		return nil, err
+	}
+	seed := seedOf(self)
 	g := &Gateway{
-		Metrics:    metrics.New(s.Slot, s.Region),
 		Settings:   s,
 		Self:       self,
 		Log:        log,
 		Endpoint:   endpoint,
 		Upstreams:  upstream.New(s.UpstreamCredential),
+		Metrics:    metrics.New(s.Slot, s.Region),
+		Audit:      audit.New(audit.Limit),
 		Now:        time.Now,
+		superseded: make(chan struct{}),
+		tokens:     limit.New(s.Slot),
+		calls:      once.New(s.Slot, self.Incarnation, now, signer, once.DefaultLimits()),
+		signer:     signer,
+		handovers:  once.NewHandoverStore(once.DefaultStoreLimits()),
+		poisons:    poison.New(poison.DefaultLimits()),
+		hasher:     hasher,
+		retries:    retry.New(seed, nil),
 		control:    make(chan message, controlQueue),
-		sessions:   make(chan sessionChange, controlQueue),
+		changes:    make(chan sessionChange, controlQueue),
 		candidates: make(chan candidate, 4),
+		loads:      make(chan []loadResult, 4),
+		lists:      make(chan []platform.VMState, 1),
+		members:    member.New(now, s.Slot, incarnationOf(self)),
+		choices:    choose.New(s.Region, seed),
+		peerQueues: map[string]int32{},
+		entries:    map[string]regionEntries{},
+		takenFrom:  map[string]bool{},
 	}
+	g.calls.Log, g.poisons.Log = log, log
+	g.tokens.Begin(now, self.Incarnation)
 	if s.PlatformURL != "" {
 		g.Platform = platform.New(s.PlatformURL)
 	}
 	g.streams.open = map[string]*openStream{}
-	g.peers.rows = map[string]*peer{}
-	g.health.failedUntil = map[string]time.Time{}
+	g.sessions.rows = map[string]*slotSessions{}
+	g.grants.waiting = map[uint64]chan limit.TokenGive{}
+	g.grants.dryUntil = map[string]time.Time{}
+	g.running.upstreams = map[string]*runningAt{}
+	g.queues.byKey = map[string]*waitQueue{}
+	g.profiles.routes = map[string]*profile{}
+	g.view.Store(g.choices.View(now))
+	g.fleet.Store(&fleetView{})
 	endpoint.OnStream = g.serveStream
 	endpoint.OnControl = g.onControl
 	endpoint.OnUp = func(s *vm.Session) { g.onSession(sessionChange{session: s, up: true}) }
@@ -108,12 +184,26 @@
 	return g, nil
 }
 
+// seedOf derives a seed for random draws from the incarnation.
+func seedOf(self vm.Identity) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(self.Slot))
+	return h.Sum64() ^ self.Incarnation
+}
+
+func incarnationOf(id vm.Identity) member.Incarnation {
+	return member.Incarnation{Number: id.Incarnation, StartedAtUnixMilli: id.StartedAt.UnixMilli()}
+}
+
 // Snapshot returns the configuration in force, nil before the first one.
 func (g *Gateway) Snapshot() *config.Snapshot { return g.snapshot.Load() }
 
 // Ready reports whether the VM accepts requests.
 func (g *Gateway) Ready() bool { return g.ready.Load() && !g.leaving.Load() }
 
+// Superseded is closed when a newer incarnation of this VM's slot is known.
+func (g *Gateway) Superseded() <-chan struct{} { return g.superseded }
+
 // NewRequestID returns an id that is unique over the fleet.
 func (g *Gateway) NewRequestID() string {
 	return fmt.Sprintf("%s-%x-%d", g.Self.Slot, g.Self.Incarnation, g.nextID.Add(1))
@@ -124,16 +214,19 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	event.Started.Log(g.Log, "slot", g.Self.Slot, "incarnation", g.Self.Incarnation, "region", g.Self.Region)
+	g.Audit.Add(g.Now(), audit.Entry{Kind: audit.SettingAtStart, Subject: "vm/" + g.Self.Slot, Detail: g.Settings.summary()})
 	g.wait.Go(func() { _ = g.Endpoint.RunListener(peerListener) })
 	if g.Platform != nil {
 		g.wait.Go(func() { g.runWatch(ctx) })
+		g.wait.Go(func() { g.runVMList(ctx) })
 	}
 	for _, seed := range g.Settings.Seeds {
 		g.wait.Go(func() { g.runSeed(ctx, seed) })
 	}
+	g.wait.Go(func() { g.runLoadPoll(ctx) })
 	g.loop(ctx)
 	_ = peerListener.Close()
-	g.peers.closeAll()
+	g.sessions.closeAll()
 	g.wait.Wait()
 	_ = g.Metrics.Close()
 	event.Stopped.Log(g.Log, "slot", g.Self.Slot)
@@ -150,10 +243,14 @@
 			return
 		case m := <-g.control:
 			g.handle(ctx, m)
-		case c := <-g.sessions:
+		case c := <-g.changes:
 			g.changeSession(c)
 		case c := <-g.candidates:
 			g.consider(c)
+		case results := <-g.loads:
+			g.recordLoads(g.Now(), results)
+		case list := <-g.lists:
+			g.recordList(list)
 		case <-ticker.C:
 			g.tick(ctx, g.Now())
 		}
@@ -162,22 +259,50 @@
 
 // tick runs the systems over the control tables.
 func (g *Gateway) tick(ctx context.Context, now time.Time) {
-	g.dialPeers(ctx, now)
-	g.sendHeartbeats(now)
+	g.tickMembers(ctx, now)
+	g.tickTables(now)
+	g.tickSummary(ctx, now)
+	g.publish(now)
 	g.becomeReady(now)
+	g.pumpAll(now)
 	g.Metrics.Gauge("open_streams", float64(g.streams.count()))
 }
 
+// tickTables ages the tables that traffic shares.
+func (g *Gateway) tickTables(now time.Time) {
+	g.tokens.Tick(now)
+	g.calls.Tick(now)
+	g.handovers.Tick(now)
+	g.poisons.Tick(now)
+}
+
+// onControl receives control messages in the session's reading goroutine. Token messages are
+// handled there, since a request waits for them.
 func (g *Gateway) onControl(s *vm.Session, f vmwire.Frame) {
+	m := message{from: s, frame: f}
+	switch f.Kind {
+	case vmwire.KindTokenAsk:
+		g.onTokenAsk(m)
+		return
+	case vmwire.KindTokenGive:
+		g.onTokenGive(m)
+		return
+	}
 	select {
-	case g.control <- message{from: s, frame: f}:
+	case g.control <- m:
 	default: // Control messages are repeated by their senders.
+		g.Metrics.Count("control_messages_dropped", 1)
 	}
 }
 
 func (g *Gateway) onSession(c sessionChange) {
+	if c.up {
+		g.sessions.add(c.session)
+	} else {
+		g.sessions.remove(c.session)
+	}
 	select {
-	case g.sessions <- c:
+	case g.changes <- c:
 	default:
 		c.session.Close(vm.ErrTooMany)
 	}
@@ -188,10 +313,22 @@
 	switch m.frame.Kind {
 	case vmwire.KindHeartbeat:
 		g.onHeartbeat(ctx, m)
+	case vmwire.KindHeartbeatAck:
+		g.onHeartbeatAck(m)
 	case vmwire.KindConfigGet:
 		g.onConfigGet(m)
 	case vmwire.KindConfigParts:
 		g.onConfigParts(m)
+	case vmwire.KindLoad:
+		g.onLoad(m)
+	case vmwire.KindSummary:
+		g.onSummary(m)
+	case vmwire.KindSuspect:
+		g.onSuspect(m)
+	case vmwire.KindHandover:
+		g.onHandover(m)
+	case vmwire.KindHandoverTake:
+		g.onHandoverTake(m)
 	}
 }
 
@@ -208,20 +345,23 @@
 }
 
 // Drain refuses new requests, waits until the running ones have ended or the drain limit has
-// passed, and returns the number of requests that were cut.
+// passed, hands the records of calls over, and returns the number of requests that were cut.
 func (g *Gateway) Drain(ctx context.Context) int {
 	g.leaving.Store(true)
+	g.Audit.Add(g.Now(), audit.Entry{Kind: audit.VMLeaving, Subject: "vm/" + g.Self.Slot})
 	event.Draining.Log(g.Log, "running", g.streams.count())
 	ctx, cancel := context.WithTimeout(ctx, g.Settings.DrainLimit)
 	defer cancel()
+	// Callers and VMs that have not heard of the drain yet may still send for a moment; they are
+	// refused, so only running requests are waited for.
 	ticker := time.NewTicker(20 * time.Millisecond)
 	defer ticker.Stop()
-	for g.streams.count() > 0 {
+	for g.streams.count() > 0 && ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
-			return g.streams.count()
 		case <-ticker.C:
 		}
 	}
-	return 0
+	g.handOver(g.Now())
+	return g.streams.count()
 }
--- a/gateway/local.go
+++ b/gateway/local.go
@@ -5,10 +5,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"strconv"
 	"time"
 
+	"parsleyhatch/choose"
 	"parsleyhatch/config"
 	"parsleyhatch/event"
+	"parsleyhatch/poison"
+	"parsleyhatch/retry"
 	"parsleyhatch/upstream"
 	"parsleyhatch/vmwire"
 )
@@ -18,6 +22,8 @@
 	stallLimit = 10 * time.Second
 	// maxUpstreamAttempts bounds the upstreams that one request is given to.
 	maxUpstreamAttempts = 4
+	// serviceChunkBytes is the size of the pieces of a service's answer between VMs.
+	serviceChunkBytes = 32 << 10
 )
 
 // Headers of answers.
@@ -28,16 +34,20 @@
 
 // runLocal runs a request at an upstream of the own region.
 func (g *Gateway) runLocal(ctx context.Context, r *Request, p *progress) Outcome {
-	if r.Route.HomeBound && r.Workspace.Home != g.Self.Region {
+	if !contains(r.Snapshot.AllowedRegions(r.Route, r.Workspace), g.Self.Region) {
 		event.Broken(g.Log, event.BrokenRegion, "request", r.ID, "region", g.Self.Region)
 	}
 	var out Outcome
-	if r.Route.Kind == config.KindModel {
+	switch {
+	case r.Route.Kind == config.KindModel:
 		out = g.runModel(ctx, r, p)
-	} else {
+	case r.Route.Idempotent:
 		out = g.runService(ctx, r, p)
+	default:
+		out = g.runCall(ctx, r, p)
 	}
 	out.Region = g.Self.Region
+	out.AnswerTokens = p.tokens
 	return out
 }
 
@@ -47,36 +57,127 @@
 	defer cancel(nil)
 	first := time.AfterFunc(r.Deadline.Sub(g.Now()), func() { cancel(errDeadline) })
 	defer first.Stop()
-	tried := map[string]bool{}
-	out := refuseUntil(NoUpstream, "no usable upstream in region "+g.Self.Region, retrySoon)
-	ran := NotRun
-	for range maxUpstreamAttempts {
-		u := g.health.pick(g.Now(), r.Snapshot.RouteUpstreams[r.Route.Name], g.Self.Region, tried)
-		if u == nil {
-			break
+	return g.attempts(ctx, r, p, func(ctx context.Context, u *config.Upstream, running *choose.Running) (Outcome, bool) {
+		return g.streamFrom(ctx, r, u, running, p, first)
+	})
+}
+
+// runService runs a plain service call that may be repeated.
+func (g *Gateway) runService(ctx context.Context, r *Request, p *progress) Outcome {
+	ctx, cancel := context.WithDeadlineCause(ctx, r.Deadline, errDeadline)
+	defer cancel()
+	return g.attempts(ctx, r, p, func(ctx context.Context, u *config.Upstream, running *choose.Running) (Outcome, bool) {
+		return g.callService(ctx, r, u, running, p)
+	})
+}
+
+// attempts gives a request that may be repeated to one upstream after the other until one runs it.
+func (g *Gateway) attempts(ctx context.Context, r *Request, p *progress, run func(context.Context, *config.Upstream, *choose.Running) (Outcome, bool)) Outcome {
+	var exclude []*choose.Upstream
+	var last Outcome
+	g.retries.First(g.Now(), g.Self.Region)
+	for attempt := range maxUpstreamAttempts {
+		if out, refused := g.checkPoison(r); refused {
+			return out
+		}
+		if attempt > 0 && !g.mayRetry(r, p, attempt) {
+			return last
 		}
-		tried[u.Name] = true
-		r.note(g.Now(), "upstream "+u.Name, "fewest outstanding requests")
-		var retry bool
-		out, retry = g.streamFrom(ctx, r, u, p, first)
-		g.health.release(u.Name)
-		if out.Ran != NotRun {
-			ran = out.Ran
+		granted, out := g.acquire(ctx, r, r.choice(exclude))
+		if out.Code != OK {
+			return g.giveUp(r, last, out)
 		}
-		if !retry {
-			break
+		u := g.upstreamOf(r, granted.pick.Upstream.Name)
+		exclude = append(exclude, granted.pick.Upstream)
+		if u == nil || !g.poisons.Place(g.Now(), granted.pick.Upstream.Name, r.fingerprint) {
+			// The upstream is gone, or runs another suspect.
+			g.release(r, &granted)
+			last = refuseUntil(Overloaded, "the request crashed an upstream and waits for one without another such request", g.retries.After(retrySoon))
+			continue
+		}
+		r.note(g.Now(), "upstream "+u.Name, granted.pick.Why.String())
+		var again bool
+		last, again = g.attempt(ctx, r, u, &granted, run)
+		if !again {
+			return last
 		}
 		event.StreamResumed.Log(g.Log, "request", r.ID, "from", u.Name, "offset", p.next)
 	}
-	if out.Ran == NotRun {
-		out.Ran = ran
+	return last
+}
+
+// attempt runs the request at one upstream and keeps the counts.
+func (g *Gateway) attempt(ctx context.Context, r *Request, u *config.Upstream, granted *grantedUpstream, run func(context.Context, *config.Upstream, *choose.Running) (Outcome, bool)) (Outcome, bool) {
+	g.running.add(u.Name, r.fingerprint)
+	if r.prefix != 0 {
+		g.view.Load().Sent(g.Now(), r.prefix, granted.pick.Upstream)
+	}
+	start := g.Now()
+	out, again := run(ctx, u, &granted.running)
+	now := g.Now()
+	if out.Code == UpstreamFailed {
+		granted.pick.Upstream.Failed(now)
 	}
-	out.AnswerTokens = p.tokens
-	return out
+	if out.Code == OK {
+		granted.pick.Upstream.Succeeded(now)
+		g.profiles.record(r.Route.Name, 0, now.Sub(start))
+		g.cleared(r.fingerprint)
+	}
+	g.running.remove(u.Name, r.fingerprint)
+	g.poisons.Left(now, u.Name, r.fingerprint)
+	g.release(r, granted)
+	return out, again
+}
+
+// release frees the place at the upstream for the next waiting request.
+func (g *Gateway) release(r *Request, granted *grantedUpstream) {
+	granted.running.End()
+	if wait := g.queues.get(r.Route); wait.queue.Len() > 0 {
+		g.pump(g.Now(), wait)
+	}
+}
+
+// mayRetry decides on another attempt. An answer that has begun is always resumed: its number is
+// bounded by the streams that broke.
+func (g *Gateway) mayRetry(r *Request, p *progress, attempt int) bool {
+	if p.started {
+		return true
+	}
+	v := g.retries.Allow(g.Now(), retry.Call{Idempotent: true, Kind: retry.Again, Attempt: attempt, Region: g.Self.Region})
+	if v != retry.Allowed {
+		r.note(g.Now(), "no retry", v.String())
+	}
+	return v == retry.Allowed
+}
+
+// giveUp combines the refusal of a further attempt with the failure of the earlier one.
+func (g *Gateway) giveUp(r *Request, last, refusal Outcome) Outcome {
+	if !r.sent {
+		return refusal
+	}
+	if last.Code == OK {
+		last = refusal
+	}
+	last.Ran = DidRun
+	return last
 }
 
-// streamFrom runs one attempt. retry tells that another upstream may continue.
-func (g *Gateway) streamFrom(ctx context.Context, r *Request, u *config.Upstream, p *progress, first *time.Timer) (out Outcome, retry bool) {
+// choice is what the choice of an upstream depends on.
+func (r *Request) choice(exclude []*choose.Upstream) choose.Request {
+	return choose.Request{Route: r.Route.Name, Prefix: r.prefix, Exclude: exclude, Forwarded: r.Forwarded}
+}
+
+// upstreamOf returns the configuration in force of an upstream.
+func (g *Gateway) upstreamOf(r *Request, name string) *config.Upstream {
+	if u := g.Snapshot().Upstreams[name]; u != nil {
+		return u
+	}
+	return r.Snapshot.Upstreams[name]
+}
+
+// streamFrom runs one attempt. again tells that another upstream may continue.
+func (g *Gateway) streamFrom(ctx context.Context, r *Request, u *config.Upstream, running *choose.Running, p *progress, first *time.Timer) (out Outcome, again bool) {
+	sentAt := g.Now()
 	stream, fail := g.Upstreams.Stream(ctx, u.Address, upstream.Call{
 		RequestID:  r.ID,
 		Priority:   priorityOf(r),
@@ -87,30 +188,39 @@
 		Stall:      stallLimit,
 	})
 	if fail != nil {
-		return g.upstreamFailure(ctx, u, fail)
+		return g.attemptFailed(ctx, r, u, fail)
 	}
 	defer stream.Close()
+	r.sent = true
 	for {
 		c, err := stream.Next()
 		if errors.Is(err, io.EOF) {
 			return Outcome{Ran: DidRun, Upstream: u.Name, PromptTokens: stream.PromptTokens}, false
 		}
 		if err != nil {
-			return g.upstreamFailure(ctx, u, asFailure(err))
+			return g.attemptFailed(ctx, r, u, asFailure(err))
 		}
-		first.Stop()
+		running.FirstToken()
 		chunk := vmwire.Chunk{Start: c.Start, End: c.End, Data: c.Data}
 		if !p.started {
-			g.Metrics.FirstToken(r.Route.Name, g.Now().Sub(r.Arrived))
+			g.firstToken(r, sentAt, first)
 			chunk.Status = 200
 			chunk.Header = map[string]string{HeaderServedRegion: g.Self.Region, HeaderServedBy: u.Name}
 		}
 		if err := p.pass(ctx, &chunk); err != nil {
-			return Outcome{Code: CallerGone, Message: "the caller closed the connection", Ran: DidRun}, false
+			return Outcome{Code: CallerGone, Message: "the caller closed the connection", Ran: DidRun, PromptTokens: stream.PromptTokens}, false
 		}
 	}
 }
 
+// firstToken records that the answer began.
+func (g *Gateway) firstToken(r *Request, sentAt time.Time, deadline *time.Timer) {
+	deadline.Stop()
+	now := g.Now()
+	g.Metrics.FirstToken(r.Route.Name, now.Sub(r.Arrived))
+	g.profiles.record(r.Route.Name, now.Sub(sentAt), 0)
+}
+
 func asFailure(err error) *upstream.Failure {
 	var f *upstream.Failure
 	if errors.As(err, &f) {
@@ -119,85 +229,40 @@
 	return &upstream.Failure{Kind: upstream.Broken, Err: err}
 }
 
-// upstreamFailure turns a failed attempt into an outcome.
-func (g *Gateway) upstreamFailure(ctx context.Context, u *config.Upstream, f *upstream.Failure) (Outcome, bool) {
-	ran := DidRun
-	if f.Kind == upstream.NotSent {
-		ran = NotRun
+// attemptFailed turns a failed attempt into an outcome. again is true if another upstream may try.
+func (g *Gateway) attemptFailed(ctx context.Context, r *Request, u *config.Upstream, f *upstream.Failure) (out Outcome, again bool) {
+	if f.Kind != upstream.NotSent && f.Kind != upstream.Refused {
+		r.sent = true
 	}
 	if ctx.Err() != nil {
-		return cancelled(ctx, ran), false
+		return cancelled(ctx, r.ranBefore()), false
 	}
 	if f.Kind == upstream.Refused && f.Status < 500 && f.Status != 429 {
 		message := fmt.Sprintf("upstream refused the request with status %d", f.Status)
-		return Outcome{Code: InvalidRequest, Message: message, Ran: NotRun}, false
+		return Outcome{Code: InvalidRequest, Message: message, Ran: r.ranBefore()}, false
 	}
-	g.health.failed(g.Now(), u.Name)
 	event.UpstreamDown.Log(g.Log, "upstream", u.Name, "error", f.Error())
-	return Outcome{Code: UpstreamFailed, Message: "the upstream failed", Ran: ran, RetryAfter: retrySoon, Upstream: u.Name}, true
-}
-
-// runService runs a plain service call.
-func (g *Gateway) runService(ctx context.Context, r *Request, p *progress) Outcome {
-	ctx, cancel := context.WithDeadlineCause(ctx, r.Deadline, errDeadline)
-	defer cancel()
-	tried := map[string]bool{}
-	out := refuseUntil(NoUpstream, "no usable upstream in region "+g.Self.Region, retrySoon)
-	for range maxUpstreamAttempts {
-		u := g.health.pick(g.Now(), r.Snapshot.RouteUpstreams[r.Route.Name], g.Self.Region, tried)
-		if u == nil {
-			return out
-		}
-		tried[u.Name] = true
-		var retry bool
-		out, retry = g.callService(ctx, r, u, p)
-		g.health.release(u.Name)
-		if !retry {
-			return out
-		}
+	if f.Kind == upstream.Broken {
+		g.noteBroken(u)
 	}
-	return out
+	return Outcome{Code: UpstreamFailed, Message: "the upstream failed", Ran: r.ranBefore(), RetryAfter: g.retries.After(retrySoon), Upstream: u.Name}, true
 }
 
-func (g *Gateway) callService(ctx context.Context, r *Request, u *config.Upstream, p *progress) (Outcome, bool) {
-	answer, fail := g.Upstreams.CallOnce(ctx, u.Address, upstream.ServiceCall{
-		RequestID:      r.ID,
-		Method:         r.Method,
-		Path:           r.Path,
-		Header:         r.Header,
-		IdempotencyKey: r.IdempotencyKey,
-		Body:           r.Body,
-	}, func() bool { return ctx.Err() == nil })
+// callService makes one attempt of a call that may be repeated.
+func (g *Gateway) callService(ctx context.Context, r *Request, u *config.Upstream, running *choose.Running, p *progress) (Outcome, bool) {
+	answer, fail := g.Upstreams.CallOnce(ctx, u.Address, r.serviceCall(), func() bool { return ctx.Err() == nil })
 	if fail != nil {
-		out, retry := g.upstreamFailure(ctx, u, fail)
-		if fail.Kind != upstream.NotSent && !r.Route.Idempotent {
-			out.Ran, retry = Unknown, false
-		}
-		return out, retry
-	}
-	for start := 0; start == 0 || start < len(answer.Body); {
-		end := min(start+serviceChunkBytes, len(answer.Body))
-		chunk := vmwire.Chunk{Start: p.next, End: p.next, Data: answer.Body[start:end]}
-		if start == 0 {
-			chunk.Status = int32(answer.Status)
-			chunk.Header = map[string]string{
-				"Content-Type": answer.ContentType, HeaderServedRegion: g.Self.Region, HeaderServedBy: u.Name,
-			}
-		}
-		if err := p.pass(ctx, &chunk); err != nil {
-			return Outcome{Code: CallerGone, Message: "the caller closed the connection", Ran: DidRun}, false
-		}
-		if end == len(answer.Body) {
-			break
-		}
-		start = end
+		return g.attemptFailed(ctx, r, u, fail)
+	}
+	r.sent = true
+	running.FirstToken()
+	header := map[string]string{"Content-Type": answer.ContentType, HeaderServedRegion: g.Self.Region, HeaderServedBy: u.Name}
+	if !p.passWhole(ctx, int32(answer.Status), header, answer.Body) {
+		return Outcome{Code: CallerGone, Message: "the caller closed the connection", Ran: DidRun}, false
 	}
 	return Outcome{Ran: DidRun, Upstream: u.Name}, false
 }
 
-// serviceChunkBytes is the size of the pieces of a service's answer between VMs.
-const serviceChunkBytes = 32 << 10
-
 // priorityOf returns the engine's priority of a request; higher is more urgent.
 func priorityOf(r *Request) int {
 	if r.Route.Class == config.ClassInteractive {
@@ -205,3 +270,19 @@
 	}
 	return 1
 }
+
+// prefixHash converts a prefix key of an engine.
+func prefixHash(key string) (uint64, bool) {
+	h, err := strconv.ParseUint(key, 16, 64)
+	return h, err == nil
+}
+
+// identify computes what the choice and the quarantine depend on.
+func (g *Gateway) identify(r *Request) {
+	r.prefix, _ = prefixHash(r.Prefix)
+	if r.Route.Kind == config.KindModel {
+		r.fingerprint = g.hasher.Fingerprint(r.Workspace.Name, r.Body)
+	} else {
+		r.fingerprint = poison.Fingerprint{}
+	}
+}
--- a/gateway/progress.go
+++ b/gateway/progress.go
@@ -18,6 +18,22 @@
 	sink   Sink
 }
 
+// passWhole passes the answer of a service on, in pieces. False means that the caller is gone.
+func (p *progress) passWhole(ctx context.Context, status int32, header map[string]string, body []byte) bool {
+	for first := true; first || len(body) > 0; first = false {
+		n := min(serviceChunkBytes, len(body))
+		c := vmwire.Chunk{Start: p.next, End: p.next, Data: body[:n]}
+		if first {
+			c.Status, c.Header = status, header
+		}
+		if p.pass(ctx, &c) != nil {
+			return false
+		}
+		body = body[n:]
+	}
+	return true
+}
+
 // pass checks and passes on a chunk. An error means that the caller is gone.
 func (p *progress) pass(ctx context.Context, c *vmwire.Chunk) error {
 	if c.Start != p.next || c.End < c.Start {
--- /dev/null
+++ b/gateway/queue.go
@@ -0,0 +1,166 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"parsleyhatch/admit"
+	"parsleyhatch/choose"
+	"parsleyhatch/config"
+)
+
+const (
+	// fullScore is the load of the best upstream, in batches, from which requests wait in the VM
+	// instead of the engine: here they keep their order of priority and can go elsewhere.
+	fullScore = 1.25
+	// queueTotal and queuePerWorkspace bound the waiting requests of one queue.
+	queueTotal        = 2000
+	queuePerWorkspace = 500
+	// firstRate is the first guess of the tokens that a pool serves in a second.
+	firstRate = 2000
+)
+
+// waiter is a request that waits for an upstream.
+type waiter struct {
+	request choose.Request
+	// granted receives the upstream, or nothing if it is closed: the deadline has passed.
+	granted chan grantedUpstream
+}
+
+// grantedUpstream is an upstream with the request already counted there.
+type grantedUpstream struct {
+	pick    choose.Pick
+	running choose.Running
+}
+
+// waitQueue holds the requests that wait for one set of upstreams.
+type waitQueue struct {
+	mu    sync.Mutex
+	queue *admit.Queue
+	// route is any route of the set, to ask for free upstreams.
+	route string
+}
+
+// queueTable holds a queue for each selector of upstreams.
+type queueTable struct {
+	mu     sync.Mutex
+	byKey  map[string]*waitQueue
+	nextID atomic.Uint64
+}
+
+func (t *queueTable) get(r *config.Route) *waitQueue {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	key := r.Kind + "\x00" + r.Selector
+	q := t.byKey[key]
+	if q == nil {
+		q = &waitQueue{route: r.Name, queue: admit.New(admit.Settings{
+			Total: queueTotal, PerWorkspace: queuePerWorkspace, DraftShare: admit.DefaultDraftShare, Rate: firstRate,
+		})}
+		t.byKey[key] = q
+	}
+	return q
+}
+
+func (t *queueTable) all() []*waitQueue {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make([]*waitQueue, 0, len(t.byKey))
+	for _, q := range t.byKey {
+		list = append(list, q)
+	}
+	return list
+}
+
+// acquire finds an upstream for the request, waiting for one if all are full. The outcome is set if
+// there is none.
+func (g *Gateway) acquire(ctx context.Context, r *Request, q choose.Request) (grantedUpstream, Outcome) {
+	now := g.Now()
+	wait := g.queues.get(r.Route)
+	if wait.queue.Len() == 0 {
+		pick, ok := g.view.Load().Upstream(now, q)
+		if !ok {
+			return grantedUpstream{}, refuseUntil(NoUpstream, "no usable upstream in region "+g.Self.Region, g.retries.After(retrySoon))
+		}
+		if pick.Score <= fullScore {
+			return grantedUpstream{pick: pick, running: pick.Upstream.Begin()}, Outcome{}
+		}
+	}
+	return g.enqueue(ctx, r, q, wait)
+}
+
+func (g *Gateway) enqueue(ctx context.Context, r *Request, q choose.Request, wait *waitQueue) (grantedUpstream, Outcome) {
+	w := &waiter{request: q, granted: make(chan grantedUpstream, 1)}
+	item := admit.Item{
+		ID: g.queues.nextID.Add(1), Workspace: r.Workspace.Name, Weight: float64(r.Workspace.Weight),
+		Class: classOf(r.Route), Deadline: r.Deadline, Cost: float64(r.bound()), Value: w,
+	}
+	if o := wait.queue.Offer(g.Now(), item); o.Verdict != admit.Queued {
+		return grantedUpstream{}, refuseUntil(Overloaded, o.Verdict.String(), g.retries.After(o.RetryAfter))
+	}
+	r.note(g.Now(), "queued", "all upstreams are full")
+	g.pump(g.Now(), wait)
+	select {
+	case granted, ok := <-w.granted:
+		if !ok {
+			return granted, refuseUntil(DeadlineExceeded, "no upstream became free within the deadline", g.retries.After(retrySoon))
+		}
+		return granted, Outcome{}
+	case <-ctx.Done():
+		g.leaveQueue(item.ID, wait, w)
+		return grantedUpstream{}, cancelled(ctx, NotRun)
+	}
+}
+
+// leaveQueue removes a cancelled request. If an upstream was granted at the same time, it is freed.
+func (g *Gateway) leaveQueue(id uint64, wait *waitQueue, w *waiter) {
+	if wait.queue.Remove(id) {
+		return
+	}
+	if granted, ok := <-w.granted; ok {
+		granted.running.End()
+		g.pump(g.Now(), wait)
+	}
+}
+
+// pump grants free upstreams to waiting requests, and ends those whose deadline has passed.
+func (g *Gateway) pump(now time.Time, wait *waitQueue) {
+	wait.mu.Lock()
+	defer wait.mu.Unlock()
+	for wait.queue.Len() > 0 {
+		view := g.view.Load()
+		free, ok := view.Upstream(now, choose.Request{Route: wait.route})
+		if !ok || free.Score > fullScore {
+			break
+		}
+		item, ok := wait.queue.Next(now)
+		if !ok {
+			break
+		}
+		w := item.Value.(*waiter)
+		pick, ok := view.Upstream(now, w.request)
+		if !ok {
+			pick = free
+		}
+		w.granted <- grantedUpstream{pick: pick, running: pick.Upstream.Begin()}
+	}
+	for _, item := range wait.queue.Tick(now) {
+		close(item.Value.(*waiter).granted)
+	}
+}
+
+// pumpAll pumps each queue; the control loop calls it each tick.
+func (g *Gateway) pumpAll(now time.Time) {
+	for _, wait := range g.queues.all() {
+		g.pump(now, wait)
+	}
+}
+
+func classOf(r *config.Route) admit.Class {
+	if r.Class == config.ClassInteractive {
+		return admit.Interactive
+	}
+	return admit.Draft
+}
--- /dev/null
+++ b/gateway/regions.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"parsleyhatch/choose"
+	"parsleyhatch/config"
+	"parsleyhatch/vmwire"
+)
+
+const (
+	// summaryInterval is the period at which a region's summary is sent to others.
+	summaryInterval = time.Second
+	// summaryLife is the age at which the entry VMs of a region no longer count.
+	summaryLife = 5 * time.Second
+	// maxEntries bounds the entry VMs in a summary.
+	maxEntries = 4
+	// defaultLinkBytes and defaultLinkDelay describe a pair of regions without a configured link.
+	defaultLinkBytes = 1e9 / 8
+	defaultLinkDelay = 50 * time.Millisecond
+	// firstTokenGuess and runGuess stand for a route that this VM has not measured yet.
+	firstTokenGuess = 200 * time.Millisecond
+	runGuess        = 3 * time.Second
+	// profileWeight is the weight of a new measurement in the running mean.
+	profileWeight = 0.05
+)
+
+// profile is the running mean of the times of a route's requests.
+type profile struct {
+	firstToken, run time.Duration
+}
+
+// profileTable is written by traffic and read by the control loop.
+type profileTable struct {
+	mu     sync.Mutex
+	routes map[string]*profile
+}
+
+// record adds a measurement; a zero time is ignored.
+func (t *profileTable) record(route string, firstToken, run time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.routes[route]
+	if p == nil {
+		p = &profile{firstToken: firstTokenGuess, run: runGuess}
+		t.routes[route] = p
+	}
+	if firstToken > 0 {
+		p.firstToken += time.Duration(profileWeight * float64(firstToken-p.firstToken))
+	}
+	if run > 0 {
+		p.run += time.Duration(profileWeight * float64(run-p.run))
+	}
+}
+
+func (t *profileTable) get(route string) choose.Profile {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p := t.routes[route]; p != nil {
+		return choose.Profile{FirstToken: p.firstToken, Run: p.run}
+	}
+	return choose.Profile{FirstToken: firstTokenGuess, Run: runGuess}
+}
+
+func (g *Gateway) setProfiles() {
+	for name := range g.Snapshot().Routes {
+		g.choices.SetProfile(name, g.profiles.get(name))
+	}
+}
+
+// setLinks divides each link over the live VMs of the region.
+func (g *Gateway) setLinks(now time.Time, s *config.Snapshot) {
+	vms := len(g.members.Live(now, g.Self.Region))
+	for i := range s.File.Regions {
+		name := s.File.Regions[i].Name
+		if name == g.Self.Region {
+			continue
+		}
+		link := choose.Link{Region: name, OneWay: defaultLinkDelay, BytesPerSecond: defaultLinkBytes, VMs: vms}
+		if l := s.Links[[2]string{g.Self.Region, name}]; l != nil {
+			link.OneWay = time.Duration(l.OneWayMillis * float64(time.Millisecond))
+			link.BytesPerSecond = l.MegabitsPerSecond * 1e6 / 8
+		}
+		g.choices.SetLink(now, link)
+	}
+}
+
+// tickSummary sends this region's summary to the representatives of the others.
+func (g *Gateway) tickSummary(_ context.Context, now time.Time) {
+	s := g.Snapshot()
+	if s == nil || now.Sub(g.lastSummary) < summaryInterval {
+		return
+	}
+	g.lastSummary = now
+	g.watch(now, s)
+	if !contains(g.members.Representatives(now, g.Self.Region), g.Self.Slot) {
+		return
+	}
+	summary := g.summary(now, s)
+	for _, session := range g.sessions.all() {
+		if session.Peer.Region != g.Self.Region {
+			session.Control(vmwire.KindSummary, summary)
+		}
+	}
+}
+
+func (g *Gateway) summary(now time.Time, s *config.Snapshot) *vmwire.Summary {
+	w := &vmwire.Summary{Region: g.Self.Region, Entries: g.ownEntries(now)}
+	view := g.view.Load()
+	for name := range s.Routes {
+		c := view.Capacity(name)
+		if c.Slots == 0 {
+			continue
+		}
+		w.Pools = append(w.Pools, vmwire.PoolSummary{
+			Route: name, Slots: c.Slots, Outstanding: c.Outstanding,
+			FirstTokenMillis: c.FirstToken.Milliseconds(), RunMillis: c.Run.Milliseconds(),
+		})
+	}
+	return w
+}
+
+// ownEntries lists the least loaded VMs of the region that accept requests.
+func (g *Gateway) ownEntries(now time.Time) []vmwire.EntryVM {
+	var list []vmwire.EntryVM
+	for _, slot := range g.members.Live(now, g.Self.Region) {
+		row, _ := g.members.Row(slot)
+		queue := g.peerQueues[slot]
+		if slot == g.Self.Slot {
+			queue = int32(g.streams.count())
+		}
+		if row.Ready && !row.Leaving {
+			list = append(list, vmwire.EntryVM{Slot: slot, Queue: queue})
+		}
+	}
+	slices.SortStableFunc(list, func(a, b vmwire.EntryVM) int { return int(a.Queue - b.Queue) })
+	return list[:min(len(list), maxEntries)]
+}
+
+// onSummary records the summary of another region. The first VM of a region that gets it passes it
+// on to the others of its region.
+func (g *Gateway) onSummary(m message) {
+	var w vmwire.Summary
+	if !g.decode(m, &w) || w.Region == g.Self.Region {
+		return
+	}
+	now := g.Now()
+	at := now.Add(-time.Duration(w.AgeMillis) * time.Millisecond)
+	if !at.After(g.entries[w.Region].at) {
+		return
+	}
+	g.entries[w.Region] = regionEntries{at: at, list: w.Entries}
+	pools := make(map[string]choose.Capacity, len(w.Pools))
+	for _, p := range w.Pools {
+		pools[p.Route] = choose.Capacity{Slots: p.Slots, Outstanding: p.Outstanding, Profile: choose.Profile{
+			FirstToken: time.Duration(p.FirstTokenMillis) * time.Millisecond,
+			Run:        time.Duration(p.RunMillis) * time.Millisecond,
+		}}
+	}
+	g.choices.Summary(at, w.Region, pools)
+	if m.from.Peer.Region != w.Region {
+		return
+	}
+	w.AgeMillis = now.Sub(at).Milliseconds()
+	for _, s := range g.sessions.all() {
+		if s.Peer.Region == g.Self.Region {
+			s.Control(vmwire.KindSummary, &w)
+		}
+	}
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"parsleyhatch/config"
+	"parsleyhatch/poison"
 	"parsleyhatch/vmwire"
 )
 
@@ -36,6 +37,9 @@
 	TooLarge           Code = "tooLarge"
 	NotFound           Code = "notFound"
 	UnreachableRegion  Code = "unreachableRegion"
+	PeerLost           Code = "peerLost"
+	OwnerUnreachable   Code = "ownerUnreachable"
+	AnswerNotKept      Code = "answerNotKept"
 	CallerGone         Code = "callerGone"
 	Internal           Code = "internal"
 )
@@ -73,6 +77,9 @@
 	TooLarge:           http.StatusRequestEntityTooLarge,
 	NotFound:           http.StatusNotFound,
 	UnreachableRegion:  http.StatusServiceUnavailable,
+	PeerLost:           http.StatusBadGateway,
+	OwnerUnreachable:   http.StatusServiceUnavailable,
+	AnswerNotKept:      http.StatusConflict,
 	CallerGone:         499,
 	Internal:           http.StatusInternalServerError,
 }
@@ -90,6 +97,8 @@
 	PromptTokens int64
 	// AnswerTokens counts the tokens that were passed on.
 	AnswerTokens int64
+	// Replayed says that the answer was recorded earlier; it is not charged again.
+	Replayed bool
 }
 
 // Status returns the HTTP status of the outcome.
@@ -167,6 +176,14 @@
 	OriginSlot string
 
 	steps []Step
+	// fingerprint identifies the request for package poison.
+	fingerprint poison.Fingerprint
+	// sent says that an upstream has got the request from this VM.
+	sent bool
+	// prefix is Prefix as a number, zero if there is none.
+	prefix uint64
+	// released is why a call that may not be repeated was not sent.
+	released Outcome
 }
 
 // Sink takes the chunks of an answer in order. An error means that the caller is gone.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -4,15 +4,17 @@
 	"context"
 	"errors"
 	"slices"
-	"strconv"
 	"time"
 
+	"parsleyhatch/choose"
 	"parsleyhatch/event"
 )
 
 const (
 	// maxRegionAttempts bounds the VMs that one request is passed to, one after the other.
 	maxRegionAttempts = 3
+	// replyBytesPerToken is the size of a token of an answer between VMs.
+	replyBytesPerToken = 200
 	// retrySoon is the advice to callers for conditions that pass quickly.
 	retrySoon = time.Second
 )
@@ -34,82 +36,88 @@
 			return refuse(Unauthorized, "key withdrawn")
 		}
 	}
-	out := g.route(ctx, r, sink)
+	g.identify(r)
+	out := g.admit(ctx, r, &progress{next: r.ResumeFrom, sink: sink})
 	g.report(r, out)
 	return out
 }
 
-// route runs the request here or at a VM of another region.
-func (g *Gateway) route(ctx context.Context, r *Request, sink Sink) Outcome {
+// admit charges the request and runs it.
+func (g *Gateway) admit(ctx context.Context, r *Request, p *progress) Outcome {
+	if out, refused := g.checkPoison(r); refused {
+		return out
+	}
 	allowed := r.Snapshot.AllowedRegions(r.Route, r.Workspace)
 	if len(allowed) == 0 {
 		return refuse(WrongRegion, "no region may run this request")
 	}
-	if r.Route.HomeBound && !slices.Contains(allowed, g.Self.Region) {
+	if r.Route.HomeBound && !contains(allowed, g.Self.Region) {
 		return refuse(WrongRegion, "the request must stay in region "+allowed[0])
 	}
-	progress := &progress{next: r.ResumeFrom, sink: sink}
+	charge, out := g.charge(ctx, r)
+	if out.Code != OK {
+		return out
+	}
+	if r.Route.Idempotent {
+		out = g.route(ctx, r, allowed, p)
+	} else {
+		out = g.serveCall(ctx, r, p)
+	}
+	g.settle(charge, r, out)
+	return out
+}
+
+// route runs the request here or at a VM of another region.
+func (g *Gateway) route(ctx context.Context, r *Request, allowed []string, p *progress) Outcome {
 	var out Outcome
 	for attempt := range maxRegionAttempts {
-		region, ok := g.chooseRegion(r, allowed, attempt)
-		if !ok {
-			break
+		region, why := g.chooseRegion(r, allowed)
+		if region == "" {
+			if attempt > 0 {
+				return out
+			}
+			return refuseUntil(UnreachableRegion, "no region that may run the request has a reachable upstream", g.retries.After(retrySoon))
 		}
-		r.note(g.Now(), "region "+region, "attempt "+strconv.Itoa(attempt+1))
+		r.note(g.Now(), "region "+region, why)
 		if region == g.Self.Region {
-			out = g.runLocal(ctx, r, progress)
+			out = g.runLocal(ctx, r, p)
 		} else {
-			out = g.forward(ctx, r, region, progress)
+			out = g.forward(ctx, r, region, p)
 		}
-		if !g.mayTryElsewhere(ctx, r, out) {
+		if !g.mayTryElsewhere(ctx, out) {
 			return out
 		}
-	}
-	if out.Code == OK && out.Ran == "" {
-		return refuseUntil(NoUpstream, "no region that may run this request has an upstream", retrySoon)
+		allowed = without(allowed, region)
 	}
 	return out
 }
 
-// mayTryElsewhere reports whether another VM or region may run the request after this outcome.
-func (g *Gateway) mayTryElsewhere(ctx context.Context, r *Request, out Outcome) bool {
+// chooseRegion returns the region that runs the request and why, or no region.
+func (g *Gateway) chooseRegion(r *Request, allowed []string) (region, why string) {
+	name, reason := g.view.Load().Region(g.Now(), choose.Request{
+		Route: r.Route.Name, Prefix: r.prefix, Allowed: allowed,
+		BodyBytes: int64(len(r.Body)), ReplyBytes: r.MaxTokens * replyBytesPerToken,
+	})
+	return name, reason.String()
+}
+
+// mayTryElsewhere reports whether another region may run the request after this outcome. Failures
+// of upstreams were retried by the VM that ran the request, so only refusals and broken
+// connections between VMs are tried elsewhere.
+func (g *Gateway) mayTryElsewhere(ctx context.Context, out Outcome) bool {
 	if out.Code == OK || ctx.Err() != nil {
 		return false
 	}
 	switch out.Code {
-	case NoUpstream, Leaving, UnreachableRegion, StaleConfig:
-		return out.Ran == NotRun || r.Route.Idempotent
-	case UpstreamFailed:
-		return r.Route.Idempotent
+	case NoUpstream, Leaving, UnreachableRegion, StaleConfig, PeerLost:
+		return true
 	default:
 		return false
 	}
 }
 
-// chooseRegion prefers the own region and then the other allowed ones.
-func (g *Gateway) chooseRegion(r *Request, allowed []string, attempt int) (string, bool) {
-	var order []string
-	if slices.Contains(allowed, g.Self.Region) && g.hasUpstream(r, g.Self.Region) {
-		order = append(order, g.Self.Region)
-	}
-	for _, name := range allowed {
-		if name != g.Self.Region && g.hasUpstream(r, name) {
-			order = append(order, name)
-		}
-	}
-	if attempt >= len(order) {
-		return "", false
-	}
-	return order[attempt], true
-}
-
-func (g *Gateway) hasUpstream(r *Request, region string) bool {
-	for _, u := range r.Snapshot.RouteUpstreams[r.Route.Name] {
-		if u.Region == region {
-			return true
-		}
-	}
-	return false
+func without(list []string, name string) []string {
+	return slices.DeleteFunc(slices.Clone(list), func(s string) bool { return s == name })
 }
 
 // cancelled converts the cause of a cancelled context.
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -35,6 +35,11 @@
 	MaxStreams int
 }
 
+// summary describes the settings for the audit trail, without secrets.
+func (s *Settings) summary() string {
+	return fmt.Sprintf("listen %s, peers %s, region %s, failure domain %s, platform %s", s.CallerListen, s.PeerListen, s.Region, s.FailureDomain, s.PlatformURL)
+}
+
 // Check returns all faults of the settings.
 func (s *Settings) Check() error {
 	var errs []error
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -1,7 +1,7 @@
 package gateway
 
 import (
-	"time"
+	"fmt"
 
 	"parsleyhatch/config"
 )
@@ -41,7 +41,7 @@
 }
 
 // Status returns the VM's state.
-func (g *Gateway) Status(now time.Time) Status {
+func (g *Gateway) Status() Status {
 	s := Status{
 		Slot:          g.Self.Slot,
 		Incarnation:   g.Self.Incarnation,
@@ -49,7 +49,7 @@
 		FailureDomain: g.Self.FailureDomain,
 		Ready:         g.ready.Load(),
 		Leaving:       g.leaving.Load(),
-		VMs:           g.VMs(now),
+		VMs:           g.VMs(),
 		OpenStreams:   g.streams.count(),
 	}
 	snapshot := g.Snapshot()
@@ -58,6 +58,39 @@
 		return s
 	}
 	s.ConfigVersion = snapshot.Version
-	s.Upstreams = g.upstreamStatus(snapshot, now)
+	s.Upstreams = g.upstreamStatus(snapshot)
+	s.Problems = append(s.Problems, g.problems()...)
 	return s
 }
+
+// upstreamStatus lists the upstreams of the own region.
+func (g *Gateway) upstreamStatus(s *config.Snapshot) []UpstreamStatus {
+	var list []UpstreamStatus
+	for i := range s.File.Upstreams {
+		u := &s.File.Upstreams[i]
+		if u.Region != g.Self.Region {
+			continue
+		}
+		state := u.State
+		if state == "" {
+			state = config.StateActive
+		}
+		list = append(list, UpstreamStatus{Name: u.Name, State: state, Outstanding: g.running.count(u.Name)})
+	}
+	return list
+}
+
+// problems lists what an operator should look at.
+func (g *Gateway) problems() []string {
+	var list []string
+	dead := 0
+	for _, info := range g.VMs() {
+		if info.Region == g.Self.Region && !info.Alive {
+			dead++
+		}
+	}
+	if dead > 0 {
+		list = append(list, fmt.Sprintf("%d vms of the region do not respond", dead))
+	}
+	return list
+}
--- /dev/null
+++ b/gateway/suspects.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"parsleyhatch/audit"
+	"parsleyhatch/config"
+	"parsleyhatch/poison"
+	"parsleyhatch/vmwire"
+)
+
+const (
+	// crashWindow is the time in which broken streams of one upstream belong to one crash.
+	crashWindow = time.Second
+	// probeWait bounds the check whether an upstream crashed or only one stream broke.
+	probeWait = 500 * time.Millisecond
+)
+
+// runningAt are the requests of this VM at one upstream.
+type runningAt struct {
+	fingerprints map[poison.Fingerprint]int
+	crashedAt    time.Time
+	// boot is the boot id in the last load report.
+	boot string
+}
+
+// runningTable holds the requests at each upstream.
+type runningTable struct {
+	mu        sync.Mutex
+	upstreams map[string]*runningAt
+}
+
+func (t *runningTable) at(name string) *runningAt {
+	u := t.upstreams[name]
+	if u == nil {
+		u = &runningAt{fingerprints: map[poison.Fingerprint]int{}}
+		t.upstreams[name] = u
+	}
+	return u
+}
+
+func (t *runningTable) add(name string, f poison.Fingerprint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.at(name).fingerprints[f]++
+}
+
+func (t *runningTable) remove(name string, f poison.Fingerprint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := t.at(name)
+	u.fingerprints[f]--
+	if u.fingerprints[f] <= 0 {
+		delete(u.fingerprints, f)
+	}
+}
+
+// count returns the distinct requests of this VM at an upstream.
+func (t *runningTable) count(name string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if u := t.upstreams[name]; u != nil {
+		return len(u.fingerprints)
+	}
+	return 0
+}
+
+// booted records a boot id.
+func (t *runningTable) booted(name, boot string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.at(name).boot = boot
+}
+
+// bootOf returns the last known boot id, empty if unknown.
+func (t *runningTable) bootOf(name string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.at(name).boot
+}
+
+// crash returns the requests that ran at the upstream, unless the crash is known already.
+func (t *runningTable) crash(now time.Time, name string) ([]poison.Fingerprint, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := t.at(name)
+	if now.Sub(u.crashedAt) < crashWindow {
+		return nil, false
+	}
+	u.crashedAt = now
+	list := make([]poison.Fingerprint, 0, len(u.fingerprints))
+	for f := range u.fingerprints {
+		list = append(list, f)
+	}
+	return list, true
+}
+
+// noteBroken handles a broken stream: if the upstream crashed, all requests there are suspects.
+// The caller's own request is still counted as running.
+func (g *Gateway) noteBroken(u *config.Upstream) {
+	if !g.hasCrashed(u) {
+		return
+	}
+	now := g.Now()
+	running, first := g.running.crash(now, u.Name)
+	if !first {
+		return
+	}
+	for _, v := range g.poisons.Crash(now, u.Name, running) {
+		if v.State == poison.Quarantined {
+			g.Audit.Add(now, audit.Entry{Kind: audit.Quarantine, Subject: "upstream/" + u.Name, Detail: "a request crashed several upstreams"})
+		}
+		g.tellRegion(now, v.Fingerprint)
+	}
+}
+
+// hasCrashed reports whether an upstream with a broken stream is down or has restarted.
+func (g *Gateway) hasCrashed(u *config.Upstream) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), probeWait)
+	defer cancel()
+	load, err := g.Upstreams.Load(ctx, u.Address)
+	if err != nil {
+		return true
+	}
+	boot := g.running.bootOf(u.Name)
+	return boot != "" && boot != load.BootID
+}
+
+// cleared records that a request completed.
+func (g *Gateway) cleared(f poison.Fingerprint) {
+	now := g.Now()
+	if g.poisons.Cleared(now, f) {
+		g.tellRegion(now, f)
+	}
+}
+
+// tellRegion sends what is known of a request to the VMs of the region.
+func (g *Gateway) tellRegion(now time.Time, f poison.Fingerprint) {
+	for _, m := range g.poisons.Messages(now, f) {
+		for _, s := range g.sessions.all() {
+			if s.Peer.Region == g.Self.Region {
+				s.Control(vmwire.KindSuspect, &m)
+			}
+		}
+	}
+}
+
+// onSuspect merges what another VM of the region knows.
+func (g *Gateway) onSuspect(m message) {
+	var w vmwire.Suspect
+	if m.from.Peer.Region != g.Self.Region || !g.decode(m, &w) {
+		return
+	}
+	g.poisons.Merge(g.Now(), w)
+}
+
+// checkPoison refuses a request that is quarantined.
+func (g *Gateway) checkPoison(r *Request) (Outcome, bool) {
+	if g.poisons.State(g.Now(), r.fingerprint) != poison.Quarantined {
+		return Outcome{}, false
+	}
+	return Outcome{Code: Poisoned, Message: "the request crashed several upstreams and is not run again", Ran: r.ranBefore()}, true
+}
+
+// ranBefore tells whether an upstream has already got the request from this VM.
+func (r *Request) ranBefore() Ran {
+	if r.sent {
+		return DidRun
+	}
+	return NotRun
+}
--- /dev/null
+++ b/gateway/tokens.go
@@ -0,0 +1,244 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"parsleyhatch/config"
+	"parsleyhatch/limit"
+	"parsleyhatch/vmwire"
+)
+
+const (
+	// askWaitNear and askWaitFar bound the wait for tokens of a holder in the own region and in
+	// another one.
+	askWaitNear = 100 * time.Millisecond
+	askWaitFar  = 400 * time.Millisecond
+	// dryTime bounds how long a holder that had no tokens is not asked again, so that a workspace
+	// far above its rate does not turn each refusal into messages.
+	dryTime = 250 * time.Millisecond
+	// maxDry bounds the remembered holders.
+	maxDry = 4096
+	// retryWhenDry is the advice when the wait for tokens is unknown.
+	retryWhenDry = time.Second
+)
+
+// grantTable holds the requests that wait for tokens of other slots.
+type grantTable struct {
+	mu      sync.Mutex
+	waiting map[uint64]chan limit.TokenGive
+	// dryUntil remembers holders without tokens, by slot and workspace.
+	dryUntil map[string]time.Time
+}
+
+func (t *grantTable) expect(id uint64) chan limit.TokenGive {
+	c := make(chan limit.TokenGive, 1)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.waiting[id] = c
+	return c
+}
+
+func (t *grantTable) forget(id uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.waiting, id)
+}
+
+func (t *grantTable) deliver(give limit.TokenGive) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c := t.waiting[give.ID]; c != nil {
+		delete(t.waiting, give.ID)
+		c <- give
+	}
+}
+
+func (t *grantTable) dry(now time.Time, slot, workspace string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Before(t.dryUntil[slot+"\x00"+workspace])
+}
+
+func (t *grantTable) setDry(until time.Time, slot, workspace string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.dryUntil) >= maxDry {
+		clear(t.dryUntil)
+	}
+	t.dryUntil[slot+"\x00"+workspace] = until
+}
+
+// charge takes the tokens of a request, asking other holders if this slot lacks them.
+func (g *Gateway) charge(ctx context.Context, r *Request) (limit.Charge, Outcome) {
+	tokens := r.bound()
+	now := g.Now()
+	c, v := g.tokens.Take(now, r.Workspace.Name, tokens)
+	if v.Admitted {
+		return c, Outcome{}
+	}
+	if v.Never {
+		return c, refuse(RateLimited, "the request can exceed the workspace's burst; lower max_tokens or shorten the prompt")
+	}
+	wait := v.Wait
+	for _, slot := range g.tokenHolders(r) {
+		if g.grants.dry(now, slot, r.Workspace.Name) {
+			continue
+		}
+		if give, ok := g.askTokens(ctx, slot, r.Workspace.Name, v.Missing); ok && give.Wait > 0 {
+			wait = shorter(wait, give.Wait)
+		}
+		now = g.Now()
+		if c, v = g.tokens.Take(now, r.Workspace.Name, tokens); v.Admitted {
+			r.note(now, "tokens charged", "with tokens of slot "+slot)
+			return c, Outcome{}
+		}
+	}
+	if wait == 0 {
+		wait = retryWhenDry
+	}
+	return c, refuseUntil(RateLimited, "the workspace is above its rate", g.retries.After(wait))
+}
+
+// shorter returns the smaller wait; zero is unknown.
+func shorter(a, b time.Duration) time.Duration {
+	if a == 0 || b < a {
+		return b
+	}
+	return a
+}
+
+// tokenHolders lists the other slots with a share of the workspace, those of the own region first.
+func (g *Gateway) tokenHolders(r *Request) []string {
+	vms := r.Snapshot.File.VMs
+	regions := []string{g.Self.Region}
+	for _, region := range shareRegions(r.Workspace) {
+		if region != g.Self.Region {
+			regions = append(regions, region)
+		}
+	}
+	var slots []string
+	for _, region := range regions {
+		for _, slot := range limit.Holders(r.Workspace.Name, region, vms) {
+			if slot != g.Self.Slot {
+				slots = append(slots, slot)
+			}
+		}
+	}
+	return slots
+}
+
+// shareRegions lists the regions that hold a share of the workspace, its home first.
+func shareRegions(w *config.Workspace) []string {
+	regions := []string{w.Home}
+	for name, share := range w.RegionShares {
+		if name != w.Home && share > 0 {
+			regions = append(regions, name)
+		}
+	}
+	return regions
+}
+
+// askTokens asks one holder and applies its answer. ok is false if there was none.
+func (g *Gateway) askTokens(ctx context.Context, slot, workspace string, missing int64) (limit.TokenGive, bool) {
+	s := g.sessionWith(ctx, slot)
+	if s == nil {
+		return limit.TokenGive{}, false
+	}
+	now := g.Now()
+	ask, ok := g.tokens.Ask(now, workspace, missing)
+	if !ok {
+		return limit.TokenGive{}, false
+	}
+	answer := g.grants.expect(ask.ID)
+	defer g.grants.forget(ask.ID)
+	w := &vmwire.TokenAsk{ID: ask.ID, Workspace: workspace, Tokens: ask.Tokens, Loan: ask.Loan}
+	if !s.Control(vmwire.KindTokenAsk, w) {
+		return limit.TokenGive{}, false
+	}
+	limitWait := askWaitNear
+	if s.Peer.Region != g.Self.Region {
+		limitWait = askWaitFar
+	}
+	give, ok := waitGive(ctx, answer, limitWait)
+	now = g.Now()
+	if !ok || give.Tokens < missing {
+		g.grants.setDry(now.Add(min(max(give.Wait, dryTime/5), dryTime)), slot, workspace)
+	}
+	if ok {
+		g.tokens.Accept(now, give)
+	}
+	return give, ok
+}
+
+func waitGive(ctx context.Context, answer <-chan limit.TokenGive, wait time.Duration) (limit.TokenGive, bool) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case give := <-answer:
+		return give, true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return limit.TokenGive{}, false
+}
+
+// onTokenAsk gives tokens. They are deducted before the answer is sent.
+func (g *Gateway) onTokenAsk(m message) {
+	var w vmwire.TokenAsk
+	if !g.decode(m, &w) {
+		return
+	}
+	now := g.Now()
+	give := g.tokens.Give(now, limit.TokenAsk{ID: w.ID, Workspace: w.Workspace, Tokens: w.Tokens, Loan: w.Loan})
+	m.from.Control(vmwire.KindTokenGive, &vmwire.TokenGive{
+		ID: give.ID, Workspace: give.Workspace, Tokens: give.Tokens, WaitMillis: give.Wait.Milliseconds(),
+	})
+}
+
+// onTokenGive passes an answer to the request that waits for it. An answer that comes too late is
+// lost, and with it the tokens.
+func (g *Gateway) onTokenGive(m message) {
+	var w vmwire.TokenGive
+	if !g.decode(m, &w) {
+		return
+	}
+	g.grants.deliver(limit.TokenGive{
+		ID: w.ID, Workspace: w.Workspace, Tokens: w.Tokens, Wait: time.Duration(w.WaitMillis) * time.Millisecond,
+	})
+}
+
+// settle ends a charge with what was used.
+func (g *Gateway) settle(c limit.Charge, r *Request, out Outcome) {
+	now := g.Now()
+	used := r.used(out)
+	if used == 0 {
+		g.tokens.Return(now, c)
+		return
+	}
+	g.tokens.Settle(now, c, used)
+}
+
+// bound returns the largest number of tokens that the request can use.
+func (r *Request) bound() int64 {
+	if r.Route.Kind == config.KindService {
+		return max(r.Route.CallTokens, 1)
+	}
+	return r.PromptTokens + max(r.MaxTokens-r.ResumeFrom, 0)
+}
+
+// used returns the tokens that the request has used.
+func (r *Request) used(out Outcome) int64 {
+	if out.Ran == NotRun || out.Replayed {
+		return 0
+	}
+	if r.Route.Kind == config.KindService {
+		return max(r.Route.CallTokens, 1)
+	}
+	prompt := out.PromptTokens
+	if prompt == 0 {
+		prompt = r.PromptTokens
+	}
+	return prompt + out.AnswerTokens
+}
--- a/loadgen/client.go
+++ b/loadgen/client.go
@@ -152,7 +152,12 @@
 	if ticket, ok := c.takeTicket(key); ok {
 		return ticket, nil
 	}
-	d, err := c.ask(ctx, key, ticketsAsked)
+	list, err := c.vms(ctx, r)
+	if err != nil {
+		return "", err
+	}
+	// The VM that issues a ticket runs the call, so the best one is asked.
+	d, err := c.askEntry(ctx, list[0].Address, key, ticketsAsked)
 	if err != nil {
 		return "", err
 	}
--- a/operator/load.go
+++ b/operator/load.go
@@ -27,6 +27,7 @@
 	rate                        float64
 	seed                        uint64
 	show                        int
+	tickets                     float64
 }
 
 func runLoad(e env) int {
@@ -40,6 +41,7 @@
 	fs.DurationVar(&s.wait, "wait", 0, "longest wait for all VMs to become ready before the load starts")
 	fs.Float64Var(&s.rate, "rate", 20, "requests a second over all workspaces")
 	fs.Uint64Var(&s.seed, "seed", 1, "seed of the arrivals and of the requests")
+	fs.Float64Var(&s.tickets, "tickets", -1, "share of the calls that must not be repeated that use a ticket, 0 to 1 (default: by the mix)")
 	fs.IntVar(&s.show, "show", 0, "number of requests to send first, one after the other, and to print")
 	if code, done := parseSettings(fs, e); done {
 		return code
@@ -77,6 +79,11 @@
 	if err != nil {
 		return nil, err
 	}
+	for i := range work {
+		if s.tickets >= 0 {
+			work[i].Tickets = s.tickets
+		}
+	}
 	settings := loadgen.Settings{
 		Workspaces: loadgen.Workspaces(file, keys, s.rate),
 		Work:       work, Duration: s.duration, Seed: s.seed,
--- a/operator/serve.go
+++ b/operator/serve.go
@@ -112,6 +112,7 @@
 	}()
 	select {
 	case <-stop.Done():
+	case <-g.Superseded():
 	case err := <-failed:
 		halt()
 		<-finished
--- a/proof/bench_test.go
+++ b/proof/bench_test.go
@@ -141,10 +141,10 @@
 				}
 			}()
 		}
-		f.waitFor("streams open", func() bool { return f.nodes["norte-1"].gateway.Status(time.Now()).OpenStreams >= streams })
+		f.waitFor("streams open", func() bool { return f.nodes["norte-1"].gateway.Status().OpenStreams >= streams })
 		b.ReportMetric(float64(heapInUse()-before)/streams, "bytes/stream")
 		close(done)
-		f.waitFor("streams closed", func() bool { return f.nodes["norte-1"].gateway.Status(time.Now()).OpenStreams == 0 })
+		f.waitFor("streams closed", func() bool { return f.nodes["norte-1"].gateway.Status().OpenStreams == 0 })
 	}
 }
 
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -120,7 +120,7 @@
 // connected reports whether each VM sees all others alive and ready.
 func (f *fleet) connected() bool {
 	for _, n := range f.nodes {
-		for _, info := range n.gateway.VMs(time.Now()) {
+		for _, info := range n.gateway.VMs() {
 			if !info.Alive || !info.Ready {
 				return false
 			}
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -33,8 +33,8 @@
 	Body        []byte
 }
 
-// errWithdrawn says that the caller's last check before sending failed.
-var errWithdrawn = errors.New("call withdrawn before it was sent")
+// ErrWithdrawn says that the caller's last check before sending failed.
+var ErrWithdrawn = errors.New("call withdrawn before it was sent")
 
 // CallOnce sends the request on a connection of its own and never repeats it. Go's HTTP client is
 // not used, since it repeats a request that carries an Idempotency-Key when a connection breaks.
@@ -53,7 +53,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	if ctx.Err() != nil || !sending() {
-		return ServiceAnswer{}, &Failure{Kind: NotSent, Err: errWithdrawn}
+		return ServiceAnswer{}, &Failure{Kind: NotSent, Err: ErrWithdrawn}
 	}
 	return roundTrip(conn, req)
 }
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -33,7 +33,7 @@
 
 //msgp:limit arrays:4096 maps:256
 
-//msgp:tuple Frame Hello Open Chunk End Window Heartbeat SlotView ConfigGet ConfigParts Part
+//msgp:tuple Frame Hello Open Chunk End Window Heartbeat HeartbeatAck SlotView EntryVM ConfigGet ConfigParts Part
 //msgp:tuple Load UpstreamLoad Summary PoolSummary TokenAsk TokenGive Suspect Handover HandoverTake HandoverRecord
 
 // Frame is the envelope of every message.
@@ -118,11 +118,17 @@
 	Bytes int64
 }
 
-// SlotView is what the sender knows about another slot.
+// SlotView is what the sender knows about another slot of its region.
 type SlotView struct {
 	Slot               string
 	Incarnation        uint64
 	StartedAtUnixMilli int64
+	// AgeMillis is the time since the VM was last known to live, in milliseconds.
+	AgeMillis int64
+	Leaving   bool
+	Ready     bool
+	// Queue is the number of requests open at the VM.
+	Queue int32
 }
 
 // Heartbeat tells that the sender lives, and what it knows.
@@ -139,6 +145,20 @@
 	Slots []SlotView
 }
 
+// HeartbeatAck acknowledges a heartbeat.
+type HeartbeatAck struct {
+	// Sequence is the heartbeat's.
+	Sequence uint64
+	// NewestIncarnation and NewestStartedAtUnixMilli are the newest run of the heartbeat's slot
+	// that the sender of the acknowledgement knows.
+	NewestIncarnation        uint64
+	NewestStartedAtUnixMilli int64
+	// Confirms says that the sender has been in contact long enough to know the newest runs.
+	Confirms     bool
+	ConfigNumber uint64
+	ConfigDigest string
+}
+
 // ConfigGet asks for parts. Without digests it asks for the head only.
 type ConfigGet struct {
 	Digests []string
@@ -178,17 +198,29 @@
 	Route string
 	// Replicas is the number of usable upstreams.
 	Replicas int32
-	Capacity int32
-	Running  int32
-	Waiting  int32
-	// FirstTokenMillis is the expected time to the first token, in milliseconds.
+	// Slots is the number of requests that run at once, with ramps applied.
+	Slots float64
+	// Outstanding is the number of requests running or waiting.
+	Outstanding float64
+	// FirstTokenMillis is the time to the first token with room in the batch, in milliseconds.
 	FirstTokenMillis int64
+	// RunMillis is the mean time of a whole answer, in milliseconds.
+	RunMillis int64
+}
+
+// EntryVM is a VM that takes forwarded requests.
+type EntryVM struct {
+	Slot  string
+	Queue int32
 }
 
 // Summary carries a region's pools to other regions.
 type Summary struct {
 	Region string
-	Pools  []PoolSummary
+	// AgeMillis is the age of the summary when it was sent, in milliseconds.
+	AgeMillis int64
+	Pools     []PoolSummary
+	Entries   []EntryVM
 }
 
 // TokenAsk asks a holder of a workspace for tokens.
@@ -196,6 +228,8 @@
 	ID        uint64
 	Workspace string
 	Tokens    int64
+	// Loan is the part of Tokens for which the sender has no room of its own.
+	Loan int64
 }
 
 // TokenGive answers TokenAsk; the giver has deducted the tokens.
--- a/vmwire/schema_gen.go
+++ b/vmwire/schema_gen.go
@@ -781,6 +781,97 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *EntryVM) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Slot, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Slot")
+		return
+	}
+	z.Queue, err = dc.ReadInt32()
+	if err != nil {
+		err = msgp.WrapError(err, "Queue")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z EntryVM) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Slot)
+	if err != nil {
+		err = msgp.WrapError(err, "Slot")
+		return
+	}
+	err = en.WriteInt32(z.Queue)
+	if err != nil {
+		err = msgp.WrapError(err, "Queue")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z EntryVM) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Slot)
+	o = msgp.AppendInt32(o, z.Queue)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *EntryVM) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Slot, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Slot")
+		return
+	}
+	z.Queue, bts, err = msgp.ReadInt32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Queue")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z EntryVM) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Slot) + msgp.Int32Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Frame) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -1570,35 +1661,11 @@
 		z.Slots = make([]SlotView, zb0002)
 	}
 	for za0001 := range z.Slots {
-		var zb0003 uint32
-		zb0003, err = dc.ReadArrayHeader()
+		err = z.Slots[za0001].DecodeMsg(dc)
 		if err != nil {
 			err = msgp.WrapError(err, "Slots", za0001)
 			return
 		}
-		if zb0003 > zb417a25dlimitArrays {
-			err = msgp.ErrLimitExceeded
-			return
-		}
-		if zb0003 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-			return
-		}
-		z.Slots[za0001].Slot, err = dc.ReadString()
-		if err != nil {
-			err = msgp.WrapError(err, "Slots", za0001, "Slot")
-			return
-		}
-		z.Slots[za0001].Incarnation, err = dc.ReadUint64()
-		if err != nil {
-			err = msgp.WrapError(err, "Slots", za0001, "Incarnation")
-			return
-		}
-		z.Slots[za0001].StartedAtUnixMilli, err = dc.ReadInt64()
-		if err != nil {
-			err = msgp.WrapError(err, "Slots", za0001, "StartedAtUnixMilli")
-			return
-		}
 	}
 	return
 }
@@ -1646,24 +1713,9 @@
 		return
 	}
 	for za0001 := range z.Slots {
-		// array header, size 3
-		err = en.Append(0x93)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Slots[za0001].Slot)
-		if err != nil {
-			err = msgp.WrapError(err, "Slots", za0001, "Slot")
-			return
-		}
-		err = en.WriteUint64(z.Slots[za0001].Incarnation)
-		if err != nil {
-			err = msgp.WrapError(err, "Slots", za0001, "Incarnation")
-			return
-		}
-		err = en.WriteInt64(z.Slots[za0001].StartedAtUnixMilli)
+		err = z.Slots[za0001].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Slots", za0001, "StartedAtUnixMilli")
+			err = msgp.WrapError(err, "Slots", za0001)
 			return
 		}
 	}
@@ -1683,11 +1735,11 @@
 	o = msgp.AppendInt32(o, z.Queue)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Slots)))
 	for za0001 := range z.Slots {
-		// array header, size 3
-		o = append(o, 0x93)
-		o = msgp.AppendString(o, z.Slots[za0001].Slot)
-		o = msgp.AppendUint64(o, z.Slots[za0001].Incarnation)
-		o = msgp.AppendInt64(o, z.Slots[za0001].StartedAtUnixMilli)
+		o, err = z.Slots[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Slots", za0001)
+			return
+		}
 	}
 	return
 }
@@ -1750,31 +1802,11 @@
 		z.Slots = make([]SlotView, zb0002)
 	}
 	for za0001 := range z.Slots {
-		var zb0003 uint32
-		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		bts, err = z.Slots[za0001].UnmarshalMsg(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Slots", za0001)
 			return
 		}
-		if zb0003 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-			return
-		}
-		z.Slots[za0001].Slot, bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Slots", za0001, "Slot")
-			return
-		}
-		z.Slots[za0001].Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Slots", za0001, "Incarnation")
-			return
-		}
-		z.Slots[za0001].StartedAtUnixMilli, bts, err = msgp.ReadInt64Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Slots", za0001, "StartedAtUnixMilli")
-			return
-		}
 	}
 	o = bts
 	return
@@ -1784,11 +1816,166 @@
 func (z *Heartbeat) Msgsize() (s int) {
 	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.StringPrefixSize + len(z.ConfigDigest) + msgp.BoolSize + msgp.BoolSize + msgp.Int32Size + msgp.ArrayHeaderSize
 	for za0001 := range z.Slots {
-		s += 1 + msgp.StringPrefixSize + len(z.Slots[za0001].Slot) + msgp.Uint64Size + msgp.Int64Size
+		s += z.Slots[za0001].Msgsize()
 	}
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *HeartbeatAck) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+		return
+	}
+	z.Sequence, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	z.NewestIncarnation, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "NewestIncarnation")
+		return
+	}
+	z.NewestStartedAtUnixMilli, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "NewestStartedAtUnixMilli")
+		return
+	}
+	z.Confirms, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Confirms")
+		return
+	}
+	z.ConfigNumber, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "ConfigNumber")
+		return
+	}
+	z.ConfigDigest, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "ConfigDigest")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *HeartbeatAck) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 6
+	err = en.Append(0x96)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Sequence)
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	err = en.WriteUint64(z.NewestIncarnation)
+	if err != nil {
+		err = msgp.WrapError(err, "NewestIncarnation")
+		return
+	}
+	err = en.WriteInt64(z.NewestStartedAtUnixMilli)
+	if err != nil {
+		err = msgp.WrapError(err, "NewestStartedAtUnixMilli")
+		return
+	}
+	err = en.WriteBool(z.Confirms)
+	if err != nil {
+		err = msgp.WrapError(err, "Confirms")
+		return
+	}
+	err = en.WriteUint64(z.ConfigNumber)
+	if err != nil {
+		err = msgp.WrapError(err, "ConfigNumber")
+		return
+	}
+	err = en.WriteString(z.ConfigDigest)
+	if err != nil {
+		err = msgp.WrapError(err, "ConfigDigest")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *HeartbeatAck) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 6
+	o = append(o, 0x96)
+	o = msgp.AppendUint64(o, z.Sequence)
+	o = msgp.AppendUint64(o, z.NewestIncarnation)
+	o = msgp.AppendInt64(o, z.NewestStartedAtUnixMilli)
+	o = msgp.AppendBool(o, z.Confirms)
+	o = msgp.AppendUint64(o, z.ConfigNumber)
+	o = msgp.AppendString(o, z.ConfigDigest)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *HeartbeatAck) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+		return
+	}
+	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	z.NewestIncarnation, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "NewestIncarnation")
+		return
+	}
+	z.NewestStartedAtUnixMilli, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "NewestStartedAtUnixMilli")
+		return
+	}
+	z.Confirms, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Confirms")
+		return
+	}
+	z.ConfigNumber, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ConfigNumber")
+		return
+	}
+	z.ConfigDigest, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ConfigDigest")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *HeartbeatAck) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Int64Size + msgp.BoolSize + msgp.Uint64Size + msgp.StringPrefixSize + len(z.ConfigDigest)
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Hello) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -2632,24 +2819,24 @@
 		err = msgp.WrapError(err, "Replicas")
 		return
 	}
-	z.Capacity, err = dc.ReadInt32()
+	z.Slots, err = dc.ReadFloat64()
 	if err != nil {
-		err = msgp.WrapError(err, "Capacity")
+		err = msgp.WrapError(err, "Slots")
 		return
 	}
-	z.Running, err = dc.ReadInt32()
+	z.Outstanding, err = dc.ReadFloat64()
 	if err != nil {
-		err = msgp.WrapError(err, "Running")
+		err = msgp.WrapError(err, "Outstanding")
 		return
 	}
-	z.Waiting, err = dc.ReadInt32()
+	z.FirstTokenMillis, err = dc.ReadInt64()
 	if err != nil {
-		err = msgp.WrapError(err, "Waiting")
+		err = msgp.WrapError(err, "FirstTokenMillis")
 		return
 	}
-	z.FirstTokenMillis, err = dc.ReadInt64()
+	z.RunMillis, err = dc.ReadInt64()
 	if err != nil {
-		err = msgp.WrapError(err, "FirstTokenMillis")
+		err = msgp.WrapError(err, "RunMillis")
 		return
 	}
 	return
@@ -2672,24 +2859,24 @@
 		err = msgp.WrapError(err, "Replicas")
 		return
 	}
-	err = en.WriteInt32(z.Capacity)
+	err = en.WriteFloat64(z.Slots)
 	if err != nil {
-		err = msgp.WrapError(err, "Capacity")
+		err = msgp.WrapError(err, "Slots")
 		return
 	}
-	err = en.WriteInt32(z.Running)
+	err = en.WriteFloat64(z.Outstanding)
 	if err != nil {
-		err = msgp.WrapError(err, "Running")
+		err = msgp.WrapError(err, "Outstanding")
 		return
 	}
-	err = en.WriteInt32(z.Waiting)
+	err = en.WriteInt64(z.FirstTokenMillis)
 	if err != nil {
-		err = msgp.WrapError(err, "Waiting")
+		err = msgp.WrapError(err, "FirstTokenMillis")
 		return
 	}
-	err = en.WriteInt64(z.FirstTokenMillis)
+	err = en.WriteInt64(z.RunMillis)
 	if err != nil {
-		err = msgp.WrapError(err, "FirstTokenMillis")
+		err = msgp.WrapError(err, "RunMillis")
 		return
 	}
 	return
@@ -2702,10 +2889,10 @@
 	o = append(o, 0x96)
 	o = msgp.AppendString(o, z.Route)
 	o = msgp.AppendInt32(o, z.Replicas)
-	o = msgp.AppendInt32(o, z.Capacity)
-	o = msgp.AppendInt32(o, z.Running)
-	o = msgp.AppendInt32(o, z.Waiting)
+	o = msgp.AppendFloat64(o, z.Slots)
+	o = msgp.AppendFloat64(o, z.Outstanding)
 	o = msgp.AppendInt64(o, z.FirstTokenMillis)
+	o = msgp.AppendInt64(o, z.RunMillis)
 	return
 }
 
@@ -2731,24 +2918,24 @@
 		err = msgp.WrapError(err, "Replicas")
 		return
 	}
-	z.Capacity, bts, err = msgp.ReadInt32Bytes(bts)
+	z.Slots, bts, err = msgp.ReadFloat64Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Capacity")
+		err = msgp.WrapError(err, "Slots")
 		return
 	}
-	z.Running, bts, err = msgp.ReadInt32Bytes(bts)
+	z.Outstanding, bts, err = msgp.ReadFloat64Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Running")
+		err = msgp.WrapError(err, "Outstanding")
 		return
 	}
-	z.Waiting, bts, err = msgp.ReadInt32Bytes(bts)
+	z.FirstTokenMillis, bts, err = msgp.ReadInt64Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Waiting")
+		err = msgp.WrapError(err, "FirstTokenMillis")
 		return
 	}
-	z.FirstTokenMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	z.RunMillis, bts, err = msgp.ReadInt64Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "FirstTokenMillis")
+		err = msgp.WrapError(err, "RunMillis")
 		return
 	}
 	o = bts
@@ -2757,7 +2944,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *PoolSummary) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Route) + msgp.Int32Size + msgp.Int32Size + msgp.Int32Size + msgp.Int32Size + msgp.Int64Size
+	s = 1 + msgp.StringPrefixSize + len(z.Route) + msgp.Int32Size + msgp.Float64Size + msgp.Float64Size + msgp.Int64Size + msgp.Int64Size
 	return
 }
 
@@ -2773,8 +2960,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	z.Slot, err = dc.ReadString()
@@ -2792,13 +2979,33 @@
 		err = msgp.WrapError(err, "StartedAtUnixMilli")
 		return
 	}
+	z.AgeMillis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	z.Leaving, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Leaving")
+		return
+	}
+	z.Ready, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Ready")
+		return
+	}
+	z.Queue, err = dc.ReadInt32()
+	if err != nil {
+		err = msgp.WrapError(err, "Queue")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z SlotView) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 3
-	err = en.Append(0x93)
+func (z *SlotView) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 7
+	err = en.Append(0x97)
 	if err != nil {
 		return
 	}
@@ -2817,17 +3024,41 @@
 		err = msgp.WrapError(err, "StartedAtUnixMilli")
 		return
 	}
+	err = en.WriteInt64(z.AgeMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	err = en.WriteBool(z.Leaving)
+	if err != nil {
+		err = msgp.WrapError(err, "Leaving")
+		return
+	}
+	err = en.WriteBool(z.Ready)
+	if err != nil {
+		err = msgp.WrapError(err, "Ready")
+		return
+	}
+	err = en.WriteInt32(z.Queue)
+	if err != nil {
+		err = msgp.WrapError(err, "Queue")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z SlotView) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *SlotView) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 7
+	o = append(o, 0x97)
 	o = msgp.AppendString(o, z.Slot)
 	o = msgp.AppendUint64(o, z.Incarnation)
 	o = msgp.AppendInt64(o, z.StartedAtUnixMilli)
+	o = msgp.AppendInt64(o, z.AgeMillis)
+	o = msgp.AppendBool(o, z.Leaving)
+	o = msgp.AppendBool(o, z.Ready)
+	o = msgp.AppendInt32(o, z.Queue)
 	return
 }
 
@@ -2839,8 +3070,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	z.Slot, bts, err = msgp.ReadStringBytes(bts)
@@ -2858,13 +3089,33 @@
 		err = msgp.WrapError(err, "StartedAtUnixMilli")
 		return
 	}
+	z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Leaving")
+		return
+	}
+	z.Ready, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Ready")
+		return
+	}
+	z.Queue, bts, err = msgp.ReadInt32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Queue")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z SlotView) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Slot) + msgp.Uint64Size + msgp.Int64Size
+func (z *SlotView) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Slot) + msgp.Uint64Size + msgp.Int64Size + msgp.Int64Size + msgp.BoolSize + msgp.BoolSize + msgp.Int32Size
 	return
 }
 
@@ -2880,8 +3131,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Region, err = dc.ReadString()
@@ -2889,6 +3140,11 @@
 		err = msgp.WrapError(err, "Region")
 		return
 	}
+	z.AgeMillis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
 	var zb0002 uint32
 	zb0002, err = dc.ReadArrayHeader()
 	if err != nil {
@@ -2911,13 +3167,54 @@
 			return
 		}
 	}
+	var zb0003 uint32
+	zb0003, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Entries")
+		return
+	}
+	if zb0003 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Entries) >= int(zb0003) {
+		z.Entries = (z.Entries)[:zb0003]
+	} else {
+		z.Entries = make([]EntryVM, zb0003)
+	}
+	for za0002 := range z.Entries {
+		var zb0004 uint32
+		zb0004, err = dc.ReadArrayHeader()
+		if err != nil {
+			err = msgp.WrapError(err, "Entries", za0002)
+			return
+		}
+		if zb0004 > zb417a25dlimitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		if zb0004 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0004}
+			return
+		}
+		z.Entries[za0002].Slot, err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err, "Entries", za0002, "Slot")
+			return
+		}
+		z.Entries[za0002].Queue, err = dc.ReadInt32()
+		if err != nil {
+			err = msgp.WrapError(err, "Entries", za0002, "Queue")
+			return
+		}
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Summary) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 2
-	err = en.Append(0x92)
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
 		return
 	}
@@ -2926,6 +3223,11 @@
 		err = msgp.WrapError(err, "Region")
 		return
 	}
+	err = en.WriteInt64(z.AgeMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
 	err = en.WriteArrayHeader(uint32(len(z.Pools)))
 	if err != nil {
 		err = msgp.WrapError(err, "Pools")
@@ -2938,15 +3240,38 @@
 			return
 		}
 	}
+	err = en.WriteArrayHeader(uint32(len(z.Entries)))
+	if err != nil {
+		err = msgp.WrapError(err, "Entries")
+		return
+	}
+	for za0002 := range z.Entries {
+		// array header, size 2
+		err = en.Append(0x92)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Entries[za0002].Slot)
+		if err != nil {
+			err = msgp.WrapError(err, "Entries", za0002, "Slot")
+			return
+		}
+		err = en.WriteInt32(z.Entries[za0002].Queue)
+		if err != nil {
+			err = msgp.WrapError(err, "Entries", za0002, "Queue")
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Summary) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendString(o, z.Region)
+	o = msgp.AppendInt64(o, z.AgeMillis)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Pools)))
 	for za0001 := range z.Pools {
 		o, err = z.Pools[za0001].MarshalMsg(o)
@@ -2955,6 +3280,13 @@
 			return
 		}
 	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Entries)))
+	for za0002 := range z.Entries {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Entries[za0002].Slot)
+		o = msgp.AppendInt32(o, z.Entries[za0002].Queue)
+	}
 	return
 }
 
@@ -2966,8 +3298,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Region, bts, err = msgp.ReadStringBytes(bts)
@@ -2975,6 +3307,11 @@
 		err = msgp.WrapError(err, "Region")
 		return
 	}
+	z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
 	var zb0002 uint32
 	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
@@ -2997,16 +3334,57 @@
 			return
 		}
 	}
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Entries")
+		return
+	}
+	if zb0003 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Entries) >= int(zb0003) {
+		z.Entries = (z.Entries)[:zb0003]
+	} else {
+		z.Entries = make([]EntryVM, zb0003)
+	}
+	for za0002 := range z.Entries {
+		var zb0004 uint32
+		zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Entries", za0002)
+			return
+		}
+		if zb0004 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0004}
+			return
+		}
+		z.Entries[za0002].Slot, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Entries", za0002, "Slot")
+			return
+		}
+		z.Entries[za0002].Queue, bts, err = msgp.ReadInt32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Entries", za0002, "Queue")
+			return
+		}
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Summary) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Region) + msgp.ArrayHeaderSize
+	s = 1 + msgp.StringPrefixSize + len(z.Region) + msgp.Int64Size + msgp.ArrayHeaderSize
 	for za0001 := range z.Pools {
 		s += z.Pools[za0001].Msgsize()
 	}
+	s += msgp.ArrayHeaderSize
+	for za0002 := range z.Entries {
+		s += 1 + msgp.StringPrefixSize + len(z.Entries[za0002].Slot) + msgp.Int32Size
+	}
 	return
 }
 
@@ -3180,8 +3558,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.ID, err = dc.ReadUint64()
@@ -3199,13 +3577,18 @@
 		err = msgp.WrapError(err, "Tokens")
 		return
 	}
+	z.Loan, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "Loan")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z TokenAsk) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 3
-	err = en.Append(0x93)
+func (z *TokenAsk) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
 		return
 	}
@@ -3224,17 +3607,23 @@
 		err = msgp.WrapError(err, "Tokens")
 		return
 	}
+	err = en.WriteInt64(z.Loan)
+	if err != nil {
+		err = msgp.WrapError(err, "Loan")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z TokenAsk) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *TokenAsk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendUint64(o, z.ID)
 	o = msgp.AppendString(o, z.Workspace)
 	o = msgp.AppendInt64(o, z.Tokens)
+	o = msgp.AppendInt64(o, z.Loan)
 	return
 }
 
@@ -3246,8 +3635,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
@@ -3265,13 +3654,18 @@
 		err = msgp.WrapError(err, "Tokens")
 		return
 	}
+	z.Loan, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Loan")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z TokenAsk) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Workspace) + msgp.Int64Size
+func (z *TokenAsk) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Workspace) + msgp.Int64Size + msgp.Int64Size
 	return
 }
 
