Run suspects only at upstreams that the VM watches

Cause: two VMs could place suspects at one upstream, so that a second crash could not tell them apart. Change: a filter on the choice of upstream for suspects.

--- a/gateway/local.go
+++ b/gateway/local.go
@@ -83,7 +83,9 @@
 		if attempt > 0 && !g.mayRetry(r, p, attempt) {
 			return last
 		}
-		granted, out := g.acquire(ctx, r, r.choice(exclude))
+		q := r.choice(exclude)
+		q.Filter = g.suspectFilter(r)
+		granted, out := g.acquire(ctx, r, q)
 		if out.Code != OK {
 			return g.giveUp(r, last, out)
 		}
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"parsleyhatch/audit"
+	"parsleyhatch/choose"
 	"parsleyhatch/config"
 	"parsleyhatch/poison"
 	"parsleyhatch/vmwire"
@@ -171,3 +172,17 @@
 	}
 	return NotRun
 }
+
+// suspectFilter restricts a suspect to the upstreams that this VM watches, so that no two VMs place
+// suspects at one upstream. It is nil for other requests, and if this VM watches none of the route.
+func (g *Gateway) suspectFilter(r *Request) func(*choose.Upstream) bool {
+	if g.poisons.State(g.Now(), r.fingerprint) != poison.Suspect {
+		return nil
+	}
+	for _, u := range r.Snapshot.RouteUpstreams[r.Route.Name] {
+		if g.watches(u.Name) {
+			return func(u *choose.Upstream) bool { return g.watches(u.Name) }
+		}
+	}
+	return nil
+}
