Add poison: requests that crash upstreams

Change: fingerprints, suspects, quarantine, placement of suspects, merging of entries between VMs of a region.

--- /dev/null
+++ b/event/poison.go
@@ -0,0 +1,17 @@
+package event
+
+import "log/slog"
+
+// Events of requests that crash upstreams.
+var (
+	PoisonSuspected   = New(1701, slog.LevelWarn, "request suspected of crashing an upstream", "none")
+	PoisonQuarantined = New(1702, slog.LevelWarn, "request quarantined", "Tell the workspace's owner; the request is refused for 10 minutes.")
+	PoisonCleared     = New(1703, slog.LevelInfo, "suspected request completed", "none")
+	PoisonFull        = New(1704, slog.LevelWarn, "table of suspected requests is full; the oldest was dropped", "Look for a cause of crashes other than requests.")
+)
+
+// Broken invariants of suspects.
+var (
+	BrokenPoisonPlace = New(9025, slog.LevelError, "invariant broken: suspect left an upstream that it was not placed at", "Report a fault with the log.")
+	BrokenPoisonSize  = New(9026, slog.LevelError, "invariant broken: too many suspected requests", "Report a fault with the log.")
+)
--- /dev/null
+++ b/poison/poison_test.go
@@ -0,0 +1,195 @@
+package poison
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"parsleyhatch/vmwire"
+)
+
+func testTable() (*Table, time.Time) { return New(DefaultLimits()), time.Now() }
+
+// fp returns the n-th fingerprint of the tests.
+func fp(n int) Fingerprint { return Fingerprint{byte(n), byte(n >> 8), byte(n >> 16)} }
+
+// Guards against equal fingerprints of different workspaces, bodies or fleets.
+func TestFingerprint(t *testing.T) {
+	seen := map[Fingerprint]string{}
+	for _, key := range []string{"fleet key one", "fleet key two"} {
+		h, err := NewHasher([]byte(key))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, c := range [][2]string{{"w", "body"}, {"wb", "ody"}, {"", "wbody"}, {"w", "body2"}} {
+			f := h.Fingerprint(c[0], []byte(c[1]))
+			if other, ok := seen[f]; ok {
+				t.Errorf("%v has the fingerprint of %s", c, other)
+			}
+			seen[f] = fmt.Sprint(key, c)
+		}
+	}
+}
+
+// Guards against quarantine by a rule other than the stated one.
+func TestCrashRules(t *testing.T) {
+	tb, now := testTable()
+	tb.Crash(now, "u1", []Fingerprint{fp(1), fp(2), fp(2)})
+	if tb.State(now, fp(2)) != Suspect {
+		t.Fatal("a request that occurs twice in one crash counts once")
+	}
+	tb.Crash(now, "u2", []Fingerprint{fp(1), fp(2)})
+	if tb.State(now, fp(1)) != Suspect {
+		t.Fatal("quarantined with another earlier suspect")
+	}
+	tb.Crash(now, "u3", []Fingerprint{fp(1), fp(2)})
+	if tb.State(now, fp(1)) != Quarantined {
+		t.Fatal("not quarantined at the third crash")
+	}
+	tb.Crash(now, "u4", []Fingerprint{fp(3)})
+	tb.Crash(now, "u5", []Fingerprint{fp(3), fp(4)})
+	if tb.State(now, fp(3)) != Quarantined || tb.State(now, fp(4)) != Suspect {
+		t.Fatal("the only earlier suspect is not quarantined")
+	}
+	tb.Cleared(now.Add(time.Second), fp(4))
+	if tb.State(now.Add(time.Second), fp(4)) != Clean {
+		t.Fatal("a completed request is still suspected")
+	}
+	end := now.Add(tb.limits.Lifetime)
+	tb.Tick(end)
+	if tb.State(end, fp(3)) != Clean || tb.Len() != 1 {
+		t.Fatalf("%d entries after their lifetime", tb.Len())
+	}
+}
+
+// Guards against two suspects at one upstream, and against a place that is never free again.
+func TestPlace(t *testing.T) {
+	tb, now := testTable()
+	tb.Crash(now, "u1", []Fingerprint{fp(1), fp(2)})
+	for range 2 {
+		if !tb.Place(now, "u2", fp(1)) {
+			t.Fatal("the only suspect refused")
+		}
+	}
+	if tb.Place(now, "u2", fp(2)) {
+		t.Fatal("second suspect placed")
+	}
+	if !tb.Place(now, "u2", fp(3)) {
+		t.Fatal("clean request refused")
+	}
+	tb.Left(now, "u2", fp(3))
+	tb.Left(now, "u2", fp(1))
+	if tb.Place(now, "u2", fp(2)) {
+		t.Fatal("placed beside a suspect that still runs")
+	}
+	tb.Left(now, "u2", fp(1))
+	if !tb.Place(now, "u2", fp(2)) {
+		t.Fatal("place not free")
+	}
+	tb.Crash(now, "u2", []Fingerprint{fp(2)})
+	tb.Left(now, "u2", fp(2))
+	if tb.Place(now, "u2", fp(2)) {
+		t.Fatal("quarantined request placed")
+	}
+}
+
+// Guards against unbounded memory and against a flood of suspects that ends a quarantine.
+func TestFull(t *testing.T) {
+	tb, now := testTable()
+	tb.limits.Entries = 100
+	tb.Crash(now, "u1", []Fingerprint{fp(0)})
+	tb.Crash(now, "u2", []Fingerprint{fp(0)})
+	for i := 1; i <= 500; i++ {
+		at := now.Add(time.Duration(i) * time.Millisecond)
+		tb.Crash(at, "u", []Fingerprint{fp(i)})
+		if tb.State(at, fp(i)) != Suspect {
+			t.Fatalf("suspect %d not recorded", i)
+		}
+	}
+	if tb.Len() != 100 || tb.State(now, fp(0)) != Quarantined || tb.State(now, fp(1)) != Clean {
+		t.Errorf("%d entries, first is %d", tb.Len(), tb.State(now, fp(0)))
+	}
+}
+
+// drawMessage draws a message about one of two requests.
+func drawMessage(t *rapid.T) vmwire.Suspect {
+	f := fp(rapid.IntRange(0, 1).Draw(t, "request"))
+	s := vmwire.Suspect{Fingerprint: f[:], TTLMillis: rapid.SampledFrom([]int64{500_000, 590_000, 598_500, 599_000, 600_000, 700_000}).Draw(t, "ttl")}
+	s.Crashes = rapid.Int32Range(1, 3).Draw(t, "crashes")
+	s.Quarantined = rapid.Bool().Draw(t, "quarantined")
+	s.Cleared = rapid.IntRange(0, 2).Draw(t, "cleared") == 0
+	return s
+}
+
+// Guards against VMs that differ after the same messages in another order or repeated, and against a
+// completion that is undone by an older suspicion.
+func TestMergeOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := rapid.SliceOfN(rapid.Custom(drawMessage), 1, 8).Draw(t, "messages")
+		a, now := testTable()
+		b := New(DefaultLimits())
+		cleared := map[string]int64{}
+		for _, m := range list {
+			a.Merge(now, m)
+			if m.Cleared {
+				cleared[string(m.Fingerprint)] = max(cleared[string(m.Fingerprint)], m.TTLMillis)
+			}
+		}
+		for _, m := range append(slices.Clone(list), rapid.Permutation(list).Draw(t, "order")...) {
+			b.Merge(now, m)
+		}
+		for f, e := range a.entries {
+			if b.entries[f] != e {
+				t.Fatalf("entries differ: %+v, %+v", e, b.entries[f])
+			}
+			checkNotUndone(t, list, f, cleared[string(f[:])], a.State(now, f))
+		}
+		joined := New(DefaultLimits())
+		for _, m := range a.Export(now) {
+			joined.Merge(now, m)
+		}
+		for i := range 2 {
+			if joined.State(now, fp(i)) != a.State(now, fp(i)) {
+				t.Fatalf("a VM that joins has another state of request %d", i)
+			}
+		}
+	})
+}
+
+// checkNotUndone fails if the request is suspected without a message later than its completion.
+func checkNotUndone(t *rapid.T, list []vmwire.Suspect, f Fingerprint, cleared int64, s State) {
+	if s == Clean {
+		return
+	}
+	for _, m := range list {
+		if !m.Cleared && string(m.Fingerprint) == string(f[:]) && m.TTLMillis > cleared {
+			return
+		}
+	}
+	t.Fatalf("state %d although the completion is the latest message", s)
+}
+
+func BenchmarkStateClean(b *testing.B) {
+	tb, now := testTable()
+	for i := range 10_000 {
+		tb.Crash(now, "u", []Fingerprint{fp(i)})
+	}
+	for b.Loop() {
+		tb.State(now, fp(1<<20))
+	}
+}
+
+func BenchmarkCrashFull(b *testing.B) {
+	tb, now := testTable()
+	for i := range 10_000 {
+		tb.Crash(now, "u", []Fingerprint{fp(i)})
+	}
+	i := 10_000
+	for b.Loop() {
+		i++
+		tb.Crash(now, "u", []Fingerprint{fp(i)})
+	}
+}
