--- a/order/order.go
+++ b/order/order.go
@@ -194,8 +194,14 @@
 			r.told = ""
 			continue
 		}
-		if d, ok := t.decide(now, r, count); ok {
-			list = append(list, d)
+		d, ok := t.decide(now, r, count)
+		if !ok {
+			continue
+		}
+		list = append(list, d)
+		if d.Send() {
+			count[d.From.Model]--
+			count[d.To.Model]++
 		}
 	}
 	return list
