--- a/vm/endpoint.go
+++ b/vm/endpoint.go
@@ -113,6 +113,7 @@
 		e.OnUp(s)
 	}
 	go s.runWrite()
+	go s.runKeepalive()
 	go e.runSession(s)
 	return s, nil
 }
--- a/vm/session.go
+++ b/vm/session.go
@@ -51,6 +51,8 @@
 	nextID   atomic.Uint64
 	sent     atomic.Int64
 	received atomic.Int64
+	// heardAt is when the last frame arrived, in Unix nanoseconds.
+	heardAt atomic.Int64
 
 	mu      sync.Mutex
 	streams map[uint64]*Stream
@@ -244,6 +246,7 @@
 			return
 		}
 		s.received.Add(int64(len(f.Body) + lengthBytes))
+		s.heardAt.Store(time.Now().UnixNano())
 		if err := s.dispatch(f); err != nil {
 			s.Close(err)
 			return
@@ -263,6 +266,11 @@
 		return st.handle(f)
 	case vmwire.KindHello:
 		return errors.New("second hello")
+	case vmwire.KindPing:
+		s.tryQueue(&vmwire.Frame{Kind: vmwire.KindPong})
+		return nil
+	case vmwire.KindPong:
+		return nil
 	default:
 		if s.endpoint.OnControl != nil {
 			s.endpoint.OnControl(s, f)
--- a/vm/session_test.go
+++ b/vm/session_test.go
@@ -149,3 +149,34 @@
 		t.Fatal("the other side saw no reset")
 	}
 }
+
+// Guards against streams that hang on a link that drops all bytes without closing the connection.
+func TestSilentPeerEndsSession(t *testing.T) {
+	s, err := pair(t, testKey, testKey, func(*Stream, vmwire.Open) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	st, err := s.Open(context.Background(), &vmwire.Open{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	// Frames that arrive are no longer noted, as if the link had been cut.
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				s.heardAt.Store(0)
+				time.Sleep(time.Millisecond)
+			}
+		}
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	if _, _, err := st.Recv(ctx); err == nil || ctx.Err() != nil {
+		t.Fatalf("Recv on a silent session: %v", err)
+	}
+}
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -25,6 +25,8 @@
 	KindSuspect
 	KindHandover
 	KindHandoverTake
+	KindPing
+	KindPong
 )
 
 // The limits bound what a decoder allocates for a length that a faulty peer announces: without them,
