--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -266,6 +266,7 @@
 	g.becomeReady(now)
 	g.pumpAll(now)
 	g.Metrics.Gauge("open_streams", float64(g.streams.count()))
+	g.Metrics.Gauge("session_bytes_sent", float64(g.sessions.bytesSent()))
 }
 
 // tickTables ages the tables that traffic shares.
--- a/gateway/sessions.go
+++ b/gateway/sessions.go
@@ -68,6 +68,19 @@
 	return list
 }
 
+// bytesSent adds up what was written to the open sessions.
+func (t *sessionTable) bytesSent() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var total int64
+	for _, r := range t.rows {
+		for _, s := range r.open {
+			total += s.BytesSent()
+		}
+	}
+	return total
+}
+
 // exchange returns the channel of configuration messages from the slot.
 func (t *sessionTable) exchange(slot string) chan vmwire.ConfigParts {
 	t.mu.Lock()
