Balance the levels of the holders of a region

Cause: a full holder loses its accrual while the other one refuses; near the full rate the slots refused more than one bucket would.

Change: Balance asks the other holder for half of the difference of the levels, at most twice a second and only below 80% of the cap. Shares ranks only the VMs of its own region.

--- a/limit/bench_test.go
+++ b/limit/bench_test.go
@@ -5,6 +5,8 @@
 	"runtime"
 	"testing"
 	"time"
+
+	"parsleyhatch/config"
 )
 
 var sizes = []int{100, 1000, 5900}
@@ -61,3 +63,26 @@
 		})
 	}
 }
+
+// BenchmarkShares measures the division at the target scale, which each change of the
+// configuration repeats.
+func BenchmarkShares(b *testing.B) {
+	var vms []config.VM
+	shares := map[string]float64{}
+	for i := range 730 {
+		r := fmt.Sprint("region-", i%35)
+		vms = append(vms, config.VM{Name: fmt.Sprint("vm-", i), Region: r, FailureDomain: fmt.Sprint(r, i%4)})
+		shares[r] = 1.0 / 35
+	}
+	for name, split := range map[string]map[string]float64{"home": nil, "35regions": shares} {
+		b.Run(name, func(b *testing.B) {
+			workspaces := make([]config.Workspace, 5900)
+			for i := range workspaces {
+				workspaces[i] = config.Workspace{Name: fmt.Sprint("workspace-", i), Home: "region-1", Rate: 1e6, Burst: 1e9, RegionShares: split}
+			}
+			for b.Loop() {
+				Shares(workspaces, vms, "vm-1")
+			}
+		})
+	}
+}
--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -33,6 +33,8 @@
 	// loans are tokens borrowed from other slots.
 	loans []loan
 	asks  []*ask
+	// balanced is when Balance last asked.
+	balanced time.Time
 	// seq numbers charges; segments hold the highest occupancy since each open charge.
 	seq      uint64
 	segments []segment
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -210,6 +211,9 @@
 			s := Shares([]config.Workspace{w}, vms, vm.Name)[0]
 			burst, rate = burst+s.Burst, rate+s.Rate
 			if s.Burst > 0 || s.Rate > 0 {
+				if !slices.Contains(Holders(w.Name, vm.Region, vms), vm.Name) {
+					rt.Fatalf("%s has a share but is no holder", vm.Name)
+				}
 				holders[vm.Region]++
 				if holders[vm.Region] > 2 || domains[vm.FailureDomain] {
 					rt.Fatalf("too many holders in %s", vm.FailureDomain)
@@ -279,9 +283,17 @@
 	return refused, idealRefused, n
 }
 
-// collect takes tokens at a slot, asking each holder for what is missing.
+// collect takes tokens at a slot, asking each holder for what is missing, and balances holders.
 func collect(tables map[string]*Table, holders []string, at string, now time.Time, tokens int64) bool {
 	p := tables[at]
+	for _, h := range holders {
+		if !slices.Contains(holders, at) || h == at {
+			continue
+		}
+		if a, ok := p.Balance(now, ws); ok {
+			p.Accept(now, tables[h].Give(now, a))
+		}
+	}
 	_, v := p.Take(now, ws, tokens)
 	for _, h := range holders {
 		if v.Admitted || h == at {
--- a/limit/shares.go
+++ b/limit/shares.go
@@ -41,12 +41,14 @@
 
 // pick takes at most maxHolders names in different failure domains.
 func pick(ranked []string, domains map[string]string) []string {
-	var holders []string
-	used := map[string]bool{}
+	holders := make([]string, 0, maxHolders)
 	for _, name := range ranked {
-		if len(holders) < maxHolders && !used[domains[name]] {
-			used[domains[name]] = true
-			holders = append(holders, name)
+		shared := slices.ContainsFunc(holders, func(h string) bool { return domains[h] == domains[name] })
+		if shared {
+			continue
+		}
+		if holders = append(holders, name); len(holders) == maxHolders {
+			break
 		}
 	}
 	return holders
@@ -92,9 +94,12 @@
 		if r == nil {
 			continue
 		}
-		holders := pick(member.Rank(w.Name, r.names), r.domains)
 		s.TotalRate += part.rate
 		s.TotalBurst += part.burst
+		if _, here := r.domains[self]; !here {
+			continue
+		}
+		holders := pick(member.Rank(w.Name, r.names), r.domains)
 		at := slices.Index(holders, self)
 		if at < 0 {
 			continue
--- a/limit/transfer.go
+++ b/limit/transfer.go
@@ -6,8 +6,16 @@
 	"time"
 )
 
-// maxAsks bounds the outstanding requests for tokens of one workspace.
-const maxAsks = 64
+const (
+	// maxAsks bounds the outstanding requests for tokens of one workspace.
+	maxAsks = 64
+	// balanceBelow is the part of the cap below which a slot asks for an equal share of the
+	// tokens. Holders that are full lose their accrual while another one refuses.
+	balanceBelow = 0.8
+	// BalanceInterval is the least time between two such requests for a workspace, which bounds
+	// their messages.
+	BalanceInterval = 500 * time.Millisecond
+)
 
 // TokenAsk asks another slot for tokens. The message goes to one slot, over the session with its
 // current incarnation.
@@ -20,6 +28,10 @@
 	// Loan is the part of Tokens for which the requester has no room: the grantor keeps the room
 	// occupied until the loan has ended. It is between zero and Tokens.
 	Loan int64
+	// Balance limits the grant to half of what the grantor holds above Level, the requester's
+	// level. Loan is then zero.
+	Balance bool
+	Level   int64
 }
 
 // TokenGive answers a TokenAsk. The grantor has deducted Tokens, which is at least zero and at
@@ -61,14 +73,42 @@
 	if t.leased(now) { // otherwise a successor of this incarnation may own the room
 		room = min(tokens, int64(math.Max(0, b.cap-b.occupied())))
 	}
+	id := t.open(b, now, room, tokens-room)
+	t.check(b, workspace)
+	return TokenAsk{ID: id, Workspace: workspace, Tokens: tokens, Loan: tokens - room}, true
+}
+
+// Balance prepares a request to the other holder of the region that evens out the two levels. It
+// returns false if none is due, which is the case while the level is high.
+func (t *Table) Balance(now time.Time, workspace string) (TokenAsk, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now = t.advance(now)
+	b := t.buckets[workspace]
+	if b == nil || !t.leased(now) {
+		return TokenAsk{}, false
+	}
+	t.sync(b, now)
+	tokens := int64((b.cap - b.occupied()) / 2)
+	due := now.Sub(b.balanced) >= BalanceInterval && b.level < balanceBelow*b.cap
+	if !due || tokens <= 0 || len(b.asks) >= maxAsks {
+		return TokenAsk{}, false
+	}
+	b.balanced = now
+	id := t.open(b, now, tokens, 0)
+	t.check(b, workspace)
+	return TokenAsk{ID: id, Workspace: workspace, Tokens: tokens, Balance: true, Level: int64(b.level)}, true
+}
+
+// open records an outstanding request, reserves its room and returns its number.
+func (t *Table) open(b *bucket, now time.Time, room, loan int64) uint64 {
 	t.nextID++
-	a := &ask{id: t.nextID, bucket: b, room: room, loan: tokens - room, deadline: now.Add(AskLife)}
+	a := &ask{id: t.nextID, bucket: b, room: room, loan: loan, deadline: now.Add(AskLife)}
 	b.reserved += float64(room)
 	b.observe()
 	b.asks = append(b.asks, a)
 	t.asks[a.id] = a
-	t.check(b, workspace)
-	return TokenAsk{ID: a.id, Workspace: workspace, Tokens: tokens, Loan: a.loan}, true
+	return a.id
 }
 
 // Give deducts as much of the requested amount as the level holds, before the answer is sent. A
@@ -84,6 +124,9 @@
 	}
 	t.sync(b, now)
 	give.Tokens = min(a.Tokens, int64(math.Max(0, b.level+tolerance)))
+	if a.Balance {
+		give.Tokens = min(give.Tokens, max(0, int64(b.level)-a.Level)/2)
+	}
 	b.level -= float64(give.Tokens)
 	if lent := give.Tokens - (a.Tokens - a.Loan); lent > 0 {
 		b.lent = append(b.lent, loan{tokens: float64(lent), until: now.Add(lendTime)})
--- a/limit/world_test.go
+++ b/limit/world_test.go
@@ -207,9 +207,22 @@
 	}
 }
 
+// balance sends a request to the other holders of the region.
+func (w *world) balance(p *process) {
+	for _, o := range w.processes {
+		if o.slot == p.slot || o.region != p.region || !slices.Contains(Holders(ws, p.region, testVMs), o.slot) {
+			continue
+		}
+		if a, ok := p.table.Balance(w.now, ws); ok {
+			w.send(message{to: o, from: p, ask: &a})
+		}
+	}
+}
+
 // request takes tokens, and asks the other slots for what is missing.
 func (w *world) request(p *process, tokens int64, collect bool) {
 	level := w.check()
+	w.balance(p)
 	c, v := p.table.Take(w.now, ws, tokens)
 	w.attempts++
 	if v.Admitted {
--- a/member/rank.go
+++ b/member/rank.go
@@ -18,7 +18,10 @@
 		list = append(list, scored{name: n, score: score(key, n)})
 	}
 	slices.SortFunc(list, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name))
+		if a.score != b.score {
+			return cmp.Compare(b.score, a.score)
+		}
+		return cmp.Compare(a.name, b.name)
 	})
 	ranked := make([]string, len(list))
 	for i := range list {
