Balance tokens between holders; delay share increases by 7 s; let a last VM serve

Change: (1) gateway sends package limit's balancing requests; (2) an increase waits 7 s (2 x 3 s to see every version, 1 s of transfers) instead of 4 s, and a VM is ready only when its buckets fill; the property test publishes versions in any distance now; (3) a VM of another region may confirm the last live one if the platform's list shows no other VM of the region as live.

--- a/gateway/configure.go
+++ b/gateway/configure.go
@@ -153,6 +153,9 @@
 
 // configureTables brings the tables in line with a new snapshot.
 func (g *Gateway) configureTables(now time.Time, old, next *config.Snapshot) {
+	if old == nil {
+		g.configuredAt = now
+	}
 	g.members.SetRoster(next.File.VMs)
 	g.tokens.Configure(now, limit.Shares(next.File.Workspaces, next.File.VMs, g.Self.Slot))
 	g.configureCalls(now, old, next)
@@ -311,13 +314,14 @@
 }
 
 // becomeReady lets the VM serve once it has a configuration and a VM of its region has confirmed
-// that it occupies its slot. By then it has compared versions with that VM. If nobody confirms, it
-// serves after joinWait all the same, as a region of which one VM is left must.
+// that it occupies its slot. By then it has compared versions with that VM. It also waits until its
+// buckets fill, since it would refuse requests before. If nobody confirms, it serves after joinWait all the same, as a region of which one VM is left must.
 func (g *Gateway) becomeReady(now time.Time) {
 	if g.ready.Load() || g.Snapshot() == nil {
 		return
 	}
-	if !g.authorised && now.Sub(g.Self.StartedAt) < joinWait {
+	filling := now.Sub(g.configuredAt) < limit.IncreaseDelay
+	if (filling || !g.authorised) && now.Sub(g.Self.StartedAt) < joinWait {
 		return
 	}
 	g.ready.Store(true)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -100,9 +100,11 @@
 	takenFrom  map[string]bool
 	handover   []vmwire.Handover
 	fetching   bool
-	authorised bool
-	lastBeat   time.Time
-	lastFleet  time.Time
+	// configuredAt is when the first configuration came into force.
+	configuredAt time.Time
+	authorised   bool
+	lastBeat     time.Time
+	lastFleet    time.Time
 	// fleetChanged says that a VM's state has changed since the fleet view was built.
 	fleetChanged bool
 	// ownEngines are the engines of the own region in the configuration in force.
--- a/gateway/tokens.go
+++ b/gateway/tokens.go
@@ -46,13 +46,16 @@
 	delete(t.waiting, id)
 }
 
-func (t *grantTable) deliver(give limit.TokenGive) {
+func (t *grantTable) deliver(give limit.TokenGive) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if c := t.waiting[give.ID]; c != nil {
-		delete(t.waiting, give.ID)
-		c <- give
+	c := t.waiting[give.ID]
+	if c == nil {
+		return false
 	}
+	delete(t.waiting, give.ID)
+	c <- give
+	return true
 }
 
 func (t *grantTable) dry(now time.Time, slot, workspace string) bool {
@@ -76,6 +79,7 @@
 	now := g.Now()
 	c, v := g.tokens.Take(now, r.Workspace.Name, tokens)
 	if v.Admitted {
+		g.balance(now, r)
 		return c, Outcome{}
 	}
 	if v.Never {
@@ -140,6 +144,24 @@
 	return regions
 }
 
+// balance asks the other holder of the region for a part of its tokens when this one runs low, so
+// that the accrual of a full holder is not lost. Nobody waits for the answer.
+func (g *Gateway) balance(now time.Time, r *Request) {
+	ask, ok := g.tokens.Balance(now, r.Workspace.Name)
+	if !ok {
+		return
+	}
+	for _, slot := range limit.Holders(r.Workspace.Name, g.Self.Region, r.Snapshot.File.VMs) {
+		s := g.sessions.get(slot)
+		if slot == g.Self.Slot || s == nil {
+			continue
+		}
+		s.Control(vmwire.KindTokenAsk, &vmwire.TokenAsk{
+			ID: ask.ID, Workspace: ask.Workspace, Tokens: ask.Tokens, Loan: ask.Loan, Balance: ask.Balance, Level: ask.Level,
+		})
+	}
+}
+
 // askTokens asks one holder and applies its answer. ok is false if there was none.
 func (g *Gateway) askTokens(ctx context.Context, slot, workspace string, missing int64) (limit.TokenGive, bool) {
 	s := g.sessionWith(ctx, slot)
@@ -191,7 +213,9 @@
 		return
 	}
 	now := g.Now()
-	give := g.tokens.Give(now, limit.TokenAsk{ID: w.ID, Workspace: w.Workspace, Tokens: w.Tokens, Loan: w.Loan})
+	give := g.tokens.Give(now, limit.TokenAsk{
+		ID: w.ID, Workspace: w.Workspace, Tokens: w.Tokens, Loan: w.Loan, Balance: w.Balance, Level: w.Level,
+	})
 	m.from.Control(vmwire.KindTokenGive, &vmwire.TokenGive{
 		ID: give.ID, Workspace: give.Workspace, Tokens: give.Tokens, WaitMillis: give.Wait.Milliseconds(),
 	})
@@ -204,9 +228,12 @@
 	if !g.decode(m, &w) {
 		return
 	}
-	g.grants.deliver(limit.TokenGive{
+	give := limit.TokenGive{
 		ID: w.ID, Workspace: w.Workspace, Tokens: w.Tokens, Wait: time.Duration(w.WaitMillis) * time.Millisecond,
-	})
+	}
+	if !g.grants.deliver(give) {
+		g.tokens.Accept(g.Now(), give) // The answer to a balancing request; a late one is void.
+	}
 }
 
 // settle ends a charge with what was used.
--- a/limit/table.go
+++ b/limit/table.go
@@ -25,9 +25,10 @@
 	// lendTime is how long the grantor keeps the room of a loan. It exceeds AskLife so that
 	// clocks that run up to 10% apart cannot free the room before the loan has ended.
 	lendTime = 1100 * time.Millisecond
-	// IncreaseDelay delays an increase of a share. A configuration is in force at all VMs in
-	// contact after 3 s, and tokens in transfer are void 1 s later.
-	IncreaseDelay = 4 * time.Second
+	// IncreaseDelay delays an increase of a share. A slot may skip a version that is replaced within
+	// 3 s, and the slot that got the share by the skipped version may learn of its loss 3 s after
+	// that; tokens in transfer are void 1 s later.
+	IncreaseDelay = 7 * time.Second
 	// MaxLease bounds an authorised interval. An incarnation spends until MaxLease after its last
 	// confirmation, and its loans end AskLife later; package member authorises a successor 4 s
 	// after its announcement, so that the two never hold tokens at the same time.
--- a/limit/world_test.go
+++ b/limit/world_test.go
@@ -82,7 +82,8 @@
 	charges   []openCharge
 	admitted  []admission
 	versions  []int
-	published time.Time
+	// published is when each version was published; all slots have it 2 s later.
+	published []time.Time
 	cut       time.Time
 	incs      uint64
 	// faults is the percentage of the drawn faults that happen in this run.
@@ -111,7 +112,7 @@
 // newWorld draws the seed of a run; the run itself uses uniform random numbers, since rapid's are
 // biased to small values and would hardly let time pass.
 func newWorld(t *rapid.T) *world {
-	w := &world{t: t, now: epoch, published: epoch}
+	w := &world{t: t, now: epoch, published: []time.Time{epoch}}
 	w.rng = rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 	w.faults = []int{0, 30, 100}[w.rng.IntN(3)]
 	w.greedy = w.rng.IntN(2) == 0
@@ -164,7 +165,7 @@
 	}
 	p.lastTick = w.now
 	latest := len(w.versions) - 1
-	if p.version < latest && (w.chance(40) || w.now.Sub(w.published) >= 2*time.Second) {
+	if p.version < latest && (w.chance(40) || w.now.Sub(w.published[p.version+1]) >= 2*time.Second) {
 		p.version = latest
 		p.table.Configure(w.now, w.shares(p.version, p.slot))
 	}
@@ -334,9 +335,9 @@
 		for range 14 {
 			w.step(600 * time.Millisecond)
 		}
-	case k < 80 && w.now.Sub(w.published) > 7*time.Second:
+	case k < 80 && w.now.Sub(w.published[len(w.published)-1]) > 300*time.Millisecond:
 		w.versions = append(w.versions, w.rng.IntN(len(testSplits)))
-		w.published = w.now
+		w.published = append(w.published, w.now)
 	case !w.chance(w.faults):
 	case k < 84:
 		p.asleep = w.now.Add(w.millis(4000))
--- a/member/authority.go
+++ b/member/authority.go
@@ -86,8 +86,8 @@
 }
 
 // Acked records an acknowledgement and returns the interval that it confirms. An interval is
-// confirmed only by another VM of the region that knows no newer incarnation of this slot, only
-// for heartbeats sent since the last pause, and only once the announcement is SuccessorDelay old.
+// confirmed only by another VM of the region, or of another region if this VM is alone in its own,
+// that knows no newer incarnation of this slot, only for heartbeats sent since the last pause, and only once the announcement is SuccessorDelay old.
 // An acknowledgement also shows that its sender lives.
 func (t *Table) Acked(now time.Time, a Ack) Lease {
 	if a.Newest != t.incarnation {
@@ -107,12 +107,27 @@
 	}
 	r.heard = later(r.heard, at)
 	r.told = true
-	if !a.Confirms || r.Region != t.region() {
+	if !a.Confirms || (r.Region != t.region() && !t.alone(now)) {
 		return Lease{}
 	}
 	return t.lease(now, at)
 }
 
+// alone reports whether the platform's list shows no other VM of the region as live and none is
+// heard. Then a VM of another region may confirm: its representatives hear from each incarnation
+// that lives in this region.
+func (t *Table) alone(now time.Time) bool {
+	if !t.listed {
+		return false
+	}
+	for _, slot := range t.peers() {
+		if t.Alive(now, slot) || t.rows[slot].ListedLive {
+			return false
+		}
+	}
+	return true
+}
+
 // sentAt returns when a heartbeat was sent.
 func (t *Table) sentAt(sequence uint64) (time.Time, bool) {
 	for _, s := range t.sent {
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -459,3 +459,28 @@
 		}
 	}
 }
+
+// Guards against the last live VM of a region that never gets authority, and against one that gets
+// it from another region while its own VMs may live.
+func TestLastVMOfRegion(t *testing.T) {
+	vms := roster(2, 3, 3)
+	self := Incarnation{Number: 1, StartedAtUnixMilli: epoch.UnixMilli()}
+	for _, listedLive := range []bool{false, true} {
+		table := New(epoch, vms[0].Name, self)
+		table.SetRoster(vms)
+		abroad := Incarnation{Number: 2, StartedAtUnixMilli: epoch.UnixMilli()}
+		confirmed := false
+		for now := epoch; now.Before(epoch.Add(30 * time.Second)); now = now.Add(Interval) {
+			table.SetList([]Listed{{Slot: vms[1].Name, Live: listedLive}, {Slot: vms[3].Name, Live: true}})
+			table.Tick(now)
+			table.Heard(now, Heartbeat{Slot: vms[3].Name, Incarnation: abroad, Ready: true})
+			ack := Ack{Slot: vms[3].Name, Incarnation: abroad, Sequence: table.Next(now), Newest: self, Confirms: true}
+			if table.Acked(now, ack).Valid() {
+				confirmed = true
+			}
+		}
+		if confirmed == listedLive {
+			t.Errorf("confirmed from abroad = %v while a VM of the region is listed as live = %v", confirmed, listedLive)
+		}
+	}
+}
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -232,6 +232,9 @@
 	Tokens    int64
 	// Loan is the part of Tokens for which the sender has no room of its own.
 	Loan int64
+	// Balance limits the grant to half of what the holder has above Level, the sender's level.
+	Balance bool
+	Level   int64
 }
 
 // TokenGive answers TokenAsk; the giver has deducted the tokens.
--- a/vmwire/schema_gen.go
+++ b/vmwire/schema_gen.go
@@ -3558,8 +3558,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.ID, err = dc.ReadUint64()
@@ -3582,13 +3582,23 @@
 		err = msgp.WrapError(err, "Loan")
 		return
 	}
+	z.Balance, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Balance")
+		return
+	}
+	z.Level, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "Level")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *TokenAsk) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 4
-	err = en.Append(0x94)
+	// array header, size 6
+	err = en.Append(0x96)
 	if err != nil {
 		return
 	}
@@ -3612,18 +3622,30 @@
 		err = msgp.WrapError(err, "Loan")
 		return
 	}
+	err = en.WriteBool(z.Balance)
+	if err != nil {
+		err = msgp.WrapError(err, "Balance")
+		return
+	}
+	err = en.WriteInt64(z.Level)
+	if err != nil {
+		err = msgp.WrapError(err, "Level")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *TokenAsk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendUint64(o, z.ID)
 	o = msgp.AppendString(o, z.Workspace)
 	o = msgp.AppendInt64(o, z.Tokens)
 	o = msgp.AppendInt64(o, z.Loan)
+	o = msgp.AppendBool(o, z.Balance)
+	o = msgp.AppendInt64(o, z.Level)
 	return
 }
 
@@ -3635,8 +3657,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
@@ -3659,13 +3681,23 @@
 		err = msgp.WrapError(err, "Loan")
 		return
 	}
+	z.Balance, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Balance")
+		return
+	}
+	z.Level, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Level")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *TokenAsk) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Workspace) + msgp.Int64Size + msgp.Int64Size
+	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Workspace) + msgp.Int64Size + msgp.Int64Size + msgp.BoolSize + msgp.Int64Size
 	return
 }
 
