Halve the bytes of heartbeats between VMs

Change: the digest's first 8 bytes; views of 6 bytes that refer to the roster, in full only after a change and each 5 s; acknowledgements ride on the next heartbeat to the same VM.

--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"slices"
 	"sort"
+	"strconv"
 	"strings"
 
 	"parsleyhatch/selector"
@@ -28,6 +29,26 @@
 	return v.Digest > o.Digest
 }
 
+// Tag returns the first 8 bytes of the digest, zero if it is not hexadecimal.
+func (v Version) Tag() uint64 {
+	if len(v.Digest) < 16 {
+		return 0
+	}
+	tag, err := strconv.ParseUint(v.Digest[:16], 16, 64)
+	if err != nil {
+		return 0
+	}
+	return tag
+}
+
+// Before reports whether v is earlier than the version with the number and the tag.
+func (v Version) Before(number, tag uint64) bool {
+	if v.Number != number {
+		return v.Number < number
+	}
+	return v.Tag() < tag
+}
+
 // String returns the number and the start of the digest.
 func (v Version) String() string {
 	return fmt.Sprintf("%d-%.8s", v.Number, v.Digest)
--- a/gateway/configure.go
+++ b/gateway/configure.go
@@ -157,6 +157,7 @@
 		g.configuredAt = now
 	}
 	g.members.SetRoster(next.File.VMs)
+	g.beats.setRoster(next.File.VMs)
 	g.tokens.Configure(now, limit.Shares(next.File.Workspaces, next.File.VMs, g.Self.Slot))
 	g.configureCalls(now, old, next)
 	g.importHandover(now)
@@ -229,9 +230,9 @@
 }
 
 // compareVersion fetches the configuration of a VM that has a later one.
-func (g *Gateway) compareVersion(ctx context.Context, s *vm.Session, theirs config.Version) {
+func (g *Gateway) compareVersion(ctx context.Context, s *vm.Session, number, tag uint64) {
 	current := g.Snapshot()
-	if theirs.Number == 0 || (current != nil && !theirs.After(current.Version)) {
+	if number == 0 || (current != nil && !current.Version.Before(number, tag)) {
 		return
 	}
 	g.fetchFrom(ctx, s)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -96,6 +96,7 @@
 	members    *member.Table
 	choices    *choose.Table
 	peerQueues map[string]int32
+	beats      beats
 	entries    map[string]regionEntries
 	takenFrom  map[string]bool
 	handover   []vmwire.Handover
@@ -167,6 +168,7 @@
 		members:    member.New(now, s.Slot, incarnationOf(self)),
 		choices:    choose.New(s.Region, seed),
 		peerQueues: map[string]int32{},
+		beats:      newBeats(),
 		entries:    map[string]regionEntries{},
 		takenFrom:  map[string]bool{},
 	}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"parsleyhatch/audit"
-	"parsleyhatch/config"
 	"parsleyhatch/event"
 	"parsleyhatch/member"
 	"parsleyhatch/platform"
@@ -81,19 +80,6 @@
 	}
 }
 
-// beat sends a round of heartbeats and connects to targets without a session.
-func (g *Gateway) beat(ctx context.Context, now time.Time) {
-	sequence := g.members.Next(now)
-	for _, slot := range g.members.Targets(now) {
-		s := g.sessions.get(slot)
-		if s == nil {
-			g.dial(ctx, slot)
-			continue
-		}
-		s.Control(vmwire.KindHeartbeat, g.heartbeat(now, slot, sequence))
-	}
-}
-
 // greet sends a first heartbeat and what a VM that has just started needs.
 func (g *Gateway) greet(now time.Time, s *vm.Session) {
 	if s.Peer.Slot == g.Self.Slot {
@@ -108,89 +94,6 @@
 	}
 }
 
-// heartbeat builds the message to a slot.
-func (g *Gateway) heartbeat(now time.Time, slot string, sequence uint64) *vmwire.Heartbeat {
-	h := g.members.Heartbeat(now, slot, sequence)
-	m := &vmwire.Heartbeat{Sequence: sequence, Leaving: h.Leaving, Ready: h.Ready, Queue: int32(g.streams.count())}
-	if s := g.Snapshot(); s != nil {
-		m.ConfigNumber, m.ConfigDigest = s.Version.Number, s.Version.Digest
-	}
-	for _, v := range h.Views {
-		m.Slots = append(m.Slots, vmwire.SlotView{
-			Slot: v.Slot, Incarnation: v.Incarnation.Number, StartedAtUnixMilli: v.Incarnation.StartedAtUnixMilli,
-			AgeMillis: v.Age.Milliseconds(), Leaving: v.Leaving, Ready: v.Ready, Queue: g.peerQueues[v.Slot],
-		})
-	}
-	return m
-}
-
-// onHeartbeat records a heartbeat and acknowledges it.
-func (g *Gateway) onHeartbeat(ctx context.Context, m message) {
-	var w vmwire.Heartbeat
-	if !g.decode(m, &w) {
-		return
-	}
-	now := g.Now()
-	peer := m.from.Peer
-	h := member.Heartbeat{
-		Slot: peer.Slot, Incarnation: incarnationOf(peer), Sequence: w.Sequence, Leaving: w.Leaving, Ready: w.Ready,
-	}
-	for _, v := range w.Slots {
-		h.Views = append(h.Views, member.View{
-			Slot: v.Slot, Incarnation: member.Incarnation{Number: v.Incarnation, StartedAtUnixMilli: v.StartedAtUnixMilli},
-			Age: time.Duration(v.AgeMillis) * time.Millisecond, Leaving: v.Leaving, Ready: v.Ready,
-		})
-		if !g.members.Alive(now, v.Slot) || g.sessions.get(v.Slot) == nil {
-			g.peerQueues[v.Slot] = v.Queue
-		}
-	}
-	before, _ := g.members.Row(peer.Slot)
-	outcome := g.members.Heard(now, h)
-	if before.Ready != h.Ready || before.Leaving != h.Leaving || outcome == member.Started {
-		g.fleetChanged = true
-	}
-	g.peerQueues[peer.Slot] = w.Queue
-	if outcome == member.Started && peer.Region == g.Self.Region {
-		g.handovers.Observe(peer.Slot, peer.Incarnation)
-	}
-	g.acknowledge(now, m.from, h)
-	g.checkSuperseded(now)
-	g.compareVersion(ctx, m.from, config.Version{Number: w.ConfigNumber, Digest: w.ConfigDigest})
-}
-
-func (g *Gateway) acknowledge(now time.Time, s *vm.Session, h member.Heartbeat) {
-	ack, ok := g.members.Reply(now, h)
-	if !ok {
-		return
-	}
-	w := &vmwire.HeartbeatAck{
-		Sequence: ack.Sequence, NewestIncarnation: ack.Newest.Number,
-		NewestStartedAtUnixMilli: ack.Newest.StartedAtUnixMilli, Confirms: ack.Confirms,
-	}
-	if s := g.Snapshot(); s != nil {
-		w.ConfigNumber, w.ConfigDigest = s.Version.Number, s.Version.Digest
-	}
-	s.Control(vmwire.KindHeartbeatAck, w)
-}
-
-// onHeartbeatAck applies what an acknowledgement confirms.
-func (g *Gateway) onHeartbeatAck(m message) {
-	var w vmwire.HeartbeatAck
-	if !g.decode(m, &w) {
-		return
-	}
-	now := g.Now()
-	lease := g.members.Acked(now, member.Ack{
-		Slot: m.from.Peer.Slot, Incarnation: incarnationOf(m.from.Peer), Sequence: w.Sequence,
-		Newest:   member.Incarnation{Number: w.NewestIncarnation, StartedAtUnixMilli: w.NewestStartedAtUnixMilli},
-		Confirms: w.Confirms,
-	})
-	theirs := config.Version{Number: w.ConfigNumber, Digest: w.ConfigDigest}
-	current := g.Snapshot() != nil && !theirs.After(g.Snapshot().Version)
-	g.confirm(now, lease, current)
-	g.checkSuperseded(now)
-}
-
 // runVMList reads the platform's list of VMs, a hint for VMs that do not respond.
 func (g *Gateway) runVMList(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -133,18 +133,35 @@
 	Queue int32
 }
 
+// Bits of Heartbeat.Flags and of the flags of a compact view.
+const (
+	FlagLeaving uint8 = 1 << iota
+	FlagReady
+	// FlagNewest says that the sender knows no newer incarnation of the receiver's slot.
+	FlagNewest
+	// FlagConfirms says that the sender has been in contact long enough to know the newest ones.
+	FlagConfirms
+)
+
 // Heartbeat tells that the sender lives, and what it knows.
 type Heartbeat struct {
 	// Sequence is returned in the acknowledgement.
 	Sequence     uint64
 	ConfigNumber uint64
-	ConfigDigest string
-	Leaving      bool
-	// Ready says that the sender accepts requests.
-	Ready bool
-	// Queue is the number of requests waiting in the sender.
+	// ConfigTag is the start of the configuration's digest, which decides between equal numbers.
+	ConfigTag uint64
+	Flags     uint8
+	// Queue is the number of requests open at the sender.
 	Queue int32
+	// AckSequence acknowledges the receiver's latest heartbeat together with FlagNewest and
+	// FlagConfirms; zero if this heartbeat acknowledges nothing.
+	AckSequence uint64
+	// Slots are views with their incarnations, for what has changed and from time to time.
 	Slots []SlotView
+	// Compact are views of 6 bytes each: index of the slot among the sorted names of the roster
+	// (2 bytes, big-endian), low bits of the incarnation (2), age in units of 20 ms (1), flags
+	// (1). They only hold between VMs with the same configuration.
+	Compact []byte `msg:"Compact,limit=65536"`
 }
 
 // HeartbeatAck acknowledges a heartbeat.
@@ -158,7 +175,7 @@
 	// Confirms says that the sender has been in contact long enough to know the newest runs.
 	Confirms     bool
 	ConfigNumber uint64
-	ConfigDigest string
+	ConfigTag    uint64
 }
 
 // ConfigGet asks for parts. Without digests it asks for the head only.
--- a/vmwire/schema_gen.go
+++ b/vmwire/schema_gen.go
@@ -1611,8 +1611,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.Sequence, err = dc.ReadUint64()
@@ -1625,24 +1625,24 @@
 		err = msgp.WrapError(err, "ConfigNumber")
 		return
 	}
-	z.ConfigDigest, err = dc.ReadString()
+	z.ConfigTag, err = dc.ReadUint64()
 	if err != nil {
-		err = msgp.WrapError(err, "ConfigDigest")
+		err = msgp.WrapError(err, "ConfigTag")
 		return
 	}
-	z.Leaving, err = dc.ReadBool()
+	z.Flags, err = dc.ReadUint8()
 	if err != nil {
-		err = msgp.WrapError(err, "Leaving")
+		err = msgp.WrapError(err, "Flags")
 		return
 	}
-	z.Ready, err = dc.ReadBool()
+	z.Queue, err = dc.ReadInt32()
 	if err != nil {
-		err = msgp.WrapError(err, "Ready")
+		err = msgp.WrapError(err, "Queue")
 		return
 	}
-	z.Queue, err = dc.ReadInt32()
+	z.AckSequence, err = dc.ReadUint64()
 	if err != nil {
-		err = msgp.WrapError(err, "Queue")
+		err = msgp.WrapError(err, "AckSequence")
 		return
 	}
 	var zb0002 uint32
@@ -1667,13 +1667,21 @@
 			return
 		}
 	}
+	z.Compact, err = dc.ReadBytesLimit(z.Compact, 65536)
+	if err == nil && z.Compact == nil {
+		z.Compact = []byte{}
+	}
+	if err != nil {
+		err = msgp.WrapError(err, "Compact")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Heartbeat) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 7
-	err = en.Append(0x97)
+	// array header, size 8
+	err = en.Append(0x98)
 	if err != nil {
 		return
 	}
@@ -1687,24 +1695,24 @@
 		err = msgp.WrapError(err, "ConfigNumber")
 		return
 	}
-	err = en.WriteString(z.ConfigDigest)
+	err = en.WriteUint64(z.ConfigTag)
 	if err != nil {
-		err = msgp.WrapError(err, "ConfigDigest")
+		err = msgp.WrapError(err, "ConfigTag")
 		return
 	}
-	err = en.WriteBool(z.Leaving)
+	err = en.WriteUint8(z.Flags)
 	if err != nil {
-		err = msgp.WrapError(err, "Leaving")
+		err = msgp.WrapError(err, "Flags")
 		return
 	}
-	err = en.WriteBool(z.Ready)
+	err = en.WriteInt32(z.Queue)
 	if err != nil {
-		err = msgp.WrapError(err, "Ready")
+		err = msgp.WrapError(err, "Queue")
 		return
 	}
-	err = en.WriteInt32(z.Queue)
+	err = en.WriteUint64(z.AckSequence)
 	if err != nil {
-		err = msgp.WrapError(err, "Queue")
+		err = msgp.WrapError(err, "AckSequence")
 		return
 	}
 	err = en.WriteArrayHeader(uint32(len(z.Slots)))
@@ -1719,20 +1727,25 @@
 			return
 		}
 	}
+	err = en.WriteBytes(z.Compact)
+	if err != nil {
+		err = msgp.WrapError(err, "Compact")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// array header, size 8
+	o = append(o, 0x98)
 	o = msgp.AppendUint64(o, z.Sequence)
 	o = msgp.AppendUint64(o, z.ConfigNumber)
-	o = msgp.AppendString(o, z.ConfigDigest)
-	o = msgp.AppendBool(o, z.Leaving)
-	o = msgp.AppendBool(o, z.Ready)
+	o = msgp.AppendUint64(o, z.ConfigTag)
+	o = msgp.AppendUint8(o, z.Flags)
 	o = msgp.AppendInt32(o, z.Queue)
+	o = msgp.AppendUint64(o, z.AckSequence)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Slots)))
 	for za0001 := range z.Slots {
 		o, err = z.Slots[za0001].MarshalMsg(o)
@@ -1741,6 +1754,7 @@
 			return
 		}
 	}
+	o = msgp.AppendBytes(o, z.Compact)
 	return
 }
 
@@ -1752,8 +1766,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
@@ -1766,24 +1780,24 @@
 		err = msgp.WrapError(err, "ConfigNumber")
 		return
 	}
-	z.ConfigDigest, bts, err = msgp.ReadStringBytes(bts)
+	z.ConfigTag, bts, err = msgp.ReadUint64Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "ConfigDigest")
+		err = msgp.WrapError(err, "ConfigTag")
 		return
 	}
-	z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
+	z.Flags, bts, err = msgp.ReadUint8Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Leaving")
+		err = msgp.WrapError(err, "Flags")
 		return
 	}
-	z.Ready, bts, err = msgp.ReadBoolBytes(bts)
+	z.Queue, bts, err = msgp.ReadInt32Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Ready")
+		err = msgp.WrapError(err, "Queue")
 		return
 	}
-	z.Queue, bts, err = msgp.ReadInt32Bytes(bts)
+	z.AckSequence, bts, err = msgp.ReadUint64Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Queue")
+		err = msgp.WrapError(err, "AckSequence")
 		return
 	}
 	var zb0002 uint32
@@ -1808,16 +1822,38 @@
 			return
 		}
 	}
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadBytesHeader(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Compact")
+		return
+	}
+	if zb0003 > 65536 {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Compact == nil || uint32(cap(z.Compact)) < zb0003 {
+		z.Compact = make([]byte, zb0003)
+	} else {
+		z.Compact = z.Compact[:zb0003]
+	}
+	if uint32(len(bts)) < zb0003 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Compact, bts[:zb0003])
+	bts = bts[zb0003:]
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Heartbeat) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.StringPrefixSize + len(z.ConfigDigest) + msgp.BoolSize + msgp.BoolSize + msgp.Int32Size + msgp.ArrayHeaderSize
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint8Size + msgp.Int32Size + msgp.Uint64Size + msgp.ArrayHeaderSize
 	for za0001 := range z.Slots {
 		s += z.Slots[za0001].Msgsize()
 	}
+	s += msgp.BytesPrefixSize + len(z.Compact)
 	return
 }
 
@@ -1862,9 +1898,9 @@
 		err = msgp.WrapError(err, "ConfigNumber")
 		return
 	}
-	z.ConfigDigest, err = dc.ReadString()
+	z.ConfigTag, err = dc.ReadUint64()
 	if err != nil {
-		err = msgp.WrapError(err, "ConfigDigest")
+		err = msgp.WrapError(err, "ConfigTag")
 		return
 	}
 	return
@@ -1902,9 +1938,9 @@
 		err = msgp.WrapError(err, "ConfigNumber")
 		return
 	}
-	err = en.WriteString(z.ConfigDigest)
+	err = en.WriteUint64(z.ConfigTag)
 	if err != nil {
-		err = msgp.WrapError(err, "ConfigDigest")
+		err = msgp.WrapError(err, "ConfigTag")
 		return
 	}
 	return
@@ -1920,7 +1956,7 @@
 	o = msgp.AppendInt64(o, z.NewestStartedAtUnixMilli)
 	o = msgp.AppendBool(o, z.Confirms)
 	o = msgp.AppendUint64(o, z.ConfigNumber)
-	o = msgp.AppendString(o, z.ConfigDigest)
+	o = msgp.AppendUint64(o, z.ConfigTag)
 	return
 }
 
@@ -1961,9 +1997,9 @@
 		err = msgp.WrapError(err, "ConfigNumber")
 		return
 	}
-	z.ConfigDigest, bts, err = msgp.ReadStringBytes(bts)
+	z.ConfigTag, bts, err = msgp.ReadUint64Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "ConfigDigest")
+		err = msgp.WrapError(err, "ConfigTag")
 		return
 	}
 	o = bts
@@ -1972,7 +2008,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *HeartbeatAck) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Int64Size + msgp.BoolSize + msgp.Uint64Size + msgp.StringPrefixSize + len(z.ConfigDigest)
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Int64Size + msgp.BoolSize + msgp.Uint64Size + msgp.Uint64Size
 	return
 }
 
