Add selection of upstream and region

Cause: traffic needs a choice of upstream whose cost does not grow with the pool. Change: package choose with shared counters, an index by load class, prefix affinity, slow return of failing replicas, and a region choice within a link budget.

--- /dev/null
+++ b/choose/bench_test.go
@@ -0,0 +1,122 @@
+package choose
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// Baselines for comparison.
+
+func roundRobin(p *pool, next *int) *Upstream {
+	*next = (*next + 1) % len(p.members)
+	return p.members[*next]
+}
+
+func randomOfTwo(p *pool, s *source) *Upstream {
+	a, b := p.members[s.below(len(p.members))], p.members[s.below(len(p.members))]
+	if b.Outstanding() < a.Outstanding() {
+		return b
+	}
+	return a
+}
+
+func leastOutstanding(p *pool) *Upstream {
+	best := p.members[0]
+	for _, u := range p.members {
+		if u.Outstanding() < best.Outstanding() {
+			best = u
+		}
+	}
+	return best
+}
+
+var sizes = []int{3, 100, 1000, 12000}
+
+func benchTable(n int) *Table {
+	table := newTable(n)
+	for i := range n {
+		table.Lookup(fmt.Sprintf("u%d", i)).Report(start, int64(i*7%16))
+	}
+	return table
+}
+
+func BenchmarkUpstream(b *testing.B) {
+	for _, n := range sizes {
+		v := benchTable(n).View(start)
+		b.Run(fmt.Sprintf("replicas=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				p, _ := v.Upstream(start, Request{Route: "chat"})
+				p.Upstream.Begin()
+				p.Upstream.End()
+			}
+		})
+		b.Run(fmt.Sprintf("replicas=%d,prefix", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				hash := uint64(i%5000) + 1
+				p, _ := v.Upstream(start, Request{Route: "chat", Prefix: hash})
+				p.Upstream.Begin()
+				v.Sent(start, hash, p.Upstream)
+				p.Upstream.End()
+			}
+		})
+	}
+}
+
+func BenchmarkUpstreamParallel(b *testing.B) {
+	v := benchTable(100).View(start)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for i := 0; pb.Next(); i++ {
+			p, _ := v.Upstream(start, Request{Route: "chat", Prefix: uint64(i%5000) + 1})
+			p.Upstream.Begin()
+			p.Upstream.End()
+		}
+	})
+}
+
+func BenchmarkBaselines(b *testing.B) {
+	for _, n := range sizes {
+		v := benchTable(n).View(start)
+		p := v.pools["chat"]
+		next := 0
+		run := map[string]func() *Upstream{
+			"roundRobin":       func() *Upstream { return roundRobin(p, &next) },
+			"randomOfTwo":      func() *Upstream { return randomOfTwo(p, v.random) },
+			"leastOutstanding": func() *Upstream { return leastOutstanding(p) },
+		}
+		for _, name := range []string{"roundRobin", "randomOfTwo", "leastOutstanding"} {
+			b.Run(fmt.Sprintf("%s/replicas=%d", name, n), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					u := run[name]()
+					u.Begin()
+					u.End()
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkView(b *testing.B) {
+	for _, n := range sizes {
+		table := benchTable(n)
+		b.Run(fmt.Sprintf("replicas=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				table.View(start)
+			}
+		})
+	}
+}
+
+func BenchmarkRegion(b *testing.B) {
+	v := regionTable(40, start).View(start)
+	allowed := []string{"norte", "centro", "sul"}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		v.Region(start.Add(time.Duration(i)*time.Microsecond), Request{Route: "chat", Allowed: allowed, BodyBytes: 4096})
+	}
+}
--- /dev/null
+++ b/choose/choose_test.go
@@ -0,0 +1,345 @@
+package choose
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const second = time.Second
+
+// TestMain fixes the seed of the property tests, so that every run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+func members(n int) []Member {
+	list := make([]Member, n)
+	for i := range list {
+		list[i] = Member{Name: fmt.Sprintf("u%d", i), Routes: []string{"chat"}, MaxBatch: 16}
+	}
+	return list
+}
+
+func newTable(n int) *Table {
+	t := New("norte", 1)
+	t.Configure(start, members(n))
+	t.SetProfile("chat", Profile{FirstToken: 200 * time.Millisecond, Run: 4 * second})
+	return t
+}
+
+// shares returns how often each upstream is picked, with each request ended at once.
+func shares(v *View, now time.Time, r Request, picks int) map[string]int {
+	got := map[string]int{}
+	for range picks {
+		if p, ok := v.Upstream(now, r); ok {
+			got[p.Upstream.Name]++
+		}
+	}
+	return got
+}
+
+// Guards against sending to upstreams that drain, are excluded, filtered or of another route.
+func TestUpstreamNeverPicksForbidden(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 60).Draw(rt, "n")
+		table := newTable(n)
+		list := members(n)
+		for i := range list {
+			list[i].Draining = rapid.Bool().Draw(rt, "draining")
+			if rapid.IntRange(0, 3).Draw(rt, "other") == 0 {
+				list[i].Routes = []string{"other"}
+			}
+		}
+		table.Configure(start, list)
+		request := Request{Route: "chat", Prefix: 7}
+		bad := map[string]bool{}
+		left := 0
+		filtered := rapid.IntRange(0, n).Draw(rt, "filtered")
+		for i, m := range list {
+			u := table.Lookup(m.Name)
+			table.Cached(start, u, 7, true)
+			if rapid.Bool().Draw(rt, "failed") {
+				u.Failed(start)
+			}
+			excluded := rapid.IntRange(0, 2).Draw(rt, "excluded") == 0
+			if excluded {
+				request.Exclude = append(request.Exclude, u)
+			}
+			bad[m.Name] = excluded || i == filtered || m.Draining || m.Routes[0] != "chat"
+			if !bad[m.Name] {
+				left++
+			}
+		}
+		request.Filter = func(u *Upstream) bool { return u.Name != fmt.Sprintf("u%d", filtered) }
+		v := table.View(start)
+		for range 50 {
+			p, ok := v.Upstream(start, request)
+			if ok != (left > 0) {
+				rt.Fatalf("picked %v with %d eligible upstreams", ok, left)
+			}
+			if ok && bad[p.Upstream.Name] {
+				rt.Fatalf("picked forbidden upstream %s", p.Upstream.Name)
+			}
+		}
+	})
+}
+
+// Guards against using a failing replica while another one works, and against a full share at once
+// when it returns.
+func TestFailingAvoidedAndRamped(t *testing.T) {
+	for _, n := range []int{3, 40} {
+		table := newTable(n)
+		u := table.Lookup("u0")
+		u.Failed(start)
+		if got := shares(table.View(start), start, Request{Route: "chat"}, 2000)["u0"]; got != 0 {
+			t.Errorf("%d replicas: failing one picked %d times", n, got)
+		}
+		early := start.Add(2 * second)
+		if got := loadAfter(table, early, n); got > 0.5 {
+			t.Errorf("%d replicas: %.2f of the mean load 2 s after a failure", n, got)
+		}
+		late := start.Add(40 * second)
+		if got := loadAfter(table, late, n); got < 0.7 || got > 1.3 {
+			t.Errorf("%d replicas: %.2f of the mean load after the ramp", n, got)
+		}
+	}
+}
+
+// loadAfter fills the pool to half and returns u0's load relative to the mean.
+func loadAfter(table *Table, now time.Time, n int) float64 {
+	var begun []*Upstream
+	for range 8 * n {
+		v := table.View(now)
+		p, _ := v.Upstream(now, Request{Route: "chat"})
+		p.Upstream.Begin()
+		begun = append(begun, p.Upstream)
+	}
+	got := float64(table.Lookup("u0").Outstanding()) / 8
+	for _, u := range begun {
+		u.End()
+	}
+	return got
+}
+
+// Guards against refusing when all replicas fail: one of them may have returned.
+func TestLastResort(t *testing.T) {
+	table := newTable(20)
+	for i := range 20 {
+		table.Lookup(fmt.Sprintf("u%d", i)).Failed(start)
+	}
+	p, ok := table.View(start).Upstream(start, Request{Route: "chat"})
+	if !ok || p.Why != LastResort {
+		t.Fatalf("got %v %v, want a last resort", p.Why, ok)
+	}
+}
+
+// Guards against both extremes: ignoring a held prefix, and queueing behind it.
+func TestAffinityOutweighedByLoad(t *testing.T) {
+	table := newTable(40)
+	u := table.Lookup("u7")
+	v := table.View(start)
+	v.Sent(start, 99, u)
+	request := Request{Route: "chat", Prefix: 99}
+	if got := shares(v, start, request, 100)["u7"]; got != 100 {
+		t.Errorf("idle holder picked %d of 100 times", got)
+	}
+	for range 12 {
+		u.Begin()
+	}
+	if got := shares(v, start, request, 100)["u7"]; got != 0 {
+		t.Errorf("loaded holder picked %d of 100 times", got)
+	}
+	for range 12 {
+		u.End()
+	}
+	table.Cached(start.Add(second), u, 99, false)
+	if got := shares(v, start, request, 100)["u7"]; got > 20 {
+		t.Errorf("holder that evicted the prefix picked %d of 100 times", got)
+	}
+}
+
+// Guards against picking a removed upstream through a prefix whose id was reused.
+func TestRemovedHolderNotPicked(t *testing.T) {
+	table := newTable(10)
+	old := table.Lookup("u3")
+	table.View(start).Sent(start, 5, old)
+	list := members(10)
+	list[3].Name = "new"
+	table.Configure(start, list)
+	for range 50 {
+		p, _ := table.View(start).Upstream(start, Request{Route: "chat", Prefix: 5})
+		if p.Upstream == old {
+			t.Fatal("picked a removed upstream")
+		}
+	}
+}
+
+// Guards against trusting old reports: a report older than 3 s counts little.
+func TestStaleReportDiscounted(t *testing.T) {
+	u := newTable(1).Lookup("u0")
+	u.Report(start, 10)
+	fresh, half, stale := u.estimate(start.UnixNano()), u.estimate(start.Add(1500*time.Millisecond).UnixNano()), u.estimate(start.Add(3*second).UnixNano())
+	if fresh != 10 || half != 7.5 || stale != 1 {
+		t.Fatalf("estimates %v, %v, %v; want 10, 7.5, 1", fresh, half, stale)
+	}
+	u.Report(start.Add(-second), 50)
+	if got := u.estimate(start.UnixNano()); got != 10 {
+		t.Fatalf("an older report was applied: estimate %v", got)
+	}
+}
+
+// Guards against a thundering herd: many VMs with the same stale report must not all send to the
+// replica that was the least loaded.
+func TestSharedReportNoHerd(t *testing.T) {
+	const vms, replicas = 20, 90
+	got := map[string]int{}
+	for vm := range vms {
+		table := New("norte", uint64(vm))
+		table.Configure(start, members(replicas))
+		for i := range replicas {
+			table.Lookup(fmt.Sprintf("u%d", i)).Report(start, int64(8+i%3))
+		}
+		table.Lookup("u0").Report(start, 0)
+		v := table.View(start)
+		for range 30 {
+			p, _ := v.Upstream(start, Request{Route: "chat"})
+			p.Upstream.Begin()
+			got[p.Upstream.Name]++
+		}
+	}
+	if got["u0"] > 120 {
+		t.Errorf("%d of 600 requests at one replica", got["u0"])
+	}
+}
+
+// Guards against data races between traffic and the control loop, and against lost counts.
+func TestConcurrentUse(t *testing.T) {
+	table := newTable(50)
+	v := table.View(start)
+	var wg sync.WaitGroup
+	for g := range 4 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := range 500 {
+				p, _ := v.Upstream(start, Request{Route: "chat", Prefix: uint64(g*i + 1)})
+				p.Upstream.Begin()
+				v.Sent(start, uint64(g*i+1), p.Upstream)
+				p.Upstream.End()
+			}
+		}()
+	}
+	for i := range 50 {
+		table.Configure(start, members(50-i%2))
+		table.Lookup("u1").Report(start.Add(time.Duration(i)), 3)
+		table.View(start)
+	}
+	wg.Wait()
+	for i := range 49 {
+		if n := table.Lookup(fmt.Sprintf("u%d", i)).Outstanding(); n != 0 {
+			t.Errorf("u%d has %d outstanding", i, n)
+		}
+	}
+}
+
+// regionTable has the own region norte with 3 replicas, and links to centro and sul.
+func regionTable(load int64, summary time.Time) *Table {
+	table := newTable(3)
+	for i := range 3 {
+		table.Lookup(fmt.Sprintf("u%d", i)).Report(start, load)
+	}
+	for _, r := range []string{"centro", "sul"} {
+		table.SetLink(start, Link{Region: r, OneWay: 55 * time.Millisecond, BytesPerSecond: 1e6, VMs: 4})
+		free := Capacity{Slots: 48, Outstanding: 4, Profile: Profile{FirstToken: 200 * time.Millisecond, Run: 4 * second}}
+		table.Summary(summary, r, map[string]Capacity{"chat": free})
+	}
+	return table
+}
+
+// Guards against silent changes of region decisions and of the texts that operators see.
+func TestRegionDecisions(t *testing.T) {
+	all := []string{"centro", "norte", "sul"}
+	cases := []struct {
+		name   string
+		load   int64
+		age    time.Duration
+		change func(*Table)
+		r      Request
+	}{
+		{name: "idle", r: Request{Allowed: all}},
+		{name: "queue shorter than the margin", load: 16, r: Request{Allowed: all}},
+		{name: "long queue", load: 40, r: Request{Allowed: all}},
+		{name: "long queue, home-bound", load: 40, r: Request{Allowed: []string{"norte"}}},
+		{name: "long queue, stale summaries", load: 40, age: 5 * second, r: Request{Allowed: all}},
+		{name: "long queue, large body", load: 40, r: Request{Allowed: all, BodyBytes: 1 << 20}},
+		{name: "long queue, only sul allowed too", load: 40, r: Request{Allowed: []string{"norte", "sul"}}},
+		{name: "own not allowed", r: Request{Allowed: []string{"sul"}}},
+		{name: "own not allowed, stale", age: 6 * second, r: Request{Allowed: []string{"sul"}}},
+		{name: "own not allowed, body above the budget", r: Request{Allowed: []string{"sul"}, BodyBytes: 1 << 20}},
+		{name: "forwarded", load: 40, r: Request{Allowed: all, Forwarded: true}},
+		{name: "forwarded, not allowed", r: Request{Allowed: []string{"sul"}, Forwarded: true}},
+		{name: "no replicas", change: func(t *Table) { t.Configure(start, nil) }, r: Request{Allowed: all}},
+		{name: "all failing", change: failAll, r: Request{Allowed: all}},
+		{name: "all failing, stale", age: 6 * second, change: failAll, r: Request{Allowed: all}},
+	}
+	var out bytes.Buffer
+	for _, c := range cases {
+		table := regionTable(c.load, start.Add(-c.age))
+		if c.change != nil {
+			c.change(table)
+		}
+		c.r.Route = "chat"
+		region, why := table.View(start).Region(start, c.r)
+		fmt.Fprintf(&out, "%-40s %-8q %s\n", c.name, region, why)
+	}
+	goldie.New(t).Assert(t, "regions", out.Bytes())
+}
+
+func failAll(t *Table) {
+	for _, u := range t.upstreams {
+		u.Failed(start)
+	}
+}
+
+// Guards against exceeding the link budget over all VMs, and against a region that is not allowed.
+func TestRegionBudgetAndBounds(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		table := regionTable(80, start)
+		allowed := rapid.SliceOfDistinct(rapid.SampledFrom([]string{"norte", "centro", "sul"}), func(s string) string { return s }).Draw(rt, "allowed")
+		now := start
+		sent := map[string]int64{}
+		v := table.View(now)
+		for range 100 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(rt, "ms")) * time.Millisecond)
+			body := rapid.Int64Range(1, 20000).Draw(rt, "body")
+			region, why := v.Region(now, Request{Route: "chat", Allowed: allowed, BodyBytes: body})
+			if region != "" && !slices.Contains(allowed, region) {
+				rt.Fatalf("region %s not in %v (%v)", region, allowed, why)
+			}
+			if region != "norte" {
+				sent[region] += body
+			}
+		}
+		bound := int64((0.5 + now.Sub(start).Seconds()) * 0.5 * 1e6 / 4)
+		for _, r := range []string{"centro", "sul"} {
+			if sent[r] > bound+1 {
+				rt.Fatalf("%d bytes sent to %s, budget %d", sent[r], r, bound)
+			}
+		}
+	})
+}
