--- /dev/null
+++ b/directory/directory_test.go
@@ -0,0 +1,135 @@
+package directory
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// TestMain fixes the seed of the property tests, so that every run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// fleet has three live VMs in each region.
+func fleet() []VM {
+	var list []VM
+	for _, region := range []string{"norte", "centro", "sul"} {
+		for i := range 3 {
+			list = append(list, VM{
+				Slot: fmt.Sprint(region, i), Region: region, FailureDomain: fmt.Sprint(region, i%2),
+				Heartbeat: now.Add(-200 * time.Millisecond), Listed: true, Ready: true, QueueLimit: 100,
+			})
+		}
+	}
+	return list
+}
+
+func TestOrder(t *testing.T) {
+	all := []string{"norte", "centro", "sul"}
+	home := Query{Workspace: "w", Allowed: []string{"norte"}, Holders: []string{"norte2", "sul0"}, Region: "norte"}
+	cases := []struct {
+		name   string // The failure it guards against.
+		change func(v []VM)
+		q      Query
+		first  string
+		absent string
+	}{
+		{"holder ignored", nil, home, "norte2", "sul0"},
+		{"holder leaving", func(v []VM) { v[2].Leaving = true }, home, "", "norte2"},
+		{"holder overloaded", func(v []VM) { v[2].Queue = 80 }, home, "", ""},
+		{"holder dead but listed", func(v []VM) { v[2].Heartbeat = now.Add(-2 * time.Second) }, home, "", "norte2"},
+		{"holder alive but not listed", func(v []VM) { v[2].Listed, v[2].ListedLeaving = false, true }, home, "norte2", ""},
+		{"caller's region ignored", nil, Query{Workspace: "w", Allowed: all, Holders: []string{"norte2", "sul0"}, Region: "sul"}, "sul0", ""},
+		{"holder of any region ignored", nil, Query{Workspace: "w", Allowed: all, Holders: []string{"centro1"}}, "centro1", ""},
+		{"only leaving VM dropped", func(v []VM) {
+			v[0].Leaving, v[1].Heartbeat, v[2].Heartbeat = true, time.Time{}, time.Time{}
+			v[1].Listed, v[2].Listed = false, false
+		}, home, "norte0", "norte2"},
+		{"unheard listed VM before heard ones", func(v []VM) { v[2].Heartbeat = time.Time{} }, home, "", ""},
+	}
+	for _, c := range cases {
+		vms := fleet()
+		if c.change != nil {
+			c.change(vms)
+		}
+		got := Order(now, vms, c.q)
+		if len(got) == 0 || (c.first != "" && got[0] != c.first) || slices.Contains(got, c.absent) {
+			t.Errorf("%s: got %v", c.name, got)
+		}
+		if c.first == "" && got[0] == "norte2" {
+			t.Errorf("%s: got %v first", c.name, got[0])
+		}
+	}
+}
+
+// Guards against VMs of regions that are not allowed, dead ones, and an empty answer while a VM lives.
+func TestOrderProperties(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		vms := fleet()
+		for i := range vms {
+			v := &vms[i]
+			v.Leaving, v.Ready = rapid.Bool().Draw(rt, "leaving"), rapid.Bool().Draw(rt, "ready")
+			v.Queue = rapid.IntRange(0, 120).Draw(rt, "queue")
+			v.Heartbeat = now.Add(-time.Duration(rapid.IntRange(0, 3000).Draw(rt, "age")) * time.Millisecond)
+		}
+		allowed := rapid.SliceOfDistinct(rapid.SampledFrom([]string{"norte", "centro", "sul"}), func(s string) string { return s }).Draw(rt, "allowed")
+		limit := rapid.IntRange(0, 4).Draw(rt, "limit")
+		got := Order(now, vms, Query{Workspace: "w", Allowed: allowed, Limit: limit})
+		live, ready := 0, 0
+		for _, v := range vms {
+			alive := now.Sub(v.Heartbeat) < heartbeatLimit && slices.Contains(allowed, v.Region)
+			if !alive && slices.Contains(got, v.Slot) {
+				rt.Fatalf("%s returned", v.Slot)
+			}
+			if !alive {
+				continue
+			}
+			live++
+			if v.Ready && !v.Leaving {
+				ready++
+			} else if ready > 0 && len(got) > 0 && got[0] == v.Slot {
+				rt.Fatalf("%s first, which refuses", v.Slot)
+			}
+		}
+		if (len(got) > 0) != (live > 0) || (limit > 0 && len(got) > limit) {
+			rt.Fatalf("%d returned, %d live, limit %d", len(got), live, limit)
+		}
+	})
+}
+
+// Guards against all workspaces at one VM, and against one workspace at all VMs.
+func TestSpread(t *testing.T) {
+	first := map[string]int{}
+	for w := range 900 {
+		got := Order(now, fleet(), Query{Workspace: fmt.Sprint("w", w), Allowed: []string{"norte", "centro", "sul"}})
+		first[got[0]]++
+	}
+	for _, v := range fleet() {
+		if n := first[v.Slot]; n < 60 || n > 150 {
+			t.Errorf("%s is first for %d of 900 workspaces", v.Slot, n)
+		}
+	}
+}
+
+// Guards against answers whose VMs all fail together.
+func TestLimitSpansFailureDomains(t *testing.T) {
+	vms := fleet()[:3]
+	for w := range 50 {
+		got := Order(now, vms, Query{Workspace: fmt.Sprint(w), Allowed: []string{"norte"}, Limit: 2})
+		if slices.Contains(got, "norte0") && slices.Contains(got, "norte2") {
+			t.Fatalf("both VMs are in one failure domain: %v", got)
+		}
+	}
+}
