Correct the use of late reports, and overflow to other regions earlier

Reports a second old herded short requests, a report was compared with the own count of another time, prefix holders were preferred when full, and the expected wait of a region was zero until all slots were taken. Change: a report's weight falls with its age relative to the run time; own counts are kept by tick; requests without a first token count more; the affinity bonus shrinks as the holder fills; the region's wait is estimated by a queue formula over undiscounted totals.

--- a/choose/region.go
+++ b/choose/region.go
@@ -21,6 +21,11 @@
 	// linkShare is the part of the link that forwarded requests may use; the rest is left to
 	// control messages, answers of other regions and weights.
 	linkShare = 0.5
+	// maxUtilisation keeps the estimated wait finite; beyond it the excess counts.
+	maxUtilisation = 0.95
+	// maxServers bounds the slots that count as one queue. Replicas have queues of their own and are
+	// filled by late reports, so that a large pool has waits long before all its slots are taken.
+	maxServers = 64
 )
 
 // Capacity is the state of the upstreams of one route in one region.
@@ -37,9 +42,16 @@
 	if c.Slots < 0.5 {
 		return 0, false
 	}
-	excess := c.Outstanding + extra + 1 - c.Slots
-	wait := math.Max(0, excess) / c.Slots * float64(c.Run)
-	return c.FirstToken + time.Duration(wait), true
+	n := c.Outstanding + extra + 1
+	wait := queueWait(math.Min(n/c.Slots, maxUtilisation), math.Min(c.Slots, maxServers)) + math.Max(0, n-c.Slots)/c.Slots
+	return c.FirstToken + time.Duration(wait*float64(c.Run)), true
+}
+
+// queueWait approximates the mean wait of a queue with several servers, in run times (Sakasegawa). It
+// rises before all slots are taken: replicas are never filled evenly, and requests that may not
+// leave the region need room.
+func queueWait(utilisation, slots float64) float64 {
+	return math.Pow(utilisation, math.Sqrt(2*(slots+1))-1) / (slots * (1 - utilisation))
 }
 
 // Capacity returns the state of the route's upstreams in the own region, for the summary that
--- a/choose/table.go
+++ b/choose/table.go
@@ -107,7 +107,7 @@
 // EventsLost records a gap in the cache events of an upstream.
 func (t *Table) EventsLost(now time.Time, u *Upstream) { u.gapAt.Store(now.UnixNano()) }
 
-// View builds the index as of now.
+// View builds the index as of now. The control loop calls it each tick.
 func (t *Table) View(now time.Time) *View {
 	v := &View{
 		region:   t.region,
@@ -116,6 +116,9 @@
 		random:   t.random,
 	}
 	v.remotes, v.order = t.reachable(now)
+	for _, u := range t.upstreams {
+		u.remember(now.UnixNano())
+	}
 	for i := range t.members {
 		m := &t.members[i]
 		if m.Draining {
@@ -134,8 +137,9 @@
 		}
 	}
 	for route, p := range v.pools {
-		p.index(now.UnixNano())
 		p.local.Profile = t.profiles[route]
+		p.life = reportLife(p.local.Run)
+		p.index(now.UnixNano())
 	}
 	return v
 }
@@ -147,10 +151,10 @@
 	for i, u := range p.members {
 		c := loadClasses - 1
 		if u.downUntil.Load() <= now {
-			c = min(int(u.score(now)*8), loadClasses-1)
+			c = min(int(u.score(now, p.life)*8), loadClasses-1)
 			p.local.Slots += float64(u.maxBatch.Load()) * u.ramp(now)
 		}
-		p.local.Outstanding += u.estimate(now)
+		p.local.Outstanding += u.total(now)
 		classes[i] = uint8(c)
 		counts[c]++
 	}
--- a/choose/view.go
+++ b/choose/view.go
@@ -17,12 +17,16 @@
 	maxDraws = 12
 	// windowShare is the smallest share of the pool from which candidates are drawn. All VMs see
 	// the same reports, so a smaller window would let them all send to the same few replicas.
-	windowShare = 0.25
+	windowShare = 0.5
 	// loadClasses is the number of classes of the index, each 1/8 of a batch wide.
 	loadClasses = 10
 	// affinityBonus is the score that a held prefix is worth, in batches. It is outweighed when
 	// the holder is fuller than an alternative by that share of its batch.
 	affinityBonus = 0.25
+	// affinityLimit is the load at which the bonus is zero, affinityRoom the load below the limit
+	// at which it starts to shrink.
+	affinityLimit = 0.8
+	affinityRoom  = 0.3
 	// overloadFactor makes each request beyond the batch count more.
 	overloadFactor = 2
 )
@@ -60,7 +64,9 @@
 	// window is the number of members from which candidates are drawn.
 	window int
 	// has is a bit set over ids, to check that a prefix holder belongs to the pool.
-	has   []uint64
+	has []uint64
+	// life is the age at which load reports count half.
+	life  time.Duration
 	local Capacity
 }
 
@@ -136,7 +142,11 @@
 }
 
 func (s *search) consider(u *Upstream, bonus float64) {
-	score := u.score(s.now) - bonus
+	score := u.score(s.now, s.pool.life)
+	// The bonus shrinks as the holder fills: a held prefix saves a part of the prefill, but
+	// waiting for a slot takes as long as another request runs.
+	bonus *= min(1, max(0, (affinityLimit-score)/affinityRoom))
+	score -= bonus
 	if s.best.Upstream != nil && score >= s.best.Score {
 		return
 	}
@@ -195,7 +205,7 @@
 		s.consider(u, 0)
 	}
 	if s.best.Upstream == nil && failing != nil {
-		s.best = Pick{Upstream: failing, Why: LastResort, Score: failing.score(s.now)}
+		s.best = Pick{Upstream: failing, Why: LastResort, Score: failing.score(s.now, s.pool.life)}
 	}
 }
 
--- a/policybench/request.go
+++ b/policybench/request.go
@@ -43,6 +43,7 @@
 	vm       *vm
 	engine   *engine
 	upstream *choose.Upstream
+	running  choose.Running
 	left     float64
 }
 
@@ -70,7 +71,7 @@
 		if m.random.Float64() < homeBoundShare {
 			r.allowed = m.deployment.regions[w.home : w.home+1]
 		}
-		r.entry = m.zones[w.home].vms[m.random.IntN(vmsPerZone)]
+		r.entry = m.zones[w.home].vms[m.random.IntN(m.deployment.vmsPerZone)]
 		if m.random.Float64()*most > m.scenario.factor(w, wi, t) {
 			continue
 		}
@@ -110,7 +111,7 @@
 		m.after(cutDetect, r.again)
 		return
 	}
-	target := z.vms[m.noise.IntN(vmsPerZone)]
+	target := z.vms[m.noise.IntN(m.deployment.vmsPerZone)]
 	m.after(m.transfer(r.entry.zone.index, z.index, r.pool.body), func() { r.place(target) })
 }
 
@@ -137,7 +138,7 @@
 		return
 	}
 	a := &attempt{request: r, vm: v, upstream: u, engine: m.engines[u.Name], left: r.out - r.produced}
-	u.Begin()
+	a.running = u.Begin()
 	v.view.Sent(at(m.now), r.prefix, u)
 	r.attempt = a
 	m.after(m.deployment.domainDelay.Seconds(), a.arrive)
@@ -149,7 +150,7 @@
 		return
 	}
 	// The connection was refused before any byte was sent, so that another try is free.
-	a.upstream.End()
+	a.running.End()
 	a.upstream.Failed(at(r.sim.now))
 	r.attempt = nil
 	r.tried = append(r.tried, a.engine.name)
@@ -178,7 +179,7 @@
 	r := a.request
 	r.attempt = nil
 	r.produced = r.out - max(0, a.left)
-	a.upstream.End()
+	a.running.End()
 	if crashed {
 		a.upstream.Failed(at(r.sim.now))
 		r.tried = append(r.tried, a.engine.name)
@@ -195,7 +196,7 @@
 	if r.first >= 0 || r.sim.now-r.arrive <= r.pool.deadline {
 		return false
 	}
-	a.upstream.End()
+	a.running.End()
 	r.attempt = nil
 	r.end(false)
 	return true
@@ -203,6 +204,7 @@
 
 func (a *attempt) firstToken() {
 	r := a.request
+	a.running.FirstToken()
 	a.upstream.Succeeded(at(r.sim.now))
 	if r.first < 0 {
 		r.first = r.sim.now - r.arrive + r.returnDelay()
@@ -210,7 +212,7 @@
 }
 
 func (a *attempt) complete() {
-	a.upstream.End()
+	a.running.End()
 	a.request.attempt = nil
 	a.request.end(true)
 }
