--- a/choose/view.go
+++ b/choose/view.go
@@ -10,7 +10,7 @@
 const (
 	// scanLimit is the pool size up to which all replicas are compared; sampling from so few would
 	// be worse and hardly cheaper.
-	scanLimit = 6
+	scanLimit = 16
 	// draws is the number of candidates drawn from a larger pool.
 	draws = 3
 	// maxDraws bounds the draws that hit excluded or failing replicas before the pool is scanned.
@@ -22,7 +22,7 @@
 	loadClasses = 10
 	// affinityBonus is the score that a held prefix is worth, in batches. It is outweighed when
 	// the holder is fuller than an alternative by that share of its batch.
-	affinityBonus = 0.25
+	affinityBonus = 0.15
 	// affinityLimit is the load at which the bonus is zero, affinityRoom the load below the limit
 	// at which it starts to shrink.
 	affinityLimit = 0.8
--- a/policybench/request.go
+++ b/policybench/request.go
@@ -8,12 +8,11 @@
 	"parsleyhatch/retry"
 )
 
-// clientDelay is the one-way latency to callers, maxRefused the number of connections that may be
-// refused before a request is given up.
-const (
-	clientDelay seconds = 0.001
-	maxRefused          = 6
-)
+// clientDelay is the one-way latency to callers.
+const clientDelay seconds = 0.001
+
+// maxRefused is the number of connections that may be refused before a request is given up.
+const maxRefused = 6
 
 // request is one call of a workspace.
 type request struct {
