Test the queue's bounds and the order of new workspaces directly

Cause: in a trial, removing the bound per workspace or the order of equal starts failed no test. Change: TestFull, and a stricter TestNewWorkspacesDoNotPass that checks the exact order. Conclusion: both changes now fail a test.

--- a/admit/queue_test.go
+++ b/admit/queue_test.go
@@ -156,17 +156,40 @@
 	}
 }
 
-// Guards against starving a workspace by a row of new workspaces.
+// Guards against starving a workspace by a row of new workspaces: equal ones are served in the order
+// in which they began to wait.
 func TestNewWorkspacesDoNotPass(t *testing.T) {
 	q := New(settings())
-	q.Offer(start, item(1, "zz", Draft))
-	for id := uint64(2); id < 40; id++ {
-		q.Offer(start, item(id, fmt.Sprintf("a%d", id), Draft))
-		if it, _ := q.Next(start); it.Workspace == "zz" {
-			return
+	for id := range uint64(5) {
+		q.Offer(start, item(id, fmt.Sprint("w", 1000-id), Draft))
+	}
+	for want := range uint64(40) {
+		q.Offer(start, item(want+5, fmt.Sprint("w", 995-want), Draft))
+		if it, _ := q.Next(start); it.ID != want {
+			t.Fatalf("served item %d, want %d", it.ID, want)
 		}
 	}
-	t.Error("a waiting workspace was passed by 38 new ones")
+}
+
+// Guards against a workspace or the whole queue beyond its bound.
+func TestFull(t *testing.T) {
+	q := New(Settings{Total: 10, PerWorkspace: 4, Rate: 1e6})
+	want := []Verdict{Queued, Queued, Queued, Queued, WorkspaceFull}
+	for i, v := range want {
+		if out := q.Offer(start, item(uint64(i), "a", Class(i%2))); out.Verdict != v {
+			t.Errorf("offer %d: %v, want %v", i, out.Verdict, v)
+		}
+	}
+	for i := range uint64(6) {
+		q.Offer(start, item(10+i, fmt.Sprint("b", i), Draft))
+	}
+	if out := q.Offer(start, item(20, "c", Draft)); out.Verdict != Full || out.RetryAfter <= 0 {
+		t.Errorf("eleventh item: %v, retry after %v", out.Verdict, out.RetryAfter)
+	}
+	q.Remove(0)
+	if out := q.Offer(start, item(21, "a", Draft)); out.Verdict != Queued {
+		t.Errorf("after a removal: %v", out.Verdict)
+	}
 }
 
 // Guards against serving a later deadline first within a workspace.
