--- a/choose/region.go
+++ b/choose/region.go
@@ -23,6 +23,9 @@
 	linkShare = 0.5
 	// maxUtilisation keeps the estimated wait finite; beyond it the excess counts.
 	maxUtilisation = 0.95
+	// maxServers bounds the slots that count as one queue. Replicas have queues of their own and are
+	// filled by late reports, so that a large pool has waits long before all its slots are taken.
+	maxServers = 64
 )
 
 // Capacity is the state of the upstreams of one route in one region.
@@ -40,7 +43,7 @@
 		return 0, false
 	}
 	n := c.Outstanding + extra + 1
-	wait := queueWait(math.Min(n/c.Slots, maxUtilisation), c.Slots) + math.Max(0, n-c.Slots)/c.Slots
+	wait := queueWait(math.Min(n/c.Slots, maxUtilisation), math.Min(c.Slots, maxServers)) + math.Max(0, n-c.Slots)/c.Slots
 	return c.FirstToken + time.Duration(wait*float64(c.Run)), true
 }
 
--- a/choose/table.go
+++ b/choose/table.go
@@ -137,8 +137,9 @@
 		}
 	}
 	for route, p := range v.pools {
-		p.index(now.UnixNano())
 		p.local.Profile = t.profiles[route]
+		p.life = reportLife(p.local.Run)
+		p.index(now.UnixNano())
 	}
 	return v
 }
@@ -150,10 +151,10 @@
 	for i, u := range p.members {
 		c := loadClasses - 1
 		if u.downUntil.Load() <= now {
-			c = min(int(u.score(now)*8), loadClasses-1)
+			c = min(int(u.score(now, p.life)*8), loadClasses-1)
 			p.local.Slots += float64(u.maxBatch.Load()) * u.ramp(now)
 		}
-		p.local.Outstanding += u.estimate(now)
+		p.local.Outstanding += u.total(now)
 		classes[i] = uint8(c)
 		counts[c]++
 	}
