Spread the messages between regions over the VMs of a region

Cause: one VM of a region spoke to all other regions each 500 ms; with 35 regions that VM alone would send about 13 KB/s (computed: 34 heartbeats twice a second and 34 summaries a second of 100 to 200 bytes). Change: the representative differs for each pair of regions; heartbeats between regions go each 2 s, and at once after a new configuration; with more than 9 regions a summary is sent each 2 s.

--- a/gateway/configure.go
+++ b/gateway/configure.go
@@ -148,6 +148,7 @@
 	g.fleetChanged = true
 	g.publish(now)
 	// The heartbeats tell the other VMs at once that there is a later version.
+	g.members.Hurry()
 	g.lastBeat = time.Time{}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -332,7 +332,7 @@
 	case vmwire.KindLoad:
 		g.onLoad(m)
 	case vmwire.KindSummary:
-		g.onSummary(m)
+		g.onSummary(ctx, m)
 	case vmwire.KindSuspect:
 		g.onSuspect(m)
 	case vmwire.KindHandover:
--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -14,6 +14,10 @@
 const (
 	// summaryInterval is the period at which a region's summary is sent to others.
 	summaryInterval = time.Second
+	// slowSummaryInterval applies with more than manyRegions regions, to keep the bytes within the
+	// control budget.
+	slowSummaryInterval = 2 * time.Second
+	manyRegions         = 9
 	// summaryLife is the age at which the entry VMs of a region no longer count.
 	summaryLife = 5 * time.Second
 	// maxEntries bounds the entry VMs in a summary.
@@ -91,16 +95,21 @@
 // tickSummary sends this region's summary to the representatives of the others.
 func (g *Gateway) tickSummary(_ context.Context, now time.Time) {
 	s := g.Snapshot()
-	if s == nil || now.Sub(g.lastSummary) < summaryInterval {
+	interval := summaryInterval
+	if s != nil && len(s.File.Regions) > manyRegions {
+		interval = slowSummaryInterval
+	}
+	if s == nil || now.Sub(g.lastSummary) < interval {
 		return
 	}
 	g.lastSummary = now
-	if !contains(g.members.Representatives(now, g.Self.Region), g.Self.Slot) {
+	slots := g.members.Abroad(now)
+	if len(slots) == 0 {
 		return
 	}
 	summary := g.summary(now, s)
-	for _, session := range g.sessions.all() {
-		if session.Peer.Region != g.Self.Region {
+	for _, slot := range slots {
+		if session := g.sessions.get(slot); session != nil {
 			session.Control(vmwire.KindSummary, summary)
 		}
 	}
@@ -141,7 +150,7 @@
 
 // onSummary records the summary of another region. The first VM of a region that gets it passes it
 // on to the others of its region.
-func (g *Gateway) onSummary(m message) {
+func (g *Gateway) onSummary(ctx context.Context, m message) {
 	var w vmwire.Summary
 	if !g.decode(m, &w) || w.Region == g.Self.Region {
 		return
@@ -167,9 +176,11 @@
 		return
 	}
 	w.AgeMillis = now.Sub(at).Milliseconds()
-	for _, s := range g.sessions.all() {
-		if s.Peer.Region == g.Self.Region {
+	for _, slot := range g.members.Live(now, g.Self.Region) {
+		if s := g.sessions.get(slot); s != nil {
 			s.Control(vmwire.KindSummary, &w)
+		} else {
+			g.dial(ctx, slot)
 		}
 	}
 }
--- a/member/authority.go
+++ b/member/authority.go
@@ -66,6 +66,8 @@
 // Next starts a round of heartbeats and returns its sequence number.
 func (t *Table) Next(now time.Time) uint64 {
 	t.sequence++
+	t.hurry = t.hurry && !t.hurried
+	t.hurried = t.hurry
 	t.sent = append(t.sent, sentHeartbeat{sequence: t.sequence, at: now})
 	if len(t.sent) > maxSent {
 		t.sent = append(t.sent[:0], t.sent[1:]...)
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -290,7 +290,7 @@
 			for _, vm := range vms {
 				roles := map[string][]string{
 					"readers":         table.Readers(epoch, vm.Region),
-					"representatives": table.Representatives(epoch, vm.Region),
+					"representatives": table.Representatives(epoch, vm.Region, "r1"),
 					"watcher":         {table.Watcher(epoch, "u"+vm.Name, vm.Region, vm.FailureDomain)},
 				}
 				for role, slots := range roles {
--- a/member/role.go
+++ b/member/role.go
@@ -20,15 +20,18 @@
 	return t.spread(now, "config/"+region, region, maxReaders)
 }
 
-// Representatives returns the VMs that speak for a region towards the others.
-func (t *Table) Representatives(now time.Time, region string) []string {
+// Representatives returns the VMs that speak for a region towards another one. They differ between
+// the other regions, so that the messages are spread over the VMs of the region.
+func (t *Table) Representatives(now time.Time, region, other string) []string {
 	n := maxRepresentatives
 	if t.regionCount() >= manyRegions {
 		n = 1
 	}
-	return t.spread(now, "region/"+region, region, n)
+	return t.spread(now, pairKey(region, other), region, n)
 }
 
+func pairKey(region, other string) string { return "region/" + region + "/" + other }
+
 // Watcher returns the VM that polls an upstream: one of its failure domain, or one of its region
 // if the failure domain has none. It returns nothing if the region has no live VM.
 func (t *Table) Watcher(now time.Time, upstream, region, failureDomain string) string {
--- a/member/table.go
+++ b/member/table.go
@@ -19,6 +19,11 @@
 	DeadAfter = 1500 * time.Millisecond
 	// relayedDeadAfter applies to VMs heard of through others, which adds one heartbeat interval.
 	relayedDeadAfter = DeadAfter + Interval
+	// abroadRounds is the number of heartbeat rounds of which one goes to other regions: their VMs
+	// only serve as entries there, and summaries tell of them.
+	abroadRounds = 4
+	// AbroadDeadAfter is DeadAfter for VMs of other regions.
+	AbroadDeadAfter = 6 * time.Second
 	// PauseGap is the longest gap between ticks that is not a pause.
 	PauseGap = time.Second
 )
@@ -111,6 +116,8 @@
 	// slots are the sorted names of rows, so that passes have one order.
 	slots    []string
 	lastTick time.Time
+	// hurry is set until the next round but one.
+	hurry, hurried bool
 	authority
 }
 
@@ -278,9 +285,18 @@
 	if r == nil {
 		return false
 	}
-	return slot == t.self || now.Sub(r.heard) < DeadAfter || now.Sub(r.relayed) < relayedDeadAfter
+	if slot == t.self {
+		return true
+	}
+	if r.Region != t.region() {
+		return now.Sub(r.heard) < AbroadDeadAfter
+	}
+	return now.Sub(r.heard) < DeadAfter || now.Sub(r.relayed) < relayedDeadAfter
 }
 
+// Hurry makes the next round of heartbeats go to other regions, too.
+func (t *Table) Hurry() { t.hurry = true }
+
 // Row returns a copy of the state of a slot.
 func (t *Table) Row(slot string) (Row, bool) {
 	r := t.rows[slot]
--- a/member/target.go
+++ b/member/target.go
@@ -10,7 +10,7 @@
 // In a region of up to FullMesh VMs these are all its other VMs. In a larger one they are the VMs
 // of the own failure domain and one VM of each other failure domain, which differs by sender so
 // that the failure of one VM hides few others. Until the announcement is complete they are all VMs
-// of the region. A representative of its region also sends to those of the other regions.
+// of the region. In one of abroadRounds rounds a representative also sends to those of other regions.
 func (t *Table) Targets(now time.Time) []string {
 	own := t.rows[t.self]
 	if own == nil {
@@ -20,8 +20,8 @@
 	if len(targets) >= FullMesh && t.announcedBy(now) {
 		targets = t.sparse(now, own, targets)
 	}
-	if slices.Contains(t.Representatives(now, own.Region), t.self) {
-		targets = append(targets, t.abroad(now, own.Region)...)
+	if t.sequence%abroadRounds == 0 || t.hurry {
+		targets = append(targets, t.Abroad(now)...)
 	}
 	slices.Sort(targets)
 	return slices.Compact(targets)
@@ -42,8 +42,9 @@
 	return targets
 }
 
-// abroad picks the representatives of the other regions.
-func (t *Table) abroad(now time.Time, home string) []string {
+// Abroad returns the representatives of the other regions for which this VM speaks.
+func (t *Table) Abroad(now time.Time) []string {
+	home := t.region()
 	regions := map[string][]string{}
 	for _, slot := range t.slots {
 		if r := t.rows[slot].Region; r != home {
@@ -56,10 +57,13 @@
 	}
 	var targets []string
 	for region, slots := range regions {
-		live := t.Representatives(now, region)
+		if !slices.Contains(t.Representatives(now, home, region), t.self) {
+			continue
+		}
+		live := t.Representatives(now, region, home)
 		targets = append(targets, live...)
 		if len(live) < n {
-			targets = append(targets, probe(now, "region/"+region, slots))
+			targets = append(targets, probe(now, pairKey(region, home), slots))
 		}
 	}
 	return targets
