--- a/admin/server.go
+++ b/admin/server.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"strconv"
 	"time"
 
@@ -28,11 +29,13 @@
 	s := &Server{Gateway: g}
 	s.http = kratoshttp.NewServer(kratoshttp.Listener(l), kratoshttp.Timeout(0))
 	s.http.ReadHeaderTimeout = 5 * time.Second
-	s.http.WriteTimeout = 30 * time.Second
+	s.http.WriteTimeout = 2 * time.Minute // A processor profile takes as long as it is asked for.
 	s.http.HandleFunc("/admin/status", s.status)
 	s.http.HandleFunc("/admin/explain", s.explain)
 	s.http.HandleFunc("/admin/audit", s.audit)
 	s.http.Handle("/metrics", g.Metrics.Handler())
+	s.http.HandleFunc("/debug/pprof/profile", pprof.Profile) // Before the prefix, which would take it.
+	s.http.HandlePrefix("/debug/pprof/", http.HandlerFunc(pprof.Index))
 	s.http.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprintln(w, "ok") })
 	return s
 }
