Add the scenario benchmark: the five measures with real VMs

Cause: the policy table comes from a model; the measures must also come from real VMs, with links and faults. Change: BenchmarkScenarios runs both example deployments in one process with emulated links: steady load, offset peaks, a tenant at five times its load, loss and return of a region, a partition, a rolling replacement, and the configuration service down.

--- /dev/null
+++ b/proof/scenario_test.go
@@ -0,0 +1,293 @@
+package proof
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"text/tabwriter"
+	"time"
+
+	"parsleyhatch/config"
+	"parsleyhatch/gateway"
+	"parsleyhatch/loadgen"
+	"parsleyhatch/standin"
+)
+
+var (
+	scenarioSeeds = flag.Int("scenario.seeds", 3, "seeds of each scenario")
+	scenarioTime  = flag.Duration("scenario.time", 15*time.Second, "time over which requests arrive")
+	scenarioRate  = flag.Float64("scenario.rate", 60, "requests a second over all workspaces")
+	scenarioFirst = flag.Int("scenario.first", 1, "first seed")
+)
+
+// rateFactor raises the example workspaces' rates, so that the engines and not the rates limit.
+const rateFactor = 6
+
+// scenarioFleet is a deployment of the examples with emulated links.
+type scenarioFleet struct {
+	*fleet
+	upstreams *standin.Fleet
+	wan       *standin.WAN
+	keys      map[string]string
+	work      []loadgen.Work
+}
+
+// scenario changes the load, and what happens during a run.
+type scenario struct {
+	name string
+	// load changes the workspaces' arrival rates.
+	load func([]loadgen.Workspace)
+	// during runs beside the load; the load takes the given time.
+	during func(*scenarioFleet, time.Duration)
+}
+
+func scenarios() []scenario {
+	return []scenario{
+		{name: "steady"},
+		{name: "offset peaks", load: offsetPeaks},
+		{name: "tenant at 5x", load: func(w []loadgen.Workspace) { w[len(w)-1].RequestsPerSecond *= 5 }},
+		{name: "region lost, returns cold", during: loseRegion},
+		{name: "partition", during: partition},
+		{name: "rolling replacement", during: replaceAll},
+		{name: "configuration down", during: platformDown},
+	}
+}
+
+// offsetPeaks gives the first region twice its load and the last one a fifth.
+func offsetPeaks(list []loadgen.Workspace) {
+	factors := map[string]float64{"porto-a": 2, "faro-a": 0.2, "portroyal-1": 2, "negril-1": 0.2}
+	for i := range list {
+		if f, ok := factors[list[i].Region]; ok {
+			list[i].RequestsPerSecond *= f
+		}
+	}
+}
+
+// loseRegion crashes all engines of the first region for a third of the time.
+func loseRegion(f *scenarioFleet, d time.Duration) {
+	time.Sleep(d / 3)
+	end := time.Now().Add(d / 3)
+	region := f.file.Regions[0].Name
+	for time.Now().Before(end) {
+		for i := range f.file.Upstreams {
+			u := &f.file.Upstreams[i]
+			if e := f.upstreams.Engines[u.Name]; e != nil && u.Region == region {
+				e.Crash()
+			}
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+// partition cuts the first region off for a third of the time.
+func partition(f *scenarioFleet, d time.Duration) {
+	time.Sleep(d / 3)
+	for _, r := range f.file.Regions[1:] {
+		f.wan.CutBoth(f.file.Regions[0].Name, r.Name)
+	}
+	time.Sleep(d / 3)
+	for _, r := range f.file.Regions[1:] {
+		f.wan.HealBoth(f.file.Regions[0].Name, r.Name)
+	}
+}
+
+// replaceAll stops each VM gracefully and starts its successor, one after the other.
+func replaceAll(f *scenarioFleet, d time.Duration) {
+	for i := range f.file.VMs {
+		slot := f.file.VMs[i].Name
+		n := f.nodes[slot]
+		n.gateway.Drain(context.Background())
+		time.Sleep(d / 30)
+		f.kill(slot)
+		f.startVM(slot)
+	}
+}
+
+// platformDown stops the configuration service for most of the time.
+func platformDown(f *scenarioFleet, d time.Duration) {
+	f.setMode(standin.ModeDown)
+	time.Sleep(d)
+	f.setMode(standin.ModeUp)
+}
+
+func (f *scenarioFleet) setMode(m standin.Mode) {
+	f.t.Helper()
+	if err := f.platform.SetMode(m, 0); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// startScenarioFleet starts an example deployment in this process.
+func startScenarioFleet(b *testing.B, name string, work []loadgen.Work) *scenarioFleet {
+	b.Helper()
+	data, err := os.ReadFile("../config/examples/" + name + ".json")
+	if err != nil {
+		b.Fatal(err)
+	}
+	file, err := config.Parse(data)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for i := range file.Workspaces {
+		file.Workspaces[i].Rate *= rateFactor
+		file.Workspaces[i].Burst *= rateFactor
+	}
+	keyData, err := os.ReadFile("../config/examples/" + name + ".keys")
+	if err != nil {
+		b.Fatal(err)
+	}
+	f := &scenarioFleet{work: work, wan: standin.NewWAN(standin.RegionsOf(file), file.Links)}
+	b.Cleanup(f.wan.Close)
+	if f.keys, err = loadgen.ParseKeys(keyData); err != nil {
+		b.Fatal(err)
+	}
+	f.upstreams, err = standin.StartFleet(file, standin.FleetSettings{
+		Engine: standin.EngineSettings{
+			TokensPerSecond: 100, PrefillPerSecond: 20000, CacheTokens: 20000, LoadLag: 500 * time.Millisecond,
+			CacheEventDelay: time.Second, CacheEventLoss: 0.05, Credential: credential, RestartTime: time.Second, PieceTokens: 4,
+		},
+		Service: standin.ServiceSettings{Credential: credential, Latency: 5 * time.Millisecond},
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(f.upstreams.Close)
+	f.fleet = startFleet(b, fleetOptions{
+		regions: []string{"unused"},
+		edit:    func(c *config.File) { *c = *file },
+		prepare: func(g *gateway.Gateway) {
+			dial := f.wan.Dialer(g.Self.Region, nil)
+			g.Endpoint.DialFunc = func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, address) }
+		},
+	})
+	return f
+}
+
+// runScenario sends one seeded load.
+func (f *scenarioFleet) runScenario(b *testing.B, s scenario, seed uint64) *loadgen.Report {
+	b.Helper()
+	settings := loadgen.Settings{
+		Workspaces: loadgen.Workspaces(f.file, f.keys, *scenarioRate),
+		Work:       f.work, Duration: *scenarioTime, Seed: seed, UpstreamTokens: f.upstreams.Processed,
+		MaxOutstanding: 4000,
+	}
+	if s.load != nil {
+		s.load(settings.Workspaces)
+	}
+	for i := range f.file.VMs {
+		settings.Entries = append(settings.Entries, f.file.VMs[i].CallerAddress)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if s.during != nil {
+			s.during(f, *scenarioTime)
+		}
+	}()
+	report, err := loadgen.Run(context.Background(), settings)
+	<-done
+	if err != nil {
+		b.Fatal(err)
+	}
+	return report
+}
+
+// measures are the columns of the table.
+type measures struct {
+	sent, done                                   float64
+	cost, draftFirst, draftEnd, interactiveFirst float64
+	remote, worst, within, invalid               float64
+}
+
+func measuresOf(r *loadgen.Report) measures {
+	m := measures{cost: r.UpstreamTokensPerToken, worst: 100 * r.WorstService}
+	for _, row := range r.Rows {
+		switch {
+		case row.Workspace != "all":
+		case row.Class == "all":
+			m.sent, m.done, m.remote = float64(row.Sent), float64(row.Done), 100*row.RemoteShare
+			m.within, m.invalid = float64(row.RefusedWithinRate), float64(row.Invalid+row.Broken+row.Failed)
+		case row.Class == config.ClassDraft:
+			m.draftFirst, m.draftEnd = row.FirstByteMillis.P99, row.TotalMillis.P99
+		case row.Class == config.ClassInteractive:
+			m.interactiveFirst = row.FirstByteMillis.P99
+		}
+	}
+	return m
+}
+
+// BenchmarkScenarios prints the five measures for both deployments in each scenario, with real VMs,
+// stand-ins and emulated links in one process: mean and range over the seeds.
+func BenchmarkScenarios(b *testing.B) {
+	deployments := []struct {
+		name string
+		work []loadgen.Work
+	}{{"association", loadgen.Association()}, {"registry", loadgen.Registry()}}
+	for _, d := range deployments {
+		for _, s := range scenarios() {
+			b.Run(d.name+"/"+strings.ReplaceAll(s.name, " ", "-"), func(b *testing.B) {
+				if b.N > 1 {
+					b.Skip("one run is enough; use -benchtime 1x")
+				}
+				f := startScenarioFleet(b, d.name, ticketsOnly(d.work))
+				var list []measures
+				for i := range *scenarioSeeds {
+					report := f.runScenario(b, s, uint64(*scenarioFirst+i))
+					list = append(list, measuresOf(report))
+					for _, p := range report.Problems {
+						b.Log(p)
+					}
+				}
+				printMeasures(d.name, s.name, list)
+			})
+		}
+	}
+}
+
+// ticketsOnly lets all calls that may not be repeated use tickets: opaque keys are refused for the
+// retry horizon after a start, which would hide everything else.
+func ticketsOnly(work []loadgen.Work) []loadgen.Work {
+	for i := range work {
+		work[i].Tickets = 1
+	}
+	return work
+}
+
+func printMeasures(deployment, scenario string, list []measures) {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	defer func() { _ = w.Flush() }()
+	columns := []struct {
+		name string
+		of   func(measures) float64
+	}{
+		{"sent", func(m measures) float64 { return m.sent }},
+		{"done", func(m measures) float64 { return m.done }},
+		{"cost tok/tok", func(m measures) float64 { return m.cost }},
+		{"draft first p99 ms", func(m measures) float64 { return m.draftFirst }},
+		{"draft end p99 ms", func(m measures) float64 { return m.draftEnd }},
+		{"interactive first p99 ms", func(m measures) float64 { return m.interactiveFirst }},
+		{"sent away %", func(m measures) float64 { return m.remote }},
+		{"worst workspace served %", func(m measures) float64 { return m.worst }},
+		{"refused within rate", func(m measures) float64 { return m.within }},
+		{"broken or invalid", func(m measures) float64 { return m.invalid }},
+	}
+	fmt.Fprintf(w, "%s, %s (%d seeds)\t", deployment, scenario, len(list))
+	for _, c := range columns {
+		fmt.Fprintf(w, "%s: %s\t", c.name, meanRange(list, c.of))
+	}
+	fmt.Fprintln(w)
+}
+
+func meanRange(list []measures, of func(measures) float64) string {
+	mean, low, high := 0.0, of(list[0]), of(list[0])
+	for _, m := range list {
+		v := of(m)
+		mean += v / float64(len(list))
+		low, high = min(low, v), max(high, v)
+	}
+	return fmt.Sprintf("%.4g [%.4g..%.4g]", mean, low, high)
+}
