--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/uber-go/tally/v4"
 	tallyprom "github.com/uber-go/tally/v4/prometheus"
@@ -29,6 +30,7 @@
 // New returns metrics whose values carry the VM's slot and region.
 func New(slot, region string) *Metrics {
 	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 "parsleyhatch",
--- a/proof/bench_test.go
+++ b/proof/bench_test.go
@@ -28,9 +28,7 @@
 				}
 			}
 			file.Upstreams = kept
-			for i := range file.Workspaces {
-				file.Workspaces[i].Rate, file.Workspaces[i].Burst = 1_000_000_000, 1_000_000_000
-			}
+			unlimited(file)
 			// All of the rate is usable in both regions.
 			for i := range file.Workspaces {
 				file.Workspaces[i].RegionShares = map[string]float64{"norte": 0.5, "centro": 0.5}
@@ -39,6 +37,13 @@
 	})
 }
 
+// unlimited gives each workspace more tokens than a benchmark takes.
+func unlimited(file *config.File) {
+	for i := range file.Workspaces {
+		file.Workspaces[i].Rate, file.Workspaces[i].Burst = 1_000_000_000, 1_000_000_000
+	}
+}
+
 // benchClient keeps its connection, as callers' libraries do.
 var benchClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 
