Shrink the buffers of upstream connections

Cause: each open stream held 4 KiB read and write buffers of its connection and 4 KiB to split events, for events of about 250 bytes.

Change: 2 KiB, 1 KiB and 1 KiB. Longer lines are collected as before.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -24,6 +24,14 @@
 	maxControlBytes = 1 << 20
 	// maxIdlePerUpstream is the number of idle connections kept to one upstream.
 	maxIdlePerUpstream = 64
+	// readBuffer and writeBuffer are the sizes of a connection's buffers, in bytes. A streamed token
+	// is an event of about 250 bytes, so the library's default of 4 KiB each only costs memory on
+	// every open stream. Larger bodies bypass the buffers.
+	readBuffer  = 2 << 10
+	writeBuffer = 1 << 10
+	// eventBuffer is the size of the buffer that events are split in, in bytes; longer lines are
+	// collected in pieces.
+	eventBuffer = 1 << 10
 )
 
 // Headers between the gateway and engines.
@@ -94,6 +102,8 @@
 		MaxIdleConnsPerHost: maxIdlePerUpstream,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
+		ReadBufferSize:      readBuffer,
+		WriteBufferSize:     writeBuffer,
 	}}
 	return c
 }
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -88,7 +88,7 @@
 		requestID:    call.RequestID,
 		next:         call.ResumeFrom,
 		body:         resp.Body,
-		reader:       bufio.NewReaderSize(resp.Body, 4<<10),
+		reader:       bufio.NewReaderSize(resp.Body, eventBuffer),
 		stall:        call.Stall,
 		timer:        timer,
 		cancel:       cancel,
