Keep the tagged metrics of requests

Cause: tally builds a map and a sorted key under a lock for each look-up of tagged values, and each request made three such look-ups.

Change: the values are kept by route, code and outcome.

--- /dev/null
+++ b/metrics/bench_test.go
@@ -0,0 +1,17 @@
+package metrics
+
+import (
+	"testing"
+	"time"
+)
+
+// BenchmarkRequest measures the metrics of one finished request.
+func BenchmarkRequest(b *testing.B) {
+	m := New("norte-1", "norte")
+	defer func() { _ = m.Close() }()
+	b.ReportAllocs()
+	for b.Loop() {
+		m.FirstToken("chat", time.Millisecond)
+		m.Request("chat", "ok", "ran", false, time.Second, 100)
+	}
+}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -25,6 +26,9 @@
 	scope    tally.Scope
 	closer   io.Closer
 	registry *prometheus.Registry
+	// outcomes holds *outcomeValues by outcomeKey, and firstTokens tally.Histogram by route.
+	outcomes    sync.Map
+	firstTokens sync.Map
 }
 
 // New returns metrics whose values carry the VM's slot and region.
@@ -50,21 +54,52 @@
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
 
+// outcomeKey holds the tags of a finished request.
+type outcomeKey struct{ route, code, ran string }
+
+// outcomeValues are the values with the tags of one outcomeKey.
+type outcomeValues struct {
+	scope    tally.Scope
+	requests tally.Counter
+	tokens   tally.Counter
+	duration tally.Histogram
+}
+
 // Request counts a finished request.
 func (m *Metrics) Request(route, code, ran string, forwarded bool, took time.Duration, tokens int64) {
-	tags := map[string]string{"route": route, "code": code, "ran": ran}
-	scope := m.scope.Tagged(tags)
-	scope.Counter("requests").Inc(1)
+	v := m.outcome(outcomeKey{route: route, code: code, ran: ran})
+	v.requests.Inc(1)
 	if forwarded {
-		scope.Counter("requests_sent_away").Inc(1)
+		v.scope.Counter("requests_sent_away").Inc(1)
 	}
-	scope.Counter("answer_tokens").Inc(tokens)
-	scope.Histogram("request_duration", latencyBuckets).RecordDuration(took)
+	v.tokens.Inc(tokens)
+	v.duration.RecordDuration(took)
+}
+
+// outcome returns the values of a key. They are kept, since tally builds a map, a sorted key and a
+// lock for each look-up of tagged values. Two requests that create them get the same ones of tally.
+func (m *Metrics) outcome(key outcomeKey) *outcomeValues {
+	if v, ok := m.outcomes.Load(key); ok {
+		return v.(*outcomeValues)
+	}
+	scope := m.scope.Tagged(map[string]string{"route": key.route, "code": key.code, "ran": key.ran})
+	v, _ := m.outcomes.LoadOrStore(key, &outcomeValues{
+		scope:    scope,
+		requests: scope.Counter("requests"),
+		tokens:   scope.Counter("answer_tokens"),
+		duration: scope.Histogram("request_duration", latencyBuckets),
+	})
+	return v.(*outcomeValues)
 }
 
 // FirstToken records the time from arrival to the first byte of an answer.
 func (m *Metrics) FirstToken(route string, took time.Duration) {
-	m.scope.Tagged(map[string]string{"route": route}).Histogram("first_token", latencyBuckets).RecordDuration(took)
+	v, ok := m.firstTokens.Load(route)
+	if !ok {
+		scope := m.scope.Tagged(map[string]string{"route": route})
+		v, _ = m.firstTokens.LoadOrStore(route, scope.Histogram("first_token", latencyBuckets))
+	}
+	v.(tally.Histogram).RecordDuration(took)
 }
 
 // Count adds to a counter without tags.
