Reuse buffers of frames between VMs

Cause: a token took nine allocations on its way through a session: its chunk and its frame on the sending side, the frame and a second copy of its body on the other.

Change: encoded chunks and frames come from a pool and return to it after the write; a received body is decoded to the front of its frame's buffer, and the data of a chunk to the front of that body. The generated decoder and all of its checks stay in use.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -61,7 +61,8 @@
 			out.AnswerTokens = p.tokens
 			return out
 		}
-		var c vmwire.Chunk
+		// The body belongs to this stream, so that its data is decoded in place.
+		c := vmwire.Chunk{Data: body[:0]}
 		if _, err := c.UnmarshalMsg(body); err != nil || c.Start != p.next || c.End < c.Start {
 			event.ChunkMismatched.Log(g.Log, "request", r.ID, "peer", s.Peer.Slot)
 			st.Reset()
--- a/vm/frame.go
+++ b/vm/frame.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"sync"
 
 	"github.com/tinylib/msgp/msgp"
 
@@ -17,6 +18,30 @@
 // lengthBytes is the size of the big-endian length before each frame.
 const lengthBytes = 4
 
+// maxPooledBytes bounds the buffers that are kept for reuse: the usual frame holds one token, and a
+// few large ones should not stay in memory.
+const maxPooledBytes = 4 << 10
+
+// buffers holds *[]byte of encoded frames and chunks for reuse.
+var buffers = sync.Pool{New: func() any { return new([]byte) }}
+
+func recycle(buf *[]byte) {
+	if cap(*buf) <= maxPooledBytes {
+		buffers.Put(buf)
+	}
+}
+
+// encodeFrame returns the encoded frame in a buffer to recycle once it has been written.
+func encodeFrame(f *vmwire.Frame) (*[]byte, error) {
+	buf := buffers.Get().(*[]byte)
+	encoded, err := appendFrame((*buf)[:0], f)
+	if err != nil {
+		return nil, err
+	}
+	*buf = encoded
+	return buf, nil
+}
+
 // appendFrame appends the length and the encoded frame to buf.
 func appendFrame(buf []byte, f *vmwire.Frame) ([]byte, error) {
 	start := len(buf)
@@ -46,6 +71,8 @@
 		return f, fmt.Errorf("read frame: %d bytes, above the limit of %d", size, MaxFrameBytes)
 	}
 	buf := make([]byte, size)
+	// The decoder copies the body to the front of this frame's own buffer instead of a second one.
+	f.Body = buf[:0]
 	if _, err := io.ReadFull(r, buf); err != nil {
 		return f, fmt.Errorf("read frame: %w", err)
 	}
--- a/vm/keepalive.go
+++ b/vm/keepalive.go
@@ -55,7 +55,7 @@
 
 // tryQueue queues a frame if there is room.
 func (s *Session) tryQueue(f *vmwire.Frame) {
-	buf, err := appendFrame(nil, f)
+	buf, err := encodeFrame(f)
 	if err != nil {
 		return
 	}
--- a/vm/session.go
+++ b/vm/session.go
@@ -44,7 +44,7 @@
 	endpoint *Endpoint
 	conn     net.Conn
 	reader   *bufio.Reader
-	out      chan []byte
+	out      chan *[]byte
 	done     chan struct{}
 	once     sync.Once
 	reason   error
@@ -65,7 +65,7 @@
 		endpoint: e,
 		conn:     conn,
 		reader:   bufio.NewReaderSize(conn, 16<<10),
-		out:      make(chan []byte, outQueue),
+		out:      make(chan *[]byte, outQueue),
 		done:     make(chan struct{}),
 		streams:  map[uint64]*Stream{},
 	}
@@ -143,7 +143,7 @@
 	if err != nil {
 		return false
 	}
-	buf, err := appendFrame(nil, &vmwire.Frame{Kind: kind, Body: body})
+	buf, err := encodeFrame(&vmwire.Frame{Kind: kind, Body: body})
 	if err != nil {
 		return false
 	}
@@ -159,7 +159,7 @@
 
 // send queues an encoded frame, waiting for room until ctx ends.
 func (s *Session) send(ctx context.Context, f *vmwire.Frame) error {
-	buf, err := appendFrame(nil, f)
+	buf, err := encodeFrame(f)
 	if err != nil {
 		return err
 	}
@@ -221,11 +221,14 @@
 			return
 		case buf := <-s.out:
 			_ = s.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-			if _, err := w.Write(buf); err != nil {
+			size := len(*buf)
+			_, err := w.Write(*buf)
+			recycle(buf)
+			if err != nil {
 				s.Close(fmt.Errorf("write: %w", err))
 				return
 			}
-			s.sent.Add(int64(len(buf)))
+			s.sent.Add(int64(size))
 		}
 		if len(s.out) > 0 {
 			continue
@@ -298,7 +301,7 @@
 }
 
 func (s *Session) resetUnknown(id uint64) error {
-	buf, err := appendFrame(nil, &vmwire.Frame{Kind: vmwire.KindReset, Stream: id})
+	buf, err := encodeFrame(&vmwire.Frame{Kind: vmwire.KindReset, Stream: id})
 	if err != nil {
 		return err
 	}
--- a/vm/session_test.go
+++ b/vm/session_test.go
@@ -15,7 +15,7 @@
 var testKey = []byte("fleet key of the tests")
 
 // pair returns a session from a to b; b serves streams with onStream.
-func pair(t *testing.T, keyA, keyB []byte, onStream func(*Stream, vmwire.Open)) (*Session, error) {
+func pair(t testing.TB, keyA, keyB []byte, onStream func(*Stream, vmwire.Open)) (*Session, error) {
 	t.Helper()
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	a, err := NewEndpoint(Identity{Slot: "a", Incarnation: 1}, keyA, log)
--- a/vm/stream.go
+++ b/vm/stream.go
@@ -65,10 +65,13 @@
 
 // SendChunk sends one chunk as a single Data frame. A chunk above WindowBytes is an error.
 func (st *Stream) SendChunk(ctx context.Context, c *vmwire.Chunk) error {
-	body, err := c.MarshalMsg(nil)
+	buf := buffers.Get().(*[]byte)
+	defer recycle(buf)
+	body, err := c.MarshalMsg((*buf)[:0])
 	if err != nil {
 		return fmt.Errorf("encode chunk: %w", err)
 	}
+	*buf = body
 	if len(body) > WindowBytes {
 		return fmt.Errorf("encode chunk: %d bytes, above the window of %d", len(body), WindowBytes)
 	}
