Reuse the memory of an engine's events

Cause: each event of an engine allocated its id, its data and the chunk that is passed on.

Change: they use the memory of the event before; a chunk's data was already valid only until the next call, and no sink keeps it. The checks of id and offsets are the same.

--- a/gateway/local.go
+++ b/gateway/local.go
@@ -194,6 +194,7 @@
 	}
 	defer stream.Close()
 	r.sent = true
+	var chunk vmwire.Chunk // Sinks keep neither it nor its data, so that one serves the whole stream.
 	for {
 		c, err := stream.Next()
 		if errors.Is(err, io.EOF) {
@@ -203,7 +204,7 @@
 			return g.attemptFailed(ctx, r, u, asFailure(err))
 		}
 		running.FirstToken()
-		chunk := vmwire.Chunk{Start: c.Start, End: c.End, Data: c.Data}
+		chunk = vmwire.Chunk{Start: c.Start, End: c.End, Data: c.Data}
 		if !p.started {
 			g.firstToken(r, sentAt, first)
 			chunk.Status = 200
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -9,7 +9,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 )
 
@@ -43,15 +42,19 @@
 	// PromptTokens is the engine's count, zero if it does not tell.
 	PromptTokens int64
 
-	requestID string
-	next      int64
-	body      io.ReadCloser
-	reader    *bufio.Reader
-	stall     time.Duration
-	timer     *time.Timer
-	cancel    context.CancelCauseFunc
-	ctx       context.Context
-	done      bool
+	// idPrefix is "<request id>:", with which the id of each event must start.
+	idPrefix []byte
+	next     int64
+	body     io.ReadCloser
+	reader   *bufio.Reader
+	stall    time.Duration
+	timer    *time.Timer
+	cancel   context.CancelCauseFunc
+	ctx      context.Context
+	done     bool
+	// id and data are those of the last event; their memory is used again for the next one.
+	id   []byte
+	data []byte
 }
 
 var errStalled = errors.New("engine sent nothing for too long")
@@ -85,7 +88,7 @@
 	prompt, _ := strconv.ParseInt(resp.Header.Get("X-Prompt-Tokens"), 10, 64)
 	return &Stream{
 		PromptTokens: prompt,
-		requestID:    call.RequestID,
+		idPrefix:     []byte(call.RequestID + ":"),
 		next:         call.ResumeFrom,
 		body:         resp.Body,
 		reader:       bufio.NewReaderSize(resp.Body, eventBuffer),
@@ -120,17 +123,16 @@
 // another request and gaps are a Mismatched failure. Data is valid until the next call.
 func (s *Stream) Next() (Chunk, error) {
 	for {
-		id, data, err := s.event()
-		if err != nil {
+		if err := s.event(); err != nil {
 			return Chunk{}, err
 		}
-		if bytes.Equal(data, []byte("[DONE]")) {
+		if string(s.data) == "[DONE]" {
 			if !s.done {
 				return Chunk{}, &Failure{Kind: Broken, Err: errors.New("stream ended before its last chunk")}
 			}
 			return Chunk{}, io.EOF
 		}
-		c, fail := s.check(id, data)
+		c, fail := s.check(s.id, s.data)
 		if fail != nil {
 			return Chunk{}, fail
 		}
@@ -144,14 +146,14 @@
 }
 
 // check parses "<request id>:<start>:<end>" and compares it with what is expected.
-func (s *Stream) check(id string, data []byte) (Chunk, *Failure) {
-	rest, ok := strings.CutPrefix(id, s.requestID+":")
+func (s *Stream) check(id, data []byte) (Chunk, *Failure) {
+	rest, ok := bytes.CutPrefix(id, s.idPrefix)
 	if !ok {
 		return Chunk{}, &Failure{Kind: Mismatched, Err: fmt.Errorf("chunk %q is of another request", id)}
 	}
-	first, last, _ := strings.Cut(rest, ":")
-	start, err1 := strconv.ParseInt(first, 10, 64)
-	end, err2 := strconv.ParseInt(last, 10, 64)
+	first, last, _ := bytes.Cut(rest, []byte(":"))
+	start, err1 := strconv.ParseInt(string(first), 10, 64)
+	end, err2 := strconv.ParseInt(string(last), 10, 64)
 	if err1 != nil || err2 != nil || end < start {
 		return Chunk{}, &Failure{Kind: Mismatched, Err: fmt.Errorf("chunk %q has no valid offsets", id)}
 	}
@@ -161,24 +163,25 @@
 	return Chunk{Start: start, End: end, Data: data}, nil
 }
 
-// event reads one server-sent event.
-func (s *Stream) event() (id string, data []byte, err error) {
+// event reads one server-sent event into id and data.
+func (s *Stream) event() error {
 	s.timer.Reset(s.stall)
+	s.id, s.data = s.id[:0], s.data[:0]
 	for {
 		line, err := s.line()
 		if err != nil {
-			return "", nil, err
+			return err
 		}
 		if len(line) == 0 {
-			if data != nil {
-				return id, data, nil
+			if len(s.data) > 0 {
+				return nil
 			}
 			continue
 		}
 		if v, ok := bytes.CutPrefix(line, []byte("id: ")); ok {
-			id = string(v)
+			s.id = append(s.id[:0], v...)
 		} else if v, ok := bytes.CutPrefix(line, []byte("data: ")); ok {
-			data = append(data, v...)
+			s.data = append(s.data, v...)
 		}
 	}
 }
