Start one VM process for both figures of BenchmarkVMCore

Cause: a VM that replaces an earlier one waits up to 12 s before it is ready, and the benchmark started one for each sub-benchmark and count.

Change: both sub-benchmarks use one fleet. What they measure is the same.

--- a/proof/vmprocess_test.go
+++ b/proof/vmprocess_test.go
@@ -90,14 +90,14 @@
 // BenchmarkVMCore reports what one VM does on one core, with its load from this process: requests of
 // one token, and tokens of long answers.
 func BenchmarkVMCore(b *testing.B) {
+	f := startFleet(b, fleetOptions{regions: []string{"norte"}, vmsPerRegion: 1, engines: 1,
+		engine: standin.EngineSettings{MaxBatch: 64}, edit: unlimited})
+	admin := startVMProcess(b, f, 1)
 	for _, c := range []struct {
 		name   string
 		tokens int
 	}{{"requests", 1}, {"tokens", 400}} {
 		b.Run(c.name, func(b *testing.B) {
-			f := startFleet(b, fleetOptions{regions: []string{"norte"}, vmsPerRegion: 1, engines: 1,
-				engine: standin.EngineSettings{MaxBatch: 64}, edit: unlimited})
-			admin := startVMProcess(b, f, 1)
 			postMany(b, f, 200, c.tokens)
 			before := scrape(b, admin, "process_cpu_seconds_total")
 			b.ResetTimer()
