--- a/loadgen/client.go
+++ b/loadgen/client.go
@@ -156,10 +156,15 @@
 	if err != nil {
 		return "", err
 	}
-	// The VM that issues a ticket runs the call, so the best one is asked.
-	d, err := c.askEntry(ctx, list[0].Address, key, ticketsAsked)
-	if err != nil {
-		return "", err
+	// The VM that issues a ticket runs the call, so the best one is asked first. One that leaves
+	// or has just started issues none.
+	d := &Directory{}
+	for _, vm := range list {
+		answer, err := c.askEntry(ctx, vm.Address, key, ticketsAsked)
+		if err == nil && len(answer.Tickets) > 0 {
+			d = answer
+			break
+		}
 	}
 	if len(d.Tickets) == 0 {
 		return "", fmt.Errorf("%w: the directory issued no ticket", errInvalid)
--- a/loadgen/report.go
+++ b/loadgen/report.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"slices"
 	"text/tabwriter"
@@ -65,6 +67,8 @@
 	// UpstreamTokensPerToken is the cost: tokens that engines processed, prompts included, for each
 	// received token. It is 0 if not measured.
 	UpstreamTokensPerToken float64 `json:"upstreamTokensPerToken"`
+	// Refusals counts the final refusals by code.
+	Refusals map[string]int `json:"refusals"`
 	// Problems describes the first requests that ended neither done nor refused.
 	Problems []string `json:"problems"`
 }
@@ -77,7 +81,7 @@
 
 func newReport(s *Settings, results []result, upstreamTokens int64) *Report {
 	groups := map[rowKey][]*result{}
-	report := &Report{Seed: s.Seed, WorstService: math.Inf(1), Problems: []string{}}
+	report := &Report{Seed: s.Seed, WorstService: math.Inf(1), Problems: []string{}, Refusals: map[string]int{}}
 	for i := range results {
 		res := &results[i]
 		w, c := res.request.workspace.Name, res.request.work.Class
@@ -103,6 +107,10 @@
 }
 
 func (r *Report) addProblem(res *result) {
+	var refusal *Refusal
+	if res.outcome == outcomeRefused && errors.As(res.err, &refusal) {
+		r.Refusals[refusal.Code]++
+	}
 	ended := res.outcome == outcomeDone || res.outcome == outcomeRefused || res.outcome == outcomeDropped
 	if ended || len(r.Problems) >= maxProblems {
 		return
@@ -235,6 +243,9 @@
 	}
 	_, err := fmt.Fprintf(w, "worst-served workspace: %s, %.1f%%; upstream tokens for each received token: %.2f; seed %d\n",
 		r.WorstWorkspace, 100*r.WorstService, r.UpstreamTokensPerToken, r.Seed)
+	for _, code := range slices.Sorted(maps.Keys(r.Refusals)) {
+		fmt.Fprintf(w, "refused with %s: %d\n", code, r.Refusals[code])
+	}
 	for _, p := range r.Problems {
 		fmt.Fprintln(w, "problem:", p)
 	}
