Join orders to engines to the gateway's control loop

Cause: package order decided about engines, but no VM fed it or sent its orders. Change: a configuration section for placements; engines report what they run; a model with a placement is routed only to engines whose last report names it; the control loop feeds the table of orders from the load reports of the region and sends its orders. The protocol between VMs becomes 2.

--- a/config/diff.go
+++ b/config/diff.go
@@ -17,6 +17,7 @@
 	EntityWorkspace = "workspace"
 	EntityKey       = "key"
 	EntityUpstream  = "upstream"
+	EntityPlacement = "placement"
 )
 
 // Actions of a change.
@@ -55,6 +56,7 @@
 	list = append(list, diffSection(EntityWorkspace, a.Workspaces, b.Workspaces, func(w *Workspace) string { return w.Name }, nil)...)
 	list = append(list, diffSection(EntityKey, a.Keys, b.Keys, func(k *Key) string { return k.ID }, keyAction)...)
 	list = append(list, diffSection(EntityUpstream, a.Upstreams, b.Upstreams, func(u *Upstream) string { return u.Name }, upstreamAction)...)
+	list = append(list, diffSection(EntityPlacement, a.Placements, b.Placements, func(p *Placement) string { return p.Name }, nil)...)
 	return list
 }
 
--- a/config/file.go
+++ b/config/file.go
@@ -35,6 +35,7 @@
 	Workspaces []Workspace `json:"workspaces,omitempty"`
 	Keys       []Key       `json:"keys,omitempty"`
 	Upstreams  []Upstream  `json:"upstreams,omitempty"`
+	Placements []Placement `json:"placements,omitempty"`
 }
 
 // Region is a set of failure domains close to each other.
@@ -152,6 +153,25 @@
 	MaxBatch int `json:"maxBatch"`
 }
 
+// Placement says what the engines that it selects may be ordered to run. A model without a placement
+// is never ordered.
+type Placement struct {
+	// Name is unique.
+	Name string `json:"name"`
+	// Model is unique over placements, and the model of a route.
+	Model string `json:"model"`
+	// Version is the version of the model; empty leaves it to the engine.
+	Version string `json:"version,omitempty"`
+	// Adapters are loaded with the model.
+	Adapters []string `json:"adapters,omitempty"`
+	// Role is the role of the engines; empty is the engine's default.
+	Role string `json:"role,omitempty"`
+	// Selector picks by their labels the engines that may run the model.
+	Selector string `json:"selector"`
+	// MinReplicas is the number of replicas in each region below which none moves to another model.
+	MinReplicas int `json:"minReplicas,omitempty"`
+}
+
 // Parse decodes a configuration. An unknown field is an error, since it would otherwise be
 // ignored silently.
 func Parse(data []byte) (*File, error) {
@@ -176,4 +196,5 @@
 	f.Workspaces = append(f.Workspaces, part.Workspaces...)
 	f.Keys = append(f.Keys, part.Keys...)
 	f.Upstreams = append(f.Upstreams, part.Upstreams...)
+	f.Placements = append(f.Placements, part.Placements...)
 }
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -83,6 +83,8 @@
 	Upstreams map[string]*Upstream
 	// RouteUpstreams lists the upstreams that a route's selector picks, by route name.
 	RouteUpstreams map[string][]*Upstream
+	// Placements maps a model to its placement.
+	Placements map[string]*Placement
 	// Links maps an ordered pair of region names to the link between them.
 	Links map[[2]string]*Link
 
@@ -173,6 +175,7 @@
 		VMs:            make(map[string]*VM, len(f.VMs)),
 		Upstreams:      make(map[string]*Upstream, len(f.Upstreams)),
 		RouteUpstreams: make(map[string][]*Upstream, len(f.Routes)),
+		Placements:     make(map[string]*Placement, len(f.Placements)),
 		Links:          make(map[[2]string]*Link, 2*len(f.Links)),
 	}
 	s.index()
@@ -198,6 +201,9 @@
 		s.Links[[2]string{l.A, l.B}] = l
 		s.Links[[2]string{l.B, l.A}] = l
 	}
+	for i := range f.Placements {
+		s.Placements[f.Placements[i].Model] = &f.Placements[i]
+	}
 	for i := range f.Routes {
 		s.indexRoute(&f.Routes[i])
 	}
--- a/config/split.go
+++ b/config/split.go
@@ -11,12 +11,12 @@
 
 // Split divides a file into parts of about perPart entities, as operators publish it. An entity's
 // part depends on its name only, so a change of one entity changes one part, unless the number of
-// entities passes a power of two times perPart. Regions and routes form the first part.
+// entities passes a power of two times perPart. Regions, routes and placements form the first part.
 func Split(f *File, perPart int) ([][]byte, error) {
 	if perPart <= 0 {
 		return nil, fmt.Errorf("split configuration: %d entities per part, must be above 0", perPart)
 	}
-	files := []*File{{Regions: f.Regions, Routes: f.Routes}}
+	files := []*File{{Regions: f.Regions, Routes: f.Routes, Placements: f.Placements}}
 	for _, c := range buckets(f.Links, perPart, func(l *Link) string { return l.A + ":" + l.B }) {
 		files = append(files, &File{Links: c})
 	}
--- a/config/validate.go
+++ b/config/validate.go
@@ -81,6 +81,7 @@
 	v.checkWorkspaces()
 	v.checkKeys()
 	v.checkUpstreams()
+	v.checkPlacements()
 	return v.problems
 }
 
--- a/config/warnings.go
+++ b/config/warnings.go
@@ -14,7 +14,8 @@
 	list = append(list, s.emptyRoutes()...)
 	list = append(list, s.smallBursts()...)
 	list = append(list, s.keylessWorkspaces()...)
-	return append(list, s.sharedAddresses()...)
+	list = append(list, s.sharedAddresses()...)
+	return append(list, s.idlePlacements()...)
 }
 
 // missingLinks warns of pairs of regions without a link: their delay and bandwidth are unknown.
--- a/gateway/configure.go
+++ b/gateway/configure.go
@@ -156,6 +156,7 @@
 	g.tokens.Configure(now, limit.Shares(next.File.Workspaces, next.File.VMs, g.Self.Slot))
 	g.configureCalls(now, old, next)
 	g.importHandover(now)
+	g.configureOrders(old, next)
 	g.choices.Configure(now, g.upstreamMembers(next))
 	g.watch(now, next)
 	regions := make([]string, 0, len(next.File.Regions))
@@ -170,9 +171,11 @@
 	routes := map[string][]string{}
 	for route, list := range s.RouteUpstreams {
 		for _, u := range list {
-			if u.Region == g.Self.Region {
-				routes[u.Name] = append(routes[u.Name], route)
+			if u.Region != g.Self.Region {
+				continue
 			}
+			// An engine that runs another model stays a member without routes: it keeps its counters.
+			routes[u.Name] = append(routes[u.Name], g.loadedRoutes(s, route, u.Name)...)
 		}
 	}
 	members := make([]choose.Member, 0, len(routes))
@@ -309,13 +312,13 @@
 }
 
 // becomeReady lets the VM serve once it has a configuration and a VM of its region has confirmed
-// that it occupies its slot. By then it has compared versions with that VM. If nobody confirms, it
+// that it occupies its slot, and where engines are placed, it knows what they run. By then it has compared versions with that VM. If nobody confirms, it
 // serves after joinWait all the same, as a region of which one VM is left must.
 func (g *Gateway) becomeReady(now time.Time) {
 	if g.ready.Load() || g.Snapshot() == nil {
 		return
 	}
-	if !g.authorised && now.Sub(g.Self.StartedAt) < joinWait {
+	if (!g.authorised || g.awaitsReports()) && now.Sub(g.Self.StartedAt) < joinWait {
 		return
 	}
 	g.ready.Store(true)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"parsleyhatch/member"
 	"parsleyhatch/metrics"
 	"parsleyhatch/once"
+	"parsleyhatch/order"
 	"parsleyhatch/platform"
 	"parsleyhatch/poison"
 	"parsleyhatch/retry"
@@ -58,6 +59,10 @@
 	Audit     *audit.Trail
 	// Now is the clock; tests replace it.
 	Now func() time.Time
+	// OrderLimits bound the orders to engines; they are fixed when Run begins.
+	OrderLimits order.Limits
+	// BeforeOrder, if set, is called just before an order is sent; tests delay orders with it.
+	BeforeOrder func(order.Decision)
 
 	// Published by the control loop for traffic.
 	snapshot atomic.Pointer[config.Snapshot]
@@ -91,6 +96,8 @@
 	candidates chan candidate
 	loads      chan []loadResult
 	lists      chan []platform.VMState
+	orderEnds  chan orderEnd
+	orderReads chan loadResult
 
 	// Owned by the control loop.
 	members     *member.Table
@@ -103,8 +110,9 @@
 	authorised  bool
 	lastBeat    time.Time
 	lastSummary time.Time
-	watched     atomic.Pointer[[]watchedUpstream]
-	isReader    atomic.Bool
+	orderControl
+	watched  atomic.Pointer[[]watchedUpstream]
+	isReader atomic.Bool
 
 	wait sync.WaitGroup
 }
@@ -136,32 +144,35 @@
 	}
 	seed := seedOf(self)
 	g := &Gateway{
-		Settings:   s,
-		Self:       self,
-		Log:        log,
-		Endpoint:   endpoint,
-		Upstreams:  upstream.New(s.UpstreamCredential),
-		Metrics:    metrics.New(s.Slot, s.Region),
-		Audit:      audit.New(audit.Limit),
-		Now:        time.Now,
-		superseded: make(chan struct{}),
-		tokens:     limit.New(s.Slot),
-		calls:      once.New(s.Slot, self.Incarnation, now, signer, once.DefaultLimits()),
-		signer:     signer,
-		handovers:  once.NewHandoverStore(once.DefaultStoreLimits()),
-		poisons:    poison.New(poison.DefaultLimits()),
-		hasher:     hasher,
-		retries:    retry.New(seed, nil),
-		control:    make(chan message, controlQueue),
-		changes:    make(chan sessionChange, controlQueue),
-		candidates: make(chan candidate, 4),
-		loads:      make(chan []loadResult, 4),
-		lists:      make(chan []platform.VMState, 1),
-		members:    member.New(now, s.Slot, incarnationOf(self)),
-		choices:    choose.New(s.Region, seed),
-		peerQueues: map[string]int32{},
-		entries:    map[string]regionEntries{},
-		takenFrom:  map[string]bool{},
+		Settings:    s,
+		Self:        self,
+		Log:         log,
+		Endpoint:    endpoint,
+		Upstreams:   upstream.New(s.UpstreamCredential),
+		Metrics:     metrics.New(s.Slot, s.Region),
+		Audit:       audit.New(audit.Limit),
+		Now:         time.Now,
+		OrderLimits: order.DefaultLimits(),
+		superseded:  make(chan struct{}),
+		tokens:      limit.New(s.Slot),
+		calls:       once.New(s.Slot, self.Incarnation, now, signer, once.DefaultLimits()),
+		signer:      signer,
+		handovers:   once.NewHandoverStore(once.DefaultStoreLimits()),
+		poisons:     poison.New(poison.DefaultLimits()),
+		hasher:      hasher,
+		retries:     retry.New(seed, nil),
+		control:     make(chan message, controlQueue),
+		changes:     make(chan sessionChange, controlQueue),
+		candidates:  make(chan candidate, 4),
+		loads:       make(chan []loadResult, 4),
+		lists:       make(chan []platform.VMState, 1),
+		orderEnds:   make(chan orderEnd, orderQueue),
+		orderReads:  make(chan loadResult, orderQueue),
+		members:     member.New(now, s.Slot, incarnationOf(self)),
+		choices:     choose.New(s.Region, seed),
+		peerQueues:  map[string]int32{},
+		entries:     map[string]regionEntries{},
+		takenFrom:   map[string]bool{},
 	}
 	g.calls.Log, g.poisons.Log = log, log
 	g.tokens.Begin(now, self.Incarnation)
@@ -215,6 +226,7 @@
 	defer cancel()
 	event.Started.Log(g.Log, "slot", g.Self.Slot, "incarnation", g.Self.Incarnation, "region", g.Self.Region)
 	g.Audit.Add(g.Now(), audit.Entry{Kind: audit.SettingAtStart, Subject: "vm/" + g.Self.Slot, Detail: g.Settings.summary()})
+	g.startOrders()
 	g.wait.Go(func() { _ = g.Endpoint.RunListener(peerListener) })
 	if g.Platform != nil {
 		g.wait.Go(func() { g.runWatch(ctx) })
@@ -251,6 +263,10 @@
 			g.recordLoads(g.Now(), results)
 		case list := <-g.lists:
 			g.recordList(list)
+		case end := <-g.orderEnds:
+			g.endOrder(end)
+		case r := <-g.orderReads:
+			g.recordRead(r)
 		case <-ticker.C:
 			g.tick(ctx, g.Now())
 		}
@@ -262,6 +278,7 @@
 	g.tickMembers(ctx, now)
 	g.tickTables(now)
 	g.tickSummary(ctx, now)
+	g.tickOrders(ctx, now)
 	g.publish(now)
 	g.becomeReady(now)
 	g.pumpAll(now)
--- a/gateway/load.go
+++ b/gateway/load.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"parsleyhatch/choose"
 	"parsleyhatch/config"
 	"parsleyhatch/upstream"
 	"parsleyhatch/vmwire"
@@ -24,6 +25,8 @@
 // watchedUpstream is an upstream whose load this VM reads for the region.
 type watchedUpstream struct {
 	name, address string
+	// ordered says that the engine gets orders, so that its fencing number is read too.
+	ordered bool
 }
 
 // loadResult is one load report, or the failure to get it.
@@ -34,6 +37,11 @@
 	events []upstream.CacheEvent
 	gap    bool
 	err    error
+	// stateAt is when the report's read was sent, less the report's lag.
+	stateAt time.Time
+	// fence is the number of the engine's last order, valid if fenceRead is set: it was read by stateAt.
+	fence     uint64
+	fenceRead bool
 }
 
 // watch selects the upstreams that this VM polls.
@@ -45,7 +53,7 @@
 			continue
 		}
 		if g.members.Watcher(now, u.Name, u.Region, u.FailureDomain) == g.Self.Slot {
-			list = append(list, watchedUpstream{name: u.Name, address: u.Address})
+			list = append(list, watchedUpstream{name: u.Name, address: u.Address, ordered: g.ordered[u.Name]})
 		}
 	}
 	g.watched.Store(&list)
@@ -101,9 +109,7 @@
 }
 
 func (g *Gateway) pollOne(ctx context.Context, w watchedUpstream, after uint64, events bool) (loadResult, uint64) {
-	r := loadResult{name: w.name}
-	r.load, r.err = g.Upstreams.Load(ctx, w.address)
-	r.at = g.Now().Add(-time.Duration(r.load.AgeMillis) * time.Millisecond)
+	r := g.readEngine(ctx, w)
 	if r.err != nil || !events {
 		return r, after
 	}
@@ -124,30 +130,43 @@
 func (g *Gateway) recordLoads(now time.Time, results []loadResult) {
 	var out vmwire.Load
 	for _, r := range results {
-		u := g.choices.Lookup(r.name)
-		if u == nil {
-			continue
-		}
-		if r.err != nil {
-			u.Failed(now)
-		} else {
-			u.Report(r.at, int64(r.load.Running+r.load.Waiting))
-			g.running.booted(r.name, r.load.BootID)
-		}
-		if r.gap {
-			g.choices.EventsLost(now, u)
+		if u := g.choices.Lookup(r.name); u != nil {
+			g.applyLoad(now, u, r)
 		}
-		for _, e := range r.events {
-			if prefix, ok := prefixHash(e.Prefix); ok {
-				g.choices.Cached(r.at, u, prefix, e.Op == "add")
-			}
+		if r.err == nil {
+			g.observe(r.name, reportOf(r))
 		}
-		out.Upstreams = append(out.Upstreams, vmwire.UpstreamLoad{
-			Upstream: r.name, Running: int32(r.load.Running), Waiting: int32(r.load.Waiting),
-			AgeMillis: now.Sub(r.at).Milliseconds(), CachedTokens: r.load.CachedTokens, Down: r.err != nil,
-		})
+		out.Upstreams = append(out.Upstreams, wireLoad(now, r))
 	}
 	g.sendLoads(out.Upstreams)
+	g.refreshRoutes(now)
+}
+
+// applyLoad applies one of this VM's own reports to the choice of upstreams.
+func (g *Gateway) applyLoad(now time.Time, u *choose.Upstream, r loadResult) {
+	if r.err != nil {
+		u.Failed(now)
+	} else {
+		u.Report(r.at, int64(r.load.Running+r.load.Waiting))
+		g.running.booted(r.name, r.load.BootID)
+	}
+	if r.gap {
+		g.choices.EventsLost(now, u)
+	}
+	for _, e := range r.events {
+		if prefix, ok := prefixHash(e.Prefix); ok {
+			g.choices.Cached(r.at, u, prefix, e.Op == "add")
+		}
+	}
+}
+
+func wireLoad(now time.Time, r loadResult) vmwire.UpstreamLoad {
+	return vmwire.UpstreamLoad{
+		Upstream: r.name, Running: int32(r.load.Running), Waiting: int32(r.load.Waiting),
+		AgeMillis: now.Sub(r.at).Milliseconds(), CachedTokens: r.load.CachedTokens, Down: r.err != nil,
+		Model: r.load.Model, Version: r.load.Version, Adapters: r.load.Adapters, Role: r.load.Role, Loading: r.load.Loading,
+		Fencing: r.fence, FencingRead: r.fenceRead, StateAgeMillis: now.Sub(r.stateAt).Milliseconds(),
+	}
 }
 
 func (g *Gateway) sendLoads(list []vmwire.UpstreamLoad) {
@@ -168,7 +187,11 @@
 		return
 	}
 	now := g.Now()
+	g.recordWaits(now, m.from.Peer.Slot, w.Waits)
 	for _, l := range w.Upstreams {
+		if !l.Down {
+			g.observe(l.Upstream, reportOfWire(now, l))
+		}
 		u := g.choices.Lookup(l.Upstream)
 		switch {
 		case u == nil:
@@ -178,4 +201,5 @@
 			u.Report(now.Add(-time.Duration(l.AgeMillis)*time.Millisecond), int64(l.Running+l.Waiting))
 		}
 	}
+	g.refreshRoutes(now)
 }
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -41,6 +41,7 @@
 	queue *admit.Queue
 	// route is any route of the set, to ask for free upstreams.
 	route string
+	waits waitTimes
 }
 
 // queueTable holds a queue for each selector of upstreams.
@@ -48,12 +49,18 @@
 	mu     sync.Mutex
 	byKey  map[string]*waitQueue
 	nextID atomic.Uint64
+	// placed holds the models with a placement. Each has its own queue, since engines with the same
+	// labels run different ones.
+	placed atomic.Pointer[map[string]*config.Placement]
 }
 
 func (t *queueTable) get(r *config.Route) *waitQueue {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	key := r.Kind + "\x00" + r.Selector
+	if placed := t.placed.Load(); placed != nil && (*placed)[r.Model] != nil {
+		key += "\x00" + r.Model
+	}
 	q := t.byKey[key]
 	if q == nil {
 		q = &waitQueue{route: r.Name, queue: admit.New(admit.Settings{
@@ -100,6 +107,7 @@
 	if o := wait.queue.Offer(g.Now(), item); o.Verdict != admit.Queued {
 		return grantedUpstream{}, refuseUntil(Overloaded, o.Verdict.String(), g.retries.After(o.RetryAfter))
 	}
+	defer wait.waits.begin(g.Now(), item.ID)()
 	r.note(g.Now(), "queued", "all upstreams are full")
 	g.pump(g.Now(), wait)
 	select {
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -60,6 +60,7 @@
 	s.ConfigVersion = snapshot.Version
 	s.Upstreams = g.upstreamStatus(snapshot)
 	s.Problems = append(s.Problems, g.problems()...)
+	s.Problems = append(s.Problems, unorderedEngines(snapshot, g.Self.Region)...)
 	return s
 }
 
--- a/operator/arguments.go
+++ b/operator/arguments.go
@@ -102,6 +102,8 @@
 		return len(f.Links)
 	case "vms":
 		return len(f.VMs)
+	case "placements":
+		return len(f.Placements)
 	case "routes":
 		return len(f.Routes)
 	case "workspaces":
--- a/standin/batch.go
+++ b/standin/batch.go
@@ -61,7 +61,13 @@
 	CachedTokens int    `json:"cachedTokens"`
 	BootID       string `json:"bootId"`
 	// AgeMillis is the age of the other fields, in milliseconds.
-	AgeMillis int64 `json:"ageMillis"`
+	AgeMillis int64    `json:"ageMillis"`
+	Model     string   `json:"model,omitempty"`
+	Version   string   `json:"version,omitempty"`
+	Adapters  []string `json:"adapters,omitempty"`
+	Role      string   `json:"role,omitempty"`
+	// Loading says that the engine does not serve the model yet.
+	Loading bool `json:"loading,omitempty"`
 }
 
 // loadHistory keeps the reports of the recent past, oldest first.
@@ -97,5 +103,10 @@
 		MaxBatch:     e.batch.size,
 		CachedTokens: e.cache.tokens,
 		BootID:       e.bootID,
+		Model:        e.loaded.Model,
+		Version:      e.loaded.Version,
+		Adapters:     e.loaded.Adapters,
+		Role:         e.loaded.Role,
+		Loading:      e.loaded.loading,
 	}, e.settings.LoadLag)
 }
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -36,6 +36,17 @@
 	Credential string
 	// Models are the loaded models; empty means that every model is served.
 	Models []string
+	// Model, Version, Adapters and Role are what a placed engine runs at first. An engine with Placed set
+	// reports them, and serves only requests of its model.
+	Placed   bool
+	Model    string
+	Version  string
+	Adapters []string
+	Role     string
+	// WeightStore is the base URL of the platform that weights are read from; empty means none.
+	WeightStore string
+	// LoadTime is added to the time that a load takes.
+	LoadTime time.Duration
 	// PoisonWord crashes the engine when a prompt contains it; empty means none.
 	PoisonWord string
 	// RestartTime is how long the engine is down after a crash.
@@ -66,6 +77,12 @@
 	models  map[string]bool
 	fencing uint64
 	orders  []Order
+	refused []Order
+	loaded  loadedModel
+	// stop ends when the engine is closed, which waits for loading.
+	stop    context.Context
+	end     context.CancelFunc
+	loading sync.WaitGroup
 	crashes int
 	ran     map[string]int
 	// processed counts the prompt tokens read and the answer tokens generated.
@@ -95,6 +112,8 @@
 		thawed:   make(chan struct{}),
 		up:       make(chan struct{}),
 	}
+	e.stop, e.end = context.WithCancel(context.Background())
+	e.loaded = loadedModel{Model: settings.Model, Version: settings.Version, Adapters: settings.Adapters, Role: settings.Role}
 	close(e.thawed)
 	close(e.up)
 	for _, m := range settings.Models {
@@ -156,8 +175,10 @@
 	e.mu.Lock()
 	e.closed = true
 	e.kill()
+	e.end()
 	e.mu.Unlock()
 	e.host.close()
+	e.loading.Wait()
 	e.waitUp()
 }
 
--- a/standin/enginecontrol.go
+++ b/standin/enginecontrol.go
@@ -21,17 +21,21 @@
 	OrderLoad   = "load"
 	OrderUnload = "unload"
 	OrderRole   = "role"
+	// OrderPlace names everything that the engine is to run.
+	OrderPlace = "place"
 )
 
 // Order tells an engine what to load or which role to take.
 type Order struct {
 	Fencing uint64 `json:"fencing"`
-	// Kind is OrderLoad, OrderUnload or OrderRole.
+	// Kind is OrderLoad, OrderUnload, OrderRole or OrderPlace.
 	Kind    string `json:"kind"`
 	Model   string `json:"model,omitempty"`
 	Adapter string `json:"adapter,omitempty"`
 	Version string `json:"version,omitempty"`
 	Role    string `json:"role,omitempty"`
+	// Adapters are those of an OrderPlace.
+	Adapters []string `json:"adapters,omitempty"`
 }
 
 // LastOrder names the highest fencing number that an engine has accepted.
@@ -46,6 +50,13 @@
 	return slices.Clone(e.orders)
 }
 
+// RefusedOrders returns the orders with an old fencing number, oldest first.
+func (e *Engine) RefusedOrders() []Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.refused)
+}
+
 // serveCancel ends every stream of a request id.
 func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
@@ -108,7 +119,7 @@
 		refuse(w, http.StatusBadRequest, "read order: %v", err)
 		return
 	}
-	if !slices.Contains([]string{OrderLoad, OrderUnload, OrderRole}, o.Kind) {
+	if !slices.Contains([]string{OrderLoad, OrderUnload, OrderRole, OrderPlace}, o.Kind) {
 		refuse(w, http.StatusBadRequest, "unknown order %q", o.Kind)
 		return
 	}
@@ -123,6 +134,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.settings.ChecksFencing && o.Fencing <= e.fencing {
+		e.refused = append(e.refused, o)
 		return false
 	}
 	e.fencing = o.Fencing
@@ -132,6 +144,8 @@
 		e.models[o.Model] = true
 	case OrderUnload:
 		delete(e.models, o.Model)
+	case OrderPlace:
+		e.place(o)
 	}
 	return true
 }
--- a/standin/stream.go
+++ b/standin/stream.go
@@ -70,13 +70,13 @@
 		refuse(w, http.StatusBadRequest, "%v", err)
 		return
 	}
-	if !e.serves(j.model) {
-		refuse(w, http.StatusNotFound, "model %q is not loaded", j.model)
-		return
-	}
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	s := e.register(j, cancel)
+	if s == nil {
+		refuse(w, http.StatusConflict, "model %q is not loaded", j.model)
+		return
+	}
 	defer e.unregister(j, s)
 	defer context.AfterFunc(s.life, cancel)()
 	if !e.join(ctx, j, s) {
@@ -138,15 +138,21 @@
 	return nil
 }
 
+// serves reports whether the model is loaded; mu is held.
 func (e *Engine) serves(model string) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	if e.settings.Placed {
+		return e.loaded.Model == model && !e.loaded.loading
+	}
 	return len(e.settings.Models) == 0 || e.models[model]
 }
 
+// register returns nil if the engine does not serve the job's model.
 func (e *Engine) register(j *job, cancel context.CancelFunc) *stream {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if !e.serves(j.model) {
+		return nil
+	}
 	s := &stream{cancel: cancel, life: e.life}
 	if e.streams[j.id] == nil {
 		e.streams[j.id] = map[*stream]bool{}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -40,7 +40,8 @@
 
 // Kinds of failures.
 const (
-	// NotSent means that no byte of the request left.
+	// NotSent means that no byte of the request left, or that the engine answered 409: it does not run
+	// the request's model and has not begun the request.
 	NotSent FailureKind = iota + 1
 	// Broken means that the connection failed after bytes may have left.
 	Broken
@@ -107,6 +108,13 @@
 	BootID       string `json:"bootId"`
 	// AgeMillis is the lag of the report, in milliseconds.
 	AgeMillis int64 `json:"ageMillis"`
+	// Model, Version, Adapters and Role are what the engine runs, or what it loads if Loading is set.
+	// An engine that does not report its model leaves them empty.
+	Model    string   `json:"model,omitempty"`
+	Version  string   `json:"version,omitempty"`
+	Adapters []string `json:"adapters,omitempty"`
+	Role     string   `json:"role,omitempty"`
+	Loading  bool     `json:"loading,omitempty"`
 }
 
 // CacheEvent is a change of an engine's prefix cache. Events come late and with gaps.
@@ -123,6 +131,9 @@
 	Next   uint64       `json:"next"`
 }
 
+// OrderPlace is the kind of an order that names everything the engine is to run.
+const OrderPlace = "place"
+
 // Order tells an engine to load or unload a model, or to change its role.
 type Order struct {
 	// Fencing must exceed the last number that the engine has accepted.
@@ -132,6 +143,8 @@
 	Adapter string `json:"adapter,omitempty"`
 	Version string `json:"version,omitempty"`
 	Role    string `json:"role,omitempty"`
+	// Adapters are those of an OrderPlace.
+	Adapters []string `json:"adapters,omitempty"`
 }
 
 // ErrFenced says that an engine refused an order because of its fencing number.
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -54,6 +54,8 @@
 	done      bool
 }
 
+var errNotLoaded = errors.New("engine does not run the request's model")
+
 var errStalled = errors.New("engine sent nothing for too long")
 
 // Stream starts a chat completion. The returned stream must be closed.
@@ -80,6 +82,9 @@
 		timer.Stop()
 		cancel(nil)
 		_ = resp.Body.Close()
+		if resp.StatusCode == http.StatusConflict {
+			return nil, &Failure{Kind: NotSent, Status: resp.StatusCode, Err: errNotLoaded}
+		}
 		return nil, &Failure{Kind: Refused, Status: resp.StatusCode, Err: fmt.Errorf("engine answered status %d", resp.StatusCode)}
 	}
 	prompt, _ := strconv.ParseInt(resp.Header.Get("X-Prompt-Tokens"), 10, 64)
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -4,7 +4,7 @@
 package vmwire
 
 // Protocol is the version of this schema. VMs with another version are refused.
-const Protocol = 1
+const Protocol = 2
 
 // Kinds of frames.
 const (
@@ -34,7 +34,7 @@
 //msgp:limit arrays:4096 maps:256
 
 //msgp:tuple Frame Hello Open Chunk End Window Heartbeat HeartbeatAck SlotView EntryVM ConfigGet ConfigParts Part
-//msgp:tuple Load UpstreamLoad Summary PoolSummary TokenAsk TokenGive Suspect Handover HandoverTake HandoverRecord
+//msgp:tuple Load UpstreamLoad ModelWait Summary PoolSummary TokenAsk TokenGive Suspect Handover HandoverTake HandoverRecord
 
 // Frame is the envelope of every message.
 type Frame struct {
@@ -186,11 +186,32 @@
 	// CachedTokens is the size of the prefix cache in use, in tokens.
 	CachedTokens int64
 	Down         bool
+	// Model, Version, Adapters and Role are what the engine runs, or what it loads if Loading is set.
+	Model    string
+	Version  string
+	Adapters []string
+	Role     string
+	Loading  bool
+	// Fencing is the number of the engine's last order, valid if FencingRead is set: the sender read
+	// it before the engine made the report.
+	Fencing     uint64
+	FencingRead bool
+	// StateAgeMillis is the age of the report when it was sent, counted from the sending of the read,
+	// in milliseconds.
+	StateAgeMillis int64
+}
+
+// ModelWait is how long requests of a model wait in the sender's queue.
+type ModelWait struct {
+	Model      string
+	WaitMillis int64
 }
 
 // Load carries load reports within a region.
 type Load struct {
 	Upstreams []UpstreamLoad
+	// Waits covers each model with a placement, or is empty.
+	Waits []ModelWait
 }
 
 // PoolSummary condenses the upstreams of a route in one region.
--- a/vmwire/schema_gen.go
+++ b/vmwire/schema_gen.go
@@ -2143,8 +2143,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -2169,13 +2169,54 @@
 			return
 		}
 	}
+	var zb0003 uint32
+	zb0003, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Waits")
+		return
+	}
+	if zb0003 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Waits) >= int(zb0003) {
+		z.Waits = (z.Waits)[:zb0003]
+	} else {
+		z.Waits = make([]ModelWait, zb0003)
+	}
+	for za0002 := range z.Waits {
+		var zb0004 uint32
+		zb0004, err = dc.ReadArrayHeader()
+		if err != nil {
+			err = msgp.WrapError(err, "Waits", za0002)
+			return
+		}
+		if zb0004 > zb417a25dlimitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		if zb0004 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0004}
+			return
+		}
+		z.Waits[za0002].Model, err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err, "Waits", za0002, "Model")
+			return
+		}
+		z.Waits[za0002].WaitMillis, err = dc.ReadInt64()
+		if err != nil {
+			err = msgp.WrapError(err, "Waits", za0002, "WaitMillis")
+			return
+		}
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Load) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 1
-	err = en.Append(0x91)
+	// array header, size 2
+	err = en.Append(0x92)
 	if err != nil {
 		return
 	}
@@ -2191,14 +2232,36 @@
 			return
 		}
 	}
+	err = en.WriteArrayHeader(uint32(len(z.Waits)))
+	if err != nil {
+		err = msgp.WrapError(err, "Waits")
+		return
+	}
+	for za0002 := range z.Waits {
+		// array header, size 2
+		err = en.Append(0x92)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Waits[za0002].Model)
+		if err != nil {
+			err = msgp.WrapError(err, "Waits", za0002, "Model")
+			return
+		}
+		err = en.WriteInt64(z.Waits[za0002].WaitMillis)
+		if err != nil {
+			err = msgp.WrapError(err, "Waits", za0002, "WaitMillis")
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Load) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 1
-	o = append(o, 0x91)
+	// array header, size 2
+	o = append(o, 0x92)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Upstreams)))
 	for za0001 := range z.Upstreams {
 		o, err = z.Upstreams[za0001].MarshalMsg(o)
@@ -2207,6 +2270,13 @@
 			return
 		}
 	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Waits)))
+	for za0002 := range z.Waits {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Waits[za0002].Model)
+		o = msgp.AppendInt64(o, z.Waits[za0002].WaitMillis)
+	}
 	return
 }
 
@@ -2218,8 +2288,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -2244,6 +2314,43 @@
 			return
 		}
 	}
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Waits")
+		return
+	}
+	if zb0003 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Waits) >= int(zb0003) {
+		z.Waits = (z.Waits)[:zb0003]
+	} else {
+		z.Waits = make([]ModelWait, zb0003)
+	}
+	for za0002 := range z.Waits {
+		var zb0004 uint32
+		zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Waits", za0002)
+			return
+		}
+		if zb0004 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0004}
+			return
+		}
+		z.Waits[za0002].Model, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Waits", za0002, "Model")
+			return
+		}
+		z.Waits[za0002].WaitMillis, bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Waits", za0002, "WaitMillis")
+			return
+		}
+	}
 	o = bts
 	return
 }
@@ -2254,6 +2361,101 @@
 	for za0001 := range z.Upstreams {
 		s += z.Upstreams[za0001].Msgsize()
 	}
+	s += msgp.ArrayHeaderSize
+	for za0002 := range z.Waits {
+		s += 1 + msgp.StringPrefixSize + len(z.Waits[za0002].Model) + msgp.Int64Size
+	}
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *ModelWait) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Model, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Model")
+		return
+	}
+	z.WaitMillis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "WaitMillis")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z ModelWait) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Model)
+	if err != nil {
+		err = msgp.WrapError(err, "Model")
+		return
+	}
+	err = en.WriteInt64(z.WaitMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "WaitMillis")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ModelWait) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Model)
+	o = msgp.AppendInt64(o, z.WaitMillis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ModelWait) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Model, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Model")
+		return
+	}
+	z.WaitMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "WaitMillis")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ModelWait) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Model) + msgp.Int64Size
 	return
 }
 
@@ -3804,8 +4006,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 14 {
+		err = msgp.ArrayError{Wanted: 14, Got: zb0001}
 		return
 	}
 	z.Upstream, err = dc.ReadString()
@@ -3838,13 +4040,70 @@
 		err = msgp.WrapError(err, "Down")
 		return
 	}
+	z.Model, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Model")
+		return
+	}
+	z.Version, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Adapters")
+		return
+	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Adapters) >= int(zb0002) {
+		z.Adapters = (z.Adapters)[:zb0002]
+	} else {
+		z.Adapters = make([]string, zb0002)
+	}
+	for za0001 := range z.Adapters {
+		z.Adapters[za0001], err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err, "Adapters", za0001)
+			return
+		}
+	}
+	z.Role, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Role")
+		return
+	}
+	z.Loading, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Loading")
+		return
+	}
+	z.Fencing, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Fencing")
+		return
+	}
+	z.FencingRead, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "FencingRead")
+		return
+	}
+	z.StateAgeMillis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "StateAgeMillis")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *UpstreamLoad) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 6
-	err = en.Append(0x96)
+	// array header, size 14
+	err = en.Append(0x9e)
 	if err != nil {
 		return
 	}
@@ -3878,20 +4137,78 @@
 		err = msgp.WrapError(err, "Down")
 		return
 	}
+	err = en.WriteString(z.Model)
+	if err != nil {
+		err = msgp.WrapError(err, "Model")
+		return
+	}
+	err = en.WriteString(z.Version)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Adapters)))
+	if err != nil {
+		err = msgp.WrapError(err, "Adapters")
+		return
+	}
+	for za0001 := range z.Adapters {
+		err = en.WriteString(z.Adapters[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "Adapters", za0001)
+			return
+		}
+	}
+	err = en.WriteString(z.Role)
+	if err != nil {
+		err = msgp.WrapError(err, "Role")
+		return
+	}
+	err = en.WriteBool(z.Loading)
+	if err != nil {
+		err = msgp.WrapError(err, "Loading")
+		return
+	}
+	err = en.WriteUint64(z.Fencing)
+	if err != nil {
+		err = msgp.WrapError(err, "Fencing")
+		return
+	}
+	err = en.WriteBool(z.FencingRead)
+	if err != nil {
+		err = msgp.WrapError(err, "FencingRead")
+		return
+	}
+	err = en.WriteInt64(z.StateAgeMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "StateAgeMillis")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *UpstreamLoad) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 6
-	o = append(o, 0x96)
+	// array header, size 14
+	o = append(o, 0x9e)
 	o = msgp.AppendString(o, z.Upstream)
 	o = msgp.AppendInt32(o, z.Running)
 	o = msgp.AppendInt32(o, z.Waiting)
 	o = msgp.AppendInt64(o, z.AgeMillis)
 	o = msgp.AppendInt64(o, z.CachedTokens)
 	o = msgp.AppendBool(o, z.Down)
+	o = msgp.AppendString(o, z.Model)
+	o = msgp.AppendString(o, z.Version)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Adapters)))
+	for za0001 := range z.Adapters {
+		o = msgp.AppendString(o, z.Adapters[za0001])
+	}
+	o = msgp.AppendString(o, z.Role)
+	o = msgp.AppendBool(o, z.Loading)
+	o = msgp.AppendUint64(o, z.Fencing)
+	o = msgp.AppendBool(o, z.FencingRead)
+	o = msgp.AppendInt64(o, z.StateAgeMillis)
 	return
 }
 
@@ -3903,8 +4220,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 14 {
+		err = msgp.ArrayError{Wanted: 14, Got: zb0001}
 		return
 	}
 	z.Upstream, bts, err = msgp.ReadStringBytes(bts)
@@ -3937,13 +4254,74 @@
 		err = msgp.WrapError(err, "Down")
 		return
 	}
+	z.Model, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Model")
+		return
+	}
+	z.Version, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Adapters")
+		return
+	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Adapters) >= int(zb0002) {
+		z.Adapters = (z.Adapters)[:zb0002]
+	} else {
+		z.Adapters = make([]string, zb0002)
+	}
+	for za0001 := range z.Adapters {
+		z.Adapters[za0001], bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Adapters", za0001)
+			return
+		}
+	}
+	z.Role, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Role")
+		return
+	}
+	z.Loading, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Loading")
+		return
+	}
+	z.Fencing, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Fencing")
+		return
+	}
+	z.FencingRead, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "FencingRead")
+		return
+	}
+	z.StateAgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "StateAgeMillis")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *UpstreamLoad) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Upstream) + msgp.Int32Size + msgp.Int32Size + msgp.Int64Size + msgp.Int64Size + msgp.BoolSize
+	s = 1 + msgp.StringPrefixSize + len(z.Upstream) + msgp.Int32Size + msgp.Int32Size + msgp.Int64Size + msgp.Int64Size + msgp.BoolSize + msgp.StringPrefixSize + len(z.Model) + msgp.StringPrefixSize + len(z.Version) + msgp.ArrayHeaderSize
+	for za0001 := range z.Adapters {
+		s += msgp.StringPrefixSize + len(z.Adapters[za0001])
+	}
+	s += msgp.StringPrefixSize + len(z.Role) + msgp.BoolSize + msgp.Uint64Size + msgp.BoolSize + msgp.Int64Size
 	return
 }
 
