Prove that no stale order is applied and that placement moves one replica at a time

Cause: orders had no proof with real VMs. Change: proofs with three VMs and a pause between reading the number and sending, with engines that do not check, and with placement under pressure. A VM orders only with a configuration that another VM has confirmed since its last pause.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -331,6 +331,7 @@
 	case vmwire.KindHeartbeat:
 		g.onHeartbeat(ctx, m)
 	case vmwire.KindHeartbeatAck:
+		g.confirmConfig(m)
 		g.onHeartbeatAck(m)
 	case vmwire.KindConfigGet:
 		g.onConfigGet(m)
--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -12,6 +12,7 @@
 	"parsleyhatch/audit"
 	"parsleyhatch/config"
 	"parsleyhatch/event"
+	"parsleyhatch/member"
 	"parsleyhatch/order"
 	"parsleyhatch/selector"
 	"parsleyhatch/upstream"
@@ -23,6 +24,9 @@
 	orderQueue = 64
 	// stateLife is the age at which a report no longer holds up placement.
 	stateLife = 10 * time.Second
+	// wakeHold is how long a VM sends no orders after a pause. It then needs a new confirmation of its
+	// configuration; acknowledgements from before the pause have been read by that time.
+	wakeHold = time.Second
 	// fenceHistory covers reports that lag by up to as many polls.
 	fenceHistory = 16
 )
@@ -41,6 +45,11 @@
 	changed   bool
 	slotWaits map[string]slotWaits
 	waitsSent time.Time
+	// confirmedAt is when another VM last acknowledged a heartbeat and knew no later configuration.
+	confirmedAt time.Time
+	// heldTill is the end of wakeHold, lastOrderTick the last time at which the loop ran.
+	heldTill      time.Time
+	lastOrderTick time.Time
 	// fences is shared with the goroutines that read engines.
 	fences fenceReads
 }
@@ -55,6 +64,10 @@
 	// fence is the number of the last order, valid if fenceRead is set.
 	fence     uint64
 	fenceRead bool
+	// floor is the number of this VM's last order that the engine accepted, at floorAt. Reports with
+	// a lower number were made before it.
+	floor   uint64
+	floorAt time.Time
 }
 
 // orderEnd is the result of an order that was sent.
@@ -182,10 +195,14 @@
 // tickOrders decides about orders and starts what is to be done.
 func (g *Gateway) tickOrders(ctx context.Context, now time.Time) {
 	s := g.Snapshot()
+	current := g.configCurrent(now)
 	if s == nil || len(s.Placements) == 0 || g.leaving.Load() {
 		return
 	}
 	g.tickWaits(now, s)
+	if !current {
+		return
+	}
 	g.orders.SetLive(g.holders(now))
 	for _, d := range g.orders.Tick(now) {
 		g.act(ctx, now, s, d)
@@ -198,6 +215,37 @@
 	}
 }
 
+// confirmConfig records that another VM knows no later configuration than this one.
+func (g *Gateway) confirmConfig(m message) {
+	var w vmwire.HeartbeatAck
+	s := g.Snapshot()
+	if s == nil || !g.decode(m, &w) || w.ConfigNumber == 0 {
+		return
+	}
+	now := g.Now()
+	theirs := config.Version{Number: w.ConfigNumber, Digest: w.ConfigDigest}
+	if theirs.After(s.Version) {
+		g.confirmedAt = time.Time{}
+	} else if now.Sub(g.lastOrderTick) <= member.PauseGap && !now.Before(g.heldTill) {
+		g.confirmedAt = now
+	}
+}
+
+// configCurrent reports whether this VM may order engines: its configuration was confirmed since the
+// last pause. A fencing number that is read anew does not protect against the wishes of an earlier
+// configuration.
+func (g *Gateway) configCurrent(now time.Time) bool {
+	if !g.lastOrderTick.IsZero() && now.Sub(g.lastOrderTick) > member.PauseGap {
+		g.heldTill = now.Add(wakeHold)
+		g.confirmedAt = time.Time{}
+	}
+	g.lastOrderTick = now
+	if s := g.Snapshot(); s != nil && len(s.VMs) == 1 {
+		return !now.Before(g.heldTill)
+	}
+	return now.Sub(g.confirmedAt) < member.LeaseTime
+}
+
 // holders lists the live VMs of the region that are not leaving.
 func (g *Gateway) holders(now time.Time) []string {
 	return slices.DeleteFunc(slices.Clone(g.members.Live(now, g.Self.Region)), func(slot string) bool {
@@ -223,7 +271,7 @@
 		event.Broken(g.Log, event.BrokenOrderFence, "upstream", d.Upstream, "reason", "not configured")
 	case d.Send():
 		g.Audit.Add(now, audit.Entry{Kind: audit.OrderIssued, Subject: "upstream/" + u.Name, Version: s.Version, Detail: describe(d)})
-		g.expectLoad(d)
+		g.expectLoad(now, d)
 		g.refreshRoutes(now)
 		g.wait.Go(func() { g.runOrder(ctx, u, d) })
 	case d.Reason == order.ReasonRead:
@@ -242,14 +290,21 @@
 	return fmt.Sprintf("%s, fencing number %d, from %s to %s", d.Reason, d.Fence, text(d.From), text(d.To))
 }
 
-// expectLoad takes the engine out of its routes until its next report, to spare requests a refusal.
-func (g *Gateway) expectLoad(d order.Decision) {
-	e := g.engines[d.Upstream]
-	if d.From.Model != d.To.Model || d.From.Version != d.To.Version {
-		e.loading = true
-		g.engines[d.Upstream] = e
-		g.changed = true
+// expectLoad takes the engine out of its routes in the region until its next report, to spare requests
+// a refusal.
+func (g *Gateway) expectLoad(now time.Time, d order.Decision) {
+	if d.From.Model == d.To.Model && d.From.Version == d.To.Version {
+		return
 	}
+	e := g.engines[d.Upstream]
+	e.loading = true
+	g.engines[d.Upstream] = e
+	g.changed = true
+	g.sendLoads([]vmwire.UpstreamLoad{{
+		Upstream: d.Upstream, Running: int32(e.running), AgeMillis: now.Sub(e.at).Milliseconds(),
+		Model: e.state.Model, Version: e.state.Version, Adapters: e.state.Adapters, Role: e.state.Role,
+		Loading: true,
+	}})
 }
 
 // runOrder sends an order and reports its result.
@@ -281,6 +336,9 @@
 	now := g.Now()
 	g.orders.Done(now, end.decision, end.result)
 	if end.result == order.Accepted {
+		e := g.engines[end.decision.Upstream]
+		e.at, e.state, e.floor, e.floorAt = now, end.decision.To, end.decision.Fence, now
+		g.engines[end.decision.Upstream] = e
 		return
 	}
 	detail := fmt.Sprintf("%s: %v", describe(end.decision), end.err)
@@ -353,6 +411,10 @@
 	if s == nil || s.Upstreams[name] == nil || known && r.at.Before(was.at) {
 		return
 	}
+	if now := g.Now(); now.Sub(was.floorAt) < stateLife && (!r.fenceRead || r.fence < was.floor) {
+		return
+	}
+	r.floor, r.floorAt = was.floor, was.floorAt
 	g.engines[name] = r
 	if !known || r.loading != was.loading || !r.state.Equal(was.state) {
 		g.changed = true
--- /dev/null
+++ b/proof/orders_test.go
@@ -0,0 +1,321 @@
+package proof
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"parsleyhatch/audit"
+	"parsleyhatch/config"
+	"parsleyhatch/gateway"
+	"parsleyhatch/order"
+	"parsleyhatch/standin"
+)
+
+// fastOrders are limits that let a test see many decisions in a few seconds.
+func fastOrders() order.Limits {
+	l := order.DefaultLimits()
+	l.LoadsPerSecond, l.LoadBurst = 1000, 1000
+	l.BackoffMin, l.BackoffMax = 20*time.Millisecond, 200*time.Millisecond
+	l.ReadEvery = 50 * time.Millisecond
+	l.Dwell, l.MoveEvery, l.Sustain = time.Hour, 200*time.Millisecond, 200*time.Millisecond
+	l.HighWait, l.LowWait = 150*time.Millisecond, 100*time.Millisecond
+	return l
+}
+
+// placeRedator adds a placement of the model that all engines run, and makes them check numbers.
+func placeRedator(version string) func(*config.File) {
+	return func(f *config.File) {
+		f.Placements = []config.Placement{{Name: "drafts", Model: "redator", Version: version, Selector: "model=redator", MinReplicas: 1}}
+		for i := range f.Upstreams {
+			f.Upstreams[i].ChecksFencing = true
+		}
+	}
+}
+
+// pause stops a VM: its clock and its orders wait until it ends.
+type pause struct {
+	mu      sync.Mutex
+	ended   chan struct{}
+	reached chan struct{}
+	once    sync.Once
+}
+
+func newPause() *pause { return &pause{reached: make(chan struct{})} }
+
+// begin starts the pause at its first call.
+func (p *pause) begin() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ended == nil {
+		p.ended = make(chan struct{})
+		close(p.reached)
+	}
+}
+
+func (p *pause) wait() {
+	p.mu.Lock()
+	ended := p.ended
+	p.mu.Unlock()
+	if ended != nil {
+		<-ended
+	}
+}
+
+// end wakes the VM; further calls do nothing.
+func (p *pause) end() {
+	p.begin()
+	p.once.Do(func() { close(p.ended) })
+}
+
+// orderedVersions lists the versions of the accepted orders of an engine.
+func orderedVersions(e *standin.Engine) []string {
+	var list []string
+	for _, o := range e.Orders() {
+		list = append(list, o.Version)
+	}
+	return list
+}
+
+// Guards against a stale order: a VM pauses between reading the fencing number and sending the order,
+// another VM orders meanwhile, and the first one wakes.
+func TestPausedVMOrdersNothingStale(t *testing.T) {
+	t.Parallel()
+	const target = "norte-engine-1"
+	victim := order.Holder([]string{"norte-1", "norte-2", "norte-3"}, target)
+	p := newPause()
+	f := startFleet(t, fleetOptions{
+		regions: []string{"norte"}, vmsPerRegion: 3, engines: 4,
+		engine: standin.EngineSettings{Placed: true, Model: "redator", Version: "v1", ChecksFencing: true},
+		edit:   placeRedator("v1"),
+		prepare: func(g *gateway.Gateway) {
+			g.OrderLimits = fastOrders()
+			if g.Self.Slot != victim {
+				return
+			}
+			g.Now = func() time.Time { p.wait(); return time.Now() }
+			g.BeforeOrder = func(d order.Decision) {
+				if d.Upstream == target && d.To.Version == "v2" {
+					p.begin()
+				}
+				p.wait()
+			}
+		},
+	})
+	t.Cleanup(p.end) // A paused VM cannot be stopped.
+	f.file.Placements[0].Version = "v2"
+	f.publish()
+	<-p.reached
+	f.file.Placements[0].Version = "v3"
+	f.publish()
+	for name, e := range f.engines {
+		f.waitFor(name+" gets v3 from another vm", func() bool {
+			list := orderedVersions(e)
+			return len(list) > 0 && list[len(list)-1] == "v3"
+		})
+	}
+	p.end()
+	f.waitFor("the late order is refused", func() bool { return len(f.engines[target].RefusedOrders()) > 0 })
+	f.waitFor("the woken vm has the configuration", func() bool {
+		return f.nodes[victim].gateway.Snapshot().Version.Number == f.number
+	})
+	for name, e := range f.engines {
+		checkOrders(t, name, e)
+	}
+	if late := f.engines[target].RefusedOrders()[0]; late.Version != "v2" {
+		t.Errorf("refused order %+v, want the one for v2", late)
+	}
+	f.waitFor("the refusal is in the audit trail", func() bool {
+		return len(f.audited(victim, audit.OrderRefused, target)) > 0
+	})
+}
+
+// checkOrders checks that the accepted orders of an engine have rising numbers, and that none for an
+// earlier version follows one for a later version.
+func checkOrders(t *testing.T, name string, e *standin.Engine) {
+	t.Helper()
+	var last standin.Order
+	for _, o := range e.Orders() {
+		if o.Fencing <= last.Fencing || o.Version < last.Version {
+			t.Errorf("%s accepted order %+v after %+v", name, o, last)
+		}
+		last = o
+	}
+}
+
+// audited lists the entries of a kind about an upstream.
+func (f *fleet) audited(slot string, kind audit.Kind, upstream string) []audit.Entry {
+	var list []audit.Entry
+	for _, e := range f.nodes[slot].gateway.Audit.Since(0, audit.Limit) {
+		if e.Kind == kind && e.Subject == "upstream/"+upstream {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// Guards against an order to an engine that does not check fencing numbers, and against requests for a
+// version that such an engine does not run. No engine of this test checks; the configuration names one.
+func TestNoOrderToEngineWithoutFencing(t *testing.T) {
+	t.Parallel()
+	const unfenced = "norte-engine-3"
+	f := startFleet(t, fleetOptions{
+		regions: []string{"norte"}, vmsPerRegion: 2, engines: 3,
+		engine: standin.EngineSettings{Placed: true, Model: "redator", Version: "v1"},
+		edit: func(file *config.File) {
+			placeRedator("v2")(file)
+			file.Upstreams[2].ChecksFencing = false
+		},
+		prepare: func(g *gateway.Gateway) { g.OrderLimits = fastOrders() },
+	})
+	for _, name := range []string{"norte-engine-1", "norte-engine-2"} {
+		f.waitFor(name+" gets its order", func() bool { return len(f.engines[name].Orders()) > 0 })
+	}
+	f.waitFor("the refusal is in the audit trail", func() bool {
+		return len(f.audited("norte-1", audit.OrderRefused, unfenced))+len(f.audited("norte-2", audit.OrderRefused, unfenced)) > 0
+	})
+	for slot, n := range f.nodes {
+		if !strings.Contains(strings.Join(n.gateway.Status().Problems, "\n"), unfenced) {
+			t.Errorf("%s: the status does not name %s: %q", slot, unfenced, n.gateway.Status().Problems)
+		}
+	}
+	for i := range 20 {
+		prompt := fmt.Sprintf("draft %d", i)
+		slot := fmt.Sprintf("norte-%d", 1+i%2)
+		f.waitFor("answer "+prompt, func() bool {
+			a, err := f.chat(chatOptions{vm: slot, key: keyOf("alpha"), model: "redator", prompt: prompt, maxTokens: 5})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return a.done && a.text == want("redator", prompt, 5)
+		})
+	}
+	if e := f.engines[unfenced]; len(e.Orders()) > 0 || len(e.Ran()) > 0 {
+		t.Errorf("%s got orders %v and ran %v", unfenced, e.Orders(), e.Ran())
+	}
+}
+
+// loadingSampler watches how many engines load at the same time.
+type loadingSampler struct {
+	most int
+	stop chan struct{}
+	wait sync.WaitGroup
+}
+
+func (f *fleet) sampleLoading() *loadingSampler {
+	s := &loadingSampler{stop: make(chan struct{})}
+	s.wait.Go(func() { s.run(f) })
+	return s
+}
+
+func (s *loadingSampler) run(f *fleet) {
+	ticker := time.NewTicker(5 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		loading := 0
+		for _, e := range f.engines {
+			if e.Loading() {
+				loading++
+			}
+		}
+		s.most = max(s.most, loading)
+		select {
+		case <-s.stop:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// end returns the largest number of engines that loaded at once.
+func (s *loadingSampler) end() int {
+	close(s.stop)
+	s.wait.Wait()
+	return s.most
+}
+
+// Guards against placement that moves several replicas at once, takes a model below its smallest pool,
+// moves a replica back and forth, or cuts requests.
+func TestPlacementUnderPressure(t *testing.T) {
+	t.Parallel()
+	limits := fastOrders()
+	f := startFleet(t, fleetOptions{
+		regions: []string{"norte"}, vmsPerRegion: 2, engines: 5,
+		engine: standin.EngineSettings{
+			Placed: true, Model: "redator", ChecksFencing: true, MaxBatch: 4, TokensPerSecond: 200, LoadTime: 300 * time.Millisecond,
+		},
+		edit:    placeBoth,
+		prepare: func(g *gateway.Gateway) { g.OrderLimits = limits },
+	})
+	sampler := f.sampleLoading()
+	f.waitFor("the first replica of balcao serves", func() bool {
+		a, err := f.chat(chatOptions{vm: "norte-1", key: keyOf("alpha"), model: "balcao", prompt: "first", maxTokens: 5})
+		return err == nil && a.done
+	})
+	var callers sync.WaitGroup
+	for i := range 24 {
+		callers.Go(func() { f.chatMany(i, "balcao", 5) })
+	}
+	for i := range 2 {
+		callers.Go(func() { f.chatMany(i, "redator", 15) })
+	}
+	callers.Wait()
+	most := sampler.end()
+	moves := f.moves(limits)
+	t.Logf("%d moves, at most %d engines loading at once", moves, most)
+	if most > 1 {
+		t.Errorf("%d engines loaded at once", most)
+	}
+	if moves < 2 || moves > 4 {
+		t.Errorf("%d moves, want 2 to 4", moves)
+	}
+}
+
+// placeBoth lets all engines run either model.
+func placeBoth(f *config.File) {
+	placeRedator("")(f)
+	f.Placements = append(f.Placements, config.Placement{Name: "questions", Model: "balcao", Selector: "model=redator", MinReplicas: 1})
+	for i := range f.Upstreams {
+		f.Upstreams[i].MaxBatch = 4
+	}
+}
+
+// chatMany sends requests one after the other and checks that each answer is whole.
+func (f *fleet) chatMany(caller int, model string, count int) {
+	for n := range count {
+		prompt := fmt.Sprintf("%s %d of caller %d", model, n, caller)
+		slot := fmt.Sprintf("norte-%d", 1+caller%2)
+		a, err := f.chat(chatOptions{vm: slot, key: keyOf("alpha"), model: model, prompt: prompt, maxTokens: 60})
+		if err != nil || !a.done || a.text != want(model, prompt, 60) {
+			f.t.Errorf("%s: status %d, code %q, ran %q, %d bytes, error %v", prompt, a.status, a.code, a.ran, len(a.text), err)
+		}
+	}
+}
+
+// moves checks the times between the orders and returns their number. Each engine is ordered once, since
+// the time that a replica stays is longer than the test.
+func (f *fleet) moves(limits order.Limits) int {
+	f.t.Helper()
+	total := 0
+	for name, e := range f.engines {
+		total += len(e.Orders())
+		if n := len(e.Orders()); n > 1 {
+			f.t.Errorf("%s was moved %d times: %+v", name, n, e.Orders())
+		}
+	}
+	for slot := range f.nodes {
+		var last time.Time
+		for _, entry := range f.nodes[slot].gateway.Audit.Since(0, audit.Limit) {
+			if entry.Kind != audit.OrderIssued {
+				continue
+			}
+			if !last.IsZero() && entry.Time.Sub(last) < limits.MoveEvery {
+				f.t.Errorf("%s: moves %v apart, want at least %v", slot, entry.Time.Sub(last), limits.MoveEvery)
+			}
+			last = entry.Time
+		}
+	}
+	return total
+}
--- a/standin/placed.go
+++ b/standin/placed.go
@@ -119,3 +119,10 @@
 	_, err = io.Copy(io.Discard, resp.Body)
 	return err
 }
+
+// Loading reports whether the engine loads what it was ordered to run.
+func (e *Engine) Loading() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.loaded.loading
+}
