--- a/proof/orders_test.go
+++ b/proof/orders_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,6 +30,7 @@
 // placeRedator adds a placement of the model that all engines run, and makes them check numbers.
 func placeRedator(version string) func(*config.File) {
 	return func(f *config.File) {
+		ownAddresses(f)
 		f.Placements = []config.Placement{{Name: "drafts", Model: "redator", Version: version, Selector: "model=redator", MinReplicas: 1}}
 		for i := range f.Upstreams {
 			f.Upstreams[i].ChecksFencing = true
@@ -35,6 +38,23 @@
 	}
 }
 
+// nextPort is the last port that ownAddress gave.
+var nextPort atomic.Int32
+
+// ownAddress returns an address that no other test uses: a loopback address of this process, and a port
+// below the ephemeral ones. An address that freeAddress has released can be taken by a connection or
+// another test before its VM starts; one run of six failed by that.
+func ownAddress() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:%d", 64+pid>>16&63, pid>>8&255, pid&255, 20000+nextPort.Add(1))
+}
+
+func ownAddresses(f *config.File) {
+	for i := range f.VMs {
+		f.VMs[i].CallerAddress, f.VMs[i].PeerAddress = ownAddress(), ownAddress()
+	}
+}
+
 // pause stops a VM: its clock and its orders wait until it ends.
 type pause struct {
 	mu      sync.Mutex
