--- /dev/null
+++ b/gateway/orders_test.go
@@ -0,0 +1,110 @@
+package gateway
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"parsleyhatch/config"
+	"parsleyhatch/order"
+	"parsleyhatch/upstream"
+)
+
+var orderStart = time.Unix(1_700_000_000, 0)
+
+// placingGateway returns a gateway that does not run, with one engine and one placement.
+func placingGateway(t *testing.T) *Gateway {
+	t.Helper()
+	g, err := New(Settings{
+		Slot: "norte-1", Region: "norte", FailureDomain: "a", CallerListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
+		AdminListen: "127.0.0.1:0", PlatformURL: "http://127.0.0.1:1", FleetKey: []byte("fleet key of the order tests, long enough"),
+		DrainLimit: time.Second, MaxStreams: 1,
+	}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.Now = func() time.Time { return orderStart }
+	g.startOrders()
+	s := &config.Snapshot{
+		Upstreams:  map[string]*config.Upstream{"e": {Name: "e"}},
+		Routes:     map[string]*config.Route{"chat": {Name: "chat", Kind: config.KindModel, Model: "redator"}},
+		Placements: map[string]*config.Placement{"redator": {Name: "p", Model: "redator", Version: "v2", Adapters: []string{"x"}}},
+	}
+	g.snapshot.Store(s)
+	return g
+}
+
+func report(at time.Duration, model, version string, fence uint64) engineReport {
+	return engineReport{at: orderStart.Add(at), state: stateOf(model, version, []string{"x"}, ""), fence: fence, fenceRead: true}
+}
+
+// Guards against a report from before an accepted order that looks younger because it was delayed: the
+// VM would route to a model that is gone, or move a second replica.
+func TestReportFromBeforeOrder(t *testing.T) {
+	g := placingGateway(t)
+	g.observe("e", report(0, "redator", "v1", 4))
+	d := order.Decision{Upstream: "e", Reason: order.ReasonIssue, To: stateOf("redator", "v2", []string{"x"}, ""), Fence: 5}
+	g.endOrder(orderEnd{decision: d, result: order.Accepted})
+	g.observe("e", report(time.Millisecond, "redator", "v1", 4))
+	if got := g.engines["e"].state.Version; got != "v2" {
+		t.Errorf("a report with number 4 replaced the order with number 5: version %q", got)
+	}
+	g.observe("e", report(2*time.Millisecond, "redator", "v3", 6))
+	if got := g.engines["e"].state.Version; got != "v3" {
+		t.Errorf("a report with number 6 was ignored: version %q", got)
+	}
+}
+
+// Guards against a number that was read after the state: it would allow an order that replaces a state
+// which this VM has not seen.
+func TestFenceReadBeforeState(t *testing.T) {
+	var f fenceReads
+	for i := range 40 {
+		f.add("e", orderStart.Add(time.Duration(i)*time.Second), uint64(i))
+	}
+	if n, ok := f.before("e", orderStart.Add(37500*time.Millisecond)); !ok || n != 37 {
+		t.Errorf("number %d, %t, want 37", n, ok)
+	}
+	if _, ok := f.before("e", orderStart.Add(-time.Second)); ok {
+		t.Error("a number that was read later was used")
+	}
+	if len(f.rows["e"]) != fenceHistory {
+		t.Errorf("%d numbers are kept, want %d", len(f.rows["e"]), fenceHistory)
+	}
+}
+
+// Guards against routing to an engine whose last report names another version, lacks an adapter, or
+// says that it loads.
+func TestLoadedRoutes(t *testing.T) {
+	g := placingGateway(t)
+	s := g.Snapshot()
+	if list := g.loadedRoutes(s, "chat", "e"); list != nil {
+		t.Error("an engine without a report is used")
+	}
+	cases := []struct {
+		load upstream.Load
+		used bool
+	}{
+		{upstream.Load{Model: "redator", Version: "v2", Adapters: []string{"y", "x"}}, true},
+		{upstream.Load{Model: "redator", Version: "v2", Adapters: []string{"x"}, Loading: true}, false},
+		{upstream.Load{Model: "redator", Version: "v1", Adapters: []string{"x"}}, false},
+		{upstream.Load{Model: "redator", Version: "v2"}, false},
+		{upstream.Load{Model: "balcao", Version: "v2", Adapters: []string{"x"}}, false},
+	}
+	for i, c := range cases {
+		g.observe("e", reportOf(loadResult{name: "e", stateAt: orderStart.Add(time.Duration(i) * time.Second), load: c.load}))
+		if used := g.loadedRoutes(s, "chat", "e") != nil; used != c.used {
+			t.Errorf("%+v: used %t", c.load, used)
+		}
+	}
+}
+
+// Guards against endless orders because an engine reports what the placement leaves open.
+func TestNamedState(t *testing.T) {
+	s := &config.Snapshot{Placements: map[string]*config.Placement{"redator": {Model: "redator"}}}
+	got := namedState(s, stateOf("redator", "v7", []string{"x"}, "prefill"))
+	if !got.Equal(order.State{Model: "redator"}) {
+		t.Errorf("state %+v", got)
+	}
+}
--- a/proof/orders_test.go
+++ b/proof/orders_test.go
@@ -14,6 +14,9 @@
 	"parsleyhatch/gateway"
 	"parsleyhatch/order"
 	"parsleyhatch/standin"
+	"parsleyhatch/upstream"
+	"parsleyhatch/vm"
+	"parsleyhatch/vmwire"
 )
 
 // fastOrders are limits that let a test see many decisions in a few seconds.
@@ -100,12 +103,14 @@
 }
 
 // Guards against a stale order: a VM pauses between reading the fencing number and sending the order,
-// another VM orders meanwhile, and the first one wakes.
+// another VM orders meanwhile, and the first one wakes. Guards too against a woken VM that reads the number
+// anew and orders what its old configuration wants, before it has learned of the later one.
 func TestPausedVMOrdersNothingStale(t *testing.T) {
 	t.Parallel()
 	const target = "norte-engine-1"
 	victim := order.Holder([]string{"norte-1", "norte-2", "norte-3"}, target)
 	p := newPause()
+	var noConfig atomic.Bool
 	f := startFleet(t, fleetOptions{
 		regions: []string{"norte"}, vmsPerRegion: 3, engines: 4,
 		engine: standin.EngineSettings{Placed: true, Model: "redator", Version: "v1", ChecksFencing: true},
@@ -115,6 +120,12 @@
 			if g.Self.Slot != victim {
 				return
 			}
+			receive := g.Endpoint.OnControl
+			g.Endpoint.OnControl = func(s *vm.Session, frame vmwire.Frame) {
+				if frame.Kind != vmwire.KindConfigParts || !noConfig.Load() {
+					receive(s, frame)
+				}
+			}
 			g.Now = func() time.Time { p.wait(); return time.Now() }
 			g.BeforeOrder = func(d order.Decision) {
 				if d.Upstream == target && d.To.Version == "v2" {
@@ -136,8 +147,27 @@
 			return len(list) > 0 && list[len(list)-1] == "v3"
 		})
 	}
+	if err := f.platform.SetMode(standin.ModeDown, 0); err != nil {
+		t.Fatal(err)
+	}
+	noConfig.Store(true)
+	accepted := len(f.engines[target].Orders())
 	p.end()
-	f.waitFor("the late order is refused", func() bool { return len(f.engines[target].RefusedOrders()) > 0 })
+	f.waitFor("the late order arrives", func() bool {
+		return len(f.engines[target].RefusedOrders()) > 0 || len(f.engines[target].Orders()) > accepted
+	})
+	// The woken VM has the configuration for v2, and time to read the number anew.
+	time.Sleep(3 * time.Second)
+	for name, e := range f.engines {
+		checkOrders(t, name, e)
+	}
+	if len(f.engines[target].RefusedOrders()) == 0 {
+		t.Fatal("the late order was not refused")
+	}
+	noConfig.Store(false)
+	if err := f.platform.SetMode(standin.ModeUp, 0); err != nil {
+		t.Fatal(err)
+	}
 	f.waitFor("the woken vm has the configuration", func() bool {
 		return f.nodes[victim].gateway.Snapshot().Version.Number == f.number
 	})
@@ -217,6 +247,31 @@
 	}
 }
 
+// Guards against a request that fails because an engine runs another model than the VM believes.
+func TestRefusedModelRunsElsewhere(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleetOptions{
+		regions: []string{"norte"}, vmsPerRegion: 1, engines: 2,
+		engine: standin.EngineSettings{Placed: true, Model: "redator"},
+		edit:   ownAddresses,
+	})
+	moved := f.engines["norte-engine-2"]
+	o := upstream.Order{Fencing: 1, Kind: upstream.OrderPlace, Model: "balcao"}
+	if err := upstream.New(credential).Order(t.Context(), moved.Address(), o); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 20 {
+		prompt := fmt.Sprintf("draft %d", i)
+		a, err := f.chat(chatOptions{vm: "norte-1", key: keyOf("alpha"), model: "redator", prompt: prompt, maxTokens: 5})
+		if err != nil || !a.done || a.text != want("redator", prompt, 5) {
+			t.Errorf("%s: code %q, ran %q, error %v", prompt, a.code, a.ran, err)
+		}
+	}
+	if len(moved.Ran()) > 0 {
+		t.Errorf("the engine of another model ran %v", moved.Ran())
+	}
+}
+
 // loadingSampler watches how many engines load at the same time.
 type loadingSampler struct {
 	most int
@@ -282,6 +337,11 @@
 		callers.Go(func() { f.chatMany(i, "redator", 15) })
 	}
 	callers.Wait()
+	// The pressure turns, but the replicas that have moved stay for limits.Dwell.
+	for i := range 12 {
+		callers.Go(func() { f.chatMany(100+i, "redator", 4) })
+	}
+	callers.Wait()
 	most := sampler.end()
 	moves := f.moves(limits)
 	t.Logf("%d moves, at most %d engines loading at once", moves, most)
