--- a/gateway/configure.go
+++ b/gateway/configure.go
@@ -312,8 +312,9 @@
 }
 
 // becomeReady lets the VM serve once it has a configuration and a VM of its region has confirmed
-// that it occupies its slot, and where engines are placed, it knows what they run. By then it has compared versions with that VM. If nobody confirms, it
-// serves after joinWait all the same, as a region of which one VM is left must.
+// that it occupies its slot. By then it has compared versions with that VM. If nobody confirms, it
+// serves after joinWait all the same, as a region of which one VM is left must. Where engines are
+// placed, it also waits for a first report of what they run.
 func (g *Gateway) becomeReady(now time.Time) {
 	if g.ready.Load() || g.Snapshot() == nil {
 		return
