--- a/gateway/local.go
+++ b/gateway/local.go
@@ -139,10 +139,10 @@
 	}
 }
 
-// mayRetry decides on another attempt. An answer that has begun is always resumed: its number is
-// bounded by the streams that broke.
+// mayRetry decides on another attempt. An answer that has begun is always resumed, since their number
+// is bounded by the streams that broke. A request of which no byte was sent costs upstreams nothing.
 func (g *Gateway) mayRetry(r *Request, p *progress, attempt int) bool {
-	if p.started {
+	if p.started || !r.sent {
 		return true
 	}
 	v := g.retries.Allow(g.Now(), retry.Call{Idempotent: true, Kind: retry.Again, Attempt: attempt, Region: g.Self.Region})
@@ -194,6 +194,7 @@
 	}
 	defer stream.Close()
 	r.sent = true
+	var chunk vmwire.Chunk // Sinks keep neither it nor its data, so that one serves the whole stream.
 	for {
 		c, err := stream.Next()
 		if errors.Is(err, io.EOF) {
@@ -203,7 +204,7 @@
 			return g.attemptFailed(ctx, r, u, asFailure(err))
 		}
 		running.FirstToken()
-		chunk := vmwire.Chunk{Start: c.Start, End: c.End, Data: c.Data}
+		chunk = vmwire.Chunk{Start: c.Start, End: c.End, Data: c.Data}
 		if !p.started {
 			g.firstToken(r, sentAt, first)
 			chunk.Status = 200
--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -219,16 +219,10 @@
 	}
 }
 
-// confirmConfig records that another VM knows no later configuration than this one.
-func (g *Gateway) confirmConfig(m message) {
-	var w vmwire.HeartbeatAck
-	s := g.Snapshot()
-	if s == nil || !g.decode(m, &w) || w.ConfigNumber == 0 {
-		return
-	}
-	now := g.Now()
-	theirs := config.Version{Number: w.ConfigNumber, Digest: w.ConfigDigest}
-	if theirs.After(s.Version) {
+// confirmConfig records an acknowledgement of another VM. current says that it knows no later
+// configuration than this VM's.
+func (g *Gateway) confirmConfig(now time.Time, current bool) {
+	if !current {
 		g.confirmedAt = time.Time{}
 	} else if now.Sub(g.lastOrderTick) <= member.PauseGap && !now.Before(g.heldTill) {
 		g.confirmedAt = now
--- a/vm/session_test.go
+++ b/vm/session_test.go
@@ -15,7 +15,7 @@
 var testKey = []byte("fleet key of the tests")
 
 // pair returns a session from a to b; b serves streams with onStream.
-func pair(t *testing.T, keyA, keyB []byte, onStream func(*Stream, vmwire.Open)) (*Session, error) {
+func pair(t testing.TB, keyA, keyB []byte, onStream func(*Stream, vmwire.Open)) (*Session, error) {
 	t.Helper()
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	a, err := NewEndpoint(Identity{Slot: "a", Incarnation: 1}, keyA, log)
@@ -149,3 +149,34 @@
 		t.Fatal("the other side saw no reset")
 	}
 }
+
+// Guards against streams that hang on a link that drops all bytes without closing the connection.
+func TestSilentPeerEndsSession(t *testing.T) {
+	s, err := pair(t, testKey, testKey, func(*Stream, vmwire.Open) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	st, err := s.Open(context.Background(), &vmwire.Open{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	// Frames that arrive are no longer noted, as if the link had been cut.
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				s.heardAt.Store(0)
+				time.Sleep(time.Millisecond)
+			}
+		}
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	if _, _, err := st.Recv(ctx); err == nil || ctx.Err() != nil {
+		t.Fatalf("Recv on a silent session: %v", err)
+	}
+}
