--- a/gateway/beat.go
+++ b/gateway/beat.go
@@ -272,6 +272,10 @@
 		Confirms: w.Confirms,
 	})
 	s := g.Snapshot()
-	g.confirm(now, lease, s != nil && !s.Version.Before(w.ConfigNumber, w.ConfigTag))
+	current := s != nil && !s.Version.Before(w.ConfigNumber, w.ConfigTag)
+	g.confirm(now, lease, current)
+	if w.ConfigNumber != 0 {
+		g.confirmConfig(now, current)
+	}
 	g.checkSuperseded(now)
 }
--- a/gateway/configure.go
+++ b/gateway/configure.go
@@ -162,6 +162,7 @@
 	g.tokens.Configure(now, limit.Shares(next.File.Workspaces, next.File.VMs, g.Self.Slot))
 	g.configureCalls(now, old, next)
 	g.importHandover(now)
+	g.configureOrders(old, next)
 	g.choices.Configure(now, g.upstreamMembers(next))
 	g.ownEngines = enginesOf(next, g.Self.Region)
 	g.watch(now)
@@ -177,9 +178,11 @@
 	routes := map[string][]string{}
 	for route, list := range s.RouteUpstreams {
 		for _, u := range list {
-			if u.Region == g.Self.Region {
-				routes[u.Name] = append(routes[u.Name], route)
+			if u.Region != g.Self.Region {
+				continue
 			}
+			// An engine that runs another model stays a member without routes: it keeps its counters.
+			routes[u.Name] = append(routes[u.Name], g.loadedRoutes(s, route, u.Name)...)
 		}
 	}
 	members := make([]choose.Member, 0, len(routes))
@@ -317,13 +320,15 @@
 
 // becomeReady lets the VM serve once it has a configuration and a VM of its region has confirmed
 // that it occupies its slot. By then it has compared versions with that VM. It also waits until its
-// buckets fill, since it would refuse requests before. If nobody confirms, it serves after joinWait all the same, as a region of which one VM is left must.
+// buckets fill, since it would refuse requests before, and where engines are placed, for a first report
+// of what they run. If nobody confirms, it serves after joinWait all the same, as a region of which one
+// VM is left must.
 func (g *Gateway) becomeReady(now time.Time) {
 	if g.ready.Load() || g.Snapshot() == nil {
 		return
 	}
 	filling := now.Sub(g.configuredAt) < limit.IncreaseDelay
-	if (filling || !g.authorised) && now.Sub(g.Self.StartedAt) < joinWait {
+	if (filling || !g.authorised || g.awaitsReports()) && now.Sub(g.Self.StartedAt) < joinWait {
 		return
 	}
 	g.ready.Store(true)
