Send load reports of 6 bytes each to all VMs of a region

Cause: an upstream's report took 38.7 bytes each second to each VM of the region (about 13 KB/s a VM at 343 engines), and in a region of more than 8 VMs those without a session got none. A request that met an engine with another model marked that engine as failed. Change: reports refer to the engines by index; what an engine runs is sent when it changes and each 3 s, and only with placements; loads are read each 2 s in regions of 100 engines or more; VMs without a session are connected. An engine that runs another model is passed over without being marked.

--- a/gateway/configure.go
+++ b/gateway/configure.go
@@ -164,7 +164,7 @@
 	g.importHandover(now)
 	g.configureOrders(old, next)
 	g.choices.Configure(now, g.upstreamMembers(next))
-	g.ownEngines = enginesOf(next, g.Self.Region)
+	g.setEngines(next)
 	g.watch(now)
 	regions := make([]string, 0, len(next.File.Regions))
 	for i := range next.File.Regions {
--- a/gateway/demand.go
+++ b/gateway/demand.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"slices"
 	"strings"
 	"sync"
@@ -57,7 +58,7 @@
 }
 
 // tickWaits records this VM's waits and sends them to the region.
-func (g *Gateway) tickWaits(now time.Time, s *config.Snapshot) {
+func (g *Gateway) tickWaits(ctx context.Context, now time.Time, s *config.Snapshot) {
 	if now.Sub(g.waitsSent) < waitInterval {
 		return
 	}
@@ -71,11 +72,7 @@
 		out.Waits = append(out.Waits, vmwire.ModelWait{Model: model, WaitMillis: wait.Milliseconds()})
 	}
 	g.recordWaits(now, g.Self.Slot, out.Waits)
-	for _, session := range g.sessions.all() {
-		if session.Peer.Region == g.Self.Region {
-			session.Control(vmwire.KindLoad, out)
-		}
-	}
+	g.sendLoad(ctx, now, out)
 }
 
 func (g *Gateway) recordWaits(now time.Time, slot string, waits []vmwire.ModelWait) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -117,6 +117,9 @@
 	fleetChanged bool
 	// ownEngines are the engines of the own region in the configuration in force.
 	ownEngines  []*config.Upstream
+	engineIndex map[string]int
+	sentStates  map[string]sentState
+	manyEngines atomic.Bool
 	lastSummary time.Time
 	orderControl
 	watched  atomic.Pointer[[]watchedUpstream]
@@ -152,35 +155,37 @@
 	}
 	seed := seedOf(self)
 	g := &Gateway{
-		Settings:   s,
-		Self:       self,
-		Log:        log,
-		Endpoint:   endpoint,
-		Upstreams:  upstream.New(s.UpstreamCredential),
-		Metrics:    metrics.New(s.Slot, s.Region),
-		Audit:      audit.New(audit.Limit),
-		Now:        time.Now,
-		superseded: make(chan struct{}),
-		tokens:     limit.New(s.Slot),
-		calls:      once.New(s.Slot, self.Incarnation, now, signer, once.DefaultLimits()),
-		signer:     signer,
-		handovers:  once.NewHandoverStore(once.DefaultStoreLimits()),
-		poisons:    poison.New(poison.DefaultLimits()),
-		hasher:     hasher,
-		retries:    retry.New(seed, nil),
-		control:    make(chan message, controlQueue),
-		changes:    make(chan sessionChange, controlQueue),
-		candidates: make(chan candidate, 4),
-		loads:      make(chan []loadResult, 4),
-		lists:      make(chan []platform.VMState, 1),
-		orderEnds:  make(chan orderEnd, orderQueue),
-		orderReads: make(chan loadResult, orderQueue),
-		members:    member.New(now, s.Slot, incarnationOf(self)),
-		choices:    choose.New(s.Region, seed),
-		peerQueues: map[string]int32{},
-		beats:      newBeats(),
-		entries:    map[string]regionEntries{},
-		takenFrom:  map[string]bool{},
+		Settings:    s,
+		Self:        self,
+		Log:         log,
+		Endpoint:    endpoint,
+		Upstreams:   upstream.New(s.UpstreamCredential),
+		Metrics:     metrics.New(s.Slot, s.Region),
+		Audit:       audit.New(audit.Limit),
+		Now:         time.Now,
+		superseded:  make(chan struct{}),
+		tokens:      limit.New(s.Slot),
+		calls:       once.New(s.Slot, self.Incarnation, now, signer, once.DefaultLimits()),
+		signer:      signer,
+		handovers:   once.NewHandoverStore(once.DefaultStoreLimits()),
+		poisons:     poison.New(poison.DefaultLimits()),
+		hasher:      hasher,
+		retries:     retry.New(seed, nil),
+		control:     make(chan message, controlQueue),
+		changes:     make(chan sessionChange, controlQueue),
+		candidates:  make(chan candidate, 4),
+		loads:       make(chan []loadResult, 4),
+		lists:       make(chan []platform.VMState, 1),
+		orderEnds:   make(chan orderEnd, orderQueue),
+		orderReads:  make(chan loadResult, orderQueue),
+		members:     member.New(now, s.Slot, incarnationOf(self)),
+		choices:     choose.New(s.Region, seed),
+		peerQueues:  map[string]int32{},
+		engineIndex: map[string]int{},
+		sentStates:  map[string]sentState{},
+		beats:       newBeats(),
+		entries:     map[string]regionEntries{},
+		takenFrom:   map[string]bool{},
 	}
 	g.OrderLimits = order.DefaultLimits()
 	g.calls.Log, g.poisons.Log = log, log
@@ -269,7 +274,7 @@
 		case c := <-g.candidates:
 			g.consider(c)
 		case results := <-g.loads:
-			g.recordLoads(g.Now(), results)
+			g.recordLoads(ctx, g.Now(), results)
 		case list := <-g.lists:
 			g.recordList(list)
 		case end := <-g.orderEnds:
@@ -286,7 +291,7 @@
 func (g *Gateway) tick(ctx context.Context, now time.Time) {
 	g.tickMembers(ctx, now)
 	g.tickTables(now)
-	g.tickSummary(ctx, now)
+	g.tickSummary(now)
 	g.tickOrders(ctx, now)
 	g.publish(now)
 	g.becomeReady(now)
--- a/gateway/load.go
+++ b/gateway/load.go
@@ -2,6 +2,11 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -18,8 +23,16 @@
 	pollWorkers = 8
 	// cacheInterval is the number of polls between two reads of cache events.
 	cacheInterval = 2
-	// loadBatch bounds the upstreams in one message.
-	loadBatch = 256
+	// compactLoadBytes is the size of a compact report.
+	compactLoadBytes = 6
+	// flagDown marks an engine that does not respond in a compact report.
+	flagDown = 1
+	// stateInterval is the period of sending what an engine runs when it has not changed.
+	stateInterval = 3 * time.Second
+	// manyEngines is the number of engines of a region from which loads are read less often, to
+	// keep the bytes within the control budget.
+	manyEngines      = 100
+	slowPollInterval = 2 * time.Second
 )
 
 // watchedUpstream is an upstream whose load this VM reads for the region.
@@ -55,7 +68,7 @@
 	g.watched.Store(&list)
 }
 
-// enginesOf lists the engines of a region.
+// enginesOf lists the engines of a region, sorted by name.
 func enginesOf(s *config.Snapshot, region string) []*config.Upstream {
 	var list []*config.Upstream
 	for i := range s.File.Upstreams {
@@ -63,9 +76,20 @@
 			list = append(list, u)
 		}
 	}
+	slices.SortFunc(list, func(a, b *config.Upstream) int { return strings.Compare(a.Name, b.Name) })
 	return list
 }
 
+// setEngines records the engines of the own region.
+func (g *Gateway) setEngines(s *config.Snapshot) {
+	g.ownEngines = enginesOf(s, g.Self.Region)
+	g.manyEngines.Store(len(g.ownEngines) >= manyEngines)
+	clear(g.engineIndex)
+	for i, u := range g.ownEngines {
+		g.engineIndex[u.Name] = i
+	}
+}
+
 // watches reports whether this VM polls the upstream.
 func (g *Gateway) watches(name string) bool {
 	list := g.watched.Load()
@@ -91,7 +115,11 @@
 			case <-ctx.Done():
 			}
 		}
-		sleep(ctx, pollInterval)
+		interval := pollInterval
+		if g.manyEngines.Load() {
+			interval = slowPollInterval
+		}
+		sleep(ctx, interval)
 	}
 }
 
@@ -134,8 +162,12 @@
 }
 
 // recordLoads applies this VM's own reports and sends them to the region.
-func (g *Gateway) recordLoads(now time.Time, results []loadResult) {
-	var out vmwire.Load
+func (g *Gateway) recordLoads(ctx context.Context, now time.Time, results []loadResult) {
+	snapshot := g.Snapshot()
+	if snapshot == nil {
+		return
+	}
+	out := vmwire.Load{ConfigNumber: snapshot.Version.Number, ConfigTag: snapshot.Version.Tag()}
 	for _, r := range results {
 		if u := g.choices.Lookup(r.name); u != nil {
 			g.applyLoad(now, u, r)
@@ -143,12 +175,51 @@
 		if r.err == nil {
 			g.observe(r.name, reportOf(r))
 		}
-		out.Upstreams = append(out.Upstreams, wireLoad(now, r))
+		out.Compact = g.appendCompact(out.Compact, now, r)
+		if len(snapshot.Placements) > 0 && g.stateIsDue(now, r) {
+			out.Upstreams = append(out.Upstreams, wireLoad(now, r))
+		}
 	}
-	g.sendLoads(out.Upstreams)
+	g.sendLoad(ctx, now, &out)
 	g.refreshRoutes(now)
 }
 
+// appendCompact appends the 6 bytes of one report.
+func (g *Gateway) appendCompact(b []byte, now time.Time, r loadResult) []byte {
+	index, ok := g.engineIndex[r.name]
+	if !ok {
+		return b
+	}
+	age := min(max(now.Sub(r.at), 0)/ageUnit, maxAgeUnits)
+	var flags byte
+	if r.err != nil {
+		flags, age = flagDown, 0
+	}
+	b = binary.BigEndian.AppendUint16(b, uint16(index))
+	b = binary.BigEndian.AppendUint16(b, uint16(min(r.load.Running+r.load.Waiting, math.MaxUint16)))
+	return append(b, byte(age), flags)
+}
+
+// sentState is the state of an engine that this VM has sent last.
+type sentState struct {
+	at      time.Time
+	state   string
+	fence   uint64
+	loading bool
+}
+
+// stateIsDue reports whether what an engine runs must be sent: it has changed, or was sent long ago.
+func (g *Gateway) stateIsDue(now time.Time, r loadResult) bool {
+	state := sentState{at: now, state: fmt.Sprint(r.load.Model, r.load.Version, r.load.Adapters, r.load.Role), fence: r.fence, loading: r.load.Loading}
+	old := g.sentStates[r.name]
+	same := old.state == state.state && old.fence == state.fence && old.loading == state.loading
+	if same && now.Sub(old.at) < stateInterval {
+		return false
+	}
+	g.sentStates[r.name] = state
+	return true
+}
+
 // applyLoad applies one of this VM's own reports to the choice of upstreams.
 func (g *Gateway) applyLoad(now time.Time, u *choose.Upstream, r loadResult) {
 	if r.err != nil {
@@ -176,13 +247,13 @@
 	}
 }
 
-func (g *Gateway) sendLoads(list []vmwire.UpstreamLoad) {
-	for start := 0; start < len(list); start += loadBatch {
-		batch := &vmwire.Load{Upstreams: list[start:min(start+loadBatch, len(list))]}
-		for _, s := range g.sessions.all() {
-			if s.Peer.Region == g.Self.Region {
-				s.Control(vmwire.KindLoad, batch)
-			}
+// sendLoad sends a message to all VMs of the region, connecting to those without a session.
+func (g *Gateway) sendLoad(ctx context.Context, now time.Time, w *vmwire.Load) {
+	for _, slot := range g.members.Live(now, g.Self.Region) {
+		if s := g.sessions.get(slot); s != nil {
+			s.Control(vmwire.KindLoad, w)
+		} else {
+			g.dial(ctx, slot)
 		}
 	}
 }
@@ -199,14 +270,29 @@
 		if !l.Down {
 			g.observe(l.Upstream, reportOfWire(now, l))
 		}
-		u := g.choices.Lookup(l.Upstream)
+	}
+	g.applyCompact(now, &w)
+	g.refreshRoutes(now)
+}
+
+// applyCompact applies compact reports, if their sender has the same configuration.
+func (g *Gateway) applyCompact(now time.Time, w *vmwire.Load) {
+	s := g.Snapshot()
+	if s == nil || s.Version.Number != w.ConfigNumber || s.Version.Tag() != w.ConfigTag {
+		return
+	}
+	for c := w.Compact; len(c) >= compactLoadBytes; c = c[compactLoadBytes:] {
+		index := int(binary.BigEndian.Uint16(c))
+		if index >= len(g.ownEngines) {
+			continue
+		}
+		u := g.choices.Lookup(g.ownEngines[index].Name)
 		switch {
 		case u == nil:
-		case l.Down:
+		case c[5]&flagDown != 0:
 			u.Failed(now)
 		default:
-			u.Report(now.Add(-time.Duration(l.AgeMillis)*time.Millisecond), int64(l.Running+l.Waiting))
+			u.Report(now.Add(-time.Duration(c[4])*ageUnit), int64(binary.BigEndian.Uint16(c[2:])))
 		}
 	}
-	g.refreshRoutes(now)
 }
--- a/gateway/local.go
+++ b/gateway/local.go
@@ -244,6 +244,10 @@
 		message := fmt.Sprintf("upstream refused the request with status %d", f.Status)
 		return Outcome{Code: InvalidRequest, Message: message, Ran: r.ranBefore()}, false
 	}
+	if f.Kind == upstream.NotSent && f.Status != 0 {
+		// The engine runs another model by now: it is healthy, but not for this request.
+		return refuseUntil(NoUpstream, "the model moved to another upstream", g.retries.After(retrySoon)), true
+	}
 	event.UpstreamDown.Log(g.Log, "upstream", u.Name, "error", f.Error())
 	if f.Kind == upstream.Broken {
 		g.noteBroken(u)
--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -202,7 +202,7 @@
 	if s == nil || len(s.Placements) == 0 || g.leaving.Load() {
 		return
 	}
-	g.tickWaits(now, s)
+	g.tickWaits(ctx, now, s)
 	if !current || now.Sub(g.decidedAt) < orderInterval {
 		return
 	}
@@ -269,7 +269,7 @@
 		event.Broken(g.Log, event.BrokenOrderFence, "upstream", d.Upstream, "reason", "not configured")
 	case d.Send():
 		g.Audit.Add(now, audit.Entry{Kind: audit.OrderIssued, Subject: "upstream/" + u.Name, Version: s.Version, Detail: describe(d)})
-		g.expectLoad(now, d)
+		g.expectLoad(ctx, now, d)
 		g.refreshRoutes(now)
 		g.wait.Go(func() { g.runOrder(ctx, u, d) })
 	case d.Reason == order.ReasonRead:
@@ -290,7 +290,7 @@
 
 // expectLoad takes the engine out of its routes in the region until its next report, to spare requests
 // a refusal.
-func (g *Gateway) expectLoad(now time.Time, d order.Decision) {
+func (g *Gateway) expectLoad(ctx context.Context, now time.Time, d order.Decision) {
 	if d.From.Model == d.To.Model && d.From.Version == d.To.Version {
 		return
 	}
@@ -298,11 +298,11 @@
 	e.loading = true
 	g.engines[d.Upstream] = e
 	g.changed = true
-	g.sendLoads([]vmwire.UpstreamLoad{{
+	g.sendLoad(ctx, now, &vmwire.Load{Upstreams: []vmwire.UpstreamLoad{{
 		Upstream: d.Upstream, Running: int32(e.running), AgeMillis: now.Sub(e.at).Milliseconds(),
 		Model: e.state.Model, Version: e.state.Version, Adapters: e.state.Adapters, Role: e.state.Role,
 		Loading: true,
-	}})
+	}}})
 }
 
 // runOrder sends an order and reports its result.
--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -93,7 +93,7 @@
 }
 
 // tickSummary sends this region's summary to the representatives of the others.
-func (g *Gateway) tickSummary(_ context.Context, now time.Time) {
+func (g *Gateway) tickSummary(now time.Time) {
 	s := g.Snapshot()
 	interval := summaryInterval
 	if s != nil && len(s.File.Regions) > manyRegions {
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -231,6 +231,13 @@
 	Upstreams []UpstreamLoad
 	// Waits covers each model with a placement, or is empty.
 	Waits []ModelWait
+	// ConfigNumber and ConfigTag are the configuration that Compact refers to.
+	ConfigNumber uint64
+	ConfigTag    uint64
+	// Compact are reports of 6 bytes each: index among the sorted names of the region's engines
+	// (2 bytes, big-endian), running and waiting requests (2), age in units of 20 ms (1), flags
+	// (1): 1 if the engine does not respond.
+	Compact []byte `msg:"Compact,limit=65536"`
 }
 
 // PoolSummary condenses the upstreams of a route in one region.
--- a/vmwire/schema_gen.go
+++ b/vmwire/schema_gen.go
@@ -2179,8 +2179,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -2246,13 +2246,31 @@
 			return
 		}
 	}
+	z.ConfigNumber, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "ConfigNumber")
+		return
+	}
+	z.ConfigTag, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "ConfigTag")
+		return
+	}
+	z.Compact, err = dc.ReadBytesLimit(z.Compact, 65536)
+	if err == nil && z.Compact == nil {
+		z.Compact = []byte{}
+	}
+	if err != nil {
+		err = msgp.WrapError(err, "Compact")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Load) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 2
-	err = en.Append(0x92)
+	// array header, size 5
+	err = en.Append(0x95)
 	if err != nil {
 		return
 	}
@@ -2290,14 +2308,29 @@
 			return
 		}
 	}
+	err = en.WriteUint64(z.ConfigNumber)
+	if err != nil {
+		err = msgp.WrapError(err, "ConfigNumber")
+		return
+	}
+	err = en.WriteUint64(z.ConfigTag)
+	if err != nil {
+		err = msgp.WrapError(err, "ConfigTag")
+		return
+	}
+	err = en.WriteBytes(z.Compact)
+	if err != nil {
+		err = msgp.WrapError(err, "Compact")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Load) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Upstreams)))
 	for za0001 := range z.Upstreams {
 		o, err = z.Upstreams[za0001].MarshalMsg(o)
@@ -2313,6 +2346,9 @@
 		o = msgp.AppendString(o, z.Waits[za0002].Model)
 		o = msgp.AppendInt64(o, z.Waits[za0002].WaitMillis)
 	}
+	o = msgp.AppendUint64(o, z.ConfigNumber)
+	o = msgp.AppendUint64(o, z.ConfigTag)
+	o = msgp.AppendBytes(o, z.Compact)
 	return
 }
 
@@ -2324,8 +2360,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -2387,6 +2423,37 @@
 			return
 		}
 	}
+	z.ConfigNumber, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ConfigNumber")
+		return
+	}
+	z.ConfigTag, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ConfigTag")
+		return
+	}
+	var zb0005 uint32
+	zb0005, bts, err = msgp.ReadBytesHeader(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Compact")
+		return
+	}
+	if zb0005 > 65536 {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Compact == nil || uint32(cap(z.Compact)) < zb0005 {
+		z.Compact = make([]byte, zb0005)
+	} else {
+		z.Compact = z.Compact[:zb0005]
+	}
+	if uint32(len(bts)) < zb0005 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Compact, bts[:zb0005])
+	bts = bts[zb0005:]
 	o = bts
 	return
 }
@@ -2401,6 +2468,7 @@
 	for za0002 := range z.Waits {
 		s += 1 + msgp.StringPrefixSize + len(z.Waits[za0002].Model) + msgp.Int64Size
 	}
+	s += msgp.Uint64Size + msgp.Uint64Size + msgp.BytesPrefixSize + len(z.Compact)
 	return
 }
 
