Prove calls, answers and quarantine with real VMs; fix refusals, suspects and one-way cuts

Cause: a refusal made without the record of a call said notRun although the key had run; a run shared its Request with the caller's goroutine; a call over a path cut in one direction waited for ever; two VMs placed suspects at one upstream, so that an innocent request was quarantined; a handover could go to a leaving VM. Change: such refusals say unknown and a leaving owner answers from its records; the run has a copy of the request; sessions whose heartbeats are not acknowledged for 5 s are ended; suspects are passed to a watcher; handovers go to a VM that stays.

--- a/caller/server.go
+++ b/caller/server.go
@@ -55,7 +55,7 @@
 	s.http.MaxHeaderBytes = maxHeaderBytes
 	s.http.IdleTimeout = time.Minute
 	s.http.HandleFunc("/v1/chat/completions", s.chat)
-	s.http.HandlePrefix("/v1/services/", http.HandlerFunc(s.service))
+	s.http.HandlePrefix(servicePrefix, http.HandlerFunc(s.service))
 	s.http.HandleFunc("/v1/directory", s.directory)
 	s.http.HandleFunc("/healthz", s.healthz)
 	s.http.HandleFunc("/readyz", s.readyz)
@@ -86,7 +86,7 @@
 // routes accept it.
 func (s *Server) admit(r *http.Request) (admitted, gateway.Outcome) {
 	a := admitted{snapshot: s.Gateway.Snapshot()}
-	if a.snapshot == nil || !s.Gateway.Ready() {
+	if a.snapshot == nil || !s.Gateway.Ready() && !(s.Gateway.Leaving() && a.recorded(r)) {
 		return a, refusal(gateway.Leaving, "this vm does not accept requests; ask the directory for another one", time.Second)
 	}
 	header := r.Header.Get("Authorization")
@@ -103,6 +103,21 @@
 	return a, gateway.Outcome{}
 }
 
+// recorded reports whether the request is a call that may not be repeated, of which a VM may have a
+// record. A leaving VM still answers from its records.
+func (a admitted) recorded(r *http.Request) bool {
+	name, isService := strings.CutPrefix(r.URL.EscapedPath(), servicePrefix)
+	if key := r.Header.Get("Idempotency-Key"); !isService || key == "" || checkKeyForm(key).Code != gateway.OK {
+		return false
+	}
+	if a.snapshot == nil {
+		return true
+	}
+	name, _, _ = strings.Cut(name, "/")
+	route := a.snapshot.Routes[name]
+	return route == nil || !route.Idempotent
+}
+
 // workspace returns the workspace that a request on the route is charged to.
 func (a admitted) workspace(route *config.Route) (*config.Workspace, gateway.Outcome) {
 	if a.key != nil {
--- a/caller/service.go
+++ b/caller/service.go
@@ -12,6 +12,9 @@
 	"parsleyhatch/vmwire"
 )
 
+// servicePrefix is followed by the name of a service route.
+const servicePrefix = "/v1/services/"
+
 // maxIdempotencyKeyBytes bounds a caller's idempotency key.
 const maxIdempotencyKeyBytes = 256
 
@@ -23,6 +26,10 @@
 func (s *Server) service(w http.ResponseWriter, r *http.Request) {
 	req, out := s.serviceRequest(w, r)
 	if out.Code != gateway.OK {
+		a := admitted{snapshot: s.Gateway.Snapshot()}
+		if a.recorded(r) && out.Ran == gateway.NotRun {
+			out.Ran = gateway.Unknown // An earlier request with the key may have run.
+		}
 		writeError(w, idOf(req), out)
 		return
 	}
@@ -53,7 +60,7 @@
 	if out.Code != gateway.OK {
 		return nil, out
 	}
-	name, path, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/v1/services/"), "/")
+	name, path, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), servicePrefix), "/")
 	route := a.snapshot.Routes[name]
 	if route == nil || route.Kind != config.KindService {
 		return nil, refusal(gateway.NotFound, "unknown service route "+strconv.Quote(name), 0)
@@ -94,6 +101,11 @@
 	if key == "" && !route.Idempotent {
 		return refusal(gateway.IdempotencyMissing, "calls of route "+route.Name+" need an Idempotency-Key", 0)
 	}
+	return checkKeyForm(key)
+}
+
+// checkKeyForm refuses a key that no VM accepts.
+func checkKeyForm(key string) gateway.Outcome {
 	if len(key) > maxIdempotencyKeyBytes {
 		return refusal(gateway.InvalidRequest, "Idempotency-Key above "+strconv.Itoa(maxIdempotencyKeyBytes)+" bytes", 0)
 	}
--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -6,6 +6,7 @@
 	"errors"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"parsleyhatch/choose"
@@ -20,6 +21,9 @@
 const (
 	// answerWait is how long a call that may not be repeated waits for its answer once it was sent.
 	answerWait = 60 * time.Second
+	// handoverFlush is the time for the queued frames of a handover to leave before the sessions are
+	// closed, since frames are not acknowledged.
+	handoverFlush = 500 * time.Millisecond
 	// takeWindow is the time after the start in which the predecessor's records are asked for.
 	takeWindow = 30 * time.Second
 )
@@ -39,12 +43,20 @@
 	if owner == g.Self.Slot {
 		return g.runCall(ctx, r, p)
 	}
+	return g.forwardCall(ctx, r, owner, p)
+}
+
+// forwardCall passes a call to its owner.
+func (g *Gateway) forwardCall(ctx context.Context, r *Request, owner string, p *progress) Outcome {
+	if g.leaving.Load() {
+		return withoutRecord(r.Route, refuseLeaving())
+	}
 	m := r.Snapshot.VMs[owner]
 	if m == nil {
 		return Outcome{Code: OwnerGone, Message: "vm " + owner + ", which owns the key, is no longer in the roster; the call will not be run", Ran: Unknown}
 	}
 	if !contains(r.Snapshot.AllowedRegions(r.Route, r.Workspace), m.Region) {
-		return refuse(WrongRegion, "vm "+owner+", which owns the key, is in a region that may not run the call")
+		return withoutRecord(r.Route, refuse(WrongRegion, "vm "+owner+", which owns the key, is in a region that may not run the call"))
 	}
 	s := g.sessionWith(ctx, owner)
 	if s == nil {
@@ -53,6 +65,15 @@
 	return g.forwardTo(ctx, r, s, p)
 }
 
+// withoutRecord corrects a refusal that was made without the record of the call. An earlier request
+// with the key may have run the call, and a caller that trusts notRun would use another key.
+func withoutRecord(route *config.Route, out Outcome) Outcome {
+	if !route.Idempotent && out.Ran == NotRun {
+		out.Ran = Unknown
+	}
+	return out
+}
+
 // callOwner returns the slot that may run the call. The owner itself checks the incarnation.
 func (g *Gateway) callOwner(r *Request) (string, Outcome) {
 	if once.IsTicket(r.IdempotencyKey) {
@@ -65,7 +86,7 @@
 	region := callRegion(r.Snapshot, r.Route, r.Workspace)
 	owner := once.Owner(regionSlots(r.Snapshot, region), r.callKey())
 	if owner == "" {
-		return "", refuseUntil(NoUpstream, "no vm is configured in region "+region, retrySoon)
+		return "", withoutRecord(r.Route, refuseUntil(NoUpstream, "no vm is configured in region "+region, retrySoon))
 	}
 	return owner, Outcome{}
 }
@@ -95,12 +116,20 @@
 
 // runCall runs a call of which this VM is the owner, or returns its recorded answer.
 func (g *Gateway) runCall(ctx context.Context, r *Request, p *progress) Outcome {
+	// The run outlives this request, so it has a copy of its own.
+	run := *r
+	run.steps = nil
+	run.released = &atomic.Pointer[Outcome]{}
 	for {
 		outcome, record := g.calls.Begin(g.Now(), r.callKey(), sha256.Sum256(r.Body))
 		switch outcome {
 		case once.Run:
+			if g.leaving.Load() {
+				g.calls.Abandon(g.Now(), record)
+				return refuseLeaving()
+			}
 			record.Deadline = r.Deadline
-			go g.runRecord(context.WithoutCancel(ctx), r, record)
+			go g.runRecord(context.WithoutCancel(ctx), &run, record)
 		case once.Wait, once.Replay:
 		default:
 			return refuseCall(outcome)
@@ -120,16 +149,19 @@
 		out := g.answerCall(ctx, state, answer, p)
 		out.Replayed = outcome != once.Run
 		if state == once.Released {
-			out = r.whyReleased()
+			out = g.whyReleased(&run)
 		}
 		return out
 	}
 }
 
 // whyReleased is the outcome of a call of which no byte was sent.
-func (r *Request) whyReleased() Outcome {
-	if r.released.Code != OK {
-		return r.released
+func (g *Gateway) whyReleased(run *Request) Outcome {
+	if out := run.released.Load(); out != nil {
+		return *out
+	}
+	if g.leaving.Load() {
+		return refuseLeaving()
 	}
 	return refuseUntil(DeadlineExceeded, "the call was not sent within the deadline", retrySoon)
 }
@@ -178,7 +210,7 @@
 	for range maxUpstreamAttempts {
 		granted, out := g.acquire(ctx, r, r.choice(exclude))
 		if out.Code != OK {
-			r.released = out
+			r.released.Store(&out)
 			break
 		}
 		exclude = append(exclude, granted.pick.Upstream)
@@ -187,7 +219,8 @@
 		if ended {
 			return
 		}
-		r.released = refuseUntil(NoUpstream, "no service accepted a connection", g.retries.After(retrySoon))
+		out = refuseUntil(NoUpstream, "no service accepted a connection", g.retries.After(retrySoon))
+		r.released.Store(&out)
 	}
 	g.calls.Abandon(g.Now(), record)
 }
@@ -209,7 +242,9 @@
 		g.finishCall(u, record, answer)
 		return true
 	case errors.Is(fail, upstream.ErrWithdrawn):
-		return true // Sending has released the record.
+		// Sending has released the record, unless the time ran out before Sending was asked.
+		g.calls.Withdraw(g.Now(), record)
+		return true
 	}
 	event.UpstreamDown.Log(g.Log, "upstream", u.Name, "error", fail.Error())
 	granted.pick.Upstream.Failed(g.Now())
@@ -286,16 +321,32 @@
 func (g *Gateway) handOver(now time.Time) {
 	g.calls.Seal(now)
 	frames := g.calls.Export(now)
+	keepers := g.keepers()
+	if len(frames) == 0 || len(keepers) == 0 {
+		return
+	}
+	g.runHandout(keepers[0], frames)
+	time.Sleep(handoverFlush)
+	event.HandoverSent.Log(g.Log, "to", keepers[0].Peer.Slot, "frames", len(frames))
+}
+
+// keepers lists the sessions with the VMs of the region that may keep a handover, those that stay first.
+func (g *Gateway) keepers() []*vm.Session {
+	leaving := map[string]bool{}
+	for _, info := range g.VMs() {
+		leaving[info.Name] = info.Leaving || !info.Alive
+	}
+	var stay, last []*vm.Session
 	for _, s := range g.sessions.all() {
-		if s.Peer.Region != g.Self.Region || len(frames) == 0 {
-			continue
-		}
-		for i := range frames {
-			g.sendFrame(s, &frames[i])
+		switch {
+		case s.Peer.Region != g.Self.Region:
+		case leaving[s.Peer.Slot]:
+			last = append(last, s)
+		default:
+			stay = append(stay, s)
 		}
-		event.HandoverSent.Log(g.Log, "to", s.Peer.Slot, "frames", len(frames))
-		return
 	}
+	return append(stay, last...)
 }
 
 // sendFrame queues one frame of a handover, waiting for room for a short time. A lost frame costs
@@ -326,8 +377,15 @@
 		return
 	}
 	frames := g.handovers.Take(g.Now(), w.Slot, m.from.Peer.Incarnation)
+	if len(frames) > 0 {
+		g.wait.Go(func() { g.runHandout(m.from, frames) })
+	}
+}
+
+// runHandout sends the frames of a handover, which can be more than the session's queue holds.
+func (g *Gateway) runHandout(s *vm.Session, frames []vmwire.Handover) {
 	for i := range frames {
-		m.from.Control(vmwire.KindHandover, &frames[i])
+		g.sendFrame(s, &frames[i])
 	}
 }
 
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -43,7 +43,7 @@
 	}
 	st, err := s.Open(ctx, g.openOf(r, p))
 	if err != nil {
-		return refuseUntil(UnreachableRegion, "vm "+s.Peer.Slot+" is unreachable", retrySoon)
+		return withoutRecord(r.Route, refuseUntil(UnreachableRegion, "vm "+s.Peer.Slot+" is unreachable", retrySoon))
 	}
 	if err := st.Send(ctx, r.Body); err != nil && !errors.Is(err, vm.ErrStreamReset) {
 		st.Reset()
@@ -122,11 +122,14 @@
 	defer cancel(nil)
 	r, out := g.receive(ctx, st, &open)
 	if r == nil {
+		if mayBeRecorded(g.Snapshot(), &open) && out.Ran == NotRun {
+			out.Ran = Unknown // See withoutRecord.
+		}
 		g.endStream(st, out)
 		return
 	}
 	if !g.streams.add(r, cancel, g.Settings.MaxStreams) {
-		g.endStream(st, refuseUntil(Overloaded, "too many open requests at this vm", retrySoon))
+		g.endStream(st, withoutRecord(r.Route, refuseUntil(Overloaded, "too many open requests at this vm", retrySoon)))
 		return
 	}
 	defer g.streams.remove(r.ID)
@@ -139,6 +142,18 @@
 	g.endStream(st, out)
 }
 
+// mayBeRecorded reports whether the request is a call of which this VM may have a record. Such calls
+// are refused by their record also when the VM is leaving.
+func mayBeRecorded(s *config.Snapshot, open *vmwire.Open) bool {
+	if open.IdempotencyKey == "" {
+		return false
+	}
+	if s == nil || s.Routes[open.Route] == nil {
+		return true
+	}
+	return !s.Routes[open.Route].Idempotent
+}
+
 // runReset cancels the work when the origin abandons the stream.
 func (g *Gateway) runReset(ctx context.Context, st *vm.Stream, cancel context.CancelCauseFunc) {
 	if _, _, err := st.Recv(ctx); err != nil && ctx.Err() == nil {
@@ -183,7 +198,7 @@
 // checkOpen builds the request, or refuses it.
 func (g *Gateway) checkOpen(open *vmwire.Open) (*Request, Outcome) {
 	s := g.Snapshot()
-	if g.leaving.Load() {
+	if g.leaving.Load() && !mayBeRecorded(s, open) {
 		return nil, refuseUntil(Leaving, "vm "+g.Self.Slot+" is leaving", retrySoon)
 	}
 	admitted := config.Version{Number: open.ConfigNumber, Digest: open.ConfigDigest}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -93,18 +93,22 @@
 	lists      chan []platform.VMState
 
 	// Owned by the control loop.
-	members     *member.Table
-	choices     *choose.Table
-	peerQueues  map[string]int32
-	entries     map[string]regionEntries
-	takenFrom   map[string]bool
-	handover    []vmwire.Handover
-	fetching    bool
-	authorised  bool
-	lastBeat    time.Time
-	lastSummary time.Time
-	watched     atomic.Pointer[[]watchedUpstream]
-	isReader    atomic.Bool
+	members    *member.Table
+	choices    *choose.Table
+	peerQueues map[string]int32
+	entries    map[string]regionEntries
+	takenFrom  map[string]bool
+	// unackedSince is when the first heartbeat without an acknowledgement was sent.
+	unackedSince map[*vm.Session]time.Time
+	handover     []vmwire.Handover
+	fetching     bool
+	authorised   bool
+	lastBeat     time.Time
+	lastSummary  time.Time
+	// watchers names the watcher of each upstream of the region.
+	watchers atomic.Pointer[map[string]string]
+	watched  atomic.Pointer[[]watchedUpstream]
+	isReader atomic.Bool
 
 	wait sync.WaitGroup
 }
@@ -136,32 +140,33 @@
 	}
 	seed := seedOf(self)
 	g := &Gateway{
-		Settings:   s,
-		Self:       self,
-		Log:        log,
-		Endpoint:   endpoint,
-		Upstreams:  upstream.New(s.UpstreamCredential),
-		Metrics:    metrics.New(s.Slot, s.Region),
-		Audit:      audit.New(audit.Limit),
-		Now:        time.Now,
-		superseded: make(chan struct{}),
-		tokens:     limit.New(s.Slot),
-		calls:      once.New(s.Slot, self.Incarnation, now, signer, once.DefaultLimits()),
-		signer:     signer,
-		handovers:  once.NewHandoverStore(once.DefaultStoreLimits()),
-		poisons:    poison.New(poison.DefaultLimits()),
-		hasher:     hasher,
-		retries:    retry.New(seed, nil),
-		control:    make(chan message, controlQueue),
-		changes:    make(chan sessionChange, controlQueue),
-		candidates: make(chan candidate, 4),
-		loads:      make(chan []loadResult, 4),
-		lists:      make(chan []platform.VMState, 1),
-		members:    member.New(now, s.Slot, incarnationOf(self)),
-		choices:    choose.New(s.Region, seed),
-		peerQueues: map[string]int32{},
-		entries:    map[string]regionEntries{},
-		takenFrom:  map[string]bool{},
+		Settings:     s,
+		Self:         self,
+		Log:          log,
+		Endpoint:     endpoint,
+		Upstreams:    upstream.New(s.UpstreamCredential),
+		Metrics:      metrics.New(s.Slot, s.Region),
+		Audit:        audit.New(audit.Limit),
+		Now:          time.Now,
+		superseded:   make(chan struct{}),
+		tokens:       limit.New(s.Slot),
+		calls:        once.New(s.Slot, self.Incarnation, now, signer, once.DefaultLimits()),
+		signer:       signer,
+		handovers:    once.NewHandoverStore(once.DefaultStoreLimits()),
+		poisons:      poison.New(poison.DefaultLimits()),
+		hasher:       hasher,
+		retries:      retry.New(seed, nil),
+		control:      make(chan message, controlQueue),
+		changes:      make(chan sessionChange, controlQueue),
+		candidates:   make(chan candidate, 4),
+		loads:        make(chan []loadResult, 4),
+		lists:        make(chan []platform.VMState, 1),
+		members:      member.New(now, s.Slot, incarnationOf(self)),
+		choices:      choose.New(s.Region, seed),
+		peerQueues:   map[string]int32{},
+		entries:      map[string]regionEntries{},
+		takenFrom:    map[string]bool{},
+		unackedSince: map[*vm.Session]time.Time{},
 	}
 	g.calls.Log, g.poisons.Log = log, log
 	g.tokens.Begin(now, self.Incarnation)
@@ -201,6 +206,9 @@
 // Ready reports whether the VM accepts requests.
 func (g *Gateway) Ready() bool { return g.ready.Load() && !g.leaving.Load() }
 
+// Leaving reports whether the VM refuses new work for good; it still answers calls that it has a record of.
+func (g *Gateway) Leaving() bool { return g.leaving.Load() }
+
 // Superseded is closed when a newer incarnation of this VM's slot is known.
 func (g *Gateway) Superseded() <-chan struct{} { return g.superseded }
 
--- a/gateway/load.go
+++ b/gateway/load.go
@@ -39,16 +39,19 @@
 // watch selects the upstreams that this VM polls.
 func (g *Gateway) watch(now time.Time, s *config.Snapshot) {
 	list := []watchedUpstream{}
+	watchers := map[string]string{}
 	for i := range s.File.Upstreams {
 		u := &s.File.Upstreams[i]
 		if u.Kind != config.KindModel || u.Region != g.Self.Region {
 			continue
 		}
-		if g.members.Watcher(now, u.Name, u.Region, u.FailureDomain) == g.Self.Slot {
+		watchers[u.Name] = g.members.Watcher(now, u.Name, u.Region, u.FailureDomain)
+		if watchers[u.Name] == g.Self.Slot {
 			list = append(list, watchedUpstream{name: u.Name, address: u.Address})
 		}
 	}
 	g.watched.Store(&list)
+	g.watchers.Store(&watchers)
 }
 
 // watches reports whether this VM polls the upstream.
--- a/gateway/local.go
+++ b/gateway/local.go
@@ -53,13 +53,17 @@
 
 // runModel runs a chat completion, resuming it at another upstream when one fails.
 func (g *Gateway) runModel(ctx context.Context, r *Request, p *progress) Outcome {
-	ctx, cancel := context.WithCancelCause(ctx)
+	limited, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	first := time.AfterFunc(r.Deadline.Sub(g.Now()), func() { cancel(errDeadline) })
 	defer first.Stop()
-	return g.attempts(ctx, r, p, func(ctx context.Context, u *config.Upstream, running *choose.Running) (Outcome, bool) {
+	out := g.attempts(limited, r, p, func(ctx context.Context, u *config.Upstream, running *choose.Running) (Outcome, bool) {
 		return g.streamFrom(ctx, r, u, running, p, first)
 	})
+	if r.passTo != "" {
+		return g.passSuspect(ctx, r, p)
+	}
+	return out
 }
 
 // runService runs a plain service call that may be repeated.
@@ -83,6 +87,9 @@
 		if attempt > 0 && !g.mayRetry(r, p, attempt) {
 			return last
 		}
+		if r.passTo = g.suspectPlacer(r); r.passTo != "" {
+			return last
+		}
 		q := r.choice(exclude)
 		q.Filter = g.suspectFilter(r)
 		granted, out := g.acquire(ctx, r, q)
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"parsleyhatch/audit"
@@ -16,6 +17,13 @@
 // listInterval is the period of reading the platform's list of VMs.
 const listInterval = 5 * time.Second
 
+// ackLimit is the time without an acknowledgement of heartbeats after which a session is ended. It
+// finds a path that is cut towards the other VM only: frames still arrive here, so the session is not
+// silent, but a forwarded request would wait for an answer that cannot come.
+const ackLimit = 5 * time.Second
+
+var errNotAcknowledged = errors.New("the other vm acknowledges no heartbeats")
+
 // tickMembers ages the table of VMs and sends heartbeats.
 func (g *Gateway) tickMembers(ctx context.Context, now time.Time) {
 	g.members.SetState(g.ready.Load(), g.leaving.Load())
@@ -23,6 +31,7 @@
 	if changes.Paused > 0 {
 		g.tokens.Discard(now)
 		event.LatePause.Log(g.Log, "gapMillis", changes.Paused.Milliseconds())
+		clear(g.unackedSince) // Acknowledgements may wait in the queue of this loop.
 	}
 	for _, slot := range changes.Died {
 		g.Audit.Add(now, audit.Entry{Kind: audit.VMLeft, Subject: "vm/" + slot})
@@ -86,7 +95,13 @@
 			g.dial(ctx, slot)
 			continue
 		}
-		s.Control(vmwire.KindHeartbeat, g.heartbeat(now, slot, sequence))
+		if since, waits := g.unackedSince[s]; waits && now.Sub(since) > ackLimit {
+			s.Close(errNotAcknowledged)
+			continue
+		}
+		if s.Control(vmwire.KindHeartbeat, g.heartbeat(now, slot, sequence)) && g.unackedSince[s].IsZero() {
+			g.unackedSince[s] = now
+		}
 	}
 }
 
@@ -172,6 +187,7 @@
 		return
 	}
 	now := g.Now()
+	delete(g.unackedSince, m.from)
 	lease := g.members.Acked(now, member.Ack{
 		Slot: m.from.Peer.Slot, Incarnation: incarnationOf(m.from.Peer), Sequence: w.Sequence,
 		Newest:   member.Incarnation{Number: w.NewestIncarnation, StartedAtUnixMilli: w.NewestStartedAtUnixMilli},
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"parsleyhatch/config"
@@ -180,10 +181,12 @@
 	fingerprint poison.Fingerprint
 	// sent says that an upstream has got the request from this VM.
 	sent bool
+	// passTo is the VM of the region that must place the request, since it is a suspect.
+	passTo string
 	// prefix is Prefix as a number, zero if there is none.
 	prefix uint64
 	// released is why a call that may not be repeated was not sent.
-	released Outcome
+	released *atomic.Pointer[Outcome]
 }
 
 // Sink takes the chunks of an answer in order. An error means that the caller is gone.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -21,19 +21,19 @@
 
 // Serve runs a request of a caller and passes its answer to the sink.
 func (g *Gateway) Serve(ctx context.Context, r *Request, sink Sink) Outcome {
-	if g.leaving.Load() {
-		return refuseUntil(Leaving, "this vm is leaving; ask the directory for another one", retrySoon)
+	if g.leaving.Load() && r.Route.Idempotent {
+		return refuseLeaving() // Other calls are refused by their record.
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if !g.streams.add(r, cancel, g.Settings.MaxStreams) {
-		return refuseUntil(Overloaded, "too many open requests at this vm", retrySoon)
+		return withoutRecord(r.Route, refuseUntil(Overloaded, "too many open requests at this vm", retrySoon))
 	}
 	defer g.streams.remove(r.ID)
 	// The key may have been withdrawn between authentication and registration.
 	if r.KeyID != "" {
 		if key := g.Snapshot().Keys[r.KeyID]; key == nil || key.Withdrawn {
-			return refuse(Unauthorized, "key withdrawn")
+			return withoutRecord(r.Route, refuse(Unauthorized, "key withdrawn"))
 		}
 	}
 	g.identify(r)
@@ -42,6 +42,10 @@
 	return out
 }
 
+func refuseLeaving() Outcome {
+	return refuseUntil(Leaving, "this vm is leaving; ask the directory for another one", retrySoon)
+}
+
 // admit charges the request and runs it.
 func (g *Gateway) admit(ctx context.Context, r *Request, p *progress) Outcome {
 	if out, refused := g.checkPoison(r); refused {
@@ -49,14 +53,14 @@
 	}
 	allowed := r.Snapshot.AllowedRegions(r.Route, r.Workspace)
 	if len(allowed) == 0 {
-		return refuse(WrongRegion, "no region may run this request")
+		return withoutRecord(r.Route, refuse(WrongRegion, "no region may run this request"))
 	}
 	if r.Route.HomeBound && !contains(allowed, g.Self.Region) {
-		return refuse(WrongRegion, "the request must stay in region "+allowed[0])
+		return withoutRecord(r.Route, refuse(WrongRegion, "the request must stay in region "+allowed[0]))
 	}
 	charge, out := g.charge(ctx, r)
 	if out.Code != OK {
-		return out
+		return withoutRecord(r.Route, out)
 	}
 	if r.Route.Idempotent {
 		out = g.route(ctx, r, allowed, p)
--- a/gateway/sessions.go
+++ b/gateway/sessions.go
@@ -201,6 +201,7 @@
 		g.greet(g.Now(), c.session)
 		return
 	}
+	delete(g.unackedSince, c.session)
 	event.PeerDown.Log(g.Log, "peer", slot, "reason", errText(c.reason))
 }
 
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -174,15 +174,43 @@
 }
 
 // suspectFilter restricts a suspect to the upstreams that this VM watches, so that no two VMs place
-// suspects at one upstream. It is nil for other requests, and if this VM watches none of the route.
+// suspects at one upstream. It is nil for other requests.
 func (g *Gateway) suspectFilter(r *Request) func(*choose.Upstream) bool {
 	if g.poisons.State(g.Now(), r.fingerprint) != poison.Suspect {
 		return nil
 	}
+	return func(u *choose.Upstream) bool { return g.watches(u.Name) }
+}
+
+// suspectPlacer returns the VM of the region that must place the request, because it is a suspect and
+// this VM watches no upstream of its route. It is empty if this VM may place the request.
+func (g *Gateway) suspectPlacer(r *Request) string {
+	watchers := g.watchers.Load()
+	if watchers == nil || g.poisons.State(g.Now(), r.fingerprint) != poison.Suspect {
+		return ""
+	}
+	placer := ""
 	for _, u := range r.Snapshot.RouteUpstreams[r.Route.Name] {
 		if g.watches(u.Name) {
-			return func(u *choose.Upstream) bool { return g.watches(u.Name) }
+			return ""
 		}
+		if w := (*watchers)[u.Name]; w != "" {
+			placer = w
+		}
+	}
+	return placer
+}
+
+// passSuspect lets another VM of the region run a suspect.
+func (g *Gateway) passSuspect(ctx context.Context, r *Request, p *progress) Outcome {
+	out := refuseUntil(Overloaded, "the request crashed an upstream and can only run at vm "+r.passTo, g.retries.After(retrySoon))
+	if !r.Forwarded {
+		if s := g.sessionWith(ctx, r.passTo); s != nil {
+			out = g.forwardTo(ctx, r, s, p)
+		}
+	}
+	if out.Ran == NotRun {
+		out.Ran = r.ranBefore()
 	}
-	return nil
+	return out
 }
--- /dev/null
+++ b/proof/answers_test.go
@@ -0,0 +1,348 @@
+package proof
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"parsleyhatch/config"
+	"parsleyhatch/standin"
+)
+
+// wantWhole checks that an answer is the whole answer.
+func wantWhole(t *testing.T, what string, a answer, prompt string, tokens int) {
+	t.Helper()
+	if !a.done || a.text != want("redator", prompt, tokens) {
+		t.Errorf("%s: answer of %d bytes (status %d, code %s) is not the whole answer", what, len(a.text), a.status, a.code)
+	}
+}
+
+// Guards against a lost or repeated part of an answer when the engine stops sending in the middle of it.
+func TestEngineFreeze(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleetOptions{regions: []string{"norte"}, vmsPerRegion: 1, engines: 2, engine: standin.EngineSettings{TokensPerSecond: 200}})
+	t.Cleanup(func() {
+		for _, e := range f.engines {
+			e.Thaw()
+		}
+	})
+	a, err := f.chat(chatOptions{vm: "norte-1", key: keyOf("alpha"), model: "redator", prompt: "freeze", maxTokens: 100, onChunk: func(n int) {
+		if n != 10 {
+			return
+		}
+		for _, e := range f.engines {
+			if len(e.Running()) > 0 {
+				e.Freeze()
+			}
+		}
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	wantWhole(t, "engine froze", a, "freeze", 100)
+}
+
+// resume reads an answer to its end, at one VM after the other.
+func (f *fleet) resume(o chatOptions, vms ...string) answer {
+	f.t.Helper()
+	var whole answer
+	next := 0
+	f.t.Cleanup(func() {
+		if !whole.done {
+			f.t.Logf("%s: last outcome %s, ran %q, after %d sends and %d bytes", o.prompt, whole.code, whole.ran, next, len(whole.text))
+		}
+	})
+	f.waitFor("whole answer to "+o.prompt, func() bool {
+		o.vm, o.lastID = vms[next%len(vms)], whole.lastID
+		next++
+		a, _ := f.chat(o) // The stream breaks when its VM is killed.
+		whole.text += a.text
+		whole.done = a.done
+		whole.status, whole.code, whole.ran = a.status, a.code, a.ran
+		if a.lastID != "" {
+			whole.lastID = a.lastID
+		}
+		o.onChunk = nil
+		return a.done
+	})
+	return whole
+}
+
+// Guards against a lost or repeated part of an answer when the VM of the caller is killed in the middle
+// of it, and the caller resumes at another VM.
+func TestResumeAtAnotherVM(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleetOptions{regions: []string{"norte"}, vmsPerRegion: 3, engines: 2, engine: standin.EngineSettings{TokensPerSecond: 200, MaxBatch: 32}})
+	// The callers of the killed VM read at the same time and have got different parts.
+	const callers = 8
+	var reading atomic.Int32
+	var wait sync.WaitGroup
+	kill := make(chan struct{})
+	for i := range callers {
+		prompt := fmt.Sprintf("resume %d", i)
+		wait.Go(func() {
+			at := 5 + 7*i
+			a := f.resume(chatOptions{key: keyOf("alpha"), model: "redator", prompt: prompt, maxTokens: 200, onChunk: func(n int) {
+				if n == at && reading.Add(1) == callers {
+					close(kill)
+				}
+			}}, "norte-1", "norte-2", "norte-3")
+			wantWhole(t, prompt, a, prompt, 200)
+		})
+	}
+	<-kill
+	f.kill("norte-1")
+	wait.Wait()
+}
+
+// Guards against a lost or repeated part of a forwarded answer when the VM that runs it is killed.
+func TestForwardedVMKilled(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleetOptions{
+		regions: []string{"norte", "centro"}, vmsPerRegion: 2, engines: 2, engine: standin.EngineSettings{TokensPerSecond: 100, MaxBatch: 32},
+		edit: func(file *config.File) {
+			file.Upstreams = file.Upstreams[:2] // Only norte has upstreams.
+		},
+	})
+	var wait sync.WaitGroup
+	started := make(chan struct{})
+	var once sync.Once
+	for i := range 8 {
+		prompt := fmt.Sprintf("forwarded %d", i)
+		wait.Go(func() {
+			a := f.resume(chatOptions{key: keyOf("alpha"), model: "redator", prompt: prompt, maxTokens: 150, onChunk: func(n int) {
+				if n == 20 {
+					once.Do(func() { close(started) })
+				}
+			}}, "centro-1", "centro-2")
+			wantWhole(t, prompt, a, prompt, 150)
+		})
+	}
+	<-started
+	// The VM that has the forwarded streams is killed; the other one stays.
+	victim := "norte-1"
+	if f.nodes["norte-2"].gateway.Status().OpenStreams > 0 {
+		victim = "norte-2"
+	}
+	f.kill(victim)
+	wait.Wait()
+}
+
+// faultyEngine sends an answer with one fault, and is whole from the third attempt of a request on.
+type faultyEngine struct {
+	fault string
+
+	mu       sync.Mutex
+	attempts map[string]int
+}
+
+func (e *faultyEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/v1/chat/completions" {
+		_, _ = fmt.Fprint(w, `{"bootId":"1"}`)
+		return
+	}
+	var body struct {
+		Model    string            `json:"model"`
+		Messages []standin.Message `json:"messages"`
+		Max      int               `json:"max_tokens"`
+	}
+	if json.NewDecoder(r.Body).Decode(&body) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	var from int
+	_, _ = fmt.Sscan(r.Header.Get("X-Resume-From"), &from)
+	id, prompt := r.Header.Get("X-Request-Id"), standin.Prompt(body.Messages)
+	e.mu.Lock()
+	e.attempts[id]++
+	faulty := e.attempts[id] < 3
+	e.mu.Unlock()
+	tokens := standin.Answer(body.Model, prompt, standin.AnswerTokens(body.Model, prompt, body.Max))
+	for i := from; i < len(tokens); i++ {
+		if faulty && i == from+5 {
+			e.sendFault(w, id, i, tokens)
+		}
+		sendEvent(w, id, i, i+1, tokens[i])
+	}
+	sendEvent(w, id, len(tokens), len(tokens), "")
+	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+// sendFault sends what does not belong before token i.
+func (e *faultyEngine) sendFault(w http.ResponseWriter, id string, i int, tokens []string) {
+	switch e.fault {
+	case "repeated":
+		sendEvent(w, id, i-1, i, tokens[i-1])
+	case "late":
+		sendEvent(w, id, i-3, i-2, tokens[i-3])
+	case "crossed":
+		sendEvent(w, "another-request", i, i+1, "CROSSED ")
+	case "skipped":
+		sendEvent(w, id, i+1, i+2, tokens[i+1])
+	case "overlapping":
+		sendEvent(w, id, i-1, i+1, tokens[i-1]+tokens[i])
+	case "early end":
+		_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+	case "no id":
+		_, _ = fmt.Fprint(w, "data: {}\n\n")
+	}
+}
+
+func sendEvent(w http.ResponseWriter, id string, start, end int, text string) {
+	c := standin.Chunk{ID: id, Choices: []standin.ChunkChoice{{Delta: standin.ChunkDelta{Content: text}}}}
+	data, _ := json.Marshal(c)
+	_, _ = fmt.Fprintf(w, "id: %s:%d:%d\ndata: %s\n\n", id, start, end, data)
+}
+
+var engineFaults = []string{"repeated", "late", "crossed", "skipped", "overlapping", "early end", "no id"}
+
+// Guards against chunks of a faulty engine that reach a caller late, twice, out of order, or in the
+// answer to another request.
+func TestFaultyEngine(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleetOptions{regions: []string{"norte", "centro"}, vmsPerRegion: 1, edit: func(file *config.File) {
+		file.Routes = nil
+		for _, fault := range engineFaults {
+			label := strings.ReplaceAll(fault, " ", "-")
+			file.Routes = append(file.Routes, config.Route{
+				Name: label, Kind: config.KindModel, Model: label, Selector: "model=" + label, Idempotent: true,
+				Class: config.ClassDraft, DeadlineMillis: 30000, MaxTokens: 400,
+			})
+			for n := range 4 {
+				server := httptest.NewServer(&faultyEngine{fault: fault, attempts: map[string]int{}})
+				t.Cleanup(server.Close)
+				file.Upstreams = append(file.Upstreams, config.Upstream{
+					Name: fmt.Sprintf("%s-%d", label, n+1), Kind: config.KindModel, Address: strings.TrimPrefix(server.URL, "http://"),
+					Region: "norte", FailureDomain: "norte-fd1", Labels: map[string]string{"model": label}, MaxBatch: 8,
+				})
+			}
+		}
+	}})
+	for _, fault := range engineFaults {
+		for _, slot := range []string{"norte-1", "centro-1"} {
+			t.Run(fault+"/"+slot, func(t *testing.T) {
+				t.Parallel()
+				f.testFault(t, strings.ReplaceAll(fault, " ", "-"), slot)
+			})
+		}
+	}
+}
+
+// testFault checks that what a caller gets is a part of its own answer without a gap, and that the
+// parts make up the whole.
+func (f *fleet) testFault(t *testing.T, model, slot string) {
+	prompt := "faulty " + slot
+	whole := want(model, prompt, 60)
+	text, lastID := "", ""
+	f.waitFor("whole answer", func() bool {
+		a, err := f.chat(chatOptions{vm: slot, key: keyOf("alpha"), model: model, prompt: prompt, maxTokens: 60, lastID: lastID})
+		if err != nil {
+			t.Fatal(err)
+		}
+		text += a.text
+		if !strings.HasPrefix(whole, text) {
+			t.Fatalf("the caller got %q, which is not the start of its answer", text)
+		}
+		if a.lastID != "" {
+			lastID = a.lastID
+		}
+		return a.done
+	})
+	if text != whole {
+		t.Errorf("answer of %d bytes, want %d", len(text), len(whole))
+	}
+}
+
+// poisonRun is what one seed of the poison test measured.
+type poisonRun struct {
+	lost      int
+	innocents int
+	whole     int
+}
+
+// Guards against a request that crashes more than three upstreams, against resends that reach an
+// upstream after the quarantine, and against innocent requests of the same batch that do not complete.
+func TestPoisonedRequest(t *testing.T) {
+	t.Parallel()
+	for seed := range 4 {
+		t.Run(fmt.Sprintf("seed%d", seed), func(t *testing.T) {
+			t.Parallel()
+			r := runPoison(t, uint64(seed))
+			t.Logf("seed %d: upstreams lost %d, innocent answers whole %d of %d", seed, r.lost, r.whole, r.innocents)
+			if r.lost > 3 || r.whole != r.innocents {
+				t.Errorf("seed %d: upstreams lost %d, want at most 3; innocent answers whole %d of %d", seed, r.lost, r.whole, r.innocents)
+			}
+		})
+	}
+}
+
+func runPoison(t *testing.T, seed uint64) poisonRun {
+	f := startFleet(t, fleetOptions{regions: []string{"norte"}, vmsPerRegion: 2, engines: 6, engine: standin.EngineSettings{
+		TokensPerSecond: 200, MaxBatch: 8, RestartTime: 100 * time.Millisecond, Seed: seed * 100,
+	}})
+	r := poisonRun{innocents: 12}
+	var wait sync.WaitGroup
+	var whole atomic.Int32
+	started := make(chan struct{}, r.innocents)
+	for i := range r.innocents {
+		prompt := fmt.Sprintf("innocent %d of %d", i, seed)
+		vms := []string{"norte-1", "norte-2"}
+		wait.Go(func() {
+			a := f.resume(chatOptions{key: keyOf("beta"), model: "redator", prompt: prompt, maxTokens: 300, onChunk: func(n int) {
+				if n == 3 {
+					started <- struct{}{}
+				}
+			}}, vms[i%2], vms[(i+1)%2])
+			if a.done && a.text == want("redator", prompt, 300) {
+				whole.Add(1)
+			}
+		})
+	}
+	for range r.innocents {
+		<-started
+	}
+	f.resendPoison(t, fmt.Sprintf("a %s request of %d", poisonWord, seed))
+	wait.Wait()
+	r.whole = int(whole.Load())
+	r.lost = f.crashes()
+	return r
+}
+
+// resendPoison sends the request at alternating VMs until it is final, and then more often.
+func (f *fleet) resendPoison(t *testing.T, prompt string) {
+	vms := []string{"norte-1", "norte-2"}
+	tries := 0
+	send := func() answer {
+		a, _ := f.chat(chatOptions{vm: vms[tries%2], key: keyOf("alpha"), model: "redator", prompt: prompt, maxTokens: 50})
+		tries++
+		return a
+	}
+	f.waitFor("final answer to the poisoned request", func() bool { return send().code == "poisoned" })
+	f.waitFor("quarantine at both vms", func() bool {
+		first, second := send(), send()
+		return first.code == "poisoned" && second.code == "poisoned"
+	})
+	before := f.crashes()
+	for range 10 {
+		if a := send(); a.code != "poisoned" {
+			t.Errorf("resend after the quarantine: code %q", a.code)
+		}
+	}
+	if after := f.crashes(); after != before {
+		t.Errorf("resends after the quarantine crashed %d upstreams", after-before)
+	}
+}
+
+func (f *fleet) crashes() int {
+	total := 0
+	for _, e := range f.engines {
+		total += e.Crashes()
+	}
+	return total
+}
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -69,7 +69,8 @@
 // freeAddress reserves a loopback address.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	// Outgoing connections take their ports at 127.0.0.1, so a port there could be lost before its use.
+	l, err := net.Listen("tcp", "127.0.8.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
