--- a/gateway/beat.go
+++ b/gateway/beat.go
@@ -79,7 +79,13 @@
 			g.dial(ctx, slot)
 			continue
 		}
-		s.Control(vmwire.KindHeartbeat, g.heartbeat(now, slot, sequence))
+		if since, waits := g.unackedSince[s]; waits && now.Sub(since) > ackLimit {
+			s.Close(errNotAcknowledged)
+			continue
+		}
+		if s.Control(vmwire.KindHeartbeat, g.heartbeat(now, slot, sequence)) && g.unackedSince[s].IsZero() {
+			g.unackedSince[s] = now
+		}
 	}
 	// What is left came from VMs that are no targets any more.
 	for slot, h := range g.beats.unacknowledged {
@@ -216,7 +222,7 @@
 		g.welcome(now, peer)
 	}
 	if w.AckSequence != 0 && w.Flags&vmwire.FlagNewest != 0 {
-		g.acked(now, peer, &vmwire.HeartbeatAck{
+		g.acked(now, m.from, &vmwire.HeartbeatAck{
 			Sequence: w.AckSequence, Confirms: w.Flags&vmwire.FlagConfirms != 0,
 			NewestIncarnation: g.Self.Incarnation, NewestStartedAtUnixMilli: g.Self.StartedAt.UnixMilli(),
 			ConfigNumber: w.ConfigNumber, ConfigTag: w.ConfigTag,
@@ -260,12 +266,14 @@
 func (g *Gateway) onHeartbeatAck(m message) {
 	var w vmwire.HeartbeatAck
 	if g.decode(m, &w) {
-		g.acked(g.Now(), m.from.Peer, &w)
+		g.acked(g.Now(), m.from, &w)
 	}
 }
 
 // acked applies what an acknowledgement confirms.
-func (g *Gateway) acked(now time.Time, peer vm.Identity, w *vmwire.HeartbeatAck) {
+func (g *Gateway) acked(now time.Time, from *vm.Session, w *vmwire.HeartbeatAck) {
+	delete(g.unackedSince, from)
+	peer := from.Peer
 	lease := g.members.Acked(now, member.Ack{
 		Slot: peer.Slot, Incarnation: incarnationOf(peer), Sequence: w.Sequence,
 		Newest:   member.Incarnation{Number: w.NewestIncarnation, StartedAtUnixMilli: w.NewestStartedAtUnixMilli},
--- a/gateway/load.go
+++ b/gateway/load.go
@@ -60,12 +60,15 @@
 // watch selects the upstreams that this VM polls.
 func (g *Gateway) watch(now time.Time) {
 	list := []watchedUpstream{}
+	watchers := make(map[string]string, len(g.ownEngines))
 	for _, u := range g.ownEngines {
-		if g.members.Watcher(now, u.Name, u.Region, u.FailureDomain) == g.Self.Slot {
+		watchers[u.Name] = g.members.Watcher(now, u.Name, u.Region, u.FailureDomain)
+		if watchers[u.Name] == g.Self.Slot {
 			list = append(list, watchedUpstream{name: u.Name, address: u.Address, ordered: g.ordered[u.Name]})
 		}
 	}
 	g.watched.Store(&list)
+	g.watchers.Store(&watchers)
 }
 
 // enginesOf lists the engines of a region, sorted by name.
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"parsleyhatch/audit"
@@ -15,6 +16,13 @@
 // listInterval is the period of reading the platform's list of VMs.
 const listInterval = 5 * time.Second
 
+// ackLimit is the time without an acknowledgement of heartbeats after which a session is ended. It
+// finds a path that is cut towards the other VM only: frames still arrive here, so the session is not
+// silent, but a forwarded request would wait for an answer that cannot come.
+const ackLimit = 5 * time.Second
+
+var errNotAcknowledged = errors.New("the other vm acknowledges no heartbeats")
+
 // tickMembers ages the table of VMs and sends heartbeats.
 func (g *Gateway) tickMembers(ctx context.Context, now time.Time) {
 	g.members.SetState(g.ready.Load(), g.leaving.Load())
@@ -22,6 +30,7 @@
 	if changes.Paused > 0 {
 		g.tokens.Discard(now)
 		event.LatePause.Log(g.Log, "gapMillis", changes.Paused.Milliseconds())
+		clear(g.unackedSince) // Acknowledgements may wait in the queue of this loop.
 	}
 	for _, slot := range changes.Died {
 		g.Audit.Add(now, audit.Entry{Kind: audit.VMLeft, Subject: "vm/" + slot})
