--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -137,6 +137,9 @@
 	if PartDigest(data) != digest {
 		return nil, fmt.Errorf("bytes do not match digest %s", digest)
 	}
+	if len(data) > MaxPartBytes {
+		return nil, fmt.Errorf("%d bytes, above the limit of %d that other VMs can be sent", len(data), MaxPartBytes)
+	}
 	return Parse(data)
 }
 
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -85,17 +85,22 @@
 	f.vms = append(f.vms, v)
 }
 
-// fillFromSummary applies what another region said of its VM, unless heartbeats tell more.
+// fillFromSummary applies what another region said of its VM within summaryLife. Heartbeats do not
+// suffice: most VMs of other regions only acknowledge ours, and an acknowledgement does not say
+// whether its sender is ready. A VM that the region does not name takes no forwarded requests.
 func (g *Gateway) fillFromSummary(now time.Time, info *PeerInfo) {
 	entries, ok := g.entries[info.Region]
-	if !ok || info.Alive || now.Sub(entries.at) > summaryLife {
+	if !ok || now.Sub(entries.at) > summaryLife {
 		return
 	}
 	for _, e := range entries.list {
 		if e.Slot == info.Name {
-			info.Alive, info.Ready, info.Leaving, info.Queue = true, true, false, int(e.Queue)
+			info.Leaving = info.Alive && info.Leaving
+			info.Alive, info.Ready, info.Queue = true, true, int(e.Queue)
+			return
 		}
 	}
+	info.Ready = false
 }
 
 // VMs lists the roster as this VM sees it, itself included.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -125,8 +125,8 @@
 		g.endStream(st, out)
 		return
 	}
-	if !g.streams.add(r, cancel, g.Settings.MaxStreams) {
-		g.endStream(st, refuseUntil(Overloaded, "too many open requests at this vm", retrySoon))
+	if out = g.register(r, cancel); out.Code != OK {
+		g.endStream(st, out)
 		return
 	}
 	defer g.streams.remove(r.ID)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -100,6 +100,7 @@
 	takenFrom   map[string]bool
 	handover    []vmwire.Handover
 	fetching    bool
+	reads       readPacer
 	authorised  bool
 	lastBeat    time.Time
 	lastSummary time.Time
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -21,27 +21,37 @@
 
 // Serve runs a request of a caller and passes its answer to the sink.
 func (g *Gateway) Serve(ctx context.Context, r *Request, sink Sink) Outcome {
-	if g.leaving.Load() {
-		return refuseUntil(Leaving, "this vm is leaving; ask the directory for another one", retrySoon)
-	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	if !g.streams.add(r, cancel, g.Settings.MaxStreams) {
-		return refuseUntil(Overloaded, "too many open requests at this vm", retrySoon)
+	if out := g.register(r, cancel); out.Code != OK {
+		return out
 	}
 	defer g.streams.remove(r.ID)
-	// The key may have been withdrawn between authentication and registration.
-	if r.KeyID != "" {
-		if key := g.Snapshot().Keys[r.KeyID]; key == nil || key.Withdrawn {
-			return refuse(Unauthorized, "key withdrawn")
-		}
-	}
 	g.identify(r)
 	out := g.admit(ctx, r, &progress{next: r.ResumeFrom, sink: sink})
 	g.report(r, out)
 	return out
 }
 
+// register adds the request to the open ones, or refuses it. The checks come after the entry: a drain
+// that begins now waits for the request, and a snapshot that withdraws its key now cancels it.
+func (g *Gateway) register(r *Request, cancel context.CancelCauseFunc) Outcome {
+	if !g.streams.add(r, cancel, g.Settings.MaxStreams) {
+		return refuseUntil(Overloaded, "too many open requests at this vm", retrySoon)
+	}
+	var out Outcome
+	switch {
+	case g.leaving.Load():
+		out = refuseUntil(Leaving, "vm "+g.Self.Slot+" is leaving; ask the directory for another one", retrySoon)
+	case !r.keyInForce(g.Snapshot()):
+		out = refuse(KeyWithdrawn, "key withdrawn")
+	default:
+		return Outcome{}
+	}
+	g.streams.remove(r.ID)
+	return out
+}
+
 // admit charges the request and runs it.
 func (g *Gateway) admit(ctx context.Context, r *Request, p *progress) Outcome {
 	if out, refused := g.checkPoison(r); refused {
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -57,14 +57,20 @@
 	defer t.mu.Unlock()
 	var cut []string
 	for id, o := range t.open {
-		if o.request.KeyID == "" {
-			continue
-		}
-		key := s.Keys[o.request.KeyID]
-		if key == nil || key.Withdrawn || key.Workspace != o.request.Workspace.Name {
+		if !o.request.keyInForce(s) {
 			o.cancel(errKeyWithdrawn)
 			cut = append(cut, id)
 		}
 	}
 	return cut
 }
+
+// keyInForce reports whether the request's key still admits it under the snapshot. A key with
+// another secret is another key.
+func (r *Request) keyInForce(s *config.Snapshot) bool {
+	if r.KeyID == "" {
+		return true
+	}
+	key, admitted := s.Keys[r.KeyID], r.Snapshot.Keys[r.KeyID]
+	return key != nil && admitted != nil && !key.Withdrawn && key.SHA256 == admitted.SHA256 && key.Workspace == r.Workspace.Name
+}
