End sessions over dead links, and keep a leaving VM open for callers that follow an earlier answer

Cause: a link that drops packets left forwarded streams open for ever; a planned stop closed the listener at once, so that a caller with an earlier directory answer got EOF without any answer. Change: a session sends at least one frame a second and ends after 4 s without any; a drain lasts at least 2 s. Conclusion: proof/partition_test.go and proof/drain_test.go assert both.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,6 +33,11 @@
 	controlQueue = 4096
 )
 
+// noticeTime is the least duration of a drain. Callers that asked a directory before it knew of the
+// drain are refused meanwhile, with where to go; once the listener is closed, a connection that the
+// kernel had accepted ends without any answer.
+const noticeTime = 2 * time.Second
+
 // message is a control message from another VM.
 type message struct {
 	from  *vm.Session
@@ -357,9 +362,12 @@
 	// refused, so only running requests are waited for.
 	ticker := time.NewTicker(20 * time.Millisecond)
 	defer ticker.Stop()
-	for g.streams.count() > 0 && ctx.Err() == nil {
+	notice := time.After(noticeTime)
+	for noticed := false; (!noticed || g.streams.count() > 0) && ctx.Err() == nil; {
 		select {
 		case <-ctx.Done():
+		case <-notice:
+			noticed = true
 		case <-ticker.C:
 		}
 	}
--- a/vm/session.go
+++ b/vm/session.go
@@ -21,6 +21,11 @@
 	handshakeTimeout = 5 * time.Second
 	// writeTimeout bounds one write to the connection.
 	writeTimeout = 10 * time.Second
+	// keepalive is the longest time for which a side sends nothing.
+	keepalive = time.Second
+	// silenceLimit is the time after which a session that delivers nothing is ended. A link that
+	// drops packets leaves the connection open: without this limit a stream over it never ended.
+	silenceLimit = 4 * time.Second
 	// outQueue is the number of encoded frames that may wait for the connection.
 	outQueue = 256
 	// maxStreams bounds the open streams of a session.
@@ -210,14 +215,21 @@
 	return s.streams[id]
 }
 
-// runWrite writes queued frames and flushes when the queue is empty.
+// runWrite writes queued frames and flushes when the queue is empty. When there is nothing to write
+// it sends a frame for no stream, which the peer ignores.
 func (s *Session) runWrite() {
 	w := bufio.NewWriterSize(s.conn, 16<<10)
+	idle := time.NewTicker(keepalive)
+	defer idle.Stop()
 	for {
 		select {
 		case <-s.done:
 			return
+		case <-idle.C:
+			_ = s.resetUnknown(0) // A full queue needs no keepalive.
+			continue
 		case buf := <-s.out:
+			idle.Reset(keepalive)
 			_ = s.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 			if _, err := w.Write(buf); err != nil {
 				s.Close(fmt.Errorf("write: %w", err))
@@ -238,6 +250,7 @@
 // runRead dispatches incoming frames until the session ends. It never waits for a stream's reader.
 func (s *Session) runRead() {
 	for {
+		_ = s.conn.SetReadDeadline(time.Now().Add(silenceLimit))
 		f, err := ReadFrame(s.reader)
 		if err != nil {
 			s.Close(err)
