Answer early refusals before the body, and name the VMs to use

Cause: net/http reads up to 256 KiB of an unread body before it sends a refusal, so a home-bound request in a wrong region was answered only once its body had come, and a caller that sent half a body held its connection without limit; a forwarded request without a key could name any workspace on an open route; refusals did not say where to go. Change: refusals before the body close the connection, the rest of a body is awaited for 1 s, the workspace of an open route is checked by the receiving VM, wrongRegion and leaving list VMs.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -20,6 +20,8 @@
 	Ran          string `json:"ran"`
 	RetryAfterMS int64  `json:"retryAfterMs"`
 	RequestID    string `json:"requestId"`
+	// VMs are those to use instead, best first.
+	VMs []directoryVM `json:"vms,omitempty"`
 }
 
 func encodeError(requestID string, o gateway.Outcome) []byte {
@@ -29,6 +31,7 @@
 		Ran:          string(o.Ran),
 		RetryAfterMS: o.RetryAfter.Milliseconds(),
 		RequestID:    requestID,
+		VMs:          listVMs(o.Instead),
 	}})
 	if err != nil {
 		return []byte(`{"error":{"code":"internal","ran":"unknown"}}`)
--- a/caller/chat.go
+++ b/caller/chat.go
@@ -64,7 +64,7 @@
 	if out.Code != gateway.OK {
 		return nil, nil, out
 	}
-	if out := s.stays(route, workspace); out.Code != gateway.OK {
+	if out := s.stays(a, route, workspace); out.Code != gateway.OK {
 		return nil, nil, out
 	}
 	req := s.newRequest(a, route, workspace)
@@ -93,7 +93,7 @@
 	if out.Code != gateway.OK {
 		return out
 	}
-	return s.stays(route, workspace)
+	return s.stays(a, route, workspace)
 }
 
 // streamChat answers with server-sent events.
--- a/caller/directory.go
+++ b/caller/directory.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"parsleyhatch/config"
 	"parsleyhatch/gateway"
 )
 
@@ -26,6 +27,14 @@
 	Region  string `json:"region"`
 }
 
+func listVMs(vms []*config.VM) []directoryVM {
+	var list []directoryVM
+	for _, m := range vms {
+		list = append(list, directoryVM{Name: m.Name, Address: m.CallerAddress, Region: m.Region})
+	}
+	return list
+}
+
 // directory serves GET /v1/directory?route=NAME&region=REGION&tickets=N.
 func (s *Server) directory(w http.ResponseWriter, r *http.Request) {
 	answer, out := s.directoryAnswer(r)
@@ -56,9 +65,7 @@
 		return answer, out
 	}
 	now := s.Gateway.Now()
-	for _, m := range s.Gateway.Directory(now, a.snapshot, route, workspace, query.Get("region")) {
-		answer.VMs = append(answer.VMs, directoryVM{Name: m.Name, Address: m.CallerAddress, Region: m.Region})
-	}
+	answer.VMs = listVMs(s.Gateway.Directory(now, a.snapshot, route, workspace, query.Get("region")))
 	if text := query.Get("tickets"); text != "" {
 		n, err := strconv.Atoi(text)
 		if err != nil || n < 0 || n > maxTickets {
--- a/caller/server.go
+++ b/caller/server.go
@@ -27,6 +27,8 @@
 	headerTimeout = 5 * time.Second
 	// bodyTimeout bounds the arrival of a request's body.
 	bodyTimeout = 30 * time.Second
+	// discardTimeout bounds the arrival of the rest of a body that is not used.
+	discardTimeout = time.Second
 	// writeTimeout bounds one write to a caller that reads too slowly.
 	writeTimeout = 30 * time.Second
 	// maxHeaderBytes bounds a request's header.
@@ -54,11 +56,11 @@
 	s.http.ReadHeaderTimeout = headerTimeout
 	s.http.MaxHeaderBytes = maxHeaderBytes
 	s.http.IdleTimeout = time.Minute
-	s.http.HandleFunc("/v1/chat/completions", s.chat)
-	s.http.HandlePrefix("/v1/services/", http.HandlerFunc(s.service))
-	s.http.HandleFunc("/v1/directory", s.directory)
-	s.http.HandleFunc("/healthz", s.healthz)
-	s.http.HandleFunc("/readyz", s.readyz)
+	s.http.HandleFunc("/v1/chat/completions", withoutBody(s.chat))
+	s.http.HandlePrefix("/v1/services/", withoutBody(s.service))
+	s.http.HandleFunc("/v1/directory", withoutBody(s.directory))
+	s.http.HandleFunc("/healthz", withoutBody(s.healthz))
+	s.http.HandleFunc("/readyz", withoutBody(s.readyz))
 	return s
 }
 
@@ -87,7 +89,11 @@
 func (s *Server) admit(r *http.Request) (admitted, gateway.Outcome) {
 	a := admitted{snapshot: s.Gateway.Snapshot()}
 	if a.snapshot == nil || !s.Gateway.Ready() {
-		return a, refusal(gateway.Leaving, "this vm does not accept requests; ask the directory for another one", time.Second)
+		out := refusal(gateway.Leaving, "this vm does not accept requests; ask the directory for another one", time.Second)
+		if a.snapshot != nil {
+			out.Instead = s.Gateway.Others(a.snapshot)
+		}
+		return a, out
 	}
 	header := r.Header.Get("Authorization")
 	if header == "" {
@@ -132,11 +138,28 @@
 }
 
 // stays refuses a request that must not be read in this region.
-func (s *Server) stays(route *config.Route, w *config.Workspace) gateway.Outcome {
+func (s *Server) stays(a admitted, route *config.Route, w *config.Workspace) gateway.Outcome {
 	if !route.HomeBound || w.Home == s.Gateway.Self.Region {
 		return gateway.Outcome{}
 	}
-	return refusal(gateway.WrongRegion, "requests of workspace "+w.Name+" on route "+route.Name+" must stay in region "+w.Home, 0)
+	out := refusal(gateway.WrongRegion, "requests of workspace "+w.Name+" on route "+route.Name+" must stay in region "+w.Home, 0)
+	out.Instead = s.Gateway.Directory(s.Gateway.Now(), a.snapshot, route, w, w.Home)
+	return out
+}
+
+// withoutBody wraps a handler that may answer before it reads the body. Unless the connection is to
+// be closed, net/http waits for the rest of the body before it sends the answer; and in any case it
+// waits for the rest afterwards, without a limit of its own.
+func withoutBody(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			w.Header().Set("Connection", "close")
+		}
+		next(w, r)
+		if w.Header().Get("Connection") == "close" {
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(discardTimeout))
+		}
+	}
 }
 
 // readBody reads a bounded body within the time limit.
@@ -155,6 +178,7 @@
 	case err != nil:
 		return nil, refusal(gateway.InvalidRequest, "the body did not arrive", 0)
 	}
+	w.Header().Del("Connection") // The connection can be used again.
 	return body, gateway.Outcome{}
 }
 
--- a/caller/service.go
+++ b/caller/service.go
@@ -62,7 +62,7 @@
 	if out.Code != gateway.OK {
 		return nil, out
 	}
-	if out := s.stays(route, workspace); out.Code != gateway.OK {
+	if out := s.stays(a, route, workspace); out.Code != gateway.OK {
 		return nil, out
 	}
 	key := r.Header.Get("Idempotency-Key")
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -106,6 +106,25 @@
 // VMs lists the roster as this VM sees it, itself included.
 func (g *Gateway) VMs() []PeerInfo { return g.fleet.Load().info }
 
+// Others returns the VMs of the own region that accept requests, or of all regions if there is none.
+func (g *Gateway) Others(s *config.Snapshot) []*config.VM {
+	var own, all []*config.VM
+	for _, info := range g.VMs() {
+		m := s.VMs[info.Name]
+		if m == nil || info.Name == g.Self.Slot || !info.Alive || !info.Ready || info.Leaving {
+			continue
+		}
+		all = append(all, m)
+		if info.Region == g.Self.Region {
+			own = append(own, m)
+		}
+	}
+	if len(own) == 0 {
+		return all
+	}
+	return own
+}
+
 // Directory returns the VMs that a caller of the workspace should use, best first.
 func (g *Gateway) Directory(now time.Time, s *config.Snapshot, r *config.Route, w *config.Workspace, callerRegion string) []*config.VM {
 	allowed := s.AllowedRegions(r, w)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -200,7 +200,7 @@
 	if key := s.Keys[open.KeyID]; open.KeyID != "" && (key == nil || key.Withdrawn || key.Workspace != workspace.Name) {
 		return nil, refuse(KeyWithdrawn, "key withdrawn")
 	}
-	if open.KeyID == "" && !route.Open {
+	if open.KeyID == "" && (!route.Open || route.Workspace != workspace.Name) {
 		return nil, refuse(Unauthorized, "the route needs a key")
 	}
 	now := g.Now()
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -99,6 +99,8 @@
 	AnswerTokens int64
 	// Replayed says that the answer was recorded earlier; it is not charged again.
 	Replayed bool
+	// Instead lists the VMs to use, best first, where this VM is the wrong one.
+	Instead []*config.VM
 }
 
 // Status returns the HTTP status of the outcome.
