--- a/caller/directory.go
+++ b/caller/directory.go
@@ -50,8 +50,9 @@
 	var answer directoryAnswer
 	query := r.URL.Query()
 	a := admitted{snapshot: s.Gateway.Snapshot()}
-	if a.snapshot == nil {
-		return answer, refusal(gateway.Leaving, "this vm has no configuration yet", time.Second)
+	if a.snapshot == nil || s.Gateway.Starting() {
+		// It has not heard of the other VMs yet and would name itself.
+		return answer, refusal(gateway.Leaving, "this vm is starting; ask another one", time.Second)
 	}
 	route := a.snapshot.Routes[query.Get("route")]
 	if route == nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -210,6 +210,9 @@
 // Superseded is closed when a newer incarnation of this VM's slot is known.
 func (g *Gateway) Superseded() <-chan struct{} { return g.superseded }
 
+// Starting reports whether the VM has not accepted requests yet.
+func (g *Gateway) Starting() bool { return !g.ready.Load() && !g.leaving.Load() }
+
 // NewRequestID returns an id that is unique over the fleet.
 func (g *Gateway) NewRequestID() string {
 	return fmt.Sprintf("%s-%x-%d", g.Self.Slot, g.Self.Incarnation, g.nextID.Add(1))
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -24,12 +24,20 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if out := g.register(r, cancel); out.Code != OK {
-		return out
+		return g.direct(out)
 	}
 	defer g.streams.remove(r.ID)
 	g.identify(r)
 	out := g.admit(ctx, r, &progress{next: r.ResumeFrom, sink: sink})
 	g.report(r, out)
+	return g.direct(out)
+}
+
+// direct adds the VMs to use to a refusal of a VM that is leaving.
+func (g *Gateway) direct(out Outcome) Outcome {
+	if out.Code == Leaving {
+		out.Instead = g.Others(g.Snapshot())
+	}
 	return out
 }
 
--- a/proof/drain_test.go
+++ b/proof/drain_test.go
@@ -130,6 +130,9 @@
 			c.unconnected.Add(1)
 		case err == nil && a.status != http.StatusOK && a.ran == "notRun":
 			c.refusals.Add(1)
+			if a.code == "leaving" && a.instead == 0 {
+				c.t.Errorf("%s at %s: the refusal of a leaving vm names no other", prompt, slot)
+			}
 		default:
 			c.t.Errorf("%s at %s: status %d, code %q ran %q, %d bytes, error %v", prompt, slot, a.status, a.code, a.ran, len(a.text), err)
 			return
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -310,6 +310,8 @@
 	done   bool
 	code   string
 	ran    string
+	// instead counts the VMs that a refusal names.
+	instead int
 }
 
 type chatOptions struct {
@@ -368,10 +370,13 @@
 
 func (a *answer) setError(data []byte) {
 	var e struct {
-		Error struct{ Code, Ran string }
+		Error struct {
+			Code, Ran string
+			VMs       []struct{ Name string }
+		}
 	}
 	if json.Unmarshal(data, &e) == nil {
-		a.code, a.ran = e.Error.Code, e.Error.Ran
+		a.code, a.ran, a.instead = e.Error.Code, e.Error.Ran, len(e.Error.VMs)
 	}
 }
 
