--- a/proof/config_test.go
+++ b/proof/config_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"slices"
@@ -239,7 +241,7 @@
 // only VM of its region and nobody there tells it of the later one.
 func TestConfigOfOnlyVMOfRegion(t *testing.T) {
 	t.Parallel()
-	f := startFleet(t, fleetOptions{regions: []string{"norte", "centro"}, vmsPerRegion: 1})
+	f := startFleet(t, fleetOptions{regions: []string{"norte", "centro"}, vmsPerRegion: 1, prepare: slowDial})
 	old := f.platform.Revision()
 	v := f.change(setRate(1))
 	f.inForce(v)
@@ -249,6 +251,15 @@
 	}
 }
 
+// slowDial makes the platform answer long before other VMs do.
+func slowDial(g *gateway.Gateway) {
+	dial := g.Endpoint.DialFunc
+	g.Endpoint.DialFunc = func(ctx context.Context, address string) (net.Conn, error) {
+		time.Sleep(700 * time.Millisecond)
+		return dial(ctx, address)
+	}
+}
+
 // Guards against VMs that resolve two versions of one number differently, and against a version
 // that is accepted in part although it is invalid.
 func TestConfigConflictAndRejection(t *testing.T) {
