--- a/choose/upstream.go
+++ b/choose/upstream.go
@@ -160,30 +160,51 @@
 	return rampFloor + (1-rampFloor)*max(0, f)
 }
 
-// estimate returns the requests expected at the upstream.
-func (u *Upstream) estimate(now int64) float64 {
+// estimate returns the requests expected at the upstream, for a choice among replicas.
+func (u *Upstream) estimate(now int64, life time.Duration) float64 {
 	own := float64(u.outstanding.Load())
 	at := u.reportedAt.Load()
 	if at == 0 {
 		return own
 	}
-	return own + float64(u.others.Load())*ageWeight(now-at)
+	return own + float64(u.others.Load())*ageWeight(now-at, life)
 }
 
-// ageWeight discounts a report: fully counted when new, half when loadStale old, staleWeight after.
-func ageWeight(age int64) float64 {
+// total returns the requests at the upstream for the load of a whole pool. There a late report is
+// not discounted: what changes at one replica evens out over the pool.
+func (u *Upstream) total(now int64) float64 {
+	n := float64(u.others.Load())
+	if now-u.reportedAt.Load() >= int64(loadStale) {
+		n *= 0.5
+	}
+	return n + float64(u.outstanding.Load())
+}
+
+// reportLife returns the age at which a report counts half. Requests that it counted end within
+// their run time; after that, all VMs would send to the replica that once had the least load.
+func reportLife(run time.Duration) time.Duration {
+	if run <= 0 {
+		return time.Second
+	}
+	return min(max(run/8, 20*time.Millisecond), loadStale)
+}
+
+// ageWeight discounts a report: half at the age of its life, staleWeight at most after loadStale.
+func ageWeight(age int64, life time.Duration) float64 {
+	a := float64(max(age, 0)) / float64(life)
+	w := 1 / (1 + a*a)
 	if age >= int64(loadStale) {
-		return staleWeight
+		return math.Min(w, staleWeight)
 	}
-	return 1 - 0.5*float64(max(age, 0))/float64(loadStale)
+	return w
 }
 
 // score returns the load after one more request relative to the capacity; lower is better. One
 // more request is counted so that an idle replica at the start of its ramp is not the best one.
-func (u *Upstream) score(now int64) float64 {
+func (u *Upstream) score(now int64, life time.Duration) float64 {
 	capacity := float64(u.maxBatch.Load()) * u.ramp(now)
 	waiting := pendingWeight * float64(u.pending.Load())
-	s := (u.estimate(now) + waiting + 1) / math.Max(capacity, 0.1)
+	s := (u.estimate(now, life) + waiting + 1) / math.Max(capacity, 0.1)
 	if s > 1 {
 		// Beyond the batch a request waits for another to end, which costs far more than
 		// sharing a batch.
--- a/gateway/configure.go
+++ b/gateway/configure.go
@@ -202,19 +202,26 @@
 		event.KeyCut.Log(g.Log, "request", id)
 	}
 	g.configureTables(now, current, next)
+	g.fleetChanged = true
 	g.publish(now)
 	// The heartbeats tell the other VMs at once that there is a later version.
+	g.members.Hurry()
 	g.lastBeat = time.Time{}
 }
 
 // configureTables brings the tables in line with a new snapshot.
 func (g *Gateway) configureTables(now time.Time, old, next *config.Snapshot) {
+	if old == nil {
+		g.configuredAt = now
+	}
 	g.members.SetRoster(next.File.VMs)
+	g.beats.setRoster(next.File.VMs)
 	g.tokens.Configure(now, limit.Shares(next.File.Workspaces, next.File.VMs, g.Self.Slot))
 	g.configureCalls(now, old, next)
 	g.importHandover(now)
 	g.choices.Configure(now, g.upstreamMembers(next))
-	g.watch(now, next)
+	g.ownEngines = enginesOf(next, g.Self.Region)
+	g.watch(now)
 	regions := make([]string, 0, len(next.File.Regions))
 	for i := range next.File.Regions {
 		regions = append(regions, next.File.Regions[i].Name)
@@ -281,9 +288,9 @@
 }
 
 // compareVersion fetches the configuration of a VM that has a later one.
-func (g *Gateway) compareVersion(ctx context.Context, s *vm.Session, theirs config.Version) {
+func (g *Gateway) compareVersion(ctx context.Context, s *vm.Session, number, tag uint64) {
 	current := g.Snapshot()
-	if theirs.Number == 0 || (current != nil && !theirs.After(current.Version)) {
+	if number == 0 || (current != nil && !current.Version.Before(number, tag)) {
 		return
 	}
 	g.fetchFrom(ctx, s)
@@ -366,16 +373,19 @@
 
 // becomeReady lets the VM serve once it has a configuration and a VM of its region has confirmed
 // that it occupies its slot. By then it has compared versions with that VM, and it waits for the
-// exchange if that VM has a later one. If nobody confirms, it serves after joinWait all the same, as
-// a region of which one VM is left must.
+// exchange if that VM has a later one. It also waits until its buckets fill, since it would refuse
+// requests before. If nobody confirms, it serves after joinWait all the same, as a region of which
+// one VM is left must.
 func (g *Gateway) becomeReady(now time.Time) {
 	if g.ready.Load() || g.Snapshot() == nil {
 		return
 	}
-	if (!g.authorised || g.fetching) && now.Sub(g.Self.StartedAt) < joinWait {
+	filling := now.Sub(g.configuredAt) < limit.IncreaseDelay
+	if (filling || !g.authorised || g.fetching) && now.Sub(g.Self.StartedAt) < joinWait {
 		return
 	}
 	g.ready.Store(true)
+	g.fleetChanged = true
 	event.Ready.Log(g.Log, "version", g.Snapshot().Version.String())
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -98,20 +98,30 @@
 	lists      chan []platform.VMState
 
 	// Owned by the control loop.
-	members     *member.Table
-	choices     *choose.Table
-	peerQueues  map[string]int32
-	entries     map[string]regionEntries
-	takenFrom   map[string]bool
-	handover    []vmwire.Handover
-	fetching    bool
-	reads       readPacer
-	authorised  bool
-	lastBeat    time.Time
+	members    *member.Table
+	choices    *choose.Table
+	peerQueues map[string]int32
+	beats      beats
+	entries    map[string]regionEntries
+	takenFrom  map[string]bool
+	handover   []vmwire.Handover
+	fetching   bool
+	// configuredAt is when the first configuration came into force.
+	configuredAt time.Time
+	authorised   bool
+	lastBeat     time.Time
+	lastFleet    time.Time
+	// fleetChanged says that a VM's state has changed since the fleet view was built.
+	fleetChanged bool
+	// ownEngines are the engines of the own region in the configuration in force.
+	ownEngines  []*config.Upstream
 	lastSummary time.Time
 	watched     atomic.Pointer[[]watchedUpstream]
 	isReader    atomic.Bool
 
+	// Owned by runWatch.
+	reads readPacer
+
 	wait sync.WaitGroup
 }
 
@@ -166,6 +176,7 @@
 		members:    member.New(now, s.Slot, incarnationOf(self)),
 		choices:    choose.New(s.Region, seed),
 		peerQueues: map[string]int32{},
+		beats:      newBeats(),
 		entries:    map[string]regionEntries{},
 		takenFrom:  map[string]bool{},
 	}
@@ -275,6 +286,7 @@
 	g.becomeReady(now)
 	g.pumpAll(now)
 	g.Metrics.Gauge("open_streams", float64(g.streams.count()))
+	g.Metrics.Gauge("session_bytes_sent", float64(g.sessions.bytesSent()))
 }
 
 // tickTables ages the tables that traffic shares.
@@ -331,7 +343,7 @@
 	case vmwire.KindLoad:
 		g.onLoad(m)
 	case vmwire.KindSummary:
-		g.onSummary(m)
+		g.onSummary(ctx, m)
 	case vmwire.KindSuspect:
 		g.onSuspect(m)
 	case vmwire.KindHandover:
--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -33,6 +33,8 @@
 	// loans are tokens borrowed from other slots.
 	loans []loan
 	asks  []*ask
+	// balanced is when Balance last asked.
+	balanced time.Time
 	// seq numbers charges; segments hold the highest occupancy since each open charge.
 	seq      uint64
 	segments []segment
@@ -74,6 +76,11 @@
 	return sum
 }
 
+// timed reports whether something in the bucket ends with time.
+func (b *bucket) timed() bool {
+	return len(b.holds) > 0 || len(b.asks) > 0 || len(b.lent) > 0 || len(b.loans) > 0
+}
+
 // accrue adds tokens for authorised time, up to the cap.
 func (b *bucket) accrue(elapsed time.Duration) {
 	room := math.Max(0, b.cap-b.occupied())
--- a/limit/table.go
+++ b/limit/table.go
@@ -25,9 +25,10 @@
 	// lendTime is how long the grantor keeps the room of a loan. It exceeds AskLife so that
 	// clocks that run up to 10% apart cannot free the room before the loan has ended.
 	lendTime = 1100 * time.Millisecond
-	// IncreaseDelay delays an increase of a share. A configuration is in force at all VMs in
-	// contact after 3 s, and tokens in transfer are void 1 s later.
-	IncreaseDelay = 4 * time.Second
+	// IncreaseDelay delays an increase of a share. A slot may skip a version that is replaced within
+	// 3 s, and the slot that got the share by the skipped version may learn of its loss 3 s after
+	// that; tokens in transfer are void 1 s later.
+	IncreaseDelay = 7 * time.Second
 	// MaxLease bounds an authorised interval. An incarnation spends until MaxLease after its last
 	// confirmation, and its loans end AskLife later; package member authorises a successor 4 s
 	// after its announcement, so that the two never hold tokens at the same time.
@@ -51,6 +52,8 @@
 	// nextBucket numbers buckets, so that a charge never settles into a later bucket.
 	nextBucket uint64
 	asks       map[uint64]*ask
+	// timed are the buckets in which time alone ends something; Tick visits only these.
+	timed map[string]*bucket
 }
 
 // Charge is an admitted request's tokens. It is settled or returned exactly once.
@@ -82,7 +85,7 @@
 
 // New returns a table without shares for the slot self.
 func New(self string) *Table {
-	return &Table{self: self, buckets: map[string]*bucket{}, asks: map[uint64]*ask{}}
+	return &Table{self: self, buckets: map[string]*bucket{}, asks: map[uint64]*ask{}, timed: map[string]*bucket{}}
 }
 
 // Begin sets the incarnation, whose random number makes the numbers of requests for tokens
@@ -124,6 +127,7 @@
 		if !seen[name] {
 			t.cancelAsks(b)
 			delete(t.buckets, name)
+			delete(t.timed, name)
 		}
 	}
 }
@@ -217,14 +221,18 @@
 func (t *Table) Return(now time.Time, c Charge) { t.Settle(now, c, 0) }
 
 // Tick frees the room of expired requests for tokens and of ended loans, and applies increases
-// that are due. It takes time in proportion to the number of workspaces.
+// that are due. It visits only buckets that have any, so that it holds the mutex briefly; accrual
+// is added when a bucket is used.
 func (t *Table) Tick(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now = t.advance(now)
-	for name, b := range t.buckets {
+	for name, b := range t.timed {
 		t.sync(b, now)
 		t.check(b, name)
+		if !b.timed() {
+			delete(t.timed, name)
+		}
 	}
 }
 
@@ -255,9 +263,12 @@
 	b.applyHolds(now)
 }
 
-// check asserts the bucket invariant. Room promised before a decrease may exceed the new cap
+// check asserts the bucket invariant and notes whether Tick has to visit the bucket. Room promised before a decrease may exceed the new cap
 // until it is void; the level must then be zero.
 func (t *Table) check(b *bucket, workspace string) {
+	if b.timed() {
+		t.timed[workspace] = b
+	}
 	room := math.Max(0, b.cap-b.reserved-b.lentTotal())
 	if b.level > room+tolerance+1e-12*b.cap || b.reserved < 0 {
 		event.Broken(nil, event.BrokenBucket, "slot", t.self, "workspace", workspace,
--- a/vm/session.go
+++ b/vm/session.go
@@ -21,11 +21,6 @@
 	handshakeTimeout = 5 * time.Second
 	// writeTimeout bounds one write to the connection.
 	writeTimeout = 10 * time.Second
-	// keepalive is the longest time for which a side sends nothing.
-	keepalive = time.Second
-	// silenceLimit is the time after which a session that delivers nothing is ended. A link that
-	// drops packets leaves the connection open: without this limit a stream over it never ended.
-	silenceLimit = 4 * time.Second
 	// outQueue is the number of encoded frames that may wait for the connection.
 	outQueue = 256
 	// maxStreams bounds the open streams of a session.
@@ -49,13 +44,15 @@
 	endpoint *Endpoint
 	conn     net.Conn
 	reader   *bufio.Reader
-	out      chan []byte
+	out      chan *[]byte
 	done     chan struct{}
 	once     sync.Once
 	reason   error
 	nextID   atomic.Uint64
 	sent     atomic.Int64
 	received atomic.Int64
+	// heardAt is when the last frame arrived, in Unix nanoseconds.
+	heardAt atomic.Int64
 
 	mu      sync.Mutex
 	streams map[uint64]*Stream
@@ -68,7 +65,7 @@
 		endpoint: e,
 		conn:     conn,
 		reader:   bufio.NewReaderSize(conn, 16<<10),
-		out:      make(chan []byte, outQueue),
+		out:      make(chan *[]byte, outQueue),
 		done:     make(chan struct{}),
 		streams:  map[uint64]*Stream{},
 	}
@@ -146,7 +143,7 @@
 	if err != nil {
 		return false
 	}
-	buf, err := appendFrame(nil, &vmwire.Frame{Kind: kind, Body: body})
+	buf, err := encodeFrame(&vmwire.Frame{Kind: kind, Body: body})
 	if err != nil {
 		return false
 	}
@@ -162,7 +159,7 @@
 
 // send queues an encoded frame, waiting for room until ctx ends.
 func (s *Session) send(ctx context.Context, f *vmwire.Frame) error {
-	buf, err := appendFrame(nil, f)
+	buf, err := encodeFrame(f)
 	if err != nil {
 		return err
 	}
@@ -215,27 +212,23 @@
 	return s.streams[id]
 }
 
-// runWrite writes queued frames and flushes when the queue is empty. When there is nothing to write
-// it sends a frame for no stream, which the peer ignores.
+// runWrite writes queued frames and flushes when the queue is empty.
 func (s *Session) runWrite() {
 	w := bufio.NewWriterSize(s.conn, 16<<10)
-	idle := time.NewTicker(keepalive)
-	defer idle.Stop()
 	for {
 		select {
 		case <-s.done:
 			return
-		case <-idle.C:
-			_ = s.resetUnknown(0) // A full queue needs no keepalive.
-			continue
 		case buf := <-s.out:
-			idle.Reset(keepalive)
 			_ = s.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-			if _, err := w.Write(buf); err != nil {
+			size := len(*buf)
+			_, err := w.Write(*buf)
+			recycle(buf)
+			if err != nil {
 				s.Close(fmt.Errorf("write: %w", err))
 				return
 			}
-			s.sent.Add(int64(len(buf)))
+			s.sent.Add(int64(size))
 		}
 		if len(s.out) > 0 {
 			continue
@@ -250,13 +243,13 @@
 // runRead dispatches incoming frames until the session ends. It never waits for a stream's reader.
 func (s *Session) runRead() {
 	for {
-		_ = s.conn.SetReadDeadline(time.Now().Add(silenceLimit))
 		f, err := ReadFrame(s.reader)
 		if err != nil {
 			s.Close(err)
 			return
 		}
 		s.received.Add(int64(len(f.Body) + lengthBytes))
+		s.heardAt.Store(time.Now().UnixNano())
 		if err := s.dispatch(f); err != nil {
 			s.Close(err)
 			return
@@ -276,6 +269,11 @@
 		return st.handle(f)
 	case vmwire.KindHello:
 		return errors.New("second hello")
+	case vmwire.KindPing:
+		s.tryQueue(&vmwire.Frame{Kind: vmwire.KindPong})
+		return nil
+	case vmwire.KindPong:
+		return nil
 	default:
 		if s.endpoint.OnControl != nil {
 			s.endpoint.OnControl(s, f)
@@ -303,7 +301,7 @@
 }
 
 func (s *Session) resetUnknown(id uint64) error {
-	buf, err := appendFrame(nil, &vmwire.Frame{Kind: vmwire.KindReset, Stream: id})
+	buf, err := encodeFrame(&vmwire.Frame{Kind: vmwire.KindReset, Stream: id})
 	if err != nil {
 		return err
 	}
