End silent sessions without regard to open streams

Cause: a session was pinged and its silence noticed only while the own side had streams. When requests could not reach the other VM but its heartbeats still came, the streams on this side waited for ever. Change: each side pings when it sent nothing else for a second, and ends a session that is silent for 4 s. Conclusion: both directions of a cut end the streams over it.

--- a/vm/keepalive.go
+++ b/vm/keepalive.go
@@ -8,51 +8,43 @@
 )
 
 const (
-	// pingInterval is the period at which a session with open streams is checked.
+	// pingInterval is the period at which a session is checked.
 	pingInterval = time.Second
-	// silenceLimit is the silence after which a session with open streams has ended. A cut link
+	// silenceLimit is the silence after which a session has ended. A cut link
 	// or a frozen VM would otherwise hold its streams until TCP gives up, minutes later.
 	silenceLimit = 4 * time.Second
 )
 
 var errSilent = errors.New("no frame from the other vm for too long")
 
-// runKeepalive pings the other VM while streams are open, and ends the session when it is silent.
+// runKeepalive pings the other VM when nothing else was sent, and ends the session when it is silent.
+// Both sides do so without regard to open streams: when one direction is cut, only the side that
+// hears nothing can tell, and the streams of the other side would wait for ever.
 func (s *Session) runKeepalive() {
 	ticker := time.NewTicker(pingInterval)
 	defer ticker.Stop()
-	var busySince time.Time
+	opened, sent := time.Now(), int64(0)
 	for {
 		select {
 		case <-s.done:
 			return
 		case now := <-ticker.C:
-			if s.openStreams() == 0 {
-				busySince = time.Time{}
-				continue
-			}
-			if busySince.IsZero() {
-				busySince = now
-			}
 			heard := time.Unix(0, s.heardAt.Load())
-			if heard.Before(busySince) {
-				heard = busySince
+			if heard.Before(opened) {
+				heard = opened
 			}
 			if now.Sub(heard) > silenceLimit {
 				s.Close(errSilent)
 				return
 			}
-			s.tryQueue(&vmwire.Frame{Kind: vmwire.KindPing})
+			if s.sent.Load() == sent {
+				s.tryQueue(&vmwire.Frame{Kind: vmwire.KindPing})
+			}
+			sent = s.sent.Load()
 		}
 	}
 }
 
-func (s *Session) openStreams() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.streams)
-}
-
 // tryQueue queues a frame if there is room.
 func (s *Session) tryQueue(f *vmwire.Frame) {
 	buf, err := encodeFrame(f)
