--- a/caller/directory.go
+++ b/caller/directory.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"parsleyhatch/config"
 	"parsleyhatch/gateway"
 )
 
@@ -26,6 +27,14 @@
 	Region  string `json:"region"`
 }
 
+func listVMs(vms []*config.VM) []directoryVM {
+	var list []directoryVM
+	for _, m := range vms {
+		list = append(list, directoryVM{Name: m.Name, Address: m.CallerAddress, Region: m.Region})
+	}
+	return list
+}
+
 // directory serves GET /v1/directory?route=NAME&region=REGION&tickets=N.
 func (s *Server) directory(w http.ResponseWriter, r *http.Request) {
 	answer, out := s.directoryAnswer(r)
@@ -41,8 +50,9 @@
 	var answer directoryAnswer
 	query := r.URL.Query()
 	a := admitted{snapshot: s.Gateway.Snapshot()}
-	if a.snapshot == nil {
-		return answer, refusal(gateway.Leaving, "this vm has no configuration yet", time.Second)
+	if a.snapshot == nil || s.Gateway.Starting() {
+		// It has not heard of the other VMs yet and would name itself.
+		return answer, refusal(gateway.Leaving, "this vm is starting; ask another one", time.Second)
 	}
 	route := a.snapshot.Routes[query.Get("route")]
 	if route == nil {
@@ -56,9 +66,7 @@
 		return answer, out
 	}
 	now := s.Gateway.Now()
-	for _, m := range s.Gateway.Directory(now, a.snapshot, route, workspace, query.Get("region")) {
-		answer.VMs = append(answer.VMs, directoryVM{Name: m.Name, Address: m.CallerAddress, Region: m.Region})
-	}
+	answer.VMs = listVMs(s.Gateway.Directory(now, a.snapshot, route, workspace, query.Get("region")))
 	if text := query.Get("tickets"); text != "" {
 		n, err := strconv.Atoi(text)
 		if err != nil || n < 0 || n > maxTickets {
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -93,22 +93,46 @@
 	f.vms = append(f.vms, v)
 }
 
-// fillFromSummary applies what another region said of its VM, unless heartbeats tell more.
+// fillFromSummary applies what another region said of its VM within summaryLife. Heartbeats do not
+// suffice: most VMs of other regions only acknowledge ours, and an acknowledgement does not say
+// whether its sender is ready. A VM that the region does not name takes no forwarded requests.
 func (g *Gateway) fillFromSummary(now time.Time, info *PeerInfo) {
 	entries, ok := g.entries[info.Region]
-	if !ok || info.Alive || now.Sub(entries.at) > summaryLife {
+	if !ok || now.Sub(entries.at) > summaryLife {
 		return
 	}
 	for _, e := range entries.list {
 		if e.Slot == info.Name {
-			info.Alive, info.Ready, info.Leaving, info.Queue = true, true, false, int(e.Queue)
+			info.Leaving = info.Alive && info.Leaving
+			info.Alive, info.Ready, info.Queue = true, true, int(e.Queue)
+			return
 		}
 	}
+	info.Ready = false
 }
 
 // VMs lists the roster as this VM sees it, itself included.
 func (g *Gateway) VMs() []PeerInfo { return g.fleet.Load().info }
 
+// Others returns the VMs of the own region that accept requests, or of all regions if there is none.
+func (g *Gateway) Others(s *config.Snapshot) []*config.VM {
+	var own, all []*config.VM
+	for _, info := range g.VMs() {
+		m := s.VMs[info.Name]
+		if m == nil || info.Name == g.Self.Slot || !info.Alive || !info.Ready || info.Leaving {
+			continue
+		}
+		all = append(all, m)
+		if info.Region == g.Self.Region {
+			own = append(own, m)
+		}
+	}
+	if len(own) == 0 {
+		return all
+	}
+	return own
+}
+
 // Directory returns the VMs that a caller of the workspace should use, best first.
 func (g *Gateway) Directory(now time.Time, s *config.Snapshot, r *config.Route, w *config.Workspace, callerRegion string) []*config.VM {
 	allowed := s.AllowedRegions(r, w)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -129,8 +129,8 @@
 		g.endStream(st, out)
 		return
 	}
-	if !g.streams.add(r, cancel, g.Settings.MaxStreams) {
-		g.endStream(st, withoutRecord(r.Route, refuseUntil(Overloaded, "too many open requests at this vm", retrySoon)))
+	if out = g.register(r, cancel); out.Code != OK {
+		g.endStream(st, withoutRecord(r.Route, out))
 		return
 	}
 	defer g.streams.remove(r.ID)
@@ -216,7 +216,7 @@
 	if key := s.Keys[open.KeyID]; open.KeyID != "" && (key == nil || key.Withdrawn || key.Workspace != workspace.Name) {
 		return nil, refuse(KeyWithdrawn, "key withdrawn")
 	}
-	if open.KeyID == "" && !route.Open {
+	if open.KeyID == "" && (!route.Open || route.Workspace != workspace.Name) {
 		return nil, refuse(Unauthorized, "the route needs a key")
 	}
 	now := g.Now()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,6 +34,11 @@
 	controlQueue = 4096
 )
 
+// noticeTime is the least duration of a drain. Callers that asked a directory before it knew of the
+// drain are refused meanwhile, with where to go; once the listener is closed, a connection that the
+// kernel had accepted ends without any answer.
+const noticeTime = 2 * time.Second
+
 // message is a control message from another VM.
 type message struct {
 	from  *vm.Session
@@ -129,6 +134,9 @@
 	watched  atomic.Pointer[[]watchedUpstream]
 	isReader atomic.Bool
 
+	// Owned by runWatch.
+	reads readPacer
+
 	wait sync.WaitGroup
 }
 
@@ -237,6 +245,9 @@
 // Superseded is closed when a newer incarnation of this VM's slot is known.
 func (g *Gateway) Superseded() <-chan struct{} { return g.superseded }
 
+// Starting reports whether the VM has not accepted requests yet.
+func (g *Gateway) Starting() bool { return !g.ready.Load() && !g.leaving.Load() }
+
 // NewRequestID returns an id that is unique over the fleet.
 func (g *Gateway) NewRequestID() string {
 	return fmt.Sprintf("%s-%x-%d", g.Self.Slot, g.Self.Incarnation, g.nextID.Add(1))
@@ -396,9 +407,12 @@
 	// refused, so only running requests are waited for.
 	ticker := time.NewTicker(20 * time.Millisecond)
 	defer ticker.Stop()
-	for g.streams.count() > 0 && ctx.Err() == nil {
+	notice := time.After(noticeTime)
+	for noticed := false; (!noticed || g.streams.count() > 0) && ctx.Err() == nil; {
 		select {
 		case <-ctx.Done():
+		case <-notice:
+			noticed = true
 		case <-ticker.C:
 		}
 	}
--- a/proof/calls_test.go
+++ b/proof/calls_test.go
@@ -36,6 +36,12 @@
 
 // startCallFleet starts VMs of one region whose clocks are past the horizon, and two services.
 func startCallFleet(t testing.TB, vms int, service standin.ServiceSettings, prepare func(*gateway.Gateway)) *callFleet {
+	t.Helper()
+	return startEditedCallFleet(t, vms, service, func(*config.File) {}, prepare)
+}
+
+// startEditedCallFleet is startCallFleet with a last change of the configuration.
+func startEditedCallFleet(t testing.TB, vms int, service standin.ServiceSettings, edit func(*config.File), prepare func(*gateway.Gateway)) *callFleet {
 	t.Helper()
 	f := &callFleet{}
 	service.Credential = credential
@@ -56,10 +62,7 @@
 			Name: "deposit", Kind: config.KindService, Selector: "service=deposit",
 			Class: config.ClassInteractive, DeadlineMillis: 5000,
 		}}
-		// Each VM has its own IP, so that a test can cut the path between two of them.
-		for i := range file.VMs {
-			file.VMs[i].PeerAddress = freeAddressAt(t, fmt.Sprintf("127.0.7.%d", i+1))
-		}
+		edit(file)
 	}}
 	options.prepare = func(g *gateway.Gateway) {
 		if _, early := f.early.LoadAndDelete(g.Self.Slot); !early {
@@ -81,16 +84,6 @@
 	return f
 }
 
-func freeAddressAt(t testing.TB, ip string) string {
-	t.Helper()
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 // waitOpen waits until a VM runs opaque keys, by calls with keys of their own.
 func (f *callFleet) waitOpen(slot string) {
 	f.t.Helper()
--- a/proof/crash_test.go
+++ b/proof/crash_test.go
@@ -206,17 +206,25 @@
 
 // startCutFleet starts a fleet in which each VM is a place of its own in the network.
 func startCutFleet(t testing.TB, vms int) (*callFleet, *standin.WAN) {
-	places := map[string]string{}
-	for i := range vms {
-		places[fmt.Sprintf("127.0.7.%d", i+1)] = fmt.Sprintf("norte-%d", i+1)
+	var wan *standin.WAN
+	perVM := func(file *config.File) {
+		places := map[string]string{}
+		for i := range file.VMs {
+			host, _, err := net.SplitHostPort(file.VMs[i].PeerAddress)
+			if err != nil {
+				t.Fatal(err)
+			}
+			places[host] = file.VMs[i].Name
+		}
+		wan = standin.NewWAN(places, nil)
+		t.Cleanup(wan.Close)
 	}
-	wan := standin.NewWAN(places, nil)
-	t.Cleanup(wan.Close)
-	return startCallFleet(t, vms, standin.ServiceSettings{SlowTime: time.Second}, func(g *gateway.Gateway) {
+	f := startEditedCallFleet(t, vms, standin.ServiceSettings{SlowTime: time.Second}, perVM, func(g *gateway.Gateway) {
 		g.Endpoint.DialFunc = func(ctx context.Context, address string) (net.Conn, error) {
 			return wan.Dialer(g.Self.Slot, nil)(ctx, address)
 		}
-	}), wan
+	})
+	return f, wan
 }
 
 func (f *callFleet) testCut(name, kind string, cut, heal func()) {
@@ -272,7 +280,7 @@
 	// The frozen process keeps its ports, so the successor uses others.
 	for i := range f.file.VMs {
 		if m := &f.file.VMs[i]; m.Name == "norte-2" {
-			m.CallerAddress, m.PeerAddress = freeAddress(t), freeAddressAt(t, "127.0.7.2")
+			m.CallerAddress, m.PeerAddress = freeAddress(t, "127.0.7.2"), freeAddress(t, "127.0.7.2")
 		}
 	}
 	f.early.Store("norte-2", true)
@@ -310,7 +318,7 @@
 	}
 	s := f.settings(&m)
 	command := exec.Command(binary, "serve", "-slot", slot, "-region", m.Region, "-failure-domain", m.FailureDomain,
-		"-listen", m.CallerAddress, "-peer-listen", m.PeerAddress, "-admin", freeAddress(f.t), "-platform", s.PlatformURL,
+		"-listen", m.CallerAddress, "-peer-listen", m.PeerAddress, "-admin", freeAddress(f.t, "127.0.7.3"), "-platform", s.PlatformURL,
 		"-upstream-credential", credential, "-seeds", strings.Join(s.Seeds, ","), "-fleet-key", fleetKey, "-drain-limit", "1s")
 	if err := command.Start(); err != nil {
 		f.t.Fatal(err)
--- a/proof/vmprocess_test.go
+++ b/proof/vmprocess_test.go
@@ -35,7 +35,7 @@
 	b.Helper()
 	m := f.file.VMs[0]
 	f.kill(m.Name)
-	admin := freeAddress(b)
+	admin := freeAddress(b, "127.0.0.1")
 	child := exec.Command(os.Args[0])
 	child.Env = append(os.Environ(), "GOMAXPROCS="+strconv.Itoa(maxProcs), vmArguments+"="+strings.Join([]string{
 		"serve", "-slot", m.Name, "-region", m.Region, "-failure-domain", m.FailureDomain,
