Tell the loss of a failure domain from requests that crash upstreams

Change: three crashed upstreams within 2 s that include half of a failure domain are an outage; the requests that ran there are cleared, and for 5 s a request that failed here may run in another region. Ruled out: counting crashes only at upstreams that were up for some seconds; a poisoned request that is resent slowly would then never be quarantined.

--- a/event/events.go
+++ b/event/events.go
@@ -45,6 +45,7 @@
 var (
 	UpstreamDown    = New(1401, slog.LevelWarn, "upstream failed", "Check the upstream if it does not return.")
 	UpstreamUp      = New(1402, slog.LevelInfo, "upstream returned", "none")
+	UpstreamOutage  = New(1404, slog.LevelError, "several upstreams of a failure domain failed at once", "Check the failure domain; requests fail over to other regions.")
 	ChunkMismatched = New(1403, slog.LevelWarn, "chunk does not belong to its stream", "Check the engine's version; the stream was resumed elsewhere.")
 )
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -88,6 +88,7 @@
 	signer    *once.Signer
 	handovers *once.HandoverStore
 	poisons   *poison.Table
+	outages   outageTable
 	hasher    *poison.Hasher
 	running   runningTable
 	queues    queueTable
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -124,8 +124,8 @@
 }
 
 // mayTryElsewhere reports whether another region may run the request after this outcome. Failures
-// of upstreams were retried by the VM that ran the request, so only refusals and broken
-// connections between VMs are tried elsewhere.
+// of upstreams were retried by the VM that ran the request, so only refusals and broken connections
+// between VMs are tried elsewhere, and failures while the own region has an outage.
 func (g *Gateway) mayTryElsewhere(ctx context.Context, out Outcome) bool {
 	if out.Code == OK || ctx.Err() != nil {
 		return false
@@ -133,6 +133,8 @@
 	switch out.Code {
 	case NoUpstream, Leaving, UnreachableRegion, StaleConfig, PeerLost:
 		return true
+	case UpstreamFailed:
+		return g.outages.active(g.Now())
 	default:
 		return false
 	}
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -109,6 +109,9 @@
 	if !first {
 		return
 	}
+	if g.excuseOutage(now, u, running) {
+		return
+	}
 	for _, v := range g.poisons.Crash(now, u.Name, running) {
 		if v.State == poison.Quarantined {
 			g.Audit.Add(now, audit.Entry{Kind: audit.Quarantine, Subject: "upstream/" + u.Name, Detail: "a request crashed several upstreams"})
