--- a/gateway/tokens.go
+++ b/gateway/tokens.go
@@ -24,12 +24,48 @@
 	retryWhenDry = time.Second
 )
 
+// ChargeRecord is one admitted request. The charge was made between Before and After.
+type ChargeRecord struct {
+	RequestID     string
+	Workspace     string
+	Tokens        int64
+	Before, After time.Time
+}
+
+// TokenSeams lets tests observe charges and transfers. Each field may be nil.
+type TokenSeams struct {
+	// OnCharge is called after each charge.
+	OnCharge func(ChargeRecord)
+	// OnAsk is called for each request for tokens that is sent to another VM.
+	OnAsk func(workspace string)
+	// Static reports whether transfers are disabled for a workspace, as a baseline.
+	Static func(workspace string) bool
+}
+
+// SetTokenSeams installs the seams. It is called before Run.
+func (g *Gateway) SetTokenSeams(s TokenSeams) { g.grants.seams = s }
+
+func (s *TokenSeams) charged(r *Request, c limit.Charge, before, after time.Time) {
+	if s.OnCharge != nil {
+		s.OnCharge(ChargeRecord{RequestID: r.ID, Workspace: c.Workspace, Tokens: c.Tokens, Before: before, After: after})
+	}
+}
+
+func (s *TokenSeams) asked(workspace string) {
+	if s.OnAsk != nil {
+		s.OnAsk(workspace)
+	}
+}
+
+func (s *TokenSeams) static(workspace string) bool { return s.Static != nil && s.Static(workspace) }
+
 // grantTable holds the requests that wait for tokens of other slots.
 type grantTable struct {
 	mu      sync.Mutex
 	waiting map[uint64]chan limit.TokenGive
 	// dryUntil remembers holders without tokens, by slot and workspace.
 	dryUntil map[string]time.Time
+	seams    TokenSeams
 }
 
 func (t *grantTable) expect(id uint64) chan limit.TokenGive {
@@ -75,8 +111,16 @@
 
 // charge takes the tokens of a request, asking other holders if this slot lacks them.
 func (g *Gateway) charge(ctx context.Context, r *Request) (limit.Charge, Outcome) {
+	before := g.Now()
+	c, out := g.chargeOrAsk(ctx, r, before)
+	if out.Code == OK {
+		g.grants.seams.charged(r, c, before, g.Now())
+	}
+	return c, out
+}
+
+func (g *Gateway) chargeOrAsk(ctx context.Context, r *Request, now time.Time) (limit.Charge, Outcome) {
 	tokens := r.bound()
-	now := g.Now()
 	c, v := g.tokens.Take(now, r.Workspace.Name, tokens)
 	if v.Admitted {
 		g.balance(now, r)
@@ -123,6 +167,9 @@
 		}
 	}
 	var slots []string
+	if g.grants.seams.static(r.Workspace.Name) {
+		return nil
+	}
 	for _, region := range regions {
 		for _, slot := range limit.Holders(r.Workspace.Name, region, vms) {
 			if slot != g.Self.Slot {
@@ -147,6 +194,9 @@
 // balance asks the other holder of the region for a part of its tokens when this one runs low, so
 // that the accrual of a full holder is not lost. Nobody waits for the answer.
 func (g *Gateway) balance(now time.Time, r *Request) {
+	if g.grants.seams.static(r.Workspace.Name) {
+		return
+	}
 	ask, ok := g.tokens.Balance(now, r.Workspace.Name)
 	if !ok {
 		return
@@ -156,6 +206,7 @@
 		if slot == g.Self.Slot || s == nil {
 			continue
 		}
+		g.grants.seams.asked(ask.Workspace)
 		s.Control(vmwire.KindTokenAsk, &vmwire.TokenAsk{
 			ID: ask.ID, Workspace: ask.Workspace, Tokens: ask.Tokens, Loan: ask.Loan, Balance: ask.Balance, Level: ask.Level,
 		})
@@ -176,6 +227,7 @@
 	answer := g.grants.expect(ask.ID)
 	defer g.grants.forget(ask.ID)
 	w := &vmwire.TokenAsk{ID: ask.ID, Workspace: workspace, Tokens: ask.Tokens, Loan: ask.Loan}
+	g.grants.seams.asked(workspace)
 	if !s.Control(vmwire.KindTokenAsk, w) {
 		return limit.TokenGive{}, false
 	}
