End loans of tokens when they are spent

Cause: a slot without room borrows tokens, and the grantor kept the room of each loan occupied for 1.1 s although the tokens were spent at once, which stopped its accrual. Tokens of refused requests expired unused. Change: the requester tells the grantor when a request has ended its loan, and gives unused tokens back (TokenAsk with zero tokens).

--- a/gateway/tokens.go
+++ b/gateway/tokens.go
@@ -130,13 +130,19 @@
 		return c, refuse(RateLimited, "the request can exceed the workspace's burst; lower max_tokens or shorten the prompt")
 	}
 	wait := v.Wait
+	var loans []lender
+	defer func() { g.endLoans(r, loans) }()
 	for _, slot := range g.tokenHolders(r) {
 		if g.grants.dry(now, slot, r.Workspace.Name) {
 			continue
 		}
-		if give, ok := g.askTokens(ctx, slot, r.Workspace.Name, v.Missing); ok && give.Wait > 0 {
+		give, ok := g.askTokens(ctx, slot, r.Workspace.Name, v.Missing)
+		if ok && give.Wait > 0 {
 			wait = shorter(wait, give.Wait)
 		}
+		if ok && give.Tokens > 0 {
+			loans = append(loans, lender{slot: slot, ask: give.ID})
+		}
 		now = g.Now()
 		if c, v = g.tokens.Take(now, r.Workspace.Name, tokens); v.Admitted {
 			r.note(now, "tokens charged", "with tokens of slot "+slot)
@@ -149,6 +155,26 @@
 	return c, refuseUntil(RateLimited, "the workspace is above its rate", g.retries.After(wait))
 }
 
+// lender is a slot that gave tokens, and the number of the request.
+type lender struct {
+	slot string
+	ask  uint64
+}
+
+// endLoans tells the lenders that their tokens are spent, or gives them back after a refusal.
+func (g *Gateway) endLoans(r *Request, loans []lender) {
+	for _, l := range loans {
+		s := g.sessions.get(l.slot)
+		if s == nil {
+			continue // The room is free again when the loan has expired.
+		}
+		if a, ok := g.tokens.EndLoan(g.Now(), r.Workspace.Name, l.ask); ok {
+			g.grants.seams.asked(r.Workspace.Name)
+			s.Control(vmwire.KindTokenAsk, &vmwire.TokenAsk{ID: a.ID, Workspace: a.Workspace, Loan: a.Loan})
+		}
+	}
+}
+
 // shorter returns the smaller wait; zero is unknown.
 func shorter(a, b time.Duration) time.Duration {
 	if a == 0 || b < a {
@@ -268,6 +294,9 @@
 	give := g.tokens.Give(now, limit.TokenAsk{
 		ID: w.ID, Workspace: w.Workspace, Tokens: w.Tokens, Loan: w.Loan, Balance: w.Balance, Level: w.Level,
 	})
+	if w.Tokens == 0 {
+		return // The end of a loan has no answer.
+	}
 	m.from.Control(vmwire.KindTokenGive, &vmwire.TokenGive{
 		ID: give.ID, Workspace: give.Workspace, Tokens: give.Tokens, WaitMillis: give.Wait.Milliseconds(),
 	})
--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -46,8 +46,9 @@
 	until     time.Time
 }
 
-// loan is an amount that ends at a time.
+// loan is an amount that ends at a time. id is that of the request for it.
 type loan struct {
+	id     uint64
 	tokens float64
 	until  time.Time
 }
--- a/limit/transfer.go
+++ b/limit/transfer.go
@@ -23,7 +23,8 @@
 	// ID is never used by another request of the slot's incarnations.
 	ID        uint64
 	Workspace string
-	// Tokens is the amount asked for, above zero.
+	// Tokens is the amount asked for. Zero ends the loan of the request ID, of which Loan tokens
+	// were not used.
 	Tokens int64
 	// Loan is the part of Tokens for which the requester has no room: the grantor keeps the room
 	// occupied until the loan has ended. It is between zero and Tokens.
@@ -119,17 +120,22 @@
 	now = t.advance(now)
 	give := TokenGive{ID: a.ID, Workspace: a.Workspace}
 	b := t.buckets[a.Workspace]
-	if b == nil || a.Tokens <= 0 || a.Loan < 0 || a.Loan > a.Tokens || !t.leased(now) {
+	if b == nil || a.Tokens < 0 || a.Loan < 0 || (a.Tokens > 0 && a.Loan > a.Tokens) || !t.leased(now) {
 		return give
 	}
 	t.sync(b, now)
+	if a.Tokens == 0 {
+		b.endLent(a.ID, a.Loan)
+		t.check(b, a.Workspace)
+		return give
+	}
 	give.Tokens = min(a.Tokens, int64(math.Max(0, b.level+tolerance)))
 	if a.Balance {
 		give.Tokens = min(give.Tokens, max(0, int64(b.level)-a.Level)/2)
 	}
 	b.level -= float64(give.Tokens)
 	if lent := give.Tokens - (a.Tokens - a.Loan); lent > 0 {
-		b.lent = append(b.lent, loan{tokens: float64(lent), until: now.Add(lendTime)})
+		b.lent = append(b.lent, loan{id: a.ID, tokens: float64(lent), until: now.Add(lendTime)})
 	}
 	if rest := a.Tokens - give.Tokens; rest > 0 && b.rate > 0 {
 		give.Wait = seconds(float64(rest) / b.rate)
@@ -138,6 +144,45 @@
 	return give
 }
 
+// EndLoan gives up what is left of the loan of a request, and returns the message that tells the
+// grantor, which has the unused tokens again and its room free at once. It returns false if
+// the workspace is unknown.
+//
+// Without it the room stays occupied for lendTime, which stops the accrual of a holder whose
+// tokens are spent at other slots.
+func (t *Table) EndLoan(now time.Time, workspace string, id uint64) (TokenAsk, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now = t.advance(now)
+	b := t.buckets[workspace]
+	if b == nil {
+		return TokenAsk{}, false
+	}
+	t.sync(b, now)
+	a := TokenAsk{ID: id, Workspace: workspace}
+	for i := range b.loans {
+		if b.loans[i].id == id {
+			a.Loan += int64(b.loans[i].tokens)
+			b.loans[i].tokens = 0
+		}
+	}
+	return a, true
+}
+
+// endLent frees the room of a loan whose requester has spent or given up all of it, and takes the
+// unused tokens back. A repeated message finds nothing.
+func (b *bucket) endLent(id uint64, unused int64) {
+	for i := range b.lent {
+		if b.lent[i].id == id {
+			back := math.Min(float64(unused), b.lent[i].tokens)
+			b.lent = slices.Delete(b.lent, i, i+1)
+			// A decrease of the share may have left less room than was lent.
+			b.level = math.Min(b.level+back, math.Max(b.level, b.cap-b.reserved-b.lentTotal()))
+			return
+		}
+	}
+}
+
 // Accept applies a grant if its request is outstanding, and reports whether it did. A duplicate,
 // a late grant or one above the requested amount is void.
 func (t *Table) Accept(now time.Time, g TokenGive) bool {
@@ -162,7 +207,7 @@
 	b.level += float64(own)
 	b.observe()
 	if rest := g.Tokens - own; rest > 0 {
-		b.loans = append(b.loans, loan{tokens: float64(rest), until: a.deadline})
+		b.loans = append(b.loans, loan{id: a.id, tokens: float64(rest), until: a.deadline})
 	}
 	t.check(b, g.Workspace)
 	return true
--- a/limit/world_test.go
+++ b/limit/world_test.go
@@ -205,6 +205,9 @@
 	for _, p := range w.processes { // also to other incarnations of the slot
 		if p.slot == m.to.slot && !p.asleep.After(w.now) && p.table.Accept(w.now, *m.give) {
 			w.request(p, p.pending, false)
+			if a, ok := p.table.EndLoan(w.now, ws, m.give.ID); ok && w.chance(80) {
+				w.send(message{to: m.from, from: p, ask: &a})
+			}
 		}
 	}
 }
@@ -306,6 +309,14 @@
 	}
 	counted := map[uint64]bool{}
 	for _, m := range w.messages {
+		if m.ask != nil && m.ask.Tokens == 0 && !counted[m.ask.ID] { // unused tokens on the way back
+			for _, l := range m.to.table.buckets[ws].lent {
+				if l.id == m.ask.ID && l.until.After(w.now) {
+					counted[m.ask.ID] = true
+					sum += math.Min(float64(m.ask.Loan), l.tokens)
+				}
+			}
+		}
 		if m.give == nil || counted[m.give.ID] {
 			continue
 		}
