Stop unanswered requests for tokens from blocking accrual

Cause: each request for tokens reserves room for 1 s. With a partner holder that did not answer, repeated requests filled the cap, and the remaining holder accrued about a fifth of its rate (seen second by second in a trial). Change: cancel the request when its wait ends, do not ask or balance with a silent holder for 1 s, bound the wait for a session by the wait for tokens.

--- a/gateway/tokens.go
+++ b/gateway/tokens.go
@@ -18,6 +18,10 @@
 	// dryTime bounds how long a holder that had no tokens is not asked again, so that a workspace
 	// far above its rate does not turn each refusal into messages.
 	dryTime = 250 * time.Millisecond
+	// silentTime is how long a holder that did not answer is not asked again. Each request for tokens
+	// reserves room, so that many unanswered ones would stop the accrual of a holder whose partner
+	// has failed.
+	silentTime = time.Second
 	// maxDry bounds the remembered holders.
 	maxDry = 4096
 	// retryWhenDry is the advice when the wait for tokens is unknown.
@@ -136,7 +140,7 @@
 		if g.grants.dry(now, slot, r.Workspace.Name) {
 			continue
 		}
-		give, ok := g.askTokens(ctx, slot, r.Workspace.Name, v.Missing)
+		give, ok := g.askTokens(ctx, r, slot, v.Missing)
 		if ok && give.Wait > 0 {
 			wait = shorter(wait, give.Wait)
 		}
@@ -223,15 +227,15 @@
 	if g.grants.seams.static(r.Workspace.Name) {
 		return
 	}
-	ask, ok := g.tokens.Balance(now, r.Workspace.Name)
-	if !ok {
-		return
-	}
 	for _, slot := range limit.Holders(r.Workspace.Name, g.Self.Region, r.Snapshot.File.VMs) {
 		s := g.sessions.get(slot)
-		if slot == g.Self.Slot || s == nil {
+		if slot == g.Self.Slot || s == nil || g.grants.dry(now, slot, r.Workspace.Name) {
 			continue
 		}
+		ask, ok := g.tokens.Balance(now, r.Workspace.Name)
+		if !ok {
+			return
+		}
 		g.grants.seams.asked(ask.Workspace)
 		s.Control(vmwire.KindTokenAsk, &vmwire.TokenAsk{
 			ID: ask.ID, Workspace: ask.Workspace, Tokens: ask.Tokens, Loan: ask.Loan, Balance: ask.Balance, Level: ask.Level,
@@ -240,48 +244,58 @@
 }
 
 // askTokens asks one holder and applies its answer. ok is false if there was none.
-func (g *Gateway) askTokens(ctx context.Context, slot, workspace string, missing int64) (limit.TokenGive, bool) {
+func (g *Gateway) askTokens(ctx context.Context, r *Request, slot string, missing int64) (limit.TokenGive, bool) {
+	workspace := r.Workspace.Name
+	limitWait := askWaitFar
+	if m := r.Snapshot.VMs[slot]; m != nil && m.Region == g.Self.Region {
+		limitWait = askWaitNear
+	}
+	caller := ctx
+	ctx, cancel := context.WithTimeout(ctx, limitWait)
+	defer cancel()
 	s := g.sessionWith(ctx, slot)
+	if s == nil && caller.Err() == nil {
+		g.grants.setDry(g.Now().Add(silentTime), slot, workspace)
+	}
 	if s == nil {
 		return limit.TokenGive{}, false
 	}
-	now := g.Now()
-	ask, ok := g.tokens.Ask(now, workspace, missing)
+	ask, ok := g.tokens.Ask(g.Now(), workspace, missing)
 	if !ok {
 		return limit.TokenGive{}, false
 	}
 	answer := g.grants.expect(ask.ID)
 	defer g.grants.forget(ask.ID)
-	w := &vmwire.TokenAsk{ID: ask.ID, Workspace: workspace, Tokens: ask.Tokens, Loan: ask.Loan}
 	g.grants.seams.asked(workspace)
-	if !s.Control(vmwire.KindTokenAsk, w) {
-		return limit.TokenGive{}, false
+	w := &vmwire.TokenAsk{ID: ask.ID, Workspace: workspace, Tokens: ask.Tokens, Loan: ask.Loan}
+	sent := s.Control(vmwire.KindTokenAsk, w)
+	give, ok := limit.TokenGive{}, false
+	if sent {
+		give, ok = waitGive(ctx, answer)
 	}
-	limitWait := askWaitNear
-	if s.Peer.Region != g.Self.Region {
-		limitWait = askWaitFar
+	now := g.Now()
+	if !ok {
+		g.tokens.Cancel(now, ask.ID)
+		if caller.Err() == nil {
+			g.grants.setDry(now.Add(silentTime), slot, workspace)
+		}
+		return give, false
 	}
-	give, ok := waitGive(ctx, answer, limitWait)
-	now = g.Now()
-	if !ok || give.Tokens < missing {
+	if give.Tokens < missing {
 		g.grants.setDry(now.Add(min(max(give.Wait, dryTime/5), dryTime)), slot, workspace)
 	}
-	if ok {
-		g.tokens.Accept(now, give)
-	}
-	return give, ok
+	g.tokens.Accept(now, give)
+	return give, true
 }
 
-func waitGive(ctx context.Context, answer <-chan limit.TokenGive, wait time.Duration) (limit.TokenGive, bool) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
+// waitGive waits for an answer until ctx ends.
+func waitGive(ctx context.Context, answer <-chan limit.TokenGive) (limit.TokenGive, bool) {
 	select {
 	case give := <-answer:
 		return give, true
-	case <-timer.C:
 	case <-ctx.Done():
+		return limit.TokenGive{}, false
 	}
-	return limit.TokenGive{}, false
 }
 
 // onTokenAsk gives tokens. They are deducted before the answer is sent.
--- a/limit/transfer.go
+++ b/limit/transfer.go
@@ -144,6 +144,24 @@
 	return give
 }
 
+// Cancel ends a request that the caller no longer waits for: its room is free at once, and a late
+// grant is void.
+func (t *Table) Cancel(now time.Time, id uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now = t.advance(now)
+	a := t.asks[id]
+	if a == nil {
+		return
+	}
+	t.sync(a.bucket, now)
+	if t.asks[id] == nil {
+		return // sync found the request expired.
+	}
+	t.endAsk(a)
+	a.bucket.asks = slices.DeleteFunc(a.bucket.asks, func(o *ask) bool { return o == a })
+}
+
 // EndLoan gives up what is left of the loan of a request, and returns the message that tells the
 // grantor, which has the unused tokens again and its room free at once. It returns false if
 // the workspace is unknown.
--- a/limit/world_test.go
+++ b/limit/world_test.go
@@ -252,6 +252,9 @@
 		}
 		if a, ok := p.table.Ask(w.now, ws, v.Missing); ok {
 			w.send(message{to: o, from: p, ask: &a})
+			if w.chance(w.faults / 5) {
+				p.table.Cancel(w.now, a.ID)
+			}
 		}
 	}
 }
