Charge answers that were cut up to their limit

Cause: a caller that leaves after the first piece was charged what was passed on, while the engine may have generated the whole answer. Change: an answer that did not end is charged its prompt and max_tokens. Cost: a caller that leaves early gets nothing back; not measured. Conclusion: kept; a count confirmed by the engine would charge less.

--- a/gateway/tokens.go
+++ b/gateway/tokens.go
@@ -350,7 +350,9 @@
 	return r.PromptTokens + max(r.MaxTokens-r.ResumeFrom, 0)
 }
 
-// used returns the tokens that the request has used.
+// used returns the tokens that the request has used. An engine whose answer was cut may have
+// generated all of it before it noticed: callers that leave after the first piece would otherwise
+// get many times their rate from the engines.
 func (r *Request) used(out Outcome) int64 {
 	if out.Ran == NotRun || out.Replayed {
 		return 0
@@ -362,5 +364,8 @@
 	if prompt == 0 {
 		prompt = r.PromptTokens
 	}
+	if out.Code != OK {
+		return prompt + max(r.MaxTokens-r.ResumeFrom, 0)
+	}
 	return prompt + out.AnswerTokens
 }
