Apply summaries to VMs of other regions whose heartbeats stopped

Cause: a VM of another region that acknowledges heartbeats and sends none is alive, but its last heartbeat may be from before it was ready. It then counted as not ready for ever and got no forwarded requests. Change: use the summary of its region unless its heartbeats say ready or leaving.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -93,10 +93,13 @@
 	f.vms = append(f.vms, v)
 }
 
-// fillFromSummary applies what another region said of its VM, unless heartbeats tell more.
+// fillFromSummary applies what another region said of its VM, unless heartbeats tell more. A VM that
+// acknowledges heartbeats and no longer sends any is alive, and its last heartbeat may be from before
+// it was ready.
 func (g *Gateway) fillFromSummary(now time.Time, info *PeerInfo) {
 	entries, ok := g.entries[info.Region]
-	if !ok || info.Alive || now.Sub(entries.at) > summaryLife {
+	known := info.Alive && (info.Ready || info.Leaving)
+	if !ok || known || now.Sub(entries.at) > summaryLife {
 		return
 	}
 	for _, e := range entries.list {
