--- a/proof/tokensrun_test.go
+++ b/proof/tokensrun_test.go
@@ -229,15 +229,15 @@
 	defer cancel()
 	o := offered{at: time.Now(), bound: int64(len(prompt) + 1 + most)}
 	o.used = int64(standin.PromptTokens([]standin.Message{{Content: prompt}}) + standin.AnswerTokens("redator", prompt, most))
-	status, done := post429(ctx, workspace, address, prompt, most, leaves)
+	status, done := complete(ctx, workspace, address, prompt, most, leaves)
 	o.took, o.refused, o.failed = time.Since(o.at), status == http.StatusTooManyRequests, !done
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.results[workspace] = append(r.results[workspace], o)
 }
 
-// post429 returns the status, zero without an answer, and whether the answer was complete.
-func post429(ctx context.Context, workspace, address, prompt string, most int, leaves bool) (status int, done bool) {
+// complete sends a chat completion and returns the status, zero without an answer, and whether the answer was complete.
+func complete(ctx context.Context, workspace, address, prompt string, most int, leaves bool) (status int, done bool) {
 	body, _ := json.Marshal(map[string]any{
 		"model": "redator", "stream": true, "max_tokens": most,
 		"messages": []map[string]string{{"role": "user", "content": prompt}},
