--- a/gateway/tokens.go
+++ b/gateway/tokens.go
@@ -18,18 +18,58 @@
 	// dryTime bounds how long a holder that had no tokens is not asked again, so that a workspace
 	// far above its rate does not turn each refusal into messages.
 	dryTime = 250 * time.Millisecond
+	// silentTime is how long a holder that did not answer is not asked again. Each request for tokens
+	// reserves room, so that many unanswered ones would stop the accrual of a holder whose partner
+	// has failed.
+	silentTime = time.Second
 	// maxDry bounds the remembered holders.
 	maxDry = 4096
 	// retryWhenDry is the advice when the wait for tokens is unknown.
 	retryWhenDry = time.Second
 )
 
+// ChargeRecord is one admitted request. The charge was made between Before and After.
+type ChargeRecord struct {
+	RequestID     string
+	Workspace     string
+	Tokens        int64
+	Before, After time.Time
+}
+
+// TokenSeams lets tests observe charges and transfers. Each field may be nil.
+type TokenSeams struct {
+	// OnCharge is called after each charge.
+	OnCharge func(ChargeRecord)
+	// OnAsk is called for each request for tokens that is sent to another VM.
+	OnAsk func(workspace string)
+	// Static reports whether transfers are disabled for a workspace, as a baseline.
+	Static func(workspace string) bool
+}
+
+// SetTokenSeams installs the seams. It is called before Run.
+func (g *Gateway) SetTokenSeams(s TokenSeams) { g.grants.seams = s }
+
+func (s *TokenSeams) charged(r *Request, c limit.Charge, before, after time.Time) {
+	if s.OnCharge != nil {
+		s.OnCharge(ChargeRecord{RequestID: r.ID, Workspace: c.Workspace, Tokens: c.Tokens, Before: before, After: after})
+	}
+}
+
+func (s *TokenSeams) asked(workspace string) {
+	if s.OnAsk != nil {
+		s.OnAsk(workspace)
+	}
+}
+
+func (s *TokenSeams) static(workspace string) bool { return s.Static != nil && s.Static(workspace) }
+
 // grantTable holds the requests that wait for tokens of other slots.
 type grantTable struct {
 	mu      sync.Mutex
 	waiting map[uint64]chan limit.TokenGive
 	// dryUntil remembers holders without tokens, by slot and workspace.
 	dryUntil map[string]time.Time
+	seams    TokenSeams
 }
 
 func (t *grantTable) expect(id uint64) chan limit.TokenGive {
@@ -75,8 +115,16 @@
 
 // charge takes the tokens of a request, asking other holders if this slot lacks them.
 func (g *Gateway) charge(ctx context.Context, r *Request) (limit.Charge, Outcome) {
+	before := g.Now()
+	c, out := g.chargeOrAsk(ctx, r, before)
+	if out.Code == OK {
+		g.grants.seams.charged(r, c, before, g.Now())
+	}
+	return c, out
+}
+
+func (g *Gateway) chargeOrAsk(ctx context.Context, r *Request, now time.Time) (limit.Charge, Outcome) {
 	tokens := r.bound()
-	now := g.Now()
 	c, v := g.tokens.Take(now, r.Workspace.Name, tokens)
 	if v.Admitted {
 		g.balance(now, r)
@@ -86,13 +134,19 @@
 		return c, refuse(RateLimited, "the request can exceed the workspace's burst; lower max_tokens or shorten the prompt")
 	}
 	wait := v.Wait
+	var loans []lender
+	defer func() { g.endLoans(r, loans) }()
 	for _, slot := range g.tokenHolders(r) {
 		if g.grants.dry(now, slot, r.Workspace.Name) {
 			continue
 		}
-		if give, ok := g.askTokens(ctx, slot, r.Workspace.Name, v.Missing); ok && give.Wait > 0 {
+		give, ok := g.askTokens(ctx, r, slot, v.Missing)
+		if ok && give.Wait > 0 {
 			wait = shorter(wait, give.Wait)
 		}
+		if ok && give.Tokens > 0 {
+			loans = append(loans, lender{slot: slot, ask: give.ID})
+		}
 		now = g.Now()
 		if c, v = g.tokens.Take(now, r.Workspace.Name, tokens); v.Admitted {
 			r.note(now, "tokens charged", "with tokens of slot "+slot)
@@ -105,6 +159,26 @@
 	return c, refuseUntil(RateLimited, "the workspace is above its rate", g.retries.After(wait))
 }
 
+// lender is a slot that gave tokens, and the number of the request.
+type lender struct {
+	slot string
+	ask  uint64
+}
+
+// endLoans tells the lenders that their tokens are spent, or gives them back after a refusal.
+func (g *Gateway) endLoans(r *Request, loans []lender) {
+	for _, l := range loans {
+		s := g.sessions.get(l.slot)
+		if s == nil {
+			continue // The room is free again when the loan has expired.
+		}
+		if a, ok := g.tokens.EndLoan(g.Now(), r.Workspace.Name, l.ask); ok {
+			g.grants.seams.asked(r.Workspace.Name)
+			s.Control(vmwire.KindTokenAsk, &vmwire.TokenAsk{ID: a.ID, Workspace: a.Workspace, Loan: a.Loan})
+		}
+	}
+}
+
 // shorter returns the smaller wait; zero is unknown.
 func shorter(a, b time.Duration) time.Duration {
 	if a == 0 || b < a {
@@ -123,6 +197,9 @@
 		}
 	}
 	var slots []string
+	if g.grants.seams.static(r.Workspace.Name) {
+		return nil
+	}
 	for _, region := range regions {
 		for _, slot := range limit.Holders(r.Workspace.Name, region, vms) {
 			if slot != g.Self.Slot {
@@ -147,15 +224,19 @@
 // balance asks the other holder of the region for a part of its tokens when this one runs low, so
 // that the accrual of a full holder is not lost. Nobody waits for the answer.
 func (g *Gateway) balance(now time.Time, r *Request) {
-	ask, ok := g.tokens.Balance(now, r.Workspace.Name)
-	if !ok {
+	if g.grants.seams.static(r.Workspace.Name) {
 		return
 	}
 	for _, slot := range limit.Holders(r.Workspace.Name, g.Self.Region, r.Snapshot.File.VMs) {
 		s := g.sessions.get(slot)
-		if slot == g.Self.Slot || s == nil {
+		if slot == g.Self.Slot || s == nil || g.grants.dry(now, slot, r.Workspace.Name) {
 			continue
 		}
+		ask, ok := g.tokens.Balance(now, r.Workspace.Name)
+		if !ok {
+			return
+		}
+		g.grants.seams.asked(ask.Workspace)
 		s.Control(vmwire.KindTokenAsk, &vmwire.TokenAsk{
 			ID: ask.ID, Workspace: ask.Workspace, Tokens: ask.Tokens, Loan: ask.Loan, Balance: ask.Balance, Level: ask.Level,
 		})
@@ -163,47 +244,58 @@
 }
 
 // askTokens asks one holder and applies its answer. ok is false if there was none.
-func (g *Gateway) askTokens(ctx context.Context, slot, workspace string, missing int64) (limit.TokenGive, bool) {
+func (g *Gateway) askTokens(ctx context.Context, r *Request, slot string, missing int64) (limit.TokenGive, bool) {
+	workspace := r.Workspace.Name
+	limitWait := askWaitFar
+	if m := r.Snapshot.VMs[slot]; m != nil && m.Region == g.Self.Region {
+		limitWait = askWaitNear
+	}
+	caller := ctx
+	ctx, cancel := context.WithTimeout(ctx, limitWait)
+	defer cancel()
 	s := g.sessionWith(ctx, slot)
+	if s == nil && caller.Err() == nil {
+		g.grants.setDry(g.Now().Add(silentTime), slot, workspace)
+	}
 	if s == nil {
 		return limit.TokenGive{}, false
 	}
-	now := g.Now()
-	ask, ok := g.tokens.Ask(now, workspace, missing)
+	ask, ok := g.tokens.Ask(g.Now(), workspace, missing)
 	if !ok {
 		return limit.TokenGive{}, false
 	}
 	answer := g.grants.expect(ask.ID)
 	defer g.grants.forget(ask.ID)
+	g.grants.seams.asked(workspace)
 	w := &vmwire.TokenAsk{ID: ask.ID, Workspace: workspace, Tokens: ask.Tokens, Loan: ask.Loan}
-	if !s.Control(vmwire.KindTokenAsk, w) {
-		return limit.TokenGive{}, false
+	sent := s.Control(vmwire.KindTokenAsk, w)
+	give, ok := limit.TokenGive{}, false
+	if sent {
+		give, ok = waitGive(ctx, answer)
 	}
-	limitWait := askWaitNear
-	if s.Peer.Region != g.Self.Region {
-		limitWait = askWaitFar
+	now := g.Now()
+	if !ok {
+		g.tokens.Cancel(now, ask.ID)
+		if caller.Err() == nil {
+			g.grants.setDry(now.Add(silentTime), slot, workspace)
+		}
+		return give, false
 	}
-	give, ok := waitGive(ctx, answer, limitWait)
-	now = g.Now()
-	if !ok || give.Tokens < missing {
+	if give.Tokens < missing {
 		g.grants.setDry(now.Add(min(max(give.Wait, dryTime/5), dryTime)), slot, workspace)
 	}
-	if ok {
-		g.tokens.Accept(now, give)
-	}
-	return give, ok
+	g.tokens.Accept(now, give)
+	return give, true
 }
 
-func waitGive(ctx context.Context, answer <-chan limit.TokenGive, wait time.Duration) (limit.TokenGive, bool) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
+// waitGive waits for an answer until ctx ends.
+func waitGive(ctx context.Context, answer <-chan limit.TokenGive) (limit.TokenGive, bool) {
 	select {
 	case give := <-answer:
 		return give, true
-	case <-timer.C:
 	case <-ctx.Done():
+		return limit.TokenGive{}, false
 	}
-	return limit.TokenGive{}, false
 }
 
 // onTokenAsk gives tokens. They are deducted before the answer is sent.
@@ -216,6 +308,9 @@
 	give := g.tokens.Give(now, limit.TokenAsk{
 		ID: w.ID, Workspace: w.Workspace, Tokens: w.Tokens, Loan: w.Loan, Balance: w.Balance, Level: w.Level,
 	})
+	if w.Tokens == 0 {
+		return // The end of a loan has no answer.
+	}
 	m.from.Control(vmwire.KindTokenGive, &vmwire.TokenGive{
 		ID: give.ID, Workspace: give.Workspace, Tokens: give.Tokens, WaitMillis: give.Wait.Milliseconds(),
 	})
@@ -255,7 +350,9 @@
 	return r.PromptTokens + max(r.MaxTokens-r.ResumeFrom, 0)
 }
 
-// used returns the tokens that the request has used.
+// used returns the tokens that the request has used. An engine whose answer was cut may have
+// generated all of it before it noticed: callers that leave after the first piece would otherwise
+// get many times their rate from the engines.
 func (r *Request) used(out Outcome) int64 {
 	if out.Ran == NotRun || out.Replayed {
 		return 0
@@ -267,5 +364,8 @@
 	if prompt == 0 {
 		prompt = r.PromptTokens
 	}
+	if out.Code != OK {
+		return prompt + max(r.MaxTokens-r.ResumeFrom, 0)
+	}
 	return prompt + out.AnswerTokens
 }
