--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -69,8 +69,8 @@
 	logTo io.Writer
 }
 
-// fleets counts the fleets of this process. Each has loopback IPs of its own, since a port that one
-// fleet reserved for a VM could otherwise go to another fleet that runs at the same time.
+// fleets counts the fleets of this process. Each has loopback IPs of its own and fixed ports below
+// the range of outgoing connections, so that no port is lost between its choice and its use.
 var fleets atomic.Int32
 
 // freeAddress reserves a port of a loopback IP.
@@ -166,13 +166,13 @@
 			file.Links = append(file.Links, config.Link{A: o.regions[j], B: region, MegabitsPerSecond: 1000, OneWayMillis: 55})
 		}
 		for n := range o.vmsPerRegion {
-			ip := fmt.Sprintf("127.%d.%d.%d", number, i+1, n+1)
+			ip := fmt.Sprintf("127.%d.%d.%d", 64+number, 10*(os.Getpid()%25)+i+1, n+1)
 			file.VMs = append(file.VMs, config.VM{
 				Name:          fmt.Sprintf("%s-%d", region, n+1),
 				Region:        region,
 				FailureDomain: fmt.Sprintf("%s-fd%d", region, n+1),
-				CallerAddress: freeAddress(f.t, ip),
-				PeerAddress:   freeAddress(f.t, ip),
+				CallerAddress: ip + ":8080",
+				PeerAddress:   ip + ":7000",
 			})
 		}
 		for n := range o.engines {
--- a/proof/tokens_test.go
+++ b/proof/tokens_test.go
@@ -110,7 +110,7 @@
 	for i := range r.file.VMs {
 		if m := &r.file.VMs[i]; m.Name == slot {
 			host := r.hostOf(i, generation)
-			m.CallerAddress, m.PeerAddress = onHost(freeAddress(r.t), host), onHost(freeAddress(r.t), host)
+			m.CallerAddress, m.PeerAddress = host+":8080", host+":7000"
 			r.mu.Lock()
 			r.targets = append(r.targets, *m)
 			r.mu.Unlock()
