Test the drafts' share with the value that the test was written for

Change: the tests of package admit set the share of 0.2 themselves. The check is as strict as before.

--- a/admit/queue_test.go
+++ b/admit/queue_test.go
@@ -22,7 +22,7 @@
 }
 
 func settings() Settings {
-	return Settings{Total: 1000, PerWorkspace: 300, DraftShare: DefaultDraftShare, Rate: 1000}
+	return Settings{Total: 1000, PerWorkspace: 300, DraftShare: 0.2, Rate: 1000}
 }
 
 func item(id uint64, workspace string, class Class) Item {
