Give the parts of a VM process a type of their own

Cause: serve started anonymous goroutines and repeated the closing of listeners. Change: type process with run methods; errors name the setting of the address.

--- a/operator/serve.go
+++ b/operator/serve.go
@@ -4,23 +4,17 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net"
 	"os"
 	"os/signal"
 	"strings"
 	"syscall"
 	"time"
 
-	"parsleyhatch/admin"
-	"parsleyhatch/caller"
 	"parsleyhatch/event"
 	"parsleyhatch/gateway"
 	"parsleyhatch/standin"
 )
 
-// stopGrace is the time that open connections get after the last request has ended.
-const stopGrace = 2 * time.Second
-
 var serveCommand = command{
 	name:    "serve",
 	summary: "run a VM",
@@ -82,50 +76,22 @@
 	if dial != nil {
 		g.Endpoint.DialFunc = dial
 	}
-	peers, err := net.Listen("tcp", s.PeerListen)
-	if err != nil {
-		return fmt.Errorf("setting peer-listen: %w", err)
-	}
-	callers, err := net.Listen("tcp", s.CallerListen)
+	p, err := newProcess(g, log)
 	if err != nil {
-		_ = peers.Close()
-		return fmt.Errorf("setting listen: %w", err)
+		return err
 	}
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
-	run, halt := context.WithCancel(context.Background())
-	defer halt()
-	operators, err := net.Listen("tcp", s.AdminListen)
-	if err != nil {
-		_ = peers.Close()
-		_ = callers.Close()
-		return fmt.Errorf("setting admin: %w", err)
-	}
-	server, pages := caller.New(g, callers, log), admin.New(g, operators)
-	failed := make(chan error, 2)
-	go func() { failed <- server.Run(run) }()
-	go func() { failed <- pages.Run(run) }()
-	finished := make(chan struct{})
-	go func() {
-		defer close(finished)
-		_ = g.Run(run, peers)
-	}()
+	p.start()
 	select {
 	case <-stop.Done():
 	case <-g.Superseded():
-	case err := <-failed:
-		halt()
-		<-finished
+	case err := <-p.failed:
+		p.halt()
 		return err
 	}
 	cancel() // A second signal ends the process.
-	g.Drain(context.Background())
-	grace, done := context.WithTimeout(context.Background(), stopGrace)
-	defer done()
-	_ = server.Stop(grace)
-	_ = pages.Stop(grace)
-	halt()
-	<-finished
+	p.stop()
 	return nil
 }
 
