--- a/vm/session.go
+++ b/vm/session.go
@@ -270,10 +270,7 @@
 	case vmwire.KindHello:
 		return errors.New("second hello")
 	case vmwire.KindPing:
-		s.tryQueue(&vmwire.Frame{Kind: vmwire.KindPong})
-		return nil
-	case vmwire.KindPong:
-		return nil
+		return nil // Its arrival is what counts; the other side does not wait for an answer.
 	default:
 		if s.endpoint.OnControl != nil {
 			s.endpoint.OnControl(s, f)
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -26,7 +26,6 @@
 	KindHandover
 	KindHandoverTake
 	KindPing
-	KindPong
 )
 
 // The limits bound what a decoder allocates for a length that a faulty peer announces: without them,
