--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -65,6 +65,7 @@
 		b.Fatal(err)
 	}
 	b.Cleanup(func() { _ = g.Metrics.Close() })
+	g.startOrders()
 	parts, err := config.Split(f, 100)
 	if err != nil {
 		b.Fatal(err)
@@ -130,3 +131,29 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapAlloc)
 }
+
+// BenchmarkApply is the cost of one accepted change of one key.
+func BenchmarkApply(b *testing.B) {
+	for _, s := range benchSizes {
+		b.Run(fmt.Sprintf("regions=%d/vms=%d/upstreams=%d/workspaces=%d", s.regions, s.vms, s.upstreams, s.workspaces), func(b *testing.B) {
+			f := sizedFile(s.regions, s.vms, s.upstreams, s.workspaces)
+			g := sizedGateway(b, f)
+			b.ReportAllocs()
+			for number := uint64(2); b.Loop(); number++ {
+				b.StopTimer()
+				f.Keys[0].SHA256 = config.PartDigest([]byte(fmt.Sprint(number)))
+				parts, err := config.Split(f, 100)
+				if err != nil {
+					b.Fatal(err)
+				}
+				byDigest := map[string][]byte{}
+				for _, p := range parts {
+					byDigest[config.PartDigest(p)] = p
+				}
+				head := config.NewHead(number, parts)
+				b.StartTimer()
+				g.consider(candidate{head: head, parts: byDigest, from: "benchmark"})
+			}
+		})
+	}
+}
--- a/gateway/configure.go
+++ b/gateway/configure.go
@@ -195,20 +195,34 @@
 	g.snapshot.Store(next)
 	event.ConfigAccepted.Log(g.Log, "version", next.Version.String(), "from", from)
 	g.Audit.Add(now, audit.Entry{Kind: audit.ConfigAccepted, Subject: from, Version: next.Version})
-	for _, e := range audit.FromChanges(next.Version, config.Diff(current, next)) {
+	changes := config.Diff(current, next)
+	for _, e := range audit.FromChanges(next.Version, changes) {
 		g.Audit.Add(now, e)
 	}
 	for _, id := range g.streams.cutWithdrawn(next) {
 		event.KeyCut.Log(g.Log, "request", id)
 	}
-	g.configureTables(now, current, next)
-	g.fleetChanged = true
-	g.publish(now)
+	if current == nil || !onlyKeys(changes) {
+		g.configureTables(now, current, next)
+		g.fleetChanged = true
+		g.publish(now)
+	}
 	// The heartbeats tell the other VMs at once that there is a later version.
 	g.members.Hurry()
 	g.lastBeat = time.Time{}
 }
 
+// onlyKeys reports whether no control table depends on the changes. Most changes give or withdraw a
+// key, and the tables take most of the time of a change.
+func onlyKeys(changes []config.Change) bool {
+	for _, c := range changes {
+		if c.Entity != config.EntityKey {
+			return false
+		}
+	}
+	return true
+}
+
 // configureTables brings the tables in line with a new snapshot.
 func (g *Gateway) configureTables(now time.Time, old, next *config.Snapshot) {
 	if old == nil {
