--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -55,7 +55,7 @@
 	if m == nil {
 		return Outcome{Code: OwnerGone, Message: "vm " + owner + ", which owns the key, is no longer in the roster; the call will not be run", Ran: Unknown}
 	}
-	if !contains(r.Snapshot.AllowedRegions(r.Route, r.Workspace), m.Region) {
+	if !slices.Contains(r.Snapshot.AllowedRegions(r.Route, r.Workspace), m.Region) {
 		return withoutRecord(r.Route, refuse(WrongRegion, "vm "+owner+", which owns the key, is in a region that may not run the call"))
 	}
 	s := g.sessionWith(ctx, owner)
@@ -94,7 +94,7 @@
 // callRegion returns the region whose VMs own a workspace's opaque keys on a route.
 func callRegion(s *config.Snapshot, r *config.Route, w *config.Workspace) string {
 	allowed := s.AllowedRegions(r, w)
-	if contains(allowed, w.Home) {
+	if slices.Contains(allowed, w.Home) {
 		return w.Home
 	}
 	if len(allowed) == 0 {
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"parsleyhatch/config"
@@ -157,7 +158,7 @@
 
 // Tickets returns idempotency tickets that this incarnation owns, if this VM may run the calls.
 func (g *Gateway) Tickets(now time.Time, s *config.Snapshot, r *config.Route, w *config.Workspace, n int) []string {
-	if r.Idempotent || !g.Ready() || !contains(s.AllowedRegions(r, w), g.Self.Region) {
+	if r.Idempotent || !g.Ready() || !slices.Contains(s.AllowedRegions(r, w), g.Self.Region) {
 		return nil
 	}
 	tickets := make([]string, 0, n)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -210,7 +210,7 @@
 	if route == nil || workspace == nil || open.Hops != 1 || open.BodyBytes < 0 || open.BodyBytes > MaxBodyBytes {
 		return nil, refuse(InvalidRequest, "route or workspace unknown, or more than one hop")
 	}
-	if !contains(s.AllowedRegions(route, workspace), g.Self.Region) {
+	if !slices.Contains(s.AllowedRegions(route, workspace), g.Self.Region) {
 		return nil, refuse(WrongRegion, "region "+g.Self.Region+" may not run this request")
 	}
 	if key := s.Keys[open.KeyID]; open.KeyID != "" && (key == nil || key.Withdrawn || key.Workspace != workspace.Name) {
@@ -229,12 +229,3 @@
 		Forwarded: true, OriginSlot: open.OriginSlot,
 	}, Outcome{}
 }
-
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
-}
--- a/gateway/local.go
+++ b/gateway/local.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"time"
 
@@ -34,7 +35,7 @@
 
 // runLocal runs a request at an upstream of the own region.
 func (g *Gateway) runLocal(ctx context.Context, r *Request, p *progress) Outcome {
-	if !contains(r.Snapshot.AllowedRegions(r.Route, r.Workspace), g.Self.Region) {
+	if !slices.Contains(r.Snapshot.AllowedRegions(r.Route, r.Workspace), g.Self.Region) {
 		event.Broken(g.Log, event.BrokenRegion, "request", r.ID, "region", g.Self.Region)
 	}
 	var out Outcome
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"parsleyhatch/audit"
@@ -56,7 +57,7 @@
 // readsPlatform reports whether this VM watches the configuration service. A VM without a
 // configuration does, since it cannot know the roster.
 func (g *Gateway) readsPlatform(now time.Time) bool {
-	return g.Snapshot() == nil || contains(g.members.Readers(now, g.Self.Region), g.Self.Slot)
+	return g.Snapshot() == nil || slices.Contains(g.members.Readers(now, g.Self.Region), g.Self.Slot)
 }
 
 // confirm applies an interval for which this VM has authority over its slot. current says that the
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -73,7 +73,7 @@
 	if len(allowed) == 0 {
 		return withoutRecord(r.Route, refuse(WrongRegion, "no region may run this request"))
 	}
-	if r.Route.HomeBound && !contains(allowed, g.Self.Region) {
+	if r.Route.HomeBound && !slices.Contains(allowed, g.Self.Region) {
 		return withoutRecord(r.Route, refuse(WrongRegion, "the request must stay in region "+allowed[0]))
 	}
 	charge, out := g.charge(ctx, r)
