Keep the authority of the remaining VM while its neighbour is replaced

In a region of two VMs the one that stays was confirmed by nobody while the other one was replaced: a stopped VM counted as alive for 1.5 s, other regions were asked each 2 s and answered with their next heartbeat, and the successor does not confirm before it is announced. Its lease of 2 s ran out, and it refused with rateLimited. Change: a leaving VM whose session has ended is gone at once; a neighbour that does not confirm yet does not count; a VM that is alone sends to other regions in each round, and those acknowledge at once.

--- a/gateway/beat.go
+++ b/gateway/beat.go
@@ -228,7 +228,7 @@
 			ConfigNumber: w.ConfigNumber, ConfigTag: w.ConfigTag,
 		})
 	}
-	if g.beats.targets[peer.Slot] && outcome == member.Accepted {
+	if g.beats.targets[peer.Slot] && outcome == member.Accepted && peer.Region == g.Self.Region {
 		g.beats.unacknowledged[peer.Slot] = heard{heartbeat: h, session: m.from}
 	} else {
 		g.acknowledge(now, m.from, h)
--- a/member/authority.go
+++ b/member/authority.go
@@ -109,6 +109,7 @@
 	}
 	r.heard = later(r.heard, at)
 	r.told = true
+	r.confirms = a.Confirms
 	if !a.Confirms || (r.Region != t.region() && !t.alone(now)) {
 		return Lease{}
 	}
@@ -116,14 +117,15 @@
 }
 
 // alone reports whether the platform's list shows no other VM of the region as live and none is
-// heard. Then a VM of another region may confirm: its representatives hear from each incarnation
+// heard that confirms others. A VM that has just started does not confirm yet. Then a VM of another region may confirm: its representatives hear from each incarnation
 // that lives in this region.
 func (t *Table) alone(now time.Time) bool {
 	if !t.listed {
 		return false
 	}
 	for _, slot := range t.peers() {
-		if t.Alive(now, slot) || t.rows[slot].ListedLive {
+		r := t.rows[slot]
+		if r.ListedLive || r.confirms && t.Alive(now, slot) {
 			return false
 		}
 	}
--- a/member/table.go
+++ b/member/table.go
@@ -102,6 +102,8 @@
 	heard, relayed time.Time
 	// told says that the incarnation has acknowledged a heartbeat of this VM.
 	told bool
+	// confirms says that the incarnation's latest acknowledgement confirmed this VM.
+	confirms bool
 	// wasAlive is the liveness at the last tick.
 	wasAlive bool
 }
@@ -221,7 +223,7 @@
 	r.Incarnation = i
 	r.heard, r.relayed = time.Time{}, time.Time{}
 	r.Leaving, r.Ready = false, false
-	r.told = false
+	r.told, r.confirms = false, false
 }
 
 // refreshSelf keeps this VM's own row.
@@ -294,6 +296,15 @@
 	return now.Sub(r.heard) < DeadAfter || now.Sub(r.relayed) < relayedDeadAfter
 }
 
+// Gone says that the session with a VM ended. One that was leaving has stopped, so it need not be
+// waited for.
+func (t *Table) Gone(slot string, number uint64) {
+	r := t.rows[slot]
+	if r != nil && r.Leaving && r.Incarnation.Number == number {
+		r.heard, r.relayed = time.Time{}, time.Time{}
+	}
+}
+
 // Hurry makes the next round of heartbeats go to other regions, too.
 func (t *Table) Hurry() { t.hurry = true }
 
--- a/member/target.go
+++ b/member/target.go
@@ -20,7 +20,7 @@
 	if len(targets) >= FullMesh && t.announcedBy(now) {
 		targets = t.sparse(now, own, targets)
 	}
-	if t.sequence%abroadRounds == 0 || t.hurry {
+	if t.sequence%abroadRounds == 0 || t.hurry || t.alone(now) {
 		targets = append(targets, t.Abroad(now)...)
 	}
 	slices.Sort(targets)
