Show tokens and reported load in the status

Cause: the status page named both and never filled them in; the operators' page on refusals relies on them. Change: limit.Table.Levels; the last load report of each upstream. Result: the new test fails without the change, since the workspaces are empty.

--- a/gateway/load.go
+++ b/gateway/load.go
@@ -230,6 +230,7 @@
 	} else {
 		u.Report(r.at, int64(r.load.Running+r.load.Waiting))
 		g.running.booted(r.name, r.load.BootID)
+		g.running.reported(r.name, r.load.Running+r.load.Waiting)
 	}
 	if r.gap {
 		g.choices.EventsLost(now, u)
@@ -295,7 +296,9 @@
 		case c[5]&flagDown != 0:
 			u.Failed(now)
 		default:
-			u.Report(now.Add(-time.Duration(c[4])*ageUnit), int64(binary.BigEndian.Uint16(c[2:])))
+			load := binary.BigEndian.Uint16(c[2:])
+			u.Report(now.Add(-time.Duration(c[4])*ageUnit), int64(load))
+			g.running.reported(u.Name, int(load))
 		}
 	}
 }
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -27,7 +27,7 @@
 type UpstreamStatus struct {
 	Name  string `json:"name"`
 	State string `json:"state"`
-	// Running is the number of requests in the last load report.
+	// Running is the number of running and waiting requests of all VMs in the last load report.
 	Running int `json:"running"`
 	// Outstanding is the number of requests that this VM has there.
 	Outstanding int `json:"outstanding"`
@@ -59,6 +59,9 @@
 	}
 	s.ConfigVersion = snapshot.Version
 	s.Upstreams = g.upstreamStatus(snapshot)
+	for _, l := range g.tokens.Levels(g.Now()) {
+		s.Workspaces = append(s.Workspaces, WorkspaceStatus{Name: l.Workspace, Level: l.Level, Cap: l.Cap})
+	}
 	s.Problems = append(s.Problems, g.problems()...)
 	s.Problems = append(s.Problems, unorderedEngines(snapshot, g.Self.Region)...)
 	return s
@@ -76,7 +79,7 @@
 		if state == "" {
 			state = config.StateActive
 		}
-		list = append(list, UpstreamStatus{Name: u.Name, State: state, Outstanding: g.running.count(u.Name)})
+		list = append(list, UpstreamStatus{Name: u.Name, State: state, Running: g.running.reportedLoad(u.Name), Outstanding: g.running.count(u.Name)})
 	}
 	return list
 }
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -23,8 +23,10 @@
 type runningAt struct {
 	fingerprints map[poison.Fingerprint]int
 	crashedAt    time.Time
-	// boot is the boot id in the last load report.
+	// boot is the boot id in the last load report that this VM read itself, and load the number of
+	// requests in the last one that it got.
 	boot string
+	load int
 }
 
 // runningTable holds the requests at each upstream.
@@ -75,6 +77,20 @@
 	t.at(name).boot = boot
 }
 
+// reported records the number of requests in a load report.
+func (t *runningTable) reported(name string, load int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.at(name).load = load
+}
+
+// reportedLoad returns the number of requests in the last load report.
+func (t *runningTable) reportedLoad(name string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.at(name).load
+}
+
 // bootOf returns the last known boot id, empty if unknown.
 func (t *runningTable) bootOf(name string) string {
 	t.mu.Lock()
--- a/limit/shares.go
+++ b/limit/shares.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"slices"
+	"strings"
+	"time"
 
 	"parsleyhatch/config"
 	"parsleyhatch/event"
@@ -150,3 +152,27 @@
 	}
 	return parts
 }
+
+// Level is what a slot holds of a workspace's tokens.
+type Level struct {
+	Workspace string
+	// Level may be spent now; it is negative after more was used than charged. Cap bounds it.
+	Level, Cap int64
+}
+
+// Levels lists the workspaces of which this slot holds a share, in the order of their names.
+func (t *Table) Levels(now time.Time) []Level {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now = t.advance(now)
+	var list []Level
+	for name, b := range t.buckets {
+		if b.cap == 0 {
+			continue
+		}
+		t.sync(b, now)
+		list = append(list, Level{Workspace: name, Level: int64(b.level), Cap: int64(b.cap)})
+	}
+	slices.SortFunc(list, func(a, b Level) int { return strings.Compare(a.Workspace, b.Workspace) })
+	return list
+}
--- a/proof/path_test.go
+++ b/proof/path_test.go
@@ -97,3 +97,15 @@
 		}
 	}
 }
+
+// Guards against a status page that leaves out what operators look for: tokens, VMs, upstreams.
+func TestStatusIsComplete(t *testing.T) {
+	f := startFleet(t, fleetOptions{regions: []string{"norte"}, vmsPerRegion: 1, engines: 1})
+	s := f.nodes["norte-1"].gateway.Status()
+	if len(s.VMs) != 1 || len(s.Upstreams) != 1 || len(s.Workspaces) != 2 || s.ConfigVersion.Number != f.number {
+		t.Errorf("status is incomplete: %+v", s)
+	}
+	if s.Workspaces[0].Cap == 0 {
+		t.Errorf("workspace %s has no cap", s.Workspaces[0].Name)
+	}
+}
