--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -6,12 +6,16 @@
 	"io"
 	"log/slog"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/tinylib/msgp/msgp"
+
 	"parsleyhatch/config"
 	"parsleyhatch/member"
 	"parsleyhatch/standin"
+	"parsleyhatch/vmwire"
 )
 
 // sizedFile builds a configuration of the given size.
@@ -127,3 +131,27 @@
 		})
 	}
 }
+
+// BenchmarkMessages reports the bytes of control messages at the target scale, with the record of TLS.
+func BenchmarkMessages(b *testing.B) {
+	const overhead = 22 + 4 // TLS record and length prefix.
+	summary := &vmwire.Summary{
+		Region:  "region-01",
+		Pools:   slices.Repeat([]vmwire.PoolSummary{{Route: "route-0", Slots: 1000.5, Outstanding: 900.5, FirstTokenMillis: 200, RunMillis: 14000}}, 8),
+		Entries: slices.Repeat([]vmwire.EntryVM{{Slot: "region-01-vm-00", Queue: 2000}}, 4),
+	}
+	messages := map[string]msgp.Marshaler{
+		"heartbeat": &vmwire.Heartbeat{Sequence: 1 << 20, ConfigNumber: 16000, ConfigTag: 1 << 63, Queue: 100, AckSequence: 1 << 20, Compact: make([]byte, 11*compactViewBytes)},
+		"ack":       &vmwire.HeartbeatAck{Sequence: 1 << 20, NewestIncarnation: 1 << 63, NewestStartedAtUnixMilli: 1 << 41, ConfigNumber: 16000, ConfigTag: 1 << 63},
+		"load":      &vmwire.Load{ConfigNumber: 16000, ConfigTag: 1 << 63, Compact: make([]byte, 16*compactLoadBytes)},
+		"summary":   summary,
+	}
+	for name, m := range messages {
+		body, err := m.MarshalMsg(nil)
+		encoded, err2 := (&vmwire.Frame{Kind: 1, Body: body}).MarshalMsg(nil)
+		if err != nil || err2 != nil {
+			b.Fatal(err, err2)
+		}
+		b.ReportMetric(float64(len(encoded)+overhead), name+"-B")
+	}
+}
--- a/limit/table.go
+++ b/limit/table.go
@@ -276,6 +276,7 @@
 	}
 }
 
+// later returns the later of two times.
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -283,6 +284,7 @@
 	return b
 }
 
+// earlier returns the earlier of two times.
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/member/authority.go
+++ b/member/authority.go
@@ -216,6 +216,7 @@
 	t.sent = t.sent[:0]
 }
 
+// later returns the later of two times.
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -223,6 +224,7 @@
 	return b
 }
 
+// earlier returns the earlier of two times.
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
