--- a/platform/client.go
+++ b/configserver/client.go
@@ -1,6 +1,6 @@
-// Package platform speaks to the platform: the configuration service, the VM list and the weight
+// Package configserver speaks to the platform: the configuration service, the VM list and the weight
 // store. It only reads.
-package platform
+package configserver
 
 import (
 	"context"
--- /dev/null
+++ b/edge/admit.go
@@ -0,0 +1,99 @@
+package edge
+
+import (
+	"net/http"
+	"time"
+
+	"parsleyhatch/platform"
+	"parsleyhatch/poison"
+	"parsleyhatch/replica"
+	"parsleyhatch/route"
+)
+
+// leaveAccept is the time after SIGTERM during which new requests are still served: callers keep an
+// earlier answer of the directory for a while.
+const leaveAccept = 2500 * time.Millisecond
+
+// admit finds out what a request is and whether it may run, and reads its body.
+func (e *Edge) admit(w http.ResponseWriter, h *http.Request, r *request) (Outcome, bool) {
+	now := e.Now()
+	t := e.table()
+	if t == nil {
+		return refuse(NoConfiguration, "no configuration is known yet", refusalPause), false
+	}
+	if leaving, since := e.isLeaving(now); leaving && since > leaveAccept {
+		return refuse(Leaving, "this vm stops", 100*time.Millisecond), false
+	}
+	if key := h.Header.Get(platform.HeaderKey); key != "" {
+		r.key, r.hasKey = route.HashKey(key), true
+	}
+	if out, ok := e.identify(now, t, r, h.URL.Path); !ok {
+		return out, false
+	}
+	body, out, ok := e.readBody(w, h, t.Config.Limits)
+	if !ok {
+		return out, false
+	}
+	r.body = body
+	if out, ok := e.prepare(r); !ok {
+		return out, false
+	}
+	e.Retries.Request(now, r.service.Name)
+	return e.charge(now, r)
+}
+
+// identify finds the route, the workspace and the service of a request.
+func (e *Edge) identify(now time.Time, t *route.Table, r *request, path string) (Outcome, bool) {
+	fresh := e.keysFresh(now)
+	r.route = t.Match(r.host, path)
+	if r.route == nil {
+		if !fresh {
+			return refuse(StaleKeys, "the configuration may be out of date", refusalPause), false
+		}
+		return refuse(NoRoute, "no route for this host and path", 0), false
+	}
+	if !r.route.Public && t.NeedsKeys() {
+		if !fresh {
+			return refuse(StaleKeys, "the knowledge of keys is too old", refusalPause), false
+		}
+		r.workspace = t.Authenticate(r.key)
+		if r.workspace == nil || !r.hasKey {
+			return refuse(UnknownKey, "the key is unknown or withdrawn", 0), false
+		}
+	}
+	r.service = t.Target(r.route, r.id)
+	if r.service == nil {
+		return refuse(NoUpstream, "the route has no service", refusalPause), false
+	}
+	return Outcome{}, true
+}
+
+// prepare reads what the request tells about itself.
+func (e *Edge) prepare(r *request) (Outcome, bool) {
+	r.setDeadline()
+	prompt, err := replica.ParsePrompt(r.header.Get(platform.HeaderPrompt), r.header.Get(platform.HeaderTokens))
+	if err != nil {
+		return refuse(BadRequest, err.Error(), 0), false
+	}
+	r.prompt = prompt
+	workspace := ""
+	if r.workspace != nil {
+		workspace = r.workspace.Name
+	}
+	r.print = e.hasher.Fingerprint(workspace+" "+r.target, r.body)
+	if e.Poison.State(e.Now(), r.print) == poison.Quarantined {
+		return refuse(Quarantined, "the request crashed the upstreams that ran it", 0), false
+	}
+	return Outcome{}, true
+}
+
+// charge takes the request's tokens from its workspace.
+func (e *Edge) charge(now time.Time, r *request) (Outcome, bool) {
+	if r.workspace == nil {
+		return Outcome{}, true
+	}
+	if ok, wait := e.Quota.Charge(now, r.workspace.Name, r.charge()); !ok {
+		return refuse(OverRate, "the workspace is over its rate", wait), false
+	}
+	return Outcome{}, true
+}
--- /dev/null
+++ b/edge/events.go
@@ -0,0 +1,136 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"parsleyhatch/replica"
+	"parsleyhatch/upstream"
+)
+
+const (
+	// eventBuffer is the size of reads of a stream, in bytes.
+	eventBuffer = 2 << 10
+	// maxEventBytes bounds one event, in bytes.
+	maxEventBytes = 1 << 20
+	// stallAfter is the shortest pause after which the upstream of a resumable stream counts as stuck.
+	// Callers wait for two seconds at least.
+	stallAfter = 1500 * time.Millisecond
+)
+
+var errEventTooLong = errors.New("event of a stream is too long")
+
+// relayEvents passes the events of a stream on, each as soon as it is whole.
+func (e *Edge) relayEvents(ctx context.Context, r *request, pick *replica.Pick, a *upstream.Answer, sink *Sink) Outcome {
+	s := &eventRelay{edge: e, request: r, pick: pick, answer: a, sink: sink}
+	err := s.run()
+	now := e.Now()
+	switch {
+	case errors.Is(err, io.EOF) && len(s.pending) == 0:
+		e.Replicas.Done(now, pick, replica.Answered)
+		return Outcome{Reason: Answered, Status: a.Status, Ran: HasRun, Whole: true}
+	case s.sinkFailed || ctx.Err() != nil && !errors.Is(context.Cause(ctx), errTimedOut):
+		e.Replicas.Done(now, pick, replica.Abandoned)
+		return fail(CallerGone, err.Error())
+	case ctx.Err() != nil:
+		e.Replicas.Done(now, pick, replica.Silent)
+		return fail(TimedOut, "the stream has not ended in time")
+	default:
+		e.Replicas.Done(now, pick, replica.Failed)
+		e.suspect(r, pick)
+		return fail(UpstreamBroke, "read stream: "+err.Error())
+	}
+}
+
+// eventRelay is a stream on its way to the caller.
+type eventRelay struct {
+	edge    *Edge
+	request *request
+	pick    *replica.Pick
+	answer  *upstream.Answer
+	sink    *Sink
+	// pending is the beginning of an event that is not whole.
+	pending []byte
+	begun   bool
+	// sinkFailed says that the caller's side failed, not the upstream's.
+	sinkFailed bool
+}
+
+// run returns io.EOF at the end of the answer, or what ended it sooner.
+func (s *eventRelay) run() error {
+	if !s.request.headSent {
+		s.request.headSent = true
+		if err := s.sink.Head(s.answer.Status, endToEnd(s.answer.Header), -1); err != nil {
+			s.sinkFailed = true
+			return err
+		}
+	}
+	buf := make([]byte, eventBuffer)
+	for {
+		s.bound()
+		n, err := s.answer.Read(buf)
+		if n > 0 {
+			if passErr := s.pass(buf[:n]); passErr != nil {
+				return passErr
+			}
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// bound limits the wait for the next event of a stream that can go on elsewhere.
+func (s *eventRelay) bound() {
+	r := s.request
+	if !s.begun || !r.route.Resumable || r.runs >= r.route.MaxAttempts {
+		s.answer.SetReadDeadline(time.Time{})
+		return
+	}
+	s.answer.SetReadDeadline(time.Now().Add(max(stallAfter, 4*r.route.TargetGap)))
+}
+
+// pass sends on the events that are whole now.
+func (s *eventRelay) pass(data []byte) error {
+	s.pending = append(s.pending, data...)
+	end := bytes.LastIndex(s.pending, []byte("\n\n"))
+	if end < 0 {
+		if len(s.pending) > maxEventBytes {
+			return errEventTooLong
+		}
+		return nil
+	}
+	whole := s.pending[:end+2]
+	if !s.begun {
+		s.begun = true
+		s.edge.firstToken(s.request, s.pick)
+	}
+	if id, ok := lastEventID(whole); ok {
+		s.request.lastEvent = id
+	}
+	if err := s.sink.Data(whole, true); err != nil {
+		s.sinkFailed = true
+		return err
+	}
+	s.pending = append(s.pending[:0], s.pending[end+2:]...)
+	return nil
+}
+
+func (e *Edge) firstToken(r *request, pick *replica.Pick) {
+	e.Replicas.FirstToken(e.Now(), pick)
+	e.Metrics.FirstToken(r.route.Name, time.Since(r.arrived))
+}
+
+// lastEventID returns the id of the last event that has one.
+func lastEventID(events []byte) (string, bool) {
+	id, found := "", false
+	for line := range bytes.SplitSeq(events, []byte("\n")) {
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			id, found = string(bytes.TrimSpace(value)), true
+		}
+	}
+	return id, found
+}
--- /dev/null
+++ b/edge/new.go
@@ -0,0 +1,75 @@
+package edge
+
+import (
+	"fmt"
+	"log/slog"
+	"time"
+
+	"parsleyhatch/clock"
+	"parsleyhatch/fleet"
+	"parsleyhatch/metrics"
+	"parsleyhatch/platform"
+	"parsleyhatch/poison"
+	"parsleyhatch/quota"
+	"parsleyhatch/replica"
+	"parsleyhatch/retry"
+	"parsleyhatch/route"
+	"parsleyhatch/source"
+	"parsleyhatch/upstream"
+	"parsleyhatch/vm"
+	"parsleyhatch/vmwire"
+)
+
+const (
+	// retryRatioShare is the part of the bound on retries that VMs use; the rest covers requests that
+	// are counted in another window than here.
+	retryRatioShare = 0.6
+	// retrySlackVMs is the number of VMs among which the slack of the bound is divided.
+	retrySlackVMs = 24
+)
+
+// New returns the parts of a VM, connected and not yet running.
+func New(s platform.Settings, log *slog.Logger) (*Edge, error) {
+	now := clock.Now()
+	identity := vm.Identity{
+		Slot: s.Name, Incarnation: vm.NewIncarnation(), Region: s.Region,
+		FailureDomain: s.FailureDomain, StartedAt: time.Now(),
+	}
+	// The network of the platform has no secret that VMs share; all VMs must compute the same prints.
+	hasher, err := poison.NewHasher([]byte(fingerprintKey))
+	if err != nil {
+		return nil, fmt.Errorf("start: %w", err)
+	}
+	e := &Edge{
+		Settings: s, Log: log, Now: clock.Now,
+		Replicas: replica.New(),
+		Pool:     upstream.NewPool(clock.Now),
+		Quota:    quota.New(now),
+		Retries:  retry.NewWindow(s.Bounds.RetryWindow, retryRatioShare*s.Bounds.RetryRatio, s.Bounds.RetrySlack/retrySlackVMs),
+		Poison:   newPoison(),
+		Metrics:  metrics.New(s.Name, s.Region),
+		hasher:   hasher,
+	}
+	e.Replicas.ColdBound = func(sv *route.Service) float64 {
+		return sv.WarmUpRate*s.Bounds.WarmUpOverage + s.Bounds.WarmUpSlack
+	}
+	e.Replicas.SetVMs(unknownSharers)
+	e.Source = &source.Source{
+		Store: platform.NewStore(s.Store), Replicas: e.Replicas, Log: log, Now: clock.Now,
+		Local:    func(domain string) bool { return s.Regions[domain] == s.Region },
+		Region:   func(domain string) string { return s.Regions[domain] },
+		OnConfig: func(t *route.Table) { e.Quota.Configure(clock.Now(), t.Config.Workspaces) },
+	}
+	endpoint := vm.NewPlainEndpoint(identity, log)
+	endpoint.OnStream = e.ServeForwarded
+	e.Fleet = fleet.New(now, endpoint, s.PeerListen, s.CallerListen, s.Seeds)
+	e.Fleet.Now = clock.Now
+	e.Fleet.Describe = e.Describe
+	e.Fleet.OnPresence = func(now time.Time, m fleet.Member, p *vmwire.Presence) { e.Heard(now, m.Identity, p) }
+	e.Fleet.OnControl = e.Control
+	return e, nil
+}
+
+// fingerprintKey keys the fingerprints of requests that crash upstreams. It need not be secret: it only
+// keeps content out of messages and logs.
+const fingerprintKey = "parsleyhatch request fingerprints"
--- /dev/null
+++ b/edge/serve.go
@@ -0,0 +1,243 @@
+package edge
+
+import (
+	"context"
+	"encoding/hex"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"parsleyhatch/platform"
+	"parsleyhatch/poison"
+	"parsleyhatch/replica"
+	"parsleyhatch/route"
+	"parsleyhatch/vm"
+	"parsleyhatch/vmwire"
+)
+
+const headerLastEvent = platform.HeaderLastEvent
+
+// reservedBetweenVMs are headers that must not leave the VM that the caller is connected to.
+var reservedBetweenVMs = []string{platform.HeaderKey}
+
+// endTimeout bounds the sending of a stream's end.
+const endTimeout = time.Second
+
+// ServeForwarded runs a request that another VM passed on.
+func (e *Edge) ServeForwarded(st *vm.Stream, open vmwire.Open) {
+	e.open.Add(1)
+	defer e.open.Add(-1)
+	r := forwardedRequest(&open)
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
+	out, ok := e.admitForwarded(ctx, st, &open, r)
+	if ok {
+		go watchReset(ctx, cancel, st)
+		runCtx, stop := context.WithDeadlineCause(ctx, r.deadline, errTimedOut)
+		out = e.run(runCtx, r, streamSink(runCtx, st))
+		stop()
+	}
+	e.report(r, out)
+	e.end(st, r, out)
+}
+
+// forwardedRequest builds the request from the message that opened its stream.
+func forwardedRequest(open *vmwire.Open) *request {
+	now := time.Now()
+	r := &request{
+		id: open.RequestID, method: open.Method, target: open.Path, host: open.Header[hostHeader],
+		arrived: now, forwarded: true,
+	}
+	delete(open.Header, hostHeader)
+	r.header = splitHeader(open.Header)
+	r.lastEvent = r.header.Get(platform.HeaderLastEvent)
+	if raw, err := hex.DecodeString(open.KeyID); err == nil && len(raw) == len(r.key) {
+		r.key, r.hasKey = route.KeyHash(raw), true
+	}
+	return r
+}
+
+// admitForwarded checks the request against the configuration of this VM, and reads its body.
+func (e *Edge) admitForwarded(ctx context.Context, st *vm.Stream, open *vmwire.Open, r *request) (Outcome, bool) {
+	now := e.Now()
+	t := e.table()
+	if t == nil || t.Config.Version < open.ConfigNumber {
+		return refuse(NoConfiguration, "the configuration of this vm is older than that of the first", refusalPause), false
+	}
+	if leaving, since := e.isLeaving(now); leaving && since > leaveAccept {
+		return refuse(Leaving, "this vm stops", refusalPause), false
+	}
+	target, err := url.ParseRequestURI(r.target)
+	if err != nil {
+		return refuse(BadRequest, err.Error(), 0), false
+	}
+	if out, ok := e.identify(now, t, r, target.Path); !ok {
+		return out, false
+	}
+	if !route.Allowed(r.route, r.workspace, e.Settings.Region) {
+		return refuse(NoUpstream, "the request must not run in this region", refusalPause), false
+	}
+	r.deadline = r.arrived.Add(time.Duration(open.RemainingMillis) * time.Millisecond)
+	bodyCtx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	for int64(len(r.body)) < open.BodyBytes {
+		data, end, err := st.Recv(bodyCtx)
+		if err != nil || end != nil {
+			return refuse(BadRequest, "the body has not arrived", 0), false
+		}
+		r.body = append(r.body, data...)
+	}
+	if out, ok := e.prepareForwarded(r); !ok {
+		return out, false
+	}
+	e.Retries.Request(now, r.service.Name)
+	return Outcome{}, true
+}
+
+// prepareForwarded keeps the deadline that the first VM passed on.
+func (e *Edge) prepareForwarded(r *request) (Outcome, bool) {
+	deadline := r.deadline
+	out, ok := e.prepare(r)
+	if deadline.Before(r.deadline) {
+		r.deadline = deadline
+	}
+	return out, ok
+}
+
+// watchReset cancels the request when the first VM abandons it.
+func watchReset(ctx context.Context, cancel context.CancelCauseFunc, st *vm.Stream) {
+	for {
+		_, end, err := st.Recv(ctx)
+		if err != nil {
+			cancel(err)
+			return
+		}
+		if end != nil {
+			return
+		}
+	}
+}
+
+// streamSink passes an answer on to the VM that the request came from.
+func streamSink(ctx context.Context, st *vm.Stream) *Sink {
+	return &Sink{
+		Head: func(status int, header http.Header, length int) error {
+			joined := make(map[string]string, len(header))
+			for name, values := range header {
+				joined[name] = strings.Join(values, valueSeparator)
+			}
+			return st.SendChunk(ctx, &vmwire.Chunk{Status: int32(status), Header: joined, End: int64(length)})
+		},
+		Data: func(b []byte, _ bool) error {
+			for len(b) > 0 {
+				n := min(len(b), vm.MaxDataBytes)
+				if err := st.SendChunk(ctx, &vmwire.Chunk{Data: b[:n]}); err != nil {
+					return err
+				}
+				b = b[n:]
+			}
+			return nil
+		},
+	}
+}
+
+// end tells the first VM how the request ended.
+func (e *Edge) end(st *vm.Stream, r *request, out Outcome) {
+	ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
+	defer cancel()
+	end := &vmwire.End{
+		Code: string(out.Reason), Message: out.Detail, Ran: out.Ran.String(), Status: int32(out.Status),
+		RetryAfterMillis: out.RetryAfter.Milliseconds(), Upstream: r.place,
+	}
+	if err := st.SendEnd(ctx, end); err != nil {
+		st.Reset()
+	}
+}
+
+// Describe fills in what this VM shares with the others.
+func (e *Edge) Describe(now time.Time, p *vmwire.Presence, sameRegion bool) {
+	if e.Ready(now) {
+		p.Flags |= vmwire.FlagReady
+	}
+	if leaving, _ := e.isLeaving(now); leaving {
+		p.Flags |= vmwire.FlagLeaving
+	}
+	p.Open = int32(e.Open())
+	for workspace, amount := range e.Quota.Spent() {
+		p.Spent = append(p.Spent, vmwire.WorkspaceSpent{Workspace: workspace, Amount: amount})
+	}
+	if t := e.table(); t != nil {
+		p.ConfigVersion = t.Config.Version
+		e.describeCosts(now, t, p)
+	}
+	if !sameRegion {
+		return
+	}
+	for id, use := range e.Replicas.Uses() {
+		p.Uses = append(p.Uses, vmwire.UpstreamUse{Upstream: id, Running: int32(use.Running), Prefill: use.Prefill, Held: use.Held})
+	}
+}
+
+func (e *Edge) describeCosts(now time.Time, t *route.Table, p *vmwire.Presence) {
+	for i := range t.Config.Services {
+		s := &t.Config.Services[i]
+		if pick, ok := e.Replicas.Estimate(now, replica.Request{Service: s}); ok {
+			p.Costs = append(p.Costs, vmwire.ServiceCost{Service: s.Name, CostMillis: int32(pick.Wait.Milliseconds())})
+		}
+	}
+}
+
+// Heard takes over what another VM shares.
+func (e *Edge) Heard(now time.Time, m vm.Identity, p *vmwire.Presence) {
+	spent := make(map[string]int64, len(p.Spent))
+	for _, s := range p.Spent {
+		spent[s.Workspace] = s.Amount
+	}
+	e.Quota.Heard(now, m.Slot, m.Incarnation, spent)
+	if m.Region != e.Settings.Region {
+		return
+	}
+	uses := make(map[string]replica.Use, len(p.Uses))
+	for _, u := range p.Uses {
+		uses[u.Upstream] = replica.Use{Running: int(u.Running), Prefill: u.Prefill, Held: u.Held}
+	}
+	e.Replicas.SetPeerUse(now, m.Slot, uses)
+	e.Replicas.SetVMs(e.sharers(now))
+}
+
+// sharers returns the number of VMs that share the bounds of an upstream. Until a VM has heard from others
+// it assumes that there are some.
+func (e *Edge) sharers(now time.Time) int {
+	n := e.Fleet.Sharers(now)
+	if n == 1 && !e.Fleet.Heard(now) {
+		return unknownSharers
+	}
+	return n
+}
+
+// unknownSharers is the number of VMs of a region that is assumed before any was heard of.
+const unknownSharers = 4
+
+// Control handles messages of other VMs.
+func (e *Edge) Control(s *vm.Session, f vmwire.Frame) {
+	if f.Kind != vmwire.KindSuspect {
+		return
+	}
+	var m vmwire.Suspect
+	if err := vm.Decode(f, &m); err != nil {
+		s.Close(err)
+		return
+	}
+	e.Poison.Merge(e.Now(), m)
+}
+
+// newPoison returns the table of requests that crash upstreams. A request is quarantined after its third
+// crash; one more crash than that would be one too many.
+func newPoison() *poison.Table {
+	limits := poison.DefaultLimits()
+	limits.CrashesAlone = 3
+	limits.Crashes = 3
+	limits.Lifetime = 2 * time.Minute
+	return poison.New(limits)
+}
--- /dev/null
+++ b/edge/server.go
@@ -0,0 +1,218 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"parsleyhatch/event"
+	"parsleyhatch/platform"
+	"parsleyhatch/route"
+)
+
+const (
+	// headerTimeout bounds the arrival of a request's header before a configuration is known.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is longer than any limit that operators set, so that callers close first.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes bounds a request's header.
+	maxHeaderBytes = 64 << 10
+	// bodyTimeout bounds the arrival of a request's body.
+	bodyTimeout = 10 * time.Second
+	// refusalPause is what callers are told to wait after a refusal whose end is not known.
+	refusalPause = 500 * time.Millisecond
+)
+
+// newServer returns a server of kratos' transport with a handler that gets each path as it was sent: the
+// transport's own router would clean it.
+func newServer(l net.Listener, h http.Handler) *kratoshttp.Server {
+	// Without an endpoint, kratos lists the machine's interfaces, which the platform does not permit.
+	endpoint := &url.URL{Scheme: "http", Host: l.Addr().String()}
+	s := kratoshttp.NewServer(kratoshttp.Listener(l), kratoshttp.Timeout(0), kratoshttp.Endpoint(endpoint))
+	s.Handler = h
+	s.ReadHeaderTimeout = headerTimeout
+	s.IdleTimeout = idleTimeout
+	s.MaxHeaderBytes = maxHeaderBytes
+	return s
+}
+
+// CallerServer returns the server for requests of callers.
+func (e *Edge) CallerServer(l net.Listener) *kratoshttp.Server {
+	return newServer(l, http.HandlerFunc(e.serveCaller))
+}
+
+// serveCaller handles one request of a caller.
+func (e *Edge) serveCaller(w http.ResponseWriter, h *http.Request) {
+	e.open.Add(1)
+	defer e.open.Add(-1)
+	// The answer has no headers of ours beside those that frame it.
+	w.Header()["Date"] = nil
+	w.Header()["Content-Type"] = nil
+	r := &request{
+		id: h.Header.Get(platform.HeaderRequestID), method: h.Method, target: h.RequestURI, host: h.Host,
+		header: h.Header, arrived: time.Now(), lastEvent: h.Header.Get(platform.HeaderLastEvent),
+	}
+	out, ok := e.admit(w, h, r)
+	if !ok {
+		e.refuseCaller(w, h, r, out)
+		return
+	}
+	ctx, cancel := context.WithDeadlineCause(h.Context(), r.deadline, errTimedOut)
+	defer cancel()
+	sink := httpSink(w)
+	out = e.run(ctx, r, sink)
+	if out.Ran == NotRun && r.workspace != nil {
+		e.Quota.Refund(r.workspace.Name, r.charge())
+	}
+	e.report(r, out)
+	switch {
+	case out.Whole:
+	case r.headSent:
+		panic(http.ErrAbortHandler) // The only way to tell the caller that the answer is incomplete.
+	default:
+		e.writeRefusal(w, out)
+	}
+}
+
+// refuseCaller answers a request that was not admitted. Its body may be unread, so the connection ends.
+func (e *Edge) refuseCaller(w http.ResponseWriter, h *http.Request, r *request, out Outcome) {
+	e.report(r, out)
+	if h.ContentLength != 0 && r.body == nil {
+		// net/http reads the rest of the body before it answers on a connection that it keeps.
+		w.Header().Set("Connection", "close")
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(time.Second))
+	}
+	e.writeRefusal(w, out)
+}
+
+// writeRefusal writes an answer of the system itself.
+func (e *Edge) writeRefusal(w http.ResponseWriter, out Outcome) {
+	if leaving, _ := e.isLeaving(e.Now()); leaving {
+		w.Header().Set("Connection", "close")
+	}
+	if out.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(out.RetryAfter.Seconds(), 'f', 2, 64))
+	}
+	body := fmt.Sprintf("{\"error\":%q,\"ran\":%q,\"detail\":%q}\n", out.Reason, out.Ran, out.Detail)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(out.Status)
+	_, _ = io.WriteString(w, body) // A caller that has left gets nothing.
+}
+
+// httpSink passes an answer on to a caller.
+func httpSink(w http.ResponseWriter) *Sink {
+	control := http.NewResponseController(w)
+	return &Sink{
+		Head: func(status int, header http.Header, length int) error {
+			to := w.Header()
+			for name, values := range header {
+				to[name] = values
+			}
+			if length >= 0 {
+				to.Set("Content-Length", strconv.Itoa(length))
+			}
+			w.WriteHeader(status)
+			return nil
+		},
+		Data: func(b []byte, flush bool) error {
+			if _, err := w.Write(b); err != nil {
+				return err
+			}
+			if !flush {
+				return nil
+			}
+			return control.Flush()
+		},
+	}
+}
+
+// OperatorServer returns the server for the platform's checks and for callers that ask for VMs.
+func (e *Edge) OperatorServer(l net.Listener) *kratoshttp.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /ready", e.serveReady)
+	mux.HandleFunc("GET /resolve", e.serveDirectory)
+	return newServer(l, mux)
+}
+
+func (e *Edge) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !e.Ready(e.Now()) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// readBody reads the body within the limits.
+func (e *Edge) readBody(w http.ResponseWriter, h *http.Request, limits route.Limits) ([]byte, Outcome, bool) {
+	limit := limits.MaxBodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if h.ContentLength > limit {
+		return nil, refuse(TooLarge, fmt.Sprintf("body above %d bytes", limit), 0), false
+	}
+	if h.Body == nil || h.ContentLength == 0 {
+		return []byte{}, Outcome{}, true
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, h.Body, limit))
+	_ = control.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, refuse(TooLarge, fmt.Sprintf("body above %d bytes", limit), 0), false
+	case err != nil:
+		return nil, refuse(BadRequest, "read body: "+err.Error(), 0), false
+	}
+	return body, Outcome{}, true
+}
+
+// defaultBodyBytes bounds a body if the configuration sets no limit.
+const defaultBodyBytes = 4 << 20
+
+// report logs and counts the end of a request. It never logs a key or content.
+func (e *Edge) report(r *request, out Outcome) {
+	took := time.Since(r.arrived)
+	name, workspace := "", ""
+	if r.route != nil {
+		name = r.route.Name
+	}
+	if r.workspace != nil {
+		workspace = r.workspace.Name
+	}
+	e.Metrics.Request(name, string(out.Reason), out.Ran.String(), r.forwarded, took, 0)
+	log := event.EdgeFailed
+	switch {
+	case out.Whole:
+		log = event.EdgeDone
+	case out.Ran == NotRun:
+		log = event.EdgeRefused
+	}
+	version := uint64(0)
+	if t := e.table(); t != nil {
+		version = t.Config.Version
+	}
+	log.Log(e.Log, "request", r.id, "route", name, "workspace", workspace, "reason", string(out.Reason),
+		"status", out.Status, "ran", out.Ran.String(), "place", r.place, "tried", strings.Join(r.tried, ","),
+		"vms", strings.Join(r.triedVMs, ","), "expectedMillis", r.cost.Milliseconds(),
+		"tookMillis", took.Milliseconds(), "config", version, "keysAgeMillis", e.Now().Sub(e.Source.FreshAt()).Milliseconds(),
+		"forwarded", r.forwarded, "detail", out.Detail)
+}
+
+// MetricsServer returns the server for counters and histograms.
+func (e *Edge) MetricsServer(l net.Listener) *kratoshttp.Server {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", e.Metrics.Handler())
+	return newServer(l, mux)
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,231 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"parsleyhatch/event"
+	"parsleyhatch/vm"
+	"parsleyhatch/vmwire"
+)
+
+// dialTimeout bounds the opening of a session: a few round trips between regions.
+const dialTimeout = time.Second
+
+// Reasons to close a session.
+var (
+	errSilent    = errors.New("the other vm is silent")
+	errDuplicate = errors.New("another session with the vm exists")
+	errReplaced  = errors.New("the vm was replaced by a newer one")
+)
+
+// Fleet holds the sessions with the other VMs. The function fields are set before Run.
+type Fleet struct {
+	Endpoint *vm.Endpoint
+	// Address and CallerAddress are announced to the other VMs, IP:port.
+	Address       string
+	CallerAddress string
+	Log           *slog.Logger
+	// Now returns the present time.
+	Now func() time.Time
+	// Describe fills in what the VM shares with those of its region, or of other regions.
+	Describe func(now time.Time, p *vmwire.Presence, sameRegion bool)
+	// OnPresence receives what another VM shares. It must not block.
+	OnPresence func(now time.Time, m Member, p *vmwire.Presence)
+	// OnControl receives other control messages. It must not block.
+	OnControl func(s *vm.Session, f vmwire.Frame)
+
+	mu         sync.Mutex
+	members    map[string]*Member
+	sessions   map[string][]*vm.Session
+	candidates map[string]*candidate
+	ticks      int
+}
+
+// New returns a fleet that knows only the seeds.
+func New(now time.Time, e *vm.Endpoint, address, callerAddress string, seeds []string) *Fleet {
+	f := &Fleet{
+		Endpoint: e, Address: address, CallerAddress: callerAddress, Log: e.Log,
+		members: map[string]*Member{}, sessions: map[string][]*vm.Session{}, candidates: map[string]*candidate{},
+	}
+	for _, seed := range seeds {
+		if seed != address {
+			f.candidates[seed] = &candidate{seenAt: now, seed: true}
+		}
+	}
+	e.OnUp, e.OnDown, e.OnControl = f.up, f.down, f.control
+	return f
+}
+
+// Run keeps the sessions until ctx ends.
+func (f *Fleet) Run(ctx context.Context, l net.Listener) {
+	go f.runListener(l)
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	f.beat(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			_ = l.Close()
+			f.closeAll()
+			return
+		case <-ticker.C:
+			f.beat(ctx)
+		}
+	}
+}
+
+func (f *Fleet) runListener(l net.Listener) {
+	if err := f.Endpoint.RunListener(l); err != nil {
+		event.PeerRefused.Log(f.Log, "error", err.Error())
+	}
+}
+
+// beat checks the sessions, opens missing ones and sends presences.
+func (f *Fleet) beat(ctx context.Context) {
+	now := f.Now()
+	f.dropSilent()
+	for _, address := range f.due(now) {
+		go f.runDial(ctx, address)
+	}
+	f.Announce()
+}
+
+// dropSilent closes sessions over connections that went silent.
+func (f *Fleet) dropSilent() {
+	for _, s := range f.allSessions() {
+		if time.Since(s.HeardAt()) > sessionSilence {
+			s.Close(errSilent)
+		}
+	}
+}
+
+func (f *Fleet) allSessions() []*vm.Session {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var all []*vm.Session
+	for _, list := range f.sessions {
+		all = append(all, list...)
+	}
+	return all
+}
+
+// due returns the addresses to dial now. Of two VMs, the one with the lower name dials; the other one
+// waits for a while.
+func (f *Fleet) due(now time.Time) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []string
+	for address, c := range f.candidates {
+		if c.slot != "" && (c.slot == f.Endpoint.Self.Slot || len(f.sessions[c.slot]) > 0) {
+			continue
+		}
+		if age := now.Sub(c.seenAt); age > rowLife && !c.seed {
+			delete(f.candidates, address)
+			continue
+		}
+		if c.dialing || now.Before(c.dialAt) {
+			continue
+		}
+		c.dialing = true
+		list = append(list, address)
+	}
+	return list
+}
+
+func (f *Fleet) runDial(ctx context.Context, address string) {
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	s, err := f.Endpoint.Dial(dialCtx, address)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := f.candidates[address]
+	if c == nil {
+		return
+	}
+	c.dialing = false
+	c.dialAt = f.Now().Add(dialPause)
+	if err == nil {
+		c.slot, c.region = s.Peer.Slot, s.Peer.Region
+	}
+}
+
+// up adds a session. Of several with one VM, that dialed by the lower name stays.
+func (f *Fleet) up(s *vm.Session) {
+	if s.Peer.Slot == f.Endpoint.Self.Slot {
+		go s.Close(errDuplicate)
+		return
+	}
+	f.mu.Lock()
+	list := append(f.sessions[s.Peer.Slot], s)
+	f.sessions[s.Peer.Slot] = list
+	var surplus []*vm.Session
+	for _, other := range list {
+		switch {
+		case other.Peer.Incarnation != s.Peer.Incarnation:
+			surplus = append(surplus, other)
+		case len(list) > 1 && !f.wanted(other):
+			surplus = append(surplus, other)
+		}
+	}
+	if len(surplus) == len(list) {
+		surplus = surplus[1:]
+	}
+	f.mu.Unlock()
+	for _, other := range surplus {
+		go other.Close(errDuplicate)
+	}
+	event.PeerUp.Log(f.Log, "vm", s.Peer.Slot, "region", s.Peer.Region, "dialed", s.Dialed)
+	go f.announceTo(s)
+}
+
+// wanted reports whether the VM with the lower name dialed the session.
+func (f *Fleet) wanted(s *vm.Session) bool {
+	return s.Dialed == (f.Endpoint.Self.Slot < s.Peer.Slot)
+}
+
+func (f *Fleet) down(s *vm.Session, reason error) {
+	f.mu.Lock()
+	list := f.sessions[s.Peer.Slot]
+	kept := list[:0]
+	for _, other := range list {
+		if other != s {
+			kept = append(kept, other)
+		}
+	}
+	f.sessions[s.Peer.Slot] = kept
+	if len(kept) == 0 {
+		delete(f.sessions, s.Peer.Slot)
+	}
+	lost := len(kept) == 0
+	f.mu.Unlock()
+	if lost && s.Peer.Slot != f.Endpoint.Self.Slot {
+		event.PeerDown.Log(f.Log, "vm", s.Peer.Slot, "region", s.Peer.Region, "reason", reason)
+	}
+}
+
+func (f *Fleet) closeAll() {
+	for _, s := range f.allSessions() {
+		s.Close(vm.ErrSessionClosed)
+	}
+}
+
+// session returns the session to use with a VM, or nil.
+func (f *Fleet) session(slot string) *vm.Session {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := f.sessions[slot]
+	for _, s := range list {
+		if f.wanted(s) {
+			return s
+		}
+	}
+	if len(list) > 0 {
+		return list[0]
+	}
+	return nil
+}
--- /dev/null
+++ b/fleet/view.go
@@ -0,0 +1,124 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"parsleyhatch/vm"
+	"parsleyhatch/vmwire"
+)
+
+// Ready returns the VMs of a region that take callers, in the order of their names.
+func (f *Fleet) Ready(now time.Time, region string) []Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []Member
+	for _, m := range f.members {
+		if m.Region == region && m.Ready && !m.Leaving && m.Alive(now) {
+			list = append(list, *m)
+		}
+	}
+	slices.SortFunc(list, func(a, b Member) int { return strings.Compare(a.Slot, b.Slot) })
+	return list
+}
+
+// Regions returns the regions with a VM that takes callers.
+func (f *Fleet) Regions(now time.Time) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []string
+	for _, m := range f.members {
+		if m.Ready && !m.Leaving && m.Alive(now) && !slices.Contains(list, m.Region) {
+			list = append(list, m.Region)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Sharers returns the number of VMs of the own region, this one included, that may use a part of the
+// bounds of the region's upstreams. VMs that were lost count until they are forgotten.
+func (f *Fleet) Sharers(now time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 1
+	for slot, m := range f.members {
+		if now.Sub(m.HeardAt) > forgetAfter {
+			delete(f.members, slot)
+			continue
+		}
+		if m.Region == f.Endpoint.Self.Region {
+			n++
+		}
+	}
+	return n
+}
+
+// Heard reports whether any VM was heard of lately.
+func (f *Fleet) Heard(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.members {
+		if m.Alive(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// CostIn returns the lowest expected time to the first token of a service in another region.
+func (f *Fleet) CostIn(now time.Time, region, service string) (time.Duration, bool) {
+	best, found := time.Duration(0), false
+	for _, m := range f.Ready(now, region) {
+		if cost, ok := m.Costs[service]; ok && (!found || cost < best) {
+			best, found = cost, true
+		}
+	}
+	return best, found
+}
+
+// ErrNoVM says that no VM of a region can run the request.
+var ErrNoVM = errors.New("no vm of the region can run the request")
+
+// Open starts a stream to a VM of a region that can run the service, and returns its name. Of two random
+// VMs it takes that with fewer open requests.
+func (f *Fleet) Open(ctx context.Context, now time.Time, region, service string, open *vmwire.Open, tried []string) (string, *vm.Stream, error) {
+	var list []Member
+	for _, m := range f.Ready(now, region) {
+		if _, ok := m.Costs[service]; ok && !slices.Contains(tried, m.Slot) {
+			list = append(list, m)
+		}
+	}
+	if len(list) == 0 {
+		return "", nil, ErrNoVM
+	}
+	m := list[rand.IntN(len(list))]
+	if other := list[rand.IntN(len(list))]; other.Open < m.Open {
+		m = other
+	}
+	s := f.session(m.Slot)
+	if s == nil {
+		return "", nil, ErrNoVM
+	}
+	st, err := s.Open(ctx, open)
+	return m.Slot, st, err
+}
+
+// Broadcast sends a suspicion to all VMs.
+func (f *Fleet) Broadcast(m *vmwire.Suspect) {
+	f.mu.Lock()
+	slots := make([]string, 0, len(f.sessions))
+	for slot := range f.sessions {
+		slots = append(slots, slot)
+	}
+	f.mu.Unlock()
+	for _, slot := range slots {
+		if s := f.session(slot); s != nil {
+			s.Control(vmwire.KindSuspect, m)
+		}
+	}
+}
--- a/gateway/configure.go
+++ b/gateway/configure.go
@@ -9,9 +9,9 @@
 	"parsleyhatch/audit"
 	"parsleyhatch/choose"
 	"parsleyhatch/config"
+	"parsleyhatch/configserver"
 	"parsleyhatch/event"
 	"parsleyhatch/limit"
-	"parsleyhatch/platform"
 	"parsleyhatch/vm"
 	"parsleyhatch/vmwire"
 )
@@ -49,10 +49,10 @@
 // runWatch reads the configuration from the platform until ctx ends.
 func (g *Gateway) runWatch(ctx context.Context) {
 	g.awaitSeeds(ctx)
-	var changes platform.Changes
+	var changes configserver.Changes
 	for ctx.Err() == nil {
 		if !g.isReader.Load() && g.Snapshot() != nil {
-			changes = platform.Changes{}
+			changes = configserver.Changes{}
 			sleep(ctx, watchPause)
 			continue
 		}
@@ -67,10 +67,10 @@
 }
 
 // readChanges reads the configuration if its head may have changed, and waits for the next changes.
-func (g *Gateway) readChanges(ctx context.Context, changes platform.Changes) (platform.Changes, error) {
+func (g *Gateway) readChanges(ctx context.Context, changes configserver.Changes) (configserver.Changes, error) {
 	if changes.Head() {
 		if err := g.readPlatform(ctx); err != nil {
-			return platform.Changes{}, err
+			return configserver.Changes{}, err
 		}
 	}
 	g.reads.wait(ctx)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,13 +13,13 @@
 	"parsleyhatch/audit"
 	"parsleyhatch/choose"
 	"parsleyhatch/config"
+	"parsleyhatch/configserver"
 	"parsleyhatch/event"
 	"parsleyhatch/limit"
 	"parsleyhatch/member"
 	"parsleyhatch/metrics"
 	"parsleyhatch/once"
 	"parsleyhatch/order"
-	"parsleyhatch/platform"
 	"parsleyhatch/poison"
 	"parsleyhatch/retry"
 	"parsleyhatch/upstream"
@@ -59,7 +59,7 @@
 	Log       *slog.Logger
 	Endpoint  *vm.Endpoint
 	Upstreams *upstream.Client
-	Platform  *platform.Client
+	Platform  *configserver.Client
 	Metrics   *metrics.Metrics
 	Audit     *audit.Trail
 	// Now is the clock; tests replace it.
@@ -101,7 +101,7 @@
 	changes    chan sessionChange
 	candidates chan candidate
 	loads      chan []loadResult
-	lists      chan []platform.VMState
+	lists      chan []configserver.VMState
 	orderEnds  chan orderEnd
 	orderReads chan loadResult
 
@@ -188,7 +188,7 @@
 		changes:      make(chan sessionChange, controlQueue),
 		candidates:   make(chan candidate, 4),
 		loads:        make(chan []loadResult, 4),
-		lists:        make(chan []platform.VMState, 1),
+		lists:        make(chan []configserver.VMState, 1),
 		orderEnds:    make(chan orderEnd, orderQueue),
 		orderReads:   make(chan loadResult, orderQueue),
 		members:      member.New(now, s.Slot, incarnationOf(self)),
@@ -205,7 +205,7 @@
 	g.calls.Log, g.poisons.Log = log, log
 	g.tokens.Begin(now, self.Incarnation)
 	if s.PlatformURL != "" {
-		g.Platform = platform.New(s.PlatformURL)
+		g.Platform = configserver.New(s.PlatformURL)
 	}
 	g.streams.open = map[string]*openStream{}
 	g.sessions.rows = map[string]*slotSessions{}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"parsleyhatch/audit"
+	"parsleyhatch/configserver"
 	"parsleyhatch/event"
 	"parsleyhatch/member"
-	"parsleyhatch/platform"
 	"parsleyhatch/vm"
 	"parsleyhatch/vmwire"
 )
@@ -117,7 +117,7 @@
 	}
 }
 
-func (g *Gateway) recordList(list []platform.VMState) {
+func (g *Gateway) recordList(list []configserver.VMState) {
 	listed := make([]member.Listed, 0, len(list))
 	for _, v := range list {
 		listed = append(listed, member.Listed{Slot: v.Name, Live: v.State == "live", Leaving: v.State == "leaving"})
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -32,6 +32,7 @@
 func commands() []command {
 	return []command{
 		serveCommand,
+		vmCommand,
 		loadCommand,
 		standinCommand,
 		rosterCommand,
--- /dev/null
+++ b/quota/quota.go
@@ -0,0 +1,196 @@
+// Package quota keeps the rate of each workspace over all VMs without asking anybody. Each VM keeps the
+// whole bucket of a workspace and charges it with its own requests and with what the other VMs report. The
+// part of the refill that belongs to VMs from which nothing is heard is left to them.
+package quota
+
+import (
+	"sync"
+	"time"
+
+	"parsleyhatch/route"
+)
+
+const (
+	// silence is the time without a report after which a VM counts as silent.
+	silence = 1500 * time.Millisecond
+	// memory is the time after which a silent VM is forgotten.
+	memory = 60 * time.Second
+	// unknownVMs is the number of VMs that a VM assumes until it has heard from others.
+	unknownVMs = 16
+)
+
+// Table holds the buckets of all workspaces. It is safe for concurrent use.
+type Table struct {
+	mu      sync.Mutex
+	started time.Time
+	// met says that another VM was heard of.
+	met     bool
+	buckets map[string]*bucket
+	peers   map[string]*peer
+}
+
+// bucket is the level of one workspace.
+type bucket struct {
+	rate, burst float64
+	// level may be negative after reports of other VMs.
+	level float64
+	at    time.Time
+	// spent is what this VM has charged since its start.
+	spent int64
+}
+
+// peer is another VM.
+type peer struct {
+	incarnation uint64
+	heardAt     time.Time
+	spent       map[string]int64
+	// left is the refill of each workspace that was left to the VM while it was silent.
+	left map[string]float64
+}
+
+// New returns an empty table. Its buckets start empty, so that a restarted VM does not give a second burst.
+func New(now time.Time) *Table {
+	return &Table{started: now, buckets: map[string]*bucket{}, peers: map[string]*peer{}}
+}
+
+// Configure sets the rates of all workspaces. A bucket that is new starts with the refill since the start
+// of the VM.
+func (t *Table) Configure(now time.Time, workspaces []route.Workspace) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := t.buckets
+	t.buckets = make(map[string]*bucket, len(workspaces))
+	for i := range workspaces {
+		w := &workspaces[i]
+		if w.Rate <= 0 {
+			continue
+		}
+		b := old[w.Name]
+		if b == nil {
+			b = &bucket{at: t.started}
+		} else {
+			t.refill(now, w.Name, b)
+		}
+		b.rate, b.burst = w.Rate, w.Burst
+		b.level = min(b.level, b.burst)
+		t.buckets[w.Name] = b
+	}
+}
+
+// Charge takes the amount from the workspace's bucket. If the bucket has less, it takes nothing and
+// returns the time after which there should be enough. A full bucket lets any amount pass, and is in debt
+// afterwards.
+func (t *Table) Charge(now time.Time, workspace string, amount int64) (ok bool, wait time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := t.buckets[workspace]
+	if b == nil {
+		return true, 0
+	}
+	t.refill(now, workspace, b)
+	if missing := float64(amount) - b.level; missing > 0 && b.level < b.burst {
+		return false, time.Duration(missing / b.rate * float64(time.Second))
+	}
+	b.level -= float64(amount)
+	b.spent += amount
+	return true, 0
+}
+
+// Refund gives back the charge of a request that has not run.
+func (t *Table) Refund(workspace string, amount int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if b := t.buckets[workspace]; b != nil {
+		b.level = min(b.burst, b.level+float64(amount))
+		b.spent -= amount
+	}
+}
+
+// refill adds the refill since the last one, less the part of silent VMs.
+func (t *Table) refill(now time.Time, workspace string, b *bucket) {
+	elapsed := now.Sub(b.at)
+	if elapsed <= 0 {
+		return
+	}
+	b.at = now
+	gain := b.rate * elapsed.Seconds()
+	known, silent := t.count(now)
+	part := gain / float64(known)
+	for _, p := range silent {
+		p.left[workspace] += part
+	}
+	unknown := max(0, known-1-len(t.peers))
+	b.level = min(b.burst, b.level+gain-part*float64(len(silent)+unknown))
+}
+
+// count returns the number of VMs including this one, and those that are silent.
+func (t *Table) count(now time.Time) (int, []*peer) {
+	var silent []*peer
+	for name, p := range t.peers {
+		switch age := now.Sub(p.heardAt); {
+		case age > memory:
+			delete(t.peers, name)
+		case age > silence:
+			silent = append(silent, p)
+		}
+	}
+	known := len(t.peers) + 1
+	if !t.met && now.Sub(t.started) < memory {
+		known = max(known, unknownVMs)
+	}
+	return known, silent
+}
+
+// Heard charges what another VM reports: the amounts since its start, by workspace.
+func (t *Table) Heard(now time.Time, vm string, incarnation uint64, spent map[string]int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.met = true
+	p := t.peers[vm]
+	known := p != nil && p.incarnation == incarnation
+	if !known {
+		p = &peer{incarnation: incarnation, spent: map[string]int64{}, left: map[string]float64{}}
+		t.peers[vm] = p
+	}
+	for workspace, amount := range spent {
+		b := t.buckets[workspace]
+		if b == nil {
+			continue
+		}
+		t.refill(now, workspace, b)
+		if known {
+			t.chargeReport(b, p, workspace, float64(amount-p.spent[workspace]))
+		}
+		p.spent[workspace] = amount
+	}
+	p.heardAt = now
+	clear(p.left)
+}
+
+// chargeReport charges what exceeds the refill that was left to the VM while it was silent.
+func (t *Table) chargeReport(b *bucket, p *peer, workspace string, amount float64) {
+	if left := p.left[workspace]; amount > 0 {
+		amount = max(0, amount-left)
+	}
+	b.level = min(b.burst, b.level-amount)
+}
+
+// Forget drops a VM that has left and spends nothing more.
+func (t *Table) Forget(vm string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.peers, vm)
+}
+
+// Spent returns what this VM has charged since its start, by workspace.
+func (t *Table) Spent() map[string]int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	spent := make(map[string]int64, len(t.buckets))
+	for name, b := range t.buckets {
+		if b.spent != 0 {
+			spent[name] = b.spent
+		}
+	}
+	return spent
+}
--- /dev/null
+++ b/quota/quota_test.go
@@ -0,0 +1,98 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"parsleyhatch/route"
+)
+
+var start = time.Unix(1000, 0)
+
+func newTable(rate, burst float64) *Table {
+	t := New(start)
+	t.Configure(start, []route.Workspace{{Name: "w", Rate: rate, Burst: burst}})
+	return t
+}
+
+// Guards against a full burst that a restarted VM would give beside that of its earlier run.
+func TestStartsEmpty(t *testing.T) {
+	table := newTable(100, 100)
+	if ok, _ := table.Charge(start, "w", 1); ok {
+		t.Error("an empty bucket allowed a request")
+	}
+}
+
+func TestUnlimited(t *testing.T) {
+	if ok, _ := newTable(0, 0).Charge(start, "w", 1<<40); !ok {
+		t.Error("a workspace without a rate was refused")
+	}
+}
+
+// Guards against two VMs that each give the whole rate.
+func TestReportsAreCharged(t *testing.T) {
+	table := newTable(100, 100)
+	table.Heard(start, "other", 1, map[string]int64{"w": 1000})
+	now := start
+	for range 10 {
+		now = now.Add(100 * time.Millisecond)
+		table.Heard(now, "other", 1, map[string]int64{"w": 1000})
+	}
+	if ok, _ := table.Charge(now, "w", 100); !ok {
+		t.Fatal("what the other VM had charged before it was heard of counts")
+	}
+	now = now.Add(time.Second)
+	table.Heard(now, "other", 1, map[string]int64{"w": 1100})
+	if ok, wait := table.Charge(now, "w", 50); ok || wait < 400*time.Millisecond {
+		t.Errorf("charge after the other VM spent the refill: %v, wait %v", ok, wait)
+	}
+}
+
+// Guards against a VM that is cut off and gives the part of the VMs that it does not hear.
+func TestSilentVMsKeepTheirPart(t *testing.T) {
+	table := newTable(100, 1000)
+	table.Heard(start, "a", 1, nil)
+	table.Heard(start, "b", 1, nil)
+	table.Heard(start, "c", 1, nil)
+	now := start.Add(silence)
+	table.Charge(now, "w", 0)
+	spentBefore := table.buckets["w"].level
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		table.Charge(now, "w", 0)
+	}
+	if gained := table.buckets["w"].level - spentBefore; gained < 200 || gained > 260 {
+		t.Errorf("refill of 10 s with three of four VMs silent: %.0f, want a quarter of 1000", gained)
+	}
+}
+
+// Guards against charging a VM twice that returns: its part was left to it while it was silent.
+func TestReturnIsNotChargedTwice(t *testing.T) {
+	table := newTable(100, 1000)
+	table.Heard(start, "a", 1, map[string]int64{"w": 0})
+	now := start
+	for range 40 {
+		now = now.Add(100 * time.Millisecond)
+		table.Charge(now, "w", 0)
+	}
+	before := table.buckets["w"].level
+	table.Heard(now, "a", 1, map[string]int64{"w": 100})
+	if after := table.buckets["w"].level; before-after > 1 {
+		t.Errorf("level fell from %.0f to %.0f for what was left to the VM", before, after)
+	}
+}
+
+func TestRefund(t *testing.T) {
+	table := newTable(100, 100)
+	table.Heard(start, "a", 1, nil)
+	now := start.Add(time.Second)
+	table.Heard(now, "a", 1, nil)
+	table.Charge(now, "w", 100)
+	table.Refund("w", 100)
+	if ok, _ := table.Charge(now, "w", 100); !ok {
+		t.Error("the refund is not there")
+	}
+	if spent := table.Spent()["w"]; spent != 100 {
+		t.Errorf("spent %d, want 100", spent)
+	}
+}
--- /dev/null
+++ b/replica/choose.go
@@ -0,0 +1,209 @@
+package replica
+
+import (
+	"hash/fnv"
+	"math"
+	"time"
+
+	"parsleyhatch/route"
+)
+
+const (
+	// prefillRate is the expected speed of reading a prompt, in tokens a millisecond.
+	prefillRate = 60
+	// firstTokenBase is the expected time to the first token of an empty prompt, in milliseconds.
+	firstTokenBase = 40
+	// runningCost is the delay that one running request causes another, in milliseconds.
+	runningCost = 1
+	// queueCost is the delay by each request beyond the slots of an upstream, in milliseconds.
+	queueCost = 40
+	// failureCost is the delay that counts for an upstream all of whose requests fail, in milliseconds.
+	failureCost = 3000
+	// rereadCost is what counts for each shared token that an upstream does not hold, in milliseconds,
+	// beside the time for reading it: it takes capacity from others, in every upstream that reads it.
+	rereadCost = 0.05
+	// popularShare is the share of requests, in multiples of an even share of one upstream, above which
+	// requests with the same part are spread.
+	popularShare = 0.5
+	// usualFailures is the share of failures that services may have without being at fault.
+	usualFailures = 0.35
+	// memoryShare is the share of an engine's memory beyond which running requests are preempted.
+	memoryShare = 0.9
+	// memoryCost is the delay that counts for an engine whose memory is twice full, in milliseconds.
+	memoryCost = 2000
+)
+
+// Request is what a choice needs to know of a request.
+type Request struct {
+	Service *route.Service
+	Prompt  Prompt
+	// Tried are the ids of upstreams that had the request. They get it again only if Again is set and
+	// there is no other one.
+	Tried []string
+	Again bool
+}
+
+// Pick is a chosen upstream.
+type Pick struct {
+	ID      string
+	Address string
+	// Uncached is the number of prompt tokens that the upstream has to read.
+	Uncached int64
+	// FirstToken is the expected time to the first token, without penalties.
+	FirstToken time.Duration
+	// Cost is the expected time with penalties for failures and memory. Wait is the same without the
+	// failures that every upstream of a service may have.
+	Cost time.Duration
+	Wait time.Duration
+	// Candidates is the number of upstreams that were compared.
+	Candidates int
+	begunAt    time.Time
+	prompt     Prompt
+}
+
+// Pick chooses an upstream and counts the request there until Done. It reports false if none may get the
+// request.
+func (t *Table) Pick(now time.Time, q Request) (Pick, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, pick := t.best(now, q)
+	if r == nil {
+		return Pick{}, false
+	}
+	if r.cold(now) {
+		r.coldSends = append(r.coldSends, now)
+	}
+	pick.begunAt = now
+	pick.prompt = q.Prompt
+	r.own.Running++
+	r.own.Prefill += pick.Uncached
+	r.own.Held += q.Prompt.Tokens
+	r.remember(now, q.Prompt.Parts)
+	t.popular.add(now, q.Prompt.Parts)
+	return pick, true
+}
+
+// Estimate returns the choice that Pick would make, without counting it.
+func (t *Table) Estimate(now time.Time, q Request) (Pick, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, pick := t.best(now, q)
+	return pick, r != nil
+}
+
+func (t *Table) best(now time.Time, q Request) (*row, Pick) {
+	r, pick := t.bestOf(now, q)
+	if r == nil && q.Again && len(q.Tried) > 0 {
+		q.Tried = nil
+		return t.bestOf(now, q)
+	}
+	return r, pick
+}
+
+func (t *Table) bestOf(now time.Time, q Request) (*row, Pick) {
+	candidates := t.byService[q.Service.Name]
+	preferred := t.preferred(now, candidates, q)
+	var best *row
+	var found Pick
+	lowest := math.Inf(1)
+	for _, r := range candidates {
+		if !t.usable(now, r, q) {
+			continue
+		}
+		found.Candidates++
+		cost, first, uncached := t.cost(now, r, q, r == preferred)
+		if cost < lowest {
+			lowest, best = cost, r
+			found.ID, found.Address, found.Uncached = r.ID, r.Address, uncached
+			share := r.failureShare(now)
+			usual := failureCost * min(share, usualFailures)
+			found.FirstToken, found.Cost, found.Wait = fromMillis(first), fromMillis(cost), fromMillis(cost-usual)
+		}
+	}
+	return best, found
+}
+
+// usable reports whether an upstream may get the request now.
+func (t *Table) usable(now time.Time, r *row, q Request) bool {
+	if r.Draining || t.evacuated[r.FailureDomain] || now.Before(r.downUntil) {
+		return false
+	}
+	for _, id := range q.Tried {
+		if id == r.ID {
+			return false
+		}
+	}
+	if q.Service.WarmUpRate > 0 && r.cold(now) {
+		return r.coldRoom(now, t.coldQuota(q.Service))
+	}
+	return true
+}
+
+// coldQuota is this VM's share of the requests that a cold upstream may get in a second. Where there are
+// more VMs than requests, some VMs get one and the others none.
+func (t *Table) coldQuota(s *route.Service) int {
+	return int(t.ColdBound(s)) / t.vms
+}
+
+// preferred returns the upstream at which requests with the same shared parts are brought together, by
+// rendezvous hashing, so that all VMs of the region agree without a message.
+func (t *Table) preferred(now time.Time, candidates []*row, q Request) *row {
+	key, ok := q.Prompt.AffinityPart(func(id uint64) bool {
+		return t.popular.share(id) > popularShare/float64(max(1, len(candidates)))
+	})
+	if !ok {
+		return nil
+	}
+	var best *row
+	var highest uint64
+	for _, r := range candidates {
+		if r.Draining || t.evacuated[r.FailureDomain] || now.Before(r.downUntil) || r.cold(now) && q.Service.WarmUpRate > 0 {
+			continue
+		}
+		if weight := Rendezvous(key, r.ID); best == nil || weight > highest {
+			best, highest = r, weight
+		}
+	}
+	return best
+}
+
+// cost returns the expected time to the first token with and without penalties, in milliseconds, and the
+// tokens that the upstream has to read.
+func (t *Table) cost(now time.Time, r *row, q Request, preferred bool) (cost, first float64, uncached int64) {
+	load := r.load(now)
+	cached := r.cached(now, q.Prompt.Parts)
+	if preferred {
+		cached = max(cached, q.Prompt.SharedTokens())
+	}
+	uncached = max(0, q.Prompt.Tokens-cached)
+	again := max(0, q.Prompt.SharedTokens()-cached)
+	first = firstTokenBase + float64(load.Prefill+uncached)/prefillRate + runningCost*float64(load.Running)
+	if over := load.Running + 1 - r.Slots; over > 0 {
+		first += queueCost * float64(over)
+	}
+	cost = first*max(1, r.slowness) + rereadCost*float64(again) + failureCost*r.failureShare(now)
+	if e := q.Service.Engine; e != nil && e.Capacity > 0 {
+		full := float64(load.Held+q.Prompt.Total()) / float64(e.Capacity)
+		cost += memoryCost * max(0, full-memoryShare)
+	}
+	return cost, first, uncached
+}
+
+// Rendezvous returns the weight of a place for a key; the place with the highest weight is preferred.
+func Rendezvous(key uint64, id string) uint64 {
+	h := fnv.New64a()
+	var b [8]byte
+	for i := range b {
+		b[i] = byte(key >> (8 * i))
+	}
+	_, _ = h.Write(b[:])
+	_, _ = h.Write([]byte(id))
+	x := h.Sum64()
+	// The last bytes hardly change the high bits of FNV; a finalizer spreads them.
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return x
+}
+
+func fromMillis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- /dev/null
+++ b/replica/prompt.go
@@ -0,0 +1,94 @@
+package replica
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Part is a piece of a prompt that requests may share.
+type Part struct {
+	ID     uint64
+	Tokens int64
+}
+
+// Prompt describes the work that a request asks of an engine.
+type Prompt struct {
+	Parts []Part
+	// Tokens is the length of the prompt and MaxAnswer the most tokens of the answer; zero for plain
+	// services.
+	Tokens    int64
+	MaxAnswer int64
+}
+
+// ParsePrompt reads a list of parts, ID:TOKENS separated by commas, and the two numbers of tokens. Both
+// may be empty.
+func ParsePrompt(parts, tokens string) (Prompt, error) {
+	var p Prompt
+	if parts != "" {
+		for item := range strings.SplitSeq(parts, ",") {
+			part, err := parsePart(strings.TrimSpace(item))
+			if err != nil {
+				return Prompt{}, err
+			}
+			p.Parts = append(p.Parts, part)
+			p.Tokens += part.Tokens
+		}
+	}
+	if tokens == "" {
+		return p, nil
+	}
+	prompt, answer, _ := strings.Cut(tokens, ",")
+	var err error
+	if p.Tokens, err = strconv.ParseInt(strings.TrimSpace(prompt), 10, 64); err != nil || p.Tokens < 0 {
+		return Prompt{}, fmt.Errorf("number of prompt tokens %q is not a whole number", prompt)
+	}
+	if p.MaxAnswer, err = strconv.ParseInt(strings.TrimSpace(answer), 10, 64); err != nil || p.MaxAnswer < 0 {
+		return Prompt{}, fmt.Errorf("number of answer tokens %q is not a whole number", answer)
+	}
+	return p, nil
+}
+
+func parsePart(item string) (Part, error) {
+	id, tokens, ok := strings.Cut(item, ":")
+	if !ok {
+		return Part{}, fmt.Errorf("prompt part %q is not ID:TOKENS", item)
+	}
+	n, err := strconv.ParseUint(id, 16, 64)
+	if err != nil {
+		return Part{}, fmt.Errorf("prompt part %q: id is not hexadecimal", item)
+	}
+	count, err := strconv.ParseInt(tokens, 10, 64)
+	if err != nil || count < 0 {
+		return Part{}, fmt.Errorf("prompt part %q: tokens are not a whole number", item)
+	}
+	return Part{ID: n, Tokens: count}, nil
+}
+
+// Total is the number of tokens that the request counts for.
+func (p Prompt) Total() int64 { return p.Tokens + p.MaxAnswer }
+
+// SharedTokens returns the tokens up to the last part, which belongs to the request or its session.
+func (p Prompt) SharedTokens() int64 {
+	var n int64
+	for i := 0; i+1 < len(p.Parts); i++ {
+		n += p.Parts[i].Tokens
+	}
+	return n
+}
+
+// AffinityPart returns the part by which requests with the same start are brought together: the first one
+// that is rare enough to be one upstream's work, else the last shared one. It reports false if the prompt
+// has no parts.
+func (p Prompt) AffinityPart(tooPopular func(id uint64) bool) (uint64, bool) {
+	if len(p.Parts) == 0 {
+		return 0, false
+	}
+	last := max(0, len(p.Parts)-2)
+	for i := range last {
+		if !tooPopular(p.Parts[i].ID) {
+			return p.Parts[i].ID, true
+		}
+	}
+	return p.Parts[last].ID, true
+}
--- /dev/null
+++ b/route/table.go
@@ -0,0 +1,120 @@
+package route
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"hash/fnv"
+	"slices"
+	"strings"
+)
+
+// KeyHash identifies a key without revealing it.
+type KeyHash [sha256.Size]byte
+
+// HashKey returns the hash of a caller's key.
+func HashKey(key string) KeyHash { return sha256.Sum256([]byte(key)) }
+
+// String returns the hash in hexadecimal digits.
+func (h KeyHash) String() string { return hex.EncodeToString(h[:]) }
+
+// Table is an immutable configuration with its indexes.
+type Table struct {
+	Config     *Config
+	byHost     map[string][]*Route
+	byKey      map[KeyHash]*Workspace
+	services   map[string]*Service
+	workspaces map[string]*Workspace
+}
+
+// New returns the table of a configuration.
+func New(c *Config) *Table {
+	t := &Table{
+		Config:     c,
+		byHost:     map[string][]*Route{},
+		byKey:      map[KeyHash]*Workspace{},
+		services:   map[string]*Service{},
+		workspaces: map[string]*Workspace{},
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.byHost[host] = append(t.byHost[host], r)
+	}
+	for _, routes := range t.byHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for i := range c.Services {
+		t.services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Workspaces {
+		w := &c.Workspaces[i]
+		t.workspaces[w.Name] = w
+		for _, key := range w.Keys {
+			t.byKey[HashKey(key)] = w
+		}
+	}
+	return t
+}
+
+// Match returns the route of the host with the longest prefix of the path, or nil.
+func (t *Table) Match(host, path string) *Route {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	for _, r := range t.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Authenticate returns the workspace that holds the key, or nil. The table finds keys by their hash, so
+// the time of the look-up tells nothing about other keys.
+func (t *Table) Authenticate(h KeyHash) *Workspace { return t.byKey[h] }
+
+// NeedsKeys reports whether requests of routes that are not public carry a key.
+func (t *Table) NeedsKeys() bool { return len(t.Config.Workspaces) > 0 }
+
+// Service returns the service of the name, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Workspace returns the workspace of the name, or nil.
+func (t *Table) Workspace(name string) *Workspace { return t.workspaces[name] }
+
+// Target returns the service that runs a request. All VMs with one configuration choose the same one.
+func (t *Table) Target(r *Route, requestID string) *Service {
+	total := 0
+	for _, target := range r.Split {
+		total += target.Weight
+	}
+	if total == 0 {
+		return nil
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(requestID))
+	point := int(h.Sum32() % uint32(total))
+	for _, target := range r.Split {
+		if point < target.Weight {
+			return t.services[target.Service]
+		}
+		point -= target.Weight
+	}
+	return nil
+}
+
+// Allowed reports whether a region may run requests of the route and the workspace, which may be nil.
+func Allowed(r *Route, w *Workspace, region string) bool {
+	if len(r.Homes) > 0 && !slices.Contains(r.Homes, region) {
+		return false
+	}
+	return w == nil || len(w.Homes) == 0 || slices.Contains(w.Homes, region)
+}
+
+// Priority returns the rank of a request; 0 is the most urgent.
+func Priority(r *Route, w *Workspace) int {
+	if w != nil && w.Priority != nil {
+		return *w.Priority
+	}
+	return r.Priority
+}
--- /dev/null
+++ b/route/table_test.go
@@ -0,0 +1,78 @@
+package route
+
+import (
+	"strconv"
+	"testing"
+)
+
+func testTable() *Table {
+	return New(&Config{
+		Version: 1,
+		Routes: []Route{
+			{Name: "short", Host: "Example.test", Prefix: "/a/", Split: []Target{{Service: "s", Weight: 1}}},
+			{Name: "long", Host: "example.test", Prefix: "/a/b/", Split: []Target{{Service: "s", Weight: 90}, {Service: "u", Weight: 10}}},
+		},
+		Services:   []Service{{Name: "s"}, {Name: "u"}},
+		Workspaces: []Workspace{{Name: "w", Keys: []string{"secret"}, Homes: []string{"north"}}},
+	})
+}
+
+func TestMatch(t *testing.T) {
+	table := testTable()
+	for _, c := range []struct{ host, path, want string }{
+		{"example.test", "/a/b/c", "long"},
+		{"EXAMPLE.test:8080", "/a/bc", "short"},
+		{"example.test", "/a", ""},
+		{"other.test", "/a/b/c", ""},
+	} {
+		got := ""
+		if r := table.Match(c.host, c.path); r != nil {
+			got = r.Name
+		}
+		if got != c.want {
+			t.Errorf("match %s%s: %q, want %q", c.host, c.path, got, c.want)
+		}
+	}
+}
+
+func TestAuthenticate(t *testing.T) {
+	table := testTable()
+	if w := table.Authenticate(HashKey("secret")); w == nil || w.Name != "w" {
+		t.Errorf("known key: %v", w)
+	}
+	if w := table.Authenticate(HashKey("")); w != nil {
+		t.Errorf("empty key: %v", w)
+	}
+}
+
+// Guards against a split that ignores the weights, and against VMs that disagree on the service of one
+// request, which would send it to a second service after it was passed on.
+func TestTargetFollowsWeights(t *testing.T) {
+	table := testTable()
+	r := table.Match("example.test", "/a/b/")
+	counts := map[string]int{}
+	for i := range 10000 {
+		id := strconv.Itoa(i)
+		s := table.Target(r, id)
+		if again := testTable().Target(r, id); again.Name != s.Name {
+			t.Fatalf("request %s goes to %s and %s", id, s.Name, again.Name)
+		}
+		counts[s.Name]++
+	}
+	if n := counts["u"]; n < 800 || n > 1200 {
+		t.Errorf("service of weight 10 in 100 got %d of 10000", n)
+	}
+}
+
+func TestAllowed(t *testing.T) {
+	w := &Workspace{Homes: []string{"north", "east"}}
+	r := &Route{Homes: []string{"north", "south"}}
+	for region, want := range map[string]bool{"north": true, "south": false, "east": false, "west": false} {
+		if got := Allowed(r, w, region); got != want {
+			t.Errorf("region %s: %v, want %v", region, got, want)
+		}
+	}
+	if !Allowed(&Route{}, nil, "west") {
+		t.Error("a route without homes is refused")
+	}
+}
--- /dev/null
+++ b/source/source.go
@@ -0,0 +1,340 @@
+// Package source follows the platform's store: the configuration, the evacuated failure domains and the
+// registered upstreams of the own region.
+package source
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"parsleyhatch/event"
+	"parsleyhatch/platform"
+	"parsleyhatch/replica"
+	"parsleyhatch/route"
+)
+
+const (
+	// watchWait is the time after which a watch answers although nothing has changed. Its answer proves
+	// that the VM's knowledge is current, and its absence shows a connection that went silent.
+	watchWait = time.Second
+	// firstPause and maxPause bound the pause after a failed call, which doubles.
+	firstPause = 100 * time.Millisecond
+	maxPause   = 800 * time.Millisecond
+	// returnGrace is the time after the store's return in which upstreams whose registration lapsed
+	// register again.
+	returnGrace = 2200 * time.Millisecond
+)
+
+// Source follows the store. It is safe for concurrent use.
+type Source struct {
+	Store    *platform.Store
+	Replicas *replica.Table
+	Log      *slog.Logger
+	// Now returns the present time since boot.
+	Now func() time.Time
+	// Local reports whether a failure domain is in the own region.
+	Local func(failureDomain string) bool
+	// Region returns the region of a failure domain.
+	Region func(failureDomain string) string
+	// OnConfig receives each configuration that comes into force.
+	OnConfig func(t *route.Table)
+
+	table atomic.Pointer[route.Table]
+	value atomic.Pointer[[]byte]
+	fresh atomic.Int64
+	// slots holds the sizes of the services in each region.
+	slots  atomic.Pointer[Capacities]
+	loaded atomic.Bool
+	// accepting serializes the acceptance of configurations.
+	accepting sync.Mutex
+
+	// The fields below belong to Run.
+	revision  uint64
+	synced    bool
+	down      bool
+	returned  time.Time
+	evacuated map[string]bool
+	// entries are the registrations of all regions.
+	entries map[string]replica.Entry
+	// lapsed are upstreams whose registration is gone, until the grace after the store's return ends.
+	lapsed map[string]bool
+}
+
+// Table returns the configuration in force, nil before the first.
+func (s *Source) Table() *route.Table { return s.table.Load() }
+
+// Value returns the configuration in force as the store holds it, nil before the first.
+func (s *Source) Value() []byte {
+	if p := s.value.Load(); p != nil {
+		return *p
+	}
+	return nil
+}
+
+// FreshAt returns a time at which what this VM knows was what the store held.
+func (s *Source) FreshAt() time.Time { return time.Unix(0, s.fresh.Load()) }
+
+// UpstreamsKnown reports whether the registrations have been read.
+func (s *Source) UpstreamsKnown() bool { return s.loaded.Load() }
+
+// Run follows the store until ctx ends.
+func (s *Source) Run(ctx context.Context) {
+	s.evacuated = map[string]bool{}
+	s.lapsed = map[string]bool{}
+	s.entries = map[string]replica.Entry{}
+	pause := firstPause
+	for ctx.Err() == nil {
+		if err := s.step(ctx); err != nil {
+			s.lost(err)
+			sleep(ctx, pause/2+rand.N(pause))
+			pause = min(2*pause, maxPause)
+			continue
+		}
+		pause = firstPause
+	}
+}
+
+// step makes one call to the store and applies its answer.
+func (s *Source) step(ctx context.Context) error {
+	sent := s.Now()
+	if !s.synced {
+		page, err := s.Store.Range(ctx, "")
+		if err != nil {
+			return err
+		}
+		s.regained()
+		s.reset(page)
+		s.freshen(sent)
+		return nil
+	}
+	page, err := s.Store.Watch(ctx, "", s.revision, watchWait)
+	if errors.Is(err, platform.ErrCompacted) {
+		s.synced = false
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	s.regained()
+	for _, item := range page.Events {
+		s.apply(item)
+	}
+	s.revision = max(s.revision, page.Revision)
+	s.dropLapsed()
+	if len(page.Events) == 0 {
+		// The store answered after the wait, so nothing had changed up to then.
+		sent = sent.Add(watchWait)
+	}
+	s.freshen(sent)
+	return nil
+}
+
+func (s *Source) lost(err error) {
+	if s.down {
+		return
+	}
+	s.down = true
+	event.StoreDown.Log(s.Log, "error", err.Error(), "revision", s.revision)
+}
+
+func (s *Source) regained() {
+	if !s.down {
+		return
+	}
+	s.down = false
+	s.returned = s.Now()
+	event.StoreBack.Log(s.Log, "revision", s.revision)
+}
+
+// Freshen says that the VM's knowledge was current at a time. Knowledge never gets older.
+func (s *Source) freshen(at time.Time) {
+	if now := s.Now(); at.After(now) {
+		at = now
+	}
+	if at.UnixNano() > s.fresh.Load() {
+		s.fresh.Store(at.UnixNano())
+	}
+}
+
+// reset replaces everything by a full range.
+func (s *Source) reset(page platform.Page) {
+	present := map[string]bool{}
+	evacuated := map[string]bool{}
+	for _, item := range page.Items {
+		if domain, ok := strings.CutPrefix(item.Key, platform.EvacuatePrefix); ok {
+			evacuated[domain] = true
+			continue
+		}
+		if id, ok := strings.CutPrefix(item.Key, platform.UpstreamPrefix); ok {
+			present[id] = true
+		}
+		s.apply(item)
+	}
+	s.setEvacuated(evacuated)
+	for id := range s.entries {
+		if !present[id] {
+			s.lapsed[id] = true
+		}
+	}
+	s.dropLapsed()
+	s.revision = page.Revision
+	s.synced = true
+	s.loaded.Store(true)
+	s.Replicas.Loaded()
+}
+
+// apply takes over one change.
+func (s *Source) apply(item platform.Item) {
+	switch {
+	case item.Key == platform.ConfigKey:
+		if !item.Deleted {
+			s.Accept(item.Value)
+		}
+	case strings.HasPrefix(item.Key, platform.EvacuatePrefix):
+		s.evacuate(strings.TrimPrefix(item.Key, platform.EvacuatePrefix), !item.Deleted)
+	case strings.HasPrefix(item.Key, platform.UpstreamPrefix):
+		s.upstream(strings.TrimPrefix(item.Key, platform.UpstreamPrefix), item)
+	}
+}
+
+// Accept brings a configuration into force if it is newer than the present one. A store that serves an
+// older state, or another VM that knows less, never takes the VM back.
+func (s *Source) Accept(value []byte) {
+	s.accepting.Lock()
+	defer s.accepting.Unlock()
+	c, err := platform.DecodeConfig(value)
+	if err != nil {
+		event.ConfigRejected.Log(s.Log, "error", err.Error())
+		return
+	}
+	old := s.table.Load()
+	if old != nil && c.Version <= old.Config.Version {
+		if c.Version < old.Config.Version {
+			event.ConfigStale.Log(s.Log, "version", c.Version, "inForce", old.Config.Version)
+		}
+		return
+	}
+	t := route.New(c)
+	s.value.Store(&value)
+	s.table.Store(t)
+	event.ConfigAccepted.Log(s.Log, "version", c.Version, "routes", len(c.Routes), "workspaces", len(c.Workspaces))
+	s.OnConfig(t)
+}
+
+func (s *Source) evacuate(domain string, on bool) {
+	next := map[string]bool{}
+	for d := range s.evacuated {
+		next[d] = true
+	}
+	delete(next, domain)
+	if on {
+		next[domain] = true
+	}
+	s.setEvacuated(next)
+}
+
+func (s *Source) setEvacuated(domains map[string]bool) {
+	for d := range domains {
+		if !s.evacuated[d] {
+			event.DomainEvacuated.Log(s.Log, "failureDomain", d)
+		}
+	}
+	for d := range s.evacuated {
+		if !domains[d] {
+			event.DomainTakenBack.Log(s.Log, "failureDomain", d)
+		}
+	}
+	s.evacuated = domains
+	s.count()
+	s.Replicas.SetEvacuated(s.Now(), domains, s.warmUp)
+}
+
+func (s *Source) warmUp(service string) time.Duration {
+	if t := s.table.Load(); t != nil {
+		if sv := t.Service(service); sv != nil {
+			return sv.WarmUp
+		}
+	}
+	return 0
+}
+
+func (s *Source) upstream(id string, item platform.Item) {
+	if item.Deleted {
+		s.lapsed[id] = true
+		return
+	}
+	e, err := platform.DecodeUpstream(item.Key, item.Value)
+	if err != nil {
+		event.UpstreamUnreadable.Log(s.Log, "upstream", id, "error", err.Error())
+		s.drop(id)
+		return
+	}
+	delete(s.lapsed, id)
+	s.entries[id] = e
+	s.count()
+	if !s.Local(e.FailureDomain) {
+		s.Replicas.Remove(id)
+		return
+	}
+	s.Replicas.Put(s.Now(), e, s.warmUp(e.Service))
+	event.UpstreamRegistered.Log(s.Log, "upstream", id, "service", e.Service, "draining", e.Draining, "born", e.Born, "coldMillis", e.ColdFor.Milliseconds())
+}
+
+// dropLapsed removes the upstreams whose registration is gone. While the store was away, registrations
+// lapsed without meaning; for a while after its return they may come back.
+func (s *Source) dropLapsed() {
+	if !s.returned.IsZero() && s.Now().Sub(s.returned) < returnGrace {
+		return
+	}
+	for id := range s.lapsed {
+		s.drop(id)
+		event.UpstreamGone.Log(s.Log, "upstream", id)
+	}
+	clear(s.lapsed)
+}
+
+func (s *Source) drop(id string) {
+	delete(s.entries, id)
+	s.count()
+	s.Replicas.Remove(id)
+}
+
+// Capacities are the slots of the usable upstreams, by service and region.
+type Capacities map[string]map[string]int
+
+// Capacity returns the slots of a service by region. It must not be changed.
+func (s *Source) Capacity(service string) map[string]int {
+	if c := s.slots.Load(); c != nil {
+		return (*c)[service]
+	}
+	return nil
+}
+
+// count adds up the slots of the upstreams that are neither leaving nor evacuated.
+func (s *Source) count() {
+	sums := Capacities{}
+	for _, e := range s.entries {
+		if e.Draining || s.evacuated[e.FailureDomain] {
+			continue
+		}
+		if sums[e.Service] == nil {
+			sums[e.Service] = map[string]int{}
+		}
+		sums[e.Service][s.Region(e.FailureDomain)] += e.Slots
+	}
+	s.slots.Store(&sums)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/vm/endpoint.go
+++ b/vm/endpoint.go
@@ -30,15 +30,12 @@
 	OnUp   func(s *Session)
 	OnDown func(s *Session, reason error)
 
+	// tls is nil on networks that only VMs reach.
 	tls *tls.Config
 }
 
-// NewEndpoint returns an endpoint that accepts only holders of the fleet key.
-func NewEndpoint(self Identity, fleetKey []byte, log *slog.Logger) (*Endpoint, error) {
-	config, err := TLSConfig(fleetKey)
-	if err != nil {
-		return nil, err
-	}
+// NewPlainEndpoint returns an endpoint without encryption, for networks that only VMs reach.
+func NewPlainEndpoint(self Identity, log *slog.Logger) *Endpoint {
 	dialer := &net.Dialer{Timeout: handshakeTimeout}
 	return &Endpoint{
 		Self: self,
@@ -46,8 +43,18 @@
 		DialFunc: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		},
-		tls: config,
-	}, nil
+	}
+}
+
+// NewEndpoint returns an endpoint that accepts only holders of the fleet key.
+func NewEndpoint(self Identity, fleetKey []byte, log *slog.Logger) (*Endpoint, error) {
+	config, err := TLSConfig(fleetKey)
+	if err != nil {
+		return nil, err
+	}
+	e := NewPlainEndpoint(self, log)
+	e.tls = config
+	return e, nil
 }
 
 // Dial opens a session with the VM at the address, IP:port.
@@ -58,14 +65,26 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial vm %s: %w", address, err)
 	}
-	conn := tls.Client(raw, e.tls)
-	if err := conn.HandshakeContext(ctx); err != nil {
-		_ = raw.Close()
+	conn, err := e.secure(ctx, raw, tls.Client)
+	if err != nil {
 		return nil, fmt.Errorf("handshake with vm %s: %w", address, err)
 	}
 	return e.start(conn, true)
 }
 
+// secure makes the TLS handshake, if the endpoint uses TLS. It closes the connection on failure.
+func (e *Endpoint) secure(ctx context.Context, raw net.Conn, side func(net.Conn, *tls.Config) *tls.Conn) (net.Conn, error) {
+	if e.tls == nil {
+		return raw, nil
+	}
+	conn := side(raw, e.tls)
+	if err := conn.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
 // RunListener accepts sessions until the listener is closed.
 func (e *Endpoint) RunListener(l net.Listener) error {
 	slots := make(chan struct{}, maxHandshakes)
@@ -91,10 +110,9 @@
 	defer func() { <-slots }()
 	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
 	defer cancel()
-	conn := tls.Server(raw, e.tls)
-	if err := conn.HandshakeContext(ctx); err != nil {
+	conn, err := e.secure(ctx, raw, tls.Server)
+	if err != nil {
 		event.PeerRefused.Log(e.Log, "address", raw.RemoteAddr().String(), "error", err.Error())
-		_ = raw.Close()
 		return
 	}
 	if _, err := e.start(conn, false); err != nil {
@@ -103,7 +121,7 @@
 }
 
 // start exchanges hellos and starts the session's goroutines.
-func (e *Endpoint) start(conn *tls.Conn, dialed bool) (*Session, error) {
+func (e *Endpoint) start(conn net.Conn, dialed bool) (*Session, error) {
 	s, err := newSession(e, conn, dialed)
 	if err != nil {
 		_ = conn.Close()
--- a/vm/session.go
+++ b/vm/session.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -53,13 +52,16 @@
 	received atomic.Int64
 	// heardAt is when the last frame arrived, in Unix nanoseconds.
 	heardAt atomic.Int64
+	// started is when the session was opened, and heardAfter how long after it the last frame arrived.
+	started    time.Time
+	heardAfter atomic.Int64
 
 	mu      sync.Mutex
 	streams map[uint64]*Stream
 }
 
-// newSession exchanges hellos on an authenticated connection.
-func newSession(e *Endpoint, conn *tls.Conn, dialed bool) (*Session, error) {
+// newSession exchanges hellos on a connection.
+func newSession(e *Endpoint, conn net.Conn, dialed bool) (*Session, error) {
 	s := &Session{
 		Dialed:   dialed,
 		endpoint: e,
@@ -67,6 +69,7 @@
 		reader:   bufio.NewReaderSize(conn, 16<<10),
 		out:      make(chan *[]byte, outQueue),
 		done:     make(chan struct{}),
+		started:  time.Now(),
 		streams:  map[uint64]*Stream{},
 	}
 	s.nextID.Store(2)
@@ -120,6 +123,9 @@
 // BytesReceived returns the bytes of frames read from the session so far.
 func (s *Session) BytesReceived() int64 { return s.received.Load() }
 
+// HeardAt returns when the last frame arrived, on the steady clock; the start of the session counts as one.
+func (s *Session) HeardAt() time.Time { return s.started.Add(time.Duration(s.heardAfter.Load())) }
+
 // Close ends the session and all of its streams.
 func (s *Session) Close(reason error) {
 	s.once.Do(func() {
@@ -249,7 +255,9 @@
 			return
 		}
 		s.received.Add(int64(len(f.Body) + lengthBytes))
-		s.heardAt.Store(time.Now().UnixNano())
+		now := time.Now()
+		s.heardAt.Store(now.UnixNano())
+		s.heardAfter.Store(int64(now.Sub(s.started)))
 		if err := s.dispatch(f); err != nil {
 			s.Close(err)
 			return
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -4,7 +4,7 @@
 package vmwire
 
 // Protocol is the version of this schema. VMs with another version are refused.
-const Protocol = 2
+const Protocol = 3
 
 // Kinds of frames.
 const (
@@ -26,6 +26,9 @@
 	KindHandover
 	KindHandoverTake
 	KindPing
+	KindPresence
+	KindConfigAsk
+	KindConfigCopy
 )
 
 // The limits bound what a decoder allocates for a length that a faulty peer announces: without them,
@@ -36,6 +39,7 @@
 
 //msgp:tuple Frame Hello Open Chunk End Window Heartbeat HeartbeatAck SlotView EntryVM ConfigGet ConfigParts Part
 //msgp:tuple Load UpstreamLoad ModelWait Summary PoolSummary TokenAsk TokenGive Suspect Handover HandoverTake HandoverRecord
+//msgp:tuple Presence WorkspaceSpent UpstreamUse ServiceCost VMRow CrashCount ConfigAsk ConfigCopy
 
 // Frame is the envelope of every message.
 type Frame struct {
@@ -330,3 +334,74 @@
 type HandoverTake struct {
 	Slot string
 }
+
+// VMRow is a VM as another VM knows it.
+type VMRow struct {
+	Slot   string
+	Region string
+	// Address takes sessions, IP:port.
+	Address string
+	// AgeMillis is the time since the sender heard of the VM, in milliseconds.
+	AgeMillis int64
+}
+
+// WorkspaceSpent is what the sender has charged to a workspace since its start, in tokens or requests.
+type WorkspaceSpent struct {
+	Workspace string
+	Amount    int64
+}
+
+// UpstreamUse is what the sender has running at an upstream.
+type UpstreamUse struct {
+	Upstream string
+	Running  int32
+	// Prefill is the number of prompt tokens of requests without a first token, and Held that of all.
+	Prefill int64
+	Held    int64
+}
+
+// ServiceCost is the expected time to the first token of a service in the sender's region.
+type ServiceCost struct {
+	Service    string
+	CostMillis int32
+}
+
+// CrashCount is the number of upstreams that crashed while they ran the request with the fingerprint.
+type CrashCount struct {
+	Fingerprint []byte
+	Crashes     int32
+}
+
+// Presence tells that the sender lives and what it shares with the other VMs.
+type Presence struct {
+	// Address takes sessions and CallerAddress callers, IP:port.
+	Address       string
+	CallerAddress string
+	Flags         uint8
+	// Open is the number of requests open at the sender.
+	Open          int32
+	ConfigVersion uint64
+	// Costs are for VMs of all regions, Uses for those of the same region.
+	Costs   []ServiceCost
+	Uses    []UpstreamUse
+	Spent   []WorkspaceSpent
+	Crashes []CrashCount
+	// VMs are sent from time to time.
+	VMs []VMRow
+}
+
+// ConfigAsk asks for the newest configuration. ID is returned in the answer.
+type ConfigAsk struct {
+	ID uint64
+	// Version is the sender's; the answer carries no bytes unless there is a newer one.
+	Version uint64
+}
+
+// ConfigCopy answers ConfigAsk.
+type ConfigCopy struct {
+	ID uint64
+	// FreshMillis is the time since the sender's knowledge of the store was current, in milliseconds,
+	// and negative if it never was.
+	FreshMillis int64
+	Value       []byte `msg:"Value,limit=262144"`
+}
--- a/vmwire/schema_gen.go
+++ b/vmwire/schema_gen.go
@@ -249,6 +249,223 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *ConfigAsk) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.ID, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.Version, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z ConfigAsk) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.ID)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	err = en.WriteUint64(z.Version)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ConfigAsk) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendUint64(o, z.ID)
+	o = msgp.AppendUint64(o, z.Version)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ConfigAsk) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ConfigAsk) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *ConfigCopy) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.ID, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.FreshMillis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "FreshMillis")
+		return
+	}
+	z.Value, err = dc.ReadBytesLimit(z.Value, 262144)
+	if err == nil && z.Value == nil {
+		z.Value = []byte{}
+	}
+	if err != nil {
+		err = msgp.WrapError(err, "Value")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *ConfigCopy) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.ID)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	err = en.WriteInt64(z.FreshMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "FreshMillis")
+		return
+	}
+	err = en.WriteBytes(z.Value)
+	if err != nil {
+		err = msgp.WrapError(err, "Value")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ConfigCopy) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint64(o, z.ID)
+	o = msgp.AppendInt64(o, z.FreshMillis)
+	o = msgp.AppendBytes(o, z.Value)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ConfigCopy) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.FreshMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "FreshMillis")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadBytesHeader(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Value")
+		return
+	}
+	if zb0002 > 262144 {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Value == nil || uint32(cap(z.Value)) < zb0002 {
+		z.Value = make([]byte, zb0002)
+	} else {
+		z.Value = z.Value[:zb0002]
+	}
+	if uint32(len(bts)) < zb0002 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Value, bts[:zb0002])
+	bts = bts[zb0002:]
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ConfigCopy) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Int64Size + msgp.BytesPrefixSize + len(z.Value)
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *ConfigGet) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -595,7 +812,7 @@
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *End) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *CrashCount) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
 	zb0001, err = dc.ReadArrayHeader()
 	if err != nil {
@@ -606,78 +823,188 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
-		return
-	}
-	z.Code, err = dc.ReadString()
-	if err != nil {
-		err = msgp.WrapError(err, "Code")
-		return
-	}
-	z.Message, err = dc.ReadString()
-	if err != nil {
-		err = msgp.WrapError(err, "Message")
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
 	}
-	z.Ran, err = dc.ReadString()
-	if err != nil {
-		err = msgp.WrapError(err, "Ran")
-		return
+	z.Fingerprint, err = dc.ReadBytesLimit(z.Fingerprint, zb417a25dlimitArrays)
+	if err == nil && z.Fingerprint == nil {
+		z.Fingerprint = []byte{}
 	}
-	z.Status, err = dc.ReadInt32()
 	if err != nil {
-		err = msgp.WrapError(err, "Status")
+		err = msgp.WrapError(err, "Fingerprint")
 		return
 	}
-	z.RetryAfterMillis, err = dc.ReadInt64()
+	z.Crashes, err = dc.ReadInt32()
 	if err != nil {
-		err = msgp.WrapError(err, "RetryAfterMillis")
+		err = msgp.WrapError(err, "Crashes")
 		return
 	}
-	z.PromptTokens, err = dc.ReadInt64()
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *CrashCount) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
 	if err != nil {
-		err = msgp.WrapError(err, "PromptTokens")
 		return
 	}
-	z.AnswerTokens, err = dc.ReadInt64()
+	err = en.WriteBytes(z.Fingerprint)
 	if err != nil {
-		err = msgp.WrapError(err, "AnswerTokens")
+		err = msgp.WrapError(err, "Fingerprint")
 		return
 	}
-	z.Upstream, err = dc.ReadString()
+	err = en.WriteInt32(z.Crashes)
 	if err != nil {
-		err = msgp.WrapError(err, "Upstream")
+		err = msgp.WrapError(err, "Crashes")
 		return
 	}
 	return
 }
 
-// EncodeMsg implements msgp.Encodable
-func (z *End) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 8
-	err = en.Append(0x98)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Code)
+// MarshalMsg implements msgp.Marshaler
+func (z *CrashCount) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendBytes(o, z.Fingerprint)
+	o = msgp.AppendInt32(o, z.Crashes)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *CrashCount) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Code")
+		err = msgp.WrapError(err)
 		return
 	}
-	err = en.WriteString(z.Message)
-	if err != nil {
-		err = msgp.WrapError(err, "Message")
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
 	}
-	err = en.WriteString(z.Ran)
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadBytesHeader(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Ran")
+		err = msgp.WrapError(err, "Fingerprint")
 		return
 	}
-	err = en.WriteInt32(z.Status)
-	if err != nil {
-		err = msgp.WrapError(err, "Status")
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Fingerprint == nil || uint32(cap(z.Fingerprint)) < zb0002 {
+		z.Fingerprint = make([]byte, zb0002)
+	} else {
+		z.Fingerprint = z.Fingerprint[:zb0002]
+	}
+	if uint32(len(bts)) < zb0002 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Fingerprint, bts[:zb0002])
+	bts = bts[zb0002:]
+	z.Crashes, bts, err = msgp.ReadInt32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Crashes")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *CrashCount) Msgsize() (s int) {
+	s = 1 + msgp.BytesPrefixSize + len(z.Fingerprint) + msgp.Int32Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *End) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+		return
+	}
+	z.Code, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Code")
+		return
+	}
+	z.Message, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Message")
+		return
+	}
+	z.Ran, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Ran")
+		return
+	}
+	z.Status, err = dc.ReadInt32()
+	if err != nil {
+		err = msgp.WrapError(err, "Status")
+		return
+	}
+	z.RetryAfterMillis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "RetryAfterMillis")
+		return
+	}
+	z.PromptTokens, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "PromptTokens")
+		return
+	}
+	z.AnswerTokens, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "AnswerTokens")
+		return
+	}
+	z.Upstream, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Upstream")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *End) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 8
+	err = en.Append(0x98)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Code)
+	if err != nil {
+		err = msgp.WrapError(err, "Code")
+		return
+	}
+	err = en.WriteString(z.Message)
+	if err != nil {
+		err = msgp.WrapError(err, "Message")
+		return
+	}
+	err = en.WriteString(z.Ran)
+	if err != nil {
+		err = msgp.WrapError(err, "Ran")
+		return
+	}
+	err = en.WriteInt32(z.Status)
+	if err != nil {
+		err = msgp.WrapError(err, "Status")
 		return
 	}
 	err = en.WriteInt64(z.RetryAfterMillis)
@@ -3255,7 +3582,7 @@
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *SlotView) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Presence) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
 	zb0001, err = dc.ReadArrayHeader()
 	if err != nil {
@@ -3266,114 +3593,831 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
-	z.Slot, err = dc.ReadString()
+	z.Address, err = dc.ReadString()
 	if err != nil {
-		err = msgp.WrapError(err, "Slot")
+		err = msgp.WrapError(err, "Address")
 		return
 	}
-	z.Incarnation, err = dc.ReadUint64()
+	z.CallerAddress, err = dc.ReadString()
 	if err != nil {
-		err = msgp.WrapError(err, "Incarnation")
+		err = msgp.WrapError(err, "CallerAddress")
 		return
 	}
-	z.StartedAtUnixMilli, err = dc.ReadInt64()
+	z.Flags, err = dc.ReadUint8()
 	if err != nil {
-		err = msgp.WrapError(err, "StartedAtUnixMilli")
+		err = msgp.WrapError(err, "Flags")
 		return
 	}
-	z.AgeMillis, err = dc.ReadInt64()
+	z.Open, err = dc.ReadInt32()
 	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
+		err = msgp.WrapError(err, "Open")
 		return
 	}
-	z.Leaving, err = dc.ReadBool()
+	z.ConfigVersion, err = dc.ReadUint64()
 	if err != nil {
-		err = msgp.WrapError(err, "Leaving")
+		err = msgp.WrapError(err, "ConfigVersion")
 		return
 	}
-	z.Ready, err = dc.ReadBool()
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
 	if err != nil {
-		err = msgp.WrapError(err, "Ready")
+		err = msgp.WrapError(err, "Costs")
 		return
 	}
-	z.Queue, err = dc.ReadInt32()
-	if err != nil {
-		err = msgp.WrapError(err, "Queue")
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
 		return
 	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *SlotView) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 7
-	err = en.Append(0x97)
+	if cap(z.Costs) >= int(zb0002) {
+		z.Costs = (z.Costs)[:zb0002]
+	} else {
+		z.Costs = make([]ServiceCost, zb0002)
+	}
+	for za0001 := range z.Costs {
+		var zb0003 uint32
+		zb0003, err = dc.ReadArrayHeader()
+		if err != nil {
+			err = msgp.WrapError(err, "Costs", za0001)
+			return
+		}
+		if zb0003 > zb417a25dlimitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		if zb0003 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+			return
+		}
+		z.Costs[za0001].Service, err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err, "Costs", za0001, "Service")
+			return
+		}
+		z.Costs[za0001].CostMillis, err = dc.ReadInt32()
+		if err != nil {
+			err = msgp.WrapError(err, "Costs", za0001, "CostMillis")
+			return
+		}
+	}
+	var zb0004 uint32
+	zb0004, err = dc.ReadArrayHeader()
 	if err != nil {
+		err = msgp.WrapError(err, "Uses")
 		return
 	}
-	err = en.WriteString(z.Slot)
-	if err != nil {
-		err = msgp.WrapError(err, "Slot")
+	if zb0004 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
 		return
 	}
-	err = en.WriteUint64(z.Incarnation)
+	if cap(z.Uses) >= int(zb0004) {
+		z.Uses = (z.Uses)[:zb0004]
+	} else {
+		z.Uses = make([]UpstreamUse, zb0004)
+	}
+	for za0002 := range z.Uses {
+		err = z.Uses[za0002].DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Uses", za0002)
+			return
+		}
+	}
+	var zb0005 uint32
+	zb0005, err = dc.ReadArrayHeader()
 	if err != nil {
-		err = msgp.WrapError(err, "Incarnation")
+		err = msgp.WrapError(err, "Spent")
 		return
 	}
-	err = en.WriteInt64(z.StartedAtUnixMilli)
-	if err != nil {
-		err = msgp.WrapError(err, "StartedAtUnixMilli")
+	if zb0005 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
 		return
 	}
-	err = en.WriteInt64(z.AgeMillis)
+	if cap(z.Spent) >= int(zb0005) {
+		z.Spent = (z.Spent)[:zb0005]
+	} else {
+		z.Spent = make([]WorkspaceSpent, zb0005)
+	}
+	for za0003 := range z.Spent {
+		var zb0006 uint32
+		zb0006, err = dc.ReadArrayHeader()
+		if err != nil {
+			err = msgp.WrapError(err, "Spent", za0003)
+			return
+		}
+		if zb0006 > zb417a25dlimitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		if zb0006 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0006}
+			return
+		}
+		z.Spent[za0003].Workspace, err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err, "Spent", za0003, "Workspace")
+			return
+		}
+		z.Spent[za0003].Amount, err = dc.ReadInt64()
+		if err != nil {
+			err = msgp.WrapError(err, "Spent", za0003, "Amount")
+			return
+		}
+	}
+	var zb0007 uint32
+	zb0007, err = dc.ReadArrayHeader()
 	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
+		err = msgp.WrapError(err, "Crashes")
 		return
 	}
-	err = en.WriteBool(z.Leaving)
-	if err != nil {
-		err = msgp.WrapError(err, "Leaving")
+	if zb0007 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
 		return
 	}
-	err = en.WriteBool(z.Ready)
+	if cap(z.Crashes) >= int(zb0007) {
+		z.Crashes = (z.Crashes)[:zb0007]
+	} else {
+		z.Crashes = make([]CrashCount, zb0007)
+	}
+	for za0004 := range z.Crashes {
+		var zb0008 uint32
+		zb0008, err = dc.ReadArrayHeader()
+		if err != nil {
+			err = msgp.WrapError(err, "Crashes", za0004)
+			return
+		}
+		if zb0008 > zb417a25dlimitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		if zb0008 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0008}
+			return
+		}
+		z.Crashes[za0004].Fingerprint, err = dc.ReadBytesLimit(z.Crashes[za0004].Fingerprint, zb417a25dlimitArrays)
+		if err == nil && z.Crashes[za0004].Fingerprint == nil {
+			z.Crashes[za0004].Fingerprint = []byte{}
+		}
+		if err != nil {
+			err = msgp.WrapError(err, "Crashes", za0004, "Fingerprint")
+			return
+		}
+		z.Crashes[za0004].Crashes, err = dc.ReadInt32()
+		if err != nil {
+			err = msgp.WrapError(err, "Crashes", za0004, "Crashes")
+			return
+		}
+	}
+	var zb0009 uint32
+	zb0009, err = dc.ReadArrayHeader()
 	if err != nil {
-		err = msgp.WrapError(err, "Ready")
+		err = msgp.WrapError(err, "VMs")
 		return
 	}
-	err = en.WriteInt32(z.Queue)
-	if err != nil {
-		err = msgp.WrapError(err, "Queue")
+	if zb0009 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
 		return
 	}
+	if cap(z.VMs) >= int(zb0009) {
+		z.VMs = (z.VMs)[:zb0009]
+	} else {
+		z.VMs = make([]VMRow, zb0009)
+	}
+	for za0005 := range z.VMs {
+		err = z.VMs[za0005].DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "VMs", za0005)
+			return
+		}
+	}
 	return
 }
 
-// MarshalMsg implements msgp.Marshaler
-func (z *SlotView) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
-	o = msgp.AppendString(o, z.Slot)
-	o = msgp.AppendUint64(o, z.Incarnation)
-	o = msgp.AppendInt64(o, z.StartedAtUnixMilli)
-	o = msgp.AppendInt64(o, z.AgeMillis)
-	o = msgp.AppendBool(o, z.Leaving)
-	o = msgp.AppendBool(o, z.Ready)
-	o = msgp.AppendInt32(o, z.Queue)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *SlotView) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+// EncodeMsg implements msgp.Encodable
+func (z *Presence) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 10
+	err = en.Append(0x9a)
 	if err != nil {
-		err = msgp.WrapError(err)
+		return
+	}
+	err = en.WriteString(z.Address)
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	err = en.WriteString(z.CallerAddress)
+	if err != nil {
+		err = msgp.WrapError(err, "CallerAddress")
+		return
+	}
+	err = en.WriteUint8(z.Flags)
+	if err != nil {
+		err = msgp.WrapError(err, "Flags")
+		return
+	}
+	err = en.WriteInt32(z.Open)
+	if err != nil {
+		err = msgp.WrapError(err, "Open")
+		return
+	}
+	err = en.WriteUint64(z.ConfigVersion)
+	if err != nil {
+		err = msgp.WrapError(err, "ConfigVersion")
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Costs)))
+	if err != nil {
+		err = msgp.WrapError(err, "Costs")
+		return
+	}
+	for za0001 := range z.Costs {
+		// array header, size 2
+		err = en.Append(0x92)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Costs[za0001].Service)
+		if err != nil {
+			err = msgp.WrapError(err, "Costs", za0001, "Service")
+			return
+		}
+		err = en.WriteInt32(z.Costs[za0001].CostMillis)
+		if err != nil {
+			err = msgp.WrapError(err, "Costs", za0001, "CostMillis")
+			return
+		}
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Uses)))
+	if err != nil {
+		err = msgp.WrapError(err, "Uses")
+		return
+	}
+	for za0002 := range z.Uses {
+		err = z.Uses[za0002].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Uses", za0002)
+			return
+		}
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Spent)))
+	if err != nil {
+		err = msgp.WrapError(err, "Spent")
+		return
+	}
+	for za0003 := range z.Spent {
+		// array header, size 2
+		err = en.Append(0x92)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Spent[za0003].Workspace)
+		if err != nil {
+			err = msgp.WrapError(err, "Spent", za0003, "Workspace")
+			return
+		}
+		err = en.WriteInt64(z.Spent[za0003].Amount)
+		if err != nil {
+			err = msgp.WrapError(err, "Spent", za0003, "Amount")
+			return
+		}
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Crashes)))
+	if err != nil {
+		err = msgp.WrapError(err, "Crashes")
+		return
+	}
+	for za0004 := range z.Crashes {
+		// array header, size 2
+		err = en.Append(0x92)
+		if err != nil {
+			return
+		}
+		err = en.WriteBytes(z.Crashes[za0004].Fingerprint)
+		if err != nil {
+			err = msgp.WrapError(err, "Crashes", za0004, "Fingerprint")
+			return
+		}
+		err = en.WriteInt32(z.Crashes[za0004].Crashes)
+		if err != nil {
+			err = msgp.WrapError(err, "Crashes", za0004, "Crashes")
+			return
+		}
+	}
+	err = en.WriteArrayHeader(uint32(len(z.VMs)))
+	if err != nil {
+		err = msgp.WrapError(err, "VMs")
+		return
+	}
+	for za0005 := range z.VMs {
+		err = z.VMs[za0005].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "VMs", za0005)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Presence) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 10
+	o = append(o, 0x9a)
+	o = msgp.AppendString(o, z.Address)
+	o = msgp.AppendString(o, z.CallerAddress)
+	o = msgp.AppendUint8(o, z.Flags)
+	o = msgp.AppendInt32(o, z.Open)
+	o = msgp.AppendUint64(o, z.ConfigVersion)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Costs)))
+	for za0001 := range z.Costs {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Costs[za0001].Service)
+		o = msgp.AppendInt32(o, z.Costs[za0001].CostMillis)
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Uses)))
+	for za0002 := range z.Uses {
+		o, err = z.Uses[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Uses", za0002)
+			return
+		}
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Spent)))
+	for za0003 := range z.Spent {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Spent[za0003].Workspace)
+		o = msgp.AppendInt64(o, z.Spent[za0003].Amount)
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Crashes)))
+	for za0004 := range z.Crashes {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendBytes(o, z.Crashes[za0004].Fingerprint)
+		o = msgp.AppendInt32(o, z.Crashes[za0004].Crashes)
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.VMs)))
+	for za0005 := range z.VMs {
+		o, err = z.VMs[za0005].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "VMs", za0005)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Presence) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
+		return
+	}
+	z.Address, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	z.CallerAddress, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "CallerAddress")
+		return
+	}
+	z.Flags, bts, err = msgp.ReadUint8Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Flags")
+		return
+	}
+	z.Open, bts, err = msgp.ReadInt32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Open")
+		return
+	}
+	z.ConfigVersion, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ConfigVersion")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Costs")
+		return
+	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Costs) >= int(zb0002) {
+		z.Costs = (z.Costs)[:zb0002]
+	} else {
+		z.Costs = make([]ServiceCost, zb0002)
+	}
+	for za0001 := range z.Costs {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Costs", za0001)
+			return
+		}
+		if zb0003 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+			return
+		}
+		z.Costs[za0001].Service, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Costs", za0001, "Service")
+			return
+		}
+		z.Costs[za0001].CostMillis, bts, err = msgp.ReadInt32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Costs", za0001, "CostMillis")
+			return
+		}
+	}
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Uses")
+		return
+	}
+	if zb0004 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Uses) >= int(zb0004) {
+		z.Uses = (z.Uses)[:zb0004]
+	} else {
+		z.Uses = make([]UpstreamUse, zb0004)
+	}
+	for za0002 := range z.Uses {
+		bts, err = z.Uses[za0002].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Uses", za0002)
+			return
+		}
+	}
+	var zb0005 uint32
+	zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Spent")
+		return
+	}
+	if zb0005 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Spent) >= int(zb0005) {
+		z.Spent = (z.Spent)[:zb0005]
+	} else {
+		z.Spent = make([]WorkspaceSpent, zb0005)
+	}
+	for za0003 := range z.Spent {
+		var zb0006 uint32
+		zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Spent", za0003)
+			return
+		}
+		if zb0006 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0006}
+			return
+		}
+		z.Spent[za0003].Workspace, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Spent", za0003, "Workspace")
+			return
+		}
+		z.Spent[za0003].Amount, bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Spent", za0003, "Amount")
+			return
+		}
+	}
+	var zb0007 uint32
+	zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Crashes")
+		return
+	}
+	if zb0007 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Crashes) >= int(zb0007) {
+		z.Crashes = (z.Crashes)[:zb0007]
+	} else {
+		z.Crashes = make([]CrashCount, zb0007)
+	}
+	for za0004 := range z.Crashes {
+		var zb0008 uint32
+		zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Crashes", za0004)
+			return
+		}
+		if zb0008 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0008}
+			return
+		}
+		var zb0009 uint32
+		zb0009, bts, err = msgp.ReadBytesHeader(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Crashes", za0004, "Fingerprint")
+			return
+		}
+		if zb0009 > zb417a25dlimitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		if z.Crashes[za0004].Fingerprint == nil || uint32(cap(z.Crashes[za0004].Fingerprint)) < zb0009 {
+			z.Crashes[za0004].Fingerprint = make([]byte, zb0009)
+		} else {
+			z.Crashes[za0004].Fingerprint = z.Crashes[za0004].Fingerprint[:zb0009]
+		}
+		if uint32(len(bts)) < zb0009 {
+			err = msgp.ErrShortBytes
+			return
+		}
+		copy(z.Crashes[za0004].Fingerprint, bts[:zb0009])
+		bts = bts[zb0009:]
+		z.Crashes[za0004].Crashes, bts, err = msgp.ReadInt32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Crashes", za0004, "Crashes")
+			return
+		}
+	}
+	var zb0010 uint32
+	zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "VMs")
+		return
+	}
+	if zb0010 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.VMs) >= int(zb0010) {
+		z.VMs = (z.VMs)[:zb0010]
+	} else {
+		z.VMs = make([]VMRow, zb0010)
+	}
+	for za0005 := range z.VMs {
+		bts, err = z.VMs[za0005].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "VMs", za0005)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Presence) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Address) + msgp.StringPrefixSize + len(z.CallerAddress) + msgp.Uint8Size + msgp.Int32Size + msgp.Uint64Size + msgp.ArrayHeaderSize
+	for za0001 := range z.Costs {
+		s += 1 + msgp.StringPrefixSize + len(z.Costs[za0001].Service) + msgp.Int32Size
+	}
+	s += msgp.ArrayHeaderSize
+	for za0002 := range z.Uses {
+		s += z.Uses[za0002].Msgsize()
+	}
+	s += msgp.ArrayHeaderSize
+	for za0003 := range z.Spent {
+		s += 1 + msgp.StringPrefixSize + len(z.Spent[za0003].Workspace) + msgp.Int64Size
+	}
+	s += msgp.ArrayHeaderSize
+	for za0004 := range z.Crashes {
+		s += 1 + msgp.BytesPrefixSize + len(z.Crashes[za0004].Fingerprint) + msgp.Int32Size
+	}
+	s += msgp.ArrayHeaderSize
+	for za0005 := range z.VMs {
+		s += z.VMs[za0005].Msgsize()
+	}
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *ServiceCost) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Service, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	z.CostMillis, err = dc.ReadInt32()
+	if err != nil {
+		err = msgp.WrapError(err, "CostMillis")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z ServiceCost) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	err = en.WriteInt32(z.CostMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "CostMillis")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ServiceCost) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Service)
+	o = msgp.AppendInt32(o, z.CostMillis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ServiceCost) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	z.CostMillis, bts, err = msgp.ReadInt32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "CostMillis")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ServiceCost) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.Int32Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *SlotView) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+		return
+	}
+	z.Slot, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Slot")
+		return
+	}
+	z.Incarnation, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Incarnation")
+		return
+	}
+	z.StartedAtUnixMilli, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "StartedAtUnixMilli")
+		return
+	}
+	z.AgeMillis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	z.Leaving, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Leaving")
+		return
+	}
+	z.Ready, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Ready")
+		return
+	}
+	z.Queue, err = dc.ReadInt32()
+	if err != nil {
+		err = msgp.WrapError(err, "Queue")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *SlotView) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 7
+	err = en.Append(0x97)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Slot)
+	if err != nil {
+		err = msgp.WrapError(err, "Slot")
+		return
+	}
+	err = en.WriteUint64(z.Incarnation)
+	if err != nil {
+		err = msgp.WrapError(err, "Incarnation")
+		return
+	}
+	err = en.WriteInt64(z.StartedAtUnixMilli)
+	if err != nil {
+		err = msgp.WrapError(err, "StartedAtUnixMilli")
+		return
+	}
+	err = en.WriteInt64(z.AgeMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	err = en.WriteBool(z.Leaving)
+	if err != nil {
+		err = msgp.WrapError(err, "Leaving")
+		return
+	}
+	err = en.WriteBool(z.Ready)
+	if err != nil {
+		err = msgp.WrapError(err, "Ready")
+		return
+	}
+	err = en.WriteInt32(z.Queue)
+	if err != nil {
+		err = msgp.WrapError(err, "Queue")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *SlotView) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 7
+	o = append(o, 0x97)
+	o = msgp.AppendString(o, z.Slot)
+	o = msgp.AppendUint64(o, z.Incarnation)
+	o = msgp.AppendInt64(o, z.StartedAtUnixMilli)
+	o = msgp.AppendInt64(o, z.AgeMillis)
+	o = msgp.AppendBool(o, z.Leaving)
+	o = msgp.AppendBool(o, z.Ready)
+	o = msgp.AppendInt32(o, z.Queue)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *SlotView) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
 		return
 	}
 	if zb0001 != 7 {
@@ -4278,86 +5322,280 @@
 		err = msgp.WrapError(err, "Model")
 		return
 	}
-	err = en.WriteString(z.Version)
+	err = en.WriteString(z.Version)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Adapters)))
+	if err != nil {
+		err = msgp.WrapError(err, "Adapters")
+		return
+	}
+	for za0001 := range z.Adapters {
+		err = en.WriteString(z.Adapters[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "Adapters", za0001)
+			return
+		}
+	}
+	err = en.WriteString(z.Role)
+	if err != nil {
+		err = msgp.WrapError(err, "Role")
+		return
+	}
+	err = en.WriteBool(z.Loading)
+	if err != nil {
+		err = msgp.WrapError(err, "Loading")
+		return
+	}
+	err = en.WriteUint64(z.Fencing)
+	if err != nil {
+		err = msgp.WrapError(err, "Fencing")
+		return
+	}
+	err = en.WriteBool(z.FencingRead)
+	if err != nil {
+		err = msgp.WrapError(err, "FencingRead")
+		return
+	}
+	err = en.WriteInt64(z.StateAgeMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "StateAgeMillis")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *UpstreamLoad) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 14
+	o = append(o, 0x9e)
+	o = msgp.AppendString(o, z.Upstream)
+	o = msgp.AppendInt32(o, z.Running)
+	o = msgp.AppendInt32(o, z.Waiting)
+	o = msgp.AppendInt64(o, z.AgeMillis)
+	o = msgp.AppendInt64(o, z.CachedTokens)
+	o = msgp.AppendBool(o, z.Down)
+	o = msgp.AppendString(o, z.Model)
+	o = msgp.AppendString(o, z.Version)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Adapters)))
+	for za0001 := range z.Adapters {
+		o = msgp.AppendString(o, z.Adapters[za0001])
+	}
+	o = msgp.AppendString(o, z.Role)
+	o = msgp.AppendBool(o, z.Loading)
+	o = msgp.AppendUint64(o, z.Fencing)
+	o = msgp.AppendBool(o, z.FencingRead)
+	o = msgp.AppendInt64(o, z.StateAgeMillis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *UpstreamLoad) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 14 {
+		err = msgp.ArrayError{Wanted: 14, Got: zb0001}
+		return
+	}
+	z.Upstream, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Upstream")
+		return
+	}
+	z.Running, bts, err = msgp.ReadInt32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Running")
+		return
+	}
+	z.Waiting, bts, err = msgp.ReadInt32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Waiting")
+		return
+	}
+	z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	z.CachedTokens, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "CachedTokens")
+		return
+	}
+	z.Down, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Down")
+		return
+	}
+	z.Model, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Model")
+		return
+	}
+	z.Version, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Adapters")
+		return
+	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Adapters) >= int(zb0002) {
+		z.Adapters = (z.Adapters)[:zb0002]
+	} else {
+		z.Adapters = make([]string, zb0002)
+	}
+	for za0001 := range z.Adapters {
+		z.Adapters[za0001], bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Adapters", za0001)
+			return
+		}
+	}
+	z.Role, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Role")
+		return
+	}
+	z.Loading, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Loading")
+		return
+	}
+	z.Fencing, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Fencing")
+		return
+	}
+	z.FencingRead, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "FencingRead")
+		return
+	}
+	z.StateAgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "StateAgeMillis")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *UpstreamLoad) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Upstream) + msgp.Int32Size + msgp.Int32Size + msgp.Int64Size + msgp.Int64Size + msgp.BoolSize + msgp.StringPrefixSize + len(z.Model) + msgp.StringPrefixSize + len(z.Version) + msgp.ArrayHeaderSize
+	for za0001 := range z.Adapters {
+		s += msgp.StringPrefixSize + len(z.Adapters[za0001])
+	}
+	s += msgp.StringPrefixSize + len(z.Role) + msgp.BoolSize + msgp.Uint64Size + msgp.BoolSize + msgp.Int64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *UpstreamUse) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Upstream, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Upstream")
+		return
+	}
+	z.Running, err = dc.ReadInt32()
 	if err != nil {
-		err = msgp.WrapError(err, "Version")
+		err = msgp.WrapError(err, "Running")
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Adapters)))
+	z.Prefill, err = dc.ReadInt64()
 	if err != nil {
-		err = msgp.WrapError(err, "Adapters")
+		err = msgp.WrapError(err, "Prefill")
 		return
 	}
-	for za0001 := range z.Adapters {
-		err = en.WriteString(z.Adapters[za0001])
-		if err != nil {
-			err = msgp.WrapError(err, "Adapters", za0001)
-			return
-		}
+	z.Held, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "Held")
+		return
 	}
-	err = en.WriteString(z.Role)
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *UpstreamUse) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
-		err = msgp.WrapError(err, "Role")
 		return
 	}
-	err = en.WriteBool(z.Loading)
+	err = en.WriteString(z.Upstream)
 	if err != nil {
-		err = msgp.WrapError(err, "Loading")
+		err = msgp.WrapError(err, "Upstream")
 		return
 	}
-	err = en.WriteUint64(z.Fencing)
+	err = en.WriteInt32(z.Running)
 	if err != nil {
-		err = msgp.WrapError(err, "Fencing")
+		err = msgp.WrapError(err, "Running")
 		return
 	}
-	err = en.WriteBool(z.FencingRead)
+	err = en.WriteInt64(z.Prefill)
 	if err != nil {
-		err = msgp.WrapError(err, "FencingRead")
+		err = msgp.WrapError(err, "Prefill")
 		return
 	}
-	err = en.WriteInt64(z.StateAgeMillis)
+	err = en.WriteInt64(z.Held)
 	if err != nil {
-		err = msgp.WrapError(err, "StateAgeMillis")
+		err = msgp.WrapError(err, "Held")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *UpstreamLoad) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *UpstreamUse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 14
-	o = append(o, 0x9e)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendString(o, z.Upstream)
 	o = msgp.AppendInt32(o, z.Running)
-	o = msgp.AppendInt32(o, z.Waiting)
-	o = msgp.AppendInt64(o, z.AgeMillis)
-	o = msgp.AppendInt64(o, z.CachedTokens)
-	o = msgp.AppendBool(o, z.Down)
-	o = msgp.AppendString(o, z.Model)
-	o = msgp.AppendString(o, z.Version)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Adapters)))
-	for za0001 := range z.Adapters {
-		o = msgp.AppendString(o, z.Adapters[za0001])
-	}
-	o = msgp.AppendString(o, z.Role)
-	o = msgp.AppendBool(o, z.Loading)
-	o = msgp.AppendUint64(o, z.Fencing)
-	o = msgp.AppendBool(o, z.FencingRead)
-	o = msgp.AppendInt64(o, z.StateAgeMillis)
+	o = msgp.AppendInt64(o, z.Prefill)
+	o = msgp.AppendInt64(o, z.Held)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *UpstreamLoad) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *UpstreamUse) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var zb0001 uint32
 	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 14 {
-		err = msgp.ArrayError{Wanted: 14, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Upstream, bts, err = msgp.ReadStringBytes(bts)
@@ -4370,81 +5608,137 @@
 		err = msgp.WrapError(err, "Running")
 		return
 	}
-	z.Waiting, bts, err = msgp.ReadInt32Bytes(bts)
+	z.Prefill, bts, err = msgp.ReadInt64Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Waiting")
+		err = msgp.WrapError(err, "Prefill")
 		return
 	}
-	z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	z.Held, bts, err = msgp.ReadInt64Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
+		err = msgp.WrapError(err, "Held")
 		return
 	}
-	z.CachedTokens, bts, err = msgp.ReadInt64Bytes(bts)
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *UpstreamUse) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Upstream) + msgp.Int32Size + msgp.Int64Size + msgp.Int64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *VMRow) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
 	if err != nil {
-		err = msgp.WrapError(err, "CachedTokens")
+		err = msgp.WrapError(err)
 		return
 	}
-	z.Down, bts, err = msgp.ReadBoolBytes(bts)
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Slot, err = dc.ReadString()
 	if err != nil {
-		err = msgp.WrapError(err, "Down")
+		err = msgp.WrapError(err, "Slot")
 		return
 	}
-	z.Model, bts, err = msgp.ReadStringBytes(bts)
+	z.Region, err = dc.ReadString()
 	if err != nil {
-		err = msgp.WrapError(err, "Model")
+		err = msgp.WrapError(err, "Region")
 		return
 	}
-	z.Version, bts, err = msgp.ReadStringBytes(bts)
+	z.Address, err = dc.ReadString()
 	if err != nil {
-		err = msgp.WrapError(err, "Version")
+		err = msgp.WrapError(err, "Address")
 		return
 	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	z.AgeMillis, err = dc.ReadInt64()
 	if err != nil {
-		err = msgp.WrapError(err, "Adapters")
+		err = msgp.WrapError(err, "AgeMillis")
 		return
 	}
-	if zb0002 > zb417a25dlimitArrays {
-		err = msgp.ErrLimitExceeded
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *VMRow) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
+	if err != nil {
 		return
 	}
-	if cap(z.Adapters) >= int(zb0002) {
-		z.Adapters = (z.Adapters)[:zb0002]
-	} else {
-		z.Adapters = make([]string, zb0002)
+	err = en.WriteString(z.Slot)
+	if err != nil {
+		err = msgp.WrapError(err, "Slot")
+		return
 	}
-	for za0001 := range z.Adapters {
-		z.Adapters[za0001], bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Adapters", za0001)
-			return
-		}
+	err = en.WriteString(z.Region)
+	if err != nil {
+		err = msgp.WrapError(err, "Region")
+		return
 	}
-	z.Role, bts, err = msgp.ReadStringBytes(bts)
+	err = en.WriteString(z.Address)
 	if err != nil {
-		err = msgp.WrapError(err, "Role")
+		err = msgp.WrapError(err, "Address")
 		return
 	}
-	z.Loading, bts, err = msgp.ReadBoolBytes(bts)
+	err = en.WriteInt64(z.AgeMillis)
 	if err != nil {
-		err = msgp.WrapError(err, "Loading")
+		err = msgp.WrapError(err, "AgeMillis")
 		return
 	}
-	z.Fencing, bts, err = msgp.ReadUint64Bytes(bts)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *VMRow) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendString(o, z.Slot)
+	o = msgp.AppendString(o, z.Region)
+	o = msgp.AppendString(o, z.Address)
+	o = msgp.AppendInt64(o, z.AgeMillis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *VMRow) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Fencing")
+		err = msgp.WrapError(err)
 		return
 	}
-	z.FencingRead, bts, err = msgp.ReadBoolBytes(bts)
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Slot, bts, err = msgp.ReadStringBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "FencingRead")
+		err = msgp.WrapError(err, "Slot")
 		return
 	}
-	z.StateAgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	z.Region, bts, err = msgp.ReadStringBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "StateAgeMillis")
+		err = msgp.WrapError(err, "Region")
+		return
+	}
+	z.Address, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
 		return
 	}
 	o = bts
@@ -4452,12 +5746,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *UpstreamLoad) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Upstream) + msgp.Int32Size + msgp.Int32Size + msgp.Int64Size + msgp.Int64Size + msgp.BoolSize + msgp.StringPrefixSize + len(z.Model) + msgp.StringPrefixSize + len(z.Version) + msgp.ArrayHeaderSize
-	for za0001 := range z.Adapters {
-		s += msgp.StringPrefixSize + len(z.Adapters[za0001])
-	}
-	s += msgp.StringPrefixSize + len(z.Role) + msgp.BoolSize + msgp.Uint64Size + msgp.BoolSize + msgp.Int64Size
+func (z *VMRow) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Slot) + msgp.StringPrefixSize + len(z.Region) + msgp.StringPrefixSize + len(z.Address) + msgp.Int64Size
 	return
 }
 
@@ -4535,3 +5825,94 @@
 	s = 1 + msgp.Int64Size
 	return
 }
+
+// DecodeMsg implements msgp.Decodable
+func (z *WorkspaceSpent) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Workspace, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Workspace")
+		return
+	}
+	z.Amount, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "Amount")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z WorkspaceSpent) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Workspace)
+	if err != nil {
+		err = msgp.WrapError(err, "Workspace")
+		return
+	}
+	err = en.WriteInt64(z.Amount)
+	if err != nil {
+		err = msgp.WrapError(err, "Amount")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z WorkspaceSpent) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Workspace)
+	o = msgp.AppendInt64(o, z.Amount)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *WorkspaceSpent) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Workspace, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Workspace")
+		return
+	}
+	z.Amount, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Amount")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z WorkspaceSpent) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Workspace) + msgp.Int64Size
+	return
+}
