Count runs over all VMs, share cold bounds from the start, and name home regions in the directory

A VM that a request was passed on to did not know of the runs before, so a request ran on three upstreams where two are allowed. A VM that starts took half of a cold upstream's bound once it had met one of two others. While the VMs of a region are replaced in turn, all of them can leave at once; the directory then named VMs of any region, also of those that no route of the host may use.

Change: Open and End carry the number of runs; a VM assumes four sharers for its first 15 s; the directory names leaving VMs that still accept, then the regions that may run most homed routes of the host. A leaving VM ends when its requests have, 2.8 s after SIGTERM at the earliest.

--- a/edge/admit.go
+++ b/edge/admit.go
@@ -10,9 +10,9 @@
 	"parsleyhatch/route"
 )
 
-// leaveAccept is the time after SIGTERM during which new requests are still served: callers keep an
+// LeaveAccept is the time after SIGTERM during which new requests are still served: callers keep an
 // earlier answer of the directory for a while.
-const leaveAccept = 2500 * time.Millisecond
+const LeaveAccept = 2500 * time.Millisecond
 
 // admit finds out what a request is and whether it may run, and reads its body.
 func (e *Edge) admit(w http.ResponseWriter, h *http.Request, r *request) (Outcome, bool) {
@@ -21,7 +21,7 @@
 	if t == nil {
 		return refuse(NoConfiguration, "no configuration is known yet", refusalPause), false
 	}
-	if leaving, since := e.isLeaving(now); leaving && since > leaveAccept {
+	if leaving, since := e.isLeaving(now); leaving && since > LeaveAccept {
 		return refuse(Leaving, "this vm stops", 100*time.Millisecond), false
 	}
 	if key := h.Header.Get(platform.HeaderKey); key != "" {
--- a/edge/directory.go
+++ b/edge/directory.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"time"
 
+	"parsleyhatch/event"
 	"parsleyhatch/fleet"
 )
 
@@ -24,7 +26,8 @@
 // serveDirectory answers at once from what this VM knows.
 func (e *Edge) serveDirectory(w http.ResponseWriter, h *http.Request) {
 	now := e.Now()
-	addresses := e.Addresses(now, h.URL.Query().Get("region"))
+	query := h.URL.Query()
+	addresses := e.Addresses(now, query.Get("region"), query.Get("name"))
 	if len(addresses) == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -40,18 +43,16 @@
 	_, _ = w.Write(body)
 }
 
-// Addresses returns the VMs of a caller's region that take callers, or those of all regions if there are
-// none. A VM in the caller's region may pass every request on to any home.
-func (e *Edge) Addresses(now time.Time, region string) []string {
+// Addresses returns the VMs of a caller's region that take callers, or those that leave and still do. If
+// there are none, it returns those of the regions that may run most routes of the host.
+func (e *Edge) Addresses(now time.Time, region, host string) []string {
 	list := e.addressesIn(now, region)
-	if len(list) > 0 {
-		return list
+	if len(list) == 0 {
+		list = e.leavingIn(now, region)
 	}
-	for _, other := range e.Fleet.Regions(now) {
-		list = append(list, e.callers(e.Fleet.Ready(now, other))...)
-	}
-	if e.Ready(now) {
-		list = append(list, e.Settings.CallerListen)
+	if len(list) == 0 {
+		event.NamedElsewhere.Log(e.Log, "region", region, "host", host)
+		list = e.addressesElsewhere(now, host)
 	}
 	return list[:min(len(list), maxAddresses)]
 }
@@ -61,7 +62,38 @@
 	if region == e.Settings.Region && e.Ready(now) {
 		list = append(list, e.Settings.CallerListen)
 	}
-	return list[:min(len(list), maxAddresses)]
+	return list
+}
+
+func (e *Edge) leavingIn(now time.Time, region string) []string {
+	list := e.callers(e.Fleet.Leaving(now, region))
+	if leaving, _ := e.isLeaving(now); leaving && region == e.Settings.Region && e.accepts(now) {
+		list = append(list, e.Settings.CallerListen)
+	}
+	return list
+}
+
+// addressesElsewhere returns the VMs of the regions that may run most routes of the host.
+func (e *Edge) addressesElsewhere(now time.Time, host string) []string {
+	regions := e.Fleet.Regions(now)
+	if e.Ready(now) && !slices.Contains(regions, e.Settings.Region) {
+		regions = append(regions, e.Settings.Region)
+	}
+	t := e.table()
+	if t == nil {
+		return nil
+	}
+	most := 0
+	for _, region := range regions {
+		most = max(most, t.Homed(host, region))
+	}
+	var list []string
+	for _, region := range regions {
+		if t.Homed(host, region) == most {
+			list = append(list, e.addressesIn(now, region)...)
+		}
+	}
+	return list
 }
 
 func (e *Edge) callers(members []fleet.Member) []string {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -36,12 +36,11 @@
 	Poison   *poison.Table
 	Metrics  *metrics.Metrics
 
-	hasher *poison.Hasher
-	open   atomic.Int64
+	started time.Time
+	hasher  *poison.Hasher
+	open    atomic.Int64
 	// leaving is the time of SIGTERM in nanoseconds since boot, zero before.
 	leaving atomic.Int64
-	// useful says that the VM has been ready once.
-	useful atomic.Bool
 }
 
 // keyAge is the share of the revocation bound within which knowledge of keys must be current. The rest
@@ -72,10 +71,16 @@
 	e.Fleet.Announce()
 }
 
-// Ready reports whether the VM can serve callers.
+// Ready reports whether the VM can serve callers and does not leave.
 func (e *Edge) Ready(now time.Time) bool {
 	leaving, _ := e.isLeaving(now)
-	return !leaving && e.table() != nil && e.Source.UpstreamsKnown()
+	return !leaving && e.accepts(now)
+}
+
+// accepts reports whether the VM takes new requests.
+func (e *Edge) accepts(now time.Time) bool {
+	leaving, since := e.isLeaving(now)
+	return e.table() != nil && e.Source.UpstreamsKnown() && !(leaving && since > LeaveAccept)
 }
 
 // Open returns the number of open requests.
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -56,7 +56,7 @@
 		RequestID: r.id, OriginSlot: e.Settings.Name, OriginRegion: e.Settings.Region,
 		Route: r.route.Name, Hops: 1, Method: r.method, Path: r.target, Header: header,
 		RemainingMillis: r.left(time.Now()).Milliseconds(), BodyBytes: int64(len(r.body)),
-		ResumeFrom: int64(r.runs),
+		Runs: int32(r.runs),
 	}
 	if t := e.table(); t != nil {
 		open.ConfigNumber = t.Config.Version
@@ -128,9 +128,7 @@
 		out.Ran = MayHaveRun
 	}
 	out.Whole = out.Reason == Answered
-	if out.Ran != NotRun {
-		r.runs++
-	}
+	r.runs = max(r.runs, int(end.Runs))
 	return out
 }
 
--- a/edge/new.go
+++ b/edge/new.go
@@ -41,7 +41,7 @@
 		return nil, fmt.Errorf("start: %w", err)
 	}
 	e := &Edge{
-		Settings: s, Log: log, Now: clock.Now,
+		Settings: s, Log: log, Now: clock.Now, started: now,
 		Replicas: replica.New(),
 		Pool:     upstream.NewPool(clock.Now),
 		Quota:    quota.New(now),
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -47,7 +47,7 @@
 	now := time.Now()
 	r := &request{
 		id: open.RequestID, method: open.Method, target: open.Path, host: open.Header[hostHeader],
-		arrived: now, forwarded: true,
+		arrived: now, forwarded: true, runs: int(open.Runs),
 	}
 	delete(open.Header, hostHeader)
 	r.header = splitHeader(open.Header)
@@ -65,7 +65,7 @@
 	if t == nil || t.Config.Version < open.ConfigNumber {
 		return refuse(NoConfiguration, "the configuration of this vm is older than that of the first", refusalPause), false
 	}
-	if leaving, since := e.isLeaving(now); leaving && since > leaveAccept {
+	if leaving, since := e.isLeaving(now); leaving && since > LeaveAccept {
 		return refuse(Leaving, "this vm stops", refusalPause), false
 	}
 	target, err := url.ParseRequestURI(r.target)
@@ -149,6 +149,7 @@
 	end := &vmwire.End{
 		Code: string(out.Reason), Message: out.Detail, Ran: out.Ran.String(), Status: int32(out.Status),
 		RetryAfterMillis: out.RetryAfter.Milliseconds(), Upstream: r.place,
+		Runs: int32(r.runs),
 	}
 	if err := st.SendEnd(ctx, end); err != nil {
 		st.Reset()
@@ -157,7 +158,7 @@
 
 // Describe fills in what this VM shares with the others.
 func (e *Edge) Describe(now time.Time, p *vmwire.Presence, sameRegion bool) {
-	if e.Ready(now) {
+	if e.accepts(now) {
 		p.Flags |= vmwire.FlagReady
 	}
 	if leaving, _ := e.isLeaving(now); leaving {
@@ -206,18 +207,22 @@
 	e.Replicas.SetVMs(e.sharers(now))
 }
 
-// sharers returns the number of VMs that share the bounds of an upstream. Until a VM has heard from others
-// it assumes that there are some.
+// sharers returns the number of VMs that share the bounds of an upstream. A VM that has just started has not
+// heard of all of them yet.
 func (e *Edge) sharers(now time.Time) int {
 	n := e.Fleet.Sharers(now)
-	if n == 1 && !e.Fleet.Heard(now) {
-		return unknownSharers
+	if now.Sub(e.started) < meetingTime {
+		return max(n, unknownSharers)
 	}
 	return n
 }
 
-// unknownSharers is the number of VMs of a region that is assumed before any was heard of.
-const unknownSharers = 4
+const (
+	// meetingTime is the time in which a VM that starts hears of all others.
+	meetingTime = 15 * time.Second
+	// unknownSharers is the number of VMs of a region that is assumed up to then.
+	unknownSharers = 4
+)
 
 // Control handles messages of other VMs.
 func (e *Edge) Control(s *vm.Session, f vmwire.Frame) {
--- a/event/edge.go
+++ b/event/edge.go
@@ -15,11 +15,12 @@
 
 // Events of requests at the edge.
 var (
-	EdgeDone      = New(1911, slog.LevelInfo, "request answered", "none")
-	EdgeRefused   = New(1912, slog.LevelInfo, "request refused before it ran", "See the page on operations for the reason.")
-	EdgeFailed    = New(1913, slog.LevelWarn, "request failed", "See the page on operations for the reason.")
-	EdgeRetried   = New(1914, slog.LevelInfo, "request sent again", "none")
-	LinesDropped  = New(1915, slog.LevelWarn, "log lines dropped", "None; the metrics count all requests.")
-	SettingsRead  = New(1916, slog.LevelInfo, "settings read again", "none")
-	ListenerEnded = New(1917, slog.LevelError, "listener ended", "Check the address and the descriptors of the process.")
+	EdgeDone       = New(1911, slog.LevelInfo, "request answered", "none")
+	EdgeRefused    = New(1912, slog.LevelInfo, "request refused before it ran", "See the page on operations for the reason.")
+	EdgeFailed     = New(1913, slog.LevelWarn, "request failed", "See the page on operations for the reason.")
+	EdgeRetried    = New(1914, slog.LevelInfo, "request sent again", "none")
+	LinesDropped   = New(1915, slog.LevelWarn, "log lines dropped", "None; the metrics count all requests.")
+	NamedElsewhere = New(1918, slog.LevelInfo, "directory names vms of another region", "Check the VMs of the caller's region if it goes on.")
+	SettingsRead   = New(1916, slog.LevelInfo, "settings read again", "none")
+	ListenerEnded  = New(1917, slog.LevelError, "listener ended", "Check the address and the descriptors of the process.")
 )
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -14,11 +14,20 @@
 
 // Ready returns the VMs of a region that take callers, in the order of their names.
 func (f *Fleet) Ready(now time.Time, region string) []Member {
+	return f.accepting(now, region, false)
+}
+
+// Leaving returns the VMs of a region that still take callers, though they leave.
+func (f *Fleet) Leaving(now time.Time, region string) []Member {
+	return f.accepting(now, region, true)
+}
+
+func (f *Fleet) accepting(now time.Time, region string, leaving bool) []Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var list []Member
 	for _, m := range f.members {
-		if m.Region == region && m.Ready && !m.Leaving && m.Alive(now) {
+		if m.Region == region && m.Ready && m.Leaving == leaving && m.Alive(now) {
 			list = append(list, *m)
 		}
 	}
--- a/operator/vm.go
+++ b/operator/vm.go
@@ -29,9 +29,9 @@
 	stopMargin = 700 * time.Millisecond
 	// stopPoll is the period at which a leaving VM checks whether its requests have ended.
 	stopPoll = 50 * time.Millisecond
-	// leaveTime is the shortest time for which a leaving VM still answers: callers use an answer of the
-	// directory for up to three times its validity.
-	leaveTime = 6 * time.Second
+	// leaveTime is the shortest time for which a leaving VM still answers, so that callers have asked the
+	// directory again. A longer one would leave a region without VMs while they are replaced in turn.
+	leaveTime = edge.LeaveAccept + 300*time.Millisecond
 )
 
 var vmCommand = command{
--- a/route/table.go
+++ b/route/table.go
@@ -118,3 +118,14 @@
 	}
 	return r.Priority
 }
+
+// Homed returns the number of routes of a host that only some regions may run, and this one may.
+func (t *Table) Homed(host, region string) int {
+	n := 0
+	for _, r := range t.byHost[strings.ToLower(host)] {
+		if slices.Contains(r.Homes, region) {
+			n++
+		}
+	}
+	return n
+}
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -91,6 +91,8 @@
 	RemainingMillis int64
 	IdempotencyKey  string
 	BodyBytes       int64
+	// Runs is the number of upstreams that may have run the request before.
+	Runs int32
 }
 
 // Chunk is a piece of an answer, carried in a Data frame from the running VM.
@@ -116,6 +118,8 @@
 	PromptTokens     int64
 	AnswerTokens     int64
 	Upstream         string
+	// Runs is the number of upstreams that may have run the request by now.
+	Runs int32
 }
 
 // Window lets the sender of a stream send more bytes.
--- a/vmwire/schema_gen.go
+++ b/vmwire/schema_gen.go
@@ -933,8 +933,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
 	}
 	z.Code, err = dc.ReadString()
@@ -977,13 +977,18 @@
 		err = msgp.WrapError(err, "Upstream")
 		return
 	}
+	z.Runs, err = dc.ReadInt32()
+	if err != nil {
+		err = msgp.WrapError(err, "Runs")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *End) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 8
-	err = en.Append(0x98)
+	// array header, size 9
+	err = en.Append(0x99)
 	if err != nil {
 		return
 	}
@@ -1027,14 +1032,19 @@
 		err = msgp.WrapError(err, "Upstream")
 		return
 	}
+	err = en.WriteInt32(z.Runs)
+	if err != nil {
+		err = msgp.WrapError(err, "Runs")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *End) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 8
-	o = append(o, 0x98)
+	// array header, size 9
+	o = append(o, 0x99)
 	o = msgp.AppendString(o, z.Code)
 	o = msgp.AppendString(o, z.Message)
 	o = msgp.AppendString(o, z.Ran)
@@ -1043,6 +1053,7 @@
 	o = msgp.AppendInt64(o, z.PromptTokens)
 	o = msgp.AppendInt64(o, z.AnswerTokens)
 	o = msgp.AppendString(o, z.Upstream)
+	o = msgp.AppendInt32(o, z.Runs)
 	return
 }
 
@@ -1054,8 +1065,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
 	}
 	z.Code, bts, err = msgp.ReadStringBytes(bts)
@@ -1098,13 +1109,18 @@
 		err = msgp.WrapError(err, "Upstream")
 		return
 	}
+	z.Runs, bts, err = msgp.ReadInt32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Runs")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *End) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Code) + msgp.StringPrefixSize + len(z.Message) + msgp.StringPrefixSize + len(z.Ran) + msgp.Int32Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.StringPrefixSize + len(z.Upstream)
+	s = 1 + msgp.StringPrefixSize + len(z.Code) + msgp.StringPrefixSize + len(z.Message) + msgp.StringPrefixSize + len(z.Ran) + msgp.Int32Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.StringPrefixSize + len(z.Upstream) + msgp.Int32Size
 	return
 }
 
@@ -2902,8 +2918,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 18 {
-		err = msgp.ArrayError{Wanted: 18, Got: zb0001}
+	if zb0001 != 19 {
+		err = msgp.ArrayError{Wanted: 19, Got: zb0001}
 		return
 	}
 	z.RequestID, err = dc.ReadString()
@@ -3024,13 +3040,18 @@
 		err = msgp.WrapError(err, "BodyBytes")
 		return
 	}
+	z.Runs, err = dc.ReadInt32()
+	if err != nil {
+		err = msgp.WrapError(err, "Runs")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Open) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 18
-	err = en.Append(0xdc, 0x0, 0x12)
+	// array header, size 19
+	err = en.Append(0xdc, 0x0, 0x13)
 	if err != nil {
 		return
 	}
@@ -3136,14 +3157,19 @@
 		err = msgp.WrapError(err, "BodyBytes")
 		return
 	}
+	err = en.WriteInt32(z.Runs)
+	if err != nil {
+		err = msgp.WrapError(err, "Runs")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Open) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 18
-	o = append(o, 0xdc, 0x0, 0x12)
+	// array header, size 19
+	o = append(o, 0xdc, 0x0, 0x13)
 	o = msgp.AppendString(o, z.RequestID)
 	o = msgp.AppendString(o, z.OriginSlot)
 	o = msgp.AppendString(o, z.OriginRegion)
@@ -3166,6 +3192,7 @@
 	o = msgp.AppendInt64(o, z.RemainingMillis)
 	o = msgp.AppendString(o, z.IdempotencyKey)
 	o = msgp.AppendInt64(o, z.BodyBytes)
+	o = msgp.AppendInt32(o, z.Runs)
 	return
 }
 
@@ -3177,8 +3204,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 18 {
-		err = msgp.ArrayError{Wanted: 18, Got: zb0001}
+	if zb0001 != 19 {
+		err = msgp.ArrayError{Wanted: 19, Got: zb0001}
 		return
 	}
 	z.RequestID, bts, err = msgp.ReadStringBytes(bts)
@@ -3299,6 +3326,11 @@
 		err = msgp.WrapError(err, "BodyBytes")
 		return
 	}
+	z.Runs, bts, err = msgp.ReadInt32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Runs")
+		return
+	}
 	o = bts
 	return
 }
@@ -3312,7 +3344,7 @@
 			s += msgp.StringPrefixSize + len(za0001) + msgp.StringPrefixSize + len(za0002)
 		}
 	}
-	s += msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.StringPrefixSize + len(z.IdempotencyKey) + msgp.Int64Size
+	s += msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.StringPrefixSize + len(z.IdempotencyKey) + msgp.Int64Size + msgp.Int32Size
 	return
 }
 
