--- /dev/null
+++ b/edge/edge_test.go
@@ -0,0 +1,359 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"parsleyhatch/platform"
+)
+
+// Guards against a key that reaches an upstream, and against headers that only the system may set.
+func TestAnswersWhole(t *testing.T) {
+	w := newWorld(t, "north")
+	w.config(1, routeText("a", "safe", "plain", ""))
+	u := w.upstream("u1", "plain", "north", nil)
+	v := w.vm("vm1", "north", true)
+	status, body, header := v.call(t, "/a/x?q=1", "hello", callHeader{"Kv-From": "10.0.0.1:1/x", "Tenant": "other"})
+	if status != http.StatusOK || body != "u1 answers hello" || header.Get(platform.HeaderStamp) != "stamp-u1" {
+		t.Errorf("answer %d %q %v", status, body, header)
+	}
+	got := u.last()
+	if got.RequestURI != "/a/x?q=1" || got.Host != "h" || got.Header.Get(platform.HeaderTarget) != "u1" {
+		t.Errorf("upstream got %s of %s for %s", got.RequestURI, got.Host, got.Header.Get(platform.HeaderTarget))
+	}
+	if got.Header.Get(platform.HeaderKey) != "" || got.Header.Get("Kv-From") != "" || got.Header.Get(platform.HeaderWorkspace) != "w1" {
+		t.Errorf("upstream got headers %v", got.Header)
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	w := newWorld(t, "north")
+	v := w.vm("vm1", "north", false)
+	if status, _, _ := v.call(t, "/a/", "", nil); status != http.StatusServiceUnavailable {
+		t.Errorf("without a configuration: %d", status)
+	}
+	w.config(1, routeText("a", "safe", "plain", ""))
+	w.until("the vm is ready", func() bool { return v.Ready(v.Now()) })
+	for _, c := range []struct {
+		path string
+		key  string
+		want int
+	}{
+		{"/a/", "wrong", http.StatusUnauthorized},
+		{"/b/", "secret", http.StatusNotFound},
+		{"/a/", "secret", http.StatusServiceUnavailable},
+	} {
+		status, body, _ := v.call(t, c.path, "", callHeader{platform.HeaderKey: c.key})
+		if status != c.want || !strings.Contains(body, `"ran":"notRun"`) {
+			t.Errorf("%s with key %s: %d %s, want %d", c.path, c.key, status, body, c.want)
+		}
+	}
+}
+
+// Guards against a second run of a request that must not run twice, and against calling it not run.
+func TestUnsafeIsSentOnce(t *testing.T) {
+	w := newWorld(t, "north")
+	w.config(1, routeText("a", "unsafe", "plain", ""))
+	u1 := w.upstream("u1", "plain", "north", breakOff)
+	u2 := w.upstream("u2", "plain", "north", breakOff)
+	v := w.vm("vm1", "north", true)
+	status, _, _ := v.call(t, "/a/", "pay", nil)
+	if status != http.StatusBadGateway || u1.count()+u2.count() != 1 {
+		t.Errorf("status %d, sent %d times", status, u1.count()+u2.count())
+	}
+}
+
+// Guards against giving up on an unsafe request that no upstream has run.
+func TestUnsafeGoesOnAfterRefusal(t *testing.T) {
+	w := newWorld(t, "north")
+	w.config(1, routeText("a", "unsafe", "plain", ""))
+	refuse := func(rw http.ResponseWriter, _ *http.Request) {
+		rw.Header().Set(platform.HeaderNotRun, "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+	}
+	w.upstream("u1", "plain", "north", refuse)
+	v := w.vm("vm1", "north", true)
+	if status, body, _ := v.call(t, "/a/", "pay", nil); status != http.StatusServiceUnavailable || !strings.Contains(body, "notRun") {
+		t.Errorf("refused by the only upstream: %d %s", status, body)
+	}
+	w.upstream("u2", "plain", "north", nil)
+	w.until("u2 answers", func() bool {
+		status, body, _ := v.call(t, "/a/", "pay", nil)
+		return status == http.StatusOK && body == "u2 answers pay"
+	})
+}
+
+// Guards against more runs than the route allows when the second upstream is in another region: the VM
+// there did not know of the first run.
+func TestRunsCountOverAllVMs(t *testing.T) {
+	w := newWorld(t, "north", "south")
+	w.config(1, routeText("a", "safe", "plain", ""))
+	var all []*fakeUpstream
+	for i, region := range []string{"north", "south", "south", "south"} {
+		all = append(all, w.upstream(fmt.Sprintf("u%d", i), "plain", region, breakOff))
+	}
+	v := w.vm("vm1", "north", true)
+	w.vm("vm2", "south", true)
+	w.meet()
+	if status, _, _ := v.call(t, "/a/", "x", nil); status != http.StatusBadGateway {
+		t.Errorf("status %d", status)
+	}
+	runs := 0
+	for _, u := range all {
+		runs += u.count()
+	}
+	if runs != 2 {
+		t.Errorf("the request ran %d times, want 2", runs)
+	}
+}
+
+// Guards against a request that leaves the regions in which it must stay.
+func TestHomesBind(t *testing.T) {
+	w := newWorld(t, "north", "south", "east")
+	w.config(1, routeText("a", "safe", "plain", `,"home_regions":["south"]`))
+	north := w.upstream("u1", "plain", "north", nil)
+	w.upstream("u2", "plain", "south", nil)
+	east := w.upstream("u3", "plain", "east", nil)
+	v := w.vm("vm1", "north", true)
+	w.vm("vm2", "south", true)
+	w.vm("vm3", "east", true)
+	w.meet()
+	for range 10 {
+		if status, body, _ := v.call(t, "/a/", "x", nil); status != http.StatusOK || body != "u2 answers x" {
+			t.Fatalf("answer %d %q", status, body)
+		}
+	}
+	if north.count()+east.count() != 0 {
+		t.Errorf("regions that are no home got %d and %d requests", north.count(), east.count())
+	}
+}
+
+// events writes events from first to last and ends the stream, or breaks off in the middle of the next one.
+func events(rw http.ResponseWriter, first, last int, whole bool) {
+	rw.Header().Set("Content-Type", "text/event-stream")
+	rw.Header().Set(platform.HeaderStamp, fmt.Sprintf("stamp-%d", first))
+	for i := first; i <= last; i++ {
+		fmt.Fprintf(rw, "id: %d\ndata: piece %d\n\n", i, i)
+		rw.(http.Flusher).Flush()
+	}
+	if !whole {
+		fmt.Fprintf(rw, "id: %d\nda", last+1)
+		rw.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// Guards against gaps and repeats when a stream goes on at another upstream, here and in another region.
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	for _, second := range []string{"north", "south"} {
+		t.Run(second, func(t *testing.T) {
+			w := newWorld(t, "north", "south")
+			w.config(1, routeText("a", "streaming", "plain", `,"resumable":true`))
+			w.upstream("u1", "plain", "north", func(rw http.ResponseWriter, _ *http.Request) { events(rw, 1, 3, false) })
+			v := w.vm("vm1", "north", true)
+			w.vm("vm2", "south", true)
+			w.upstream("u2", "plain", second, func(rw http.ResponseWriter, r *http.Request) {
+				if r.Header.Get(platform.HeaderLastEvent) == "3" {
+					events(rw, 4, 5, true)
+					return
+				}
+				events(rw, 1, 3, false)
+			})
+			w.meet()
+			w.until("both upstreams are known", func() bool { return len(v.Source.Capacity("plain")) > 0 && v.knows("plain", 2) })
+			status, body, header := v.call(t, "/a/", "x", nil)
+			want := "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\nid: 5\ndata: piece 5\n\n"
+			if status != http.StatusOK || body != want || header.Get(platform.HeaderStamp) != "stamp-1" {
+				t.Errorf("answer %d %q with stamp %s", status, body, header.Get(platform.HeaderStamp))
+			}
+		})
+	}
+}
+
+// knows reports whether n upstreams of a service are registered in all regions.
+func (v *testVM) knows(service string, n int) bool {
+	slots := 0
+	for _, s := range v.Source.Capacity(service) {
+		slots += s
+	}
+	return slots == 8*n
+}
+
+// Guards against a stream that breaks off and looks complete.
+func TestBrokenStreamIsCut(t *testing.T) {
+	w := newWorld(t, "north")
+	w.config(1, routeText("a", "streaming", "plain", ""))
+	w.upstream("u1", "plain", "north", func(rw http.ResponseWriter, _ *http.Request) { events(rw, 1, 3, false) })
+	v := w.vm("vm1", "north", true)
+	resp, err := http.DefaultClient.Do(v.request(t, "/a/", "x", nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	buf := make([]byte, 4096)
+	for err == nil {
+		_, err = resp.Body.Read(buf)
+	}
+	if err.Error() == "EOF" {
+		t.Error("the broken stream ends like a whole one")
+	}
+}
+
+// Guards against upstreams that work for a caller who has left, here and in another region.
+func TestCallerLeaves(t *testing.T) {
+	for _, region := range []string{"north", "south"} {
+		t.Run(region, func(t *testing.T) {
+			w := newWorld(t, "north", "south")
+			w.config(1, routeText("a", "streaming", "plain", ""))
+			cancelled := make(chan struct{})
+			w.upstream("u1", "plain", region, func(rw http.ResponseWriter, r *http.Request) {
+				rw.WriteHeader(http.StatusOK)
+				rw.(http.Flusher).Flush()
+				<-r.Context().Done()
+				close(cancelled)
+			})
+			v := w.vm("vm1", "north", true)
+			w.vm("vm2", "south", true)
+			w.meet()
+			ctx, leave := context.WithCancel(context.Background())
+			go func() {
+				time.Sleep(100 * time.Millisecond)
+				leave()
+			}()
+			resp, err := http.DefaultClient.Do(v.request(t, "/a/", "x", nil).WithContext(ctx))
+			if err == nil {
+				_ = resp.Body.Close()
+			}
+			select {
+			case <-cancelled:
+			case <-time.After(600 * time.Millisecond):
+				t.Error("the upstream still works half a second later")
+			}
+		})
+	}
+}
+
+// Guards against answers after the route's timeout, and against calling a request not run that was sent.
+func TestTimeout(t *testing.T) {
+	w := newWorld(t, "north")
+	w.config(1, routeText("a", "unsafe", "plain", ""))
+	w.upstream("u1", "plain", "north", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	v := w.vm("vm1", "north", true)
+	started := time.Now()
+	status, _, _ := v.call(t, "/a/", "x", callHeader{platform.HeaderDeadline: "300"})
+	if took := time.Since(started); status != http.StatusGatewayTimeout || took > 700*time.Millisecond {
+		t.Errorf("status %d after %v", status, took)
+	}
+}
+
+// Guards against a withdrawn key that goes on working: at once while the store answers, and after the bound
+// where it does not.
+func TestKeysAreWithdrawn(t *testing.T) {
+	w := newWorld(t, "north")
+	w.revoke = 2 * time.Second
+	w.config(1, routeText("a", "safe", "plain", ""))
+	w.upstream("u1", "plain", "north", nil)
+	v := w.vm("vm1", "north", true)
+	if status, _, _ := v.call(t, "/a/", "x", nil); status != http.StatusOK {
+		t.Fatalf("status %d", status)
+	}
+	w.store.setDown(true)
+	w.until("a vm without the store refuses keys", func() bool {
+		status, _, _ := v.call(t, "/a/", "x", nil)
+		return status == http.StatusServiceUnavailable
+	})
+	w.store.setDown(false)
+	w.store.put(platform.ConfigKey, `{"version":2,"routes":[`+routeText("a", "safe", "plain", "")+`],"services":[{"name":"plain"}],"tenants":[{"name":"w1","api_keys":["new"]}]}`)
+	w.until("the withdrawn key is refused", func() bool {
+		status, _, _ := v.call(t, "/a/", "x", nil)
+		return status == http.StatusUnauthorized
+	})
+}
+
+// Guards against requests to an upstream that leaves or has gone.
+func TestLeavingUpstreamGetsNothing(t *testing.T) {
+	w := newWorld(t, "north")
+	w.config(1, routeText("a", "safe", "plain", ""))
+	u1 := w.upstream("u1", "plain", "north", nil)
+	v := w.vm("vm1", "north", true)
+	w.store.put(platform.UpstreamPrefix+"u1", fmt.Sprintf(
+		`{"service":"plain","address":%q,"zone":"north-a","slots":8,"state":"draining","born":1}`, u1.server.Listener.Addr()))
+	w.until("u1 gets nothing", func() bool {
+		status, _, _ := v.call(t, "/a/", "x", nil)
+		return status == http.StatusServiceUnavailable
+	})
+	before := u1.count()
+	w.store.remove(platform.UpstreamPrefix + "u1")
+	w.upstream("u2", "plain", "north", nil)
+	w.until("u2 answers", func() bool {
+		status, _, _ := v.call(t, "/a/", "x", nil)
+		return status == http.StatusOK
+	})
+	if u1.count() != before {
+		t.Error("the leaving upstream got requests")
+	}
+}
+
+// Guards against a request that crashes one upstream after the other.
+func TestCrashingRequestIsStopped(t *testing.T) {
+	w := newWorld(t, "north")
+	w.config(1, routeText("a", "safe", "plain", ""))
+	var all []*fakeUpstream
+	for i := range 8 {
+		all = append(all, w.upstream(fmt.Sprintf("u%d", i), "plain", "north", breakOff))
+	}
+	v := w.vm("vm1", "north", true)
+	for range 6 {
+		v.call(t, "/a/", "poison", nil)
+	}
+	crashes := 0
+	for _, u := range all {
+		crashes += u.count()
+	}
+	if crashes > 4 {
+		t.Errorf("the request reached %d upstreams", crashes)
+	}
+}
+
+// Guards against callers that are sent to a region in which their requests must not run, while the VMs of
+// their own region are replaced.
+func TestDirectory(t *testing.T) {
+	w := newWorld(t, "north", "south", "east")
+	w.config(1, routeText("a", "safe", "plain", `,"home_regions":["north","south"]`)+","+
+		routeText("b", "safe", "plain", `,"home_regions":["south"]`))
+	v := w.vm("vm1", "north", true)
+	south := w.vm("vm2", "south", true)
+	w.vm("vm3", "east", true)
+	w.meet()
+	check := func(what, region string, want ...string) {
+		t.Helper()
+		if got := v.Addresses(v.Now(), region, "h"); strings.Join(got, " ") != strings.Join(want, " ") {
+			t.Errorf("%s: %v, want %v", what, got, want)
+		}
+	}
+	check("own region", "north", v.Settings.CallerListen)
+	check("region without VMs", "west", south.Settings.CallerListen)
+	south.Leave(south.Now())
+	w.until("the leaving vm is known", func() bool { return len(v.Fleet.Leaving(v.Now(), "south")) == 1 })
+	check("region whose only vm leaves", "south", south.Settings.CallerListen)
+	check("region without VMs while the home leaves", "west", v.Settings.CallerListen)
+}
+
+// Guards against a VM that takes the others' part of a cold upstream's bound before it has met them.
+func TestNewVMAssumesOthers(t *testing.T) {
+	w := newWorld(t, "north")
+	w.config(1, routeText("a", "safe", "plain", ""))
+	v := w.vm("vm1", "north", true)
+	w.vm("vm2", "north", true)
+	w.meet()
+	if n := v.sharers(v.Now()); n != unknownSharers {
+		t.Errorf("%d sharers after meeting one VM, want %d", n, unknownSharers)
+	}
+	if n := v.sharers(v.Now().Add(meetingTime)); n != 2 {
+		t.Errorf("%d sharers later, want 2", n)
+	}
+}
--- /dev/null
+++ b/edge/world_test.go
@@ -0,0 +1,321 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"parsleyhatch/platform"
+)
+
+// world is a platform on loopback: a store, upstreams and VMs.
+type world struct {
+	t       *testing.T
+	store   *fakeStore
+	regions map[string]string
+	seeds   []string
+	// revoke is the bound on withdrawn keys of VMs that start.
+	revoke time.Duration
+	vms    []*testVM
+}
+
+// testVM is a VM of the world.
+type testVM struct {
+	*Edge
+	cancel context.CancelFunc
+}
+
+// fakeStore answers ranges and watches from a map.
+type fakeStore struct {
+	server *httptest.Server
+
+	mu       sync.Mutex
+	revision uint64
+	items    map[string]storeItem
+	changed  chan struct{}
+	// down makes the store refuse all calls.
+	down bool
+}
+
+type storeItem struct {
+	value    string
+	revision uint64
+	deleted  bool
+}
+
+func newWorld(t *testing.T, regions ...string) *world {
+	t.Helper()
+	s := &fakeStore{items: map[string]storeItem{}, changed: make(chan struct{})}
+	s.server = httptest.NewServer(http.HandlerFunc(s.serve))
+	t.Cleanup(func() {
+		s.setDown(true)
+		s.server.CloseClientConnections()
+		s.server.Close()
+	})
+	w := &world{t: t, store: s, regions: map[string]string{}, revoke: 5 * time.Second}
+	for _, region := range regions {
+		w.regions[region+"-a"] = region
+	}
+	return w
+}
+
+func (s *fakeStore) put(key, value string) { s.change(key, storeItem{value: value}) }
+
+func (s *fakeStore) remove(key string) { s.change(key, storeItem{deleted: true}) }
+
+func (s *fakeStore) change(key string, item storeItem) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	item.revision = s.revision
+	s.items[key] = item
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) serve(w http.ResponseWriter, r *http.Request) {
+	after := uint64(0)
+	watch := r.URL.Path == "/kv-watch"
+	wait := time.Duration(0)
+	if watch {
+		after, _ = strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+		ms, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+		wait = time.Duration(ms) * time.Millisecond
+	}
+	timeout := time.After(wait)
+	for {
+		page, changed, down := s.since(after, watch)
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		list := "items"
+		if watch {
+			list = "events"
+		}
+		if !watch || len(page) > 0 {
+			s.answer(w, list, page)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			s.answer(w, list, page)
+			return
+		}
+	}
+}
+
+func (s *fakeStore) answer(w http.ResponseWriter, list string, page []map[string]any) {
+	s.mu.Lock()
+	at := s.revision
+	s.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(map[string]any{list: page, "has_more": false, "at": at})
+}
+
+func (s *fakeStore) since(after uint64, watch bool) ([]map[string]any, chan struct{}, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var page []map[string]any
+	for key, item := range s.items {
+		switch {
+		case item.revision <= after || item.deleted && !watch:
+		case item.deleted:
+			page = append(page, map[string]any{"key": key, "revision": item.revision, "deleted": true})
+		default:
+			page = append(page, map[string]any{"key": key, "revision": item.revision, "value": []byte(item.value)})
+		}
+	}
+	return page, s.changed, s.down
+}
+
+// vm starts a VM and waits until it is ready, if ready is set.
+func (w *world) vm(name, region string, ready bool) *testVM {
+	w.t.Helper()
+	listeners := make([]net.Listener, 2)
+	for i := range listeners {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		listeners[i] = l
+	}
+	s := platform.Settings{
+		Name: name, Region: region, FailureDomain: region + "-a", Regions: w.regions,
+		CallerListen: listeners[0].Addr().String(), PeerListen: listeners[1].Addr().String(),
+		Seeds: w.seeds, Store: w.store.server.Listener.Addr().String(),
+		Bounds: platform.Bounds{
+			Revoke: w.revoke, RetryRatio: 0.2, RetrySlack: 1000, RetryWindow: 10 * time.Second,
+			WarmUpOverage: 1.5, WarmUpSlack: 3, DirectoryTTL: 5 * time.Second, Grace: 8 * time.Second,
+		},
+	}
+	w.seeds = append(w.seeds, s.PeerListen)
+	e, err := New(s, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go e.Fleet.Run(ctx, listeners[1])
+	go e.Source.Run(ctx)
+	server := e.CallerServer(listeners[0])
+	go func() { _ = server.Start(ctx) }()
+	w.t.Cleanup(func() {
+		cancel()
+		_ = server.Close()
+	})
+	v := &testVM{Edge: e, cancel: cancel}
+	w.vms = append(w.vms, v)
+	if ready {
+		w.until("vm "+name+" is ready", func() bool { return v.Ready(v.Now()) })
+	}
+	return v
+}
+
+// until waits for a condition.
+func (w *world) until(what string, ok func() bool) {
+	w.t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	w.t.Fatalf("not within 5 s: %s", what)
+}
+
+// meet waits until all VMs know each other.
+func (w *world) meet() {
+	w.t.Helper()
+	for _, v := range w.vms {
+		w.until("vm "+v.Settings.Name+" knows the others", func() bool {
+			now, n := v.Now(), 0
+			for _, region := range v.Fleet.Regions(now) {
+				n += len(v.Fleet.Ready(now, region))
+			}
+			return n == len(w.vms)-1
+		})
+	}
+}
+
+// config publishes a configuration with the routes and one workspace, whose key is "secret".
+func (w *world) config(version int, routes string) {
+	w.store.put(platform.ConfigKey, fmt.Sprintf(`{"version":%d,"routes":[%s],
+		"services":[{"name":"plain"},{"name":"engine","engine":{"slots":8,"kv_capacity":100000}}],
+		"tenants":[{"name":"w1","api_keys":["secret"],"unit":"tokens","plain_tokens":1}]}`, version, routes))
+}
+
+// routeText is a route of the host "h".
+func routeText(name, kind, service string, extra string) string {
+	return fmt.Sprintf(`{"name":%q,"host":"h","path_prefix":"/%s/","kind":%q,"timeout_ms":3000,"target_latency_ms":500,"service":%q,"max_attempts":2%s}`,
+		name, name, kind, service, extra)
+}
+
+// fakeUpstream is an upstream that records what it gets.
+type fakeUpstream struct {
+	id     string
+	server *httptest.Server
+	// handle answers a request; the default answers 200 with a stamp.
+	handle http.HandlerFunc
+
+	mu   sync.Mutex
+	seen []*http.Request
+}
+
+// upstream registers an upstream in a region.
+func (w *world) upstream(id, service, region string, handle http.HandlerFunc) *fakeUpstream {
+	u := &fakeUpstream{id: id, handle: handle}
+	u.server = httptest.NewServer(http.HandlerFunc(u.serve))
+	w.t.Cleanup(func() {
+		u.server.CloseClientConnections()
+		u.server.Close()
+	})
+	w.store.put(platform.UpstreamPrefix+id, fmt.Sprintf(
+		`{"service":%q,"address":%q,"zone":%q,"slots":8,"state":"ready","born":1}`,
+		service, u.server.Listener.Addr().String(), region+"-a"))
+	return u
+}
+
+func (u *fakeUpstream) serve(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	r.Body = io.NopCloser(strings.NewReader(string(body)))
+	u.mu.Lock()
+	u.seen = append(u.seen, r)
+	u.mu.Unlock()
+	w.Header().Set(platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID))
+	if u.handle != nil {
+		u.handle(w, r)
+		return
+	}
+	w.Header().Set(platform.HeaderStamp, "stamp-"+u.id)
+	fmt.Fprintf(w, "%s answers %s", u.id, body)
+}
+
+func (u *fakeUpstream) count() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.seen)
+}
+
+func (u *fakeUpstream) last() *http.Request {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.seen[len(u.seen)-1]
+}
+
+// breakOff ends the connection without an answer.
+func breakOff(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+// callHeader are extra headers of a request.
+type callHeader map[string]string
+
+var nextID int
+
+// request builds a request of a caller.
+func (v *testVM) request(t *testing.T, path, body string, extra callHeader) *http.Request {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, "http://"+v.Settings.CallerListen+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	nextID++
+	r.Host = "h"
+	r.Header.Set(platform.HeaderRequestID, "id-"+strconv.Itoa(nextID))
+	r.Header.Set(platform.HeaderKey, "secret")
+	r.Header.Set(platform.HeaderDeadline, "3000")
+	for name, value := range extra {
+		r.Header.Set(name, value)
+	}
+	return r
+}
+
+// call sends a request and returns its answer.
+func (v *testVM) call(t *testing.T, path, body string, extra callHeader) (int, string, http.Header) {
+	t.Helper()
+	resp, err := http.DefaultClient.Do(v.request(t, path, body, extra))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatalf("answer is cut: %v after %q", err, data)
+	}
+	return resp.StatusCode, string(data), resp.Header
+}
