Ask other VMs for the configuration and its age while the store refuses this one

The age counts from the question, so a delayed answer never makes knowledge look newer. The directory names VMs that know the keys first.

Test: TestKeysAreConfirmedByOtherVMs fails without it with 503.

--- a/edge/directory.go
+++ b/edge/directory.go
@@ -57,12 +57,28 @@
 	return list[:min(len(list), maxAddresses)]
 }
 
+// addressesIn returns the VMs of a region that take callers. Those that must refuse requests with keys, since
+// they do not reach the store, are named only if there are no others.
 func (e *Edge) addressesIn(now time.Time, region string) []string {
-	list := e.callers(e.Fleet.Ready(now, region))
+	var fresh, stale []string
+	for _, m := range e.Fleet.Ready(now, region) {
+		if m.Fresh {
+			fresh = append(fresh, m.CallerAddress)
+		} else {
+			stale = append(stale, m.CallerAddress)
+		}
+	}
 	if region == e.Settings.Region && e.Ready(now) {
-		list = append(list, e.Settings.CallerListen)
+		if e.keysFresh(now) {
+			fresh = append(fresh, e.Settings.CallerListen)
+		} else {
+			stale = append(stale, e.Settings.CallerListen)
+		}
 	}
-	return list
+	if len(fresh) > 0 {
+		return fresh
+	}
+	return stale
 }
 
 func (e *Edge) leavingIn(now time.Time, region string) []string {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -36,6 +36,7 @@
 	Poison   *poison.Table
 	Metrics  *metrics.Metrics
 
+	confirm confirmation
 	started time.Time
 	hasher  *poison.Hasher
 	open    atomic.Int64
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -274,6 +274,36 @@
 	})
 }
 
+// Guards against a VM that refuses all keys, or goes on with withdrawn ones, while the store serves only the
+// other VMs.
+func TestKeysAreConfirmedByOtherVMs(t *testing.T) {
+	w := newWorld(t, "north")
+	w.revoke = 3 * time.Second
+	w.config(1, routeText("a", "safe", "plain", ""))
+	w.upstream("u1", "plain", "north", nil)
+	path, closed := w.gate()
+	w.path = path
+	v := w.vm("vm1", "north", true)
+	w.path = nil
+	w.vm("vm2", "north", true)
+	w.meet()
+	closed.Store(true)
+	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		if status, _, _ := v.call(t, "/a/", "x", nil); status != http.StatusOK {
+			t.Fatalf("status %d while another vm reaches the store", status)
+		}
+	}
+	w.store.put(platform.ConfigKey, `{"version":2,"routes":[`+routeText("a", "safe", "plain", "")+`],"services":[{"name":"plain"}],"tenants":[{"name":"w1","api_keys":["new"]}]}`)
+	changed := time.Now()
+	w.until("the withdrawn key is refused", func() bool {
+		status, _, _ := v.call(t, "/a/", "x", nil)
+		return status == http.StatusUnauthorized
+	})
+	if took := time.Since(changed); took > w.revoke {
+		t.Errorf("the key worked for %v after it was withdrawn", took)
+	}
+}
+
 // Guards against requests to an upstream that leaves or has gone.
 func TestLeavingUpstreamGetsNothing(t *testing.T) {
 	w := newWorld(t, "north")
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -164,6 +164,9 @@
 	if leaving, _ := e.isLeaving(now); leaving {
 		p.Flags |= vmwire.FlagLeaving
 	}
+	if e.keysFresh(now) {
+		p.Flags |= vmwire.FlagFresh
+	}
 	p.Open = int32(e.Open())
 	for workspace, amount := range e.Quota.Spent() {
 		p.Spent = append(p.Spent, vmwire.WorkspaceSpent{Workspace: workspace, Amount: amount})
@@ -224,19 +227,6 @@
 	unknownSharers = 4
 )
 
-// Control handles messages of other VMs.
-func (e *Edge) Control(s *vm.Session, f vmwire.Frame) {
-	if f.Kind != vmwire.KindSuspect {
-		return
-	}
-	var m vmwire.Suspect
-	if err := vm.Decode(f, &m); err != nil {
-		s.Close(err)
-		return
-	}
-	e.Poison.Merge(e.Now(), m)
-}
-
 // newPoison returns the table of requests that crash upstreams. A request is quarantined after its third
 // crash; one more crash than that would be one too many.
 func newPoison() *poison.Table {
--- a/edge/world_test.go
+++ b/edge/world_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,7 +27,9 @@
 	seeds   []string
 	// revoke is the bound on withdrawn keys of VMs that start.
 	revoke time.Duration
-	vms    []*testVM
+	// path is the way to the store of VMs that start, if it is not the store itself.
+	path *httptest.Server
+	vms  []*testVM
 }
 
 // testVM is a VM of the world.
@@ -161,7 +164,7 @@
 	s := platform.Settings{
 		Name: name, Region: region, FailureDomain: region + "-a", Regions: w.regions,
 		CallerListen: listeners[0].Addr().String(), PeerListen: listeners[1].Addr().String(),
-		Seeds: w.seeds, Store: w.store.server.Listener.Addr().String(),
+		Seeds: w.seeds, Store: w.storeAddress(),
 		Bounds: platform.Bounds{
 			Revoke: w.revoke, RetryRatio: 0.2, RetrySlack: 1000, RetryWindow: 10 * time.Second,
 			WarmUpOverage: 1.5, WarmUpSlack: 3, DirectoryTTL: 5 * time.Second, Grace: 8 * time.Second,
@@ -175,6 +178,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go e.Fleet.Run(ctx, listeners[1])
 	go e.Source.Run(ctx)
+	go e.RunConfirm(ctx)
 	server := e.CallerServer(listeners[0])
 	go func() { _ = server.Start(ctx) }()
 	w.t.Cleanup(func() {
@@ -189,6 +193,30 @@
 	return v
 }
 
+func (w *world) storeAddress() string {
+	if w.path != nil {
+		return w.path.Listener.Addr().String()
+	}
+	return w.store.server.Listener.Addr().String()
+}
+
+// gate is a way to the store that can be closed.
+func (w *world) gate() (server *httptest.Server, closed *atomic.Bool) {
+	closed = &atomic.Bool{}
+	server = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if closed.Load() {
+			rw.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.store.serve(rw, r)
+	}))
+	w.t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return server, closed
+}
+
 // until waits for a condition.
 func (w *world) until(what string, ok func() bool) {
 	w.t.Helper()
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -38,6 +38,8 @@
 	HeardAt time.Time
 	Ready   bool
 	Leaving bool
+	// Fresh says that the VM knows the withdrawn keys.
+	Fresh bool
 	// Open is the number of its open requests.
 	Open int
 	// Costs are the expected times to the first token in its region, by service.
@@ -54,6 +56,7 @@
 	m.HeardAt = now
 	m.Ready = p.Flags&vmwire.FlagReady != 0
 	m.Leaving = p.Flags&vmwire.FlagLeaving != 0
+	m.Fresh = p.Flags&vmwire.FlagFresh != 0
 	m.Open = int(p.Open)
 	m.ConfigVersion = p.ConfigVersion
 	m.Costs = make(map[string]time.Duration, len(p.Costs))
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -117,6 +117,23 @@
 	return m.Slot, st, err
 }
 
+// Ask sends a question to a VM whose knowledge of keys is current, those of the own region first. It reports
+// false if there is none.
+func (f *Fleet) Ask(now time.Time, m *vmwire.ConfigAsk) bool {
+	regions := append([]string{f.Endpoint.Self.Region}, f.Regions(now)...)
+	for _, region := range regions {
+		list := slices.DeleteFunc(f.Ready(now, region), func(m Member) bool { return !m.Fresh })
+		if len(list) == 0 {
+			continue
+		}
+		s := f.session(list[rand.IntN(len(list))].Slot)
+		if s != nil && s.Control(vmwire.KindConfigAsk, m) {
+			return true
+		}
+	}
+	return false
+}
+
 // Broadcast sends a suspicion to all VMs.
 func (f *Fleet) Broadcast(m *vmwire.Suspect) {
 	f.mu.Lock()
--- /dev/null
+++ b/replica/replica_test.go
@@ -0,0 +1,236 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"parsleyhatch/route"
+)
+
+var (
+	start  = time.Unix(1000, 0)
+	engine = &route.Service{Name: "s", WarmUp: 3 * time.Second, WarmUpRate: 2.9, Engine: &route.Engine{Slots: 64, Capacity: 500000}}
+	plain  = &route.Service{Name: "p"}
+)
+
+func newTable(n int, service string) *Table {
+	t := New()
+	t.ColdBound = func(s *route.Service) float64 { return s.WarmUpRate*1.5 + 3 }
+	for i := range n {
+		t.Put(start, Entry{ID: fmt.Sprintf("u%d", i), Service: service, FailureDomain: "a", Slots: 64, Born: 1}, 3*time.Second)
+	}
+	t.Loaded()
+	return t
+}
+
+func prompt(session uint64) Prompt {
+	return Prompt{Parts: []Part{{ID: 1, Tokens: 500}, {ID: session, Tokens: 4800}, {ID: session + 1<<40, Tokens: 6000}}, Tokens: 11300, MaxAnswer: 400}
+}
+
+// Guards against load on one upstream while others are free.
+func TestPickSpreadsPlainRequests(t *testing.T) {
+	table := newTable(3, "p")
+	seen := map[string]int{}
+	for range 9 {
+		p, ok := table.Pick(start, Request{Service: plain})
+		if !ok {
+			t.Fatal("no upstream")
+		}
+		seen[p.ID]++
+	}
+	for id, n := range seen {
+		if n != 3 {
+			t.Errorf("%s got %d of 9", id, n)
+		}
+	}
+}
+
+// Guards against prompts with the same beginning that are read by one upstream after the other, and against
+// two VMs that disagree on the upstream.
+func TestSharedPromptsMeet(t *testing.T) {
+	a, b := newTable(9, "s"), newTable(9, "s")
+	now := start
+	for session := range uint64(20) {
+		first, _ := a.Pick(now, Request{Service: engine, Prompt: prompt(session + 10)})
+		a.Done(now, &first, Answered)
+		second, _ := b.Pick(now, Request{Service: engine, Prompt: prompt(session + 10)})
+		b.Done(now, &second, Answered)
+		if first.ID != second.ID {
+			t.Errorf("session %d goes to %s and %s", session, first.ID, second.ID)
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+}
+
+// Guards against a session that keeps all its requests at one upstream however full that is.
+func TestSharedPromptsYieldToLoad(t *testing.T) {
+	table := newTable(3, "s")
+	seen := map[string]bool{}
+	for i := range uint64(30) {
+		q := prompt(10)
+		q.Parts[2].ID = 1000 + i
+		p, _ := table.Pick(start, Request{Service: engine, Prompt: q})
+		seen[p.ID] = true
+	}
+	if len(seen) != 3 {
+		t.Errorf("30 requests at once went to %d of 3 upstreams", len(seen))
+	}
+}
+
+func TestPopularPartsAreSpread(t *testing.T) {
+	popular := func(id uint64) bool { return id == 1 }
+	if id, _ := prompt(10).AffinityPart(popular); id != 10 {
+		t.Errorf("affinity by part %d, want that of the session", id)
+	}
+	if id, _ := prompt(10).AffinityPart(func(uint64) bool { return false }); id != 1 {
+		t.Errorf("affinity by part %d, want the first", id)
+	}
+}
+
+// Guards against more requests to a cold upstream than it stands, over all VMs and in any second.
+func TestColdUpstreamIsSpared(t *testing.T) {
+	table := newTable(1, "s")
+	table.SetVMs(4)
+	table.Put(start, Entry{ID: "new", Service: "s", FailureDomain: "a", Slots: 64, Born: 2}, 3*time.Second)
+	var sent []time.Time
+	for i := range 3000 {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		p, ok := table.Pick(now, Request{Service: engine, Tried: []string{"u0"}})
+		if ok {
+			sent = append(sent, now)
+			table.Done(now, &p, Answered)
+		}
+	}
+	for i := range sent {
+		n := 0
+		for _, at := range sent[i:] {
+			if at.Sub(sent[i]) < time.Second {
+				n++
+			}
+		}
+		if 4*n > 7 {
+			t.Fatalf("%d requests of one of four VMs in a second, want at most 7 of all", n)
+		}
+	}
+	if len(sent) < 2 {
+		t.Errorf("%d requests in the warm-up of 3 s", len(sent))
+	}
+}
+
+// Guards against a domain that returns from evacuation and is flooded while it is cold.
+func TestEvacuation(t *testing.T) {
+	table := newTable(2, "s")
+	warmUp := func(string) time.Duration { return 3 * time.Second }
+	table.SetEvacuated(start, map[string]bool{"a": true}, warmUp)
+	if _, ok := table.Pick(start, Request{Service: engine}); ok {
+		t.Error("an evacuated domain gets requests")
+	}
+	table.SetEvacuated(start, map[string]bool{}, warmUp)
+	table.SetVMs(4)
+	n := 0
+	for range 10 {
+		if _, ok := table.Pick(start, Request{Service: engine}); ok {
+			n++
+		}
+	}
+	if n != 2 {
+		t.Errorf("two cold upstreams got %d requests at once from one of four VMs, want 2", n)
+	}
+}
+
+// Guards against a failing upstream that goes on getting its part, and against one that never gets another
+// chance.
+func TestFailingUpstreamIsAvoidedForAWhile(t *testing.T) {
+	table := newTable(2, "p")
+	now := start
+	for range 10 {
+		p, _ := table.Pick(now, Request{Service: plain})
+		result := Answered
+		if p.ID == "u0" {
+			result = Failed
+		}
+		table.Done(now, &p, result)
+	}
+	if p, _ := table.Estimate(now, Request{Service: plain}); p.ID != "u1" {
+		t.Errorf("next request goes to the failing upstream")
+	}
+	now = now.Add(time.Minute)
+	seen := map[string]bool{}
+	for range 4 {
+		p, _ := table.Pick(now, Request{Service: plain})
+		seen[p.ID] = true
+	}
+	if !seen["u0"] {
+		t.Error("the upstream gets nothing a minute after it failed")
+	}
+}
+
+func TestUnreachableUpstreamBacksOff(t *testing.T) {
+	table := newTable(1, "p")
+	p, _ := table.Pick(start, Request{Service: plain})
+	table.Done(start, &p, Unreachable)
+	if _, ok := table.Pick(start, Request{Service: plain}); ok {
+		t.Error("no pause after a failed connection")
+	}
+	if _, ok := table.Pick(start.Add(firstBackoff), Request{Service: plain}); !ok {
+		t.Error("no attempt after the pause")
+	}
+}
+
+// Guards against an address that was given to another upstream.
+func TestMisdirectedUpstreamIsDropped(t *testing.T) {
+	table := newTable(1, "p")
+	p, _ := table.Pick(start, Request{Service: plain})
+	table.Done(start, &p, Misdirected)
+	if _, ok := table.Pick(start.Add(time.Hour), Request{Service: plain}); ok {
+		t.Error("the upstream is still used")
+	}
+}
+
+// Guards against a new lifetime under an old id that inherits what was known of the old one.
+func TestNewLifetimeStartsAnew(t *testing.T) {
+	table := newTable(1, "s")
+	table.Pick(start, Request{Service: engine, Prompt: prompt(10)})
+	table.Put(start, Entry{ID: "u0", Service: "s", FailureDomain: "a", Slots: 64, Born: 2}, 3*time.Second)
+	if use := table.Uses()["u0"]; use.Running != 0 {
+		t.Errorf("%d requests run at the new lifetime", use.Running)
+	}
+}
+
+// Guards against the herd of VMs that send to the same upstream, since each sees only its own requests.
+func TestLoadOfOtherVMsCounts(t *testing.T) {
+	table := newTable(2, "s")
+	table.SetPeerUse(start, "vm2", map[string]Use{"u0": {Running: 20, Prefill: 90000}})
+	for range 5 {
+		if p, _ := table.Pick(start, Request{Service: engine}); p.ID != "u1" {
+			t.Errorf("a request goes to the upstream that another VM has loaded")
+		}
+	}
+}
+
+func TestParsePrompt(t *testing.T) {
+	p, err := ParsePrompt("5c1e07a2:800,91bd3f06:410,e4402b7d:250", "1460,80")
+	if err != nil || p.Total() != 1540 || p.SharedTokens() != 1210 {
+		t.Errorf("prompt %+v, error %v", p, err)
+	}
+	for _, bad := range [][2]string{{"x:1", ""}, {"1", ""}, {"1:-1", ""}, {"", "a,b"}, {"", "5"}} {
+		if _, err := ParsePrompt(bad[0], bad[1]); err == nil {
+			t.Errorf("no error for %q", bad)
+		}
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{3, 100, 1000, 12000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			table := newTable(n, "s")
+			q := Request{Service: engine, Prompt: prompt(10)}
+			b.ReportAllocs()
+			for b.Loop() {
+				p, _ := table.Pick(start, q)
+				table.Done(start, &p, Answered)
+			}
+		})
+	}
+}
--- a/source/source.go
+++ b/source/source.go
@@ -84,9 +84,7 @@
 
 // Run follows the store until ctx ends.
 func (s *Source) Run(ctx context.Context) {
-	s.evacuated = map[string]bool{}
-	s.lapsed = map[string]bool{}
-	s.entries = map[string]replica.Entry{}
+	s.init()
 	pause := firstPause
 	for ctx.Err() == nil {
 		if err := s.step(ctx); err != nil {
@@ -99,6 +97,12 @@
 	}
 }
 
+func (s *Source) init() {
+	s.evacuated = map[string]bool{}
+	s.lapsed = map[string]bool{}
+	s.entries = map[string]replica.Entry{}
+}
+
 // step makes one call to the store and applies its answer.
 func (s *Source) step(ctx context.Context) error {
 	sent := s.Now()
@@ -151,13 +155,24 @@
 	event.StoreBack.Log(s.Log, "revision", s.revision)
 }
 
-// Freshen says that the VM's knowledge was current at a time. Knowledge never gets older.
+// freshen says that the VM's knowledge was current at a time. Knowledge never gets older.
 func (s *Source) freshen(at time.Time) {
 	if now := s.Now(); at.After(now) {
 		at = now
 	}
-	if at.UnixNano() > s.fresh.Load() {
-		s.fresh.Store(at.UnixNano())
+	for {
+		old := s.fresh.Load()
+		if at.UnixNano() <= old || s.fresh.CompareAndSwap(old, at.UnixNano()) {
+			return
+		}
+	}
+}
+
+// Confirm takes over that another VM, which knew the version, was current at a time. It counts only if this
+// VM has that version or a newer one in force.
+func (s *Source) Confirm(version uint64, at time.Time) {
+	if t := s.table.Load(); t != nil && t.Config.Version >= version {
+		s.freshen(at)
 	}
 }
 
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -39,7 +39,7 @@
 
 //msgp:tuple Frame Hello Open Chunk End Window Heartbeat HeartbeatAck SlotView EntryVM ConfigGet ConfigParts Part
 //msgp:tuple Load UpstreamLoad ModelWait Summary PoolSummary TokenAsk TokenGive Suspect Handover HandoverTake HandoverRecord
-//msgp:tuple Presence WorkspaceSpent UpstreamUse ServiceCost VMRow CrashCount ConfigAsk ConfigCopy
+//msgp:tuple Presence WorkspaceSpent UpstreamUse ServiceCost VMRow ConfigAsk ConfigCopy
 
 // Frame is the envelope of every message.
 type Frame struct {
@@ -148,6 +148,8 @@
 	FlagNewest
 	// FlagConfirms says that the sender has been in contact long enough to know the newest ones.
 	FlagConfirms
+	// FlagFresh says that the sender's knowledge of withdrawn keys is current.
+	FlagFresh
 )
 
 // Heartbeat tells that the sender lives, and what it knows.
@@ -370,12 +372,6 @@
 	CostMillis int32
 }
 
-// CrashCount is the number of upstreams that crashed while they ran the request with the fingerprint.
-type CrashCount struct {
-	Fingerprint []byte
-	Crashes     int32
-}
-
 // Presence tells that the sender lives and what it shares with the other VMs.
 type Presence struct {
 	// Address takes sessions and CallerAddress callers, IP:port.
@@ -386,10 +382,9 @@
 	Open          int32
 	ConfigVersion uint64
 	// Costs are for VMs of all regions, Uses for those of the same region.
-	Costs   []ServiceCost
-	Uses    []UpstreamUse
-	Spent   []WorkspaceSpent
-	Crashes []CrashCount
+	Costs []ServiceCost
+	Uses  []UpstreamUse
+	Spent []WorkspaceSpent
 	// VMs are sent from time to time.
 	VMs []VMRow
 }
@@ -404,8 +399,9 @@
 // ConfigCopy answers ConfigAsk.
 type ConfigCopy struct {
 	ID uint64
-	// FreshMillis is the time since the sender's knowledge of the store was current, in milliseconds,
-	// and negative if it never was.
+	// Version is that of the sender.
+	Version uint64
+	// FreshMillis is the time since the sender's knowledge of the store was current, in milliseconds.
 	FreshMillis int64
 	Value       []byte `msg:"Value,limit=262144"`
 }
--- a/vmwire/schema_gen.go
+++ b/vmwire/schema_gen.go
@@ -352,8 +352,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.ID, err = dc.ReadUint64()
@@ -361,6 +361,11 @@
 		err = msgp.WrapError(err, "ID")
 		return
 	}
+	z.Version, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
 	z.FreshMillis, err = dc.ReadInt64()
 	if err != nil {
 		err = msgp.WrapError(err, "FreshMillis")
@@ -379,8 +384,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *ConfigCopy) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 3
-	err = en.Append(0x93)
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
 		return
 	}
@@ -389,6 +394,11 @@
 		err = msgp.WrapError(err, "ID")
 		return
 	}
+	err = en.WriteUint64(z.Version)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
 	err = en.WriteInt64(z.FreshMillis)
 	if err != nil {
 		err = msgp.WrapError(err, "FreshMillis")
@@ -405,9 +415,10 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ConfigCopy) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendUint64(o, z.ID)
+	o = msgp.AppendUint64(o, z.Version)
 	o = msgp.AppendInt64(o, z.FreshMillis)
 	o = msgp.AppendBytes(o, z.Value)
 	return
@@ -421,8 +432,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
@@ -430,6 +441,11 @@
 		err = msgp.WrapError(err, "ID")
 		return
 	}
+	z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
 	z.FreshMillis, bts, err = msgp.ReadInt64Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "FreshMillis")
@@ -462,7 +478,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ConfigCopy) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Int64Size + msgp.BytesPrefixSize + len(z.Value)
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Int64Size + msgp.BytesPrefixSize + len(z.Value)
 	return
 }
 
@@ -811,116 +827,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *CrashCount) DecodeMsg(dc *msgp.Reader) (err error) {
-	var zb0001 uint32
-	zb0001, err = dc.ReadArrayHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 > zb417a25dlimitArrays {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
-		return
-	}
-	z.Fingerprint, err = dc.ReadBytesLimit(z.Fingerprint, zb417a25dlimitArrays)
-	if err == nil && z.Fingerprint == nil {
-		z.Fingerprint = []byte{}
-	}
-	if err != nil {
-		err = msgp.WrapError(err, "Fingerprint")
-		return
-	}
-	z.Crashes, err = dc.ReadInt32()
-	if err != nil {
-		err = msgp.WrapError(err, "Crashes")
-		return
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *CrashCount) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 2
-	err = en.Append(0x92)
-	if err != nil {
-		return
-	}
-	err = en.WriteBytes(z.Fingerprint)
-	if err != nil {
-		err = msgp.WrapError(err, "Fingerprint")
-		return
-	}
-	err = en.WriteInt32(z.Crashes)
-	if err != nil {
-		err = msgp.WrapError(err, "Crashes")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *CrashCount) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
-	o = msgp.AppendBytes(o, z.Fingerprint)
-	o = msgp.AppendInt32(o, z.Crashes)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *CrashCount) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
-		return
-	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadBytesHeader(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Fingerprint")
-		return
-	}
-	if zb0002 > zb417a25dlimitArrays {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	if z.Fingerprint == nil || uint32(cap(z.Fingerprint)) < zb0002 {
-		z.Fingerprint = make([]byte, zb0002)
-	} else {
-		z.Fingerprint = z.Fingerprint[:zb0002]
-	}
-	if uint32(len(bts)) < zb0002 {
-		err = msgp.ErrShortBytes
-		return
-	}
-	copy(z.Fingerprint, bts[:zb0002])
-	bts = bts[zb0002:]
-	z.Crashes, bts, err = msgp.ReadInt32Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Crashes")
-		return
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *CrashCount) Msgsize() (s int) {
-	s = 1 + msgp.BytesPrefixSize + len(z.Fingerprint) + msgp.Int32Size
-	return
-}
-
 // DecodeMsg implements msgp.Decodable
 func (z *End) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -3625,8 +3531,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 10 {
-		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
 	}
 	z.Address, err = dc.ReadString()
@@ -3760,67 +3666,23 @@
 	}
 	var zb0007 uint32
 	zb0007, err = dc.ReadArrayHeader()
-	if err != nil {
-		err = msgp.WrapError(err, "Crashes")
-		return
-	}
-	if zb0007 > zb417a25dlimitArrays {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	if cap(z.Crashes) >= int(zb0007) {
-		z.Crashes = (z.Crashes)[:zb0007]
-	} else {
-		z.Crashes = make([]CrashCount, zb0007)
-	}
-	for za0004 := range z.Crashes {
-		var zb0008 uint32
-		zb0008, err = dc.ReadArrayHeader()
-		if err != nil {
-			err = msgp.WrapError(err, "Crashes", za0004)
-			return
-		}
-		if zb0008 > zb417a25dlimitArrays {
-			err = msgp.ErrLimitExceeded
-			return
-		}
-		if zb0008 != 2 {
-			err = msgp.ArrayError{Wanted: 2, Got: zb0008}
-			return
-		}
-		z.Crashes[za0004].Fingerprint, err = dc.ReadBytesLimit(z.Crashes[za0004].Fingerprint, zb417a25dlimitArrays)
-		if err == nil && z.Crashes[za0004].Fingerprint == nil {
-			z.Crashes[za0004].Fingerprint = []byte{}
-		}
-		if err != nil {
-			err = msgp.WrapError(err, "Crashes", za0004, "Fingerprint")
-			return
-		}
-		z.Crashes[za0004].Crashes, err = dc.ReadInt32()
-		if err != nil {
-			err = msgp.WrapError(err, "Crashes", za0004, "Crashes")
-			return
-		}
-	}
-	var zb0009 uint32
-	zb0009, err = dc.ReadArrayHeader()
 	if err != nil {
 		err = msgp.WrapError(err, "VMs")
 		return
 	}
-	if zb0009 > zb417a25dlimitArrays {
+	if zb0007 > zb417a25dlimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.VMs) >= int(zb0009) {
-		z.VMs = (z.VMs)[:zb0009]
+	if cap(z.VMs) >= int(zb0007) {
+		z.VMs = (z.VMs)[:zb0007]
 	} else {
-		z.VMs = make([]VMRow, zb0009)
+		z.VMs = make([]VMRow, zb0007)
 	}
-	for za0005 := range z.VMs {
-		err = z.VMs[za0005].DecodeMsg(dc)
+	for za0004 := range z.VMs {
+		err = z.VMs[za0004].DecodeMsg(dc)
 		if err != nil {
-			err = msgp.WrapError(err, "VMs", za0005)
+			err = msgp.WrapError(err, "VMs", za0004)
 			return
 		}
 	}
@@ -3829,8 +3691,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Presence) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 10
-	err = en.Append(0x9a)
+	// array header, size 9
+	err = en.Append(0x99)
 	if err != nil {
 		return
 	}
@@ -3915,37 +3777,15 @@
 			return
 		}
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Crashes)))
-	if err != nil {
-		err = msgp.WrapError(err, "Crashes")
-		return
-	}
-	for za0004 := range z.Crashes {
-		// array header, size 2
-		err = en.Append(0x92)
-		if err != nil {
-			return
-		}
-		err = en.WriteBytes(z.Crashes[za0004].Fingerprint)
-		if err != nil {
-			err = msgp.WrapError(err, "Crashes", za0004, "Fingerprint")
-			return
-		}
-		err = en.WriteInt32(z.Crashes[za0004].Crashes)
-		if err != nil {
-			err = msgp.WrapError(err, "Crashes", za0004, "Crashes")
-			return
-		}
-	}
 	err = en.WriteArrayHeader(uint32(len(z.VMs)))
 	if err != nil {
 		err = msgp.WrapError(err, "VMs")
 		return
 	}
-	for za0005 := range z.VMs {
-		err = z.VMs[za0005].EncodeMsg(en)
+	for za0004 := range z.VMs {
+		err = z.VMs[za0004].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "VMs", za0005)
+			err = msgp.WrapError(err, "VMs", za0004)
 			return
 		}
 	}
@@ -3955,8 +3795,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Presence) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 10
-	o = append(o, 0x9a)
+	// array header, size 9
+	o = append(o, 0x99)
 	o = msgp.AppendString(o, z.Address)
 	o = msgp.AppendString(o, z.CallerAddress)
 	o = msgp.AppendUint8(o, z.Flags)
@@ -3984,18 +3824,11 @@
 		o = msgp.AppendString(o, z.Spent[za0003].Workspace)
 		o = msgp.AppendInt64(o, z.Spent[za0003].Amount)
 	}
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Crashes)))
-	for za0004 := range z.Crashes {
-		// array header, size 2
-		o = append(o, 0x92)
-		o = msgp.AppendBytes(o, z.Crashes[za0004].Fingerprint)
-		o = msgp.AppendInt32(o, z.Crashes[za0004].Crashes)
-	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.VMs)))
-	for za0005 := range z.VMs {
-		o, err = z.VMs[za0005].MarshalMsg(o)
+	for za0004 := range z.VMs {
+		o, err = z.VMs[za0004].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "VMs", za0005)
+			err = msgp.WrapError(err, "VMs", za0004)
 			return
 		}
 	}
@@ -4010,8 +3843,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 10 {
-		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
 	}
 	z.Address, bts, err = msgp.ReadStringBytes(bts)
@@ -4137,76 +3970,23 @@
 	}
 	var zb0007 uint32
 	zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Crashes")
-		return
-	}
-	if zb0007 > zb417a25dlimitArrays {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	if cap(z.Crashes) >= int(zb0007) {
-		z.Crashes = (z.Crashes)[:zb0007]
-	} else {
-		z.Crashes = make([]CrashCount, zb0007)
-	}
-	for za0004 := range z.Crashes {
-		var zb0008 uint32
-		zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Crashes", za0004)
-			return
-		}
-		if zb0008 != 2 {
-			err = msgp.ArrayError{Wanted: 2, Got: zb0008}
-			return
-		}
-		var zb0009 uint32
-		zb0009, bts, err = msgp.ReadBytesHeader(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Crashes", za0004, "Fingerprint")
-			return
-		}
-		if zb0009 > zb417a25dlimitArrays {
-			err = msgp.ErrLimitExceeded
-			return
-		}
-		if z.Crashes[za0004].Fingerprint == nil || uint32(cap(z.Crashes[za0004].Fingerprint)) < zb0009 {
-			z.Crashes[za0004].Fingerprint = make([]byte, zb0009)
-		} else {
-			z.Crashes[za0004].Fingerprint = z.Crashes[za0004].Fingerprint[:zb0009]
-		}
-		if uint32(len(bts)) < zb0009 {
-			err = msgp.ErrShortBytes
-			return
-		}
-		copy(z.Crashes[za0004].Fingerprint, bts[:zb0009])
-		bts = bts[zb0009:]
-		z.Crashes[za0004].Crashes, bts, err = msgp.ReadInt32Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Crashes", za0004, "Crashes")
-			return
-		}
-	}
-	var zb0010 uint32
-	zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "VMs")
 		return
 	}
-	if zb0010 > zb417a25dlimitArrays {
+	if zb0007 > zb417a25dlimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.VMs) >= int(zb0010) {
-		z.VMs = (z.VMs)[:zb0010]
+	if cap(z.VMs) >= int(zb0007) {
+		z.VMs = (z.VMs)[:zb0007]
 	} else {
-		z.VMs = make([]VMRow, zb0010)
+		z.VMs = make([]VMRow, zb0007)
 	}
-	for za0005 := range z.VMs {
-		bts, err = z.VMs[za0005].UnmarshalMsg(bts)
+	for za0004 := range z.VMs {
+		bts, err = z.VMs[za0004].UnmarshalMsg(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "VMs", za0005)
+			err = msgp.WrapError(err, "VMs", za0004)
 			return
 		}
 	}
@@ -4229,12 +4009,8 @@
 		s += 1 + msgp.StringPrefixSize + len(z.Spent[za0003].Workspace) + msgp.Int64Size
 	}
 	s += msgp.ArrayHeaderSize
-	for za0004 := range z.Crashes {
-		s += 1 + msgp.BytesPrefixSize + len(z.Crashes[za0004].Fingerprint) + msgp.Int32Size
-	}
-	s += msgp.ArrayHeaderSize
-	for za0005 := range z.VMs {
-		s += z.VMs[za0005].Msgsize()
+	for za0004 := range z.VMs {
+		s += z.VMs[za0004].Msgsize()
 	}
 	return
 }
