Give restarted VMs the levels of workspaces that the others know

Besides, a request that another VM refused for an older configuration was not tried elsewhere.

Change: presences carry levels; a VM takes over those of a settled one, and half a burst if all have started anew. Refusals of other VMs are tried elsewhere.

Tests in quota cover both starts.

--- a/edge/run.go
+++ b/edge/run.go
@@ -94,7 +94,12 @@
 // again reports whether another attempt can give the caller a better answer.
 func again(r *request, out Outcome) bool {
 	if out.Ran == NotRun {
-		return out.Reason == UpstreamRefused || out.Reason == NoUpstream || out.Reason == VMLost
+		switch out.Reason {
+		case UpstreamRefused, NoUpstream, VMLost, NoConfiguration, StaleKeys, Leaving:
+			return true
+		default:
+			return false
+		}
 	}
 	if !r.route.Idempotent() || r.runs >= r.route.MaxAttempts {
 		return false
@@ -111,7 +116,12 @@
 	if ctx.Err() != nil || r.left(time.Now()) < minLeft {
 		return false
 	}
-	return out.Reason == NoUpstream || e.Retries.Retry(e.Now(), r.service.Name)
+	switch out.Reason {
+	case NoUpstream, NoConfiguration, StaleKeys, Leaving:
+		return true
+	default:
+		return e.Retries.Retry(e.Now(), r.service.Name)
+	}
 }
 
 // final turns the outcome of the last attempt into that of the request. What may have run is never called
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -10,6 +10,7 @@
 
 	"parsleyhatch/platform"
 	"parsleyhatch/poison"
+	"parsleyhatch/quota"
 	"parsleyhatch/replica"
 	"parsleyhatch/route"
 	"parsleyhatch/vm"
@@ -168,8 +169,11 @@
 		p.Flags |= vmwire.FlagFresh
 	}
 	p.Open = int32(e.Open())
-	for workspace, amount := range e.Quota.Spent() {
-		p.Spent = append(p.Spent, vmwire.WorkspaceSpent{Workspace: workspace, Amount: amount})
+	if e.Quota.Settled(now) {
+		p.Flags |= vmwire.FlagSettled
+	}
+	for workspace, r := range e.Quota.Reports(now) {
+		p.Spent = append(p.Spent, vmwire.WorkspaceSpent{Workspace: workspace, Amount: r.Spent, Level: r.Level})
 	}
 	if t := e.table(); t != nil {
 		p.ConfigVersion = t.Config.Version
@@ -194,11 +198,11 @@
 
 // Heard takes over what another VM shares.
 func (e *Edge) Heard(now time.Time, m vm.Identity, p *vmwire.Presence) {
-	spent := make(map[string]int64, len(p.Spent))
+	reports := make(map[string]quota.Report, len(p.Spent))
 	for _, s := range p.Spent {
-		spent[s.Workspace] = s.Amount
+		reports[s.Workspace] = quota.Report{Spent: s.Amount, Level: s.Level}
 	}
-	e.Quota.Heard(now, m.Slot, m.Incarnation, spent)
+	e.Quota.Heard(now, m.Slot, m.Incarnation, reports, p.Flags&vmwire.FlagSettled != 0)
 	if m.Region != e.Settings.Region {
 		return
 	}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -15,6 +15,13 @@
 	silence = 1500 * time.Millisecond
 	// memory is the time after which a silent VM is forgotten.
 	memory = 60 * time.Second
+	// settleTime is the time after its start from which a VM knows the levels of the buckets.
+	settleTime = 5 * time.Second
+	// seedTime is the time in which a VM that starts hears from a settled VM, if there is any. Without
+	// one, all VMs have started anew, and seedShare of each burst is granted: less than a second's refill,
+	// which is what was lost while no VM ran.
+	seedTime  = 700 * time.Millisecond
+	seedShare = 0.5
 	// unknownVMs is the number of VMs that a VM assumes until it has heard from others.
 	unknownVMs = 16
 )
@@ -24,7 +31,9 @@
 	mu      sync.Mutex
 	started time.Time
 	// met says that another VM was heard of.
-	met     bool
+	met bool
+	// seeded says that the first levels are set.
+	seeded  bool
 	buckets map[string]*bucket
 	peers   map[string]*peer
 }
@@ -88,6 +97,7 @@
 		return true, 0
 	}
 	t.refill(now, workspace, b)
+	t.seed(now)
 	if missing := float64(amount) - b.level; missing > 0 && b.level < b.burst {
 		return false, time.Duration(missing / b.rate * float64(time.Second))
 	}
@@ -96,6 +106,40 @@
 	return true, 0
 }
 
+// seed sets the first levels of a VM that has met only VMs that started anew like itself.
+func (t *Table) seed(now time.Time) {
+	if t.seeded || !t.met || now.Sub(t.started) < seedTime {
+		return
+	}
+	t.seeded = true
+	for _, b := range t.buckets {
+		b.level = max(b.level, seedShare*b.burst)
+	}
+}
+
+// Settled reports whether this VM knows the levels of the buckets.
+func (t *Table) Settled(now time.Time) bool { return now.Sub(t.started) > settleTime }
+
+// Report is what a VM tells about one workspace.
+type Report struct {
+	// Spent is what the VM has charged since its start, and Level what it would still grant.
+	Spent int64
+	Level int64
+}
+
+// adopt takes over the level of a settled VM, once.
+func (t *Table) adopt(reports map[string]Report) {
+	if t.seeded {
+		return
+	}
+	t.seeded = true
+	for workspace, r := range reports {
+		if b := t.buckets[workspace]; b != nil {
+			b.level = max(b.level, min(b.burst, float64(r.Level)))
+		}
+	}
+}
+
 // Refund gives back the charge of a request that has not run.
 func (t *Table) Refund(workspace string, amount int64) {
 	t.mu.Lock()
@@ -141,8 +185,8 @@
 	return known, silent
 }
 
-// Heard charges what another VM reports: the amounts since its start, by workspace.
-func (t *Table) Heard(now time.Time, vm string, incarnation uint64, spent map[string]int64) {
+// Heard charges what another VM reports, by workspace. settled says that the VM knows the levels.
+func (t *Table) Heard(now time.Time, vm string, incarnation uint64, reports map[string]Report, settled bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.met = true
@@ -152,7 +196,8 @@
 		p = &peer{incarnation: incarnation, spent: map[string]int64{}, left: map[string]float64{}}
 		t.peers[vm] = p
 	}
-	for workspace, amount := range spent {
+	for workspace, report := range reports {
+		amount := report.Spent
 		b := t.buckets[workspace]
 		if b == nil {
 			continue
@@ -165,6 +210,9 @@
 	}
 	p.heardAt = now
 	clear(p.left)
+	if settled && len(t.buckets) > 0 {
+		t.adopt(reports)
+	}
 }
 
 // chargeReport charges what exceeds the refill that was left to the VM while it was silent.
@@ -182,15 +230,14 @@
 	delete(t.peers, vm)
 }
 
-// Spent returns what this VM has charged since its start, by workspace.
-func (t *Table) Spent() map[string]int64 {
+// Reports returns what this VM tells the others, by workspace.
+func (t *Table) Reports(now time.Time) map[string]Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	spent := make(map[string]int64, len(t.buckets))
+	reports := make(map[string]Report, len(t.buckets))
 	for name, b := range t.buckets {
-		if b.spent != 0 {
-			spent[name] = b.spent
-		}
+		t.refill(now, name, b)
+		reports[name] = Report{Spent: b.spent, Level: int64(b.level)}
 	}
-	return spent
+	return reports
 }
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -32,17 +32,17 @@
 // Guards against two VMs that each give the whole rate.
 func TestReportsAreCharged(t *testing.T) {
 	table := newTable(100, 100)
-	table.Heard(start, "other", 1, map[string]int64{"w": 1000})
+	table.Heard(start, "other", 1, map[string]Report{"w": {Spent: 1000}}, false)
 	now := start
 	for range 10 {
 		now = now.Add(100 * time.Millisecond)
-		table.Heard(now, "other", 1, map[string]int64{"w": 1000})
+		table.Heard(now, "other", 1, map[string]Report{"w": {Spent: 1000}}, false)
 	}
 	if ok, _ := table.Charge(now, "w", 100); !ok {
 		t.Fatal("what the other VM had charged before it was heard of counts")
 	}
 	now = now.Add(time.Second)
-	table.Heard(now, "other", 1, map[string]int64{"w": 1100})
+	table.Heard(now, "other", 1, map[string]Report{"w": {Spent: 1100}}, false)
 	if ok, wait := table.Charge(now, "w", 50); ok || wait < 400*time.Millisecond {
 		t.Errorf("charge after the other VM spent the refill: %v, wait %v", ok, wait)
 	}
@@ -51,9 +51,9 @@
 // Guards against a VM that is cut off and gives the part of the VMs that it does not hear.
 func TestSilentVMsKeepTheirPart(t *testing.T) {
 	table := newTable(100, 1000)
-	table.Heard(start, "a", 1, nil)
-	table.Heard(start, "b", 1, nil)
-	table.Heard(start, "c", 1, nil)
+	table.Heard(start, "a", 1, nil, false)
+	table.Heard(start, "b", 1, nil, false)
+	table.Heard(start, "c", 1, nil, false)
 	now := start.Add(silence)
 	table.Charge(now, "w", 0)
 	spentBefore := table.buckets["w"].level
@@ -69,14 +69,14 @@
 // Guards against charging a VM twice that returns: its part was left to it while it was silent.
 func TestReturnIsNotChargedTwice(t *testing.T) {
 	table := newTable(100, 1000)
-	table.Heard(start, "a", 1, map[string]int64{"w": 0})
+	table.Heard(start, "a", 1, map[string]Report{"w": {Spent: 0}}, false)
 	now := start
 	for range 40 {
 		now = now.Add(100 * time.Millisecond)
 		table.Charge(now, "w", 0)
 	}
 	before := table.buckets["w"].level
-	table.Heard(now, "a", 1, map[string]int64{"w": 100})
+	table.Heard(now, "a", 1, map[string]Report{"w": {Spent: 100}}, false)
 	if after := table.buckets["w"].level; before-after > 1 {
 		t.Errorf("level fell from %.0f to %.0f for what was left to the VM", before, after)
 	}
@@ -84,15 +84,47 @@
 
 func TestRefund(t *testing.T) {
 	table := newTable(100, 100)
-	table.Heard(start, "a", 1, nil)
+	table.Heard(start, "a", 1, nil, false)
 	now := start.Add(time.Second)
-	table.Heard(now, "a", 1, nil)
+	table.Heard(now, "a", 1, nil, false)
 	table.Charge(now, "w", 100)
 	table.Refund("w", 100)
 	if ok, _ := table.Charge(now, "w", 100); !ok {
 		t.Error("the refund is not there")
 	}
-	if spent := table.Spent()["w"]; spent != 100 {
+	if spent := table.Reports(now)["w"].Spent; spent != 100 {
 		t.Errorf("spent %d, want 100", spent)
 	}
 }
+
+// Guards against refusals of traffic within its rate after all VMs have lost power: their buckets were empty
+// for a second.
+func TestSeedAfterLossOfAllVMs(t *testing.T) {
+	table := newTable(100, 100)
+	table.Heard(start, "a", 1, map[string]Report{"w": {}}, false)
+	now := start.Add(seedTime)
+	if ok, _ := table.Charge(now, "w", 50); !ok {
+		t.Error("half a burst was refused")
+	}
+	if ok, _ := table.Charge(now, "w", 100); ok {
+		t.Error("more than a burst was granted")
+	}
+}
+
+// Guards against a restarted VM that refuses requests although the others know that there is room.
+func TestRestartedVMTakesOverLevels(t *testing.T) {
+	table := newTable(100, 100)
+	table.Heard(start, "a", 1, map[string]Report{"w": {Spent: 1000, Level: 80}}, true)
+	if ok, _ := table.Charge(start.Add(time.Millisecond), "w", 70); !ok {
+		t.Error("a charge below the level of a settled VM was refused")
+	}
+}
+
+// Guards against a burst that a restarted VM grants while the others know that it is used up.
+func TestRestartedVMGivesNoSecondBurst(t *testing.T) {
+	table := newTable(100, 100)
+	table.Heard(start, "a", 1, map[string]Report{"w": {Spent: 1000, Level: 0}}, true)
+	if ok, _ := table.Charge(start.Add(seedTime), "w", 90); ok {
+		t.Error("a burst was granted beside that of the other VMs")
+	}
+}
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -150,6 +150,8 @@
 	FlagConfirms
 	// FlagFresh says that the sender's knowledge of withdrawn keys is current.
 	FlagFresh
+	// FlagSettled says that the sender has run long enough to know what the workspaces have used.
+	FlagSettled
 )
 
 // Heartbeat tells that the sender lives, and what it knows.
@@ -355,6 +357,8 @@
 type WorkspaceSpent struct {
 	Workspace string
 	Amount    int64
+	// Level is what the sender would still grant now.
+	Level int64
 }
 
 // UpstreamUse is what the sender has running at an upstream.
--- a/vmwire/schema_gen.go
+++ b/vmwire/schema_gen.go
@@ -3649,8 +3649,8 @@
 			err = msgp.ErrLimitExceeded
 			return
 		}
-		if zb0006 != 2 {
-			err = msgp.ArrayError{Wanted: 2, Got: zb0006}
+		if zb0006 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0006}
 			return
 		}
 		z.Spent[za0003].Workspace, err = dc.ReadString()
@@ -3663,6 +3663,11 @@
 			err = msgp.WrapError(err, "Spent", za0003, "Amount")
 			return
 		}
+		z.Spent[za0003].Level, err = dc.ReadInt64()
+		if err != nil {
+			err = msgp.WrapError(err, "Spent", za0003, "Level")
+			return
+		}
 	}
 	var zb0007 uint32
 	zb0007, err = dc.ReadArrayHeader()
@@ -3761,8 +3766,8 @@
 		return
 	}
 	for za0003 := range z.Spent {
-		// array header, size 2
-		err = en.Append(0x92)
+		// array header, size 3
+		err = en.Append(0x93)
 		if err != nil {
 			return
 		}
@@ -3776,6 +3781,11 @@
 			err = msgp.WrapError(err, "Spent", za0003, "Amount")
 			return
 		}
+		err = en.WriteInt64(z.Spent[za0003].Level)
+		if err != nil {
+			err = msgp.WrapError(err, "Spent", za0003, "Level")
+			return
+		}
 	}
 	err = en.WriteArrayHeader(uint32(len(z.VMs)))
 	if err != nil {
@@ -3819,10 +3829,11 @@
 	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Spent)))
 	for za0003 := range z.Spent {
-		// array header, size 2
-		o = append(o, 0x92)
+		// array header, size 3
+		o = append(o, 0x93)
 		o = msgp.AppendString(o, z.Spent[za0003].Workspace)
 		o = msgp.AppendInt64(o, z.Spent[za0003].Amount)
+		o = msgp.AppendInt64(o, z.Spent[za0003].Level)
 	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.VMs)))
 	for za0004 := range z.VMs {
@@ -3953,8 +3964,8 @@
 			err = msgp.WrapError(err, "Spent", za0003)
 			return
 		}
-		if zb0006 != 2 {
-			err = msgp.ArrayError{Wanted: 2, Got: zb0006}
+		if zb0006 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0006}
 			return
 		}
 		z.Spent[za0003].Workspace, bts, err = msgp.ReadStringBytes(bts)
@@ -3967,6 +3978,11 @@
 			err = msgp.WrapError(err, "Spent", za0003, "Amount")
 			return
 		}
+		z.Spent[za0003].Level, bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Spent", za0003, "Level")
+			return
+		}
 	}
 	var zb0007 uint32
 	zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -4006,7 +4022,7 @@
 	}
 	s += msgp.ArrayHeaderSize
 	for za0003 := range z.Spent {
-		s += 1 + msgp.StringPrefixSize + len(z.Spent[za0003].Workspace) + msgp.Int64Size
+		s += 1 + msgp.StringPrefixSize + len(z.Spent[za0003].Workspace) + msgp.Int64Size + msgp.Int64Size
 	}
 	s += msgp.ArrayHeaderSize
 	for za0004 := range z.VMs {
@@ -5646,8 +5662,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.Workspace, err = dc.ReadString()
@@ -5660,13 +5676,18 @@
 		err = msgp.WrapError(err, "Amount")
 		return
 	}
+	z.Level, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "Level")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z WorkspaceSpent) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 2
-	err = en.Append(0x92)
+	// array header, size 3
+	err = en.Append(0x93)
 	if err != nil {
 		return
 	}
@@ -5680,16 +5701,22 @@
 		err = msgp.WrapError(err, "Amount")
 		return
 	}
+	err = en.WriteInt64(z.Level)
+	if err != nil {
+		err = msgp.WrapError(err, "Level")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z WorkspaceSpent) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendString(o, z.Workspace)
 	o = msgp.AppendInt64(o, z.Amount)
+	o = msgp.AppendInt64(o, z.Level)
 	return
 }
 
@@ -5701,8 +5728,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.Workspace, bts, err = msgp.ReadStringBytes(bts)
@@ -5715,12 +5742,17 @@
 		err = msgp.WrapError(err, "Amount")
 		return
 	}
+	z.Level, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Level")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z WorkspaceSpent) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Workspace) + msgp.Int64Size
+	s = 1 + msgp.StringPrefixSize + len(z.Workspace) + msgp.Int64Size + msgp.Int64Size
 	return
 }
