Keep the reports of VMs on which the bucket was not used at the same moment

Cause: a VM heard of for the first time counted as silent for ever while its report was applied, and was dropped again; its spending was then never charged. Ruled out: the partition from the store (the sessions between VMs were up), refunds.

Change: a VM counts as heard from its first report on. Besides, what others spend is charged in advance at their latest pace, and on each side of a partition only a part of the burst is granted; silence is noticed after 0.8 s.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -12,9 +12,11 @@
 
 const (
 	// silence is the time without a report after which a VM counts as silent.
-	silence = 1500 * time.Millisecond
+	silence = 800 * time.Millisecond
 	// memory is the time after which a silent VM is forgotten.
 	memory = 60 * time.Second
+	// minReport is the shortest time between two reports from which a pace is computed.
+	minReport = 50 * time.Millisecond
 	// settleTime is the time after its start from which a VM knows the levels of the buckets.
 	settleTime = 5 * time.Second
 	// seedTime is the time in which a VM that starts hears from a settled VM, if there is any. Without
@@ -41,6 +43,8 @@
 // bucket is the level of one workspace.
 type bucket struct {
 	rate, burst float64
+	// limit is the highest level, the part of the burst that belongs to the VMs that are heard.
+	limit float64
 	// level may be negative after reports of other VMs.
 	level float64
 	at    time.Time
@@ -53,7 +57,10 @@
 	incarnation uint64
 	heardAt     time.Time
 	spent       map[string]int64
-	// left is the refill of each workspace that was left to the VM while it was silent.
+	// pace is what the VM charged a second between its latest reports, by workspace.
+	pace map[string]float64
+	// left is what was charged in advance since the VM's latest report, by workspace: at its pace while it
+	// is heard, and its part of the refill while it is silent.
 	left map[string]float64
 }
 
@@ -81,6 +88,7 @@
 			t.refill(now, w.Name, b)
 		}
 		b.rate, b.burst = w.Rate, w.Burst
+		b.limit = b.burst
 		b.level = min(b.level, b.burst)
 		t.buckets[w.Name] = b
 	}
@@ -98,7 +106,7 @@
 	}
 	t.refill(now, workspace, b)
 	t.seed(now)
-	if missing := float64(amount) - b.level; missing > 0 && b.level < b.burst {
+	if missing := float64(amount) - b.level; missing > 0 && b.level < b.limit {
 		return false, time.Duration(missing / b.rate * float64(time.Second))
 	}
 	b.level -= float64(amount)
@@ -163,8 +171,17 @@
 	for _, p := range silent {
 		p.left[workspace] += part
 	}
-	unknown := max(0, known-1-len(t.peers))
-	b.level = min(b.burst, b.level+gain-part*float64(len(silent)+unknown))
+	for _, p := range t.peers {
+		if now.Sub(p.heardAt) <= silence {
+			spent := p.pace[workspace] * elapsed.Seconds()
+			p.left[workspace] += spent
+			gain -= spent
+		}
+	}
+	unheard := len(silent) + max(0, known-1-len(t.peers))
+	// VMs that do not hear each other have the same level, so each side keeps only its part of a burst.
+	b.limit = b.burst * float64(known-unheard) / float64(known)
+	b.level = min(b.limit, b.level+gain-part*float64(unheard))
 }
 
 // count returns the number of VMs including this one, and those that are silent.
@@ -193,7 +210,7 @@
 	p := t.peers[vm]
 	known := p != nil && p.incarnation == incarnation
 	if !known {
-		p = &peer{incarnation: incarnation, spent: map[string]int64{}, left: map[string]float64{}}
+		p = &peer{incarnation: incarnation, heardAt: now, spent: map[string]int64{}, pace: map[string]float64{}, left: map[string]float64{}}
 		t.peers[vm] = p
 	}
 	for workspace, report := range reports {
@@ -204,7 +221,7 @@
 		}
 		t.refill(now, workspace, b)
 		if known {
-			t.chargeReport(b, p, workspace, float64(amount-p.spent[workspace]))
+			t.chargeReport(now, b, p, workspace, float64(amount-p.spent[workspace]))
 		}
 		p.spent[workspace] = amount
 	}
@@ -215,12 +232,17 @@
 	}
 }
 
-// chargeReport charges what exceeds the refill that was left to the VM while it was silent.
-func (t *Table) chargeReport(b *bucket, p *peer, workspace string, amount float64) {
-	if left := p.left[workspace]; amount > 0 {
-		amount = max(0, amount-left)
+// chargeReport charges what exceeds the charge in advance. What was left to a silent VM is not taken back.
+func (t *Table) chargeReport(now time.Time, b *bucket, p *peer, workspace string, amount float64) {
+	since := now.Sub(p.heardAt)
+	if since >= minReport {
+		p.pace[workspace] = amount / since.Seconds()
+	}
+	amount -= p.left[workspace]
+	if since > silence {
+		amount = max(0, amount)
 	}
-	b.level = min(b.burst, b.level-amount)
+	b.level = min(b.limit, b.level-amount)
 }
 
 // Forget drops a VM that has left and spends nothing more.
