Refuse streams by their latency objective; count prompts ahead by urgency

Change: a stream is refused at once if its first event is expected after its objective; prompts of less urgent requests do not count as ahead; the expectation has no penalties for affinity; memory held counts without shared parts. The log line of a request tells the time to its first event.

--- a/edge/admit.go
+++ b/edge/admit.go
@@ -95,5 +95,6 @@
 	if ok, wait := e.Quota.Charge(now, r.workspace.Name, r.charge()); !ok {
 		return refuse(OverRate, "the workspace is over its rate", wait), false
 	}
+	r.charged = r.charge()
 	return Outcome{}, true
 }
--- a/edge/choose.go
+++ b/edge/choose.go
@@ -13,53 +13,72 @@
 	// awayMargin the advantage that another region must have, since what is known of it is older.
 	linkCost   = 120 * time.Millisecond
 	awayMargin = 150 * time.Millisecond
+	// minRetryAfter is the shortest time after which a caller that was refused for load may come back.
+	minRetryAfter = 200 * time.Millisecond
 	// sharedTokenCost is what counts for each shared token of a prompt that is read outside the region at
 	// which requests with this beginning are brought together. It is about three times the time that
 	// reading it takes, since a token that is read twice costs capacity in two regions.
 	sharedTokenCost = 50 * time.Microsecond
 )
 
+// place is a region that may answer a request.
+type place struct {
+	region string
+	// wait is the expected time to the first answer, and cost the same with what reading the shared parts
+	// of the prompt there takes from others.
+	wait time.Duration
+	cost time.Duration
+}
+
 // choose returns the region that is expected to answer first, or no region and a refusal.
 func (e *Edge) choose(now time.Time, r *request) (string, Outcome) {
-	best, cost := "", time.Duration(0)
 	home := e.affineRegion(r)
-	if route.Allowed(r.route, r.workspace, e.Settings.Region) {
-		if pick, ok := e.Replicas.Estimate(now, r.choice()); ok {
-			best, cost = e.Settings.Region, pick.Wait+r.sharedCost(e.Settings.Region, home)
-		}
-	}
+	best := e.placeHere(now, r, home)
 	if !r.forwarded {
-		best, cost = e.chooseAway(now, r, home, best, cost)
+		best = e.placeAway(now, r, home, best)
 	}
-	if best == "" {
+	if best.region == "" {
 		return "", refuse(NoUpstream, "no region that may run the request has a usable upstream", refusalPause)
 	}
-	r.cost = cost
-	if limit := r.patience(); cost > limit && !r.headSent {
-		return "", refuse(Overloaded, "the first answer is expected too late", cost-limit/2)
+	r.cost = best.wait
+	if limit := r.limit(); best.wait > limit && !r.headSent {
+		return "", refuse(Overloaded, "the first answer is expected too late", max(minRetryAfter, best.wait-limit))
+	}
+	return best.region, Outcome{}
+}
+
+func (e *Edge) placeHere(now time.Time, r *request, home string) place {
+	if !route.Allowed(r.route, r.workspace, e.Settings.Region) {
+		return place{}
 	}
-	return best, Outcome{}
+	pick, ok := e.Replicas.Estimate(now, r.choice())
+	if !ok {
+		return place{}
+	}
+	here := e.Settings.Region
+	return place{region: here, wait: pick.FirstToken, cost: pick.Wait + r.sharedCost(here, home)}
 }
 
-// chooseAway compares the other regions with the best one so far.
-func (e *Edge) chooseAway(now time.Time, r *request, home, best string, cost time.Duration) (string, time.Duration) {
+// placeAway compares the other regions with the best one so far.
+func (e *Edge) placeAway(now time.Time, r *request, home string, best place) place {
 	for _, region := range e.Fleet.Regions(now) {
 		if region == e.Settings.Region || !route.Allowed(r.route, r.workspace, region) {
 			continue
 		}
-		away, ok := e.Fleet.CostIn(now, region, r.service.Name)
+		wait, ok := e.Fleet.CostIn(now, region, r.service.Name)
 		if !ok {
 			continue
 		}
-		away += linkCost + r.sharedCost(region, home)
-		if best == e.Settings.Region && region != home {
-			away += awayMargin
+		p := place{region: region, wait: wait + linkCost}
+		p.cost = p.wait + r.sharedCost(region, home)
+		if best.region == e.Settings.Region && region != home {
+			p.cost += awayMargin
 		}
-		if best == "" || away < cost {
-			best, cost = region, away
+		if best.region == "" || p.cost < best.cost {
+			best = p
 		}
 	}
-	return best, cost
+	return best
 }
 
 // sharedCost is what counts for reading the shared parts of the prompt outside their region.
--- a/edge/events.go
+++ b/edge/events.go
@@ -121,7 +121,8 @@
 
 func (e *Edge) firstToken(r *request, pick *replica.Pick) {
 	e.Replicas.FirstToken(e.Now(), pick)
-	e.Metrics.FirstToken(r.route.Name, time.Since(r.arrived))
+	r.first = time.Since(r.arrived)
+	e.Metrics.FirstToken(r.route.Name, r.first)
 }
 
 // lastEventID returns the id of the last event that has one.
--- a/edge/request.go
+++ b/edge/request.go
@@ -52,6 +52,10 @@
 	held *heldAnswer
 	// cost is the expected time to the first token at the latest choice.
 	cost time.Duration
+	// charged is what the workspace was charged, in tokens or requests.
+	charged int64
+	// first is the time from the arrival to the first event, zero before it.
+	first time.Duration
 	// place is the upstream or the region of the latest choice.
 	place string
 }
--- a/edge/run.go
+++ b/edge/run.go
@@ -16,11 +16,9 @@
 	maxSends = 4
 	// minLeft is the shortest time that is worth an attempt.
 	minLeft = 20 * time.Millisecond
-	// hopeless is the multiple of the latency objective beyond which callers no longer wait for the
-	// first event of a stream.
-	hopeless = 4
-	// minPatience is the shortest time for which callers wait for the first event.
-	minPatience = 2 * time.Second
+	// admitShare is the expected time to the first event, in multiples of the latency objective, beyond
+	// which a stream is refused.
+	admitShare = 1.0
 )
 
 // Causes of the end of a request's context.
@@ -79,16 +77,20 @@
 }
 
 func (r *request) choice() replica.Request {
-	return replica.Request{Service: r.service, Prompt: r.prompt, Tried: r.tried, Again: r.held != nil}
+	return replica.Request{
+		Service: r.service, Prompt: r.prompt, Tried: r.tried, Again: r.held != nil,
+		Rank: replica.Rank(route.Priority(r.route, r.workspace)),
+	}
 }
 
-// patience returns the time for which the caller waits for the beginning of the answer.
-func (r *request) patience() time.Duration {
+// limit returns the expected time to the first answer beyond which a request is refused: it would take the
+// place of one that can be in time.
+func (r *request) limit() time.Duration {
 	left := r.left(time.Now())
-	if r.route.Kind != route.Streaming {
+	if r.route.Kind != route.Streaming || r.route.TargetLatency <= 0 {
 		return left
 	}
-	return min(left, max(minPatience, hopeless*r.route.TargetLatency))
+	return min(left, time.Duration(admitShare*float64(r.route.TargetLatency)))
 }
 
 // again reports whether another attempt can give the caller a better answer.
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -183,7 +183,7 @@
 		return
 	}
 	for id, use := range e.Replicas.Uses() {
-		p.Uses = append(p.Uses, vmwire.UpstreamUse{Upstream: id, Running: int32(use.Running), Prefill: use.Prefill, Held: use.Held})
+		p.Uses = append(p.Uses, vmwire.UpstreamUse{Upstream: id, Running: int32(use.Running), Prefill: use.Prefill[:], Held: use.Held})
 	}
 }
 
@@ -208,7 +208,9 @@
 	}
 	uses := make(map[string]replica.Use, len(p.Uses))
 	for _, u := range p.Uses {
-		uses[u.Upstream] = replica.Use{Running: int(u.Running), Prefill: u.Prefill, Held: u.Held}
+		use := replica.Use{Running: int(u.Running), Held: u.Held}
+		copy(use.Prefill[:], u.Prefill)
+		uses[u.Upstream] = use
 	}
 	e.Replicas.SetPeerUse(now, m.Slot, uses)
 	e.Replicas.SetVMs(e.sharers(now))
--- a/edge/server.go
+++ b/edge/server.go
@@ -70,8 +70,8 @@
 	defer cancel()
 	sink := httpSink(w)
 	out = e.run(ctx, r, sink)
-	if out.Ran == NotRun && r.workspace != nil {
-		e.Quota.Refund(r.workspace.Name, r.charge())
+	if out.Ran == NotRun && r.charged > 0 {
+		e.Quota.Refund(r.workspace.Name, r.charged)
 	}
 	e.report(r, out)
 	switch {
@@ -206,7 +206,7 @@
 	log.Log(e.Log, "request", r.id, "route", name, "workspace", workspace, "reason", string(out.Reason),
 		"status", out.Status, "ran", out.Ran.String(), "place", r.place, "tried", strings.Join(r.tried, ","),
 		"vms", strings.Join(r.triedVMs, ","), "expectedMillis", r.cost.Milliseconds(),
-		"tookMillis", took.Milliseconds(), "config", version, "keysAgeMillis", e.Now().Sub(e.Source.FreshAt()).Milliseconds(),
+		"charged", r.charged, "firstMillis", r.first.Milliseconds(), "tookMillis", took.Milliseconds(), "config", version, "keysAgeMillis", e.Now().Sub(e.Source.FreshAt()).Milliseconds(),
 		"forwarded", r.forwarded, "detail", out.Detail)
 }
 
--- a/replica/choose.go
+++ b/replica/choose.go
@@ -37,6 +37,8 @@
 type Request struct {
 	Service *route.Service
 	Prompt  Prompt
+	// Rank is the urgency, see Rank.
+	Rank int
 	// Tried are the ids of upstreams that had the request. They get it again only if Again is set and
 	// there is no other one.
 	Tried []string
@@ -58,7 +60,9 @@
 	// Candidates is the number of upstreams that were compared.
 	Candidates int
 	begunAt    time.Time
-	prompt     Prompt
+	rank       int
+	// held is the memory that the request takes, in tokens.
+	held int64
 }
 
 // Pick chooses an upstream and counts the request there until Done. It reports false if none may get the
@@ -74,10 +78,11 @@
 		r.coldSends = append(r.coldSends, now)
 	}
 	pick.begunAt = now
-	pick.prompt = q.Prompt
+	pick.rank = q.Rank
+	pick.held = pick.Uncached + q.Prompt.MaxAnswer
 	r.own.Running++
-	r.own.Prefill += pick.Uncached
-	r.own.Held += q.Prompt.Tokens
+	r.own.Prefill[q.Rank] += pick.Uncached
+	r.own.Held += pick.held
 	r.remember(now, q.Prompt.Parts)
 	t.popular.add(now, q.Prompt.Parts)
 	return pick, true
@@ -177,13 +182,14 @@
 	}
 	uncached = max(0, q.Prompt.Tokens-cached)
 	again := max(0, q.Prompt.SharedTokens()-cached)
-	first = firstTokenBase + float64(load.Prefill+uncached)/prefillRate + runningCost*float64(load.Running)
+	first = firstTokenBase + float64(load.ahead(q.Rank)+uncached)/prefillRate + runningCost*float64(load.Running)
 	if over := load.Running + 1 - r.Slots; over > 0 {
 		first += queueCost * float64(over)
 	}
 	cost = first*max(1, r.slowness) + rereadCost*float64(again) + failureCost*r.failureShare(now)
 	if e := q.Service.Engine; e != nil && e.Capacity > 0 {
-		full := float64(load.Held+q.Prompt.Total()) / float64(e.Capacity)
+		full := float64(load.Held+uncached+q.Prompt.MaxAnswer) / float64(e.Capacity)
+		first += memoryCost * max(0, full-memoryShare)
 		cost += memoryCost * max(0, full-memoryShare)
 	}
 	return cost, first, uncached
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -201,7 +201,7 @@
 // Guards against the herd of VMs that send to the same upstream, since each sees only its own requests.
 func TestLoadOfOtherVMsCounts(t *testing.T) {
 	table := newTable(2, "s")
-	table.SetPeerUse(start, "vm2", map[string]Use{"u0": {Running: 20, Prefill: 90000}})
+	table.SetPeerUse(start, "vm2", map[string]Use{"u0": {Running: 20, Prefill: [Ranks]int64{90000}}})
 	for range 5 {
 		if p, _ := table.Pick(start, Request{Service: engine}); p.ID != "u1" {
 			t.Errorf("a request goes to the upstream that another VM has loaded")
--- a/replica/result.go
+++ b/replica/result.go
@@ -31,7 +31,7 @@
 	if r == nil || p.Uncached == 0 && p.begunAt.IsZero() {
 		return
 	}
-	r.own.Prefill = max(0, r.own.Prefill-p.Uncached)
+	r.own.Prefill[p.rank] = max(0, r.own.Prefill[p.rank]-p.Uncached)
 	p.Uncached = 0
 	if p.FirstToken > 0 {
 		ratio := float64(now.Sub(p.begunAt)) / float64(p.FirstToken)
@@ -48,8 +48,8 @@
 		return
 	}
 	r.own.Running = max(0, r.own.Running-1)
-	r.own.Prefill = max(0, r.own.Prefill-p.Uncached)
-	r.own.Held = max(0, r.own.Held-p.prompt.Tokens)
+	r.own.Prefill[p.rank] = max(0, r.own.Prefill[p.rank]-p.Uncached)
+	r.own.Held = max(0, r.own.Held-p.held)
 	if r.own.Running == 0 {
 		r.own = Use{}
 	}
--- a/replica/row.go
+++ b/replica/row.go
@@ -21,15 +21,39 @@
 	Born int64
 }
 
+// Ranks is the number of urgencies that are told apart; the last one is for all that are less urgent.
+const Ranks = 3
+
+// Rank returns the urgency of a priority, from 0, the most urgent, to Ranks-1.
+func Rank(priority int) int { return min(max(priority, 0), Ranks-1) }
+
 // Use is what one VM has running at an upstream.
 type Use struct {
 	Running int
-	// Prefill is the number of prompt tokens of requests that have no first token yet.
-	Prefill int64
-	// Held is the number of tokens of all its requests in the upstream's memory.
+	// Prefill is the number of prompt tokens of requests that have no first token yet, by rank.
+	Prefill [Ranks]int64
+	// Held is the number of tokens of all its requests in the upstream's memory, beside shared parts.
 	Held int64
 }
 
+// add adds the use of another VM.
+func (u *Use) add(o Use) {
+	u.Running += o.Running
+	u.Held += o.Held
+	for i := range u.Prefill {
+		u.Prefill[i] += o.Prefill[i]
+	}
+}
+
+// ahead returns the prompt tokens that are read before those of a request of the rank.
+func (u *Use) ahead(rank int) int64 {
+	var tokens int64
+	for _, n := range u.Prefill[:rank+1] {
+		tokens += n
+	}
+	return tokens
+}
+
 const (
 	// useLife is the time for which the use reported by another VM counts.
 	useLife = 2 * time.Second
@@ -88,9 +112,7 @@
 			delete(r.peers, vm)
 			continue
 		}
-		sum.Running += use.Running
-		sum.Prefill += use.Prefill
-		sum.Held += use.Held
+		sum.add(use.Use)
 	}
 	return sum
 }
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -365,8 +365,9 @@
 type UpstreamUse struct {
 	Upstream string
 	Running  int32
-	// Prefill is the number of prompt tokens of requests without a first token, and Held that of all.
-	Prefill int64
+	// Prefill is the number of prompt tokens of requests without a first token, by rank, and Held the
+	// memory of all in tokens.
+	Prefill []int64
 	Held    int64
 }
 
--- a/vmwire/schema_gen.go
+++ b/vmwire/schema_gen.go
@@ -5355,11 +5355,28 @@
 		err = msgp.WrapError(err, "Running")
 		return
 	}
-	z.Prefill, err = dc.ReadInt64()
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
 	if err != nil {
 		err = msgp.WrapError(err, "Prefill")
 		return
 	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Prefill) >= int(zb0002) {
+		z.Prefill = (z.Prefill)[:zb0002]
+	} else {
+		z.Prefill = make([]int64, zb0002)
+	}
+	for za0001 := range z.Prefill {
+		z.Prefill[za0001], err = dc.ReadInt64()
+		if err != nil {
+			err = msgp.WrapError(err, "Prefill", za0001)
+			return
+		}
+	}
 	z.Held, err = dc.ReadInt64()
 	if err != nil {
 		err = msgp.WrapError(err, "Held")
@@ -5385,11 +5402,18 @@
 		err = msgp.WrapError(err, "Running")
 		return
 	}
-	err = en.WriteInt64(z.Prefill)
+	err = en.WriteArrayHeader(uint32(len(z.Prefill)))
 	if err != nil {
 		err = msgp.WrapError(err, "Prefill")
 		return
 	}
+	for za0001 := range z.Prefill {
+		err = en.WriteInt64(z.Prefill[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "Prefill", za0001)
+			return
+		}
+	}
 	err = en.WriteInt64(z.Held)
 	if err != nil {
 		err = msgp.WrapError(err, "Held")
@@ -5405,7 +5429,10 @@
 	o = append(o, 0x94)
 	o = msgp.AppendString(o, z.Upstream)
 	o = msgp.AppendInt32(o, z.Running)
-	o = msgp.AppendInt64(o, z.Prefill)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Prefill)))
+	for za0001 := range z.Prefill {
+		o = msgp.AppendInt64(o, z.Prefill[za0001])
+	}
 	o = msgp.AppendInt64(o, z.Held)
 	return
 }
@@ -5432,11 +5459,28 @@
 		err = msgp.WrapError(err, "Running")
 		return
 	}
-	z.Prefill, bts, err = msgp.ReadInt64Bytes(bts)
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Prefill")
 		return
 	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Prefill) >= int(zb0002) {
+		z.Prefill = (z.Prefill)[:zb0002]
+	} else {
+		z.Prefill = make([]int64, zb0002)
+	}
+	for za0001 := range z.Prefill {
+		z.Prefill[za0001], bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Prefill", za0001)
+			return
+		}
+	}
 	z.Held, bts, err = msgp.ReadInt64Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Held")
@@ -5448,7 +5492,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *UpstreamUse) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Upstream) + msgp.Int32Size + msgp.Int64Size + msgp.Int64Size
+	s = 1 + msgp.StringPrefixSize + len(z.Upstream) + msgp.Int32Size + msgp.ArrayHeaderSize + (len(z.Prefill) * (msgp.Int64Size)) + msgp.Int64Size
 	return
 }
 
