Leave idle connections to the callers when a VM stops

Change: a leaving VM ends a connection by Connection: close on its next answer, and closes idle ones only at its end.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -387,3 +387,28 @@
 		t.Errorf("%d sharers later, want 2", n)
 	}
 }
+
+// Guards against a request that is lost on a kept connection, because the leaving VM closes the connection
+// while the request arrives.
+func TestLeavingVMAnswersOnKeptConnections(t *testing.T) {
+	w := newWorld(t, "north")
+	w.config(1, routeText("a", "unsafe", "plain", ""))
+	w.upstream("u1", "plain", "north", nil)
+	v := w.vm("vm1", "north", true)
+	if status, _, _ := v.call(t, "/a/", "x", nil); status != http.StatusOK {
+		t.Fatalf("status %d", status)
+	}
+	v.Leave(v.Now())
+	status, _, header := v.call(t, "/a/", "x", nil)
+	if status != http.StatusOK {
+		t.Errorf("status %d on a kept connection of a leaving vm", status)
+	}
+	resp, err := http.DefaultClient.Do(v.request(t, "/a/", "x", nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if !resp.Close {
+		t.Errorf("the answer of a leaving vm keeps the connection: %v", header)
+	}
+}
--- a/edge/server.go
+++ b/edge/server.go
@@ -68,7 +68,7 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(h.Context(), r.deadline, errTimedOut)
 	defer cancel()
-	sink := httpSink(w)
+	sink := e.callerSink(w)
 	out = e.run(ctx, r, sink)
 	if out.Ran == NotRun && r.charged > 0 {
 		e.Quota.Refund(r.workspace.Name, r.charged)
@@ -96,9 +96,7 @@
 
 // writeRefusal writes an answer of the system itself.
 func (e *Edge) writeRefusal(w http.ResponseWriter, out Outcome) {
-	if leaving, _ := e.isLeaving(e.Now()); leaving {
-		w.Header().Set("Connection", "close")
-	}
+	e.closeIfLeaving(w.Header())
 	if out.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(out.RetryAfter.Seconds(), 'f', 2, 64))
 	}
@@ -109,12 +107,21 @@
 	_, _ = io.WriteString(w, body) // A caller that has left gets nothing.
 }
 
-// httpSink passes an answer on to a caller.
-func httpSink(w http.ResponseWriter) *Sink {
+// closeIfLeaving ends the connection after the answer if this VM leaves. Idle connections are left to their
+// callers: closing one while a request arrives on it would lose the request.
+func (e *Edge) closeIfLeaving(h http.Header) {
+	if leaving, _ := e.isLeaving(e.Now()); leaving {
+		h.Set("Connection", "close")
+	}
+}
+
+// callerSink passes an answer on to a caller.
+func (e *Edge) callerSink(w http.ResponseWriter) *Sink {
 	control := http.NewResponseController(w)
 	return &Sink{
 		Head: func(status int, header http.Header, length int) error {
 			to := w.Header()
+			e.closeIfLeaving(to)
 			for name, values := range header {
 				to[name] = values
 			}
--- a/operator/vm.go
+++ b/operator/vm.go
@@ -184,8 +184,6 @@
 	p.edge.Leave(p.edge.Now())
 	event.Draining.Log(p.log, "open", p.edge.Open())
 	callers := p.servers[2]
-	// Kept connections close after the answer in progress, and callers open new ones elsewhere.
-	callers.SetKeepAlivesEnabled(false)
 	limit := p.edge.Settings.Bounds.Grace - stopMargin
 	for time.Since(started) < limit {
 		time.Sleep(stopPoll)
