Count what was sent to another region since its last report; spread returns

Cause: the cost of a region is reported four times a second, and all VMs of a region at its peak send to the same other region in between.

Change: prompts sent to another region without a first event count as ahead there, times the VMs of this region. Retry-After of a refusal for load is twice the excess, at least 0.4 s, with up to as much again at random.

--- a/edge/choose.go
+++ b/edge/choose.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"math/rand/v2"
+	"sync"
 	"time"
 
 	"parsleyhatch/replica"
@@ -14,7 +16,7 @@
 	linkCost   = 120 * time.Millisecond
 	awayMargin = 150 * time.Millisecond
 	// minRetryAfter is the shortest time after which a caller that was refused for load may come back.
-	minRetryAfter = 200 * time.Millisecond
+	minRetryAfter = 400 * time.Millisecond
 	// sharedTokenCost is what counts for each shared token of a prompt that is read outside the region at
 	// which requests with this beginning are brought together. It is about three times the time that
 	// reading it takes, since a token that is read twice costs capacity in two regions.
@@ -42,11 +44,18 @@
 	}
 	r.cost = best.wait
 	if limit := r.limit(); best.wait > limit && !r.headSent {
-		return "", refuse(Overloaded, "the first answer is expected too late", max(minRetryAfter, best.wait-limit))
+		return "", refuse(Overloaded, "the first answer is expected too late", comeBack(best.wait-limit))
 	}
 	return best.region, Outcome{}
 }
 
+// comeBack returns the time after which a refused caller should come back: when the queue has shrunk, spread
+// so that those who were refused together do not return together.
+func comeBack(excess time.Duration) time.Duration {
+	after := max(minRetryAfter, 2*excess)
+	return after + rand.N(after)
+}
+
 func (e *Edge) placeHere(now time.Time, r *request, home string) place {
 	if !route.Allowed(r.route, r.workspace, e.Settings.Region) {
 		return place{}
@@ -69,7 +78,7 @@
 		if !ok {
 			continue
 		}
-		p := place{region: region, wait: wait + linkCost}
+		p := place{region: region, wait: wait + linkCost + e.queuedAway(r.service.Name, region)}
 		p.cost = p.wait + r.sharedCost(region, home)
 		if best.region == e.Settings.Region && region != home {
 			p.cost += awayMargin
@@ -81,6 +90,38 @@
 	return best
 }
 
+// awayKey names a service in another region.
+type awayKey struct{ service, region string }
+
+// awayLoad counts the prompt tokens of forwarded requests that have no first event yet. The other region's
+// reports show them only later, and then all VMs at once.
+type awayLoad struct {
+	mu     sync.Mutex
+	tokens map[awayKey]int64
+}
+
+func (l *awayLoad) add(k awayKey, tokens int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tokens[k] += tokens
+	if l.tokens[k] == 0 {
+		delete(l.tokens, k)
+	}
+}
+
+// queuedAway is the time that reading the prompts takes which the VMs of this region have sent to a service
+// of another region, if each has sent as much as this one.
+func (e *Edge) queuedAway(service, region string) time.Duration {
+	e.away.mu.Lock()
+	tokens := e.away.tokens[awayKey{service, region}]
+	e.away.mu.Unlock()
+	replicas := e.Source.Replicated(service, region)
+	if tokens == 0 || replicas == 0 {
+		return 0
+	}
+	return replica.ReadTime(tokens*int64(e.Fleet.Sharers(e.Now()))) / time.Duration(replicas)
+}
+
 // sharedCost is what counts for reading the shared parts of the prompt outside their region.
 func (r *request) sharedCost(region, home string) time.Duration {
 	if home == "" || region == home {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -37,6 +37,7 @@
 	Metrics  *metrics.Metrics
 
 	confirm confirmation
+	away    awayLoad
 	started time.Time
 	hasher  *poison.Hasher
 	open    atomic.Int64
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"parsleyhatch/fleet"
@@ -38,7 +39,11 @@
 		// The other VM starts no request whose body has not arrived whole.
 		return refuse(VMLost, "send to vm "+slot+": "+err.Error(), refusalPause), true
 	}
-	return e.relayForwarded(ctx, r, slot, st, sink), true
+	key := awayKey{r.service.Name, region}
+	queued := sync.OnceFunc(func() { e.away.add(key, -r.prompt.Tokens) })
+	e.away.add(key, r.prompt.Tokens)
+	defer queued()
+	return e.relayForwarded(ctx, r, slot, st, sink, queued), true
 }
 
 func (e *Edge) openMessage(r *request) *vmwire.Open {
@@ -71,7 +76,7 @@
 }
 
 // relayForwarded passes the answer of another VM on.
-func (e *Edge) relayForwarded(ctx context.Context, r *request, slot string, st *vm.Stream, sink *Sink) Outcome {
+func (e *Edge) relayForwarded(ctx context.Context, r *request, slot string, st *vm.Stream, sink *Sink, begun func()) Outcome {
 	headBefore := r.headSent
 	for {
 		body, end, err := st.Recv(ctx)
@@ -86,6 +91,7 @@
 		case end != nil:
 			return e.forwardedEnd(r, slot, end)
 		}
+		begun()
 		var c vmwire.Chunk
 		if _, err := c.UnmarshalMsg(body); err != nil {
 			st.Reset()
--- a/edge/new.go
+++ b/edge/new.go
@@ -42,6 +42,7 @@
 	}
 	e := &Edge{
 		Settings: s, Log: log, Now: clock.Now, started: now,
+		away:     awayLoad{tokens: map[awayKey]int64{}},
 		Replicas: replica.New(),
 		Pool:     upstream.NewPool(clock.Now),
 		Quota:    quota.New(now),
--- a/replica/choose.go
+++ b/replica/choose.go
@@ -212,4 +212,7 @@
 	return x
 }
 
+// ReadTime returns the expected time in which one upstream reads prompt tokens.
+func ReadTime(tokens int64) time.Duration { return fromMillis(float64(tokens) / prefillRate) }
+
 func fromMillis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/source/source.go
+++ b/source/source.go
@@ -48,8 +48,10 @@
 	value atomic.Pointer[[]byte]
 	fresh atomic.Int64
 	// slots holds the sizes of the services in each region.
-	slots  atomic.Pointer[Capacities]
-	loaded atomic.Bool
+	slots atomic.Pointer[Capacities]
+	// replicas holds the numbers of their upstreams.
+	replicas atomic.Pointer[Capacities]
+	loaded   atomic.Bool
 	// accepting serializes the acceptance of configurations.
 	accepting sync.Mutex
 
@@ -319,7 +321,7 @@
 	s.Replicas.Remove(id)
 }
 
-// Capacities are the slots of the usable upstreams, by service and region.
+// Capacities are sums over the usable upstreams, by service and region.
 type Capacities map[string]map[string]int
 
 // Capacity returns the slots of a service by region. It must not be changed.
@@ -330,19 +332,31 @@
 	return nil
 }
 
+// Replicated returns the number of usable upstreams of a service in a region.
+func (s *Source) Replicated(service, region string) int {
+	if c := s.replicas.Load(); c != nil {
+		return (*c)[service][region]
+	}
+	return 0
+}
+
 // count adds up the slots of the upstreams that are neither leaving nor evacuated.
 func (s *Source) count() {
-	sums := Capacities{}
+	sums, numbers := Capacities{}, Capacities{}
 	for _, e := range s.entries {
 		if e.Draining || s.evacuated[e.FailureDomain] {
 			continue
 		}
 		if sums[e.Service] == nil {
 			sums[e.Service] = map[string]int{}
+			numbers[e.Service] = map[string]int{}
 		}
-		sums[e.Service][s.Region(e.FailureDomain)] += e.Slots
+		region := s.Region(e.FailureDomain)
+		sums[e.Service][region] += e.Slots
+		numbers[e.Service][region]++
 	}
 	s.slots.Store(&sums)
+	s.replicas.Store(&numbers)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
