--- a/edge/choose.go
+++ b/edge/choose.go
@@ -18,9 +18,9 @@
 	// minRetryAfter is the shortest time after which a caller that was refused for load may come back.
 	minRetryAfter = 400 * time.Millisecond
 	// sharedTokenCost is what counts for each shared token of a prompt that is read outside the region at
-	// which requests with this beginning are brought together. It is about three times the time that
+	// which requests with this beginning are brought together. It is about six times the time that
 	// reading it takes, since a token that is read twice costs capacity in two regions.
-	sharedTokenCost = 50 * time.Microsecond
+	sharedTokenCost = 100 * time.Microsecond
 )
 
 // place is a region that may answer a request.
--- a/replica/choose.go
+++ b/replica/choose.go
@@ -21,7 +21,7 @@
 	failureCost = 3000
 	// rereadCost is what counts for each shared token that an upstream does not hold, in milliseconds,
 	// beside the time for reading it: it takes capacity from others, in every upstream that reads it.
-	rereadCost = 0.05
+	rereadCost = 0.1
 	// popularShare is the share of requests, in multiples of an even share of one upstream, above which
 	// requests with the same part are spread.
 	popularShare = 0.5
