Read the store through two VMs of each region

Cause: each VM watched the store, so its calls grow with the number of VMs, and a VM that the store refuses learned only the configuration from others.

Change: the first two VMs of a region by name that reach the store read it; the others ask these in the same way as they would ask the store, with the age of the answer counted from the question, and fall back to the store. This replaces the question for the configuration alone.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -36,7 +36,8 @@
 	Poison   *poison.Table
 	Metrics  *metrics.Metrics
 
-	confirm confirmation
+	store   *platform.Store
+	asks    storeAsks
 	away    awayLoad
 	started time.Time
 	hasher  *poison.Hasher
--- a/edge/new.go
+++ b/edge/new.go
@@ -42,6 +42,8 @@
 	}
 	e := &Edge{
 		Settings: s, Log: log, Now: clock.Now, started: now,
+		store:    platform.NewStore(s.Store),
+		asks:     storeAsks{waiting: map[uint64]chan vmwire.StoreAnswer{}},
 		away:     awayLoad{tokens: map[awayKey]int64{}},
 		Replicas: replica.New(),
 		Pool:     upstream.NewPool(clock.Now),
@@ -56,7 +58,7 @@
 	}
 	e.Replicas.SetVMs(unknownSharers)
 	e.Source = &source.Source{
-		Store: platform.NewStore(s.Store), Replicas: e.Replicas, Log: log, Now: clock.Now,
+		Readers: e.readers, Replicas: e.Replicas, Log: log, Now: clock.Now,
 		Local:    func(domain string) bool { return s.Regions[domain] == s.Region },
 		Region:   func(domain string) string { return s.Regions[domain] },
 		OnConfig: func(t *route.Table) { e.Quota.Configure(clock.Now(), t.Config.Workspaces) },
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -168,6 +168,9 @@
 	if e.keysFresh(now) {
 		p.Flags |= vmwire.FlagFresh
 	}
+	if e.Source.Down() {
+		p.Flags |= vmwire.FlagStoreDown
+	}
 	p.Open = int32(e.Open())
 	if e.Quota.Settled(now) {
 		p.Flags |= vmwire.FlagSettled
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -40,6 +40,8 @@
 	Leaving bool
 	// Fresh says that the VM knows the withdrawn keys.
 	Fresh bool
+	// StoreDown says that the store did not answer the VM's latest call.
+	StoreDown bool
 	// Open is the number of its open requests.
 	Open int
 	// Costs are the expected times to the first token in its region, by service.
@@ -57,6 +59,7 @@
 	m.Ready = p.Flags&vmwire.FlagReady != 0
 	m.Leaving = p.Flags&vmwire.FlagLeaving != 0
 	m.Fresh = p.Flags&vmwire.FlagFresh != 0
+	m.StoreDown = p.Flags&vmwire.FlagStoreDown != 0
 	m.Open = int(p.Open)
 	m.ConfigVersion = p.ConfigVersion
 	m.Costs = make(map[string]time.Duration, len(p.Costs))
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -117,21 +117,34 @@
 	return m.Slot, st, err
 }
 
-// Ask sends a question to a VM whose knowledge of keys is current, those of the own region first. It reports
-// false if there is none.
-func (f *Fleet) Ask(now time.Time, m *vmwire.ConfigAsk) bool {
-	regions := append([]string{f.Endpoint.Self.Region}, f.Regions(now)...)
-	for _, region := range regions {
-		list := slices.DeleteFunc(f.Ready(now, region), func(m Member) bool { return !m.Fresh })
-		if len(list) == 0 {
-			continue
+// StoreRank returns this VM's place among the VMs of its region that reach the store, in the order of their
+// names.
+func (f *Fleet) StoreRank(now time.Time) int {
+	rank := 0
+	for _, m := range f.storeReaders(now, f.Endpoint.Self.Region) {
+		if m.Slot < f.Endpoint.Self.Slot {
+			rank++
 		}
-		s := f.session(list[rand.IntN(len(list))].Slot)
-		if s != nil && s.Control(vmwire.KindConfigAsk, m) {
-			return true
+	}
+	return rank
+}
+
+// storeReaders returns the VMs of a region that know what the store holds and did not lose it.
+func (f *Fleet) storeReaders(now time.Time, region string) []Member {
+	return slices.DeleteFunc(f.Ready(now, region), func(m Member) bool { return !m.Fresh || m.StoreDown })
+}
+
+// AskReader sends a question about the store to the VM of the own region that is first in the order of names
+// and reaches the store, or to one of another region, and returns its name. It reports false if there is none.
+func (f *Fleet) AskReader(now time.Time, m *vmwire.StoreAsk) (string, bool) {
+	for _, region := range append([]string{f.Endpoint.Self.Region}, f.Regions(now)...) {
+		for _, reader := range f.storeReaders(now, region) {
+			if s := f.session(reader.Slot); s != nil && s.Control(vmwire.KindStoreAsk, m) {
+				return reader.Slot, true
+			}
 		}
 	}
-	return false
+	return "", false
 }
 
 // Broadcast sends a suspicion to all VMs.
--- a/operator/vm.go
+++ b/operator/vm.go
@@ -115,7 +115,6 @@
 	}
 	event.Started.Log(log, "region", s.Region, "failureDomain", s.FailureDomain, "memoryBytes", s.MemoryBytes)
 	go g.Source.Run(ctx)
-	go g.RunConfirm(ctx)
 	go g.Pool.Run(ctx)
 	for {
 		select {
--- a/source/source.go
+++ b/source/source.go
@@ -32,7 +32,8 @@
 
 // Source follows the store. It is safe for concurrent use.
 type Source struct {
-	Store    *platform.Store
+	// Readers returns the ways to read the store, the preferred one first.
+	Readers  func() []Reader
 	Replicas *replica.Table
 	Log      *slog.Logger
 	// Now returns the present time since boot.
@@ -55,10 +56,15 @@
 	// accepting serializes the acceptance of configurations.
 	accepting sync.Mutex
 
+	// History answers other VMs.
+	History History
+	// down says that the store did not answer the latest call of this VM.
+	down atomic.Bool
+
 	// The fields below belong to Run.
-	revision  uint64
-	synced    bool
-	down      bool
+	revision uint64
+	synced   bool
+	// returned is when the store answered again after an outage.
 	returned  time.Time
 	evacuated map[string]bool
 	// entries are the registrations of all regions.
@@ -70,27 +76,21 @@
 // Table returns the configuration in force, nil before the first.
 func (s *Source) Table() *route.Table { return s.table.Load() }
 
-// Value returns the configuration in force as the store holds it, nil before the first.
-func (s *Source) Value() []byte {
-	if p := s.value.Load(); p != nil {
-		return *p
-	}
-	return nil
-}
-
 // FreshAt returns a time at which what this VM knows was what the store held.
 func (s *Source) FreshAt() time.Time { return time.Unix(0, s.fresh.Load()) }
 
 // UpstreamsKnown reports whether the registrations have been read.
 func (s *Source) UpstreamsKnown() bool { return s.loaded.Load() }
 
+// Down reports whether the store did not answer the latest call of this VM.
+func (s *Source) Down() bool { return s.down.Load() }
+
 // Run follows the store until ctx ends.
 func (s *Source) Run(ctx context.Context) {
 	s.init()
 	pause := firstPause
 	for ctx.Err() == nil {
 		if err := s.step(ctx); err != nil {
-			s.lost(err)
 			sleep(ctx, pause/2+rand.N(pause))
 			pause = min(2*pause, maxPause)
 			continue
@@ -105,58 +105,77 @@
 	s.entries = map[string]replica.Entry{}
 }
 
-// step makes one call to the store and applies its answer.
+// step reads the store in the first way that works, and applies the answer.
 func (s *Source) step(ctx context.Context) error {
-	sent := s.Now()
-	if !s.synced {
-		page, err := s.Store.Range(ctx, "")
-		if err != nil {
-			return err
+	var errs []error
+	for _, r := range s.Readers() {
+		err := s.read(ctx, r)
+		if err == nil || ctx.Err() != nil {
+			return ctx.Err()
 		}
-		s.regained()
-		s.reset(page)
-		s.freshen(sent)
-		return nil
+		errs = append(errs, err)
 	}
-	page, err := s.Store.Watch(ctx, "", s.revision, watchWait)
-	if errors.Is(err, platform.ErrCompacted) {
+	return errors.Join(errs...)
+}
+
+// read makes one call and applies its answer.
+func (s *Source) read(ctx context.Context, r Reader) error {
+	call := r.Range
+	if s.synced {
+		call = func(ctx context.Context) (Answer, error) { return r.Watch(ctx, s.revision, watchWait) }
+	}
+	a, err := call(ctx)
+	compacted := errors.Is(err, platform.ErrCompacted)
+	if r.Direct && compacted {
+		s.noteStore(nil)
+	} else if r.Direct {
+		s.noteStore(err)
+	}
+	switch {
+	case compacted:
 		s.synced = false
 		return nil
-	}
-	if err != nil {
+	case err != nil:
 		return err
 	}
-	s.regained()
-	for _, item := range page.Events {
+	s.noteReturn(a.Returned)
+	s.take(a)
+	return nil
+}
+
+// take applies an answer and lets other VMs see it.
+func (s *Source) take(a Answer) {
+	if !s.synced {
+		s.reset(a.Page)
+	}
+	for _, item := range a.Events {
 		s.apply(item)
 	}
-	s.revision = max(s.revision, page.Revision)
+	s.revision = max(s.revision, a.Revision)
 	s.dropLapsed()
-	if len(page.Events) == 0 {
-		// The store answered after the wait, so nothing had changed up to then.
-		sent = sent.Add(watchWait)
-	}
-	s.freshen(sent)
-	return nil
+	s.freshen(a.KnownAt)
+	s.History.add(a, s.revision, s.FreshAt(), s.returned)
 }
 
-func (s *Source) lost(err error) {
-	if s.down {
+// noteStore logs when the store is lost and when it returns.
+func (s *Source) noteStore(err error) {
+	if down := err != nil; s.down.Swap(down) == down {
 		return
 	}
-	s.down = true
-	event.StoreDown.Log(s.Log, "error", err.Error(), "revision", s.revision)
-}
-
-func (s *Source) regained() {
-	if !s.down {
+	if err != nil {
+		event.StoreDown.Log(s.Log, "error", err.Error(), "revision", s.revision)
 		return
 	}
-	s.down = false
-	s.returned = s.Now()
+	s.noteReturn(s.Now())
 	event.StoreBack.Log(s.Log, "revision", s.revision)
 }
 
+func (s *Source) noteReturn(at time.Time) {
+	if at.After(s.returned) {
+		s.returned = at
+	}
+}
+
 // freshen says that the VM's knowledge was current at a time. Knowledge never gets older.
 func (s *Source) freshen(at time.Time) {
 	if now := s.Now(); at.After(now) {
@@ -170,14 +189,6 @@
 	}
 }
 
-// Confirm takes over that another VM, which knew the version, was current at a time. It counts only if this
-// VM has that version or a newer one in force.
-func (s *Source) Confirm(version uint64, at time.Time) {
-	if t := s.table.Load(); t != nil && t.Config.Version >= version {
-		s.freshen(at)
-	}
-}
-
 // reset replaces everything by a full range.
 func (s *Source) reset(page platform.Page) {
 	present := map[string]bool{}
@@ -237,7 +248,6 @@
 		return
 	}
 	t := route.New(c)
-	s.value.Store(&value)
 	s.table.Store(t)
 	event.ConfigAccepted.Log(s.Log, "version", c.Version, "routes", len(c.Routes), "workspaces", len(c.Workspaces))
 	s.OnConfig(t)
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -27,8 +27,8 @@
 	KindHandoverTake
 	KindPing
 	KindPresence
-	KindConfigAsk
-	KindConfigCopy
+	KindStoreAsk
+	KindStoreAnswer
 )
 
 // The limits bound what a decoder allocates for a length that a faulty peer announces: without them,
@@ -39,7 +39,7 @@
 
 //msgp:tuple Frame Hello Open Chunk End Window Heartbeat HeartbeatAck SlotView EntryVM ConfigGet ConfigParts Part
 //msgp:tuple Load UpstreamLoad ModelWait Summary PoolSummary TokenAsk TokenGive Suspect Handover HandoverTake HandoverRecord
-//msgp:tuple Presence WorkspaceSpent UpstreamUse ServiceCost VMRow ConfigAsk ConfigCopy
+//msgp:tuple Presence WorkspaceSpent UpstreamUse ServiceCost VMRow StoreItem StoreAsk StoreAnswer
 
 // Frame is the envelope of every message.
 type Frame struct {
@@ -152,6 +152,8 @@
 	FlagFresh
 	// FlagSettled says that the sender has run long enough to know what the workspaces have used.
 	FlagSettled
+	// FlagStoreDown says that the store did not answer the sender's latest call.
+	FlagStoreDown
 )
 
 // Heartbeat tells that the sender lives, and what it knows.
@@ -394,19 +396,43 @@
 	VMs []VMRow
 }
 
-// ConfigAsk asks for the newest configuration. ID is returned in the answer.
-type ConfigAsk struct {
-	ID uint64
-	// Version is the sender's; the answer carries no bytes unless there is a newer one.
-	Version uint64
+// StoreItem is a value of the platform's store, or the deletion of one.
+type StoreItem struct {
+	Key      string
+	Value    []byte `msg:"Value,limit=262144"`
+	Revision uint64
+	Deleted  bool
 }
 
-// ConfigCopy answers ConfigAsk.
-type ConfigCopy struct {
+// StoreAsk asks for what has changed in the store. ID is returned in the answer.
+type StoreAsk struct {
 	ID uint64
-	// Version is that of the sender.
-	Version uint64
-	// FreshMillis is the time since the sender's knowledge of the store was current, in milliseconds.
-	FreshMillis int64
-	Value       []byte `msg:"Value,limit=262144"`
+	// After is the revision that the sender knows; zero asks for everything.
+	After uint64
+	// WaitMillis is the time after which the answer comes although nothing has changed, in milliseconds.
+	WaitMillis int64
+}
+
+// Results of StoreAsk.
+const (
+	// StoreOK says that the answer holds what was asked for.
+	StoreOK uint8 = iota
+	// StoreCompacted says that the changes since the revision are no longer known.
+	StoreCompacted
+	// StoreUnknown says that the sender cannot answer.
+	StoreUnknown
+)
+
+// StoreAnswer answers StoreAsk.
+type StoreAnswer struct {
+	ID       uint64
+	Result   uint8
+	Revision uint64
+	Items    []StoreItem
+	// KnownMillis is the time from the arrival of the question to the latest moment at which the sender's
+	// knowledge was current, in milliseconds; negative if that was before.
+	KnownMillis int64
+	// ReturnedMillis is the time since the sender saw the store return, in milliseconds; negative if it
+	// never did.
+	ReturnedMillis int64
 }
--- a/vmwire/schema_gen.go
+++ b/vmwire/schema_gen.go
@@ -249,239 +249,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *ConfigAsk) DecodeMsg(dc *msgp.Reader) (err error) {
-	var zb0001 uint32
-	zb0001, err = dc.ReadArrayHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 > zb417a25dlimitArrays {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
-		return
-	}
-	z.ID, err = dc.ReadUint64()
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	z.Version, err = dc.ReadUint64()
-	if err != nil {
-		err = msgp.WrapError(err, "Version")
-		return
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z ConfigAsk) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 2
-	err = en.Append(0x92)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.ID)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	err = en.WriteUint64(z.Version)
-	if err != nil {
-		err = msgp.WrapError(err, "Version")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z ConfigAsk) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
-	o = msgp.AppendUint64(o, z.ID)
-	o = msgp.AppendUint64(o, z.Version)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *ConfigAsk) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
-		return
-	}
-	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	z.Version, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Version")
-		return
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z ConfigAsk) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint64Size
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *ConfigCopy) DecodeMsg(dc *msgp.Reader) (err error) {
-	var zb0001 uint32
-	zb0001, err = dc.ReadArrayHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 > zb417a25dlimitArrays {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
-		return
-	}
-	z.ID, err = dc.ReadUint64()
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	z.Version, err = dc.ReadUint64()
-	if err != nil {
-		err = msgp.WrapError(err, "Version")
-		return
-	}
-	z.FreshMillis, err = dc.ReadInt64()
-	if err != nil {
-		err = msgp.WrapError(err, "FreshMillis")
-		return
-	}
-	z.Value, err = dc.ReadBytesLimit(z.Value, 262144)
-	if err == nil && z.Value == nil {
-		z.Value = []byte{}
-	}
-	if err != nil {
-		err = msgp.WrapError(err, "Value")
-		return
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *ConfigCopy) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 4
-	err = en.Append(0x94)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.ID)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	err = en.WriteUint64(z.Version)
-	if err != nil {
-		err = msgp.WrapError(err, "Version")
-		return
-	}
-	err = en.WriteInt64(z.FreshMillis)
-	if err != nil {
-		err = msgp.WrapError(err, "FreshMillis")
-		return
-	}
-	err = en.WriteBytes(z.Value)
-	if err != nil {
-		err = msgp.WrapError(err, "Value")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *ConfigCopy) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
-	o = msgp.AppendUint64(o, z.ID)
-	o = msgp.AppendUint64(o, z.Version)
-	o = msgp.AppendInt64(o, z.FreshMillis)
-	o = msgp.AppendBytes(o, z.Value)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *ConfigCopy) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
-		return
-	}
-	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	z.Version, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Version")
-		return
-	}
-	z.FreshMillis, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "FreshMillis")
-		return
-	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadBytesHeader(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Value")
-		return
-	}
-	if zb0002 > 262144 {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	if z.Value == nil || uint32(cap(z.Value)) < zb0002 {
-		z.Value = make([]byte, zb0002)
-	} else {
-		z.Value = z.Value[:zb0002]
-	}
-	if uint32(len(bts)) < zb0002 {
-		err = msgp.ErrShortBytes
-		return
-	}
-	copy(z.Value, bts[:zb0002])
-	bts = bts[zb0002:]
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *ConfigCopy) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Int64Size + msgp.BytesPrefixSize + len(z.Value)
-	return
-}
-
 // DecodeMsg implements msgp.Decodable
 func (z *ConfigGet) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -4293,6 +4060,462 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *StoreAnswer) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+		return
+	}
+	z.ID, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.Result, err = dc.ReadUint8()
+	if err != nil {
+		err = msgp.WrapError(err, "Result")
+		return
+	}
+	z.Revision, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Revision")
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Items")
+		return
+	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Items) >= int(zb0002) {
+		z.Items = (z.Items)[:zb0002]
+	} else {
+		z.Items = make([]StoreItem, zb0002)
+	}
+	for za0001 := range z.Items {
+		err = z.Items[za0001].DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Items", za0001)
+			return
+		}
+	}
+	z.KnownMillis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "KnownMillis")
+		return
+	}
+	z.ReturnedMillis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "ReturnedMillis")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *StoreAnswer) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 6
+	err = en.Append(0x96)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.ID)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	err = en.WriteUint8(z.Result)
+	if err != nil {
+		err = msgp.WrapError(err, "Result")
+		return
+	}
+	err = en.WriteUint64(z.Revision)
+	if err != nil {
+		err = msgp.WrapError(err, "Revision")
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Items)))
+	if err != nil {
+		err = msgp.WrapError(err, "Items")
+		return
+	}
+	for za0001 := range z.Items {
+		err = z.Items[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Items", za0001)
+			return
+		}
+	}
+	err = en.WriteInt64(z.KnownMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "KnownMillis")
+		return
+	}
+	err = en.WriteInt64(z.ReturnedMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "ReturnedMillis")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *StoreAnswer) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 6
+	o = append(o, 0x96)
+	o = msgp.AppendUint64(o, z.ID)
+	o = msgp.AppendUint8(o, z.Result)
+	o = msgp.AppendUint64(o, z.Revision)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Items)))
+	for za0001 := range z.Items {
+		o, err = z.Items[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Items", za0001)
+			return
+		}
+	}
+	o = msgp.AppendInt64(o, z.KnownMillis)
+	o = msgp.AppendInt64(o, z.ReturnedMillis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StoreAnswer) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+		return
+	}
+	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.Result, bts, err = msgp.ReadUint8Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Result")
+		return
+	}
+	z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Revision")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Items")
+		return
+	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Items) >= int(zb0002) {
+		z.Items = (z.Items)[:zb0002]
+	} else {
+		z.Items = make([]StoreItem, zb0002)
+	}
+	for za0001 := range z.Items {
+		bts, err = z.Items[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Items", za0001)
+			return
+		}
+	}
+	z.KnownMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "KnownMillis")
+		return
+	}
+	z.ReturnedMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ReturnedMillis")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *StoreAnswer) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint8Size + msgp.Uint64Size + msgp.ArrayHeaderSize
+	for za0001 := range z.Items {
+		s += z.Items[za0001].Msgsize()
+	}
+	s += msgp.Int64Size + msgp.Int64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *StoreAsk) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.ID, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.After, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "After")
+		return
+	}
+	z.WaitMillis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "WaitMillis")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z StoreAsk) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.ID)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	err = en.WriteUint64(z.After)
+	if err != nil {
+		err = msgp.WrapError(err, "After")
+		return
+	}
+	err = en.WriteInt64(z.WaitMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "WaitMillis")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z StoreAsk) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint64(o, z.ID)
+	o = msgp.AppendUint64(o, z.After)
+	o = msgp.AppendInt64(o, z.WaitMillis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StoreAsk) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.After, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "After")
+		return
+	}
+	z.WaitMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "WaitMillis")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z StoreAsk) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Int64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *StoreItem) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Key, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	z.Value, err = dc.ReadBytesLimit(z.Value, 262144)
+	if err == nil && z.Value == nil {
+		z.Value = []byte{}
+	}
+	if err != nil {
+		err = msgp.WrapError(err, "Value")
+		return
+	}
+	z.Revision, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Revision")
+		return
+	}
+	z.Deleted, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Deleted")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *StoreItem) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Key)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	err = en.WriteBytes(z.Value)
+	if err != nil {
+		err = msgp.WrapError(err, "Value")
+		return
+	}
+	err = en.WriteUint64(z.Revision)
+	if err != nil {
+		err = msgp.WrapError(err, "Revision")
+		return
+	}
+	err = en.WriteBool(z.Deleted)
+	if err != nil {
+		err = msgp.WrapError(err, "Deleted")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *StoreItem) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendString(o, z.Key)
+	o = msgp.AppendBytes(o, z.Value)
+	o = msgp.AppendUint64(o, z.Revision)
+	o = msgp.AppendBool(o, z.Deleted)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StoreItem) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Key, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadBytesHeader(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Value")
+		return
+	}
+	if zb0002 > 262144 {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Value == nil || uint32(cap(z.Value)) < zb0002 {
+		z.Value = make([]byte, zb0002)
+	} else {
+		z.Value = z.Value[:zb0002]
+	}
+	if uint32(len(bts)) < zb0002 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Value, bts[:zb0002])
+	bts = bts[zb0002:]
+	z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Revision")
+		return
+	}
+	z.Deleted, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Deleted")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *StoreItem) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Key) + msgp.BytesPrefixSize + len(z.Value) + msgp.Uint64Size + msgp.BoolSize
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Summary) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
