Let only events follow in a resumed stream; bound the sessions between regions

Two changes that share the messages between VMs.

Open now says that the head has gone, and the first VM refuses a second head. TestResumedStreamGetsNoOtherAnswer fails without it.

A VM now keeps sessions with all VMs of its region and three of each other one, sends presences within a large region every 0.5 s and to others every 1 s, and tells other regions what its whole region has spent. Cold upstreams get requests from a few VMs where VMs outnumber the bound; weaker VMs are named less often by the directory.

--- a/edge/directory.go
+++ b/edge/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -61,14 +62,26 @@
 // they do not reach the store, are named only if there are no others.
 func (e *Edge) addressesIn(now time.Time, region string) []string {
 	var fresh, stale []string
-	for _, m := range e.Fleet.Ready(now, region) {
+	ready := e.Fleet.Ready(now, region)
+	here := region == e.Settings.Region && e.Ready(now)
+	most := 1
+	if here {
+		most = e.weight()
+	}
+	for _, m := range ready {
+		most = max(most, m.Weight)
+	}
+	for _, m := range ready {
+		if rand.IntN(most) >= m.Weight {
+			continue // A caller picks one at random, so a weaker VM is named less often.
+		}
 		if m.Fresh {
 			fresh = append(fresh, m.CallerAddress)
 		} else {
 			stale = append(stale, m.CallerAddress)
 		}
 	}
-	if region == e.Settings.Region && e.Ready(now) {
+	if here && rand.IntN(most) < e.weight() {
 		if e.keysFresh(now) {
 			fresh = append(fresh, e.Settings.CallerListen)
 		} else {
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -203,6 +204,34 @@
 	}
 }
 
+// Guards against a stream that ends like a whole one, or goes on with the body of another answer, when it is
+// to go on at an upstream of another region and that one fails.
+func TestResumedStreamGetsNoOtherAnswer(t *testing.T) {
+	w := newWorld(t, "north", "south")
+	w.config(1, routeText("a", "streaming", "plain", `,"resumable":true`))
+	w.upstream("u1", "plain", "north", func(rw http.ResponseWriter, _ *http.Request) { events(rw, 1, 3, false) })
+	v := w.vm("vm1", "north", true)
+	w.vm("vm2", "south", true)
+	u2 := w.upstream("u2", "plain", "south", func(rw http.ResponseWriter, _ *http.Request) {
+		rw.WriteHeader(http.StatusInternalServerError)
+		fmt.Fprint(rw, "failed")
+	})
+	w.meet()
+	w.until("both upstreams are known", func() bool { return v.knows("plain", 2) })
+	resp, err := http.DefaultClient.Do(v.request(t, "/a/", "x", nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err == nil || strings.Contains(string(body), "failed") {
+		t.Errorf("the stream ends with %v after %q", err, body)
+	}
+	if u2.count() != 1 {
+		t.Errorf("the second upstream got %d requests, want 1", u2.count())
+	}
+}
+
 // Guards against upstreams that work for a caller who has left, here and in another region.
 func TestCallerLeaves(t *testing.T) {
 	for _, region := range []string{"north", "south"} {
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -61,7 +61,7 @@
 		RequestID: r.id, OriginSlot: e.Settings.Name, OriginRegion: e.Settings.Region,
 		Route: r.route.Name, Hops: 1, Method: r.method, Path: r.target, Header: header,
 		RemainingMillis: r.left(time.Now()).Milliseconds(), BodyBytes: int64(len(r.body)),
-		Runs: int32(r.runs),
+		Runs: int32(r.runs), Resumed: r.headSent,
 	}
 	if t := e.table(); t != nil {
 		open.ConfigNumber = t.Config.Version
@@ -101,16 +101,22 @@
 		if err := e.forwardedChunk(r, &c, sink, headBefore); err != nil {
 			st.Reset()
 			r.runs++
+			if errors.Is(err, errSecondHead) {
+				return fail(VMLost, "vm "+slot+": "+err.Error())
+			}
 			return fail(CallerGone, err.Error())
 		}
 	}
 }
 
-// forwardedChunk passes one piece on. The head of a resumed stream is not repeated.
+// errSecondHead says that another VM began an answer anew for which the caller has the head.
+var errSecondHead = errors.New("the other vm sent a second head")
+
+// forwardedChunk passes one piece on.
 func (e *Edge) forwardedChunk(r *request, c *vmwire.Chunk, sink *Sink, headBefore bool) error {
 	if c.Status != 0 {
 		if headBefore {
-			return nil
+			return errSecondHead
 		}
 		r.headSent = true
 		return sink.Head(int(c.Status), splitHeader(c.Header), int(c.End))
--- a/edge/reader.go
+++ b/edge/reader.go
@@ -165,7 +165,10 @@
 	case vmwire.KindSuspect:
 		var m vmwire.Suspect
 		if err = vm.Decode(f, &m); err == nil {
-			e.Poison.Merge(e.Now(), m)
+			changed := e.Poison.Merge(e.Now(), m)
+			if changed && s.Peer.Region != e.Settings.Region {
+				e.Fleet.Broadcast(&m, true)
+			}
 		}
 	case vmwire.KindStoreAsk:
 		var m vmwire.StoreAsk
--- a/edge/send.go
+++ b/edge/send.go
@@ -88,7 +88,7 @@
 	now := e.Now()
 	e.Poison.Crash(now, pick.ID, []poison.Fingerprint{r.print})
 	for _, m := range e.Poison.Messages(now, r.print) {
-		e.Fleet.Broadcast(&m)
+		e.Fleet.Broadcast(&m, false)
 	}
 }
 
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -48,7 +48,7 @@
 	now := time.Now()
 	r := &request{
 		id: open.RequestID, method: open.Method, target: open.Path, host: open.Header[hostHeader],
-		arrived: now, forwarded: true, runs: int(open.Runs),
+		arrived: now, forwarded: true, runs: int(open.Runs), headSent: open.Resumed,
 	}
 	delete(open.Header, hostHeader)
 	r.header = splitHeader(open.Header)
@@ -175,7 +175,14 @@
 	if e.Quota.Settled(now) {
 		p.Flags |= vmwire.FlagSettled
 	}
-	for workspace, r := range e.Quota.Reports(now) {
+	p.Weight = int32(e.weight())
+	near := e.Fleet.Sharers(now)
+	p.RegionVMs = int32(near)
+	reports := e.Quota.Reports(now)
+	if !sameRegion {
+		reports = e.Quota.RegionReports(now)
+	}
+	for workspace, r := range reports {
 		p.Spent = append(p.Spent, vmwire.WorkspaceSpent{Workspace: workspace, Amount: r.Spent, Level: r.Level})
 	}
 	if t := e.table(); t != nil {
@@ -205,10 +212,16 @@
 	for _, s := range p.Spent {
 		reports[s.Workspace] = quota.Report{Spent: s.Amount, Level: s.Level}
 	}
-	e.Quota.Heard(now, m.Slot, m.Incarnation, reports, p.Flags&vmwire.FlagSettled != 0)
+	origin := quota.Origin{Name: m.Slot, Incarnation: m.Incarnation, VMs: 1, Settled: p.Flags&vmwire.FlagSettled != 0}
 	if m.Region != e.Settings.Region {
+		// Each VM of a region reports for all of it; one is enough.
+		if e.Fleet.First(now, m.Region) == m.Slot {
+			origin.Name, origin.VMs, origin.Far = "region "+m.Region, int(p.RegionVMs), true
+			e.Quota.Heard(now, origin, reports)
+		}
 		return
 	}
+	e.Quota.Heard(now, origin, reports)
 	uses := make(map[string]replica.Use, len(p.Uses))
 	for _, u := range p.Uses {
 		use := replica.Use{Running: int(u.Running), Held: u.Held}
@@ -216,9 +229,18 @@
 		uses[u.Upstream] = use
 	}
 	e.Replicas.SetPeerUse(now, m.Slot, uses)
-	e.Replicas.SetVMs(e.sharers(now))
+	e.Replicas.SetVMs(e.Settings.Name, e.Fleet.Near(now), e.sharers(now))
 }
 
+// weight is this VM's share of work, in hundredths of a core, bounded by what its link carries.
+func (e *Edge) weight() int {
+	s := e.Settings
+	return max(1, int(100*min(s.Cores, s.LinkMbps/linkPerCore)))
+}
+
+// linkPerCore is the bandwidth that a core's work takes, in Mbit/s: about 250 prompts a second of 10 KB.
+const linkPerCore = 20
+
 // sharers returns the number of VMs that share the bounds of an upstream. A VM that has just started has not
 // heard of all of them yet.
 func (e *Edge) sharers(now time.Time) int {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -1,10 +1,13 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"hash/fnv"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +23,7 @@
 var (
 	errSilent    = errors.New("the other vm is silent")
 	errDuplicate = errors.New("another session with the vm exists")
+	errSurplus   = errors.New("sessions with other vms of the region suffice")
 	errReplaced  = errors.New("the vm was replaced by a newer one")
 )
 
@@ -43,7 +47,8 @@
 	members    map[string]*Member
 	sessions   map[string][]*vm.Session
 	candidates map[string]*candidate
-	ticks      int
+	// ticks belongs to Run.
+	ticks int
 }
 
 // New returns a fleet that knows only the seeds.
@@ -89,21 +94,32 @@
 func (f *Fleet) beat(ctx context.Context) {
 	now := f.Now()
 	f.dropSilent()
+	if f.ticks%rowsEvery == 0 {
+		f.dropSurplus(now)
+	}
 	for _, address := range f.due(now) {
 		go f.runDial(ctx, address)
 	}
-	f.Announce()
+	f.ticks++
+	f.announce()
 }
 
 // dropSilent closes sessions over connections that went silent.
 func (f *Fleet) dropSilent() {
 	for _, s := range f.allSessions() {
-		if time.Since(s.HeardAt()) > sessionSilence {
+		limit := sessionSilence
+		if f.far(s) {
+			limit = farSessionSilence
+		}
+		if time.Since(s.HeardAt()) > limit {
 			s.Close(errSilent)
 		}
 	}
 }
 
+// far reports whether a session is with a VM of another region.
+func (f *Fleet) far(s *vm.Session) bool { return s.Peer.Region != f.Endpoint.Self.Region }
+
 func (f *Fleet) allSessions() []*vm.Session {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -114,21 +130,21 @@
 	return all
 }
 
-// due returns the addresses to dial now. Of two VMs, the one with the lower name dials; the other one
-// waits for a while.
+// due returns the addresses to dial now: all VMs of the own region, and a few of each other one.
 func (f *Fleet) due(now time.Time) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	chosen := f.chosen(now)
 	var list []string
 	for address, c := range f.candidates {
-		if c.slot != "" && (c.slot == f.Endpoint.Self.Slot || len(f.sessions[c.slot]) > 0) {
+		if now.Sub(c.seenAt) > rowLife && !c.seed {
+			delete(f.candidates, address)
 			continue
 		}
-		if age := now.Sub(c.seenAt); age > rowLife && !c.seed {
-			delete(f.candidates, address)
+		if c.slot != "" && (c.slot == f.Endpoint.Self.Slot || len(f.sessions[c.slot]) > 0) {
 			continue
 		}
-		if c.dialing || now.Before(c.dialAt) {
+		if c.dialing || now.Before(c.dialAt) || f.isFar(c) && !chosen[address] {
 			continue
 		}
 		c.dialing = true
@@ -137,6 +153,55 @@
 	return list
 }
 
+// isFar reports whether a candidate is known to be in another region.
+func (f *Fleet) isFar(c *candidate) bool { return c.region != "" && c.region != f.Endpoint.Self.Region }
+
+// chosen returns the addresses of the VMs of other regions to keep sessions with. Rendezvous hashing spreads
+// the sessions of a region over the VMs of the other.
+func (f *Fleet) chosen(now time.Time) map[string]bool {
+	byRegion := map[string][]string{}
+	for address, c := range f.candidates {
+		if f.isFar(c) && c.usable(now) {
+			byRegion[c.region] = append(byRegion[c.region], address)
+		}
+	}
+	chosen := map[string]bool{}
+	for _, addresses := range byRegion {
+		slices.SortFunc(addresses, func(a, b string) int { return cmp.Compare(f.weight(b), f.weight(a)) })
+		for _, address := range addresses[:min(farSessions, len(addresses))] {
+			chosen[address] = true
+		}
+	}
+	return chosen
+}
+
+func (f *Fleet) weight(address string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(address))
+	_, _ = h.Write([]byte(f.Endpoint.Self.Slot))
+	return h.Sum64() * 0x9e3779b97f4a7c15
+}
+
+// dropSurplus closes the sessions that this VM opened to VMs of other regions that it no longer chooses,
+// such as the seeds.
+func (f *Fleet) dropSurplus(now time.Time) {
+	f.mu.Lock()
+	chosen := f.chosen(now)
+	var surplus []*vm.Session
+	for slot, list := range f.sessions {
+		m := f.members[slot]
+		for _, s := range list {
+			if s.Dialed && f.far(s) && m != nil && !chosen[m.Address] && len(chosen) >= farSessions && s.OpenStreams() == 0 {
+				surplus = append(surplus, s)
+			}
+		}
+	}
+	f.mu.Unlock()
+	for _, s := range surplus {
+		s.Close(errSurplus)
+	}
+}
+
 func (f *Fleet) runDial(ctx context.Context, address string) {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -149,9 +214,11 @@
 	}
 	c.dialing = false
 	c.dialAt = f.Now().Add(dialPause)
-	if err == nil {
-		c.slot, c.region = s.Peer.Slot, s.Peer.Region
+	if err != nil {
+		c.failedAt = f.Now()
+		return
 	}
+	c.slot, c.region = s.Peer.Slot, s.Peer.Region
 }
 
 // up adds a session. Of several with one VM, that dialed by the lower name stays.
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -11,11 +11,24 @@
 const (
 	// tick is the period of presences and of the checks of sessions.
 	tick = 250 * time.Millisecond
-	// aliveFor is the time after a presence for which a VM counts as alive.
-	aliveFor = 1200 * time.Millisecond
-	// sessionSilence is the time without a frame after which a session is replaced. A connection can go
-	// silent for good while a new one works.
-	sessionSilence = 1500 * time.Millisecond
+	// aliveFor and farAliveFor are the times after a presence for which a VM of the own or of another region
+	// counts as alive: two missed presences and their delay.
+	aliveFor    = 1600 * time.Millisecond
+	farAliveFor = 2800 * time.Millisecond
+	// sessionSilence and farSessionSilence are the times without a frame after which a session is replaced.
+	// A connection can go silent for good while a new one works.
+	sessionSilence    = 1800 * time.Millisecond
+	farSessionSilence = 3 * time.Second
+	// smallRegion is the number of sessions within the region up to which a presence is sent each tick.
+	// Above it, presences within the region are sent every second tick.
+	smallRegion = 8
+	// farSessions is the number of VMs of each other region to which a VM keeps sessions. It bounds the
+	// sessions and the bytes between regions, and leaves two when one is lost.
+	farSessions = 3
+	// rowReceivers is the number of sessions over which a list of VMs is sent each time.
+	rowReceivers = 3
+	// failurePause is the time for which a VM that could not be reached is passed over.
+	failurePause = 5 * time.Second
 	// forgetAfter is the time after which a silent VM no longer counts for shares of bounds.
 	forgetAfter = 60 * time.Second
 	// dialPause is the time between two attempts to reach a VM.
@@ -47,10 +60,19 @@
 	// Costs are the expected times to the first token in its region, by service.
 	Costs         map[string]time.Duration
 	ConfigVersion uint64
+	// Weight is the VM's share of work, relative to others.
+	Weight int
+	// far says that the VM is in another region.
+	far bool
 }
 
 // Alive reports whether the VM was heard of lately.
-func (m *Member) Alive(now time.Time) bool { return now.Sub(m.HeardAt) <= aliveFor }
+func (m *Member) Alive(now time.Time) bool {
+	if m.far {
+		return now.Sub(m.HeardAt) <= farAliveFor
+	}
+	return now.Sub(m.HeardAt) <= aliveFor
+}
 
 // apply takes over a presence.
 func (m *Member) apply(now time.Time, p *vmwire.Presence) {
@@ -62,6 +84,7 @@
 	m.StoreDown = p.Flags&vmwire.FlagStoreDown != 0
 	m.Open = int(p.Open)
 	m.ConfigVersion = p.ConfigVersion
+	m.Weight = int(p.Weight)
 	m.Costs = make(map[string]time.Duration, len(p.Costs))
 	for _, c := range p.Costs {
 		m.Costs[c.Service] = time.Duration(c.CostMillis) * time.Millisecond
@@ -70,10 +93,16 @@
 
 // candidate is a VM that is known by its address only.
 type candidate struct {
-	slot    string
-	region  string
-	seenAt  time.Time
-	dialAt  time.Time
-	dialing bool
-	seed    bool
+	slot     string
+	region   string
+	seenAt   time.Time
+	dialAt   time.Time
+	failedAt time.Time
+	dialing  bool
+	seed     bool
+}
+
+// usable reports whether the VM may be dialed.
+func (c *candidate) usable(now time.Time) bool {
+	return now.Sub(c.failedAt) > failurePause && (c.seed || now.Sub(c.seenAt) <= rowLife)
 }
--- a/fleet/presence.go
+++ b/fleet/presence.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"parsleyhatch/event"
@@ -8,52 +9,75 @@
 	"parsleyhatch/vmwire"
 )
 
-// Announce sends a presence to all VMs.
-func (f *Fleet) Announce() {
+// Announce sends a presence to all VMs at once.
+func (f *Fleet) Announce() { f.send(true, true, false) }
+
+// announce sends the presences that are due. The larger the region, the fewer.
+func (f *Fleet) announce() {
+	near := 0
+	for _, s := range f.allSessions() {
+		if !f.far(s) {
+			near++
+		}
+	}
+	every := 1
+	if near > smallRegion {
+		every = 2
+	}
+	f.send(f.ticks%every == 0, f.ticks%(2*every) == 0, f.ticks%rowsEvery == 0)
+}
+
+// send sends presences within the region, to other regions, and the list of VMs to a few.
+func (f *Fleet) send(near, far, withRows bool) {
 	f.mu.Lock()
-	f.ticks++
-	withRows := f.ticks%rowsEvery == 0
 	slots := make([]string, 0, len(f.sessions))
 	for slot := range f.sessions {
 		slots = append(slots, slot)
 	}
 	f.mu.Unlock()
-	near := f.presence(true, withRows)
-	far := f.presence(false, withRows)
+	nearPresence, farPresence := f.presence(true), f.presence(false)
 	for _, slot := range slots {
 		s := f.session(slot)
 		switch {
 		case s == nil:
-		case s.Peer.Region == f.Endpoint.Self.Region:
-			s.Control(vmwire.KindPresence, near)
-		default:
-			s.Control(vmwire.KindPresence, far)
+		case f.far(s) && far:
+			s.Control(vmwire.KindPresence, farPresence)
+		case !f.far(s) && near:
+			s.Control(vmwire.KindPresence, nearPresence)
+		}
+	}
+	if !withRows {
+		return
+	}
+	rand.Shuffle(len(slots), func(i, j int) { slots[i], slots[j] = slots[j], slots[i] })
+	for _, slot := range slots[:min(rowReceivers, len(slots))] {
+		if s := f.session(slot); s != nil {
+			f.announceTo(s)
 		}
 	}
 }
 
-// announceTo sends the first presence of a session, with all VMs that are known.
+// announceTo sends a presence with all VMs that are known.
 func (f *Fleet) announceTo(s *vm.Session) {
-	s.Control(vmwire.KindPresence, f.presence(s.Peer.Region == f.Endpoint.Self.Region, true))
+	p := f.presence(!f.far(s))
+	p.VMs = f.rows(f.Now())
+	s.Control(vmwire.KindPresence, p)
 }
 
-func (f *Fleet) presence(sameRegion, withRows bool) *vmwire.Presence {
+func (f *Fleet) presence(sameRegion bool) *vmwire.Presence {
 	now := f.Now()
 	p := &vmwire.Presence{Address: f.Address, CallerAddress: f.CallerAddress}
 	f.Describe(now, p, sameRegion)
-	if withRows {
-		p.VMs = f.rows(now)
-	}
 	return p
 }
 
 func (f *Fleet) rows(now time.Time) []vmwire.VMRow {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	rows := make([]vmwire.VMRow, 0, len(f.members))
-	for slot, m := range f.members {
-		if age := now.Sub(m.HeardAt); age < rowLife && !m.Leaving {
-			rows = append(rows, vmwire.VMRow{Slot: slot, Region: m.Region, Address: m.Address, AgeMillis: age.Milliseconds()})
+	rows := make([]vmwire.VMRow, 0, len(f.candidates))
+	for address, c := range f.candidates {
+		if age := now.Sub(c.seenAt); age < rowLife && c.slot != "" {
+			rows = append(rows, vmwire.VMRow{Slot: c.slot, Region: c.region, Address: address, AgeMillis: age.Milliseconds()})
 		}
 	}
 	return rows
@@ -92,7 +116,7 @@
 		if m != nil && m.StartedAt.After(s.Peer.StartedAt) && m.Alive(now) {
 			return Member{}, false
 		}
-		m = &Member{Identity: s.Peer}
+		m = &Member{Identity: s.Peer, far: f.far(s)}
 		f.members[s.Peer.Slot] = m
 		event.MemberReturned.Log(f.Log, "vm", s.Peer.Slot, "region", s.Peer.Region)
 	}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -49,34 +49,38 @@
 	return list
 }
 
-// Sharers returns the number of VMs of the own region, this one included, that may use a part of the
-// bounds of the region's upstreams. VMs that were lost count until they are forgotten.
-func (f *Fleet) Sharers(now time.Time) int {
+// Near returns the names of the VMs of the own region that may use a part of the bounds of the region's
+// upstreams, this one included. VMs that were lost count until they are forgotten.
+func (f *Fleet) Near(now time.Time) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	n := 1
+	names := []string{f.Endpoint.Self.Slot}
 	for slot, m := range f.members {
 		if now.Sub(m.HeardAt) > forgetAfter {
 			delete(f.members, slot)
 			continue
 		}
-		if m.Region == f.Endpoint.Self.Region {
-			n++
+		if !m.far {
+			names = append(names, slot)
 		}
 	}
-	return n
+	return names
 }
 
-// Heard reports whether any VM was heard of lately.
-func (f *Fleet) Heard(now time.Time) bool {
+// Sharers returns the number of names that Near returns.
+func (f *Fleet) Sharers(now time.Time) int { return len(f.Near(now)) }
+
+// First returns the name of the first VM of another region that is alive.
+func (f *Fleet) First(now time.Time, region string) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, m := range f.members {
-		if m.Alive(now) {
-			return true
+	first := ""
+	for slot, m := range f.members {
+		if m.Region == region && m.Alive(now) && (first == "" || slot < first) {
+			first = slot
 		}
 	}
-	return false
+	return first
 }
 
 // CostIn returns the lowest expected time to the first token of a service in another region.
@@ -147,16 +151,11 @@
 	return "", false
 }
 
-// Broadcast sends a suspicion to all VMs.
-func (f *Fleet) Broadcast(m *vmwire.Suspect) {
-	f.mu.Lock()
-	slots := make([]string, 0, len(f.sessions))
-	for slot := range f.sessions {
-		slots = append(slots, slot)
-	}
-	f.mu.Unlock()
-	for _, slot := range slots {
-		if s := f.session(slot); s != nil {
+// Broadcast sends a suspicion to the VMs of the own region, and to those of others with which there are
+// sessions. With near set it is passed on within the region only.
+func (f *Fleet) Broadcast(m *vmwire.Suspect, near bool) {
+	for _, s := range f.allSessions() {
+		if !near || !f.far(s) {
 			s.Control(vmwire.KindSuspect, m)
 		}
 	}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -12,7 +12,7 @@
 
 const (
 	// silence is the time without a report after which a VM counts as silent.
-	silence = 800 * time.Millisecond
+	silence = 1600 * time.Millisecond
 	// memory is the time after which a silent VM is forgotten.
 	memory = 60 * time.Second
 	// minReport is the shortest time between two reports from which a pace is computed.
@@ -52,9 +52,23 @@
 	spent int64
 }
 
-// peer is another VM.
+// Origin is what reports: another VM of the region, or a whole other region.
+type Origin struct {
+	Name string
+	// Incarnation changes when the count of what was spent starts anew.
+	Incarnation uint64
+	// VMs is the number of VMs that the report is of. More than one are another region.
+	VMs int
+	Far bool
+	// Settled says that the sender knows the levels.
+	Settled bool
+}
+
+// peer is another VM or another region.
 type peer struct {
 	incarnation uint64
+	vms         int
+	far         bool
 	heardAt     time.Time
 	spent       map[string]int64
 	// pace is what the VM charged a second between its latest reports, by workspace.
@@ -168,8 +182,10 @@
 	gain := b.rate * elapsed.Seconds()
 	known, silent := t.count(now)
 	part := gain / float64(known)
+	unheard := 0
 	for _, p := range silent {
-		p.left[workspace] += part
+		p.left[workspace] += part * float64(p.vms)
+		unheard += p.vms
 	}
 	for _, p := range t.peers {
 		if now.Sub(p.heardAt) <= silence {
@@ -178,12 +194,21 @@
 			gain -= spent
 		}
 	}
-	unheard := len(silent) + max(0, known-1-len(t.peers))
+	unheard += max(0, known-1-t.vms())
 	// VMs that do not hear each other have the same level, so each side keeps only its part of a burst.
 	b.limit = b.burst * float64(known-unheard) / float64(known)
 	b.level = min(b.limit, b.level+gain-part*float64(unheard))
 }
 
+// vms returns the number of other VMs that are known.
+func (t *Table) vms() int {
+	n := 0
+	for _, p := range t.peers {
+		n += p.vms
+	}
+	return n
+}
+
 // count returns the number of VMs including this one, and those that are silent.
 func (t *Table) count(now time.Time) (int, []*peer) {
 	var silent []*peer
@@ -195,24 +220,28 @@
 			silent = append(silent, p)
 		}
 	}
-	known := len(t.peers) + 1
+	known := t.vms() + 1
 	if !t.met && now.Sub(t.started) < memory {
 		known = max(known, unknownVMs)
 	}
 	return known, silent
 }
 
-// Heard charges what another VM reports, by workspace. settled says that the VM knows the levels.
-func (t *Table) Heard(now time.Time, vm string, incarnation uint64, reports map[string]Report, settled bool) {
+// Heard charges what another VM or region reports, by workspace.
+func (t *Table) Heard(now time.Time, o Origin, reports map[string]Report) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.met = true
-	p := t.peers[vm]
-	known := p != nil && p.incarnation == incarnation
+	p := t.peers[o.Name]
+	known := p != nil && p.incarnation == o.Incarnation
 	if !known {
-		p = &peer{incarnation: incarnation, heardAt: now, spent: map[string]int64{}, pace: map[string]float64{}, left: map[string]float64{}}
-		t.peers[vm] = p
+		p = &peer{
+			incarnation: o.Incarnation, heardAt: now,
+			spent: map[string]int64{}, pace: map[string]float64{}, left: map[string]float64{},
+		}
+		t.peers[o.Name] = p
 	}
+	p.vms, p.far = max(1, o.VMs), o.Far
 	for workspace, report := range reports {
 		amount := report.Spent
 		b := t.buckets[workspace]
@@ -227,13 +256,16 @@
 	}
 	p.heardAt = now
 	clear(p.left)
-	if settled && len(t.buckets) > 0 {
+	if o.Settled && len(t.buckets) > 0 {
 		t.adopt(reports)
 	}
 }
 
 // chargeReport charges what exceeds the charge in advance. What was left to a silent VM is not taken back.
 func (t *Table) chargeReport(now time.Time, b *bucket, p *peer, workspace string, amount float64) {
+	if p.far {
+		amount = max(0, amount) // The count of a region falls when one of its VMs starts anew.
+	}
 	since := now.Sub(p.heardAt)
 	if since >= minReport {
 		p.pace[workspace] = amount / since.Seconds()
@@ -263,3 +295,22 @@
 	}
 	return reports
 }
+
+// RegionReports returns what the VMs of this region tell other regions, by workspace.
+func (t *Table) RegionReports(now time.Time) map[string]Report {
+	reports := t.Reports(now)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range t.peers {
+		if p.far {
+			continue
+		}
+		for workspace, spent := range p.spent {
+			if r, ok := reports[workspace]; ok {
+				r.Spent += spent
+				reports[workspace] = r
+			}
+		}
+	}
+	return reports
+}
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -32,17 +32,17 @@
 // Guards against two VMs that each give the whole rate.
 func TestReportsAreCharged(t *testing.T) {
 	table := newTable(100, 100)
-	table.Heard(start, "other", 1, map[string]Report{"w": {Spent: 1000}}, false)
+	table.Heard(start, Origin{Name: "other", Settled: false}, map[string]Report{"w": {Spent: 1000}})
 	now := start
 	for range 10 {
 		now = now.Add(100 * time.Millisecond)
-		table.Heard(now, "other", 1, map[string]Report{"w": {Spent: 1000}}, false)
+		table.Heard(now, Origin{Name: "other", Settled: false}, map[string]Report{"w": {Spent: 1000}})
 	}
 	if ok, _ := table.Charge(now, "w", 100); !ok {
 		t.Fatal("what the other VM had charged before it was heard of counts")
 	}
 	now = now.Add(time.Second)
-	table.Heard(now, "other", 1, map[string]Report{"w": {Spent: 1100}}, false)
+	table.Heard(now, Origin{Name: "other", Settled: false}, map[string]Report{"w": {Spent: 1100}})
 	if ok, wait := table.Charge(now, "w", 50); ok || wait < 400*time.Millisecond {
 		t.Errorf("charge after the other VM spent the refill: %v, wait %v", ok, wait)
 	}
@@ -52,9 +52,9 @@
 func TestFirstReportLater(t *testing.T) {
 	table := newTable(100, 100)
 	now := start.Add(10 * time.Second)
-	table.Heard(now, "a", 1, map[string]Report{"w": {Spent: 500}}, true)
+	table.Heard(now, Origin{Name: "a", Settled: true}, map[string]Report{"w": {Spent: 500}})
 	now = now.Add(100 * time.Millisecond)
-	table.Heard(now, "a", 1, map[string]Report{"w": {Spent: 1500}}, true)
+	table.Heard(now, Origin{Name: "a", Settled: true}, map[string]Report{"w": {Spent: 1500}})
 	if ok, _ := table.Charge(now, "w", 10); ok {
 		t.Error("what another VM spent was not charged")
 	}
@@ -63,9 +63,9 @@
 // Guards against a VM that is cut off and gives the part of the VMs that it does not hear.
 func TestSilentVMsKeepTheirPart(t *testing.T) {
 	table := newTable(100, 100000)
-	table.Heard(start, "a", 1, map[string]Report{"w": {}}, true)
-	table.Heard(start, "b", 1, nil, false)
-	table.Heard(start, "c", 1, nil, false)
+	table.Heard(start, Origin{Name: "a", Settled: true}, map[string]Report{"w": {}})
+	table.Heard(start, Origin{Name: "b", Settled: false}, nil)
+	table.Heard(start, Origin{Name: "c", Settled: false}, nil)
 	now := start.Add(silence)
 	table.Charge(now, "w", 0)
 	spentBefore := table.buckets["w"].level
@@ -85,7 +85,7 @@
 	for range 200 {
 		now = now.Add(100 * time.Millisecond)
 		for _, vm := range []string{"a", "b", "c"} {
-			table.Heard(now, vm, 1, nil, true)
+			table.Heard(now, Origin{Name: vm, Settled: true}, nil)
 		}
 	}
 	if ok, _ := table.Charge(now, "w", 10); !ok {
@@ -101,14 +101,14 @@
 // Guards against charging a VM twice that returns: its part was left to it while it was silent.
 func TestReturnIsNotChargedTwice(t *testing.T) {
 	table := newTable(100, 1000)
-	table.Heard(start, "a", 1, map[string]Report{"w": {Spent: 0}}, false)
+	table.Heard(start, Origin{Name: "a", Settled: false}, map[string]Report{"w": {Spent: 0}})
 	now := start
 	for range 40 {
 		now = now.Add(100 * time.Millisecond)
 		table.Charge(now, "w", 0)
 	}
 	before := table.buckets["w"].level
-	table.Heard(now, "a", 1, map[string]Report{"w": {Spent: 100}}, false)
+	table.Heard(now, Origin{Name: "a", Settled: false}, map[string]Report{"w": {Spent: 100}})
 	if after := table.buckets["w"].level; before-after > 1 {
 		t.Errorf("level fell from %.0f to %.0f for what was left to the VM", before, after)
 	}
@@ -116,9 +116,9 @@
 
 func TestRefund(t *testing.T) {
 	table := newTable(100, 100)
-	table.Heard(start, "a", 1, nil, false)
+	table.Heard(start, Origin{Name: "a", Settled: false}, nil)
 	now := start.Add(time.Second)
-	table.Heard(now, "a", 1, nil, false)
+	table.Heard(now, Origin{Name: "a", Settled: false}, nil)
 	table.Charge(now, "w", 100)
 	table.Refund("w", 100)
 	if ok, _ := table.Charge(now, "w", 100); !ok {
@@ -133,7 +133,7 @@
 // for a second.
 func TestSeedAfterLossOfAllVMs(t *testing.T) {
 	table := newTable(100, 100)
-	table.Heard(start, "a", 1, map[string]Report{"w": {}}, false)
+	table.Heard(start, Origin{Name: "a", Settled: false}, map[string]Report{"w": {}})
 	now := start.Add(seedTime)
 	if ok, _ := table.Charge(now, "w", 50); !ok {
 		t.Error("half a burst was refused")
@@ -146,7 +146,7 @@
 // Guards against a restarted VM that refuses requests although the others know that there is room.
 func TestRestartedVMTakesOverLevels(t *testing.T) {
 	table := newTable(100, 100)
-	table.Heard(start, "a", 1, map[string]Report{"w": {Spent: 1000, Level: 80}}, true)
+	table.Heard(start, Origin{Name: "a", Settled: true}, map[string]Report{"w": {Spent: 1000, Level: 80}})
 	if ok, _ := table.Charge(start.Add(time.Millisecond), "w", 70); !ok {
 		t.Error("a charge below the level of a settled VM was refused")
 	}
@@ -155,7 +155,7 @@
 // Guards against a burst that a restarted VM grants while the others know that it is used up.
 func TestRestartedVMGivesNoSecondBurst(t *testing.T) {
 	table := newTable(100, 100)
-	table.Heard(start, "a", 1, map[string]Report{"w": {Spent: 1000, Level: 0}}, true)
+	table.Heard(start, Origin{Name: "a", Settled: true}, map[string]Report{"w": {Spent: 1000, Level: 0}})
 	if ok, _ := table.Charge(start.Add(seedTime), "w", 90); ok {
 		t.Error("a burst was granted beside that of the other VMs")
 	}
--- a/quota/world_test.go
+++ b/quota/world_test.go
@@ -59,7 +59,7 @@
 			}
 			for i, table := range tables {
 				if i != m.from {
-					table.Heard(now, fmt.Sprint(m.from), 1, m.reports, tables[m.from].Settled(now))
+					table.Heard(now, Origin{Name: fmt.Sprint(m.from), Settled: tables[m.from].Settled(now)}, m.reports)
 				}
 			}
 		}
--- a/replica/choose.go
+++ b/replica/choose.go
@@ -25,6 +25,8 @@
 	// popularShare is the share of requests, in multiples of an even share of one upstream, above which
 	// requests with the same part are spread.
 	popularShare = 0.5
+	// coldShare is the part of a cold upstream's bound that is used where VMs outnumber its requests.
+	coldShare = 0.7
 	// usualFailures is the share of failures that services may have without being at fault.
 	usualFailures = 0.35
 	// memoryShare is the share of an engine's memory beyond which running requests are preempted.
@@ -139,15 +141,38 @@
 		}
 	}
 	if q.Service.WarmUpRate > 0 && r.cold(now) {
-		return r.coldRoom(now, t.coldQuota(q.Service))
+		return r.coldRoom(now, t.coldQuota(r, q.Service))
 	}
 	return true
 }
 
-// coldQuota is this VM's share of the requests that a cold upstream may get in a second. Where there are
-// more VMs than requests, some VMs get one and the others none.
-func (t *Table) coldQuota(s *route.Service) int {
-	return int(t.ColdBound(s)) / t.vms
+// coldQuota is this VM's share of the requests that a cold upstream may get in a second. Where there are more
+// VMs than requests, some VMs get one and the others none; rendezvous hashing tells which, and a part is held
+// back since VMs may know of different ones.
+func (t *Table) coldQuota(r *row, s *route.Service) int {
+	bound := int(t.ColdBound(s))
+	if t.vms <= bound {
+		return bound / t.vms
+	}
+	key := hashName(r.ID)
+	own, above := Rendezvous(key, t.self), 0
+	for _, name := range t.names {
+		if Rendezvous(key, name) > own {
+			above++
+		}
+	}
+	// VMs that are not known yet may be above this one, too.
+	above += t.vms - len(t.names)
+	if above < int(coldShare*float64(bound)) {
+		return 1
+	}
+	return 0
+}
+
+func hashName(name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name))
+	return h.Sum64()
 }
 
 // preferred returns the upstream at which requests with the same shared parts are brought together, by
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -91,7 +91,7 @@
 // Guards against more requests to a cold upstream than it stands, over all VMs and in any second.
 func TestColdUpstreamIsSpared(t *testing.T) {
 	table := newTable(1, "s")
-	table.SetVMs(4)
+	table.SetVMs("a", []string{"a", "b", "c", "d"}, 4)
 	table.Put(start, Entry{ID: "new", Service: "s", FailureDomain: "a", Slots: 64, Born: 2}, 3*time.Second)
 	var sent []time.Time
 	for i := range 3000 {
@@ -127,7 +127,7 @@
 		t.Error("an evacuated domain gets requests")
 	}
 	table.SetEvacuated(start, map[string]bool{}, warmUp)
-	table.SetVMs(4)
+	table.SetVMs("a", []string{"a", "b", "c", "d"}, 4)
 	n := 0
 	for range 10 {
 		if _, ok := table.Pick(start, Request{Service: engine}); ok {
@@ -234,3 +234,23 @@
 		})
 	}
 }
+
+// Guards against more VMs than a cold upstream stands requests: all of them would send one.
+func TestColdUpstreamBeforeManyVMs(t *testing.T) {
+	var names []string
+	for i := range 25 {
+		names = append(names, fmt.Sprintf("vm%d", i))
+	}
+	senders := 0
+	for _, self := range names {
+		table := newTable(0, "s")
+		table.SetVMs(self, names, 25)
+		table.Put(start, Entry{ID: "new", Service: "s", FailureDomain: "a", Slots: 64, Born: 2}, 3*time.Second)
+		if _, ok := table.Pick(start, Request{Service: engine}); ok {
+			senders++
+		}
+	}
+	if senders == 0 || senders > 7 {
+		t.Errorf("%d of 25 VMs send to a cold upstream that stands 7 requests a second", senders)
+	}
+}
--- a/replica/table.go
+++ b/replica/table.go
@@ -18,8 +18,11 @@
 	byService map[string][]*row
 	evacuated map[string]bool
 	popular   popularity
-	// vms is the number of VMs that share the bound of a cold upstream.
-	vms int
+	// vms is the number of VMs that share the bound of a cold upstream, self the name of this one, and
+	// names those that are known.
+	vms   int
+	self  string
+	names []string
 	// seen is false until the first registrations were read: those are of upstreams that are warm
 	// unless they say otherwise.
 	seen bool
@@ -115,11 +118,12 @@
 	t.evacuated = domains
 }
 
-// SetVMs sets the number of VMs that share the bounds of an upstream.
-func (t *Table) SetVMs(n int) {
+// SetVMs sets the VMs that share the bounds of an upstream: their names, and their number if not all are
+// known.
+func (t *Table) SetVMs(self string, names []string, n int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.vms = max(1, n)
+	t.self, t.names, t.vms = self, names, max(1, n, len(names))
 }
 
 // SetPeerUse replaces what another VM has running, by the ids of upstreams.
--- a/vm/keepalive.go
+++ b/vm/keepalive.go
@@ -55,7 +55,7 @@
 
 // checkAlive sends a ping if one is due, and returns false if the other VM was silent for too long.
 func (s *Session) checkAlive(now time.Time, k *keepalive) bool {
-	busy := s.openStreams() > 0
+	busy := s.OpenStreams() > 0
 	if busy && !k.busy {
 		k.since = now
 	}
@@ -84,7 +84,8 @@
 	return true
 }
 
-func (s *Session) openStreams() int {
+// OpenStreams returns the number of open streams of the session.
+func (s *Session) OpenStreams() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return len(s.streams)
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -93,6 +93,8 @@
 	BodyBytes       int64
 	// Runs is the number of upstreams that may have run the request before.
 	Runs int32
+	// Resumed says that the caller has the beginning of a stream, so that only its events may follow.
+	Resumed bool
 }
 
 // Chunk is a piece of an answer, carried in a Data frame from the running VM.
@@ -388,7 +390,11 @@
 	// Open is the number of requests open at the sender.
 	Open          int32
 	ConfigVersion uint64
-	// Costs are for VMs of all regions, Uses for those of the same region.
+	// Weight is the sender's share of work, relative to other VMs, and RegionVMs the number of VMs in its region.
+	Weight    int32
+	RegionVMs int32
+	// Costs are for VMs of all regions, Uses for those of the same region. Spent is that of the sender within
+	// its region, and that of the whole region for other regions.
 	Costs []ServiceCost
 	Uses  []UpstreamUse
 	Spent []WorkspaceSpent
--- a/vmwire/schema_gen.go
+++ b/vmwire/schema_gen.go
@@ -2591,8 +2591,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 19 {
-		err = msgp.ArrayError{Wanted: 19, Got: zb0001}
+	if zb0001 != 20 {
+		err = msgp.ArrayError{Wanted: 20, Got: zb0001}
 		return
 	}
 	z.RequestID, err = dc.ReadString()
@@ -2718,13 +2718,18 @@
 		err = msgp.WrapError(err, "Runs")
 		return
 	}
+	z.Resumed, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Resumed")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Open) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 19
-	err = en.Append(0xdc, 0x0, 0x13)
+	// array header, size 20
+	err = en.Append(0xdc, 0x0, 0x14)
 	if err != nil {
 		return
 	}
@@ -2835,14 +2840,19 @@
 		err = msgp.WrapError(err, "Runs")
 		return
 	}
+	err = en.WriteBool(z.Resumed)
+	if err != nil {
+		err = msgp.WrapError(err, "Resumed")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Open) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 19
-	o = append(o, 0xdc, 0x0, 0x13)
+	// array header, size 20
+	o = append(o, 0xdc, 0x0, 0x14)
 	o = msgp.AppendString(o, z.RequestID)
 	o = msgp.AppendString(o, z.OriginSlot)
 	o = msgp.AppendString(o, z.OriginRegion)
@@ -2866,6 +2876,7 @@
 	o = msgp.AppendString(o, z.IdempotencyKey)
 	o = msgp.AppendInt64(o, z.BodyBytes)
 	o = msgp.AppendInt32(o, z.Runs)
+	o = msgp.AppendBool(o, z.Resumed)
 	return
 }
 
@@ -2877,8 +2888,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 19 {
-		err = msgp.ArrayError{Wanted: 19, Got: zb0001}
+	if zb0001 != 20 {
+		err = msgp.ArrayError{Wanted: 20, Got: zb0001}
 		return
 	}
 	z.RequestID, bts, err = msgp.ReadStringBytes(bts)
@@ -3004,6 +3015,11 @@
 		err = msgp.WrapError(err, "Runs")
 		return
 	}
+	z.Resumed, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Resumed")
+		return
+	}
 	o = bts
 	return
 }
@@ -3017,7 +3033,7 @@
 			s += msgp.StringPrefixSize + len(za0001) + msgp.StringPrefixSize + len(za0002)
 		}
 	}
-	s += msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.StringPrefixSize + len(z.IdempotencyKey) + msgp.Int64Size + msgp.Int32Size
+	s += msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.StringPrefixSize + len(z.IdempotencyKey) + msgp.Int64Size + msgp.Int32Size + msgp.BoolSize
 	return
 }
 
@@ -3298,8 +3314,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 9 {
-		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
+	if zb0001 != 11 {
+		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
 		return
 	}
 	z.Address, err = dc.ReadString()
@@ -3327,6 +3343,16 @@
 		err = msgp.WrapError(err, "ConfigVersion")
 		return
 	}
+	z.Weight, err = dc.ReadInt32()
+	if err != nil {
+		err = msgp.WrapError(err, "Weight")
+		return
+	}
+	z.RegionVMs, err = dc.ReadInt32()
+	if err != nil {
+		err = msgp.WrapError(err, "RegionVMs")
+		return
+	}
 	var zb0002 uint32
 	zb0002, err = dc.ReadArrayHeader()
 	if err != nil {
@@ -3463,8 +3489,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Presence) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 9
-	err = en.Append(0x99)
+	// array header, size 11
+	err = en.Append(0x9b)
 	if err != nil {
 		return
 	}
@@ -3493,6 +3519,16 @@
 		err = msgp.WrapError(err, "ConfigVersion")
 		return
 	}
+	err = en.WriteInt32(z.Weight)
+	if err != nil {
+		err = msgp.WrapError(err, "Weight")
+		return
+	}
+	err = en.WriteInt32(z.RegionVMs)
+	if err != nil {
+		err = msgp.WrapError(err, "RegionVMs")
+		return
+	}
 	err = en.WriteArrayHeader(uint32(len(z.Costs)))
 	if err != nil {
 		err = msgp.WrapError(err, "Costs")
@@ -3572,13 +3608,15 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Presence) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 9
-	o = append(o, 0x99)
+	// array header, size 11
+	o = append(o, 0x9b)
 	o = msgp.AppendString(o, z.Address)
 	o = msgp.AppendString(o, z.CallerAddress)
 	o = msgp.AppendUint8(o, z.Flags)
 	o = msgp.AppendInt32(o, z.Open)
 	o = msgp.AppendUint64(o, z.ConfigVersion)
+	o = msgp.AppendInt32(o, z.Weight)
+	o = msgp.AppendInt32(o, z.RegionVMs)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Costs)))
 	for za0001 := range z.Costs {
 		// array header, size 2
@@ -3621,8 +3659,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 9 {
-		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
+	if zb0001 != 11 {
+		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
 		return
 	}
 	z.Address, bts, err = msgp.ReadStringBytes(bts)
@@ -3650,6 +3688,16 @@
 		err = msgp.WrapError(err, "ConfigVersion")
 		return
 	}
+	z.Weight, bts, err = msgp.ReadInt32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Weight")
+		return
+	}
+	z.RegionVMs, bts, err = msgp.ReadInt32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "RegionVMs")
+		return
+	}
 	var zb0002 uint32
 	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
@@ -3779,7 +3827,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Presence) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Address) + msgp.StringPrefixSize + len(z.CallerAddress) + msgp.Uint8Size + msgp.Int32Size + msgp.Uint64Size + msgp.ArrayHeaderSize
+	s = 1 + msgp.StringPrefixSize + len(z.Address) + msgp.StringPrefixSize + len(z.CallerAddress) + msgp.Uint8Size + msgp.Int32Size + msgp.Uint64Size + msgp.Int32Size + msgp.Int32Size + msgp.ArrayHeaderSize
 	for za0001 := range z.Costs {
 		s += 1 + msgp.StringPrefixSize + len(z.Costs[za0001].Service) + msgp.Int32Size
 	}
