--- a/event/edge.go
+++ b/event/edge.go
@@ -22,5 +22,7 @@
 	LinesDropped   = New(1915, slog.LevelWarn, "log lines dropped", "None; the metrics count all requests.")
 	NamedElsewhere = New(1918, slog.LevelInfo, "directory names vms of another region", "Check the VMs of the caller's region if it goes on.")
 	SettingsRead   = New(1916, slog.LevelInfo, "settings read again", "none")
+	SettingsBad    = New(1919, slog.LevelWarn, "settings not readable; the earlier ones stay in force", "Correct the setting that the line names.")
+	ReadyChanged   = New(1920, slog.LevelInfo, "readiness changed", "none")
 	ListenerEnded  = New(1917, slog.LevelError, "listener ended", "Check the address and the descriptors of the process.")
 )
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -57,13 +57,20 @@
 		Endpoint: e, Address: address, CallerAddress: callerAddress, Log: e.Log,
 		members: map[string]*Member{}, sessions: map[string][]*vm.Session{}, candidates: map[string]*candidate{},
 	}
+	f.AddSeeds(now, seeds)
+	e.OnUp, e.OnDown, e.OnControl = f.up, f.down, f.control
+	return f
+}
+
+// AddSeeds adds peer addresses of VMs to begin with.
+func (f *Fleet) AddSeeds(now time.Time, seeds []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, seed := range seeds {
-		if seed != address {
+		if seed != f.Address && f.candidates[seed] == nil {
 			f.candidates[seed] = &candidate{seenAt: now, seed: true}
 		}
 	}
-	e.OnUp, e.OnDown, e.OnControl = f.up, f.down, f.control
-	return f
 }
 
 // Run keeps the sessions until ctx ends.
--- a/operator/vm.go
+++ b/operator/vm.go
@@ -66,7 +66,7 @@
 	logCtx, stopLog := context.WithCancel(context.Background())
 	go writer.Run(logCtx)
 	log := slog.New(logbuf.NewHandler(writer, logLevel)).With("vm", s.Name)
-	err = runEdge(s, *metricsPort, log)
+	err = runEdge(s, vmOptions{settingsPath: *settingsPath, metricsPort: *metricsPort, log: log, writer: writer})
 	if err != nil {
 		event.StartFailed.Log(log, "error", err.Error())
 	}
@@ -88,16 +88,26 @@
 	return ""
 }
 
+// vmOptions are what a VM gets beside the platform's settings.
+type vmOptions struct {
+	settingsPath string
+	metricsPort  int
+	log          *slog.Logger
+	writer       *logbuf.Writer
+}
+
 // edgeProcess holds the servers of a VM.
 type edgeProcess struct {
-	edge    *edge.Edge
-	log     *slog.Logger
-	servers []*kratoshttp.Server
+	edge *edge.Edge
+	log  *slog.Logger
+	// callers is the server for requests of callers.
+	callers *kratoshttp.Server
 	failed  chan error
 }
 
 // runEdge runs a VM until SIGTERM, and then stops it without cutting requests.
-func runEdge(s platform.Settings, metricsPort int, log *slog.Logger) error {
+func runEdge(s platform.Settings, o vmOptions) error {
+	log := o.log
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	g, err := edge.New(s, log)
 	if err != nil {
@@ -110,23 +120,20 @@
 	signal.Notify(terminate, syscall.SIGTERM, os.Interrupt)
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	if err := p.listen(ctx, metricsPort); err != nil {
+	if err := p.listen(ctx, o.metricsPort); err != nil {
 		return err
 	}
-	event.Started.Log(log, "region", s.Region, "failureDomain", s.FailureDomain, "memoryBytes", s.MemoryBytes)
+	event.Started.Log(log, "region", s.Region, "failureDomain", s.FailureDomain, "machine", settingsSummary(s))
 	go g.Source.Run(ctx)
 	go g.Pool.Run(ctx)
-	for {
-		select {
-		case <-reload:
-			event.SettingsRead.Log(log, "change", "none")
-		case <-terminate:
-			p.stop()
-			event.Stopped.Log(log, "open", g.Open())
-			return nil
-		case err := <-p.failed:
-			return err
-		}
+	go p.runWatch(ctx, o.settingsPath, o.writer, reload)
+	select {
+	case <-terminate:
+		p.stop()
+		event.Stopped.Log(log, "open", g.Open())
+		return nil
+	case err := <-p.failed:
+		return err
 	}
 }
 
@@ -143,13 +150,14 @@
 		if err != nil {
 			return fmt.Errorf("listen for the platform: %w", err)
 		}
-		p.serve(p.edge.OperatorServer(l))
+		go p.runServer(p.edge.OperatorServer(l))
 	}
 	callers, err := net.Listen("tcp", s.CallerListen)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
-	p.serve(p.edge.CallerServer(callers))
+	p.callers = p.edge.CallerServer(callers)
+	go p.runServer(p.callers)
 	if metricsPort == 0 {
 		return nil
 	}
@@ -161,15 +169,10 @@
 	if err != nil {
 		return fmt.Errorf("listen for metrics: %w", err)
 	}
-	p.serve(p.edge.MetricsServer(l))
+	go p.runServer(p.edge.MetricsServer(l))
 	return nil
 }
 
-func (p *edgeProcess) serve(s *kratoshttp.Server) {
-	p.servers = append(p.servers, s)
-	go p.runServer(s)
-}
-
 func (p *edgeProcess) runServer(s *kratoshttp.Server) {
 	if err := s.Start(context.Background()); err != nil {
 		event.ListenerEnded.Log(p.log, "error", err.Error())
@@ -182,7 +185,6 @@
 	started := time.Now()
 	p.edge.Leave(p.edge.Now())
 	event.Draining.Log(p.log, "open", p.edge.Open())
-	callers := p.servers[2]
 	limit := p.edge.Settings.Bounds.Grace - stopMargin
 	for time.Since(started) < limit {
 		time.Sleep(stopPoll)
@@ -192,5 +194,5 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), stopMargin/2)
 	defer cancel()
-	_ = callers.Shutdown(ctx) // What has not ended by now is ended by the exit of the process.
+	_ = p.callers.Shutdown(ctx) // What has not ended by now is ended by the exit of the process.
 }
