Send a failed safe request to another region's upstream first; keep the limit on headers

The configured limit on headers was not kept.

Change: an upstream that failed gets the request again only if no region has another one. Tests: TestFailedSafeRequestGoesToAnotherUpstream, TestLimitsOfCallers.

--- a/edge/admit.go
+++ b/edge/admit.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 
@@ -24,6 +25,9 @@
 	if leaving, since := e.isLeaving(now); leaving && since > LeaveAccept {
 		return refuse(Leaving, "this vm stops", 100*time.Millisecond), false
 	}
+	if limit := t.Config.Limits.MaxHeaderBytes; limit > 0 && r.headerBytes() > limit {
+		return refuse(HeaderTooLarge, fmt.Sprintf("header above %d bytes", limit), 0), false
+	}
 	if key := h.Header.Get(platform.HeaderKey); key != "" {
 		r.key, r.hasKey = route.HashKey(key), true
 	}
--- a/edge/choose.go
+++ b/edge/choose.go
@@ -34,10 +34,10 @@
 
 // choose returns the region that is expected to answer first, or no region and a refusal.
 func (e *Edge) choose(now time.Time, r *request) (string, Outcome) {
-	home := e.affineRegion(r)
-	best := e.placeHere(now, r, home)
-	if !r.forwarded {
-		best = e.placeAway(now, r, home, best)
+	best := e.bestPlace(now, r)
+	if best.region == "" && r.held != nil {
+		r.lastResort = true
+		best = e.bestPlace(now, r)
 	}
 	if best.region == "" {
 		return "", refuse(NoUpstream, "no region that may run the request has a usable upstream", refusalPause)
@@ -56,6 +56,15 @@
 	return after + rand.N(after)
 }
 
+func (e *Edge) bestPlace(now time.Time, r *request) place {
+	home := e.affineRegion(r)
+	best := e.placeHere(now, r, home)
+	if r.forwarded {
+		return best
+	}
+	return e.placeAway(now, r, home, best)
+}
+
 func (e *Edge) placeHere(now time.Time, r *request, home string) place {
 	if !route.Allowed(r.route, r.workspace, e.Settings.Region) {
 		return place{}
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -55,6 +55,41 @@
 	}
 }
 
+func TestLimitsOfCallers(t *testing.T) {
+	w := newWorld(t, "north")
+	w.store.put(platform.ConfigKey, `{"version":1,"routes":[`+routeText("a", "safe", "plain", "")+`],"services":[{"name":"plain"}],
+		"limits":{"max_header_bytes":2000,"max_body_bytes":100},"tenants":[{"name":"w1","api_keys":["secret"]}]}`)
+	u := w.upstream("u1", "plain", "north", nil)
+	v := w.vm("vm1", "north", true)
+	if status, _, _ := v.call(t, "/a/", strings.Repeat("x", 101), nil); status != http.StatusRequestEntityTooLarge {
+		t.Errorf("long body: status %d", status)
+	}
+	if status, _, _ := v.call(t, "/a/", "x", callHeader{"Extra": strings.Repeat("x", 2000)}); status != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("long header: status %d", status)
+	}
+	if status, _, _ := v.call(t, "/a/", strings.Repeat("x", 100), nil); status != http.StatusOK || u.count() != 1 {
+		t.Errorf("within the limits: status %d, %d requests", status, u.count())
+	}
+}
+
+// Guards against a failed request that is sent to the same upstream again while another region has one.
+func TestFailedSafeRequestGoesToAnotherUpstream(t *testing.T) {
+	w := newWorld(t, "north", "south")
+	w.config(1, routeText("a", "safe", "plain", ""))
+	u1 := w.upstream("u1", "plain", "north", func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(http.StatusInternalServerError) })
+	v := w.vm("vm1", "north", true)
+	if status, _, _ := v.call(t, "/a/", "x", nil); status != http.StatusInternalServerError || u1.count() != 2 {
+		t.Errorf("only upstream: status %d after %d requests, want the same upstream twice", status, u1.count())
+	}
+	w.upstream("u2", "plain", "south", nil)
+	w.vm("vm2", "south", true)
+	w.meet()
+	w.until("the second upstream is known", func() bool { return v.knows("plain", 2) })
+	if status, body, _ := v.call(t, "/a/", "x", nil); status != http.StatusOK || body != "u2 answers x" {
+		t.Errorf("answer %d %q", status, body)
+	}
+}
+
 // Guards against a second run of a request that must not run twice, and against calling it not run.
 func TestUnsafeIsSentOnce(t *testing.T) {
 	w := newWorld(t, "north")
--- a/edge/outcome.go
+++ b/edge/outcome.go
@@ -37,6 +37,7 @@
 	OverRate        Reason = "overRate"
 	BadRequest      Reason = "badRequest"
 	TooLarge        Reason = "tooLarge"
+	HeaderTooLarge  Reason = "headerTooLarge"
 	Quarantined     Reason = "quarantined"
 	NoUpstream      Reason = "noUpstream"
 	Overloaded      Reason = "overloaded"
@@ -72,6 +73,7 @@
 	OverRate:        http.StatusTooManyRequests,
 	BadRequest:      http.StatusBadRequest,
 	TooLarge:        http.StatusRequestEntityTooLarge,
+	HeaderTooLarge:  http.StatusRequestHeaderFieldsTooLarge,
 	Quarantined:     http.StatusInternalServerError,
 	NoUpstream:      http.StatusServiceUnavailable,
 	Overloaded:      http.StatusServiceUnavailable,
--- a/edge/request.go
+++ b/edge/request.go
@@ -50,6 +50,8 @@
 	lastEvent string
 	// held is a failure that an upstream answered. The caller gets it unless another attempt does better.
 	held *heldAnswer
+	// lastResort says that no other upstream is left, so that one that failed may get the request again.
+	lastResort bool
 	// cost is the expected time to the first token at the latest choice.
 	cost time.Duration
 	// charged is what the workspace was charged, in tokens or requests.
@@ -113,9 +115,28 @@
 // left returns the time until the deadline.
 func (r *request) left(now time.Time) time.Duration { return r.deadline.Sub(now) }
 
+// defaultTimeout is the longest time for a request of a route without a timeout.
+const defaultTimeout = time.Minute
+
+// headerBytes returns the size of the header as it is sent.
+func (r *request) headerBytes() int {
+	const separators = len(": \r\n")
+	n := len(r.method) + len(r.target) + len(r.host)
+	for name, values := range r.header {
+		for _, v := range values {
+			n += len(name) + len(v) + separators
+		}
+	}
+	return n
+}
+
 // setDeadline takes the shorter of the caller's time and the route's.
 func (r *request) setDeadline() {
-	r.deadline = r.arrived.Add(r.route.Timeout)
+	timeout := r.route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	r.deadline = r.arrived.Add(timeout)
 	ms, err := strconv.ParseInt(strings.TrimSpace(r.header.Get(platform.HeaderDeadline)), 10, 64)
 	if err != nil || ms <= 0 {
 		return
--- a/edge/run.go
+++ b/edge/run.go
@@ -78,7 +78,7 @@
 
 func (r *request) choice() replica.Request {
 	return replica.Request{
-		Service: r.service, Prompt: r.prompt, Tried: r.tried, Again: r.held != nil,
+		Service: r.service, Prompt: r.prompt, Tried: r.tried, Again: r.lastResort,
 		Rank: replica.Rank(route.Priority(r.route, r.workspace)),
 	}
 }
--- a/source/source.go
+++ b/source/source.go
@@ -46,7 +46,6 @@
 	OnConfig func(t *route.Table)
 
 	table atomic.Pointer[route.Table]
-	value atomic.Pointer[[]byte]
 	fresh atomic.Int64
 	// slots holds the sizes of the services in each region.
 	slots atomic.Pointer[Capacities]
