--- a/edge/new.go
+++ b/edge/new.go
@@ -76,3 +76,13 @@
 // fingerprintKey keys the fingerprints of requests that crash upstreams. It need not be secret: it only
 // keeps content out of messages and logs.
 const fingerprintKey = "parsleyhatch request fingerprints"
+
+// newPoison returns the table of requests that crash upstreams. A request is quarantined after its third
+// crash; one more crash than that would be one too many.
+func newPoison() *poison.Table {
+	limits := poison.DefaultLimits()
+	limits.CrashesAlone = 3
+	limits.Crashes = 3
+	limits.Lifetime = 2 * time.Minute
+	return poison.New(limits)
+}
--- /dev/null
+++ b/edge/presence.go
@@ -0,0 +1,112 @@
+package edge
+
+import (
+	"time"
+
+	"parsleyhatch/quota"
+	"parsleyhatch/replica"
+	"parsleyhatch/route"
+	"parsleyhatch/vm"
+	"parsleyhatch/vmwire"
+)
+
+// Describe fills in what this VM shares with the others.
+func (e *Edge) Describe(now time.Time, p *vmwire.Presence, sameRegion bool) {
+	if e.accepts(now) {
+		p.Flags |= vmwire.FlagReady
+	}
+	if leaving, _ := e.isLeaving(now); leaving {
+		p.Flags |= vmwire.FlagLeaving
+	}
+	if e.keysFresh(now) {
+		p.Flags |= vmwire.FlagFresh
+	}
+	if e.Source.Down() {
+		p.Flags |= vmwire.FlagStoreDown
+	}
+	p.Open = int32(e.Open())
+	if e.Quota.Settled(now) {
+		p.Flags |= vmwire.FlagSettled
+	}
+	p.Weight = int32(e.weight())
+	near := e.Fleet.Sharers(now)
+	p.RegionVMs = int32(near)
+	reports := e.Quota.Reports(now)
+	if !sameRegion {
+		reports = e.Quota.RegionReports(now)
+	}
+	for workspace, r := range reports {
+		p.Spent = append(p.Spent, vmwire.WorkspaceSpent{Workspace: workspace, Amount: r.Spent, Level: r.Level})
+	}
+	if t := e.table(); t != nil {
+		p.ConfigVersion = t.Config.Version
+		e.describeCosts(now, t, p)
+	}
+	if !sameRegion {
+		return
+	}
+	for id, use := range e.Replicas.Uses() {
+		p.Uses = append(p.Uses, vmwire.UpstreamUse{Upstream: id, Running: int32(use.Running), Prefill: use.Prefill[:], Held: use.Held})
+	}
+}
+
+func (e *Edge) describeCosts(now time.Time, t *route.Table, p *vmwire.Presence) {
+	for i := range t.Config.Services {
+		s := &t.Config.Services[i]
+		if pick, ok := e.Replicas.Estimate(now, replica.Request{Service: s}); ok {
+			p.Costs = append(p.Costs, vmwire.ServiceCost{Service: s.Name, CostMillis: int32(pick.Wait.Milliseconds())})
+		}
+	}
+}
+
+// Heard takes over what another VM shares.
+func (e *Edge) Heard(now time.Time, m vm.Identity, p *vmwire.Presence) {
+	reports := make(map[string]quota.Report, len(p.Spent))
+	for _, s := range p.Spent {
+		reports[s.Workspace] = quota.Report{Spent: s.Amount, Level: s.Level}
+	}
+	origin := quota.Origin{Name: m.Slot, Incarnation: m.Incarnation, VMs: 1, Settled: p.Flags&vmwire.FlagSettled != 0}
+	if m.Region != e.Settings.Region {
+		// Each VM of a region reports for all of it; one is enough.
+		if e.Fleet.First(now, m.Region) == m.Slot {
+			origin.Name, origin.VMs, origin.Far = "region "+m.Region, int(p.RegionVMs), true
+			e.Quota.Heard(now, origin, reports)
+		}
+		return
+	}
+	e.Quota.Heard(now, origin, reports)
+	uses := make(map[string]replica.Use, len(p.Uses))
+	for _, u := range p.Uses {
+		use := replica.Use{Running: int(u.Running), Held: u.Held}
+		copy(use.Prefill[:], u.Prefill)
+		uses[u.Upstream] = use
+	}
+	e.Replicas.SetPeerUse(now, m.Slot, uses)
+	e.Replicas.SetVMs(e.Settings.Name, e.Fleet.Near(now), e.sharers(now))
+}
+
+// weight is this VM's share of work, in hundredths of a core, bounded by what its link carries.
+func (e *Edge) weight() int {
+	s := e.Settings
+	return max(1, int(100*min(s.Cores, s.LinkMbps/linkPerCore)))
+}
+
+// linkPerCore is the bandwidth that a core's work takes, in Mbit/s: about 250 prompts a second of 10 KB.
+const linkPerCore = 20
+
+// sharers returns the number of VMs that share the bounds of an upstream. A VM that has just started has not
+// heard of all of them yet.
+func (e *Edge) sharers(now time.Time) int {
+	n := e.Fleet.Sharers(now)
+	if now.Sub(e.started) < meetingTime {
+		return max(n, unknownSharers)
+	}
+	return n
+}
+
+const (
+	// meetingTime is the time in which a VM that starts hears of all others.
+	meetingTime = 15 * time.Second
+	// unknownSharers is the number of VMs of a region that is assumed up to then.
+	unknownSharers = 4
+)
