Report only the workspaces that were charged lately

Cause: every presence listed all workspaces, so its size grows with their number (5,900 at the target) whether they are in use or not.

Change: a workspace is reported for 5 s after its count has changed; a VM that connects gets all of them once. Test: TestQuietWorkspacesAreNotReported.

--- a/edge/presence.go
+++ b/edge/presence.go
@@ -10,8 +10,8 @@
 	"parsleyhatch/vmwire"
 )
 
-// Describe fills in what this VM shares with the others.
-func (e *Edge) Describe(now time.Time, p *vmwire.Presence, sameRegion bool) {
+// Describe fills in what this VM shares with the others: all of it, or what has changed lately.
+func (e *Edge) Describe(now time.Time, p *vmwire.Presence, sameRegion, whole bool) {
 	if e.accepts(now) {
 		p.Flags |= vmwire.FlagReady
 	}
@@ -25,15 +25,15 @@
 		p.Flags |= vmwire.FlagStoreDown
 	}
 	p.Open = int32(e.Open())
-	if e.Quota.Settled(now) {
+	if whole && e.Quota.Settled(now) {
 		p.Flags |= vmwire.FlagSettled
 	}
 	p.Weight = int32(e.weight())
 	near := e.Fleet.Sharers(now)
 	p.RegionVMs = int32(near)
-	reports := e.Quota.Reports(now)
+	reports := e.Quota.Reports(now, whole)
 	if !sameRegion {
-		reports = e.Quota.RegionReports(now)
+		reports = e.Quota.RegionReports(now, whole)
 	}
 	for workspace, r := range reports {
 		p.Spent = append(p.Spent, vmwire.WorkspaceSpent{Workspace: workspace, Amount: r.Spent, Level: r.Level})
--- a/edge/server.go
+++ b/edge/server.go
@@ -71,7 +71,7 @@
 	sink := e.callerSink(w)
 	out = e.run(ctx, r, sink)
 	if out.Ran == NotRun && r.charged > 0 {
-		e.Quota.Refund(r.workspace.Name, r.charged)
+		e.Quota.Refund(e.Now(), r.workspace.Name, r.charged)
 	}
 	e.report(r, out)
 	switch {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -36,8 +36,9 @@
 	Log           *slog.Logger
 	// Now returns the present time.
 	Now func() time.Time
-	// Describe fills in what the VM shares with those of its region, or of other regions.
-	Describe func(now time.Time, p *vmwire.Presence, sameRegion bool)
+	// Describe fills in what the VM shares with those of its region, or of other regions: all of it, or what
+	// has changed lately.
+	Describe func(now time.Time, p *vmwire.Presence, sameRegion, whole bool)
 	// OnPresence receives what another VM shares. It must not block.
 	OnPresence func(now time.Time, m Member, p *vmwire.Presence)
 	// OnControl receives other control messages. It must not block.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -57,7 +57,7 @@
 	}
 	tf.Fleet = New(time.Now(), e, tf.address, "callers-of-"+name, seeds)
 	tf.Now = time.Now
-	tf.Describe = func(_ time.Time, p *vmwire.Presence, _ bool) {
+	tf.Describe = func(_ time.Time, p *vmwire.Presence, _, _ bool) {
 		if tf.ready.Load() {
 			p.Flags |= vmwire.FlagReady
 		}
--- a/fleet/presence.go
+++ b/fleet/presence.go
@@ -35,7 +35,7 @@
 		slots = append(slots, slot)
 	}
 	f.mu.Unlock()
-	nearPresence, farPresence := f.presence(true), f.presence(false)
+	nearPresence, farPresence := f.presence(true, false), f.presence(false, false)
 	for _, slot := range slots {
 		s := f.session(slot)
 		switch {
@@ -59,15 +59,15 @@
 
 // announceTo sends a presence with all VMs that are known.
 func (f *Fleet) announceTo(s *vm.Session) {
-	p := f.presence(!f.far(s))
+	p := f.presence(!f.far(s), true)
 	p.VMs = f.rows(f.Now())
 	s.Control(vmwire.KindPresence, p)
 }
 
-func (f *Fleet) presence(sameRegion bool) *vmwire.Presence {
+func (f *Fleet) presence(sameRegion, whole bool) *vmwire.Presence {
 	now := f.Now()
 	p := &vmwire.Presence{Address: f.Address, CallerAddress: f.CallerAddress}
-	f.Describe(now, p, sameRegion)
+	f.Describe(now, p, sameRegion, whole)
 	return p
 }
 
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -15,6 +15,9 @@
 	silence = 1600 * time.Millisecond
 	// memory is the time after which a silent VM is forgotten.
 	memory = 60 * time.Second
+	// reportFor is the time for which a workspace is reported after its count has changed, so that the
+	// latest count arrives even if some reports are lost.
+	reportFor = 5 * time.Second
 	// minReport is the shortest time between two reports from which a pace is computed.
 	minReport = 50 * time.Millisecond
 	// settleTime is the time after its start from which a VM knows the levels of the buckets.
@@ -48,8 +51,9 @@
 	// level may be negative after reports of other VMs.
 	level float64
 	at    time.Time
-	// spent is what this VM has charged since its start.
-	spent int64
+	// spent is what this VM has charged since its start, and changedAt when it last changed.
+	spent     int64
+	changedAt time.Time
 }
 
 // Origin is what reports: another VM of the region, or a whole other region.
@@ -125,6 +129,7 @@
 	}
 	b.level -= float64(amount)
 	b.spent += amount
+	b.changedAt = now
 	return true, 0
 }
 
@@ -163,12 +168,13 @@
 }
 
 // Refund gives back the charge of a request that has not run.
-func (t *Table) Refund(workspace string, amount int64) {
+func (t *Table) Refund(now time.Time, workspace string, amount int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if b := t.buckets[workspace]; b != nil {
 		b.level = min(b.burst, b.level+float64(amount))
 		b.spent -= amount
+		b.changedAt = now
 	}
 }
 
@@ -243,16 +249,14 @@
 	}
 	p.vms, p.far = max(1, o.VMs), o.Far
 	for workspace, report := range reports {
-		amount := report.Spent
-		b := t.buckets[workspace]
-		if b == nil {
-			continue
-		}
-		t.refill(now, workspace, b)
-		if known {
-			t.chargeReport(now, b, p, workspace, float64(amount-p.spent[workspace]))
+		t.takeReport(now, p, workspace, report.Spent, known)
+	}
+	for workspace := range p.pace {
+		if _, ok := reports[workspace]; !ok {
+			// Workspaces whose count has not changed for a while are left out of reports.
+			t.takeReport(now, p, workspace, p.spent[workspace], known)
+			delete(p.pace, workspace)
 		}
-		p.spent[workspace] = amount
 	}
 	p.heardAt = now
 	clear(p.left)
@@ -261,6 +265,19 @@
 	}
 }
 
+// takeReport charges what was spent since the report before.
+func (t *Table) takeReport(now time.Time, p *peer, workspace string, spent int64, known bool) {
+	b := t.buckets[workspace]
+	if b == nil {
+		return
+	}
+	t.refill(now, workspace, b)
+	if known {
+		t.chargeReport(now, b, p, workspace, float64(spent-p.spent[workspace]))
+	}
+	p.spent[workspace] = spent
+}
+
 // chargeReport charges what exceeds the charge in advance. What was left to a silent VM is not taken back.
 func (t *Table) chargeReport(now time.Time, b *bucket, p *peer, workspace string, amount float64) {
 	if p.far {
@@ -284,33 +301,43 @@
 	delete(t.peers, vm)
 }
 
-// Reports returns what this VM tells the others, by workspace.
-func (t *Table) Reports(now time.Time) map[string]Report {
+// Reports returns what this VM tells the others of its region: the workspaces that it charged lately, or all
+// of them.
+func (t *Table) Reports(now time.Time, all bool) map[string]Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	reports := make(map[string]Report, len(t.buckets))
+	reports := map[string]Report{}
 	for name, b := range t.buckets {
+		if !all && now.Sub(b.changedAt) > reportFor {
+			continue
+		}
 		t.refill(now, name, b)
 		reports[name] = Report{Spent: b.spent, Level: int64(b.level)}
 	}
 	return reports
 }
 
-// RegionReports returns what the VMs of this region tell other regions, by workspace.
-func (t *Table) RegionReports(now time.Time) map[string]Report {
-	reports := t.Reports(now)
+// RegionReports returns what the VMs of this region tell other regions: the workspaces that one of them
+// charged lately, or all.
+func (t *Table) RegionReports(now time.Time, all bool) map[string]Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, p := range t.peers {
-		if p.far {
-			continue
-		}
-		for workspace, spent := range p.spent {
-			if r, ok := reports[workspace]; ok {
-				r.Spent += spent
-				reports[workspace] = r
+	reports := map[string]Report{}
+	for name, b := range t.buckets {
+		changed := all || now.Sub(b.changedAt) <= reportFor
+		r := Report{Spent: b.spent}
+		for _, p := range t.peers {
+			if !p.far {
+				r.Spent += p.spent[name]
+				changed = changed || p.pace[name] != 0
 			}
 		}
+		if !changed {
+			continue
+		}
+		t.refill(now, name, b)
+		r.Level = int64(b.level)
+		reports[name] = r
 	}
 	return reports
 }
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -93,7 +93,7 @@
 	}
 	now = now.Add(2 * silence)
 	table.Charge(now, "w", 0)
-	if level := table.Reports(now)["w"].Level; level > 250 {
+	if level := table.Reports(now, true)["w"].Level; level > 250 {
 		t.Errorf("a VM that hears nobody of three would grant %d of a burst of 1000", level)
 	}
 }
@@ -120,11 +120,11 @@
 	now := start.Add(time.Second)
 	table.Heard(now, Origin{Name: "a", Settled: false}, nil)
 	table.Charge(now, "w", 100)
-	table.Refund("w", 100)
+	table.Refund(now, "w", 100)
 	if ok, _ := table.Charge(now, "w", 100); !ok {
 		t.Error("the refund is not there")
 	}
-	if spent := table.Reports(now)["w"].Spent; spent != 100 {
+	if spent := table.Reports(now, true)["w"].Spent; spent != 100 {
 		t.Errorf("spent %d, want 100", spent)
 	}
 }
@@ -160,3 +160,24 @@
 		t.Error("a burst was granted beside that of the other VMs")
 	}
 }
+
+// Guards against reports that grow with the workspaces in place of those in use, and against a pace that goes
+// on being charged after a workspace has fallen silent.
+func TestQuietWorkspacesAreNotReported(t *testing.T) {
+	table := newTable(100, 1000)
+	if n := len(table.Reports(start.Add(time.Minute), false)); n != 0 {
+		t.Errorf("%d workspaces reported that nobody uses", n)
+	}
+	now := start
+	for i := range int64(10) {
+		now = now.Add(250 * time.Millisecond)
+		table.Heard(now, Origin{Name: "a", Settled: true}, map[string]Report{"w": {Spent: 25 * i}})
+	}
+	for range 40 {
+		now = now.Add(250 * time.Millisecond)
+		table.Heard(now, Origin{Name: "a", Settled: true}, nil)
+	}
+	if level := table.Reports(now, true)["w"].Level; level < 900 {
+		t.Errorf("level %d ten seconds after the other VM spent its last", level)
+	}
+}
--- a/quota/world_test.go
+++ b/quota/world_test.go
@@ -47,7 +47,7 @@
 				}
 			}
 			if now.Sub(start)%report == time.Duration(i)*step {
-				inbox = append(inbox, message{from: i, at: now.Add(delay), reports: table.Reports(now)})
+				inbox = append(inbox, message{from: i, at: now.Add(delay), reports: table.Reports(now, false)})
 			}
 		}
 		granted = append(granted, sum)
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -152,7 +152,8 @@
 	FlagConfirms
 	// FlagFresh says that the sender's knowledge of withdrawn keys is current.
 	FlagFresh
-	// FlagSettled says that the sender has run long enough to know what the workspaces have used.
+	// FlagSettled says that the sender has run long enough to know what the workspaces have used, and
+	// reports all of them.
 	FlagSettled
 	// FlagStoreDown says that the store did not answer the sender's latest call.
 	FlagStoreDown
