Divide the slack of retries by the VMs that are known; drop what nothing uses

Cause, found in review: each VM took 1/24 of the slack, which exceeds the bound on 76 VMs (8 of 192 each). The slack is now divided by twice the VMs known, 24 at least. Poison.Place and Left had no effect here and are not called.

--- a/edge/new.go
+++ b/edge/new.go
@@ -24,8 +24,10 @@
 	// retryRatioShare is the part of the bound on retries that VMs use; the rest covers requests that
 	// are counted in another window than here.
 	retryRatioShare = 0.6
-	// retrySlackVMs is the number of VMs among which the slack of the bound is divided.
-	retrySlackVMs = 24
+	// minSlackVMs is the least number of VMs among which the slack of the bound is divided, and
+	// slackReserve the multiple of the known VMs: others may start, and requests count at other moments.
+	minSlackVMs  = 24
+	slackReserve = 2
 )
 
 // New returns the parts of a VM, connected and not yet running.
@@ -48,7 +50,7 @@
 		Replicas: replica.New(),
 		Pool:     upstream.NewPool(clock.Now),
 		Quota:    quota.New(now),
-		Retries:  retry.NewWindow(s.Bounds.RetryWindow, retryRatioShare*s.Bounds.RetryRatio, s.Bounds.RetrySlack/retrySlackVMs),
+		Retries:  retry.NewWindow(s.Bounds.RetryWindow, retryRatioShare*s.Bounds.RetryRatio, s.Bounds.RetrySlack/minSlackVMs),
 		Poison:   newPoison(),
 		Metrics:  metrics.New(s.Name, s.Region),
 		hasher:   hasher,
--- a/edge/presence.go
+++ b/edge/presence.go
@@ -65,6 +65,7 @@
 	for _, s := range p.Spent {
 		reports[s.Workspace] = quota.Report{Spent: s.Amount, Level: s.Level}
 	}
+	e.Retries.SetSlack(e.Settings.Bounds.RetrySlack / max(minSlackVMs, slackReserve*float64(e.Quota.VMs())))
 	origin := quota.Origin{Name: m.Slot, Incarnation: m.Incarnation, VMs: 1, Settled: p.Flags&vmwire.FlagSettled != 0}
 	if m.Region != e.Settings.Region {
 		// Each VM of a region reports for all of it; one is enough.
--- a/edge/send.go
+++ b/edge/send.go
@@ -31,8 +31,6 @@
 	now := time.Now()
 	r.tried = append(r.tried, pick.ID)
 	r.sends++
-	e.Poison.Place(e.Now(), pick.ID, r.print)
-	defer e.Poison.Left(e.Now(), pick.ID, r.print)
 	a, err := e.Pool.Do(ctx, &upstream.Outgoing{
 		Address: pick.Address, Connections: e.connections(r.service),
 		ID: r.id, Method: r.method, Target: r.target, Host: r.host,
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -294,11 +294,11 @@
 	b.level = min(b.limit, b.level-amount)
 }
 
-// Forget drops a VM that has left and spends nothing more.
-func (t *Table) Forget(vm string) {
+// VMs returns the number of VMs that are known, this one included.
+func (t *Table) VMs() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.peers, vm)
+	return t.vms() + 1
 }
 
 // Reports returns what this VM tells the others of its region: the workspaces that it charged lately, or all
--- a/replica/choose.go
+++ b/replica/choose.go
@@ -57,12 +57,10 @@
 	FirstToken time.Duration
 	// Cost is the expected time with penalties for failures and memory. Wait is the same without the
 	// failures that every upstream of a service may have.
-	Cost time.Duration
-	Wait time.Duration
-	// Candidates is the number of upstreams that were compared.
-	Candidates int
-	begunAt    time.Time
-	rank       int
+	Cost    time.Duration
+	Wait    time.Duration
+	begunAt time.Time
+	rank    int
 	// held is the memory that the request takes, in tokens.
 	held int64
 }
@@ -117,7 +115,6 @@
 		if !t.usable(now, r, q) {
 			continue
 		}
-		found.Candidates++
 		cost, first, uncached := t.cost(now, r, q, r == preferred)
 		if cost < lowest {
 			lowest, best = cost, r
--- a/retry/window.go
+++ b/retry/window.go
@@ -13,11 +13,12 @@
 type Window struct {
 	// Length is the length of the window.
 	Length time.Duration
-	// Ratio is the share of retries, and Slack the number of retries above it that one VM may send.
+	// Ratio is the share of retries.
 	Ratio float64
-	Slack float64
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// slack is the number of retries above the share that this VM may send.
+	slack    float64
 	services map[string]*counts
 }
 
@@ -30,7 +31,14 @@
 
 // NewWindow returns an empty window.
 func NewWindow(length time.Duration, ratio, slack float64) *Window {
-	return &Window{Length: length, Ratio: ratio, Slack: slack, services: map[string]*counts{}}
+	return &Window{Length: length, Ratio: ratio, slack: slack, services: map[string]*counts{}}
+}
+
+// SetSlack sets the number of retries above the share that this VM may send.
+func (w *Window) SetSlack(slack float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.slack = slack
 }
 
 // Request counts a request of a caller.
@@ -66,7 +74,7 @@
 		requests += c.requests[i]
 		retries += c.retries[i]
 	}
-	return float64(retries+1) <= w.Ratio*float64(requests)+w.Slack
+	return float64(retries+1) <= w.Ratio*float64(requests)+w.slack
 }
 
 // at returns the counts of a service with the parts that have passed set to zero.
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -20,6 +20,11 @@
 	if w.Retry(now, "s") || w.Room(now, "s") {
 		t.Error("fourth retry of ten requests allowed")
 	}
+	w.SetSlack(2)
+	if !w.Retry(now, "s") {
+		t.Error("retry refused after the slack grew")
+	}
+	w.SetSlack(1)
 	if !w.Retry(now, "other") {
 		t.Error("the slack of another service is used up")
 	}
