--- a/fleet/member.go
+++ b/fleet/member.go
@@ -28,11 +28,11 @@
 	// rowReceivers is the number of sessions over which a list of VMs is sent each time.
 	rowReceivers = 3
 	// failurePause is the time for which a VM that could not be reached is passed over.
-	failurePause = 5 * time.Second
+	failurePause = 2 * time.Second
 	// forgetAfter is the time after which a silent VM no longer counts for shares of bounds.
 	forgetAfter = 60 * time.Second
 	// dialPause is the time between two attempts to reach a VM.
-	dialPause = 700 * time.Millisecond
+	dialPause = 300 * time.Millisecond
 	// rowsEvery is the number of ticks between two lists of VMs, and rowLife the age up to which a VM is
 	// passed on or dialed by its row.
 	rowsEvery = 8
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -23,10 +23,9 @@
 	// settleTime is the time after its start from which a VM knows the levels of the buckets.
 	settleTime = 5 * time.Second
 	// seedTime is the time in which a VM that starts hears from a settled VM, if there is any. Without
-	// one, all VMs have started anew, and seedShare of each burst is granted: less than a second's refill,
-	// which is what was lost while no VM ran.
-	seedTime  = 700 * time.Millisecond
-	seedShare = 0.5
+	// one, all VMs have started anew, and the bucket counts as full: no VM ran for about the time in which
+	// it fills.
+	seedTime = 700 * time.Millisecond
 	// unknownVMs is the number of VMs that a VM assumes until it has heard from others.
 	unknownVMs = 16
 )
@@ -140,7 +139,7 @@
 	}
 	t.seeded = true
 	for _, b := range t.buckets {
-		b.level = max(b.level, seedShare*b.burst)
+		b.level = max(b.level, b.burst)
 	}
 }
 
