Make two tests of resumed streams independent of the choice and of reports

Trace: the test sent the stream 20 ms after the start, before the VM of the other region had reported that it can run the service, so there was no second place. 25 repetitions also showed TestStreamGoesOnElsewhere/north failing 4 times: when the other upstream was chosen first, the stand-in for the first one ignored Last-Event-Id and repeated its events. Both are faults of the tests, not of the path.

Change: the tests wait until the other region has reported, and both upstreams honour Last-Event-Id; the assertions stay.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -189,16 +189,18 @@
 		t.Run(second, func(t *testing.T) {
 			w := newWorld(t, "north", "south")
 			w.config(1, routeText("a", "streaming", "plain", `,"resumable":true`))
-			w.upstream("u1", "plain", "north", func(rw http.ResponseWriter, _ *http.Request) { events(rw, 1, 3, false) })
-			v := w.vm("vm1", "north", true)
-			w.vm("vm2", "south", true)
-			w.upstream("u2", "plain", second, func(rw http.ResponseWriter, r *http.Request) {
+			// Either upstream may be chosen first.
+			handle := func(rw http.ResponseWriter, r *http.Request) {
 				if r.Header.Get(platform.HeaderLastEvent) == "3" {
 					events(rw, 4, 5, true)
 					return
 				}
 				events(rw, 1, 3, false)
-			})
+			}
+			w.upstream("u1", "plain", "north", handle)
+			v := w.vm("vm1", "north", true)
+			w.vm("vm2", "south", true)
+			w.upstream("u2", "plain", second, handle)
 			w.meet()
 			w.until("both upstreams are known", func() bool { return len(v.Source.Capacity("plain")) > 0 && v.knows("plain", 2) })
 			status, body, header := v.call(t, "/a/", "x", nil)
@@ -210,11 +212,15 @@
 	}
 }
 
-// knows reports whether n upstreams of a service are registered in all regions.
+// knows reports whether n upstreams of a service are registered in all regions, and whether the VMs of each
+// other region with one have told that they can run it: only then requests are passed on to them.
 func (v *testVM) knows(service string, n int) bool {
 	slots := 0
-	for _, s := range v.Source.Capacity(service) {
+	for region, s := range v.Source.Capacity(service) {
 		slots += s
+		if _, ok := v.Fleet.CostIn(v.Now(), region, service); !ok && region != v.Settings.Region {
+			return false
+		}
 	}
 	return slots == 8*n
 }
