--- a/caller/server.go
+++ b/caller/server.go
@@ -12,14 +12,13 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
-	kratoslog "github.com/go-kratos/kratos/v2/log"
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"parsleyhatch/config"
 	"parsleyhatch/gateway"
+	"parsleyhatch/logbuf"
 )
 
 const (
@@ -42,15 +41,10 @@
 	http    *kratoshttp.Server
 }
 
-// quietKratos keeps the transport's own lines out of the log: the numbered events replace them.
-var quietKratos = sync.OnceFunc(func() {
-	kratoslog.SetLogger(kratoslog.NewFilter(kratoslog.DefaultLogger, kratoslog.FilterLevel(kratoslog.LevelError)))
-})
-
 // New returns a server on the listener. Kratos' request timeout is switched off, since it would cut
 // streams; headers, bodies and writes have limits of their own.
 func New(g *gateway.Gateway, l net.Listener, log *slog.Logger) *Server {
-	quietKratos()
+	logbuf.QuietTransport()
 	s := &Server{Gateway: g, Log: log}
 	s.http = kratoshttp.NewServer(kratoshttp.Listener(l), kratoshttp.Timeout(0))
 	s.http.ReadHeaderTimeout = headerTimeout
--- a/edge/server.go
+++ b/edge/server.go
@@ -15,6 +15,7 @@
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"parsleyhatch/event"
+	"parsleyhatch/logbuf"
 	"parsleyhatch/platform"
 	"parsleyhatch/route"
 )
@@ -35,6 +36,7 @@
 // newServer returns a server of kratos' transport with a handler that gets each path as it was sent: the
 // transport's own router would clean it.
 func newServer(l net.Listener, h http.Handler) *kratoshttp.Server {
+	logbuf.QuietTransport()
 	// Without an endpoint, kratos lists the machine's interfaces, which the platform does not permit.
 	endpoint := &url.URL{Scheme: "http", Host: l.Addr().String()}
 	s := kratoshttp.NewServer(kratoshttp.Listener(l), kratoshttp.Timeout(0), kratoshttp.Endpoint(endpoint))
