Drop events that a resumed stream repeats

An upstream that goes on with a stream was trusted to begin after Last-Event-Id. Events up to the last one that the caller has are now dropped, if their ids are numbers. TestRepeatedEventsAreDropped fails without it: events 1 to 3 came twice.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -273,6 +273,27 @@
 	}
 }
 
+// Guards against events that come twice when the second upstream repeats what the caller has.
+func TestRepeatedEventsAreDropped(t *testing.T) {
+	w := newWorld(t, "north")
+	w.config(1, routeText("a", "streaming", "plain", `,"resumable":true`))
+	handle := func(rw http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(platform.HeaderLastEvent) == "3" {
+			events(rw, 1, 5, true)
+			return
+		}
+		events(rw, 1, 3, false)
+	}
+	w.upstream("u1", "plain", "north", handle)
+	w.upstream("u2", "plain", "north", handle)
+	v := w.vm("vm1", "north", true)
+	w.until("both upstreams are known", func() bool { return v.knows("plain", 2) })
+	_, body, _ := v.call(t, "/a/", "x", nil)
+	if n := strings.Count(body, "id: "); n != 5 || strings.Count(body, "piece 3") != 1 {
+		t.Errorf("answer %q", body)
+	}
+}
+
 // Guards against upstreams that work for a caller who has left, here and in another region.
 func TestCallerLeaves(t *testing.T) {
 	for _, region := range []string{"north", "south"} {
--- a/edge/events.go
+++ b/edge/events.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"strconv"
 	"time"
 
 	"parsleyhatch/replica"
@@ -25,7 +26,10 @@
 
 // relayEvents passes the events of a stream on, each as soon as it is whole.
 func (e *Edge) relayEvents(ctx context.Context, r *request, pick *replica.Pick, a *upstream.Answer, sink *Sink) Outcome {
-	s := &eventRelay{edge: e, request: r, pick: pick, answer: a, sink: sink}
+	s := &eventRelay{edge: e, request: r, pick: pick, answer: a, sink: sink, sent: -1}
+	if r.headSent {
+		s.sent = eventNumber([]byte(r.lastEvent))
+	}
 	err := s.run()
 	now := e.Now()
 	switch {
@@ -55,6 +59,9 @@
 	// pending is the beginning of an event that is not whole.
 	pending []byte
 	begun   bool
+	// sent is the number of the last event that the caller got from an upstream before, negative if there
+	// is none or its id is no number.
+	sent int64
 	// sinkFailed says that the caller's side failed, not the upstream's.
 	sinkFailed bool
 }
@@ -108,12 +115,14 @@
 		s.begun = true
 		s.edge.firstToken(s.request, s.pick)
 	}
-	if id, ok := lastEventID(whole); ok {
+	if id, ok := lastEventID(whole); ok && (s.sent < 0 || eventNumber([]byte(id)) > s.sent) {
 		s.request.lastEvent = id
 	}
-	if err := s.sink.Data(whole, true); err != nil {
-		s.sinkFailed = true
-		return err
+	if fresh := dropUpTo(whole, s.sent); len(fresh) > 0 {
+		if err := s.sink.Data(fresh, true); err != nil {
+			s.sinkFailed = true
+			return err
+		}
 	}
 	s.pending = append(s.pending[:0], s.pending[end+2:]...)
 	return nil
@@ -135,3 +144,28 @@
 	}
 	return id, found
 }
+
+// eventNumber returns the number of an event's id, negative if it is no number.
+func eventNumber(id []byte) int64 {
+	n, err := strconv.ParseInt(string(bytes.TrimSpace(id)), 10, 64)
+	if err != nil {
+		return -1
+	}
+	return n
+}
+
+// dropUpTo removes the whole events whose numbers are not above sent: an upstream that goes on with a stream
+// may repeat what the caller has.
+func dropUpTo(events []byte, sent int64) []byte {
+	if sent < 0 {
+		return events
+	}
+	var kept []byte
+	for event := range bytes.SplitAfterSeq(events, []byte("\n\n")) {
+		id, ok := lastEventID(event)
+		if n := eventNumber([]byte(id)); !ok || n < 0 || n > sent {
+			kept = append(kept, event...)
+		}
+	}
+	return kept
+}
