Log the refusal of a peer before its connection is closed

Cause: the handshake had moved to a function that closes the connection, so the close came before the line; the test looks at the log as soon as the connection has ended. Ruled out: a lost line, since the log of the test is unbounded.

Change: the line comes first again. TestRefusalIsLoggedBeforeTheClose, with a log that takes 50 ms a line, fails each time without it and passes 20 times with it.

--- a/vm/endpoint.go
+++ b/vm/endpoint.go
@@ -67,19 +67,19 @@
 	}
 	conn, err := e.secure(ctx, raw, tls.Client)
 	if err != nil {
+		_ = raw.Close()
 		return nil, fmt.Errorf("handshake with vm %s: %w", address, err)
 	}
 	return e.start(conn, true)
 }
 
-// secure makes the TLS handshake, if the endpoint uses TLS. It closes the connection on failure.
+// secure makes the TLS handshake, if the endpoint uses TLS. It leaves the connection open on failure.
 func (e *Endpoint) secure(ctx context.Context, raw net.Conn, side func(net.Conn, *tls.Config) *tls.Conn) (net.Conn, error) {
 	if e.tls == nil {
 		return raw, nil
 	}
 	conn := side(raw, e.tls)
 	if err := conn.HandshakeContext(ctx); err != nil {
-		_ = raw.Close()
 		return nil, err
 	}
 	return conn, nil
@@ -112,7 +112,9 @@
 	defer cancel()
 	conn, err := e.secure(ctx, raw, tls.Server)
 	if err != nil {
+		// The line comes first: who sees the connection close finds it in the log.
 		event.PeerRefused.Log(e.Log, "address", raw.RemoteAddr().String(), "error", err.Error())
+		_ = raw.Close()
 		return
 	}
 	if _, err := e.start(conn, false); err != nil {
