Give up the first attempt to reach a VM after 400 ms

Ruled out: the store (configuration and registrations were known 0.1 s after the start), cold upstreams, connection limits. Change: the first attempt ends after 400 ms, and the hellos end with the attempt. TestSeedThatStartsLater failed before (1.0 s).

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -16,8 +16,13 @@
 	"parsleyhatch/vmwire"
 )
 
-// dialTimeout bounds the opening of a session: a few round trips between regions.
-const dialTimeout = time.Second
+const (
+	// firstDialTimeout bounds the opening of a session at the first attempt: three round trips between
+	// regions. A VM that is starting takes connections that it loses; waiting longer would delay the next attempt.
+	firstDialTimeout = 400 * time.Millisecond
+	// dialTimeout bounds the later attempts.
+	dialTimeout = time.Second
+)
 
 // Reasons to close a session.
 var (
@@ -211,7 +216,7 @@
 }
 
 func (f *Fleet) runDial(ctx context.Context, address string) {
-	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	dialCtx, cancel := context.WithTimeout(ctx, f.patience(address))
 	defer cancel()
 	s, err := f.Endpoint.Dial(dialCtx, address)
 	f.mu.Lock()
@@ -224,11 +229,23 @@
 	c.dialAt = f.Now().Add(dialPause)
 	if err != nil {
 		c.failedAt = f.Now()
+		c.failures++
 		return
 	}
+	c.failures = 0
 	c.slot, c.region = s.Peer.Slot, s.Peer.Region
 }
 
+// patience returns the time for the next attempt to reach an address.
+func (f *Fleet) patience(address string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c := f.candidates[address]; c != nil && c.failures == 0 {
+		return firstDialTimeout
+	}
+	return dialTimeout
+}
+
 // up adds a session. Of several with one VM, that dialed by the lower name stays.
 func (f *Fleet) up(s *vm.Session) {
 	if s.Peer.Slot == f.Endpoint.Self.Slot {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -39,7 +39,12 @@
 
 func start(t *testing.T, name, region string, seeds ...string) *testFleet {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return startAt(t, "127.0.0.1:0", name, region, seeds...)
+}
+
+func startAt(t *testing.T, address, name, region string, seeds ...string) *testFleet {
+	t.Helper()
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -148,3 +153,33 @@
 	b.ready.Store(false)
 	until(t, 3*time.Second, "b is not ready", func() bool { return errors.Is(open("s"), ErrNoVM) })
 }
+
+// silentListener accepts connections at an address and says nothing, as a VM does that is just starting.
+func silentListener(t *testing.T) (address string, release func()) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = c.Close() })
+		}
+	}()
+	return l.Addr().String(), func() { _ = l.Close() }
+}
+
+// Guards against VMs that, after all of them lost power, know no VM of another region for over a second
+// because the first attempt to reach a seed hangs.
+func TestSeedThatStartsLater(t *testing.T) {
+	address, release := silentListener(t)
+	b := start(t, "b", "north", address)
+	time.Sleep(100 * time.Millisecond)
+	release()
+	startAt(t, address, "a", "south")
+	until(t, 900*time.Millisecond, "b knows a", func() bool { return b.readyIn("south") == 1 })
+}
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -98,6 +98,8 @@
 	seenAt   time.Time
 	dialAt   time.Time
 	failedAt time.Time
+	// failures is the number of attempts to reach the VM that failed one after the other.
+	failures int
 	dialing  bool
 	seed     bool
 }
--- a/vm/endpoint.go
+++ b/vm/endpoint.go
@@ -70,7 +70,7 @@
 		_ = raw.Close()
 		return nil, fmt.Errorf("handshake with vm %s: %w", address, err)
 	}
-	return e.start(conn, true)
+	return e.start(ctx, conn, true)
 }
 
 // secure makes the TLS handshake, if the endpoint uses TLS. It leaves the connection open on failure.
@@ -117,14 +117,14 @@
 		_ = raw.Close()
 		return
 	}
-	if _, err := e.start(conn, false); err != nil {
+	if _, err := e.start(ctx, conn, false); err != nil {
 		event.PeerRefused.Log(e.Log, "address", raw.RemoteAddr().String(), "error", err.Error())
 	}
 }
 
-// start exchanges hellos and starts the session's goroutines.
-func (e *Endpoint) start(conn net.Conn, dialed bool) (*Session, error) {
-	s, err := newSession(e, conn, dialed)
+// start exchanges hellos, which ends with ctx, and starts the session's goroutines.
+func (e *Endpoint) start(ctx context.Context, conn net.Conn, dialed bool) (*Session, error) {
+	s, err := newSession(ctx, e, conn, dialed)
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
--- a/vm/session.go
+++ b/vm/session.go
@@ -60,8 +60,8 @@
 	streams map[uint64]*Stream
 }
 
-// newSession exchanges hellos on a connection.
-func newSession(e *Endpoint, conn net.Conn, dialed bool) (*Session, error) {
+// newSession exchanges hellos on a connection until the deadline of ctx.
+func newSession(ctx context.Context, e *Endpoint, conn net.Conn, dialed bool) (*Session, error) {
 	s := &Session{
 		Dialed:   dialed,
 		endpoint: e,
@@ -76,7 +76,9 @@
 	if dialed {
 		s.nextID.Store(1)
 	}
-	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
+	if limit, ok := ctx.Deadline(); ok {
+		_ = conn.SetDeadline(limit)
+	}
 	if err := s.exchangeHello(); err != nil {
 		return nil, err
 	}
