--- a/edge/run.go
+++ b/edge/run.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"parsleyhatch/place"
 	"parsleyhatch/replica"
 	"parsleyhatch/route"
 )
@@ -16,9 +17,6 @@
 	maxSends = 4
 	// minLeft is the shortest time that is worth an attempt.
 	minLeft = 20 * time.Millisecond
-	// admitShare is the expected time to the first event, in multiples of the latency objective, beyond
-	// which a stream is refused.
-	admitShare = 1.0
 )
 
 // Causes of the end of a request's context.
@@ -83,14 +81,13 @@
 	}
 }
 
-// limit returns the expected time to the first answer beyond which a request is refused: it would take the
-// place of one that can be in time.
+// limit returns the expected time to the first answer beyond which the request is refused.
 func (r *request) limit() time.Duration {
-	left := r.left(time.Now())
-	if r.route.Kind != route.Streaming || r.route.TargetLatency <= 0 {
-		return left
+	target := time.Duration(0)
+	if r.route.Kind == route.Streaming {
+		target = r.route.TargetLatency
 	}
-	return min(left, time.Duration(admitShare*float64(r.route.TargetLatency)))
+	return place.Limit(r.left(time.Now()), target)
 }
 
 // again reports whether another attempt can give the caller a better answer.
--- /dev/null
+++ b/place/place_test.go
@@ -0,0 +1,89 @@
+package place
+
+import (
+	"strconv"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// Guards against requests sent to another region although the way there costs more than the queue here, and
+// against requests kept here although it does not.
+func TestBest(t *testing.T) {
+	shared := Request{Home: "b", Tokens: 3000, SharedTokens: 2000}
+	tests := []struct {
+		name    string
+		regions []Region
+		request Request
+		want    string
+	}{
+		{"idle here", []Region{{Name: "a", Here: true, Wait: 40 * ms}, {Name: "b", Wait: 40 * ms}}, Request{}, "a"},
+		{"small advantage elsewhere", []Region{{Name: "a", Here: true, Wait: 300 * ms}, {Name: "b", Wait: 100 * ms}}, Request{}, "a"},
+		{"busy here", []Region{{Name: "a", Here: true, Wait: 900 * ms}, {Name: "b", Wait: 100 * ms}}, Request{}, "b"},
+		{"queued elsewhere", []Region{{Name: "a", Here: true, Wait: 900 * ms}, {Name: "b", Wait: 100 * ms, Queued: time.Second}}, Request{}, "a"},
+		{"failing here", []Region{{Name: "a", Here: true, Wait: 40 * ms, Penalty: 2 * time.Second}, {Name: "b", Wait: 40 * ms}}, Request{}, "b"},
+		{"only elsewhere", []Region{{Name: "b", Wait: 40 * ms}, {Name: "c", Wait: 30 * ms}}, Request{}, "c"},
+		{"shared parts elsewhere", []Region{{Name: "a", Here: true, Wait: 200 * ms}, {Name: "b", Wait: 40 * ms}}, shared, "b"},
+		{"shared parts not worth the queue", []Region{{Name: "a", Here: true, Wait: 40 * ms}, {Name: "b", Wait: 900 * ms}}, shared, "a"},
+	}
+	for _, tt := range tests {
+		c, ok := Best(tt.regions, tt.request)
+		if !ok || c.Region != tt.want {
+			t.Errorf("%s: chose %q, want %q", tt.name, c.Region, tt.want)
+		}
+	}
+	if _, ok := Best(nil, Request{}); ok {
+		t.Error("chose a region although there is none")
+	}
+}
+
+// Guards against VMs that bring the same prompts together at different regions, and against small regions
+// that get as many as large ones.
+func TestHome(t *testing.T) {
+	capacity := map[string]int{"a": 600, "b": 300, "c": 100, "d": 0}
+	const keys = 20000
+	count := map[string]int{}
+	for key := range uint64(keys) {
+		count[Home(key*0x9e3779b97f4a7c15, capacity)]++
+	}
+	for region, slots := range capacity {
+		share, want := float64(count[region])/keys, float64(slots)/1000
+		if share < want-0.02 || share > want+0.02 {
+			t.Errorf("region %s is the home of %.3f, want %.3f", region, share, want)
+		}
+	}
+	if got := Home(1, map[string]int{}); got != "" {
+		t.Errorf("home %q without capacity", got)
+	}
+}
+
+// Guards against requests that are accepted although the objective can't be met, or refused although a plain
+// request would still be answered before its deadline.
+func TestLimit(t *testing.T) {
+	if got := Limit(3*time.Second, 600*ms); got != 600*ms {
+		t.Errorf("limit %v of a stream, want its objective", got)
+	}
+	if got := Limit(200*ms, 600*ms); got != 200*ms {
+		t.Errorf("limit %v, want the time that is left", got)
+	}
+	if got := Limit(3*time.Second, 0); got != 3*time.Second {
+		t.Errorf("limit %v of a plain request, want the time that is left", got)
+	}
+}
+
+// Guards against callers that are refused together and come back together, and against those that come back
+// before the queue is shorter.
+func TestComeBack(t *testing.T) {
+	seen := map[string]bool{}
+	for range 200 {
+		after := ComeBack(time.Second)
+		if after < 2*time.Second || after > 4*time.Second {
+			t.Fatalf("come back after %v for a second too much, want 2 s to 4 s", after)
+		}
+		seen[strconv.FormatInt(after.Milliseconds()/100, 10)] = true
+	}
+	if len(seen) < 10 {
+		t.Errorf("200 callers come back in %d different tenths of a second", len(seen))
+	}
+}
