--- a/policybench/deploy.go
+++ b/policybench/deploy.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"parsleyhatch/admit"
+	"parsleyhatch/eventloop"
 )
 
-// seconds is a simulated time or duration in seconds.
-type seconds = float64
+type seconds = eventloop.Seconds
 
 const (
 	// runTime and warmTime are the simulated length of a run and the part that isn't measured.
--- a/policybench/engine.go
+++ b/policybench/engine.go
@@ -1,58 +1,10 @@
 package policybench
 
 import (
-	"container/heap"
 	"slices"
-)
-
-// clock is the event loop. Events at one time run in the order of their creation.
-type clock struct {
-	now    seconds
-	seq    int
-	events eventHeap
-}
-
-type timed struct {
-	at  seconds
-	seq int
-	run func()
-}
 
-func (c *clock) after(d seconds, run func()) {
-	c.seq++
-	heap.Push(&c.events, timed{at: c.now + d, seq: c.seq, run: run})
-}
-
-// loop runs all events up to a time.
-func (c *clock) loop(until seconds) {
-	for len(c.events) > 0 && c.events[0].at <= until {
-		e := heap.Pop(&c.events).(timed)
-		c.now = e.at
-		e.run()
-	}
-}
-
-type eventHeap []timed
-
-func (h eventHeap) Len() int      { return len(h) }
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h eventHeap) Less(i, j int) bool {
-	if h[i].at == h[j].at {
-		return h[i].seq < h[j].seq
-	}
-	return h[i].at < h[j].at
-}
-
-// Push is for container/heap.
-func (h *eventHeap) Push(x any) { *h = append(*h, x.(timed)) }
-
-// Pop is for container/heap.
-func (h *eventHeap) Pop() any {
-	last := len(*h) - 1
-	e := (*h)[last]
-	*h = (*h)[:last]
-	return e
-}
+	"parsleyhatch/eventloop"
+)
 
 // cacheEvent says that an engine cached or evicted a prefix.
 type cacheEvent struct {
@@ -65,7 +17,7 @@
 type engine struct {
 	name    string
 	pool    *pool
-	clock   *clock
+	clock   *eventloop.Loop
 	up      bool
 	queue   []*attempt
 	running []*attempt
@@ -129,9 +81,9 @@
 
 // advance applies the time since the last change.
 func (e *engine) advance() {
-	dt := e.clock.now - e.last
+	dt := e.clock.Now - e.last
 	if e.prefill != nil || len(e.running) > 0 {
-		e.busy += max(0, e.clock.now-max(e.last, warmTime))
+		e.busy += max(0, e.clock.Now-max(e.last, warmTime))
 	}
 	if e.prefill == nil && len(e.running) > 0 {
 		tokens := dt / e.step()
@@ -139,13 +91,13 @@
 			a.left -= tokens
 		}
 	}
-	e.last = e.clock.now
+	e.last = e.clock.Now
 }
 
 // proceed ends what is complete, starts the next prefill and schedules the next change.
 func (e *engine) proceed() {
 	const done = 1e-6
-	if a := e.prefill; a != nil && e.clock.now >= e.ends-done {
+	if a := e.prefill; a != nil && e.clock.Now >= e.ends-done {
 		e.prefill = nil
 		e.remember(a.request.prefix)
 		e.running = append(e.running, a)
@@ -177,14 +129,14 @@
 		tokens -= float64(e.pool.prefix)
 	}
 	e.prefill = a
-	e.ends = e.clock.now + tokens/e.pool.prefillRate
+	e.ends = e.clock.Now + tokens/e.pool.prefillRate
 }
 
 func (e *engine) schedule() {
 	e.gen++
 	gen, next := e.gen, seconds(-1)
 	if e.prefill != nil {
-		next = e.ends - e.clock.now
+		next = e.ends - e.clock.Now
 	} else {
 		for _, a := range e.running {
 			if d := max(0, a.left) * e.step(); next < 0 || d < next {
@@ -195,7 +147,7 @@
 	if next < 0 {
 		return
 	}
-	e.clock.after(next, func() {
+	e.clock.After(next, func() {
 		if e.gen == gen {
 			e.advance()
 			e.proceed()
@@ -209,9 +161,9 @@
 		e.cache = slices.Delete(e.cache, i, i+1)
 	}
 	e.cache = append(e.cache, prefix)
-	e.events = append(e.events, cacheEvent{e.clock.now, prefix, true})
+	e.events = append(e.events, cacheEvent{e.clock.Now, prefix, true})
 	if len(e.cache) > enginePrefixes {
-		e.events = append(e.events, cacheEvent{e.clock.now, e.cache[0], false})
+		e.events = append(e.events, cacheEvent{e.clock.Now, e.cache[0], false})
 		e.cache = e.cache[1:]
 	}
 }
--- a/policybench/fleet.go
+++ b/policybench/fleet.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"parsleyhatch/choose"
+	"parsleyhatch/eventloop"
 	"parsleyhatch/retry"
 )
 
@@ -22,9 +23,7 @@
 	cutDetect seconds = 1.5
 )
 
-var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-
-func at(s seconds) time.Time { return epoch.Add(time.Duration(s * float64(time.Second))) }
+var at = eventloop.At
 
 // zone is a region of the simulation.
 type zone struct {
@@ -51,7 +50,7 @@
 
 // sim is one run.
 type sim struct {
-	clock
+	eventloop.Loop
 	deployment *deployment
 	scenario   *scenario
 	policy     *policy
@@ -88,7 +87,7 @@
 func (m *sim) addEngines(z *zone) {
 	for _, p := range m.deployment.pools {
 		for i := range p.replicas / len(m.deployment.regions) {
-			e := &engine{name: fmt.Sprintf("%s/%s/%d", z.name, p.route, i), pool: p, clock: &m.clock, up: true}
+			e := &engine{name: fmt.Sprintf("%s/%s/%d", z.name, p.route, i), pool: p, clock: &m.Loop, up: true}
 			z.engines = append(z.engines, e)
 			m.engines[e.name] = e
 		}
@@ -107,7 +106,7 @@
 			members: map[string][]*choose.Upstream{}, loads: map[string]map[string]choose.Capacity{},
 			summary: map[string]seconds{},
 		}
-		v.table.Configure(epoch, members)
+		v.table.Configure(at(0), members)
 		for _, e := range z.engines {
 			v.members[e.pool.route] = append(v.members[e.pool.route], v.table.Lookup(e.name))
 		}
@@ -116,10 +115,10 @@
 		}
 		for _, o := range m.deployment.regions {
 			if o != z.name {
-				v.table.SetLink(epoch, choose.Link{Region: o, OneWay: m.deployment.oneWay, BytesPerSecond: m.deployment.linkBytes, VMs: m.deployment.vmsPerZone})
+				v.table.SetLink(at(0), choose.Link{Region: o, OneWay: m.deployment.oneWay, BytesPerSecond: m.deployment.linkBytes, VMs: m.deployment.vmsPerZone})
 			}
 		}
-		v.view = v.table.View(epoch)
+		v.view = v.table.View(at(0))
 		z.vms = append(z.vms, v)
 	}
 }
@@ -133,29 +132,17 @@
 	}
 }
 
-// every calls run periodically from a first time on.
-func (m *sim) every(period seconds, run func()) {
-	var again func()
-	again = func() {
-		run()
-		if m.now < runTime {
-			m.after(period, again)
-		}
-	}
-	m.after(period, again)
-}
-
 func (m *sim) startControl() {
-	m.every(viewTick, func() {
+	m.Every(viewTick, runTime, func() {
 		for _, z := range m.zones {
 			for _, v := range z.vms {
-				v.view = v.table.View(at(m.now))
+				v.view = v.table.View(at(m.Now))
 			}
 		}
 	})
-	m.every(reportTick, m.report)
-	m.every(eventTick, m.cacheEvents)
-	m.every(summaryTick, m.summaries)
+	m.Every(reportTick, runTime, m.report)
+	m.Every(eventTick, runTime, m.cacheEvents)
+	m.Every(summaryTick, runTime, m.summaries)
 }
 
 // report gives the VMs the loads sampled two periods ago.
@@ -166,7 +153,7 @@
 				continue
 			}
 			for _, v := range z.vms {
-				v.table.Lookup(e.name).Report(at(m.now-2*reportTick), e.reports[0])
+				v.table.Lookup(e.name).Report(at(m.Now-2*reportTick), e.reports[0])
 			}
 			e.reports[0], e.reports[1] = e.reports[1], e.load()
 		}
@@ -180,7 +167,7 @@
 			batch := e.events
 			e.events = nil
 			lost := m.noise.Float64() < eventLoss
-			m.after(1+m.noise.Float64(), func() { m.deliver(z, e, batch, lost) })
+			m.After(1+m.noise.Float64(), func() { m.deliver(z, e, batch, lost) })
 		}
 	}
 }
@@ -189,7 +176,7 @@
 	for _, v := range z.vms {
 		u := v.table.Lookup(e.name)
 		if lost {
-			v.table.EventsLost(at(m.now), u)
+			v.table.EventsLost(at(m.Now), u)
 			continue
 		}
 		for _, c := range batch {
@@ -205,8 +192,8 @@
 		for _, p := range m.deployment.pools {
 			pools[p.route] = from.vms[0].view.Capacity(p.route)
 		}
-		sent := m.now
-		m.after(m.deployment.oneWay.Seconds(), func() {
+		sent := m.Now
+		m.After(m.deployment.oneWay.Seconds(), func() {
 			for _, to := range m.zones {
 				if to == from || m.cut(from.index, to.index) {
 					continue
@@ -223,32 +210,32 @@
 // cut reports whether the link between two regions is cut.
 func (m *sim) cut(a, b int) bool {
 	last := len(m.zones) - 1
-	return a != b && m.scenario.partition && disturbed(m.now) && (a == last || b == last)
+	return a != b && m.scenario.partition && disturbed(m.Now) && (a == last || b == last)
 }
 
 func (m *sim) startFaults() {
 	last := m.zones[len(m.zones)-1]
 	if m.scenario.loss {
-		m.after(disturbFrom, func() {
+		m.After(disturbFrom, func() {
 			for _, e := range last.engines {
 				for _, a := range e.crash() {
 					a.fail(true)
 				}
 			}
 		})
-		m.after(disturbTo, func() {
+		m.After(disturbTo, func() {
 			for _, e := range last.engines {
-				e.up, e.last = true, m.now
+				e.up, e.last = true, m.Now
 			}
 			for _, z := range m.zones {
 				for _, v := range z.vms {
-					v.budget.Returned(at(m.now), last.name)
+					v.budget.Returned(at(m.Now), last.name)
 				}
 			}
 		})
 	}
 	if m.scenario.partition {
-		m.after(disturbFrom+cutDetect, m.breakStreams)
+		m.After(disturbFrom+cutDetect, m.breakStreams)
 	}
 }
 
--- a/policybench/measure.go
+++ b/policybench/measure.go
@@ -26,7 +26,7 @@
 }
 
 func (s *measures) add(r *request, ok bool) {
-	if ok && r.sim.now >= warmTime {
+	if ok && r.sim.Now >= warmTime {
 		s.tokens += r.out
 	}
 	if r.arrive < warmTime {
@@ -42,7 +42,7 @@
 	}
 	c := r.pool.class
 	s.first[c] = append(s.first[c], r.first)
-	s.whole[c] = append(s.whole[c], r.sim.now-r.arrive+r.returnDelay())
+	s.whole[c] = append(s.whole[c], r.sim.Now-r.arrive+r.returnDelay())
 	if c == admit.Draft {
 		s.byWorkspace[r.workspace] = append(s.byWorkspace[r.workspace], r.first)
 	}
@@ -84,7 +84,7 @@
 	m.arrivals()
 	m.startControl()
 	m.startFaults()
-	m.loop(runTime + 600)
+	m.Run(runTime + 600)
 	busy := 0.0
 	for _, z := range m.zones {
 		for _, e := range z.engines {
--- a/policybench/request.go
+++ b/policybench/request.go
@@ -80,7 +80,7 @@
 			continue // Above the workspace's rate: refused by its bucket, not by a choice.
 		}
 		level--
-		m.after(t, func() { m.arrived(r) })
+		m.After(t, func() { m.arrived(r) })
 	}
 }
 
@@ -88,7 +88,7 @@
 	r.id = m.nextID
 	m.nextID++
 	m.active[r.id] = r
-	r.entry.budget.First(at(m.now), r.entry.zone.name)
+	r.entry.budget.First(at(m.Now), r.entry.zone.name)
 	r.dispatch()
 }
 
@@ -103,23 +103,23 @@
 	}
 	r.remote = z != r.entry.zone
 	if !r.remote {
-		m.after(m.deployment.domainDelay.Seconds(), func() { r.place(r.entry) })
+		m.After(m.deployment.domainDelay.Seconds(), func() { r.place(r.entry) })
 		return
 	}
 	if m.cut(r.entry.zone.index, z.index) {
-		m.after(cutDetect, r.again)
+		m.After(cutDetect, r.again)
 		return
 	}
 	target := z.vms[m.noise.IntN(m.deployment.vmsPerZone)]
-	m.after(m.transfer(r.entry.zone.index, z.index, r.pool.body), func() { r.place(target) })
+	m.After(m.transfer(r.entry.zone.index, z.index, r.pool.body), func() { r.place(target) })
 }
 
 // transfer returns the time to send a body over the link, behind those already being sent.
 func (m *sim) transfer(from, to int, body int64) seconds {
 	pair := [2]int{from, to}
-	end := max(m.now, m.linkFree[pair]) + float64(body)/m.deployment.linkBytes
+	end := max(m.Now, m.linkFree[pair]) + float64(body)/m.deployment.linkBytes
 	m.linkFree[pair] = end
-	return end - m.now + m.deployment.oneWay.Seconds()
+	return end - m.Now + m.deployment.oneWay.Seconds()
 }
 
 // place chooses the upstream at a VM and sends the request.
@@ -138,9 +138,9 @@
 	}
 	a := &attempt{request: r, vm: v, upstream: u, engine: m.engines[u.Name], left: r.out - r.produced}
 	a.running = u.Begin()
-	v.view.Sent(at(m.now), r.prefix, u)
+	v.view.Sent(at(m.Now), r.prefix, u)
 	r.attempt = a
-	m.after(m.deployment.domainDelay.Seconds(), a.arrive)
+	m.After(m.deployment.domainDelay.Seconds(), a.arrive)
 }
 
 func (a *attempt) arrive() {
@@ -150,7 +150,7 @@
 	}
 	// The connection was refused before any byte was sent, so that another try is free.
 	a.running.End()
-	a.upstream.Failed(at(r.sim.now))
+	a.upstream.Failed(at(r.sim.Now))
 	r.attempt = nil
 	r.tried = append(r.tried, a.engine.name)
 	r.refused++
@@ -166,7 +166,7 @@
 	m := r.sim
 	r.attempts++
 	c := retry.Call{Idempotent: true, Attempt: r.attempts, Region: r.entry.zone.name}
-	if r.entry.budget.Allow(at(m.now), c) != retry.Allowed {
+	if r.entry.budget.Allow(at(m.Now), c) != retry.Allowed {
 		r.end(false)
 		return
 	}
@@ -180,7 +180,7 @@
 	r.produced = r.out - max(0, a.left)
 	a.running.End()
 	if crashed {
-		a.upstream.Failed(at(r.sim.now))
+		a.upstream.Failed(at(r.sim.Now))
 		r.tried = append(r.tried, a.engine.name)
 	}
 	r.again()
@@ -192,7 +192,7 @@
 // expired gives a request up that has waited past its deadline.
 func (a *attempt) expired() bool {
 	r := a.request
-	if r.first >= 0 || r.sim.now-r.arrive <= r.pool.deadline {
+	if r.first >= 0 || r.sim.Now-r.arrive <= r.pool.deadline {
 		return false
 	}
 	a.running.End()
@@ -204,9 +204,9 @@
 func (a *attempt) firstToken() {
 	r := a.request
 	a.running.FirstToken()
-	a.upstream.Succeeded(at(r.sim.now))
+	a.upstream.Succeeded(at(r.sim.Now))
 	if r.first < 0 {
-		r.first = r.sim.now - r.arrive + r.returnDelay()
+		r.first = r.sim.Now - r.arrive + r.returnDelay()
 	}
 }
 
