Tell the VMs of a region what changed of the load every 100 ms

Cause: each VM chose from reports of the others' load that were up to 250 ms old, 500 ms in regions above 8 VMs. Change: what changed at upstreams goes to the region's VMs every 100 ms as a message of its own, all of it every second; presences no longer carry it. Conclusion: fresh reports matter where many VMs share upstreams.

--- a/edge/new.go
+++ b/edge/new.go
@@ -70,6 +70,7 @@
 	e.Fleet = fleet.New(now, endpoint, s.PeerListen, s.CallerListen, s.Seeds)
 	e.Fleet.Now = clock.Now
 	e.Fleet.Describe = e.Describe
+	e.Fleet.DescribeUses = e.DescribeUses
 	e.Fleet.OnPresence = func(now time.Time, m fleet.Member, p *vmwire.Presence) { e.Heard(now, m.Identity, p) }
 	e.Fleet.OnControl = e.Control
 	return e, nil
--- a/edge/presence.go
+++ b/edge/presence.go
@@ -42,12 +42,6 @@
 		p.ConfigVersion = t.Config.Version
 		e.describeCosts(now, t, p)
 	}
-	if !sameRegion {
-		return
-	}
-	for id, use := range e.Replicas.Uses() {
-		p.Uses = append(p.Uses, vmwire.UpstreamUse{Upstream: id, Running: int32(use.Running), Prefill: use.Prefill[:], Held: use.Held})
-	}
 }
 
 func (e *Edge) describeCosts(now time.Time, t *route.Table, p *vmwire.Presence) {
@@ -76,13 +70,6 @@
 		return
 	}
 	e.Quota.Heard(now, origin, reports)
-	uses := make(map[string]replica.Use, len(p.Uses))
-	for _, u := range p.Uses {
-		use := replica.Use{Running: int(u.Running), Held: u.Held}
-		copy(use.Prefill[:], u.Prefill)
-		uses[u.Upstream] = use
-	}
-	e.Replicas.SetPeerUse(now, m.Slot, uses)
 	e.Replicas.SetVMs(e.Settings.Name, e.Fleet.Near(now), e.sharers(now))
 }
 
--- a/edge/reader.go
+++ b/edge/reader.go
@@ -175,6 +175,11 @@
 		if err = vm.Decode(f, &m); err == nil {
 			go e.runAnswer(s, m)
 		}
+	case vmwire.KindUses:
+		var m vmwire.Uses
+		if err = vm.Decode(f, &m); err == nil && s.Peer.Region == e.Settings.Region {
+			e.hearUses(e.Now(), s.Peer, &m)
+		}
 	case vmwire.KindStoreAnswer:
 		var m vmwire.StoreAnswer
 		if err = vm.Decode(f, &m); err == nil {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -44,6 +44,9 @@
 	// Describe fills in what the VM shares with those of its region, or of other regions: all of it, or what
 	// has changed lately.
 	Describe func(now time.Time, p *vmwire.Presence, sameRegion, whole bool)
+	// DescribeUses returns what the VM has running at the upstreams of its region: at all, or where that has
+	// changed since the last call; nil if there is nothing to tell.
+	DescribeUses func(whole bool) *vmwire.Uses
 	// OnPresence receives what another VM shares. It must not block.
 	OnPresence func(now time.Time, m Member, p *vmwire.Presence)
 	// OnControl receives other control messages. It must not block.
@@ -84,6 +87,7 @@
 	go f.runListener(l)
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
+	go f.runUses(ctx)
 	f.beat(ctx)
 	for {
 		select {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -68,6 +68,7 @@
 		}
 		p.Costs = []vmwire.ServiceCost{{Service: "s", CostMillis: 40}}
 	}
+	tf.DescribeUses = func(bool) *vmwire.Uses { return nil }
 	tf.OnPresence = func(time.Time, Member, *vmwire.Presence) {}
 	ctx, cancel := context.WithCancel(context.Background())
 	tf.cancel = cancel
--- a/fleet/presence.go
+++ b/fleet/presence.go
@@ -29,12 +29,7 @@
 
 // send sends presences within the region, to other regions, and the list of VMs to a few.
 func (f *Fleet) send(near, far, withRows bool) {
-	f.mu.Lock()
-	slots := make([]string, 0, len(f.sessions))
-	for slot := range f.sessions {
-		slots = append(slots, slot)
-	}
-	f.mu.Unlock()
+	slots := f.connected()
 	nearPresence, farPresence := f.presence(true, false), f.presence(false, false)
 	for _, slot := range slots {
 		s := f.session(slot)
@@ -57,6 +52,17 @@
 	}
 }
 
+// connected returns the names of the VMs with a session.
+func (f *Fleet) connected() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	slots := make([]string, 0, len(f.sessions))
+	for slot := range f.sessions {
+		slots = append(slots, slot)
+	}
+	return slots
+}
+
 // announceTo sends a presence with all VMs that are known.
 func (f *Fleet) announceTo(s *vm.Session) {
 	p := f.presence(!f.far(s), true)
--- a/replica/choose.go
+++ b/replica/choose.go
@@ -83,6 +83,7 @@
 	pick.begunAt = now
 	pick.rank = q.Rank
 	pick.held = pick.Uncached + q.Prompt.MaxAnswer
+	t.used[r.ID] = true
 	r.own.Running++
 	r.own.Prefill[q.Rank] += pick.Uncached
 	r.own.Held += pick.held
@@ -109,6 +110,7 @@
 }
 
 func (t *Table) bestOf(now time.Time, q Request) (*row, Pick) {
+	t.index()
 	candidates := t.byService[q.Service.Name]
 	preferred := t.preferred(now, candidates, q)
 	var best *row
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -254,3 +254,36 @@
 		t.Errorf("%d of 25 VMs send to a cold upstream that stands 7 requests a second", senders)
 	}
 }
+
+// Guards against reports of load that leave out what has changed, or repeat what has not.
+func TestChangedUses(t *testing.T) {
+	table := newTable(2, "p")
+	a, _ := table.Pick(start, Request{Service: plain})
+	if uses := table.ChangedUses(); len(uses) != 1 || uses[a.ID].Running != 1 {
+		t.Errorf("changed after a pick: %v, want one running at %s", uses, a.ID)
+	}
+	if uses := table.ChangedUses(); len(uses) != 0 {
+		t.Errorf("changed without a change: %v", uses)
+	}
+	table.Done(start, &a, Answered)
+	uses := table.ChangedUses()
+	if use, ok := uses[a.ID]; !ok || use.Running != 0 {
+		t.Errorf("changed after the end: %v, want none running at %s", uses, a.ID)
+	}
+}
+
+// Guards against the load of other VMs that stays after it has ended, and against changes that wipe out what
+// is known of other upstreams.
+func TestChangePeerUse(t *testing.T) {
+	table := newTable(2, "p")
+	table.SetPeerUse(start, "vm2", map[string]Use{"u0": {Running: 5}, "u1": {Running: 5}})
+	table.ChangePeerUse(start, "vm2", map[string]Use{"u1": {}})
+	p, _ := table.Pick(start, Request{Service: plain})
+	if p.ID != "u1" {
+		t.Errorf("chose %s, which is busy", p.ID)
+	}
+	table.ChangePeerUse(start, "vm2", map[string]Use{"u1": {Running: 9}})
+	if p, _ := table.Pick(start, Request{Service: plain}); p.ID != "u0" {
+		t.Errorf("chose %s, which is busier", p.ID)
+	}
+}
--- a/replica/result.go
+++ b/replica/result.go
@@ -31,6 +31,7 @@
 	if r == nil || p.Uncached == 0 && p.begunAt.IsZero() {
 		return
 	}
+	t.used[r.ID] = true
 	r.own.Prefill[p.rank] = max(0, r.own.Prefill[p.rank]-p.Uncached)
 	p.Uncached = 0
 	if p.FirstToken > 0 {
@@ -47,6 +48,7 @@
 	if r == nil {
 		return
 	}
+	t.used[r.ID] = true
 	r.own.Running = max(0, r.own.Running-1)
 	r.own.Prefill[p.rank] = max(0, r.own.Prefill[p.rank]-p.Uncached)
 	r.own.Held = max(0, r.own.Held-p.held)
@@ -67,7 +69,7 @@
 		r.backOff(now)
 	case Misdirected:
 		delete(t.rows, r.ID)
-		t.index()
+		t.changed = true
 	case Shed:
 		// A full upstream gets a moment to finish requests.
 		r.downUntil = now.Add(shedPause)
--- a/replica/row.go
+++ b/replica/row.go
@@ -55,8 +55,8 @@
 }
 
 const (
-	// useLife is the time for which the use reported by another VM counts.
-	useLife = 2 * time.Second
+	// useLife is the time for which the use reported by another VM counts: two whole reports may be missed.
+	useLife = 3 * time.Second
 	// partLife is the time for which a part that was sent counts as cached.
 	partLife = 30 * time.Second
 	// maxParts bounds the parts remembered for one upstream.
--- a/replica/table.go
+++ b/replica/table.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,8 +18,12 @@
 	mu        sync.Mutex
 	rows      map[string]*row
 	byService map[string][]*row
+	// changed says that byService is older than rows.
+	changed   bool
 	evacuated map[string]bool
 	popular   popularity
+	// used holds the upstreams at which this VM's use has changed since it was last told to the others.
+	used map[string]bool
 	// vms is the number of VMs that share the bound of a cold upstream, self the name of this one, and
 	// names those that are known.
 	vms   int
@@ -35,6 +41,7 @@
 		rows:      map[string]*row{},
 		byService: map[string][]*row{},
 		evacuated: map[string]bool{},
+		used:      map[string]bool{},
 		popular:   popularity{counts: map[uint64]float64{}},
 		vms:       1,
 	}
@@ -57,7 +64,7 @@
 		t.warm(now, r, warmUp)
 	}
 	t.rows[e.ID] = r
-	t.index()
+	t.changed = true
 }
 
 // warm extends the time for which an upstream counts as cold.
@@ -82,7 +89,7 @@
 		return
 	}
 	delete(t.rows, id)
-	t.index()
+	t.changed = true
 }
 
 // IDs returns the ids of all registrations.
@@ -140,6 +147,17 @@
 	}
 }
 
+// ChangePeerUse takes over what has changed of what another VM has running.
+func (t *Table) ChangePeerUse(now time.Time, vm string, uses map[string]Use) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, use := range uses {
+		if r := t.rows[id]; r != nil {
+			r.peers[vm] = peerUse{Use: use, at: now}
+		}
+	}
+}
+
 // Uses returns what this VM has running, by the ids of upstreams.
 func (t *Table) Uses() map[string]Use {
 	t.mu.Lock()
@@ -150,13 +168,40 @@
 			uses[id] = r.own
 		}
 	}
+	clear(t.used)
 	return uses
 }
 
-// index rebuilds the list of each service.
+// ChangedUses returns what this VM has running at the upstreams where that has changed since the last call
+// of this method or of Uses.
+func (t *Table) ChangedUses() map[string]Use {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	uses := make(map[string]Use, len(t.used))
+	for id := range t.used {
+		if r := t.rows[id]; r != nil {
+			uses[id] = r.own
+		}
+	}
+	clear(t.used)
+	return uses
+}
+
+// index rebuilds the list of each service if it has changed. Each VM has an order of its own, so that VMs that know the same
+// load do not all choose the same upstream.
 func (t *Table) index() {
+	if !t.changed {
+		return
+	}
+	t.changed = false
 	t.byService = map[string][]*row{}
 	for _, r := range t.rows {
 		t.byService[r.Service] = append(t.byService[r.Service], r)
 	}
+	self := hashName(t.self)
+	for _, rows := range t.byService {
+		slices.SortFunc(rows, func(a, b *row) int {
+			return cmp.Compare(Rendezvous(self, a.ID), Rendezvous(self, b.ID))
+		})
+	}
 }
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -4,7 +4,7 @@
 package vmwire
 
 // Protocol is the version of this schema. VMs with another version are refused.
-const Protocol = 3
+const Protocol = 4
 
 // Kinds of frames.
 const (
@@ -29,6 +29,7 @@
 	KindPresence
 	KindStoreAsk
 	KindStoreAnswer
+	KindUses
 )
 
 // The limits bound what a decoder allocates for a length that a faulty peer announces: without them,
@@ -39,7 +40,7 @@
 
 //msgp:tuple Frame Hello Open Chunk End Window Heartbeat HeartbeatAck SlotView EntryVM ConfigGet ConfigParts Part
 //msgp:tuple Load UpstreamLoad ModelWait Summary PoolSummary TokenAsk TokenGive Suspect Handover HandoverTake HandoverRecord
-//msgp:tuple Presence WorkspaceSpent UpstreamUse ServiceCost VMRow StoreItem StoreAsk StoreAnswer
+//msgp:tuple Presence WorkspaceSpent Uses UpstreamUse ServiceCost VMRow StoreItem StoreAsk StoreAnswer
 
 // Frame is the envelope of every message.
 type Frame struct {
@@ -366,6 +367,13 @@
 	Level int64
 }
 
+// Uses tells the VMs of the region what the sender has running at upstreams: at all of them if Whole is set,
+// else at those where that has changed.
+type Uses struct {
+	Whole bool
+	Uses  []UpstreamUse
+}
+
 // UpstreamUse is what the sender has running at an upstream.
 type UpstreamUse struct {
 	Upstream string
@@ -394,10 +402,8 @@
 	// Weight is the sender's share of work, relative to other VMs, and RegionVMs the number of VMs in its region.
 	Weight    int32
 	RegionVMs int32
-	// Costs are for VMs of all regions, Uses for those of the same region. Spent is that of the sender within
-	// its region, and that of the whole region for other regions.
 	Costs []ServiceCost
-	Uses  []UpstreamUse
+	// Spent is that of the sender within its region, and that of the whole region for other regions.
 	Spent []WorkspaceSpent
 	// VMs are sent from time to time.
 	VMs []VMRow
--- a/vmwire/schema_gen.go
+++ b/vmwire/schema_gen.go
@@ -3314,8 +3314,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 11 {
-		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	z.Address, err = dc.ReadString()
@@ -3396,91 +3396,69 @@
 	}
 	var zb0004 uint32
 	zb0004, err = dc.ReadArrayHeader()
-	if err != nil {
-		err = msgp.WrapError(err, "Uses")
-		return
-	}
-	if zb0004 > zb417a25dlimitArrays {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	if cap(z.Uses) >= int(zb0004) {
-		z.Uses = (z.Uses)[:zb0004]
-	} else {
-		z.Uses = make([]UpstreamUse, zb0004)
-	}
-	for za0002 := range z.Uses {
-		err = z.Uses[za0002].DecodeMsg(dc)
-		if err != nil {
-			err = msgp.WrapError(err, "Uses", za0002)
-			return
-		}
-	}
-	var zb0005 uint32
-	zb0005, err = dc.ReadArrayHeader()
 	if err != nil {
 		err = msgp.WrapError(err, "Spent")
 		return
 	}
-	if zb0005 > zb417a25dlimitArrays {
+	if zb0004 > zb417a25dlimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Spent) >= int(zb0005) {
-		z.Spent = (z.Spent)[:zb0005]
+	if cap(z.Spent) >= int(zb0004) {
+		z.Spent = (z.Spent)[:zb0004]
 	} else {
-		z.Spent = make([]WorkspaceSpent, zb0005)
+		z.Spent = make([]WorkspaceSpent, zb0004)
 	}
-	for za0003 := range z.Spent {
-		var zb0006 uint32
-		zb0006, err = dc.ReadArrayHeader()
+	for za0002 := range z.Spent {
+		var zb0005 uint32
+		zb0005, err = dc.ReadArrayHeader()
 		if err != nil {
-			err = msgp.WrapError(err, "Spent", za0003)
+			err = msgp.WrapError(err, "Spent", za0002)
 			return
 		}
-		if zb0006 > zb417a25dlimitArrays {
+		if zb0005 > zb417a25dlimitArrays {
 			err = msgp.ErrLimitExceeded
 			return
 		}
-		if zb0006 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0006}
+		if zb0005 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0005}
 			return
 		}
-		z.Spent[za0003].Workspace, err = dc.ReadString()
+		z.Spent[za0002].Workspace, err = dc.ReadString()
 		if err != nil {
-			err = msgp.WrapError(err, "Spent", za0003, "Workspace")
+			err = msgp.WrapError(err, "Spent", za0002, "Workspace")
 			return
 		}
-		z.Spent[za0003].Amount, err = dc.ReadInt64()
+		z.Spent[za0002].Amount, err = dc.ReadInt64()
 		if err != nil {
-			err = msgp.WrapError(err, "Spent", za0003, "Amount")
+			err = msgp.WrapError(err, "Spent", za0002, "Amount")
 			return
 		}
-		z.Spent[za0003].Level, err = dc.ReadInt64()
+		z.Spent[za0002].Level, err = dc.ReadInt64()
 		if err != nil {
-			err = msgp.WrapError(err, "Spent", za0003, "Level")
+			err = msgp.WrapError(err, "Spent", za0002, "Level")
 			return
 		}
 	}
-	var zb0007 uint32
-	zb0007, err = dc.ReadArrayHeader()
+	var zb0006 uint32
+	zb0006, err = dc.ReadArrayHeader()
 	if err != nil {
 		err = msgp.WrapError(err, "VMs")
 		return
 	}
-	if zb0007 > zb417a25dlimitArrays {
+	if zb0006 > zb417a25dlimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.VMs) >= int(zb0007) {
-		z.VMs = (z.VMs)[:zb0007]
+	if cap(z.VMs) >= int(zb0006) {
+		z.VMs = (z.VMs)[:zb0006]
 	} else {
-		z.VMs = make([]VMRow, zb0007)
+		z.VMs = make([]VMRow, zb0006)
 	}
-	for za0004 := range z.VMs {
-		err = z.VMs[za0004].DecodeMsg(dc)
+	for za0003 := range z.VMs {
+		err = z.VMs[za0003].DecodeMsg(dc)
 		if err != nil {
-			err = msgp.WrapError(err, "VMs", za0004)
+			err = msgp.WrapError(err, "VMs", za0003)
 			return
 		}
 	}
@@ -3489,8 +3467,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Presence) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 11
-	err = en.Append(0x9b)
+	// array header, size 10
+	err = en.Append(0x9a)
 	if err != nil {
 		return
 	}
@@ -3551,42 +3529,30 @@
 			return
 		}
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Uses)))
-	if err != nil {
-		err = msgp.WrapError(err, "Uses")
-		return
-	}
-	for za0002 := range z.Uses {
-		err = z.Uses[za0002].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Uses", za0002)
-			return
-		}
-	}
 	err = en.WriteArrayHeader(uint32(len(z.Spent)))
 	if err != nil {
 		err = msgp.WrapError(err, "Spent")
 		return
 	}
-	for za0003 := range z.Spent {
+	for za0002 := range z.Spent {
 		// array header, size 3
 		err = en.Append(0x93)
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.Spent[za0003].Workspace)
+		err = en.WriteString(z.Spent[za0002].Workspace)
 		if err != nil {
-			err = msgp.WrapError(err, "Spent", za0003, "Workspace")
+			err = msgp.WrapError(err, "Spent", za0002, "Workspace")
 			return
 		}
-		err = en.WriteInt64(z.Spent[za0003].Amount)
+		err = en.WriteInt64(z.Spent[za0002].Amount)
 		if err != nil {
-			err = msgp.WrapError(err, "Spent", za0003, "Amount")
+			err = msgp.WrapError(err, "Spent", za0002, "Amount")
 			return
 		}
-		err = en.WriteInt64(z.Spent[za0003].Level)
+		err = en.WriteInt64(z.Spent[za0002].Level)
 		if err != nil {
-			err = msgp.WrapError(err, "Spent", za0003, "Level")
+			err = msgp.WrapError(err, "Spent", za0002, "Level")
 			return
 		}
 	}
@@ -3595,10 +3561,10 @@
 		err = msgp.WrapError(err, "VMs")
 		return
 	}
-	for za0004 := range z.VMs {
-		err = z.VMs[za0004].EncodeMsg(en)
+	for za0003 := range z.VMs {
+		err = z.VMs[za0003].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "VMs", za0004)
+			err = msgp.WrapError(err, "VMs", za0003)
 			return
 		}
 	}
@@ -3608,8 +3574,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Presence) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 11
-	o = append(o, 0x9b)
+	// array header, size 10
+	o = append(o, 0x9a)
 	o = msgp.AppendString(o, z.Address)
 	o = msgp.AppendString(o, z.CallerAddress)
 	o = msgp.AppendUint8(o, z.Flags)
@@ -3624,27 +3590,19 @@
 		o = msgp.AppendString(o, z.Costs[za0001].Service)
 		o = msgp.AppendInt32(o, z.Costs[za0001].CostMillis)
 	}
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Uses)))
-	for za0002 := range z.Uses {
-		o, err = z.Uses[za0002].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Uses", za0002)
-			return
-		}
-	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Spent)))
-	for za0003 := range z.Spent {
+	for za0002 := range z.Spent {
 		// array header, size 3
 		o = append(o, 0x93)
-		o = msgp.AppendString(o, z.Spent[za0003].Workspace)
-		o = msgp.AppendInt64(o, z.Spent[za0003].Amount)
-		o = msgp.AppendInt64(o, z.Spent[za0003].Level)
+		o = msgp.AppendString(o, z.Spent[za0002].Workspace)
+		o = msgp.AppendInt64(o, z.Spent[za0002].Amount)
+		o = msgp.AppendInt64(o, z.Spent[za0002].Level)
 	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.VMs)))
-	for za0004 := range z.VMs {
-		o, err = z.VMs[za0004].MarshalMsg(o)
+	for za0003 := range z.VMs {
+		o, err = z.VMs[za0003].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "VMs", za0004)
+			err = msgp.WrapError(err, "VMs", za0003)
 			return
 		}
 	}
@@ -3659,8 +3617,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 11 {
-		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	z.Address, bts, err = msgp.ReadStringBytes(bts)
@@ -3737,87 +3695,65 @@
 	}
 	var zb0004 uint32
 	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Uses")
-		return
-	}
-	if zb0004 > zb417a25dlimitArrays {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	if cap(z.Uses) >= int(zb0004) {
-		z.Uses = (z.Uses)[:zb0004]
-	} else {
-		z.Uses = make([]UpstreamUse, zb0004)
-	}
-	for za0002 := range z.Uses {
-		bts, err = z.Uses[za0002].UnmarshalMsg(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Uses", za0002)
-			return
-		}
-	}
-	var zb0005 uint32
-	zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Spent")
 		return
 	}
-	if zb0005 > zb417a25dlimitArrays {
+	if zb0004 > zb417a25dlimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Spent) >= int(zb0005) {
-		z.Spent = (z.Spent)[:zb0005]
+	if cap(z.Spent) >= int(zb0004) {
+		z.Spent = (z.Spent)[:zb0004]
 	} else {
-		z.Spent = make([]WorkspaceSpent, zb0005)
+		z.Spent = make([]WorkspaceSpent, zb0004)
 	}
-	for za0003 := range z.Spent {
-		var zb0006 uint32
-		zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	for za0002 := range z.Spent {
+		var zb0005 uint32
+		zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Spent", za0003)
+			err = msgp.WrapError(err, "Spent", za0002)
 			return
 		}
-		if zb0006 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0006}
+		if zb0005 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0005}
 			return
 		}
-		z.Spent[za0003].Workspace, bts, err = msgp.ReadStringBytes(bts)
+		z.Spent[za0002].Workspace, bts, err = msgp.ReadStringBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Spent", za0003, "Workspace")
+			err = msgp.WrapError(err, "Spent", za0002, "Workspace")
 			return
 		}
-		z.Spent[za0003].Amount, bts, err = msgp.ReadInt64Bytes(bts)
+		z.Spent[za0002].Amount, bts, err = msgp.ReadInt64Bytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Spent", za0003, "Amount")
+			err = msgp.WrapError(err, "Spent", za0002, "Amount")
 			return
 		}
-		z.Spent[za0003].Level, bts, err = msgp.ReadInt64Bytes(bts)
+		z.Spent[za0002].Level, bts, err = msgp.ReadInt64Bytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Spent", za0003, "Level")
+			err = msgp.WrapError(err, "Spent", za0002, "Level")
 			return
 		}
 	}
-	var zb0007 uint32
-	zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	var zb0006 uint32
+	zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "VMs")
 		return
 	}
-	if zb0007 > zb417a25dlimitArrays {
+	if zb0006 > zb417a25dlimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.VMs) >= int(zb0007) {
-		z.VMs = (z.VMs)[:zb0007]
+	if cap(z.VMs) >= int(zb0006) {
+		z.VMs = (z.VMs)[:zb0006]
 	} else {
-		z.VMs = make([]VMRow, zb0007)
+		z.VMs = make([]VMRow, zb0006)
 	}
-	for za0004 := range z.VMs {
-		bts, err = z.VMs[za0004].UnmarshalMsg(bts)
+	for za0003 := range z.VMs {
+		bts, err = z.VMs[za0003].UnmarshalMsg(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "VMs", za0004)
+			err = msgp.WrapError(err, "VMs", za0003)
 			return
 		}
 	}
@@ -3832,16 +3768,12 @@
 		s += 1 + msgp.StringPrefixSize + len(z.Costs[za0001].Service) + msgp.Int32Size
 	}
 	s += msgp.ArrayHeaderSize
-	for za0002 := range z.Uses {
-		s += z.Uses[za0002].Msgsize()
-	}
-	s += msgp.ArrayHeaderSize
-	for za0003 := range z.Spent {
-		s += 1 + msgp.StringPrefixSize + len(z.Spent[za0003].Workspace) + msgp.Int64Size + msgp.Int64Size
+	for za0002 := range z.Spent {
+		s += 1 + msgp.StringPrefixSize + len(z.Spent[za0002].Workspace) + msgp.Int64Size + msgp.Int64Size
 	}
 	s += msgp.ArrayHeaderSize
-	for za0004 := range z.VMs {
-		s += z.VMs[za0004].Msgsize()
+	for za0003 := range z.VMs {
+		s += z.VMs[za0003].Msgsize()
 	}
 	return
 }
@@ -5767,6 +5699,148 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Uses) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Whole, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Whole")
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Uses")
+		return
+	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Uses) >= int(zb0002) {
+		z.Uses = (z.Uses)[:zb0002]
+	} else {
+		z.Uses = make([]UpstreamUse, zb0002)
+	}
+	for za0001 := range z.Uses {
+		err = z.Uses[za0001].DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Uses", za0001)
+			return
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Uses) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Whole)
+	if err != nil {
+		err = msgp.WrapError(err, "Whole")
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Uses)))
+	if err != nil {
+		err = msgp.WrapError(err, "Uses")
+		return
+	}
+	for za0001 := range z.Uses {
+		err = z.Uses[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Uses", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Uses) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendBool(o, z.Whole)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Uses)))
+	for za0001 := range z.Uses {
+		o, err = z.Uses[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Uses", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Uses) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Whole, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Whole")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Uses")
+		return
+	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Uses) >= int(zb0002) {
+		z.Uses = (z.Uses)[:zb0002]
+	} else {
+		z.Uses = make([]UpstreamUse, zb0002)
+	}
+	for za0001 := range z.Uses {
+		bts, err = z.Uses[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Uses", za0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Uses) Msgsize() (s int) {
+	s = 1 + msgp.BoolSize + msgp.ArrayHeaderSize
+	for za0001 := range z.Uses {
+		s += z.Uses[za0001].Msgsize()
+	}
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *VMRow) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
