Count work sent to other regions only until their report includes it; log what a choice was based on

Work counted as on the way until its first event came back. Ruled out: the estimate in the region (right at the median for 4 of 5 classes of load), reading counted twice (the sum of tokens to read is that of the engines). Change: only what was sent after the report was made counts, less what the upstreams have read since (place.Sent, TestQueued). The log line of a request now has the load that its choice was based on.

--- a/edge/choose.go
+++ b/edge/choose.go
@@ -1,11 +1,9 @@
 package edge
 
 import (
-	"sync"
 	"time"
 
 	"parsleyhatch/place"
-	"parsleyhatch/replica"
 	"parsleyhatch/route"
 )
 
@@ -43,6 +41,7 @@
 		return place.Region{}, false
 	}
 	pick, ok := e.Replicas.Estimate(now, r.choice())
+	r.inputs = pick.Inputs
 	return place.Region{
 		Name: e.Settings.Region, Here: true, Wait: pick.FirstToken, Penalty: pick.Wait - pick.FirstToken,
 	}, ok
@@ -54,47 +53,19 @@
 		if region == e.Settings.Region || !route.Allowed(r.route, r.workspace, region) {
 			continue
 		}
-		wait, ok := e.Fleet.CostIn(now, region, r.service.Name)
+		wait, heardAt, ok := e.Fleet.CostIn(now, region, r.service.Name)
 		if !ok {
 			continue
 		}
-		regions = append(regions, place.Region{Name: region, Wait: wait, Queued: e.queuedAway(r.service.Name, region)})
+		key := place.Key{Service: r.service.Name, Region: region}
+		report := place.Report{Wait: wait, HeardAt: heardAt, Replicas: e.Source.Replicated(key.Service, region)}
+		regions = append(regions, place.Region{
+			Name: region, Wait: wait, Queued: e.sent.Queued(now, key, report, e.Fleet.Sharers(now)),
+		})
 	}
 	return regions
 }
 
-// awayKey names a service in another region.
-type awayKey struct{ service, region string }
-
-// awayLoad counts the prompt tokens of forwarded requests that have no first event yet. The other region's
-// reports show them only later, and then all VMs at once.
-type awayLoad struct {
-	mu     sync.Mutex
-	tokens map[awayKey]int64
-}
-
-func (l *awayLoad) add(k awayKey, tokens int64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.tokens[k] += tokens
-	if l.tokens[k] == 0 {
-		delete(l.tokens, k)
-	}
-}
-
-// queuedAway is the time that reading the prompts takes which the VMs of this region have sent to a service
-// of another region, if each has sent as much as this one.
-func (e *Edge) queuedAway(service, region string) time.Duration {
-	e.away.mu.Lock()
-	tokens := e.away.tokens[awayKey{service, region}]
-	e.away.mu.Unlock()
-	replicas := e.Source.Replicated(service, region)
-	if tokens == 0 || replicas == 0 {
-		return 0
-	}
-	return replica.ReadTime(tokens*int64(e.Fleet.Sharers(e.Now()))) / time.Duration(replicas)
-}
-
 // homeOf returns the region at which requests with the same shared parts are brought together, or "".
 func (e *Edge) homeOf(r *request) string {
 	key, ok := r.prompt.AffinityPart(func(uint64) bool { return true })
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -10,6 +10,7 @@
 
 	"parsleyhatch/fleet"
 	"parsleyhatch/metrics"
+	"parsleyhatch/place"
 	"parsleyhatch/platform"
 	"parsleyhatch/poison"
 	"parsleyhatch/quota"
@@ -38,7 +39,7 @@
 
 	store   *platform.Store
 	asks    storeAsks
-	away    awayLoad
+	sent    place.Sent
 	started time.Time
 	hasher  *poison.Hasher
 	open    atomic.Int64
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -5,10 +5,10 @@
 	"errors"
 	"net/http"
 	"strings"
-	"sync"
 	"time"
 
 	"parsleyhatch/fleet"
+	"parsleyhatch/place"
 	"parsleyhatch/vm"
 	"parsleyhatch/vmwire"
 )
@@ -39,11 +39,8 @@
 		// The other VM starts no request whose body has not arrived whole.
 		return refuse(VMLost, "send to vm "+slot+": "+err.Error(), refusalPause), true
 	}
-	key := awayKey{r.service.Name, region}
-	queued := sync.OnceFunc(func() { e.away.add(key, -r.prompt.Tokens) })
-	e.away.add(key, r.prompt.Tokens)
-	defer queued()
-	return e.relayForwarded(ctx, r, slot, st, sink, queued), true
+	e.sent.Add(e.Now(), place.Key{Service: r.service.Name, Region: region}, r.prompt.Tokens)
+	return e.relayForwarded(ctx, r, slot, st, sink), true
 }
 
 func (e *Edge) openMessage(r *request) *vmwire.Open {
@@ -76,7 +73,7 @@
 }
 
 // relayForwarded passes the answer of another VM on.
-func (e *Edge) relayForwarded(ctx context.Context, r *request, slot string, st *vm.Stream, sink *Sink, begun func()) Outcome {
+func (e *Edge) relayForwarded(ctx context.Context, r *request, slot string, st *vm.Stream, sink *Sink) Outcome {
 	headBefore := r.headSent
 	for {
 		body, end, err := st.Recv(ctx)
@@ -91,7 +88,6 @@
 		case end != nil:
 			return e.forwardedEnd(r, slot, end)
 		}
-		begun()
 		var c vmwire.Chunk
 		if _, err := c.UnmarshalMsg(body); err != nil {
 			st.Reset()
--- a/edge/new.go
+++ b/edge/new.go
@@ -46,7 +46,6 @@
 		Settings: s, Log: log, Now: clock.Now, started: now,
 		store:    platform.NewStore(s.Store),
 		asks:     storeAsks{waiting: map[uint64]chan vmwire.StoreAnswer{}},
-		away:     awayLoad{tokens: map[awayKey]int64{}},
 		Replicas: replica.New(),
 		Pool:     upstream.NewPool(clock.Now),
 		Quota:    quota.New(now),
--- a/edge/request.go
+++ b/edge/request.go
@@ -54,6 +54,8 @@
 	lastResort bool
 	// cost is the expected time to the first token at the latest choice.
 	cost time.Duration
+	// inputs are what the latest choice of an upstream was based on.
+	inputs replica.Inputs
 	// charged is what the workspace was charged, in tokens or requests.
 	charged int64
 	// first is the time from the arrival to the first event, zero before it.
--- a/edge/server.go
+++ b/edge/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/url"
@@ -215,7 +216,10 @@
 	log.Log(e.Log, "request", r.id, "route", name, "workspace", workspace, "reason", string(out.Reason),
 		"status", out.Status, "ran", out.Ran.String(), "place", r.place, "tried", strings.Join(r.tried, ","),
 		"vms", strings.Join(r.triedVMs, ","), "expectedMillis", r.cost.Milliseconds(),
-		"charged", r.charged, "firstMillis", r.first.Milliseconds(), "tookMillis", took.Milliseconds(), "config", version, "keysAgeMillis", e.Now().Sub(e.Source.FreshAt()).Milliseconds(),
+		"running", r.inputs.Running, "readTokens", r.inputs.Uncached, "aheadTokens", r.inputs.Ahead, "heldTokens", r.inputs.Held,
+		"slowness", math.Round(100*r.inputs.Slowness)/100, "failureShare", math.Round(100*r.inputs.Failures)/100,
+		"charged", r.charged, "firstMillis", r.first.Milliseconds(), "tookMillis", took.Milliseconds(),
+		"config", version, "keysAgeMillis", e.Now().Sub(e.Source.FreshAt()).Milliseconds(),
 		"forwarded", r.forwarded, "detail", out.Detail)
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -133,7 +133,7 @@
 	a := start(t, "a", "north")
 	b := start(t, "b", "south", a.address)
 	until(t, 3*time.Second, "they meet", func() bool { return a.readyIn("south") == 1 })
-	if cost, ok := a.CostIn(time.Now(), "south", "s"); !ok || cost != 40*time.Millisecond {
+	if cost, _, ok := a.CostIn(time.Now(), "south", "s"); !ok || cost != 40*time.Millisecond {
 		t.Errorf("cost %v, known %v", cost, ok)
 	}
 	open := func(service string, tried ...string) error {
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -83,15 +83,15 @@
 	return first
 }
 
-// CostIn returns the lowest expected time to the first token of a service in another region.
-func (f *Fleet) CostIn(now time.Time, region, service string) (time.Duration, bool) {
-	best, found := time.Duration(0), false
+// CostIn returns the lowest expected time to the first token of a service in another region, and when that was
+// heard.
+func (f *Fleet) CostIn(now time.Time, region, service string) (cost time.Duration, heardAt time.Time, found bool) {
 	for _, m := range f.Ready(now, region) {
-		if cost, ok := m.Costs[service]; ok && (!found || cost < best) {
-			best, found = cost, true
+		if c, ok := m.Costs[service]; ok && (!found || c < cost) {
+			cost, heardAt, found = c, m.HeardAt, true
 		}
 	}
-	return best, found
+	return cost, heardAt, found
 }
 
 // ErrNoVM says that no VM of a region can run the request.
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -87,3 +87,29 @@
 		t.Errorf("200 callers come back in %d different tenths of a second", len(seen))
 	}
 }
+
+// Guards against requests that are counted twice, here as sent and in the report of the other region: they kept
+// VMs from using a region that was idle.
+func TestQueued(t *testing.T) {
+	start := time.Unix(1000, 0)
+	key := Key{"s", "b"}
+	var sent Sent
+	for i := range 100 {
+		sent.Add(start.Add(time.Duration(i)*10*ms), key, 3000)
+	}
+	now := start.Add(time.Second)
+	fresh := Report{HeardAt: now, Replicas: 6}
+	if got := sent.Queued(now, key, fresh, 3); got > 200*ms {
+		t.Errorf("%v queued beyond a new report, want no more than was sent in the last %v", got, LinkCost)
+	}
+	old := Report{HeardAt: start, Replicas: 6}
+	if got := sent.Queued(now, key, old, 3); got < time.Second {
+		t.Errorf("%v queued beyond a report of a second ago, want all that was sent less what was read", got)
+	}
+	if got := sent.Queued(now, Key{"s", "c"}, old, 3); got != 0 {
+		t.Errorf("%v queued where nothing was sent", got)
+	}
+	if got := sent.Queued(now, key, Report{HeardAt: now}, 3); got != 0 {
+		t.Errorf("%v queued where there is no upstream", got)
+	}
+}
--- a/replica/choose.go
+++ b/replica/choose.go
@@ -2,29 +2,12 @@
 
 import (
 	"hash/fnv"
-	"math"
 	"time"
 
 	"parsleyhatch/route"
 )
 
 const (
-	// prefillRate is the expected speed of reading a prompt, in tokens a millisecond: an engine of the
-	// deployments reads 68 when it does nothing else.
-	prefillRate = 60
-	// firstTokenBase is the expected time to the first token of an empty prompt, in milliseconds: an engine's
-	// first step takes about 36.
-	firstTokenBase = 40
-	// runningCost is the delay that one running request causes another, in milliseconds.
-	runningCost = 1
-	// queueCost is the delay by each request beyond the slots of an upstream, in milliseconds: about the time
-	// of one request of a plain service.
-	queueCost = 40
-	// failureCost is the delay that counts for an upstream all of whose requests fail, in milliseconds.
-	failureCost = 3000
-	// rereadCost is what counts for each shared token that an upstream does not hold, in milliseconds,
-	// beside the time for reading it: it takes capacity from others, in every upstream that reads it.
-	rereadCost = 0.1
 	// popularShare is the share of requests, in multiples of an even share of one upstream, above which
 	// requests with the same part are spread.
 	popularShare = 0.5
@@ -32,10 +15,6 @@
 	coldShare = 0.7
 	// usualFailures is the share of failures that services may have without being at fault.
 	usualFailures = 0.35
-	// memoryShare is the share of an engine's memory beyond which running requests are preempted.
-	memoryShare = 0.9
-	// memoryCost is the delay that counts for an engine whose memory is twice full, in milliseconds.
-	memoryCost = 2000
 )
 
 // Request is what a choice needs to know of a request.
@@ -60,8 +39,10 @@
 	FirstToken time.Duration
 	// Cost is the expected time with penalties for failures and memory. Wait is the same without the
 	// failures that every upstream of a service may have.
-	Cost    time.Duration
-	Wait    time.Duration
+	Cost time.Duration
+	Wait time.Duration
+	// Inputs are what the choice was based on.
+	Inputs  Inputs
 	begunAt time.Time
 	rank    int
 	// held is the memory that the request takes, in tokens.
@@ -114,22 +95,31 @@
 	candidates := t.byService[q.Service.Name]
 	preferred := t.preferred(now, candidates, q)
 	var best *row
-	var found Pick
-	lowest := math.Inf(1)
+	var found estimate
 	for _, r := range candidates {
 		if !t.usable(now, r, q) {
 			continue
 		}
-		cost, first, uncached := t.cost(now, r, q, r == preferred)
-		if cost < lowest {
-			lowest, best = cost, r
-			found.ID, found.Address, found.Uncached = r.ID, r.Address, uncached
-			share := r.failureShare(now)
-			usual := failureCost * min(share, usualFailures)
-			found.FirstToken, found.Cost, found.Wait = fromMillis(first), fromMillis(cost), fromMillis(cost-usual)
+		if x := r.estimate(now, q, r == preferred); best == nil || x.cost < found.cost {
+			best, found = r, x
 		}
 	}
-	return best, found
+	if best == nil {
+		return nil, Pick{}
+	}
+	return best, best.pick(found)
+}
+
+// pick returns the choice of an upstream.
+func (r *row) pick(x estimate) Pick {
+	usual := failureCost * min(x.failures, usualFailures)
+	return Pick{
+		ID: r.ID, Address: r.Address, Uncached: x.uncached,
+		FirstToken: fromMillis(x.first), Cost: fromMillis(x.cost), Wait: fromMillis(x.cost - usual),
+		Inputs: Inputs{
+			Running: x.load.Running, Uncached: x.uncached, Ahead: x.ahead, Held: x.load.Held, Slowness: r.slowness, Failures: x.failures,
+		},
+	}
 }
 
 // usable reports whether an upstream may get the request now.
@@ -199,29 +189,6 @@
 	return best
 }
 
-// cost returns the expected time to the first token with and without penalties, in milliseconds, and the
-// tokens that the upstream has to read.
-func (t *Table) cost(now time.Time, r *row, q Request, preferred bool) (cost, first float64, uncached int64) {
-	load := r.load(now)
-	cached := r.cached(now, q.Prompt.Parts)
-	if preferred {
-		cached = max(cached, q.Prompt.SharedTokens())
-	}
-	uncached = max(0, q.Prompt.Tokens-cached)
-	again := max(0, q.Prompt.SharedTokens()-cached)
-	first = firstTokenBase + float64(load.ahead(q.Rank)+uncached)/prefillRate + runningCost*float64(load.Running)
-	if over := load.Running + 1 - r.Slots; over > 0 {
-		first += queueCost * float64(over)
-	}
-	cost = first*max(1, r.slowness) + rereadCost*float64(again) + failureCost*r.failureShare(now)
-	if e := q.Service.Engine; e != nil && e.Capacity > 0 {
-		full := float64(load.Held+uncached+q.Prompt.MaxAnswer) / float64(e.Capacity)
-		first += memoryCost * max(0, full-memoryShare)
-		cost += memoryCost * max(0, full-memoryShare)
-	}
-	return cost, first, uncached
-}
-
 // Rendezvous returns the weight of a place for a key; the place with the highest weight is preferred.
 func Rendezvous(key uint64, id string) uint64 {
 	h := fnv.New64a()
@@ -238,8 +205,3 @@
 	x ^= x >> 33
 	return x
 }
-
-// ReadTime returns the expected time in which one upstream reads prompt tokens.
-func ReadTime(tokens int64) time.Duration { return fromMillis(float64(tokens) / prefillRate) }
-
-func fromMillis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
