Count prompts of other ranks in the expected wait

Cause: the wait of an urgent request counted only prompts of its own rank. Less urgent requests waited up to 1.3 times as long as expected (1,064 and 815 ms with 30,000 to 50,000 tokens ahead): urgent ones pass them. Change: 0.4 of the less urgent tokens count, up to 8,000; the wait of less urgent requests grows by 1.3. TestEstimateCountsOtherRanks.

--- a/replica/estimate.go
+++ b/replica/estimate.go
@@ -19,6 +19,13 @@
 	// rereadCost is what counts for each shared token that an upstream does not hold, in milliseconds,
 	// beside the time for reading it: it takes capacity from others, in every upstream that reads it.
 	rereadCost = 0.1
+	// begunShare is the part of less urgent prompt tokens that delays a more urgent request: a prompt that an
+	// engine has begun to read is read on. maxBegun bounds it, since engines read one prompt at a time.
+	begunShare = 0.4
+	maxBegun   = 8000
+	// overtaken is the factor by which the wait of less urgent requests grows through urgent ones that arrive
+	// meanwhile.
+	overtaken = 1.3
 	// memoryShare is the share of an engine's memory beyond which running requests are preempted.
 	memoryShare = 0.9
 	// memoryCost is the delay that counts for an engine whose memory is twice full, in milliseconds.
@@ -60,7 +67,7 @@
 	}
 	x.uncached = max(0, q.Prompt.Tokens-cached)
 	x.ahead = x.load.ahead(q.Rank)
-	x.first = firstTokenBase + float64(x.ahead+x.uncached)/prefillRate + runningCost*float64(x.load.Running)
+	x.first = firstTokenBase + x.reading(q.Rank) + runningCost*float64(x.load.Running)
 	if over := x.load.Running + 1 - r.Slots; over > 0 {
 		x.first += queueCost * float64(over)
 	}
@@ -73,6 +80,16 @@
 	return x
 }
 
+// reading returns the time until the prompt is read, in milliseconds.
+func (x *estimate) reading(rank int) float64 {
+	begun := min(begunShare*float64(x.load.ahead(Ranks-1)-x.ahead), maxBegun)
+	wait := (float64(x.ahead) + begun) / prefillRate
+	if rank > 0 {
+		wait *= overtaken
+	}
+	return wait + float64(x.uncached)/prefillRate
+}
+
 // ReadTime returns the expected time in which one upstream reads prompt tokens.
 func ReadTime(tokens int64) time.Duration { return fromMillis(float64(tokens) / prefillRate) }
 
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -287,3 +287,24 @@
 		t.Errorf("chose %s, which is busier", p.ID)
 	}
 }
+
+// Guards against urgent requests that are expected to pass a long prompt that an engine has already begun to read,
+// and against less urgent ones that are expected to wait no longer than what is ahead of them now takes.
+func TestEstimateCountsOtherRanks(t *testing.T) {
+	first := func(rank int, prefill [Ranks]int64) time.Duration {
+		table := newTable(1, "s")
+		table.SetPeerUse(start, "vm2", map[string]Use{"u0": {Running: 1, Prefill: prefill}})
+		p, _ := table.Estimate(start, Request{Service: engine, Rank: rank})
+		return p.FirstToken
+	}
+	idle := first(0, [Ranks]int64{})
+	if got := first(0, [Ranks]int64{0, 10000}) - idle; got < 30*time.Millisecond || got > ReadTime(10000) {
+		t.Errorf("a less urgent prompt adds %v, want some of the %v that it takes", got, ReadTime(10000))
+	}
+	if got := first(0, [Ranks]int64{0, 1 << 20}) - idle; got > ReadTime(20000) {
+		t.Errorf("many less urgent prompts add %v, want no more than one of them", got)
+	}
+	if got, want := first(1, [Ranks]int64{12000})-idle, ReadTime(12000); got <= want {
+		t.Errorf("urgent prompts add %v for a less urgent request, want more than the %v that they take", got, want)
+	}
+}
