--- /dev/null
+++ b/loadbench/policy.go
@@ -0,0 +1,154 @@
+package loadbench
+
+import (
+	"time"
+
+	"parsleyhatch/place"
+)
+
+// policy is a way to handle requests. A nil upstream is the product's choice.
+type policy struct {
+	name string
+	// here keeps requests in the region of their caller.
+	here bool
+	// accept sends requests on although they are expected to be late.
+	accept bool
+	// inOrder makes the engines serve first come, first served.
+	inOrder  bool
+	upstream func(w *world, v *vm, r *request) (target, bool)
+}
+
+// product is the policy that VMs follow.
+var product = policy{name: "product"}
+
+func policies() []policy {
+	return []policy{
+		product,
+		{name: "own region only", here: true},
+		{name: "without refusals", accept: true},
+		{name: "first come, first served", accept: true, inOrder: true},
+		{name: "round robin", accept: true, upstream: roundRobin},
+		{name: "random of two", accept: true, upstream: randomOfTwo},
+		{name: "least outstanding", accept: true, upstream: leastOutstanding},
+	}
+}
+
+// route decides what a VM does with a request of a caller.
+func (p *policy) route(w *world, v *vm, r *request) {
+	best, ok := place.Best(p.regions(w, v, r), place.Request{
+		Home: w.home(r), Tokens: r.prompt.Tokens, SharedTokens: r.prompt.SharedTokens(),
+	})
+	if !ok {
+		r.refused(place.ComeBack(0))
+		return
+	}
+	if p.refuses(r, best.Wait) {
+		return
+	}
+	if best.Region == v.region.name {
+		p.send(w, v, r)
+		return
+	}
+	p.forward(w, v, r, w.byName(best.Region))
+}
+
+// refuses refuses a request that is expected to be late.
+func (p *policy) refuses(r *request, wait time.Duration) bool {
+	limit := place.Limit(toDuration(r.left()), r.objective())
+	if p.accept || wait <= limit {
+		return false
+	}
+	r.refused(place.ComeBack(wait - limit))
+	return true
+}
+
+func (r *request) objective() time.Duration {
+	if r.kind.service.Engine == nil {
+		return 0
+	}
+	return toDuration(r.kind.target)
+}
+
+func (p *policy) regions(w *world, v *vm, r *request) []place.Region {
+	var list []place.Region
+	if pick, ok := v.table.Estimate(w.time(), r.choice()); ok {
+		list = append(list, place.Region{Name: v.region.name, Here: true, Wait: pick.FirstToken, Penalty: pick.Wait - pick.FirstToken})
+	}
+	if p.here {
+		return list
+	}
+	for _, g := range w.regions {
+		waits := g.reported[r.kind.service.Name]
+		if g == v.region || r.kind.rank >= len(waits) {
+			continue
+		}
+		list = append(list, place.Region{Name: g.name, Wait: waits[w.reportedRank(r)], Queued: v.queued(w, g, r)})
+	}
+	return list
+}
+
+// reportedRank is the rank for which other regions report their wait.
+func (w *world) reportedRank(*request) int { return 0 }
+
+// queued is the time for the prompts that were sent to a region since its report.
+func (v *vm) queued(w *world, g *region, r *request) time.Duration {
+	report := place.Report{HeardAt: g.reportedAt, Replicas: g.replicas(r.kind)}
+	return v.sent.Queued(w.time(), r.awayKey(g), report, len(v.region.vms))
+}
+
+func (r *request) awayKey(g *region) place.Key {
+	return place.Key{Service: r.kind.service.Name, Region: g.name}
+}
+
+func (g *region) replicas(k *kind) int {
+	if k.service.Engine != nil {
+		return len(g.engines)
+	}
+	return len(g.servers) - len(g.engines)
+}
+
+func (w *world) byName(name string) *region {
+	for _, g := range w.regions {
+		if g.name == name {
+			return g
+		}
+	}
+	return nil
+}
+
+// forward sends the request to a VM of another region, which decides again.
+func (p *policy) forward(w *world, v *vm, r *request, to *region) {
+	v.sent.Add(w.time(), r.awayKey(to), r.prompt.Tokens)
+	other := to.vms[w.noise.IntN(len(to.vms))]
+	w.After(w.deployment.oneWay, func() {
+		pick, ok := other.table.Estimate(w.time(), r.choice())
+		if !ok {
+			r.refused(place.ComeBack(0))
+			return
+		}
+		if !p.refuses(r, pick.FirstToken) {
+			p.send(w, other, r)
+		}
+	})
+}
+
+// send sends the request to an upstream of the VM's region.
+func (p *policy) send(w *world, v *vm, r *request) {
+	if p.upstream != nil {
+		to, ok := p.upstream(w, v, r)
+		if !ok {
+			r.refused(place.ComeBack(0))
+			return
+		}
+		r.send(v, to)
+		return
+	}
+	pick, ok := v.table.Pick(w.time(), r.choice())
+	if !ok {
+		r.refused(place.ComeBack(0))
+		return
+	}
+	r.send(v, v.productTarget(w, pick))
+}
+
+func toDuration(s seconds) time.Duration { return time.Duration(s * float64(time.Second)) }
