--- a/replica/estimate.go
+++ b/replica/estimate.go
@@ -18,7 +18,7 @@
 	failureCost = 3000
 	// rereadCost is what counts for each shared token that an upstream does not hold, in milliseconds,
 	// beside the time for reading it: it takes capacity from others, in every upstream that reads it.
-	rereadCost = 0.1
+	rereadCost = 0.2
 	// begunShare is the part of less urgent prompt tokens that delays a more urgent request: a prompt that an
 	// engine has begun to read is read on. maxBegun bounds it, since engines read one prompt at a time.
 	begunShare = 0.4
