Compare regions by the urgency and the reading time of the request

Cause: other regions told the expected wait of the most urgent rank only, and the time for reading the prompt there was left out: long and less urgent requests were sent to regions that refused them. A margin of 150 ms made up for some of it. Change: waits are told by rank, the reading time counts in each region (without shared parts in the region where they are brought together), the margin is 30 ms. ComeBack takes its random number as an argument, so that replays repeat.

--- a/edge/choose.go
+++ b/edge/choose.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"parsleyhatch/place"
@@ -19,7 +20,7 @@
 	}
 	r.cost = best.Wait
 	if limit := r.limit(); best.Wait > limit && !r.headSent {
-		return "", refuse(Overloaded, "the first answer is expected too late", place.ComeBack(best.Wait-limit))
+		return "", refuse(Overloaded, "the first answer is expected too late", place.ComeBack(best.Wait-limit, rand.Float64()))
 	}
 	return best.Region, Outcome{}
 }
@@ -53,7 +54,7 @@
 		if region == e.Settings.Region || !route.Allowed(r.route, r.workspace, region) {
 			continue
 		}
-		wait, heardAt, ok := e.Fleet.CostIn(now, region, r.service.Name)
+		wait, heardAt, ok := e.Fleet.WaitIn(now, region, r.service.Name, r.rank())
 		if !ok {
 			continue
 		}
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -218,7 +218,7 @@
 	slots := 0
 	for region, s := range v.Source.Capacity(service) {
 		slots += s
-		if _, _, ok := v.Fleet.CostIn(v.Now(), region, service); !ok && region != v.Settings.Region {
+		if _, _, ok := v.Fleet.WaitIn(v.Now(), region, service, 0); !ok && region != v.Settings.Region {
 			return false
 		}
 	}
--- a/edge/presence.go
+++ b/edge/presence.go
@@ -40,19 +40,31 @@
 	}
 	if t := e.table(); t != nil {
 		p.ConfigVersion = t.Config.Version
-		e.describeCosts(now, t, p)
+		e.describeWaits(now, t, p)
 	}
 }
 
-func (e *Edge) describeCosts(now time.Time, t *route.Table, p *vmwire.Presence) {
+func (e *Edge) describeWaits(now time.Time, t *route.Table, p *vmwire.Presence) {
 	for i := range t.Config.Services {
 		s := &t.Config.Services[i]
-		if pick, ok := e.Replicas.Estimate(now, replica.Request{Service: s}); ok {
-			p.Costs = append(p.Costs, vmwire.ServiceCost{Service: s.Name, CostMillis: int32(pick.Wait.Milliseconds())})
+		if waits := e.waits(now, s); len(waits) > 0 {
+			p.Waits = append(p.Waits, vmwire.ServiceWait{Service: s.Name, Millis: waits})
 		}
 	}
 }
 
+// waits returns the expected times to the first token of an empty prompt, in milliseconds by rank, or nothing if
+// no upstream of the region is usable.
+func (e *Edge) waits(now time.Time, s *route.Service) []int32 {
+	var waits []int32
+	for rank := range replica.Ranks {
+		if pick, ok := e.Replicas.Estimate(now, replica.Request{Service: s, Rank: rank}); ok {
+			waits = append(waits, int32(pick.Wait.Milliseconds()))
+		}
+	}
+	return waits
+}
+
 // Heard takes over what another VM shares.
 func (e *Edge) Heard(now time.Time, m vm.Identity, p *vmwire.Presence) {
 	reports := make(map[string]quota.Report, len(p.Spent))
--- a/edge/run.go
+++ b/edge/run.go
@@ -77,10 +77,12 @@
 func (r *request) choice() replica.Request {
 	return replica.Request{
 		Service: r.service, Prompt: r.prompt, Tried: r.tried, Again: r.lastResort,
-		Rank: replica.Rank(route.Priority(r.route, r.workspace)),
+		Rank: r.rank(),
 	}
 }
 
+func (r *request) rank() int { return replica.Rank(route.Priority(r.route, r.workspace)) }
+
 // limit returns the expected time to the first answer beyond which the request is refused.
 func (r *request) limit() time.Duration {
 	target := time.Duration(0)
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -66,7 +66,7 @@
 		if tf.ready.Load() {
 			p.Flags |= vmwire.FlagReady
 		}
-		p.Costs = []vmwire.ServiceCost{{Service: "s", CostMillis: 40}}
+		p.Waits = []vmwire.ServiceWait{{Service: "s", Millis: []int32{40, 90}}}
 	}
 	tf.DescribeUses = func(bool) *vmwire.Uses { return nil }
 	tf.OnPresence = func(time.Time, Member, *vmwire.Presence) {}
@@ -133,8 +133,8 @@
 	a := start(t, "a", "north")
 	b := start(t, "b", "south", a.address)
 	until(t, 3*time.Second, "they meet", func() bool { return a.readyIn("south") == 1 })
-	if cost, _, ok := a.CostIn(time.Now(), "south", "s"); !ok || cost != 40*time.Millisecond {
-		t.Errorf("cost %v, known %v", cost, ok)
+	if wait, _, ok := a.WaitIn(time.Now(), "south", "s", 1); !ok || wait != 90*time.Millisecond {
+		t.Errorf("wait %v, known %v", wait, ok)
 	}
 	open := func(service string, tried ...string) error {
 		_, st, err := a.Open(context.Background(), time.Now(), "south", service, &vmwire.Open{}, tried)
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -57,8 +57,8 @@
 	StoreDown bool
 	// Open is the number of its open requests.
 	Open int
-	// Costs are the expected times to the first token in its region, by service.
-	Costs         map[string]time.Duration
+	// Waits are the expected times to the first token in its region, by service and rank.
+	Waits         map[string][]time.Duration
 	ConfigVersion uint64
 	// Weight is the VM's share of work, relative to others.
 	Weight int
@@ -85,9 +85,13 @@
 	m.Open = int(p.Open)
 	m.ConfigVersion = p.ConfigVersion
 	m.Weight = int(p.Weight)
-	m.Costs = make(map[string]time.Duration, len(p.Costs))
-	for _, c := range p.Costs {
-		m.Costs[c.Service] = time.Duration(c.CostMillis) * time.Millisecond
+	m.Waits = make(map[string][]time.Duration, len(p.Waits))
+	for _, w := range p.Waits {
+		waits := make([]time.Duration, len(w.Millis))
+		for rank, ms := range w.Millis {
+			waits[rank] = time.Duration(ms) * time.Millisecond
+		}
+		m.Waits[w.Service] = waits
 	}
 }
 
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -83,15 +83,15 @@
 	return first
 }
 
-// CostIn returns the lowest expected time to the first token of a service in another region, and when that was
-// heard.
-func (f *Fleet) CostIn(now time.Time, region, service string) (cost time.Duration, heardAt time.Time, found bool) {
+// WaitIn returns the lowest expected time to the first token of a service for a rank in another region, and when
+// that was heard.
+func (f *Fleet) WaitIn(now time.Time, region, service string, rank int) (wait time.Duration, heardAt time.Time, found bool) {
 	for _, m := range f.Ready(now, region) {
-		if c, ok := m.Costs[service]; ok && (!found || c < cost) {
-			cost, heardAt, found = c, m.HeardAt, true
+		if waits := m.Waits[service]; rank < len(waits) && (!found || waits[rank] < wait) {
+			wait, heardAt, found = waits[rank], m.HeardAt, true
 		}
 	}
-	return cost, heardAt, found
+	return wait, heardAt, found
 }
 
 // ErrNoVM says that no VM of a region can run the request.
@@ -102,7 +102,7 @@
 func (f *Fleet) Open(ctx context.Context, now time.Time, region, service string, open *vmwire.Open, tried []string) (string, *vm.Stream, error) {
 	var list []Member
 	for _, m := range f.Ready(now, region) {
-		if _, ok := m.Costs[service]; ok && !slices.Contains(tried, m.Slot) {
+		if len(m.Waits[service]) > 0 && !slices.Contains(tried, m.Slot) {
 			list = append(list, m)
 		}
 	}
--- a/loadbench/deploy.go
+++ b/loadbench/deploy.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"parsleyhatch/route"
@@ -21,6 +22,8 @@
 	worth, late float64
 	// share is the part of all requests.
 	share float64
+	// homes are the regions that may run the requests; none means all.
+	homes []string
 	// chains are the shared parts: from each list one part is drawn.
 	chains []chain
 	// tokens and answer are the means of the request's own prompt and of its answer, in tokens. Both are
@@ -28,6 +31,11 @@
 	tokens, answer, most float64
 }
 
+// allows reports whether a region may run the requests.
+func (k *kind) allows(region string) bool {
+	return len(k.homes) == 0 || slices.Contains(k.homes, region)
+}
+
 // chain is a list of parts of which each request has one.
 type chain struct {
 	parts  int
@@ -86,6 +94,7 @@
 		},
 		{
 			name: "question", service: modelService, rank: 0, target: 0.6, deadline: 3, worth: 1.9, late: 0.1, share: 0.59,
+			homes:  []string{"a", "b"},
 			chains: []chain{{40, 340}, {315, 230}}, tokens: 1800, answer: 22, most: 7000,
 		},
 		{
--- a/loadbench/policy.go
+++ b/loadbench/policy.go
@@ -39,7 +39,7 @@
 		Home: w.home(r), Tokens: r.prompt.Tokens, SharedTokens: r.prompt.SharedTokens(),
 	})
 	if !ok {
-		r.refused(place.ComeBack(0))
+		r.refused(place.ComeBack(0, w.noise.Float64()))
 		return
 	}
 	if p.refuses(r, best.Wait) {
@@ -58,7 +58,7 @@
 	if p.accept || wait <= limit {
 		return false
 	}
-	r.refused(place.ComeBack(wait - limit))
+	r.refused(place.ComeBack(wait-limit, r.world.noise.Float64()))
 	return true
 }
 
@@ -71,7 +71,7 @@
 
 func (p *policy) regions(w *world, v *vm, r *request) []place.Region {
 	var list []place.Region
-	if pick, ok := v.table.Estimate(w.time(), r.choice()); ok {
+	if pick, ok := v.table.Estimate(w.time(), r.choice()); ok && r.kind.allows(v.region.name) {
 		list = append(list, place.Region{Name: v.region.name, Here: true, Wait: pick.FirstToken, Penalty: pick.Wait - pick.FirstToken})
 	}
 	if p.here {
@@ -79,17 +79,14 @@
 	}
 	for _, g := range w.regions {
 		waits := g.reported[r.kind.service.Name]
-		if g == v.region || r.kind.rank >= len(waits) {
+		if g == v.region || r.kind.rank >= len(waits) || !r.kind.allows(g.name) {
 			continue
 		}
-		list = append(list, place.Region{Name: g.name, Wait: waits[w.reportedRank(r)], Queued: v.queued(w, g, r)})
+		list = append(list, place.Region{Name: g.name, Wait: waits[r.kind.rank], Queued: v.queued(w, g, r)})
 	}
 	return list
 }
 
-// reportedRank is the rank for which other regions report their wait.
-func (w *world) reportedRank(*request) int { return 0 }
-
 // queued is the time for the prompts that were sent to a region since its report.
 func (v *vm) queued(w *world, g *region, r *request) time.Duration {
 	report := place.Report{HeardAt: g.reportedAt, Replicas: g.replicas(r.kind)}
@@ -123,7 +120,7 @@
 	w.After(w.deployment.oneWay, func() {
 		pick, ok := other.table.Estimate(w.time(), r.choice())
 		if !ok {
-			r.refused(place.ComeBack(0))
+			r.refused(place.ComeBack(0, w.noise.Float64()))
 			return
 		}
 		if !p.refuses(r, pick.FirstToken) {
@@ -137,7 +134,7 @@
 	if p.upstream != nil {
 		to, ok := p.upstream(w, v, r)
 		if !ok {
-			r.refused(place.ComeBack(0))
+			r.refused(place.ComeBack(0, w.noise.Float64()))
 			return
 		}
 		r.send(v, to)
@@ -145,7 +142,7 @@
 	}
 	pick, ok := v.table.Pick(w.time(), r.choice())
 	if !ok {
-		r.refused(place.ComeBack(0))
+		r.refused(place.ComeBack(0, w.noise.Float64()))
 		return
 	}
 	r.send(v, v.productTarget(w, pick))
--- a/loadbench/request.go
+++ b/loadbench/request.go
@@ -174,7 +174,7 @@
 				w.policy.route(w, v, r)
 				return
 			}
-			r.refused(place.ComeBack(0))
+			r.refused(place.ComeBack(0, w.noise.Float64()))
 		}
 	})
 	w.After(r.left(), func() {
--- a/loadbench/world.go
+++ b/loadbench/world.go
@@ -183,5 +183,11 @@
 	if !ok {
 		return ""
 	}
-	return place.Home(key, w.capacity)
+	capacity := map[string]int{}
+	for region, slots := range w.capacity {
+		if r.kind.allows(region) {
+			capacity[region] = slots
+		}
+	}
+	return place.Home(key, capacity)
 }
--- a/place/place.go
+++ b/place/place.go
@@ -4,7 +4,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"time"
 
 	"parsleyhatch/replica"
@@ -15,7 +14,7 @@
 	// crossings of 55 ms, and some processing.
 	LinkCost = 120 * time.Millisecond
 	// awayMargin is the advantage that another region must have, since what is known of it is older.
-	awayMargin = 150 * time.Millisecond
+	awayMargin = 30 * time.Millisecond
 	// sharedTokenCost is what counts for each shared token of a prompt that is read outside the region at
 	// which requests with this beginning are brought together. It is about six times the time that
 	// reading it takes, since a token that is read twice costs capacity in two regions.
@@ -32,7 +31,8 @@
 	Name string
 	// Here says that the deciding VM is in the region.
 	Here bool
-	// Wait is the expected time to the first answer there, without the way.
+	// Wait is the expected time to the first answer there: that of the request here, that of an empty prompt in
+	// another region, without the way.
 	Wait time.Duration
 	// Penalty is what counts beside it, such as for failures.
 	Penalty time.Duration
@@ -77,7 +77,7 @@
 func choice(g Region, q Request) Choice {
 	c := Choice{Region: g.Name, Wait: g.Wait}
 	if !g.Here {
-		c.Wait += LinkCost + g.Queued
+		c.Wait += LinkCost + g.Queued + readTime(g, q)
 	}
 	c.Cost = c.Wait + g.Penalty
 	if q.Home != "" && g.Name != q.Home {
@@ -86,6 +86,14 @@
 	return c
 }
 
+// readTime is the time for reading the prompt in another region, which has its shared parts if it is their home.
+func readTime(g Region, q Request) time.Duration {
+	if g.Name == q.Home {
+		return replica.ReadTime(q.Tokens - q.SharedTokens)
+	}
+	return replica.ReadTime(q.Tokens)
+}
+
 // Home returns the region at which requests with the same shared parts are brought together, by
 // rendezvous hashing weighted by capacity, so that all VMs agree without a message. capacity is the number
 // of slots of each region that may run them; the result is empty if there is none.
@@ -115,8 +123,9 @@
 }
 
 // ComeBack returns the time after which a refused caller should come back: when the queue has shrunk, spread
-// so that those who were refused together do not return together. excess is the expected time beyond the limit.
-func ComeBack(excess time.Duration) time.Duration {
+// so that those who were refused together do not return together. excess is the expected time beyond the limit,
+// and spread a random number from 0 to 1.
+func ComeBack(excess time.Duration, spread float64) time.Duration {
 	after := max(minRetryAfter, 2*excess)
-	return after + rand.N(after)
+	return after + time.Duration(spread*float64(after))
 }
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -19,7 +19,8 @@
 		want    string
 	}{
 		{"idle here", []Region{{Name: "a", Here: true, Wait: 40 * ms}, {Name: "b", Wait: 40 * ms}}, Request{}, "a"},
-		{"small advantage elsewhere", []Region{{Name: "a", Here: true, Wait: 300 * ms}, {Name: "b", Wait: 100 * ms}}, Request{}, "a"},
+		{"no advantage elsewhere", []Region{{Name: "a", Here: true, Wait: 240 * ms}, {Name: "b", Wait: 100 * ms}}, Request{}, "a"},
+		{"the prompt is read there, too", []Region{{Name: "a", Here: true, Wait: 300 * ms}, {Name: "b", Wait: 100 * ms}}, Request{Tokens: 12000}, "a"},
 		{"busy here", []Region{{Name: "a", Here: true, Wait: 900 * ms}, {Name: "b", Wait: 100 * ms}}, Request{}, "b"},
 		{"queued elsewhere", []Region{{Name: "a", Here: true, Wait: 900 * ms}, {Name: "b", Wait: 100 * ms, Queued: time.Second}}, Request{}, "a"},
 		{"failing here", []Region{{Name: "a", Here: true, Wait: 40 * ms, Penalty: 2 * time.Second}, {Name: "b", Wait: 40 * ms}}, Request{}, "b"},
@@ -76,8 +77,8 @@
 // before the queue is shorter.
 func TestComeBack(t *testing.T) {
 	seen := map[string]bool{}
-	for range 200 {
-		after := ComeBack(time.Second)
+	for i := range 200 {
+		after := ComeBack(time.Second, float64(i)/200)
 		if after < 2*time.Second || after > 4*time.Second {
 			t.Fatalf("come back after %v for a second too much, want 2 s to 4 s", after)
 		}
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -40,7 +40,7 @@
 
 //msgp:tuple Frame Hello Open Chunk End Window Heartbeat HeartbeatAck SlotView EntryVM ConfigGet ConfigParts Part
 //msgp:tuple Load UpstreamLoad ModelWait Summary PoolSummary TokenAsk TokenGive Suspect Handover HandoverTake HandoverRecord
-//msgp:tuple Presence WorkspaceSpent Uses UpstreamUse ServiceCost VMRow StoreItem StoreAsk StoreAnswer
+//msgp:tuple Presence WorkspaceSpent Uses UpstreamUse ServiceWait VMRow StoreItem StoreAsk StoreAnswer
 
 // Frame is the envelope of every message.
 type Frame struct {
@@ -384,10 +384,11 @@
 	Held    int64
 }
 
-// ServiceCost is the expected time to the first token of a service in the sender's region.
-type ServiceCost struct {
-	Service    string
-	CostMillis int32
+// ServiceWait is the expected time to the first token of an empty prompt of a service in the sender's region, by
+// rank.
+type ServiceWait struct {
+	Service string
+	Millis  []int32
 }
 
 // Presence tells that the sender lives and what it shares with the other VMs.
@@ -402,7 +403,7 @@
 	// Weight is the sender's share of work, relative to other VMs, and RegionVMs the number of VMs in its region.
 	Weight    int32
 	RegionVMs int32
-	Costs []ServiceCost
+	Waits     []ServiceWait
 	// Spent is that of the sender within its region, and that of the whole region for other regions.
 	Spent []WorkspaceSpent
 	// VMs are sent from time to time.
--- a/vmwire/schema_gen.go
+++ b/vmwire/schema_gen.go
@@ -3356,23 +3356,23 @@
 	var zb0002 uint32
 	zb0002, err = dc.ReadArrayHeader()
 	if err != nil {
-		err = msgp.WrapError(err, "Costs")
+		err = msgp.WrapError(err, "Waits")
 		return
 	}
 	if zb0002 > zb417a25dlimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Costs) >= int(zb0002) {
-		z.Costs = (z.Costs)[:zb0002]
+	if cap(z.Waits) >= int(zb0002) {
+		z.Waits = (z.Waits)[:zb0002]
 	} else {
-		z.Costs = make([]ServiceCost, zb0002)
+		z.Waits = make([]ServiceWait, zb0002)
 	}
-	for za0001 := range z.Costs {
+	for za0001 := range z.Waits {
 		var zb0003 uint32
 		zb0003, err = dc.ReadArrayHeader()
 		if err != nil {
-			err = msgp.WrapError(err, "Costs", za0001)
+			err = msgp.WrapError(err, "Waits", za0001)
 			return
 		}
 		if zb0003 > zb417a25dlimitArrays {
@@ -3383,82 +3383,99 @@
 			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
 			return
 		}
-		z.Costs[za0001].Service, err = dc.ReadString()
+		z.Waits[za0001].Service, err = dc.ReadString()
 		if err != nil {
-			err = msgp.WrapError(err, "Costs", za0001, "Service")
+			err = msgp.WrapError(err, "Waits", za0001, "Service")
 			return
 		}
-		z.Costs[za0001].CostMillis, err = dc.ReadInt32()
+		var zb0004 uint32
+		zb0004, err = dc.ReadArrayHeader()
 		if err != nil {
-			err = msgp.WrapError(err, "Costs", za0001, "CostMillis")
+			err = msgp.WrapError(err, "Waits", za0001, "Millis")
+			return
+		}
+		if zb0004 > zb417a25dlimitArrays {
+			err = msgp.ErrLimitExceeded
 			return
 		}
+		if cap(z.Waits[za0001].Millis) >= int(zb0004) {
+			z.Waits[za0001].Millis = (z.Waits[za0001].Millis)[:zb0004]
+		} else {
+			z.Waits[za0001].Millis = make([]int32, zb0004)
+		}
+		for za0002 := range z.Waits[za0001].Millis {
+			z.Waits[za0001].Millis[za0002], err = dc.ReadInt32()
+			if err != nil {
+				err = msgp.WrapError(err, "Waits", za0001, "Millis", za0002)
+				return
+			}
+		}
 	}
-	var zb0004 uint32
-	zb0004, err = dc.ReadArrayHeader()
+	var zb0005 uint32
+	zb0005, err = dc.ReadArrayHeader()
 	if err != nil {
 		err = msgp.WrapError(err, "Spent")
 		return
 	}
-	if zb0004 > zb417a25dlimitArrays {
+	if zb0005 > zb417a25dlimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Spent) >= int(zb0004) {
-		z.Spent = (z.Spent)[:zb0004]
+	if cap(z.Spent) >= int(zb0005) {
+		z.Spent = (z.Spent)[:zb0005]
 	} else {
-		z.Spent = make([]WorkspaceSpent, zb0004)
+		z.Spent = make([]WorkspaceSpent, zb0005)
 	}
-	for za0002 := range z.Spent {
-		var zb0005 uint32
-		zb0005, err = dc.ReadArrayHeader()
+	for za0003 := range z.Spent {
+		var zb0006 uint32
+		zb0006, err = dc.ReadArrayHeader()
 		if err != nil {
-			err = msgp.WrapError(err, "Spent", za0002)
+			err = msgp.WrapError(err, "Spent", za0003)
 			return
 		}
-		if zb0005 > zb417a25dlimitArrays {
+		if zb0006 > zb417a25dlimitArrays {
 			err = msgp.ErrLimitExceeded
 			return
 		}
-		if zb0005 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0005}
+		if zb0006 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0006}
 			return
 		}
-		z.Spent[za0002].Workspace, err = dc.ReadString()
+		z.Spent[za0003].Workspace, err = dc.ReadString()
 		if err != nil {
-			err = msgp.WrapError(err, "Spent", za0002, "Workspace")
+			err = msgp.WrapError(err, "Spent", za0003, "Workspace")
 			return
 		}
-		z.Spent[za0002].Amount, err = dc.ReadInt64()
+		z.Spent[za0003].Amount, err = dc.ReadInt64()
 		if err != nil {
-			err = msgp.WrapError(err, "Spent", za0002, "Amount")
+			err = msgp.WrapError(err, "Spent", za0003, "Amount")
 			return
 		}
-		z.Spent[za0002].Level, err = dc.ReadInt64()
+		z.Spent[za0003].Level, err = dc.ReadInt64()
 		if err != nil {
-			err = msgp.WrapError(err, "Spent", za0002, "Level")
+			err = msgp.WrapError(err, "Spent", za0003, "Level")
 			return
 		}
 	}
-	var zb0006 uint32
-	zb0006, err = dc.ReadArrayHeader()
+	var zb0007 uint32
+	zb0007, err = dc.ReadArrayHeader()
 	if err != nil {
 		err = msgp.WrapError(err, "VMs")
 		return
 	}
-	if zb0006 > zb417a25dlimitArrays {
+	if zb0007 > zb417a25dlimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.VMs) >= int(zb0006) {
-		z.VMs = (z.VMs)[:zb0006]
+	if cap(z.VMs) >= int(zb0007) {
+		z.VMs = (z.VMs)[:zb0007]
 	} else {
-		z.VMs = make([]VMRow, zb0006)
+		z.VMs = make([]VMRow, zb0007)
 	}
-	for za0003 := range z.VMs {
-		err = z.VMs[za0003].DecodeMsg(dc)
+	for za0004 := range z.VMs {
+		err = z.VMs[za0004].DecodeMsg(dc)
 		if err != nil {
-			err = msgp.WrapError(err, "VMs", za0003)
+			err = msgp.WrapError(err, "VMs", za0004)
 			return
 		}
 	}
@@ -3507,52 +3524,59 @@
 		err = msgp.WrapError(err, "RegionVMs")
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Costs)))
+	err = en.WriteArrayHeader(uint32(len(z.Waits)))
 	if err != nil {
-		err = msgp.WrapError(err, "Costs")
+		err = msgp.WrapError(err, "Waits")
 		return
 	}
-	for za0001 := range z.Costs {
+	for za0001 := range z.Waits {
 		// array header, size 2
 		err = en.Append(0x92)
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.Costs[za0001].Service)
+		err = en.WriteString(z.Waits[za0001].Service)
 		if err != nil {
-			err = msgp.WrapError(err, "Costs", za0001, "Service")
+			err = msgp.WrapError(err, "Waits", za0001, "Service")
 			return
 		}
-		err = en.WriteInt32(z.Costs[za0001].CostMillis)
+		err = en.WriteArrayHeader(uint32(len(z.Waits[za0001].Millis)))
 		if err != nil {
-			err = msgp.WrapError(err, "Costs", za0001, "CostMillis")
+			err = msgp.WrapError(err, "Waits", za0001, "Millis")
 			return
 		}
+		for za0002 := range z.Waits[za0001].Millis {
+			err = en.WriteInt32(z.Waits[za0001].Millis[za0002])
+			if err != nil {
+				err = msgp.WrapError(err, "Waits", za0001, "Millis", za0002)
+				return
+			}
+		}
 	}
 	err = en.WriteArrayHeader(uint32(len(z.Spent)))
 	if err != nil {
 		err = msgp.WrapError(err, "Spent")
 		return
 	}
-	for za0002 := range z.Spent {
+	for za0003 := range z.Spent {
 		// array header, size 3
 		err = en.Append(0x93)
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.Spent[za0002].Workspace)
+		err = en.WriteString(z.Spent[za0003].Workspace)
 		if err != nil {
-			err = msgp.WrapError(err, "Spent", za0002, "Workspace")
+			err = msgp.WrapError(err, "Spent", za0003, "Workspace")
 			return
 		}
-		err = en.WriteInt64(z.Spent[za0002].Amount)
+		err = en.WriteInt64(z.Spent[za0003].Amount)
 		if err != nil {
-			err = msgp.WrapError(err, "Spent", za0002, "Amount")
+			err = msgp.WrapError(err, "Spent", za0003, "Amount")
 			return
 		}
-		err = en.WriteInt64(z.Spent[za0002].Level)
+		err = en.WriteInt64(z.Spent[za0003].Level)
 		if err != nil {
-			err = msgp.WrapError(err, "Spent", za0002, "Level")
+			err = msgp.WrapError(err, "Spent", za0003, "Level")
 			return
 		}
 	}
@@ -3561,10 +3585,10 @@
 		err = msgp.WrapError(err, "VMs")
 		return
 	}
-	for za0003 := range z.VMs {
-		err = z.VMs[za0003].EncodeMsg(en)
+	for za0004 := range z.VMs {
+		err = z.VMs[za0004].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "VMs", za0003)
+			err = msgp.WrapError(err, "VMs", za0004)
 			return
 		}
 	}
@@ -3583,26 +3607,29 @@
 	o = msgp.AppendUint64(o, z.ConfigVersion)
 	o = msgp.AppendInt32(o, z.Weight)
 	o = msgp.AppendInt32(o, z.RegionVMs)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Costs)))
-	for za0001 := range z.Costs {
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Waits)))
+	for za0001 := range z.Waits {
 		// array header, size 2
 		o = append(o, 0x92)
-		o = msgp.AppendString(o, z.Costs[za0001].Service)
-		o = msgp.AppendInt32(o, z.Costs[za0001].CostMillis)
+		o = msgp.AppendString(o, z.Waits[za0001].Service)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Waits[za0001].Millis)))
+		for za0002 := range z.Waits[za0001].Millis {
+			o = msgp.AppendInt32(o, z.Waits[za0001].Millis[za0002])
+		}
 	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Spent)))
-	for za0002 := range z.Spent {
+	for za0003 := range z.Spent {
 		// array header, size 3
 		o = append(o, 0x93)
-		o = msgp.AppendString(o, z.Spent[za0002].Workspace)
-		o = msgp.AppendInt64(o, z.Spent[za0002].Amount)
-		o = msgp.AppendInt64(o, z.Spent[za0002].Level)
+		o = msgp.AppendString(o, z.Spent[za0003].Workspace)
+		o = msgp.AppendInt64(o, z.Spent[za0003].Amount)
+		o = msgp.AppendInt64(o, z.Spent[za0003].Level)
 	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.VMs)))
-	for za0003 := range z.VMs {
-		o, err = z.VMs[za0003].MarshalMsg(o)
+	for za0004 := range z.VMs {
+		o, err = z.VMs[za0004].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "VMs", za0003)
+			err = msgp.WrapError(err, "VMs", za0004)
 			return
 		}
 	}
@@ -3659,101 +3686,118 @@
 	var zb0002 uint32
 	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Costs")
+		err = msgp.WrapError(err, "Waits")
 		return
 	}
 	if zb0002 > zb417a25dlimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Costs) >= int(zb0002) {
-		z.Costs = (z.Costs)[:zb0002]
+	if cap(z.Waits) >= int(zb0002) {
+		z.Waits = (z.Waits)[:zb0002]
 	} else {
-		z.Costs = make([]ServiceCost, zb0002)
+		z.Waits = make([]ServiceWait, zb0002)
 	}
-	for za0001 := range z.Costs {
+	for za0001 := range z.Waits {
 		var zb0003 uint32
 		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Costs", za0001)
+			err = msgp.WrapError(err, "Waits", za0001)
 			return
 		}
 		if zb0003 != 2 {
 			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
 			return
 		}
-		z.Costs[za0001].Service, bts, err = msgp.ReadStringBytes(bts)
+		z.Waits[za0001].Service, bts, err = msgp.ReadStringBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Costs", za0001, "Service")
+			err = msgp.WrapError(err, "Waits", za0001, "Service")
 			return
 		}
-		z.Costs[za0001].CostMillis, bts, err = msgp.ReadInt32Bytes(bts)
+		var zb0004 uint32
+		zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Costs", za0001, "CostMillis")
+			err = msgp.WrapError(err, "Waits", za0001, "Millis")
 			return
 		}
+		if zb0004 > zb417a25dlimitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		if cap(z.Waits[za0001].Millis) >= int(zb0004) {
+			z.Waits[za0001].Millis = (z.Waits[za0001].Millis)[:zb0004]
+		} else {
+			z.Waits[za0001].Millis = make([]int32, zb0004)
+		}
+		for za0002 := range z.Waits[za0001].Millis {
+			z.Waits[za0001].Millis[za0002], bts, err = msgp.ReadInt32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Waits", za0001, "Millis", za0002)
+				return
+			}
+		}
 	}
-	var zb0004 uint32
-	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	var zb0005 uint32
+	zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Spent")
 		return
 	}
-	if zb0004 > zb417a25dlimitArrays {
+	if zb0005 > zb417a25dlimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Spent) >= int(zb0004) {
-		z.Spent = (z.Spent)[:zb0004]
+	if cap(z.Spent) >= int(zb0005) {
+		z.Spent = (z.Spent)[:zb0005]
 	} else {
-		z.Spent = make([]WorkspaceSpent, zb0004)
+		z.Spent = make([]WorkspaceSpent, zb0005)
 	}
-	for za0002 := range z.Spent {
-		var zb0005 uint32
-		zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	for za0003 := range z.Spent {
+		var zb0006 uint32
+		zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Spent", za0002)
+			err = msgp.WrapError(err, "Spent", za0003)
 			return
 		}
-		if zb0005 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0005}
+		if zb0006 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0006}
 			return
 		}
-		z.Spent[za0002].Workspace, bts, err = msgp.ReadStringBytes(bts)
+		z.Spent[za0003].Workspace, bts, err = msgp.ReadStringBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Spent", za0002, "Workspace")
+			err = msgp.WrapError(err, "Spent", za0003, "Workspace")
 			return
 		}
-		z.Spent[za0002].Amount, bts, err = msgp.ReadInt64Bytes(bts)
+		z.Spent[za0003].Amount, bts, err = msgp.ReadInt64Bytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Spent", za0002, "Amount")
+			err = msgp.WrapError(err, "Spent", za0003, "Amount")
 			return
 		}
-		z.Spent[za0002].Level, bts, err = msgp.ReadInt64Bytes(bts)
+		z.Spent[za0003].Level, bts, err = msgp.ReadInt64Bytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Spent", za0002, "Level")
+			err = msgp.WrapError(err, "Spent", za0003, "Level")
 			return
 		}
 	}
-	var zb0006 uint32
-	zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	var zb0007 uint32
+	zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "VMs")
 		return
 	}
-	if zb0006 > zb417a25dlimitArrays {
+	if zb0007 > zb417a25dlimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.VMs) >= int(zb0006) {
-		z.VMs = (z.VMs)[:zb0006]
+	if cap(z.VMs) >= int(zb0007) {
+		z.VMs = (z.VMs)[:zb0007]
 	} else {
-		z.VMs = make([]VMRow, zb0006)
+		z.VMs = make([]VMRow, zb0007)
 	}
-	for za0003 := range z.VMs {
-		bts, err = z.VMs[za0003].UnmarshalMsg(bts)
+	for za0004 := range z.VMs {
+		bts, err = z.VMs[za0004].UnmarshalMsg(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "VMs", za0003)
+			err = msgp.WrapError(err, "VMs", za0004)
 			return
 		}
 	}
@@ -3764,22 +3808,22 @@
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Presence) Msgsize() (s int) {
 	s = 1 + msgp.StringPrefixSize + len(z.Address) + msgp.StringPrefixSize + len(z.CallerAddress) + msgp.Uint8Size + msgp.Int32Size + msgp.Uint64Size + msgp.Int32Size + msgp.Int32Size + msgp.ArrayHeaderSize
-	for za0001 := range z.Costs {
-		s += 1 + msgp.StringPrefixSize + len(z.Costs[za0001].Service) + msgp.Int32Size
+	for za0001 := range z.Waits {
+		s += 1 + msgp.StringPrefixSize + len(z.Waits[za0001].Service) + msgp.ArrayHeaderSize + (len(z.Waits[za0001].Millis) * (msgp.Int32Size))
 	}
 	s += msgp.ArrayHeaderSize
-	for za0002 := range z.Spent {
-		s += 1 + msgp.StringPrefixSize + len(z.Spent[za0002].Workspace) + msgp.Int64Size + msgp.Int64Size
+	for za0003 := range z.Spent {
+		s += 1 + msgp.StringPrefixSize + len(z.Spent[za0003].Workspace) + msgp.Int64Size + msgp.Int64Size
 	}
 	s += msgp.ArrayHeaderSize
-	for za0003 := range z.VMs {
-		s += z.VMs[za0003].Msgsize()
+	for za0004 := range z.VMs {
+		s += z.VMs[za0004].Msgsize()
 	}
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *ServiceCost) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *ServiceWait) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
 	zb0001, err = dc.ReadArrayHeader()
 	if err != nil {
@@ -3799,16 +3843,33 @@
 		err = msgp.WrapError(err, "Service")
 		return
 	}
-	z.CostMillis, err = dc.ReadInt32()
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
 	if err != nil {
-		err = msgp.WrapError(err, "CostMillis")
+		err = msgp.WrapError(err, "Millis")
+		return
+	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
 		return
 	}
+	if cap(z.Millis) >= int(zb0002) {
+		z.Millis = (z.Millis)[:zb0002]
+	} else {
+		z.Millis = make([]int32, zb0002)
+	}
+	for za0001 := range z.Millis {
+		z.Millis[za0001], err = dc.ReadInt32()
+		if err != nil {
+			err = msgp.WrapError(err, "Millis", za0001)
+			return
+		}
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z ServiceCost) EncodeMsg(en *msgp.Writer) (err error) {
+func (z *ServiceWait) EncodeMsg(en *msgp.Writer) (err error) {
 	// array header, size 2
 	err = en.Append(0x92)
 	if err != nil {
@@ -3819,26 +3880,36 @@
 		err = msgp.WrapError(err, "Service")
 		return
 	}
-	err = en.WriteInt32(z.CostMillis)
+	err = en.WriteArrayHeader(uint32(len(z.Millis)))
 	if err != nil {
-		err = msgp.WrapError(err, "CostMillis")
+		err = msgp.WrapError(err, "Millis")
 		return
 	}
+	for za0001 := range z.Millis {
+		err = en.WriteInt32(z.Millis[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "Millis", za0001)
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z ServiceCost) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *ServiceWait) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// array header, size 2
 	o = append(o, 0x92)
 	o = msgp.AppendString(o, z.Service)
-	o = msgp.AppendInt32(o, z.CostMillis)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Millis)))
+	for za0001 := range z.Millis {
+		o = msgp.AppendInt32(o, z.Millis[za0001])
+	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *ServiceCost) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *ServiceWait) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var zb0001 uint32
 	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
@@ -3854,18 +3925,35 @@
 		err = msgp.WrapError(err, "Service")
 		return
 	}
-	z.CostMillis, bts, err = msgp.ReadInt32Bytes(bts)
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "CostMillis")
+		err = msgp.WrapError(err, "Millis")
 		return
 	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Millis) >= int(zb0002) {
+		z.Millis = (z.Millis)[:zb0002]
+	} else {
+		z.Millis = make([]int32, zb0002)
+	}
+	for za0001 := range z.Millis {
+		z.Millis[za0001], bts, err = msgp.ReadInt32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Millis", za0001)
+			return
+		}
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z ServiceCost) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.Int32Size
+func (z *ServiceWait) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.ArrayHeaderSize + (len(z.Millis) * (msgp.Int32Size))
 	return
 }
 
--- a/vmwire/size_test.go
+++ b/vmwire/size_test.go
@@ -10,8 +10,8 @@
 // BenchmarkPresence reports the size of a presence within a region and between regions.
 func BenchmarkPresence(b *testing.B) {
 	for _, c := range []struct {
-		name              string
-		workspaces, costs int
+		name                 string
+		workspaces, services int
 	}{
 		{"5 workspaces", 5, 2},
 		{"16 workspaces", 16, 2},
@@ -22,8 +22,8 @@
 			for i := range c.workspaces {
 				p.Spent = append(p.Spent, WorkspaceSpent{Workspace: fmt.Sprintf("wksp%d", i), Amount: 1 << 24, Level: 1 << 20})
 			}
-			for i := range c.costs {
-				p.Costs = append(p.Costs, ServiceCost{Service: fmt.Sprintf("svc%d", i), CostMillis: 120})
+			for i := range c.services {
+				p.Waits = append(p.Waits, ServiceWait{Service: fmt.Sprintf("svc%d", i), Millis: []int32{120, 130, 130}})
 			}
 			benchmarkSize(b, p)
 		})
