Keep the operators' limits for the connections of callers

Cause: header_timeout_ms and idle_timeout_ms of the configuration were ignored; net/http has fixed limits. Change: package callerconn watches the connections; a change holds for open ones, too. A connection whose next header has begun is not idle. TestConnectionLimits.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"parsleyhatch/callerconn"
 	"parsleyhatch/fleet"
 	"parsleyhatch/metrics"
 	"parsleyhatch/place"
@@ -36,6 +37,8 @@
 	Retries  *retry.Window
 	Poison   *poison.Table
 	Metrics  *metrics.Metrics
+	// Conns watches the connections of callers.
+	Conns *callerconn.Watch
 
 	store   *platform.Store
 	asks    storeAsks
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -503,3 +504,37 @@
 		t.Errorf("the answer of a leaving vm keeps the connection: %v", header)
 	}
 }
+
+// Guards against the operators' limits for connections that are not kept: an idle connection, and one whose header
+// does not end, stay open for as long as the caller wants.
+func TestConnectionLimits(t *testing.T) {
+	w := newWorld(t, "north")
+	w.store.put(platform.ConfigKey, `{"version":1,"routes":[`+routeText("a", "safe", "plain", "")+`],"services":[{"name":"plain"}],
+		"limits":{"header_timeout_ms":400,"idle_timeout_ms":900},"tenants":[{"name":"w1","api_keys":["secret"]}]}`)
+	w.upstream("u1", "plain", "north", nil)
+	v := w.vm("vm1", "north", true)
+	for _, c := range []struct {
+		sent string
+		want time.Duration
+	}{
+		{"GET /a/ HTTP/1.1\r\n", 400 * time.Millisecond},
+		{"GET /a/ HTTP/1.1\r\nHost: h\r\nX-Api-Key: secret\r\nRequest-Id: 1\r\n\r\n", 900 * time.Millisecond},
+	} {
+		conn, err := net.Dial("tcp", v.Settings.CallerListen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		start := time.Now()
+		if _, err := io.WriteString(conn, c.sent); err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.SetReadDeadline(start.Add(5 * time.Second))
+		if _, err := io.Copy(io.Discard, conn); err != nil {
+			t.Errorf("after %q: %v, want the connection to be closed", c.sent, err)
+		}
+		if took := time.Since(start); took < c.want {
+			t.Errorf("after %q: closed after %v, want %v at least", c.sent, took, c.want)
+		}
+		_ = conn.Close()
+	}
+}
--- a/edge/new.go
+++ b/edge/new.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"time"
 
+	"parsleyhatch/callerconn"
 	"parsleyhatch/clock"
 	"parsleyhatch/fleet"
 	"parsleyhatch/metrics"
@@ -52,6 +53,7 @@
 		Retries:  retry.NewWindow(s.Bounds.RetryWindow, retryRatioShare*s.Bounds.RetryRatio, s.Bounds.RetrySlack/minSlackVMs),
 		Poison:   newPoison(),
 		Metrics:  metrics.New(s.Name, s.Region),
+		Conns:    callerconn.New(),
 		hasher:   hasher,
 	}
 	e.Replicas.ColdBound = func(sv *route.Service) float64 {
--- a/edge/server.go
+++ b/edge/server.go
@@ -15,6 +15,7 @@
 
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
 
+	"parsleyhatch/callerconn"
 	"parsleyhatch/event"
 	"parsleyhatch/logbuf"
 	"parsleyhatch/platform"
@@ -22,10 +23,10 @@
 )
 
 const (
-	// headerTimeout bounds the arrival of a request's header before a configuration is known.
+	// headerTimeout bounds the arrival of a request's header, and idleTimeout the time between two requests, where
+	// the configuration sets no limit or none is known.
 	headerTimeout = 10 * time.Second
-	// idleTimeout is longer than any limit that operators set, so that callers close first.
-	idleTimeout = 2 * time.Minute
+	idleTimeout   = 2 * time.Minute
 	// maxHeaderBytes bounds a request's header.
 	maxHeaderBytes = 64 << 10
 	// bodyTimeout bounds the arrival of a request's body.
@@ -42,15 +43,39 @@
 	endpoint := &url.URL{Scheme: "http", Host: l.Addr().String()}
 	s := kratoshttp.NewServer(kratoshttp.Listener(l), kratoshttp.Timeout(0), kratoshttp.Endpoint(endpoint))
 	s.Handler = h
+	s.MaxHeaderBytes = maxHeaderBytes
+	return s
+}
+
+// newBoundedServer returns a server with fixed limits for its connections.
+func newBoundedServer(l net.Listener, h http.Handler) *kratoshttp.Server {
+	s := newServer(l, h)
 	s.ReadHeaderTimeout = headerTimeout
 	s.IdleTimeout = idleTimeout
-	s.MaxHeaderBytes = maxHeaderBytes
 	return s
 }
 
-// CallerServer returns the server for requests of callers.
+// CallerServer returns the server for requests of callers. The operators' limits hold for its connections.
 func (e *Edge) CallerServer(l net.Listener) *kratoshttp.Server {
-	return newServer(l, http.HandlerFunc(e.serveCaller))
+	s := newServer(e.Conns.Listener(l), http.HandlerFunc(e.serveCaller))
+	s.ConnState = e.Conns.ConnState
+	return s
+}
+
+// ConnLimits returns the limits of callers' connections in the configuration.
+func (e *Edge) ConnLimits() callerconn.Limits {
+	limits := callerconn.Limits{Header: headerTimeout, Idle: idleTimeout}
+	t := e.table()
+	if t == nil {
+		return limits
+	}
+	if d := t.Config.Limits.HeaderTimeout; d > 0 {
+		limits.Header = d
+	}
+	if d := t.Config.Limits.IdleTimeout; d > 0 {
+		limits.Idle = d
+	}
+	return limits
 }
 
 // serveCaller handles one request of a caller.
@@ -151,7 +176,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", e.serveReady)
 	mux.HandleFunc("GET /resolve", e.serveDirectory)
-	return newServer(l, mux)
+	return newBoundedServer(l, mux)
 }
 
 func (e *Edge) serveReady(w http.ResponseWriter, _ *http.Request) {
@@ -227,5 +252,5 @@
 func (e *Edge) MetricsServer(l net.Listener) *kratoshttp.Server {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", e.Metrics.Handler())
-	return newServer(l, mux)
+	return newBoundedServer(l, mux)
 }
--- a/edge/world_test.go
+++ b/edge/world_test.go
@@ -178,6 +178,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go e.Fleet.Run(ctx, listeners[1])
 	go e.Source.Run(ctx)
+	go e.Conns.Run(ctx, e.ConnLimits)
 	server := e.CallerServer(listeners[0])
 	go func() { _ = server.Start(ctx) }()
 	w.t.Cleanup(func() {
--- a/operator/vm.go
+++ b/operator/vm.go
@@ -126,6 +126,7 @@
 	event.Started.Log(log, "region", s.Region, "failureDomain", s.FailureDomain, "machine", settingsSummary(s))
 	go g.Source.Run(ctx)
 	go g.Pool.Run(ctx)
+	go g.Conns.Run(ctx, g.ConnLimits)
 	go p.runWatch(ctx, o.settingsPath, o.writer, reload)
 	select {
 	case <-terminate:
