--- a/edge/events.go
+++ b/edge/events.go
@@ -130,6 +130,7 @@
 
 func (e *Edge) firstToken(r *request, pick *replica.Pick) {
 	e.Replicas.FirstToken(e.Now(), pick)
+	e.Metrics.FirstTokenError(r.service.Name, pick.FirstToken, pick.Waited(e.Now()))
 	r.first = time.Since(r.arrived)
 	e.Metrics.FirstToken(r.route.Name, r.first)
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -26,9 +26,11 @@
 	scope    tally.Scope
 	closer   io.Closer
 	registry *prometheus.Registry
-	// outcomes holds *outcomeValues by outcomeKey, and firstTokens tally.Histogram by route.
+	// outcomes holds *outcomeValues by outcomeKey, firstTokens tally.Histogram by route, and estimates
+	// *estimateValues by service.
 	outcomes    sync.Map
 	firstTokens sync.Map
+	estimates   sync.Map
 }
 
 // New returns metrics whose values carry the VM's slot and region.
@@ -102,6 +104,30 @@
 	v.(tally.Histogram).RecordDuration(took)
 }
 
+// estimateValues are the errors of expected times to the first token of a service.
+type estimateValues struct {
+	early, late tally.Histogram
+}
+
+// FirstTokenError records by how much a first token came earlier or later than expected when its upstream was
+// chosen.
+func (m *Metrics) FirstTokenError(service string, expected, took time.Duration) {
+	v, ok := m.estimates.Load(service)
+	if !ok {
+		scope := m.scope.Tagged(map[string]string{"service": service})
+		v, _ = m.estimates.LoadOrStore(service, &estimateValues{
+			early: scope.Histogram("first_token_early", latencyBuckets),
+			late:  scope.Histogram("first_token_late", latencyBuckets),
+		})
+	}
+	values := v.(*estimateValues)
+	if took > expected {
+		values.late.RecordDuration(took - expected)
+		return
+	}
+	values.early.RecordDuration(expected - took)
+}
+
 // Count adds to a counter without tags.
 func (m *Metrics) Count(name string, n int64) { m.scope.Counter(name).Inc(n) }
 
--- a/replica/choose.go
+++ b/replica/choose.go
@@ -49,6 +49,9 @@
 	held int64
 }
 
+// Waited is the time since the choice.
+func (p *Pick) Waited(now time.Time) time.Duration { return now.Sub(p.begunAt) }
+
 // Pick chooses an upstream and counts the request there until Done. It reports false if none may get the
 // request.
 func (t *Table) Pick(now time.Time, q Request) (Pick, bool) {
