--- a/replica/estimate.go
+++ b/replica/estimate.go
@@ -21,11 +21,11 @@
 	rereadCost = 0.2
 	// begunShare is the part of less urgent prompt tokens that delays a more urgent request: a prompt that an
 	// engine has begun to read is read on. maxBegun bounds it, since engines read one prompt at a time.
-	begunShare = 0.6
-	maxBegun   = 12000
+	begunShare = 0.4
+	maxBegun   = 8000
 	// overtaken is the factor by which the wait of less urgent requests grows through urgent ones that arrive
 	// meanwhile.
-	overtaken = 1.6
+	overtaken = 1.3
 	// memoryShare is the share of an engine's memory beyond which running requests are preempted.
 	memoryShare = 0.9
 	// memoryCost is the delay that counts for an engine whose memory is twice full, in milliseconds.
