Let streams that broke off in a full region go on in another one

Change: a VM gives such a stream back if its region is full, and regions that had a request get it again only if no other one can run it. TestForwardedStreamReturnsFromFullRegion failed before.

--- a/edge/choose.go
+++ b/edge/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"parsleyhatch/place"
@@ -19,7 +20,8 @@
 		return "", refuse(NoUpstream, "no region that may run the request has a usable upstream", refusalPause)
 	}
 	r.cost = best.Wait
-	if limit := r.limit(); best.Wait > limit && !r.headSent {
+	// A stream that has begun goes on wherever it is soonest; the VM that its caller is connected to knows.
+	if limit := r.limit(); best.Wait > limit && (!r.headSent || r.forwarded) {
 		return "", refuse(Overloaded, "the first answer is expected too late", place.ComeBack(best.Wait-limit, rand.Float64()))
 	}
 	return best.Region, Outcome{}
@@ -32,7 +34,10 @@
 		regions = append(regions, here)
 	}
 	if !r.forwarded {
-		regions = e.otherRegions(now, r, regions)
+		regions = append(regions, e.otherRegions(now, r, false)...)
+	}
+	if len(regions) == 0 && len(r.triedRegions) > 0 {
+		regions = e.otherRegions(now, r, true)
 	}
 	return place.Best(regions, place.Request{Home: e.homeOf(r), Tokens: r.prompt.Tokens, SharedTokens: r.prompt.SharedTokens()})
 }
@@ -48,12 +53,17 @@
 	}, ok
 }
 
-// otherRegions adds the other regions of which there is recent news.
-func (e *Edge) otherRegions(now time.Time, r *request, regions []place.Region) []place.Region {
+// otherRegions returns the other regions of which there is recent news: those that did not get the request yet, or
+// those that did.
+func (e *Edge) otherRegions(now time.Time, r *request, tried bool) []place.Region {
+	var regions []place.Region
 	for _, region := range e.Fleet.Regions(now) {
 		if region == e.Settings.Region || !route.Allowed(r.route, r.workspace, region) {
 			continue
 		}
+		if slices.Contains(r.triedRegions, region) != tried {
+			continue
+		}
 		wait, heardAt, ok := e.Fleet.WaitIn(now, region, r.service.Name, r.rank())
 		if !ok {
 			continue
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"parsleyhatch/platform"
+	"parsleyhatch/replica"
 )
 
 // Guards against a key that reaches an upstream, and against headers that only the system may set.
@@ -213,6 +214,30 @@
 	}
 }
 
+// Guards against streams that wait in a region whose other upstreams are full after one of them broke off, while
+// the region of their caller could go on with them.
+func TestForwardedStreamReturnsFromFullRegion(t *testing.T) {
+	w := newWorld(t, "north", "south")
+	w.config(1, routeText("a", "streaming", "plain", `,"resumable":true`))
+	goOn := func(rw http.ResponseWriter, _ *http.Request) { events(rw, 4, 5, true) }
+	w.upstream("u1", "plain", "south", func(rw http.ResponseWriter, _ *http.Request) { events(rw, 1, 3, false) })
+	full := w.upstream("u2", "plain", "south", goOn)
+	w.upstream("u3", "plain", "north", goOn)
+	north, south := w.vm("vm1", "north", true), w.vm("vm2", "south", true)
+	w.meet()
+	w.until("the upstreams are known", func() bool { return north.knows("plain", 3) && south.knows("plain", 3) })
+	// A second of work waits in the north, and ten seconds at the other upstream of the south.
+	north.Replicas.SetPeerUse(north.Now(), "other", map[string]replica.Use{"u3": {Running: 1, Prefill: [replica.Ranks]int64{60_000}}})
+	south.Replicas.SetPeerUse(south.Now(), "other", map[string]replica.Use{"u2": {Running: 1, Prefill: [replica.Ranks]int64{600_000}}})
+	status, body, _ := north.call(t, "/a/", "x", nil)
+	if status != http.StatusOK || strings.Count(body, "data:") != 5 {
+		t.Errorf("answer %d %q, want all five events", status, body)
+	}
+	if full.count() != 0 {
+		t.Error("the stream went on at the upstream that is full")
+	}
+}
+
 // knows reports whether n upstreams of a service are registered in all regions, and whether the VMs of each
 // other region with one have told that they can run it: only then requests are passed on to them.
 func (v *testVM) knows(service string, n int) bool {
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -31,6 +31,7 @@
 		return refuse(VMLost, err.Error(), refusalPause), true
 	}
 	r.triedVMs = append(r.triedVMs, slot)
+	r.triedRegions = append(r.triedRegions, region)
 	r.sends++
 	stop := context.AfterFunc(ctx, st.Reset)
 	defer stop()
--- a/edge/request.go
+++ b/edge/request.go
@@ -41,6 +41,9 @@
 	// tried are the upstreams, and triedVMs the VMs, that got the request.
 	tried    []string
 	triedVMs []string
+	// triedRegions are the other regions that got the request. They get it again only if no other one can run
+	// it.
+	triedRegions []string
 	// runs is the number of upstreams that may have run the request, and sends that of all that got it.
 	runs  int
 	sends int
