Answer prompts late that can't meet their objective even on an idle upstream

Cause: a stream was refused if its expected time exceeded its objective. Change: the limit of such a request is its time alone and the objective.

--- a/edge/run.go
+++ b/edge/run.go
@@ -89,7 +89,7 @@
 	if r.route.Kind == route.Streaming {
 		target = r.route.TargetLatency
 	}
-	return place.Limit(r.left(time.Now()), target)
+	return place.Limit(r.left(time.Now()), target, replica.Alone(r.prompt))
 }
 
 // again reports whether another attempt can give the caller a better answer.
--- a/loadbench/replay_test.go
+++ b/loadbench/replay_test.go
@@ -91,6 +91,16 @@
 	}
 }
 
+// Guards against prompts that are refused on idle engines because reading them takes longer than the objective.
+func TestIdleEnginesRefuseNothing(t *testing.T) {
+	p := &pattern{name: "idle", load: 0.2, region: steady}
+	for _, r := range replay(small(), p, &product, 1, seeds) {
+		if r.Refused > 0 {
+			t.Errorf("a share of %.5f is refused although engines are idle", r.Refused)
+		}
+	}
+}
+
 // Guards against VMs that know the same old load and all choose the same upstream.
 func TestFreshReports(t *testing.T) {
 	p := named(t, "offset peaks, high load")
--- a/place/place.go
+++ b/place/place.go
@@ -114,12 +114,17 @@
 }
 
 // Limit returns the expected time to the first answer beyond which a request is refused. left is the time
-// until the deadline, and target the latency objective of a stream, or zero.
-func Limit(left, target time.Duration) time.Duration {
+// until the deadline, target the latency objective of a stream, or zero, and alone the expected time on an idle
+// upstream. A request that can't meet its objective even there is answered late where little is ahead of it.
+func Limit(left, target, alone time.Duration) time.Duration {
 	if target <= 0 {
 		return left
 	}
-	return min(left, time.Duration(admitShare*float64(target)))
+	limit := time.Duration(admitShare * float64(target))
+	if alone > limit {
+		limit += alone
+	}
+	return min(left, limit)
 }
 
 // ComeBack returns the time after which a refused caller should come back: when the queue has shrunk, spread
--- a/replica/estimate.go
+++ b/replica/estimate.go
@@ -90,6 +90,9 @@
 	return wait + float64(x.uncached)/prefillRate
 }
 
+// Alone returns the expected time to the first token of a prompt on an idle upstream that has none of it.
+func Alone(p Prompt) time.Duration { return fromMillis(firstTokenBase) + ReadTime(p.Tokens) }
+
 // ReadTime returns the expected time in which one upstream reads prompt tokens.
 func ReadTime(tokens int64) time.Duration { return fromMillis(float64(tokens) / prefillRate) }
 
