--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -59,7 +59,7 @@
 
 func TestLimitsOfCallers(t *testing.T) {
 	w := newWorld(t, "north")
-	w.store.put(platform.ConfigKey, `{"version":1,"routes":[`+routeText("a", "safe", "plain", "")+`],"services":[{"name":"plain"}],
+	w.store.Put(platform.ConfigKey, `{"version":1,"routes":[`+routeText("a", "safe", "plain", "")+`],"services":[{"name":"plain"}],
 		"limits":{"max_header_bytes":2000,"max_body_bytes":100},"tenants":[{"name":"w1","api_keys":["secret"]}]}`)
 	u := w.upstream("u1", "plain", "north", nil)
 	v := w.vm("vm1", "north", true)
@@ -378,13 +378,13 @@
 	if status, _, _ := v.call(t, "/a/", "x", nil); status != http.StatusOK {
 		t.Fatalf("status %d", status)
 	}
-	w.store.setDown(true)
+	w.store.SetDown(true)
 	w.until("a vm without the store refuses keys", func() bool {
 		status, _, _ := v.call(t, "/a/", "x", nil)
 		return status == http.StatusServiceUnavailable
 	})
-	w.store.setDown(false)
-	w.store.put(platform.ConfigKey, `{"version":2,"routes":[`+routeText("a", "safe", "plain", "")+`],"services":[{"name":"plain"}],"tenants":[{"name":"w1","api_keys":["new"]}]}`)
+	w.store.SetDown(false)
+	w.store.Put(platform.ConfigKey, `{"version":2,"routes":[`+routeText("a", "safe", "plain", "")+`],"services":[{"name":"plain"}],"tenants":[{"name":"w1","api_keys":["new"]}]}`)
 	w.until("the withdrawn key is refused", func() bool {
 		status, _, _ := v.call(t, "/a/", "x", nil)
 		return status == http.StatusUnauthorized
@@ -410,7 +410,7 @@
 			t.Fatalf("status %d while another vm reaches the store", status)
 		}
 	}
-	w.store.put(platform.ConfigKey, `{"version":2,"routes":[`+routeText("a", "safe", "plain", "")+`],"services":[{"name":"plain"}],"tenants":[{"name":"w1","api_keys":["new"]}]}`)
+	w.store.Put(platform.ConfigKey, `{"version":2,"routes":[`+routeText("a", "safe", "plain", "")+`],"services":[{"name":"plain"}],"tenants":[{"name":"w1","api_keys":["new"]}]}`)
 	changed := time.Now()
 	w.until("the withdrawn key is refused", func() bool {
 		status, _, _ := v.call(t, "/a/", "x", nil)
@@ -427,14 +427,14 @@
 	w.config(1, routeText("a", "safe", "plain", ""))
 	u1 := w.upstream("u1", "plain", "north", nil)
 	v := w.vm("vm1", "north", true)
-	w.store.put(platform.UpstreamPrefix+"u1", fmt.Sprintf(
+	w.store.Put(platform.UpstreamPrefix+"u1", fmt.Sprintf(
 		`{"service":"plain","address":%q,"zone":"north-a","slots":8,"state":"draining","born":1}`, u1.server.Listener.Addr()))
 	w.until("u1 gets nothing", func() bool {
 		status, _, _ := v.call(t, "/a/", "x", nil)
 		return status == http.StatusServiceUnavailable
 	})
 	before := u1.count()
-	w.store.remove(platform.UpstreamPrefix + "u1")
+	w.store.Remove(platform.UpstreamPrefix + "u1")
 	w.upstream("u2", "plain", "north", nil)
 	w.until("u2 answers", func() bool {
 		status, _, _ := v.call(t, "/a/", "x", nil)
@@ -534,7 +534,7 @@
 // does not end, stay open for as long as the caller wants.
 func TestConnectionLimits(t *testing.T) {
 	w := newWorld(t, "north")
-	w.store.put(platform.ConfigKey, `{"version":1,"routes":[`+routeText("a", "safe", "plain", "")+`],"services":[{"name":"plain"}],
+	w.store.Put(platform.ConfigKey, `{"version":1,"routes":[`+routeText("a", "safe", "plain", "")+`],"services":[{"name":"plain"}],
 		"limits":{"header_timeout_ms":400,"idle_timeout_ms":900},"tenants":[{"name":"w1","api_keys":["secret"]}]}`)
 	w.upstream("u1", "plain", "north", nil)
 	v := w.vm("vm1", "north", true)
--- a/edge/world_test.go
+++ b/edge/world_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -17,12 +16,13 @@
 	"time"
 
 	"parsleyhatch/platform"
+	"parsleyhatch/standin"
 )
 
 // world is a platform on loopback: a store, upstreams and VMs.
 type world struct {
 	t       *testing.T
-	store   *fakeStore
+	store   *testStore
 	regions map[string]string
 	seeds   []string
 	// revoke is the bound on withdrawn keys of VMs that start.
@@ -38,30 +38,18 @@
 	cancel context.CancelFunc
 }
 
-// fakeStore answers ranges and watches from a map.
-type fakeStore struct {
+// testStore is a store that listens.
+type testStore struct {
+	*standin.Store
 	server *httptest.Server
-
-	mu       sync.Mutex
-	revision uint64
-	items    map[string]storeItem
-	changed  chan struct{}
-	// down makes the store refuse all calls.
-	down bool
-}
-
-type storeItem struct {
-	value    string
-	revision uint64
-	deleted  bool
 }
 
 func newWorld(t *testing.T, regions ...string) *world {
 	t.Helper()
-	s := &fakeStore{items: map[string]storeItem{}, changed: make(chan struct{})}
-	s.server = httptest.NewServer(http.HandlerFunc(s.serve))
+	s := &testStore{Store: standin.NewStore()}
+	s.server = httptest.NewServer(s)
 	t.Cleanup(func() {
-		s.setDown(true)
+		s.SetDown(true)
 		s.server.CloseClientConnections()
 		s.server.Close()
 	})
@@ -72,84 +60,6 @@
 	return w
 }
 
-func (s *fakeStore) put(key, value string) { s.change(key, storeItem{value: value}) }
-
-func (s *fakeStore) remove(key string) { s.change(key, storeItem{deleted: true}) }
-
-func (s *fakeStore) change(key string, item storeItem) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.revision++
-	item.revision = s.revision
-	s.items[key] = item
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
-func (s *fakeStore) setDown(down bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.down = down
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
-func (s *fakeStore) serve(w http.ResponseWriter, r *http.Request) {
-	after := uint64(0)
-	watch := r.URL.Path == "/kv-watch"
-	wait := time.Duration(0)
-	if watch {
-		after, _ = strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-		ms, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
-		wait = time.Duration(ms) * time.Millisecond
-	}
-	timeout := time.After(wait)
-	for {
-		page, changed, down := s.since(after, watch)
-		if down {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		list := "items"
-		if watch {
-			list = "events"
-		}
-		if !watch || len(page) > 0 {
-			s.answer(w, list, page)
-			return
-		}
-		select {
-		case <-changed:
-		case <-timeout:
-			s.answer(w, list, page)
-			return
-		}
-	}
-}
-
-func (s *fakeStore) answer(w http.ResponseWriter, list string, page []map[string]any) {
-	s.mu.Lock()
-	at := s.revision
-	s.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(map[string]any{list: page, "has_more": false, "at": at})
-}
-
-func (s *fakeStore) since(after uint64, watch bool) ([]map[string]any, chan struct{}, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var page []map[string]any
-	for key, item := range s.items {
-		switch {
-		case item.revision <= after || item.deleted && !watch:
-		case item.deleted:
-			page = append(page, map[string]any{"key": key, "revision": item.revision, "deleted": true})
-		default:
-			page = append(page, map[string]any{"key": key, "revision": item.revision, "value": []byte(item.value)})
-		}
-	}
-	return page, s.changed, s.down
-}
-
 // vm starts a VM and waits until it is ready, if ready is set.
 func (w *world) vm(name, region string, ready bool) *testVM {
 	w.t.Helper()
@@ -208,7 +118,7 @@
 			rw.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		w.store.serve(rw, r)
+		w.store.ServeHTTP(rw, r)
 	}))
 	w.t.Cleanup(func() {
 		server.CloseClientConnections()
@@ -244,7 +154,7 @@
 
 // config publishes a configuration with the routes and one workspace, whose key is "secret".
 func (w *world) config(version int, routes string) {
-	w.store.put(platform.ConfigKey, fmt.Sprintf(`{"version":%d,"routes":[%s],
+	w.store.Put(platform.ConfigKey, fmt.Sprintf(`{"version":%d,"routes":[%s],
 		"services":[{"name":"plain"},{"name":"engine","engine":{"slots":8,"kv_capacity":100000}}],
 		"tenants":[{"name":"w1","api_keys":["secret"],"unit":"tokens","plain_tokens":1}]}`, version, routes))
 }
@@ -274,7 +184,7 @@
 		u.server.CloseClientConnections()
 		u.server.Close()
 	})
-	w.store.put(platform.UpstreamPrefix+id, fmt.Sprintf(
+	w.store.Put(platform.UpstreamPrefix+id, fmt.Sprintf(
 		`{"service":%q,"address":%q,"zone":%q,"slots":8,"state":"ready","born":1}`,
 		service, u.server.Listener.Addr().String(), region+"-a"))
 	return u
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -44,6 +44,7 @@
 		auditCommand,
 		explainCommand,
 		policybenchCommand,
+		loadbenchCommand,
 		versionCommand,
 	}
 }
