Let a VM that was frozen settle before it repeats a forwarded request

A VM that had passed a stream on gave it up as the other VM was frozen, and sent it elsewhere; the frozen VM woke, saw that its upstream had ended, and sent the stream once more before it read that it had been given up. Ruled out: counting of runs (each VM counted right), the regions that a stream may go to. The race is rare, so the trace and the test are the evidence.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -40,6 +40,9 @@
 	// Conns watches the connections of callers.
 	Conns *callerconn.Watch
 
+	// pausedLately reports whether this VM did not run for a while until shortly before.
+	pausedLately func(now time.Time) bool
+
 	store   *platform.Store
 	asks    storeAsks
 	sent    place.Sent
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"parsleyhatch/fleet"
 	"parsleyhatch/platform"
 	"parsleyhatch/replica"
 )
@@ -238,6 +239,32 @@
 	}
 }
 
+// Guards against a VM that was frozen and sends a request once more that another VM has meanwhile given up and sent
+// elsewhere: the request then runs at more upstreams than its route allows.
+func TestPausedVMDoesNotRepeatWhatWasGivenUp(t *testing.T) {
+	w := newWorld(t, "north", "south")
+	w.config(1, routeText("a", "streaming", "plain", `,"resumable":true`))
+	ctx, leave := context.WithCancel(context.Background())
+	handle := func(rw http.ResponseWriter, _ *http.Request) {
+		time.AfterFunc(100*time.Millisecond, leave)
+		events(rw, 1, 3, false)
+	}
+	first, second := w.upstream("u1", "plain", "south", handle), w.upstream("u2", "plain", "south", handle)
+	north, south := w.vm("vm1", "north", true), w.vm("vm2", "south", true)
+	south.pausedLately = func(time.Time) bool { return true }
+	w.meet()
+	w.until("the upstreams are known", func() bool { return north.knows("plain", 2) && south.knows("plain", 2) })
+	resp, err := http.DefaultClient.Do(north.request(t, "/a/", "x", nil).WithContext(ctx))
+	if err == nil {
+		_, _ = io.Copy(io.Discard, resp.Body) // Ends when the caller leaves.
+		_ = resp.Body.Close()
+	}
+	time.Sleep(2 * fleet.SettleTime)
+	if n := first.count() + second.count(); n != 1 {
+		t.Errorf("the request ran %d times, want once: its caller left while the vm was paused", n)
+	}
+}
+
 // knows reports whether n upstreams of a service are registered in all regions, and whether the VMs of each
 // other region with one have told that they can run it: only then requests are passed on to them.
 func (v *testVM) knows(service string, n int) bool {
--- a/edge/new.go
+++ b/edge/new.go
@@ -70,6 +70,7 @@
 	endpoint.OnStream = e.ServeForwarded
 	e.Fleet = fleet.New(now, endpoint, s.PeerListen, s.CallerListen, s.Seeds)
 	e.Fleet.Now = clock.Now
+	e.pausedLately = e.Fleet.PausedLately
 	e.Fleet.Describe = e.Describe
 	e.Fleet.DescribeUses = e.DescribeUses
 	e.Fleet.OnPresence = func(now time.Time, m fleet.Member, p *vmwire.Presence) { e.Heard(now, m.Identity, p) }
--- a/edge/run.go
+++ b/edge/run.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"parsleyhatch/fleet"
 	"parsleyhatch/place"
 	"parsleyhatch/replica"
 	"parsleyhatch/route"
@@ -114,6 +115,9 @@
 // mayRepeat reports whether there is time and budget for another attempt. Attempts of which nothing has
 // arrived at an upstream are free.
 func (e *Edge) mayRepeat(ctx context.Context, r *request, out Outcome) bool {
+	if r.forwarded {
+		e.settle(ctx)
+	}
 	if ctx.Err() != nil || r.left(time.Now()) < minLeft {
 		return false
 	}
@@ -125,6 +129,18 @@
 	}
 }
 
+// settle waits after a pause of this VM until it has read what other VMs sent meanwhile: one that passed a request
+// on may have given it up and sent it elsewhere.
+func (e *Edge) settle(ctx context.Context) {
+	if !e.pausedLately(e.Now()) {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(fleet.SettleTime):
+	}
+}
+
 // final turns the outcome of the last attempt into that of the request. What may have run is never called
 // not run.
 func (e *Edge) final(ctx context.Context, r *request, out Outcome) Outcome {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -57,7 +57,8 @@
 	sessions   map[string][]*vm.Session
 	candidates map[string]*candidate
 	// ticks belongs to Run.
-	ticks int
+	ticks  int
+	pauses pauses
 }
 
 // New returns a fleet that knows only the seeds.
@@ -110,6 +111,7 @@
 // beat checks the sessions, opens missing ones and sends presences.
 func (f *Fleet) beat(ctx context.Context) {
 	now := f.Now()
+	f.pauses.tick(now)
 	f.dropSilent()
 	if f.ticks%rowsEvery == 0 {
 		f.dropSurplus(now)
