--- a/loadbench/engine.go
+++ b/loadbench/engine.go
@@ -63,7 +63,6 @@
 	answer, written int
 	// unread are the prompt tokens still to be read.
 	unread int64
-	seq    int
 	// onFirst, onEvent, onDone and onLost tell the caller's side.
 	onFirst, onEvent, onDone func()
 	onLost                   func()
