--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -118,7 +118,7 @@
 func (g *Gateway) runCall(ctx context.Context, r *Request, p *progress) Outcome {
 	// The run outlives this request, so it has a copy of its own.
 	run := *r
-	run.steps = nil
+	run.trace.Steps = nil
 	run.released = &atomic.Pointer[Outcome]{}
 	for {
 		outcome, record := g.calls.Begin(g.Now(), r.callKey(), sha256.Sum256(r.Body))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,8 +20,11 @@
 	"parsleyhatch/metrics"
 	"parsleyhatch/once"
 	"parsleyhatch/order"
+	"parsleyhatch/outage"
 	"parsleyhatch/poison"
+	"parsleyhatch/profile"
 	"parsleyhatch/retry"
+	"parsleyhatch/trace"
 	"parsleyhatch/upstream"
 	"parsleyhatch/vm"
 	"parsleyhatch/vmwire"
@@ -81,19 +84,19 @@
 	// Used by traffic; each type locks itself.
 	streams   streamTable
 	sessions  sessionTable
-	traces    traceRing
+	traces    trace.Ring
 	tokens    *limit.Table
 	grants    grantTable
 	calls     *once.Table
 	signer    *once.Signer
 	handovers *once.HandoverStore
 	poisons   *poison.Table
-	outages   outageTable
+	outages   outage.Table
 	hasher    *poison.Hasher
 	running   runningTable
 	queues    queueTable
 	retries   *retry.Budget
-	profiles  profileTable
+	profiles  profile.Table
 	nextID    atomic.Uint64
 
 	// Channels into the control loop.
@@ -213,7 +216,6 @@
 	g.grants.dryUntil = map[string]time.Time{}
 	g.running.upstreams = map[string]*runningAt{}
 	g.queues.byKey = map[string]*waitQueue{}
-	g.profiles.routes = map[string]*profile{}
 	g.view.Store(g.choices.View(now))
 	g.fleet.Store(&fleetView{})
 	endpoint.OnStream = g.serveStream
--- a/gateway/local.go
+++ b/gateway/local.go
@@ -130,7 +130,7 @@
 	}
 	if out.Code == OK {
 		granted.pick.Upstream.Succeeded(now)
-		g.profiles.record(r.Route.Name, 0, now.Sub(start))
+		g.profiles.Record(r.Route.Name, 0, now.Sub(start))
 		g.cleared(r.fingerprint)
 	}
 	g.running.remove(u.Name, r.fingerprint)
@@ -229,7 +229,7 @@
 	deadline.Stop()
 	now := g.Now()
 	g.Metrics.FirstToken(r.Route.Name, now.Sub(r.Arrived))
-	g.profiles.record(r.Route.Name, now.Sub(sentAt), 0)
+	g.profiles.Record(r.Route.Name, now.Sub(sentAt), 0)
 }
 
 func asFailure(err error) *upstream.Failure {
--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	"parsleyhatch/choose"
@@ -25,53 +24,11 @@
 	// defaultLinkBytes and defaultLinkDelay describe a pair of regions without a configured link.
 	defaultLinkBytes = 1e9 / 8
 	defaultLinkDelay = 50 * time.Millisecond
-	// firstTokenGuess and runGuess stand for a route that this VM has not measured yet.
-	firstTokenGuess = 200 * time.Millisecond
-	runGuess        = 3 * time.Second
-	// profileWeight is the weight of a new measurement in the running mean.
-	profileWeight = 0.05
 )
 
-// profile is the running mean of the times of a route's requests.
-type profile struct {
-	firstToken, run time.Duration
-}
-
-// profileTable is written by traffic and read by the control loop.
-type profileTable struct {
-	mu     sync.Mutex
-	routes map[string]*profile
-}
-
-// record adds a measurement; a zero time is ignored.
-func (t *profileTable) record(route string, firstToken, run time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	p := t.routes[route]
-	if p == nil {
-		p = &profile{firstToken: firstTokenGuess, run: runGuess}
-		t.routes[route] = p
-	}
-	if firstToken > 0 {
-		p.firstToken += time.Duration(profileWeight * float64(firstToken-p.firstToken))
-	}
-	if run > 0 {
-		p.run += time.Duration(profileWeight * float64(run-p.run))
-	}
-}
-
-func (t *profileTable) get(route string) choose.Profile {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if p := t.routes[route]; p != nil {
-		return choose.Profile{FirstToken: p.firstToken, Run: p.run}
-	}
-	return choose.Profile{FirstToken: firstTokenGuess, Run: runGuess}
-}
-
 func (g *Gateway) setProfiles() {
 	for name := range g.Snapshot().Routes {
-		g.choices.SetProfile(name, g.profiles.get(name))
+		g.choices.SetProfile(name, g.profiles.Get(name))
 	}
 }
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -8,6 +8,7 @@
 
 	"parsleyhatch/config"
 	"parsleyhatch/poison"
+	"parsleyhatch/trace"
 	"parsleyhatch/vmwire"
 )
 
@@ -178,7 +179,7 @@
 	Forwarded  bool
 	OriginSlot string
 
-	steps []Step
+	trace trace.Trace
 	// fingerprint identifies the request for package poison.
 	fingerprint poison.Fingerprint
 	// sent says that an upstream has got the request from this VM.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -134,7 +134,7 @@
 	case NoUpstream, Leaving, UnreachableRegion, StaleConfig, PeerLost:
 		return true
 	case UpstreamFailed:
-		return g.outages.active(g.Now())
+		return g.outages.Active(g.Now())
 	default:
 		return false
 	}
@@ -161,7 +161,7 @@
 func (g *Gateway) report(r *Request, out Outcome) {
 	now := g.Now()
 	r.note(now, "outcome "+codeText(out.Code), out.Message)
-	g.traces.add(r)
+	g.traces.Add(r.finished())
 	sentAway := !r.Forwarded && out.Region != "" && out.Region != g.Self.Region
 	g.Metrics.Request(r.Route.Name, codeText(out.Code), string(out.Ran), sentAway, now.Sub(r.Arrived), out.AnswerTokens)
 	args := []any{"request", r.ID, "route", r.Route.Name, "workspace", r.Workspace.Name, "code", string(out.Code), "ran", string(out.Ran)}
--- /dev/null
+++ b/outage/outage_test.go
@@ -0,0 +1,44 @@
+package outage
+
+import (
+	"testing"
+	"time"
+
+	"parsleyhatch/poison"
+)
+
+// Guards against requests that are blamed for the loss of a failure domain, and against a request
+// that escapes quarantine because its crashes look like such a loss.
+func TestOutage(t *testing.T) {
+	engine := func(name, domain string) Crash { return Crash{Upstream: name, FailureDomain: domain} }
+	start := time.Unix(1000, 0)
+	cases := []struct {
+		name    string
+		crashes []Crash
+		apart   time.Duration
+		peers   int
+		outage  bool
+	}{
+		{"failure domain lost", []Crash{engine("a", "x"), engine("b", "x"), engine("c", "x")}, 100 * time.Millisecond, 4, true},
+		{"one request at two engines", []Crash{engine("a", "x"), engine("b", "x")}, 100 * time.Millisecond, 4, false},
+		{"the same engine again", []Crash{engine("a", "x"), engine("a", "x"), engine("a", "x")}, 100 * time.Millisecond, 1, false},
+		{"spread over domains", []Crash{engine("a", "x"), engine("b", "y"), engine("c", "z")}, 100 * time.Millisecond, 4, false},
+		{"far apart", []Crash{engine("a", "x"), engine("b", "x"), engine("c", "x")}, time.Minute, 4, false},
+	}
+	for _, c := range cases {
+		var table Table
+		found := 0
+		now := start
+		for i, crash := range c.crashes {
+			crash.At, crash.Running = now, []poison.Fingerprint{{byte(i)}}
+			innocent, outage := table.Crashed(now, crash, func(string) int { return c.peers })
+			if outage {
+				found = len(innocent)
+			}
+			now = now.Add(c.apart)
+		}
+		if want := len(c.crashes); c.outage && found != want || !c.outage && found != 0 {
+			t.Errorf("%s: %d requests excused, outage expected: %v", c.name, found, c.outage)
+		}
+	}
+}
