Take signals over before a VM reads its settings

Ruled out: the VM's port (nobody had it), a crash (no line, no status but the signal's). Change: signals are taken over first. The runtime still needs some milliseconds to start, so that the soak sends none for 100 ms. TestReloadWhileVMStarts failed before.

--- a/operator/vm.go
+++ b/operator/vm.go
@@ -41,6 +41,8 @@
 }
 
 func runVM(e env) int {
+	signals := catchSignals()
+	defer signals.release()
 	fs := newFlags("vm")
 	settingsPath := fs.String("settings", "", "settings file of the platform; without it, the environment variable "+platform.SettingsVariable+" names it")
 	metricsPort := fs.Int("metrics-port", 0, "port of the metrics on the machine's address; 0 serves none")
@@ -66,7 +68,7 @@
 	logCtx, stopLog := context.WithCancel(context.Background())
 	go writer.Run(logCtx)
 	log := slog.New(logbuf.NewHandler(writer, logLevel)).With("vm", s.Name)
-	err = runEdge(s, vmOptions{settingsPath: *settingsPath, metricsPort: *metricsPort, log: log, writer: writer})
+	err = runEdge(s, vmOptions{settingsPath: *settingsPath, metricsPort: *metricsPort, log: log, writer: writer, signals: signals})
 	if err != nil {
 		event.StartFailed.Log(log, "error", err.Error())
 	}
@@ -94,6 +96,27 @@
 	metricsPort  int
 	log          *slog.Logger
 	writer       *logbuf.Writer
+	signals      vmSignals
+}
+
+// vmSignals are the signals of the platform.
+type vmSignals struct {
+	terminate, reload chan os.Signal
+}
+
+// release gives the signals back.
+func (s vmSignals) release() {
+	signal.Stop(s.terminate)
+	signal.Stop(s.reload)
+}
+
+// catchSignals takes over the signals. It comes first: the platform may send one while the VM starts, and
+// SIGHUP would end it.
+func catchSignals() vmSignals {
+	s := vmSignals{terminate: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
+	signal.Notify(s.terminate, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(s.reload, syscall.SIGHUP)
+	return s
 }
 
 // edgeProcess holds the servers of a VM.
@@ -116,10 +139,6 @@
 	p := &edgeProcess{edge: g, log: log, failed: make(chan error, 4)}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	terminate := make(chan os.Signal, 1)
-	signal.Notify(terminate, syscall.SIGTERM, os.Interrupt)
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	if err := p.listen(ctx, o.metricsPort); err != nil {
 		return err
 	}
@@ -127,9 +146,9 @@
 	go g.Source.Run(ctx)
 	go g.Pool.Run(ctx)
 	go g.Conns.Run(ctx, g.ConnLimits)
-	go p.runWatch(ctx, o.settingsPath, o.writer, reload)
+	go p.runWatch(ctx, o.settingsPath, o.writer, o.signals.reload)
 	select {
-	case <-terminate:
+	case <-o.signals.terminate:
 		p.stop()
 		event.Stopped.Log(log, "open", g.Open())
 		return nil
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -9,6 +9,8 @@
 )
 
 const (
+	// bootTime is the time after its start in which a process can't take signals over yet.
+	bootTime = 100 * time.Millisecond
 	// lingerAfterLeave is the time for which an upstream goes on after it said that it leaves.
 	lingerAfterLeave = 5 * time.Second
 	// keyOverlap is the time for which callers go on using a key after it was withdrawn: longer than the bound.
@@ -93,12 +95,10 @@
 		v.signal(syscall.SIGCONT)
 	case killVM:
 		v.kill()
-		time.Sleep(f.length)
-		return v.start()
+		return v.startAfter(f.length)
 	default:
 		v.stop()
-		time.Sleep(f.length)
-		return v.start()
+		return v.startAfter(f.length)
 	}
 	return nil
 }
--- a/soak/process.go
+++ b/soak/process.go
@@ -94,6 +94,16 @@
 	return nil
 }
 
+// startAfter starts the process after a pause, and returns once it takes signals.
+func (v *vmProcess) startAfter(pause time.Duration) error {
+	time.Sleep(pause)
+	if err := v.start(); err != nil {
+		return err
+	}
+	time.Sleep(bootTime)
+	return nil
+}
+
 // signal sends a signal to the process, if it runs.
 func (v *vmProcess) signal(s syscall.Signal) {
 	v.mu.Lock()
--- a/soak/short_test.go
+++ b/soak/short_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"io"
 	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -25,6 +28,7 @@
 	cause string
 }{
 	{1, "the first seed; it has not failed"},
+	{8, "a VM that got a reload while it started ended; TestReloadWhileVMStarts"},
 	{41, "a VM that was down lost its port to an outgoing connection of the soak, which gives VMs addresses of their own since"},
 }
 
@@ -45,3 +49,29 @@
 		}
 	}
 }
+
+// Guards against a VM that a reload ends because it is still starting: seed 8 lost one so.
+func TestReloadWhileVMStarts(t *testing.T) {
+	settings := filepath.Join(t.TempDir(), "settings")
+	// The VM waits for the other side of the pipe while it reads its settings.
+	if err := syscall.Mkfifo(settings, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	child := exec.Command(os.Args[0], "vm", "-settings", settings)
+	if err := child.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- child.Wait() }()
+	time.Sleep(time.Second)
+	if err := child.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case err := <-ended:
+		t.Fatalf("the vm ended: %v", err)
+	case <-time.After(300 * time.Millisecond):
+	}
+	_ = child.Process.Kill()
+	<-ended
+}
