--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -222,7 +222,7 @@
 }
 
 func (f *Fleet) runDial(ctx context.Context, address string) {
-	dialCtx, cancel := context.WithTimeout(ctx, f.patience(address))
+	dialCtx, cancel := context.WithTimeout(ctx, f.dialLimit(address))
 	defer cancel()
 	s, err := f.Endpoint.Dial(dialCtx, address)
 	f.mu.Lock()
@@ -242,8 +242,8 @@
 	c.slot, c.region = s.Peer.Slot, s.Peer.Region
 }
 
-// patience returns the time for the next attempt to reach an address.
-func (f *Fleet) patience(address string) time.Duration {
+// dialLimit returns the time for the next attempt to reach an address.
+func (f *Fleet) dialLimit(address string) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if c := f.candidates[address]; c != nil && c.failures == 0 {
--- a/fleet/uses.go
+++ b/fleet/uses.go
@@ -9,8 +9,7 @@
 
 const (
 	// usesTick is the period at which VMs of a region tell each other what has changed of the load that they
-	// put on upstreams. VMs that know the same old load all choose the same upstream: with 25 VMs a region
-	// and half a second, a sixth of the requests more were late than with a tenth (loadbench).
+	// put on upstreams. VMs that know the same old load all choose the same upstream.
 	usesTick = 100 * time.Millisecond
 	// wholeUsesEvery is the number of periods between two reports of the load on all upstreams.
 	wholeUsesEvery = 10
--- a/loadbench/engine.go
+++ b/loadbench/engine.go
@@ -50,9 +50,6 @@
 	cache   *partCache
 	// generated is the memory for answers, in tokens.
 	generated int64
-	// preempted counts requests that were put back, and read the tokens that were read.
-	preempted int
-	read      int64
 }
 
 // run is a request at an engine.
@@ -66,7 +63,6 @@
 	// onFirst, onEvent, onDone and onLost tell the caller's side.
 	onFirst, onEvent, onDone func()
 	onLost                   func()
-	gone                     bool
 }
 
 func newEngine(id string, m *engineModel, l *eventloop.Loop, inOrder bool) *engine {
@@ -93,7 +89,6 @@
 
 // cancel removes a request.
 func (e *engine) cancel(r *run) {
-	r.gone = true
 	if i := slices.Index(e.waiting, r); i >= 0 {
 		e.waiting = slices.Delete(e.waiting, i, i+1)
 		return
@@ -181,7 +176,6 @@
 		read(r)
 	}
 	tokens := m.chunk - budget
-	e.read += tokens
 	running := float64(len(e.reading) + len(e.writing))
 	held := float64(e.cache.referenced+e.generated) / 1000
 	return m.stepBase + m.stepPerRun*running + m.stepPerThousand*held +
@@ -242,7 +236,6 @@
 	r := e.writing[worst]
 	e.writing = slices.Delete(e.writing, worst, worst+1)
 	e.release(r)
-	e.preempted++
 	e.waiting = slices.Insert(e.waiting, 0, r)
 }
 
--- a/loadbench/world.go
+++ b/loadbench/world.go
@@ -29,7 +29,6 @@
 
 type region struct {
 	name    string
-	index   int
 	engines map[string]*engine
 	servers map[string]server
 	vms     []*vm
@@ -64,14 +63,14 @@
 		arrivals: rand.New(rand.NewPCG(seed, 1)), noise: rand.New(rand.NewPCG(seed, 2)),
 		capacity: map[string]int{}, result: newMeasures(d), readBefore: map[uint64]seconds{},
 	}
-	for i, size := range d.regions {
-		w.regions = append(w.regions, w.newRegion(i, size))
+	for _, size := range d.regions {
+		w.regions = append(w.regions, w.newRegion(size))
 	}
 	return w
 }
 
-func (w *world) newRegion(index int, size regionSize) *region {
-	g := &region{name: size.name, index: index, engines: map[string]*engine{}, servers: map[string]server{}, reported: map[string][]time.Duration{}}
+func (w *world) newRegion(size regionSize) *region {
+	g := &region{name: size.name, engines: map[string]*engine{}, servers: map[string]server{}, reported: map[string][]time.Duration{}}
 	var entries []replica.Entry
 	for i := range size.engines {
 		id := fmt.Sprintf("%s-engine-%d", size.name, i)
--- a/queuebench/experiment.go
+++ b/queuebench/experiment.go
@@ -9,9 +9,9 @@
 	"math/rand/v2"
 	"slices"
 	"text/tabwriter"
-	"time"
 
 	"parsleyhatch/admit"
+	"parsleyhatch/eventloop"
 )
 
 // policy is one way to order the waiting items of the experiment.
@@ -58,14 +58,6 @@
 	stops       int
 }
 
-// epoch is the start of the simulated time.
-var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-
-// at converts simulated seconds.
-func at(seconds float64) time.Time {
-	return epoch.Add(time.Duration(seconds * float64(time.Second)))
-}
-
 // mix is a workload: the offered work relative to the engine's capacity, and the share of drafts.
 type mix struct{ load, drafts float64 }
 
@@ -97,9 +89,9 @@
 	if j.class == admit.Draft {
 		deadline = 3600
 	}
-	out := e.queue.Offer(at(e.now), admit.Item{
+	out := e.queue.Offer(eventloop.At(e.now), admit.Item{
 		ID: j.id, Workspace: fmt.Sprint(j.workspace), Weight: 1, Class: j.class,
-		Deadline: at(j.arrive + deadline), Cost: j.left,
+		Deadline: eventloop.At(j.arrive + deadline), Cost: j.left,
 	})
 	switch {
 	case out.Verdict != admit.Queued:
@@ -129,7 +121,7 @@
 			e.begin(j)
 			continue
 		}
-		it, ok := e.queue.Next(at(e.now))
+		it, ok := e.queue.Next(eventloop.At(e.now))
 		if !ok {
 			return
 		}
@@ -204,7 +196,7 @@
 			e.done = append(e.done, next)
 			e.running = slices.DeleteFunc(e.running, func(r *job) bool { return r == next })
 		}
-		for _, late := range e.queue.Tick(at(e.now)) {
+		for _, late := range e.queue.Tick(eventloop.At(e.now)) {
 			if late.Class == admit.Interactive {
 				e.interactive--
 			}
