Let VMs that all start at once spare cold upstreams

All VMs had been killed; 28 of the region started within 50 ms, each assumed four sharers of the bound and sent a request to the same upstream. Ruled out: warm-up that was not known (each VM logs it, event 1903), requests of before the kill. Change: 32 sharers are assumed for the first 3 s. The number that is known is also taken over while nobody is heard, so that a VM without others uses cold upstreams after it. TestStartingVMSparesColdUpstreams failed before; TestNewVMAssumesOthers checks the steps.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -13,6 +13,7 @@
 	"parsleyhatch/fleet"
 	"parsleyhatch/platform"
 	"parsleyhatch/replica"
+	"parsleyhatch/route"
 )
 
 // Guards against a key that reaches an upstream, and against headers that only the system may set.
@@ -530,7 +531,10 @@
 	v := w.vm("vm1", "north", true)
 	w.vm("vm2", "north", true)
 	w.meet()
-	if n := v.sharers(v.Now()); n != unknownSharers {
+	if n := v.sharers(v.started); n != startSharers {
+		t.Errorf("%d sharers at the start, want %d", n, startSharers)
+	}
+	if n := v.sharers(v.started.Add(firstMeetingTime)); n != unknownSharers {
 		t.Errorf("%d sharers after meeting one VM, want %d", n, unknownSharers)
 	}
 	if n := v.sharers(v.Now().Add(meetingTime)); n != 2 {
@@ -538,6 +542,22 @@
 	}
 }
 
+// Guards against the VMs of a large region that all start at once and each send to an upstream that is cold, before
+// they know of each other; and against a VM without others that never does.
+func TestStartingVMSparesColdUpstreams(t *testing.T) {
+	w := newWorld(t, "north")
+	v := w.vm("vm1", "north", false)
+	service := &route.Service{Name: "s", WarmUp: time.Minute, WarmUpRate: 3}
+	v.Replicas.Put(v.Now(), replica.Entry{ID: "u1", Service: "s", Slots: 8, Born: 1, ColdFor: time.Minute}, time.Minute)
+	if _, ok := v.Replicas.Pick(v.Now(), replica.Request{Service: service}); ok {
+		t.Error("a VM that has just started sends to a cold upstream")
+	}
+	w.until("a VM that has met nobody uses it", func() bool {
+		_, ok := v.Replicas.Estimate(v.Now(), replica.Request{Service: service})
+		return ok
+	})
+}
+
 // Guards against a request that is lost on a kept connection, because the leaving VM closes the connection
 // while the request arrives.
 func TestLeavingVMAnswersOnKeptConnections(t *testing.T) {
--- a/edge/new.go
+++ b/edge/new.go
@@ -59,7 +59,7 @@
 	e.Replicas.ColdBound = func(sv *route.Service) float64 {
 		return sv.WarmUpRate*s.Bounds.WarmUpOverage + s.Bounds.WarmUpSlack
 	}
-	e.Replicas.SetVMs(s.Name, []string{s.Name}, unknownSharers)
+	e.Replicas.SetVMs(s.Name, []string{s.Name}, startSharers)
 	e.Source = &source.Source{
 		Readers: e.readers, Replicas: e.Replicas, Log: log, Now: clock.Now,
 		Local:    func(domain string) bool { return s.Regions[domain] == s.Region },
--- a/edge/presence.go
+++ b/edge/presence.go
@@ -12,6 +12,7 @@
 
 // Describe fills in what this VM shares with the others: all of it, or what has changed lately.
 func (e *Edge) Describe(now time.Time, p *vmwire.Presence, sameRegion, whole bool) {
+	e.shareBounds(now)
 	if e.accepts(now) {
 		p.Flags |= vmwire.FlagReady
 	}
@@ -29,8 +30,7 @@
 		p.Flags |= vmwire.FlagSettled
 	}
 	p.Weight = int32(e.weight())
-	near := e.Fleet.Sharers(now)
-	p.RegionVMs = int32(near)
+	p.RegionVMs = int32(e.Fleet.Sharers(now))
 	reports := e.Quota.Reports(now, whole)
 	if !sameRegion {
 		reports = e.Quota.RegionReports(now, whole)
@@ -82,6 +82,11 @@
 		return
 	}
 	e.Quota.Heard(now, origin, reports)
+	e.shareBounds(now)
+}
+
+// shareBounds divides the bounds of upstreams among the VMs that are known now.
+func (e *Edge) shareBounds(now time.Time) {
 	e.Replicas.SetVMs(e.Settings.Name, e.Fleet.Near(now), e.sharers(now))
 }
 
@@ -98,15 +103,23 @@
 // heard of all of them yet.
 func (e *Edge) sharers(now time.Time) int {
 	n := e.Fleet.Sharers(now)
-	if now.Sub(e.started) < meetingTime {
+	switch age := now.Sub(e.started); {
+	case age < firstMeetingTime:
+		return max(n, startSharers)
+	case age < meetingTime:
 		return max(n, unknownSharers)
+	default:
+		return n
 	}
-	return n
 }
 
 const (
-	// meetingTime is the time in which a VM that starts hears of all others.
-	meetingTime = 15 * time.Second
-	// unknownSharers is the number of VMs of a region that is assumed up to then.
+	// firstMeetingTime is the time in which a VM that starts hears of most others, and startSharers the number
+	// of VMs of a region that is assumed up to then: all of them may start at once.
+	firstMeetingTime = 3 * time.Second
+	startSharers     = 32
+	// meetingTime is the time in which it hears of all others, and unknownSharers the number that is assumed up
+	// to then.
+	meetingTime    = 15 * time.Second
 	unknownSharers = 4
 )
