vm: accept no stream on a closed session

Ruled out: a Recv that misses the notification; fail sets the error before it notifies.

Change: Close leaves no table of streams, and addStream returns ErrSessionClosed without one.

Before: both new tests fail (a stream open after 10 s; OpenStream on a closed session succeeds). After: they pass three times under the race detector.

--- a/vm/session.go
+++ b/vm/session.go
@@ -57,7 +57,8 @@
 	startedAt          time.Time
 	lastReceivedOffset atomic.Int64
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// streams holds the open streams. It is nil once the session has closed.
 	streams map[uint64]*Stream
 }
 
@@ -140,7 +141,7 @@
 		_ = s.conn.Close()
 		s.mu.Lock()
 		streams := s.streams
-		s.streams = map[uint64]*Stream{}
+		s.streams = nil
 		s.mu.Unlock()
 		for _, st := range streams {
 			st.fail(ErrSessionClosed)
@@ -192,8 +193,8 @@
 		return nil, fmt.Errorf("encode open: %w", err)
 	}
 	st := newStream(s, s.nextID.Add(2)-2)
-	if !s.addStream(st) {
-		return nil, ErrTooManyStreams
+	if err := s.addStream(st); err != nil {
+		return nil, err
 	}
 	if err := s.sendFrame(ctx, &vmwire.Frame{Kind: vmwire.KindOpen, Stream: st.id, Body: body}); err != nil {
 		s.removeStream(st.id)
@@ -202,14 +203,18 @@
 	return st, nil
 }
 
-func (s *Session) addStream(st *Stream) bool {
+// addStream registers a stream, which Close then fails. A closed session accepts none, since nothing would end it.
+func (s *Session) addStream(st *Stream) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.streams == nil {
+		return ErrSessionClosed
+	}
 	if len(s.streams) >= maxStreams {
-		return false
+		return ErrTooManyStreams
 	}
 	s.streams[st.id] = st
-	return true
+	return nil
 }
 
 func (s *Session) removeStream(id uint64) {
@@ -304,7 +309,7 @@
 		return fmt.Errorf("open: stream number %d is invalid for the peer or in use", f.Stream)
 	}
 	st := newStream(s, f.Stream)
-	if s.endpoint.OnStream == nil || !s.addStream(st) {
+	if s.endpoint.OnStream == nil || s.addStream(st) != nil {
 		return s.sendReset(f.Stream)
 	}
 	go s.endpoint.runStream(st, open)
--- a/vm/session_test.go
+++ b/vm/session_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"net"
@@ -130,6 +131,42 @@
 	}
 }
 
+// Guards against a stream that is opened while its session closes and that nothing ends.
+func TestStreamOpenedWhileSessionCloses(t *testing.T) {
+	for range 20 {
+		s, err := dialPair(t, testKey, testKey, func(*Stream, vmwire.Open) {})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		go s.Close(io.ErrUnexpectedEOF)
+		for {
+			st, err := s.OpenStream(ctx, &vmwire.Open{})
+			if err != nil {
+				break
+			}
+			if _, _, err := st.Recv(ctx); errors.Is(err, context.DeadlineExceeded) {
+				t.Fatal("nothing ended a stream of a closed session")
+			}
+		}
+		cancel()
+	}
+}
+
+// Guards against a stream that is added after Close has failed the streams of the session.
+func TestClosedSessionOpensNoStream(t *testing.T) {
+	s, err := dialPair(t, testKey, testKey, func(*Stream, vmwire.Open) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Close(io.ErrUnexpectedEOF)
+	for range 100 {
+		if _, err := s.OpenStream(context.Background(), &vmwire.Open{}); !errors.Is(err, ErrSessionClosed) {
+			t.Fatalf("OpenStream on a closed session: %v, want %v", err, ErrSessionClosed)
+		}
+	}
+}
+
 // Guards against work that continues on the serving VM after the origin has reset the stream.
 func TestResetReachesPeer(t *testing.T) {
 	received := make(chan error, 1)
