gateway: wait for late grants of tokens before a request is refused

A holder that had answered late once was not asked at all for a second.

Ruled out: a wait only for the holder asked last, since an earlier one may answer meanwhile; keeping the reserved room during the longer wait, since it would stop the accrual of a slot whose partner has failed.

Change: requests to holders stay open while the next one is asked, and after the last one for up to half a second or half of the time that the request has left. A late holder is asked last instead of not at all. ReleaseReservation frees the capacity of a late request. The code moved to borrow.go, with typed backoffs.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -212,8 +212,8 @@
 	}
 	g.streams.open = map[string]*openStream{}
 	g.sessions.rows = map[string]*slotSessions{}
-	g.grants.waiting = map[uint64]chan limit.TokenGrant{}
-	g.grants.backoffUntil = map[string]time.Time{}
+	g.grants.waiting = map[uint64]chan<- limit.TokenGrant{}
+	g.grants.backoffs = map[holderKey]backoff{}
 	g.running.upstreams = map[string]*upstreamRequests{}
 	g.queues.byKey = map[string]*waitQueue{}
 	g.view.Store(g.choices.BuildView(now))
--- a/gateway/tokens.go
+++ b/gateway/tokens.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"parsleyhatch/config"
@@ -10,23 +9,8 @@
 	"parsleyhatch/vmwire"
 )
 
-const (
-	// sameRegionAskTimeout and otherRegionAskTimeout bound the wait for tokens of a holder in the
-	// own region and in another one.
-	sameRegionAskTimeout  = 100 * time.Millisecond
-	otherRegionAskTimeout = 400 * time.Millisecond
-	// emptyHolderBackoff is the longest time for which a holder without tokens is not asked again,
-	// so that a workspace far above its rate does not cause messages with each refusal.
-	emptyHolderBackoff = 250 * time.Millisecond
-	// unansweredBackoff is how long a holder that did not answer is not asked again. Each request
-	// for tokens reserves room in the own bucket, so many unanswered requests would stop the
-	// accrual of this slot while the other holder has failed.
-	unansweredBackoff = time.Second
-	// maxBackoffs bounds the number of remembered backoffs.
-	maxBackoffs = 4096
-	// defaultRetryAfter is the retry delay if the wait for tokens is unknown.
-	defaultRetryAfter = time.Second
-)
+// defaultRetryAfter is the retry delay if the wait for tokens is unknown.
+const defaultRetryAfter = time.Second
 
 // ChargeRecord is one admitted request. The charge was made between Before and After.
 type ChargeRecord struct {
@@ -65,56 +49,6 @@
 	return s.TransfersDisabled != nil && s.TransfersDisabled(workspace)
 }
 
-// grantTable holds the requests that wait for tokens of other slots.
-type grantTable struct {
-	mu      sync.Mutex
-	waiting map[uint64]chan limit.TokenGrant
-	// backoffUntil is the time until which a holder is not asked again, by slot and workspace.
-	backoffUntil map[string]time.Time
-	hooks        TokenHooks
-}
-
-func (t *grantTable) registerAsk(id uint64) chan limit.TokenGrant {
-	c := make(chan limit.TokenGrant, 1)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.waiting[id] = c
-	return c
-}
-
-func (t *grantTable) removeAsk(id uint64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	delete(t.waiting, id)
-}
-
-func (t *grantTable) deliver(give limit.TokenGrant) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	c := t.waiting[give.ID]
-	if c == nil {
-		return false
-	}
-	delete(t.waiting, give.ID)
-	c <- give
-	return true
-}
-
-func (t *grantTable) inBackoff(now time.Time, slot, workspace string) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return now.Before(t.backoffUntil[slot+"\x00"+workspace])
-}
-
-func (t *grantTable) setBackoff(until time.Time, slot, workspace string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if len(t.backoffUntil) >= maxBackoffs {
-		clear(t.backoffUntil)
-	}
-	t.backoffUntil[slot+"\x00"+workspace] = until
-}
-
 // charge takes the tokens of a request, asking other holders if this slot lacks them.
 func (g *Gateway) charge(ctx context.Context, r *Request) (limit.Charge, Outcome) {
 	before := g.Now()
@@ -135,60 +69,18 @@
 	if v.ExceedsBurst {
 		return c, refuse(RateLimited, "the request can exceed the workspace's burst; lower max_tokens or shorten the prompt")
 	}
-	wait := v.Wait
-	var loans []lender
-	defer func() { g.endLoans(r, loans) }()
-	for _, slot := range g.tokenHolders(r) {
-		if g.grants.inBackoff(now, slot, r.Workspace.Name) {
-			continue
-		}
-		give, ok := g.askTokens(ctx, r, slot, v.Missing)
-		if ok && give.Wait > 0 {
-			wait = minKnownWait(wait, give.Wait)
-		}
-		if ok && give.Tokens > 0 {
-			loans = append(loans, lender{slot: slot, ask: give.ID})
-		}
-		now = g.Now()
-		if c, v = g.tokens.Take(now, r.Workspace.Name, tokens); v.Admitted {
-			r.note(now, "tokens charged", "with tokens of slot "+slot)
-			return c, Outcome{}
-		}
+	b := newBorrowing(g, r, tokens, v)
+	defer b.end()
+	if b.askHolders(ctx) || b.awaitLate(ctx) {
+		return b.charge, Outcome{}
 	}
+	wait := b.wait
 	if wait == 0 {
 		wait = defaultRetryAfter
 	}
 	return c, refuseUntil(RateLimited, "the workspace is above its rate", g.retries.RetryAfter(wait))
 }
 
-// lender is a slot that gave tokens, and the number of the request.
-type lender struct {
-	slot string
-	ask  uint64
-}
-
-// endLoans tells the lenders that their tokens are spent, or gives them back after a refusal.
-func (g *Gateway) endLoans(r *Request, loans []lender) {
-	for _, l := range loans {
-		s := g.sessions.get(l.slot)
-		if s == nil {
-			continue // The reserved room is released when the loan expires.
-		}
-		if a, ok := g.tokens.EndLoan(g.Now(), r.Workspace.Name, l.ask); ok {
-			g.grants.hooks.notifyAsk(r.Workspace.Name)
-			s.SendControl(vmwire.KindTokenRequest, &vmwire.TokenRequest{ID: a.ID, Workspace: a.Workspace, Loan: a.Loan})
-		}
-	}
-}
-
-// minKnownWait returns the smaller wait; zero is unknown.
-func minKnownWait(a, b time.Duration) time.Duration {
-	if a == 0 || b < a {
-		return b
-	}
-	return a
-}
-
 // tokenHolders lists the other slots with a share of the workspace, those of the own region first.
 func (g *Gateway) tokenHolders(r *Request) []string {
 	vms := r.Snapshot.File.VMs
@@ -245,61 +137,6 @@
 	}
 }
 
-// askTokens asks one holder and applies its answer. ok is false if there was none.
-func (g *Gateway) askTokens(ctx context.Context, r *Request, slot string, missing int64) (limit.TokenGrant, bool) {
-	workspace := r.Workspace.Name
-	timeout := otherRegionAskTimeout
-	if m := r.Snapshot.VMs[slot]; m != nil && m.Region == g.Self.Region {
-		timeout = sameRegionAskTimeout
-	}
-	caller := ctx
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	s := g.sessionWith(ctx, slot)
-	if s == nil && caller.Err() == nil {
-		g.grants.setBackoff(g.Now().Add(unansweredBackoff), slot, workspace)
-	}
-	if s == nil {
-		return limit.TokenGrant{}, false
-	}
-	ask, ok := g.tokens.RequestTokens(g.Now(), workspace, missing)
-	if !ok {
-		return limit.TokenGrant{}, false
-	}
-	answer := g.grants.registerAsk(ask.ID)
-	defer g.grants.removeAsk(ask.ID)
-	g.grants.hooks.notifyAsk(workspace)
-	w := &vmwire.TokenRequest{ID: ask.ID, Workspace: workspace, Tokens: ask.Tokens, Loan: ask.Loan}
-	sent := s.SendControl(vmwire.KindTokenRequest, w)
-	give, ok := limit.TokenGrant{}, false
-	if sent {
-		give, ok = awaitTokenGive(ctx, answer)
-	}
-	now := g.Now()
-	if !ok {
-		g.tokens.CancelRequest(now, ask.ID)
-		if caller.Err() == nil {
-			g.grants.setBackoff(now.Add(unansweredBackoff), slot, workspace)
-		}
-		return give, false
-	}
-	if give.Tokens < missing {
-		g.grants.setBackoff(now.Add(min(max(give.Wait, emptyHolderBackoff/5), emptyHolderBackoff)), slot, workspace)
-	}
-	g.tokens.AcceptGrant(now, give)
-	return give, true
-}
-
-// awaitTokenGive waits for an answer until ctx ends.
-func awaitTokenGive(ctx context.Context, answer <-chan limit.TokenGrant) (limit.TokenGrant, bool) {
-	select {
-	case give := <-answer:
-		return give, true
-	case <-ctx.Done():
-		return limit.TokenGrant{}, false
-	}
-}
-
 // onTokenAsk gives tokens. They are deducted before the answer is sent.
 func (g *Gateway) onTokenAsk(m controlMessage) {
 	var w vmwire.TokenRequest
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -147,6 +147,30 @@
 	}
 }
 
+// Guards against a slot that does not accrue while it waits for late grants, and against a late grant that raises its
+// level above the cap.
+func TestReleasedReservationAccrues(t *testing.T) {
+	table, now := fullTable("a1", 100, 600)
+	holder, _ := fullTable("a2", 100, 600)
+	mustTake(t, table, now, 600)
+	a, ok := table.RequestTokens(now, testWorkspace, 600)
+	if !ok || a.Loan != 0 {
+		t.Fatalf("request %+v, %v, want 600 tokens without a loan", a, ok)
+	}
+	table.ReleaseReservation(now, a.ID)
+	later := runTable(table, now, RequestLifetime/2)
+	if _, v := table.Take(later, testWorkspace, 45); !v.Admitted {
+		t.Errorf("no accrual after the reservation was released: %+v", v)
+	}
+	if !table.AcceptGrant(later, holder.GrantTokens(now, a)) {
+		t.Error("the late grant was not accepted")
+	}
+	mustTake(t, table, later, 600)
+	if _, v := table.Take(later, testWorkspace, 5); v.Admitted {
+		t.Error("the late grant raised the level above the cap")
+	}
+}
+
 // Guards against tokens that remain usable after a pause, the end of the authorised interval, or the removal of a
 // share.
 func TestNoTokensWithoutLease(t *testing.T) {
--- a/limit/transfer.go
+++ b/limit/transfer.go
@@ -45,13 +45,15 @@
 	Wait time.Duration
 }
 
-// pendingRequest is a pending request for tokens to another slot. room is the part for which this slot has reserved
-// capacity, and loan the part that is requested as a loan, both in tokens.
+// pendingRequest is a pending request for tokens to another slot. room is the part for which this slot had capacity
+// at the time of the request, and loan the part that is requested as a loan, both in tokens.
 type pendingRequest struct {
-	id       uint64
-	bucket   *bucket
-	room     int64
-	loan     int64
+	id     uint64
+	bucket *bucket
+	room   int64
+	loan   int64
+	// reserved is the capacity that is kept free for the grant: room, or zero after ReleaseReservation.
+	reserved int64
 	deadline time.Time
 }
 
@@ -105,7 +107,7 @@
 // openRequest adds a pending request, reserves its capacity and returns its ID.
 func (t *Table) openRequest(b *bucket, now time.Time, room, loan int64) uint64 {
 	t.lastRequestID++
-	a := &pendingRequest{id: t.lastRequestID, bucket: b, room: room, loan: loan, deadline: now.Add(RequestLifetime)}
+	a := &pendingRequest{id: t.lastRequestID, bucket: b, room: room, loan: loan, reserved: room, deadline: now.Add(RequestLifetime)}
 	b.reserved += float64(room)
 	b.recordOccupancy()
 	b.pendingRequests = append(b.pendingRequests, a)
@@ -145,6 +147,19 @@
 	return give
 }
 
+// ReleaseReservation frees the capacity that a pending request reserves, so that this slot accrues while it waits for a
+// late grant. A grant that arrives later is accepted as far as there is capacity for it then.
+func (t *Table) ReleaseReservation(now time.Time, id uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now = t.advanceClock(now)
+	if a := t.pendingRequests[id]; a != nil {
+		t.sync(a.bucket, now)
+		a.bucket.reserved -= float64(a.reserved)
+		a.reserved = 0
+	}
+}
+
 // CancelRequest removes a pending request that the caller no longer waits for. Its capacity is freed immediately, and a
 // grant that arrives later is ignored.
 func (t *Table) CancelRequest(now time.Time, id uint64) {
@@ -222,7 +237,7 @@
 		return false
 	}
 	own := min(g.Tokens, a.room)
-	b.level += float64(own)
+	b.level += math.Min(float64(own), math.Max(0, b.cap-b.occupied()))
 	b.recordOccupancy()
 	if rest := g.Tokens - own; rest > 0 {
 		b.borrowed = append(b.borrowed, loan{id: a.id, tokens: float64(rest), until: a.deadline})
@@ -253,6 +268,7 @@
 
 // removeRequest frees the capacity of one request and removes its ID.
 func (t *Table) removeRequest(a *pendingRequest) {
-	a.bucket.reserved -= float64(a.room)
+	a.bucket.reserved -= float64(a.reserved)
+	a.reserved = 0
 	delete(t.pendingRequests, a.id)
 }
--- a/proof/crash_test.go
+++ b/proof/crash_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -204,29 +203,6 @@
 	}
 }
 
-// startCutFleet starts a fleet in which each VM is a place of its own in the network.
-func startCutFleet(t testing.TB, vms int) (*callFleet, *standin.WAN) {
-	var wan *standin.WAN
-	perVM := func(file *config.File) {
-		places := map[string]string{}
-		for i := range file.VMs {
-			host, _, err := net.SplitHostPort(file.VMs[i].PeerAddress)
-			if err != nil {
-				t.Fatal(err)
-			}
-			places[host] = file.VMs[i].Name
-		}
-		wan = standin.NewWAN(places, nil)
-		t.Cleanup(wan.Close)
-	}
-	f := startEditedCallFleet(t, vms, standin.ServiceSettings{SlowTime: time.Second}, perVM, func(g *gateway.Gateway) {
-		g.Endpoint.DialFunc = func(ctx context.Context, address string) (net.Conn, error) {
-			return wan.Dialer(g.Self.Slot, nil)(ctx, address)
-		}
-	})
-	return f, wan
-}
-
 func (f *callFleet) testCut(name, kind string, cut, heal func()) {
 	f.t.Helper()
 	during, after := f.keyAt(kind, "norte-2", "during-"+name), f.keyAt(kind, "norte-2", "after-"+name)
