Do not take a request that crashes upstreams for an outage

A request that reached a third upstream before its suspect messages arrived was cleared again and again.

Change: crashed upstreams at which one request ran count once for an outage; an outage retracts, at this VM only, the suspicion of requests that ran at one lost upstream; requests of a crashed upstream run elsewhere 150 ms after the crash, when the VMs of the region know the suspects.

--- a/gateway/local.go
+++ b/gateway/local.go
@@ -82,6 +82,9 @@
 	var last Outcome
 	g.retries.RecordFirst(g.Now(), g.Self.Region)
 	for attempt := range maxUpstreamAttempts {
+		if attempt > 0 {
+			g.awaitSuspects(ctx, exclude[len(exclude)-1].Name)
+		}
 		if out, refused := g.refuseQuarantined(r); refused {
 			return out
 		}
--- a/gateway/outage.go
+++ b/gateway/outage.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"parsleyhatch/config"
@@ -9,21 +10,21 @@
 	"parsleyhatch/poison"
 )
 
-// clearIfOutage reports whether a crash is part of an outage. If it is, the requests that ran at the
-// upstreams are no longer suspects.
-func (g *Gateway) clearIfOutage(now time.Time, u *config.Upstream, running []poison.Fingerprint) bool {
+// retractIfOutage checks whether a crash is part of an outage. If it is, it retracts the crashes of the requests that the
+// outage explains, and returns the running requests that it does not explain.
+func (g *Gateway) retractIfOutage(now time.Time, u *config.Upstream, running []poison.Fingerprint) []poison.Fingerprint {
 	alreadyActive := g.outages.Active(now)
-	clearedRequests, found := g.outages.RecordCrash(now, outage.Crash{At: now, Upstream: u.Name, FailureDomain: u.FailureDomain, Running: running}, g.enginesIn)
+	notAtFault, found := g.outages.RecordCrash(now, outage.Crash{At: now, Upstream: u.Name, FailureDomain: u.FailureDomain, Running: running}, g.enginesIn)
 	if !found {
-		return false
+		return running
 	}
 	if !alreadyActive {
-		event.UpstreamOutage.Log(g.Log, "failureDomain", u.FailureDomain, "requests", len(clearedRequests))
+		event.UpstreamOutage.Log(g.Log, "failureDomain", u.FailureDomain, "requests", len(notAtFault))
 	}
-	for _, f := range clearedRequests {
-		g.clearSuspect(f)
+	for _, f := range notAtFault {
+		g.quarantine.RetractCrash(f)
 	}
-	return true
+	return slices.DeleteFunc(running, func(f poison.Fingerprint) bool { return slices.Contains(notAtFault, f) })
 }
 
 // enginesIn counts the engines of a failure domain of the own region.
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -15,6 +15,9 @@
 const (
 	// crashWindow is the time in which broken streams of one upstream count as one crash.
 	crashWindow = time.Second
+	// suspectExchangeTime is the time after a crash before the requests of the upstream run at another one. Meanwhile
+	// the VMs of the region learn which requests are suspects, so that none crashes an upstream after the other.
+	suspectExchangeTime = 150 * time.Millisecond
 	// probeTimeout bounds the check whether an upstream crashed or only one stream broke.
 	probeTimeout = 500 * time.Millisecond
 )
@@ -115,6 +118,20 @@
 	return list, true
 }
 
+// crashedAt returns the time of the last crash of an upstream, or zero.
+func (t *runningTable) crashedAt(name string) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.entry(name).crashedAt
+}
+
+// awaitSuspects waits until suspectExchangeTime has passed since the last crash of an upstream.
+func (g *Gateway) awaitSuspects(ctx context.Context, upstreamName string) {
+	if crashedAt := g.running.crashedAt(upstreamName); !crashedAt.IsZero() {
+		sleep(ctx, crashedAt.Add(suspectExchangeTime).Sub(g.Now()))
+	}
+}
+
 // handleBrokenStream handles a broken stream: if the upstream crashed, all requests that ran there
 // become suspects. The caller's own request is still counted as running.
 func (g *Gateway) handleBrokenStream(u *config.Upstream) {
@@ -126,9 +143,7 @@
 	if !first {
 		return
 	}
-	if g.clearIfOutage(now, u, running) {
-		return
-	}
+	running = g.retractIfOutage(now, u, running)
 	for _, v := range g.quarantine.RecordCrash(now, u.Name, running) {
 		if v.State == poison.Quarantined {
 			g.Audit.Add(now, audit.Entry{Kind: audit.UpstreamQuarantined, Subject: "upstream/" + u.Name, Detail: "a request crashed several upstreams"})
--- a/outage/outage_test.go
+++ b/outage/outage_test.go
@@ -1,6 +1,7 @@
 package outage
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -42,3 +43,35 @@
 		}
 	}
 }
+
+// Guards against a request that avoids quarantine because the upstreams that it crashes look like a lost failure domain.
+func TestRepeatedRequestIsNoOutage(t *testing.T) {
+	start := time.Unix(1000, 0)
+	repeated := poison.Fingerprint{99}
+	domainSize := func(string) int { return 6 }
+	var table Table
+	for i := range 6 {
+		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		crash := Crash{At: now, Upstream: string(rune('a' + i)), FailureDomain: "x", Running: []poison.Fingerprint{repeated, {byte(i)}}}
+		if _, outage := table.RecordCrash(now, crash, domainSize); outage || table.Active(now) {
+			t.Fatalf("crash %d of one request was taken for an outage", i+1)
+		}
+	}
+}
+
+// Guards against a request that is cleared by an outage although it ran at several of the lost upstreams.
+func TestOutageClearsOnlySingleCrashes(t *testing.T) {
+	now := time.Unix(1000, 0)
+	repeated := poison.Fingerprint{99}
+	running := map[string][]poison.Fingerprint{"a": {repeated, {1}}, "b": {repeated, {2}}, "c": {{3}}, "d": {{4}}}
+	var table Table
+	var cleared []poison.Fingerprint
+	found := false
+	for _, name := range []string{"a", "b", "c", "d"} {
+		crash := Crash{At: now, Upstream: name, FailureDomain: "x", Running: running[name]}
+		cleared, found = table.RecordCrash(now, crash, func(string) int { return 6 })
+	}
+	if !found || len(cleared) != 4 || slices.Contains(cleared, repeated) {
+		t.Errorf("outage %v, cleared %v, want all but %v", found, cleared, repeated)
+	}
+}
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -238,6 +238,20 @@
 	return suspected
 }
 
+// RetractCrash ends the suspicion of a request that has crashed only one upstream as far as this VM knows, since the loss
+// of the failure domain explains that crash. Unlike a completion it says nothing of earlier or later crashes, and other
+// VMs are not notified: one that knows of more crashes is right to keep them.
+func (t *Table) RetractCrash(f Fingerprint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.entries[f]
+	if !ok || e.crashes > 1 || !e.quarantinedAt.IsZero() {
+		return
+	}
+	e.suspectedAt, e.crashes = time.Time{}, 0
+	t.entries[f] = e
+}
+
 // Reserve reports whether a request may run at an upstream, and reserves the upstream for it if it is
 // a suspect. An upstream runs at most one suspect of this VM at a time, and a quarantined request
 // is never placed. After true, Release must be called. To keep two VMs from placing suspects at the
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -194,3 +194,29 @@
 		tb.RecordCrash(now, "u", []Fingerprint{testFingerprint(i)})
 	}
 }
+
+// Guards against the loss of a failure domain that makes its requests suspects, and against a retraction that hides what
+// other VMs know of a request.
+func TestRetractCrash(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table, other := New(DefaultLimits()), New(DefaultLimits())
+	once, twice := Fingerprint{1}, Fingerprint{2}
+	table.RecordCrash(now, "a", []Fingerprint{once, twice})
+	table.RecordCrash(now, "b", []Fingerprint{twice})
+	other.RecordCrash(now, "c", []Fingerprint{once})
+	for _, f := range []Fingerprint{once, twice} {
+		table.RetractCrash(f)
+	}
+	if s := table.State(now, once); s != Clean {
+		t.Errorf("request with one crash: state %d after the retraction, want clean", s)
+	}
+	if s := table.State(now, twice); s != Quarantined {
+		t.Errorf("request with two crashes: state %d after the retraction, want quarantined", s)
+	}
+	for _, m := range other.Messages(now, once) {
+		table.Merge(now, m)
+	}
+	if s := table.State(now, once); s != Suspect {
+		t.Errorf("state %d after another VM reported a crash, want suspect", s)
+	}
+}
