upstream: bound the heads of responses and the bodies that are skipped

Cause: http.ReadResponse has no limit, so that a head without end filled the memory of a VM. And the body of a response to another request was read up to a limit and the rest parsed as the next head: text in such a body passed for the answer of the caller's request.

Change: a limiter below the reader of a connection fails after 64 KiB of heads for one request, interim responses included; a skipped body above 32 KiB closes the connection.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -11,6 +12,8 @@
 )
 
 const (
+	// maxHeadBytes bounds the heads of all responses that are read for one request, in bytes.
+	maxHeadBytes = 64 << 10
 	// idleTimeoutMargin is subtracted from the idle timeout that an upstream announces, so that no request
 	// is sent while the upstream closes the connection.
 	idleTimeoutMargin = time.Second
@@ -18,10 +21,35 @@
 	defaultIdleTimeout = 4 * time.Second
 )
 
+// errHeadTooLong means that the heads of the responses to a request exceed maxHeadBytes.
+var errHeadTooLong = errors.New("head of the answer is too long")
+
+// headLimiter bounds the bytes that are read from a connection while response heads are parsed. The parser itself has no
+// limit, so that a head without end would fill the memory.
+type headLimiter struct {
+	net.Conn
+	limited   bool
+	remaining int
+}
+
+// Read reads from the connection, or fails with errHeadTooLong once the limit is reached.
+func (l *headLimiter) Read(b []byte) (int, error) {
+	if !l.limited {
+		return l.Conn.Read(b)
+	}
+	if l.remaining <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.Conn.Read(b[:min(len(b), l.remaining)])
+	l.remaining -= n
+	return n, err
+}
+
 // conn is a connection to an upstream that carries one request at a time.
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
+	limiter *headLimiter
+	reader  *bufio.Reader
 	// reused means that the connection has carried an earlier request.
 	reused bool
 	// idleUntil is the end of the idle timeout, after which the connection must not be reused.
@@ -29,9 +57,15 @@
 }
 
 func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes)}
+	limiter := &headLimiter{Conn: c}
+	return &conn{Conn: c, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
 }
 
+// limitHead bounds the bytes that are read until unlimitHead.
+func (c *conn) limitHead() { c.limiter.limited, c.limiter.remaining = true, maxHeadBytes }
+
+func (c *conn) unlimitHead() { c.limiter.limited = false }
+
 // isIdle reports whether the upstream has neither sent data nor closed the connection since the last response.
 // It peeks at the socket without consuming data or blocking.
 func (c *conn) isIdle() bool {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -19,7 +19,7 @@
 	// other requests are skipped.
 	maxReadResponses = 3
 	// maxSkippedBodyBytes bounds the body of a skipped response, in bytes.
-	maxSkippedBodyBytes = 256 << 10
+	maxSkippedBodyBytes = 32 << 10
 )
 
 // errResponseMismatch means that the responses on a connection belong to other requests.
@@ -94,6 +94,7 @@
 
 func (a *Response) exchange(o *Request) error {
 	a.writeResult = a.writeRequest(o.encode())
+	a.conn.limitHead()
 	for range maxReadResponses {
 		resp, err := http.ReadResponse(a.conn.reader, &http.Request{Method: o.Method})
 		if err != nil {
@@ -103,16 +104,30 @@
 			continue
 		}
 		if resp.Header.Get(HeaderRequestID) == o.ID {
+			a.conn.unlimitHead()
 			a.setResponse(resp)
 			return nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBodyBytes)); err != nil {
+		if err := skipBody(resp.Body); err != nil {
 			return fmt.Errorf("skip answer to another request: %w", err)
 		}
 	}
 	return errResponseMismatch
 }
 
+// skipBody reads the body of a response to another request. A longer body than maxSkippedBodyBytes ends the connection:
+// what follows would be parsed as the head of a response although it is the rest of the body.
+func skipBody(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBodyBytes+1))
+	if err != nil {
+		return err
+	}
+	if n > maxSkippedBodyBytes {
+		return errResponseMismatch
+	}
+	return nil
+}
+
 func (a *Response) setResponse(resp *http.Response) {
 	a.Status = resp.StatusCode
 	a.Header = resp.Header
