edge: end stalled streams that trickle, and bound answers without end

Cause: the deadline for the next event was set again before each read, so that a comment or a single byte extended it; an event and a body without a length could take 1 MiB for each request before a limit, and an unbuffered body had none.

Change: the wait counts from the last complete event, and comments are no events. An event and a body without a length are limited to 256 KiB of buffer, a relayed body without a length to 64 MiB, a refusal that is read for its connection to 16 KiB. Only the new bytes are searched for the end of an event.

--- a/edge/events.go
+++ b/edge/events.go
@@ -15,8 +15,8 @@
 const (
 	// streamReadBytes is the buffer size for reads of a stream, in bytes.
 	streamReadBytes = 2 << 10
-	// maxEventBytes is the maximum size of one event, in bytes.
-	maxEventBytes = 1 << 20
+	// maxEventBytes is the maximum size of one event, in bytes. Streams without events must not fill the memory.
+	maxEventBytes = 256 << 10
 	// minStallTimeout is the minimum time without an event after which the upstream of a resumable stream is
 	// considered stalled. It is below two seconds because callers wait at least that long.
 	minStallTimeout = 1500 * time.Millisecond
@@ -59,6 +59,8 @@
 	// pending holds the bytes of an incomplete event.
 	pending []byte
 	started bool
+	// lastEventAt is the time of the latest complete event.
+	lastEventAt time.Time
 	// resumedAfter is the number of the last event that the caller received from an earlier upstream. It is
 	// negative if there is none or its id is not a number.
 	resumedAfter int64
@@ -91,30 +93,34 @@
 	}
 }
 
-// setReadDeadline limits the wait for the next event if the stream can resume at another upstream.
+// setReadDeadline limits the wait for the next event if the stream can resume at another upstream. Bytes that complete no
+// event do not extend the wait.
 func (s *eventRelay) setReadDeadline() {
 	r := s.request
 	if !s.started || !r.route.Resumable || r.runs >= r.route.MaxAttempts {
 		s.answer.SetReadDeadline(time.Time{})
 		return
 	}
-	s.answer.SetReadDeadline(time.Now().Add(max(minStallTimeout, 4*r.route.TargetGap)))
+	s.answer.SetReadDeadline(s.lastEventAt.Add(max(minStallTimeout, 4*r.route.TargetGap)))
 }
 
 // sendCompleteEvents appends data to the pending bytes and sends all events that are complete.
 func (s *eventRelay) sendCompleteEvents(data []byte) error {
+	// The separator may have begun in the bytes before data.
+	searched := max(0, len(s.pending)-1)
 	s.pending = append(s.pending, data...)
-	end := bytes.LastIndex(s.pending, []byte("\n\n"))
+	end := bytes.LastIndex(s.pending[searched:], []byte("\n\n"))
 	if end < 0 {
 		if len(s.pending) > maxEventBytes {
 			return errEventTooLong
 		}
 		return nil
 	}
+	end += searched
 	complete := s.pending[:end+2]
-	if !s.started {
-		s.started = true
-		s.edge.recordFirstToken(s.request, s.pick)
+	if hasEvent(complete) {
+		s.lastEventAt = time.Now()
+		s.recordStart()
 	}
 	if id, ok := lastEventID(complete); ok && (s.resumedAfter < 0 || eventNumber([]byte(id)) > s.resumedAfter) {
 		s.request.lastEvent = id
@@ -129,6 +135,24 @@
 	return nil
 }
 
+// recordStart records the time to the first event, once.
+func (s *eventRelay) recordStart() {
+	if !s.started {
+		s.started = true
+		s.edge.recordFirstToken(s.request, s.pick)
+	}
+}
+
+// hasEvent reports whether complete blocks of a stream hold an event and not only comments.
+func hasEvent(blocks []byte) bool {
+	for line := range bytes.SplitSeq(blocks, []byte("\n")) {
+		if len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 func (e *Edge) recordFirstToken(r *request, pick *replica.Pick) {
 	e.Replicas.FirstToken(e.Now(), pick)
 	e.Metrics.ObserveFirstTokenError(r.service.Name, pick.FirstToken, pick.Elapsed(e.Now()))
--- a/edge/send.go
+++ b/edge/send.go
@@ -21,6 +21,12 @@
 	// maxBufferedAnswer is the maximum size of an answer that is buffered completely before it is sent to the
 	// caller, in bytes. A caller never receives a part of a buffered answer.
 	maxBufferedAnswer = 1 << 20
+	// maxUnsizedAnswer is the same for an answer without a length, which may have no end.
+	maxUnsizedAnswer = 256 << 10
+	// maxRelayedAnswer is the maximum size of an answer without a length that is relayed unbuffered, in bytes.
+	maxRelayedAnswer = 64 << 20
+	// maxDrainedRefusal is the maximum size of a refusal that is read so that its connection can be reused, in bytes.
+	maxDrainedRefusal = 16 << 10
 	// reservedVMs is the number of VMs, in addition to the known ones, for which connections to an upstream
 	// are reserved.
 	reservedVMs = 1
@@ -106,7 +112,7 @@
 }
 
 func (e *Edge) handleRefusal(pick *replica.Pick, a *upstream.Response) Outcome {
-	_, _ = io.Copy(io.Discard, io.LimitReader(a, maxBufferedAnswer)) // Drains the body so that the connection can be reused.
+	_, _ = io.Copy(io.Discard, io.LimitReader(a, maxDrainedRefusal)) // Drains the body so that the connection can be reused.
 	result := replica.Shed
 	if a.Status == http.StatusMisdirectedRequest {
 		result = replica.Misdirected
@@ -122,7 +128,11 @@
 // relayBuffered reads an answer completely before it is sent to the caller. Answers that exceed the buffer are
 // relayed unbuffered.
 func (e *Edge) relayBuffered(ctx context.Context, r *request, pick *replica.Pick, a *upstream.Response, sink *Sink) Outcome {
-	body, err := io.ReadAll(io.LimitReader(a, maxBufferedAnswer+1))
+	limit := maxBufferedAnswer
+	if a.Length < 0 {
+		limit = maxUnsizedAnswer
+	}
+	body, err := io.ReadAll(io.LimitReader(a, int64(limit)+1))
 	now := e.Now()
 	if err != nil {
 		e.Replicas.Done(now, pick, replica.Failed)
@@ -132,7 +142,7 @@
 		e.reportCrash(r, pick)
 		return fail(UpstreamFailed, "read answer: "+err.Error())
 	}
-	if len(body) > maxBufferedAnswer {
+	if len(body) > limit {
 		return e.relayUnbuffered(r, pick, a, body, sink)
 	}
 	failed := a.Status >= http.StatusInternalServerError
@@ -190,8 +200,12 @@
 		return fail(CallerDisconnected, err.Error())
 	}
 	buf := make([]byte, 32<<10)
+	relayed := len(prefix)
 	for {
 		n, err := a.Read(buf)
+		if relayed += n; relayed > maxRelayedAnswer && a.Length < 0 {
+			return fail(UpstreamFailed, "the answer has no end")
+		}
 		if n > 0 {
 			if sinkErr := sink.Data(buf[:n], false); sinkErr != nil {
 				return fail(CallerDisconnected, sinkErr.Error())
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -46,6 +46,8 @@
 type Response struct {
 	Status int
 	Header http.Header
+	// Length is the length of the body in bytes, negative if it is not known.
+	Length int64
 	// Framed means that the response is delimited by Content-Length or chunked encoding. Otherwise it ends
 	// when the connection is closed.
 	Framed bool
@@ -131,6 +133,7 @@
 func (a *Response) setResponse(resp *http.Response) {
 	a.Status = resp.StatusCode
 	a.Header = resp.Header
+	a.Length = resp.ContentLength
 	a.Framed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	a.body = resp.Body
 }
