--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -223,7 +223,7 @@
 // extraHeaders are headers that are added to the default headers of a request.
 type extraHeaders map[string]string
 
-var nextID int
+var nextID atomic.Int64
 
 // request returns a request of a caller with the default headers.
 func (v *testVM) request(t *testing.T, path, body string, extra extraHeaders) *http.Request {
@@ -232,9 +232,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	nextID++
+	id := nextID.Add(1)
 	r.Host = "h"
-	r.Header.Set(platform.HeaderRequestID, "id-"+strconv.Itoa(nextID))
+	r.Header.Set(platform.HeaderRequestID, "id-"+strconv.FormatInt(id, 10))
 	r.Header.Set(platform.HeaderAPIKey, "secret")
 	r.Header.Set(platform.HeaderDeadline, "3000")
 	for name, value := range extra {
