fleet: report load to collectors in a large region

Cause: each VM sent its load ten times a second to each other VM of its region, so that messages grew with the square of the VMs (about 1,000 a VM and second at 99 in a region, computed).

Change: in a region of more than 13 VMs the load goes to two collectors, the ready VMs with the largest weight in two failure domains. The first one sends each VM the sum of the others' load, rounded to units of 64 tokens, every 4 ms for each VM of the region; the second one steps in when the sums stop. Smaller regions report directly as before. Presences are only made when they are due.

Ruled out for now: one sum for all VMs, from which each takes its own last report (the two would differ by what is on its way); sums from both collectors at a time (twice the bytes).

--- a/edge/new.go
+++ b/edge/new.go
@@ -73,6 +73,9 @@
 	e.pausedRecently = e.Fleet.PausedRecently
 	e.Fleet.FillPresence = e.FillPresence
 	e.Fleet.LoadReport = e.LoadReport
+	e.Fleet.LoadSums = e.LoadSums
+	e.Fleet.OnSums = e.receiveSums
+	e.Fleet.OnCollecting = e.setCollecting
 	e.Fleet.OnPresence = func(now time.Time, m fleet.Member, p *vmwire.Presence) { e.ApplyPresence(now, m.Identity, p) }
 	e.Fleet.OnControl = e.HandleControl
 	return e, nil
--- a/edge/uses.go
+++ b/edge/uses.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"hash/fnv"
 	"time"
 
 	"parsleyhatch/replica"
@@ -39,3 +40,65 @@
 	}
 	e.Replicas.UpdatePeerUse(now, from.Slot, uses)
 }
+
+// LoadSums collects the load on the upstreams of the region, and returns a function that returns it without the part of
+// one VM.
+func (e *Edge) LoadSums(now time.Time) func(slot string) *vmwire.UpstreamSums {
+	collected := e.Replicas.CollectUses(now)
+	keys := make([]uint32, len(collected.IDs))
+	for i, id := range collected.IDs {
+		keys[i] = upstreamKey(id)
+	}
+	return func(slot string) *vmwire.UpstreamSums {
+		m := &vmwire.UpstreamSums{Sums: make([]vmwire.UpstreamSum, 0, len(keys))}
+		for i, use := range collected.Except(slot) {
+			if sum := sumOf(keys[i], use); sum != (vmwire.UpstreamSum{Key: keys[i]}) {
+				m.Sums = append(m.Sums, sum)
+			}
+		}
+		return m
+	}
+}
+
+// upstreamKey returns the key of an upstream in sums.
+func upstreamKey(id string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	return h.Sum32()
+}
+
+func sumOf(key uint32, use replica.Use) vmwire.UpstreamSum {
+	return vmwire.UpstreamSum{
+		Key: key, Running: uint32(max(use.Running, 0)),
+		Prefill0: sumUnits(use.Prefill[0]), Prefill1: sumUnits(use.Prefill[1]), Prefill2: sumUnits(use.Prefill[2]),
+		Held: sumUnits(use.Held),
+	}
+}
+
+// sumUnits rounds a number of tokens to units of SumTokens. It is negative if a VM has reported more than it uses.
+func sumUnits(tokens int64) uint32 {
+	return uint32((max(tokens, 0) + vmwire.SumTokens/2) / vmwire.SumTokens)
+}
+
+func sumUse(s vmwire.UpstreamSum) replica.Use {
+	return replica.Use{
+		Running: int(s.Running), Held: int64(s.Held) * vmwire.SumTokens,
+		Prefill: [replica.RankCount]int64{int64(s.Prefill0) * vmwire.SumTokens, int64(s.Prefill1) * vmwire.SumTokens, int64(s.Prefill2) * vmwire.SumTokens},
+	}
+}
+
+// receiveSums applies the load that the other VMs put on the upstreams.
+func (e *Edge) receiveSums(now time.Time, m *vmwire.UpstreamSums) {
+	byKey := make(map[uint32]vmwire.UpstreamSum, len(m.Sums))
+	for _, s := range m.Sums {
+		byKey[s.Key] = s
+	}
+	e.Replicas.ApplySums(now, func(id string) replica.Use { return sumUse(byKey[upstreamKey(id)]) })
+}
+
+// setCollecting drops the sums of other collectors once this VM collects itself.
+func (e *Edge) setCollecting(collecting bool) {
+	if collecting {
+		e.Replicas.DropSums()
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"parsleyhatch/event"
@@ -47,6 +48,12 @@
 	// LoadReport returns the load that this VM puts on the upstreams of its region: on all of them if full
 	// is set, otherwise on those where it changed since the last call. It returns nil if there is none to report.
 	LoadReport func(full bool) *vmwire.UpstreamLoads
+	// LoadSums returns a function that returns the load that all VMs of the region except one put on its upstreams.
+	LoadSums func(now time.Time) func(slot string) *vmwire.UpstreamSums
+	// OnSums handles the load of the other VMs of the region as a collector reported it.
+	OnSums func(now time.Time, sums *vmwire.UpstreamSums)
+	// OnCollecting is called when this VM starts or stops to collect the load reports of its region.
+	OnCollecting func(collecting bool)
 	// OnPresence handles the presence of another VM. It must not block.
 	OnPresence func(now time.Time, m Member, p *vmwire.Presence)
 	// OnControl handles the other control messages. It must not block.
@@ -56,6 +63,12 @@
 	members    map[string]*Member
 	sessions   map[string][]*vm.Session
 	candidates map[string]*candidate
+	// ownPresence is the latest presence of this VM.
+	ownPresence *vmwire.Presence
+	// lastSumsAt is the time of the latest sums of another collector.
+	lastSumsAt time.Time
+	// collecting is set while this VM collects load reports.
+	collecting atomic.Bool
 	// ticks counts the calls of maintain. It is accessed only by the goroutine of Run.
 	ticks         int
 	pauseDetector pauseDetector
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -17,9 +17,10 @@
 // testFleet is the fleet of a VM that listens on loopback.
 type testFleet struct {
 	*Fleet
-	address string
-	cancel  context.CancelFunc
-	ready   atomic.Bool
+	listener net.Listener
+	address  string
+	cancel   context.CancelFunc
+	ready    atomic.Bool
 	// muted drops everything that the VM writes on sessions it dialed.
 	muted atomic.Bool
 }
@@ -43,12 +44,20 @@
 }
 
 func startFleetAt(t *testing.T, address, name, region string, seeds ...string) *testFleet {
+	t.Helper()
+	tf := newFleet(t, address, name, region, seeds...)
+	tf.start(t)
+	return tf
+}
+
+// newFleet returns a fleet whose function fields can still be changed.
+func newFleet(t *testing.T, address, name, region string, seeds ...string) *testFleet {
 	t.Helper()
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
-	tf := &testFleet{address: l.Addr().String()}
+	tf := &testFleet{listener: l, address: l.Addr().String()}
 	tf.ready.Store(true)
 	identity := vm.Identity{Slot: name, Incarnation: vm.NewIncarnation(), Region: region, StartedAt: time.Now()}
 	e := vm.NewInsecureEndpoint(identity, slog.New(slog.NewTextHandler(io.Discard, nil)))
@@ -69,12 +78,20 @@
 		p.Waits = []vmwire.ServiceWait{{Service: "s", Millis: []int32{40, 90}}}
 	}
 	tf.LoadReport = func(bool) *vmwire.UpstreamLoads { return nil }
+	tf.LoadSums = func(time.Time) func(string) *vmwire.UpstreamSums {
+		return func(string) *vmwire.UpstreamSums { return &vmwire.UpstreamSums{} }
+	}
+	tf.OnSums = func(time.Time, *vmwire.UpstreamSums) {}
+	tf.OnCollecting = func(bool) {}
 	tf.OnPresence = func(time.Time, Member, *vmwire.Presence) {}
+	return tf
+}
+
+func (tf *testFleet) start(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	tf.cancel = cancel
 	t.Cleanup(cancel)
-	go tf.Run(ctx, l)
-	return tf
+	go tf.Run(ctx, tf.listener)
 }
 
 func waitUntil(t *testing.T, limit time.Duration, what string, ok func() bool) {
--- a/fleet/loadreport.go
+++ b/fleet/loadreport.go
@@ -1,42 +1,183 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"parsleyhatch/vmwire"
 )
 
 const (
-	// usesInterval is the interval at which VMs of a region report changes of the load that they put on upstreams.
-	// VMs that act on the same outdated load all choose the same upstream.
+	// usesInterval is the interval at which VMs of a small region report changes of the load that they put on
+	// upstreams. VMs that act on the same outdated load all choose the same upstream.
 	usesInterval = 100 * time.Millisecond
-	// fullUsesTicks is the number of intervals between two full reports.
-	fullUsesTicks = 10
+	// fullUsesInterval is the interval between two full reports.
+	fullUsesInterval = time.Second
+	// maxDirectReceivers is the number of other VMs of a region up to which each VM reports its load to all of them.
+	// In a larger region the VMs report to collectors, which send sums, so that the messages of a VM do not grow with
+	// the number of VMs.
+	maxDirectReceivers = 12
+	// collectorCount is the number of VMs of a region that collect load reports. The first one sends the sums, and
+	// the second one replaces it if it is lost.
+	collectorCount = 2
+	// sumIntervalPerVM is the interval between two sums per VM of the region. It bounds what a collector sends.
+	sumIntervalPerVM = 4 * time.Millisecond
+	// missedSums is the number of sums of the first collector that may be missing before the second one sends.
+	missedSums = 3
 )
 
-// runUses reports the load that this VM puts on upstreams to the VMs of the region, until ctx ends.
+// loadReporter schedules the reports of upstream load. It is used only by the goroutine of runUses.
+type loadReporter struct {
+	reportedAt, fullReportAt, sentSumsAt time.Time
+	receivers                            []string
+	collecting                           bool
+}
+
+// runUses reports the load that this VM puts on upstreams, or the sums of all VMs, until ctx ends.
 func (f *Fleet) runUses(ctx context.Context) {
 	ticker := time.NewTicker(usesInterval)
 	defer ticker.Stop()
-	for n := 0; ; n++ {
+	var r loadReporter
+	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			f.sendUses(n%fullUsesTicks == 0)
+			f.reportLoad(f.Now(), &r)
+		}
+	}
+}
+
+// reportLoad sends what is due: the own load to its receivers, and as a collector the sums to all VMs of the region.
+func (f *Fleet) reportLoad(now time.Time, r *loadReporter) {
+	collectors := f.collectors(now)
+	r.setCollecting(f, slices.Contains(collectors, f.Endpoint.Self.Slot))
+	local := f.localSlots()
+	receivers, interval := local, usesInterval
+	if len(local) > maxDirectReceivers {
+		receivers, interval = collectors, sumInterval(len(local))
+	}
+	full := now.Sub(r.fullReportAt) >= fullUsesInterval || !slices.Equal(receivers, r.receivers)
+	if full || now.Sub(r.reportedAt) >= interval {
+		r.reportedAt, r.receivers = now, receivers
+		if full {
+			r.fullReportAt = now
 		}
+		f.sendUses(full, receivers)
+	}
+	if r.collecting && len(local) > maxDirectReceivers && now.Sub(r.sentSumsAt) >= interval && f.mustSendSums(now, collectors, interval) {
+		r.sentSumsAt = now
+		f.sendSums(now, local)
 	}
 }
 
-func (f *Fleet) sendUses(full bool) {
+// setCollecting tells the owner of the fleet when this VM starts or stops to collect load reports.
+func (r *loadReporter) setCollecting(f *Fleet, collecting bool) {
+	if r.collecting == collecting {
+		return
+	}
+	r.collecting = collecting
+	f.collecting.Store(collecting)
+	f.OnCollecting(collecting)
+}
+
+// sumInterval returns the interval of reports to a collector and of its sums, in whole ticks.
+func sumInterval(vms int) time.Duration {
+	return max(usesInterval, (time.Duration(vms)*sumIntervalPerVM).Round(usesInterval)) - usesInterval/2
+}
+
+// mustSendSums reports whether this VM is the collector that sends sums: the first one, or the next one if the sums of the
+// first have stopped.
+func (f *Fleet) mustSendSums(now time.Time, collectors []string, interval time.Duration) bool {
+	if collectors[0] == f.Endpoint.Self.Slot {
+		return true
+	}
+	return now.Sub(f.sumsReceivedAt()) > missedSums*interval
+}
+
+// sumsReceivedAt returns the time of the latest sums of another VM.
+func (f *Fleet) sumsReceivedAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lastSumsAt
+}
+
+// sendUses sends this VM's load to the receivers.
+func (f *Fleet) sendUses(full bool, receivers []string) {
 	uses := f.LoadReport(full)
 	if uses == nil {
 		return
 	}
-	for _, slot := range f.connectedSlots() {
-		if s := f.session(slot); s != nil && !f.remote(s) {
+	for _, slot := range receivers {
+		if s := f.session(slot); s != nil {
 			s.SendControl(vmwire.KindUpstreamLoads, uses)
 		}
 	}
 }
+
+// sendSums sends each VM the load of all others.
+func (f *Fleet) sendSums(now time.Time, receivers []string) {
+	sumsFor := f.LoadSums(now)
+	for _, slot := range receivers {
+		if s := f.session(slot); s != nil {
+			s.SendControl(vmwire.KindUpstreamSums, sumsFor(slot))
+		}
+	}
+}
+
+// localSlots returns the names of the VMs of this region with a session, sorted.
+func (f *Fleet) localSlots() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var slots []string
+	for slot, sessions := range f.sessions {
+		if !f.remote(sessions[0]) {
+			slots = append(slots, slot)
+		}
+	}
+	slices.Sort(slots)
+	return slots
+}
+
+// collectors returns the VMs of this region that collect load reports, the one that sends the sums first. They are the
+// ready VMs with the largest weight, in different failure domains if there are several. All VMs compute the same list from
+// the presences that they have received.
+func (f *Fleet) collectors(now time.Time) []string {
+	candidates := f.ReadyMembers(now, f.Endpoint.Self.Region)
+	if own, ready := f.ownMember(); ready {
+		candidates = append(candidates, own)
+	}
+	slices.SortFunc(candidates, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(a.Slot, b.Slot))
+	})
+	var chosen []Member
+	for len(chosen) < collectorCount && len(chosen) < len(candidates) {
+		chosen = append(chosen, nextCollector(candidates, chosen))
+	}
+	names := make([]string, len(chosen))
+	for i, m := range chosen {
+		names[i] = m.Slot
+	}
+	return names
+}
+
+// nextCollector returns the first candidate that is not chosen yet, in a failure domain without a chosen one if possible.
+func nextCollector(candidates, chosen []Member) Member {
+	var next *Member
+	for i := range candidates {
+		c := &candidates[i]
+		if slices.ContainsFunc(chosen, func(m Member) bool { return m.Slot == c.Slot }) {
+			continue
+		}
+		sameDomain := slices.ContainsFunc(chosen, func(m Member) bool { return m.FailureDomain == c.FailureDomain })
+		if !sameDomain {
+			return *c
+		}
+		if next == nil {
+			next = c
+		}
+	}
+	return *next
+}
--- a/fleet/presence.go
+++ b/fleet/presence.go
@@ -31,16 +31,11 @@
 // presence to a few random VMs.
 func (f *Fleet) sendPresences(local, remote, withVMList bool) {
 	slots := f.connectedSlots()
-	localPresence, remotePresence := f.newPresence(true, false), f.newPresence(false, false)
-	for _, slot := range slots {
-		s := f.session(slot)
-		switch {
-		case s == nil:
-		case f.remote(s) && remote:
-			s.SendControl(vmwire.KindPresence, remotePresence)
-		case !f.remote(s) && local:
-			s.SendControl(vmwire.KindPresence, localPresence)
-		}
+	if local {
+		f.sendPresence(slots, true)
+	}
+	if remote {
+		f.sendPresence(slots, false)
 	}
 	if !withVMList {
 		return
@@ -53,6 +48,16 @@
 	}
 }
 
+// sendPresence sends a presence to the connected VMs of this region or to those of other regions.
+func (f *Fleet) sendPresence(slots []string, sameRegion bool) {
+	p := f.newPresence(sameRegion, false)
+	for _, slot := range slots {
+		if s := f.session(slot); s != nil && f.remote(s) != sameRegion {
+			s.SendControl(vmwire.KindPresence, p)
+		}
+	}
+}
+
 // connectedSlots returns the slots of the VMs with a session.
 func (f *Fleet) connectedSlots() []string {
 	f.mu.Lock()
@@ -75,9 +80,23 @@
 	now := f.Now()
 	p := &vmwire.Presence{Address: f.Address, CallerAddress: f.CallerAddress}
 	f.FillPresence(now, p, sameRegion, full)
+	f.mu.Lock()
+	f.ownPresence = p
+	f.mu.Unlock()
 	return p
 }
 
+// ownMember returns this VM as its latest presence describes it, and whether it is ready and not leaving.
+func (f *Fleet) ownMember() (Member, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := Member{Identity: f.Endpoint.Self}
+	if f.ownPresence != nil {
+		m.apply(f.Now(), f.ownPresence)
+	}
+	return m, m.Ready && !m.Leaving
+}
+
 func (f *Fleet) knownVMs(now time.Time) []vmwire.KnownVM {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -92,16 +111,47 @@
 
 // handleControl handles the control messages of all sessions.
 func (f *Fleet) handleControl(s *vm.Session, frame vmwire.Frame) {
-	if frame.Kind != vmwire.KindPresence {
+	switch frame.Kind {
+	case vmwire.KindPresence:
+		f.handlePresence(s, frame)
+	case vmwire.KindUpstreamSums:
+		f.handleSums(s, frame)
+	default:
 		if f.OnControl != nil {
 			f.OnControl(s, frame)
 		}
+	}
+}
+
+// handleSums applies the sums of a collector. A VM that collects itself knows the load of each VM.
+func (f *Fleet) handleSums(s *vm.Session, frame vmwire.Frame) {
+	var sums vmwire.UpstreamSums
+	if err := vm.Decode(frame, &sums); err != nil {
+		f.closeInvalid(s, err)
 		return
 	}
+	if f.remote(s) {
+		return
+	}
+	now := f.Now()
+	f.mu.Lock()
+	f.lastSumsAt = now
+	f.mu.Unlock()
+	if !f.collecting.Load() {
+		f.OnSums(now, &sums)
+	}
+}
+
+// closeInvalid closes a session over which an invalid message came.
+func (f *Fleet) closeInvalid(s *vm.Session, err error) {
+	event.FrameInvalid.Log(f.Log, "vm", s.Peer.Slot, "error", err.Error())
+	s.Close(err)
+}
+
+func (f *Fleet) handlePresence(s *vm.Session, frame vmwire.Frame) {
 	var p vmwire.Presence
 	if err := vm.Decode(frame, &p); err != nil {
-		event.FrameInvalid.Log(f.Log, "vm", s.Peer.Slot, "error", err.Error())
-		s.Close(err)
+		f.closeInvalid(s, err)
 		return
 	}
 	now := f.Now()
--- a/replica/choose.go
+++ b/replica/choose.go
@@ -99,13 +99,14 @@
 	t.rebuildIndex()
 	candidates := t.byService[q.Service.Name]
 	affinityUpstream := t.affinityUpstream(now, candidates, q)
+	collected := t.collected(now)
 	var best *upstreamState
 	var found estimate
 	for _, r := range candidates {
 		if !t.eligible(now, r, q) {
 			continue
 		}
-		if x := r.estimate(now, q, r == affinityUpstream); best == nil || x.cost < found.cost {
+		if x := r.estimate(now, q, r == affinityUpstream, collected); best == nil || x.cost < found.cost {
 			best, found = r, x
 		}
 	}
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -314,3 +314,36 @@
 		t.Errorf("urgent prompts add %v for a less urgent request, want more than the %v that they take", got, want)
 	}
 }
+
+// Guards against VMs of a large region that count their own load twice, or not that of others, and against old sums that
+// still count after their time.
+func TestUseSums(t *testing.T) {
+	now := time.Unix(1000, 0)
+	collector, other := New(), New()
+	for _, table := range []*Table{collector, other} {
+		table.Put(now, Registration{ID: "u", Service: "s", Slots: 8}, 0)
+	}
+	collector.SetPeerUse(now, "other", map[string]Use{"u": {Running: 2, Prefill: [RankCount]int64{100}, Held: 500}})
+	collector.SetPeerUse(now, "third", map[string]Use{"u": {Running: 5, Held: 700}})
+	service := &route.Service{Name: "s"}
+	if _, ok := collector.Pick(now, Request{Service: service}); !ok {
+		t.Fatal("no upstream")
+	}
+	sums := collector.CollectUses(now)
+	rest := sums.Except("other")[0]
+	if want := (Use{Running: 6, Held: 700}); rest != want {
+		t.Errorf("use without the other VM: %+v, want %+v", rest, want)
+	}
+	other.ApplySums(now, func(string) Use { return rest })
+	other.UpdatePeerUse(now, "third", map[string]Use{"u": {Running: 5}})
+	if _, ok := other.Pick(now, Request{Service: service}); !ok {
+		t.Fatal("no upstream")
+	}
+	if pick, _ := other.Estimate(now, Request{Service: service}); pick.LoadInputs.Running != 7 {
+		t.Errorf("%d running with the sums, want 7", pick.LoadInputs.Running)
+	}
+	late := now.Add(peerUseTTL + time.Millisecond)
+	if pick, _ := other.Estimate(late, Request{Service: service}); pick.LoadInputs.Running != 1 {
+		t.Errorf("%d running after the sums expired, want 1", pick.LoadInputs.Running)
+	}
+}
--- a/replica/table.go
+++ b/replica/table.go
@@ -25,6 +25,8 @@
 	// changedUses holds the ids of upstreams at which this VM's use has changed since it was last reported to
 	// other VMs.
 	changedUses map[string]bool
+	// sumsAt is the time of the latest sums of a collector, zero if this VM has none or collects itself.
+	sumsAt time.Time
 	// vmCount is the number of VMs that share the bound of a cold upstream, localVM the name of this one, and
 	// vmNames the names of those that are known.
 	vmCount int
@@ -134,60 +136,6 @@
 	t.localVM, t.vmNames, t.vmCount = localVM, vmNames, max(1, n, len(vmNames))
 }
 
-// SetPeerUse replaces the use of another VM, by upstream id.
-func (t *Table) SetPeerUse(now time.Time, vm string, uses map[string]Use) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for id, r := range t.upstreams {
-		use, ok := uses[id]
-		if !ok {
-			delete(r.peerUses, vm)
-			continue
-		}
-		r.peerUses[vm] = peerUse{Use: use, reportedAt: now}
-	}
-}
-
-// UpdatePeerUse updates the use of another VM at the given upstreams only.
-func (t *Table) UpdatePeerUse(now time.Time, vm string, uses map[string]Use) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for id, use := range uses {
-		if r := t.upstreams[id]; r != nil {
-			r.peerUses[vm] = peerUse{Use: use, reportedAt: now}
-		}
-	}
-}
-
-// Uses returns the use of this VM at all upstreams, by upstream id.
-func (t *Table) Uses() map[string]Use {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	uses := map[string]Use{}
-	for id, r := range t.upstreams {
-		if r.localUse != (Use{}) {
-			uses[id] = r.localUse
-		}
-	}
-	clear(t.changedUses)
-	return uses
-}
-
-// ChangedUses returns the use of this VM at the upstreams where it has changed since the last call of
-// ChangedUses or Uses.
-func (t *Table) ChangedUses() map[string]Use {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	uses := make(map[string]Use, len(t.changedUses))
-	for id := range t.changedUses {
-		if r := t.upstreams[id]; r != nil {
-			uses[id] = r.localUse
-		}
-	}
-	clear(t.changedUses)
-	return uses
-}
-
 // rebuildIndex rebuilds the upstream list of each service after a change. The order differs between VMs, so
 // that VMs with the same load figures do not all choose the same upstream.
 func (t *Table) rebuildIndex() {
--- a/replica/upstream.go
+++ b/replica/upstream.go
@@ -45,6 +45,14 @@
 	}
 }
 
+func (u *Use) subtract(other Use) {
+	u.Running -= other.Running
+	u.Held -= other.Held
+	for i := range u.Prefill {
+		u.Prefill[i] -= other.Prefill[i]
+	}
+}
+
 // ahead returns the number of prompt tokens that are processed before those of a request of the rank.
 func (u *Use) ahead(rank int) int64 {
 	var tokens int64
@@ -80,7 +88,9 @@
 type upstreamState struct {
 	Registration
 	localUse Use
-	peerUses map[string]peerUse
+	// peerUses holds the use that other VMs reported, and othersUse the sum of it that a collector reported.
+	peerUses  map[string]peerUse
+	othersUse Use
 	// coldUntil is the end of the warm-up. coldRequests are the times of recent requests during it.
 	coldUntil    time.Time
 	coldRequests []time.Time
@@ -106,9 +116,13 @@
 	return &upstreamState{Registration: e, peerUses: map[string]peerUse{}, parts: map[uint64]time.Time{}, slowness: 1}
 }
 
-// totalUse returns the sum of the use of all VMs.
-func (r *upstreamState) totalUse(now time.Time) Use {
+// totalUse returns the sum of the use of all VMs. collected selects the sum of a collector for the other VMs.
+func (r *upstreamState) totalUse(now time.Time, collected bool) Use {
 	sum := r.localUse
+	if collected {
+		sum.add(r.othersUse)
+		return sum
+	}
 	for vm, use := range r.peerUses {
 		if now.Sub(use.reportedAt) > peerUseTTL {
 			delete(r.peerUses, vm)
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -4,7 +4,7 @@
 package vmwire
 
 // Protocol is the version of this schema. Sessions with VMs of another version are refused.
-const Protocol = 4
+const Protocol = 5
 
 // Kinds of frames.
 const (
@@ -30,6 +30,7 @@
 	KindStoreQuery
 	KindStoreReply
 	KindUpstreamLoads
+	KindUpstreamSums
 )
 
 // The limits bound what a decoder allocates for a length that a faulty peer announces. Without them, a
@@ -41,7 +42,7 @@
 
 //msgp:tuple Frame Hello Open Chunk End Window Heartbeat HeartbeatAck SlotView IngressVM ConfigRequest ConfigParts Part
 //msgp:tuple Load UpstreamLoad ModelWait Summary PoolSummary TokenRequest TokenGrant SuspectRequest Handover HandoverRequest HandoverRecord
-//msgp:tuple Presence WorkspaceUsage UpstreamLoads SenderLoad ServiceWait KnownVM StoreItem StoreQuery StoreReply
+//msgp:tuple Presence WorkspaceUsage UpstreamLoads SenderLoad UpstreamSums UpstreamSum ServiceWait KnownVM StoreItem StoreQuery StoreReply
 
 // Frame is the envelope of every message.
 type Frame struct {
@@ -390,6 +391,27 @@
 	Held    int64
 }
 
+// UpstreamSums reports to a VM the load that all other VMs of the region together put on the upstreams. Upstreams
+// without load are left out.
+type UpstreamSums struct {
+	Sums []UpstreamSum
+}
+
+// UpstreamSum is the load that the other VMs put on an upstream. Its numbers are rounded to keep the message short, since
+// each VM of a large region receives one several times a second.
+type UpstreamSum struct {
+	// Key is a hash of the upstream's id.
+	Key     uint32
+	Running uint32
+	// Prefill0 to Prefill2 are the prompt tokens of requests that have no first token yet, by priority rank, and Held
+	// is the memory that all requests occupy, all in units of SumTokens tokens.
+	Prefill0, Prefill1, Prefill2 uint32
+	Held                         uint32
+}
+
+// SumTokens is the unit of the numbers of tokens in an UpstreamSum.
+const SumTokens = 64
+
 // ServiceWait is the expected time to the first token of an empty prompt of a service in the sender's region, by
 // priority rank, in milliseconds.
 type ServiceWait struct {
--- a/vmwire/schema_gen.go
+++ b/vmwire/schema_gen.go
@@ -6052,6 +6052,287 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *UpstreamSum) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+		return
+	}
+	z.Key, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	z.Running, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Running")
+		return
+	}
+	z.Prefill0, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Prefill0")
+		return
+	}
+	z.Prefill1, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Prefill1")
+		return
+	}
+	z.Prefill2, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Prefill2")
+		return
+	}
+	z.Held, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Held")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *UpstreamSum) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 6
+	err = en.Append(0x96)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint32(z.Key)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	err = en.WriteUint32(z.Running)
+	if err != nil {
+		err = msgp.WrapError(err, "Running")
+		return
+	}
+	err = en.WriteUint32(z.Prefill0)
+	if err != nil {
+		err = msgp.WrapError(err, "Prefill0")
+		return
+	}
+	err = en.WriteUint32(z.Prefill1)
+	if err != nil {
+		err = msgp.WrapError(err, "Prefill1")
+		return
+	}
+	err = en.WriteUint32(z.Prefill2)
+	if err != nil {
+		err = msgp.WrapError(err, "Prefill2")
+		return
+	}
+	err = en.WriteUint32(z.Held)
+	if err != nil {
+		err = msgp.WrapError(err, "Held")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *UpstreamSum) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 6
+	o = append(o, 0x96)
+	o = msgp.AppendUint32(o, z.Key)
+	o = msgp.AppendUint32(o, z.Running)
+	o = msgp.AppendUint32(o, z.Prefill0)
+	o = msgp.AppendUint32(o, z.Prefill1)
+	o = msgp.AppendUint32(o, z.Prefill2)
+	o = msgp.AppendUint32(o, z.Held)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *UpstreamSum) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+		return
+	}
+	z.Key, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	z.Running, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Running")
+		return
+	}
+	z.Prefill0, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Prefill0")
+		return
+	}
+	z.Prefill1, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Prefill1")
+		return
+	}
+	z.Prefill2, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Prefill2")
+		return
+	}
+	z.Held, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Held")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *UpstreamSum) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *UpstreamSums) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Sums")
+		return
+	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Sums) >= int(zb0002) {
+		z.Sums = (z.Sums)[:zb0002]
+	} else {
+		z.Sums = make([]UpstreamSum, zb0002)
+	}
+	for za0001 := range z.Sums {
+		err = z.Sums[za0001].DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Sums", za0001)
+			return
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *UpstreamSums) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 1
+	err = en.Append(0x91)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Sums)))
+	if err != nil {
+		err = msgp.WrapError(err, "Sums")
+		return
+	}
+	for za0001 := range z.Sums {
+		err = z.Sums[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Sums", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *UpstreamSums) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Sums)))
+	for za0001 := range z.Sums {
+		o, err = z.Sums[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Sums", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *UpstreamSums) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sums")
+		return
+	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Sums) >= int(zb0002) {
+		z.Sums = (z.Sums)[:zb0002]
+	} else {
+		z.Sums = make([]UpstreamSum, zb0002)
+	}
+	for za0001 := range z.Sums {
+		bts, err = z.Sums[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Sums", za0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *UpstreamSums) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize
+	for za0001 := range z.Sums {
+		s += z.Sums[za0001].Msgsize()
+	}
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Window) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
