edge: buffer at most 128 KiB of an event or of a body without a length

TestEndlessBodies failed once under the race detector beside other work: 24 MB for 32 upstreams, bound 20 MB. While a buffer grows, the old and the new one are in memory.

--- a/edge/events.go
+++ b/edge/events.go
@@ -16,7 +16,7 @@
 	// streamReadBytes is the buffer size for reads of a stream, in bytes.
 	streamReadBytes = 2 << 10
 	// maxEventBytes is the maximum size of one event, in bytes. Streams without events must not fill the memory.
-	maxEventBytes = 256 << 10
+	maxEventBytes = 128 << 10
 	// minStallTimeout is the minimum time without an event after which the upstream of a resumable stream is
 	// considered stalled. It is below two seconds because callers wait at least that long.
 	minStallTimeout = 1500 * time.Millisecond
--- a/edge/send.go
+++ b/edge/send.go
@@ -22,7 +22,7 @@
 	// caller, in bytes. A caller never receives a part of a buffered answer.
 	maxBufferedAnswer = 1 << 20
 	// maxUnsizedAnswer is the same for an answer without a length, which may have no end.
-	maxUnsizedAnswer = 256 << 10
+	maxUnsizedAnswer = 128 << 10
 	// maxRelayedAnswer is the maximum size of an answer without a length that is relayed unbuffered, in bytes.
 	maxRelayedAnswer = 64 << 20
 	// maxDrainedRefusal is the maximum size of a refusal that is read so that its connection can be reused, in bytes.
