quota: keep sums over the other VMs instead of adding them up for each charge

Change: buckets keep the sum of the charge rates and of the amounts spent, the table the numbers of known and silent VMs; a peer that becomes silent or reports again changes the sums. What is reserved for silent VMs, and when, is as before.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -11,8 +11,10 @@
 )
 
 const (
-	// reportTimeout is the time without a report after which a VM counts as silent.
-	reportTimeout = 1600 * time.Millisecond
+	// reportTimeout is the time without a report after which a VM counts as silent, or reportIntervals intervals of its
+	// reports if that is longer.
+	reportTimeout   = 1600 * time.Millisecond
+	reportIntervals = 3.2
 	// peerTTL is the time after which a silent VM is removed.
 	peerTTL = 60 * time.Second
 	// reportDuration is the time for which a workspace is reported after its count has changed, so that the
@@ -40,6 +42,10 @@
 	seeded  bool
 	buckets map[string]*bucket
 	peers   map[string]*peer
+	// peerVMs is the number of VMs that the peers stand for, and silentVMs the part of it that is silent.
+	peerVMs, silentVMs int
+	// nextCheck is a time before which no peer becomes silent or is removed.
+	nextCheck time.Time
 }
 
 // bucket is the token bucket of one workspace.
@@ -55,33 +61,14 @@
 	// change.
 	spent     int64
 	changedAt time.Time
-}
-
-// Sender is the sender of a report: another VM of the region, or another region as a whole.
-type Sender struct {
-	Name string
-	// Incarnation changes when the sender's count of spent amounts is reset.
-	Incarnation uint64
-	// VMs is the number of VMs that the report covers. It is above one only for another region.
-	VMs         int
-	OtherRegion bool
-	// Settled is set if the sender knows the levels of the buckets.
-	Settled bool
-}
-
-// peer is another VM or another region.
-type peer struct {
-	incarnation  uint64
-	peerVMs      int
-	remoteRegion bool
-	lastReportAt time.Time
-	spent        map[string]int64
-	// chargeRate is the amount that the VM charged per second between its latest reports, by workspace.
-	chargeRate map[string]float64
-	// advanceCharges is the amount that was charged in advance since the VM's latest report, by workspace:
-	// according to its charge rate while reports are received, and its share of the refill while it is
-	// silent.
-	advanceCharges map[string]float64
+	// chargeRate is the sum of the charge rates of all peers that are not silent.
+	chargeRate float64
+	// vmRefill is the refill of one VM's share since the start. The share of a silent VM is reserved for it.
+	vmRefill float64
+	// peerSpent is the amount that the other VMs of the region have charged, and peerChangedAt the time of its latest
+	// change.
+	peerSpent     int64
+	peerChangedAt time.Time
 }
 
 // New returns an empty table. Its buckets start empty, so that a restarted VM does not grant a second burst.
@@ -104,13 +91,14 @@
 		if b == nil {
 			b = &bucket{refilledAt: t.started}
 		} else {
-			t.refill(now, w.Name, b)
+			t.refill(now, b)
 		}
 		b.rate, b.burst = w.Rate, w.Burst
 		b.maxLevel = b.burst
 		b.level = min(b.level, b.burst)
 		t.buckets[w.Name] = b
 	}
+	t.sumPeers()
 }
 
 // Charge takes the amount from the workspace's bucket. If the level is too low, it takes nothing and returns
@@ -123,7 +111,7 @@
 	if b == nil {
 		return true, 0
 	}
-	t.refill(now, workspace, b)
+	t.refill(now, b)
 	t.seedLevels(now)
 	if missing := float64(amount) - b.level; missing > 0 && b.level < b.maxLevel {
 		return false, time.Duration(missing / b.rate * float64(time.Second))
@@ -181,129 +169,46 @@
 	}
 }
 
-// refill adds the refill since the previous call, without the share of silent VMs.
-func (t *Table) refill(now time.Time, workspace string, b *bucket) {
+// refill adds the refill since the previous call, without the share of silent VMs and without what the other VMs are
+// expected to have charged.
+func (t *Table) refill(now time.Time, b *bucket) {
+	t.checkPeers(now)
+	t.refillChecked(now, b)
+}
+
+// refillChecked is refill without a check for silent peers.
+func (t *Table) refillChecked(now time.Time, b *bucket) {
 	elapsed := now.Sub(b.refilledAt)
 	if elapsed <= 0 {
 		return
 	}
 	b.refilledAt = now
+	known := t.knownVMs(now)
 	refillAmount := b.rate * elapsed.Seconds()
-	known, silent := t.countVMs(now)
 	vmRefill := refillAmount / float64(known)
-	silentVMs := 0
-	for _, p := range silent {
-		p.advanceCharges[workspace] += vmRefill * float64(p.peerVMs)
-		silentVMs += p.peerVMs
-	}
-	for _, p := range t.peers {
-		if now.Sub(p.lastReportAt) <= reportTimeout {
-			spent := p.chargeRate[workspace] * elapsed.Seconds()
-			p.advanceCharges[workspace] += spent
-			refillAmount -= spent
-		}
-	}
-	silentVMs += max(0, known-1-t.peerVMs())
+	b.vmRefill += vmRefill
+	refillAmount -= b.chargeRate * elapsed.Seconds()
+	silentVMs := t.silentVMs + max(0, known-1-t.peerVMs)
 	// VMs that do not receive each other's reports have the same level, so each side of a partition is
 	// limited to its share of the burst.
 	b.maxLevel = b.burst * float64(known-silentVMs) / float64(known)
 	b.level = min(b.maxLevel, b.level+refillAmount-vmRefill*float64(silentVMs))
 }
 
-// peerVMs returns the number of other VMs that are known.
-func (t *Table) peerVMs() int {
-	n := 0
-	for _, p := range t.peers {
-		n += p.peerVMs
-	}
-	return n
-}
-
-// countVMs returns the number of VMs including this one, and the peers that are silent.
-func (t *Table) countVMs(now time.Time) (int, []*peer) {
-	var silent []*peer
-	for name, p := range t.peers {
-		switch age := now.Sub(p.lastReportAt); {
-		case age > peerTTL:
-			delete(t.peers, name)
-		case age > reportTimeout:
-			silent = append(silent, p)
-		}
-	}
-	known := t.peerVMs() + 1
+// knownVMs returns the number of VMs including this one.
+func (t *Table) knownVMs(now time.Time) int {
+	known := t.peerVMs + 1
 	if !t.peerSeen && now.Sub(t.started) < peerTTL {
 		known = max(known, assumedVMs)
 	}
-	return known, silent
-}
-
-// ApplyReports charges the amounts that another VM or region reports, by workspace.
-func (t *Table) ApplyReports(now time.Time, origin Sender, reports map[string]Report) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.peerSeen = true
-	p := t.peers[origin.Name]
-	known := p != nil && p.incarnation == origin.Incarnation
-	if !known {
-		p = &peer{
-			incarnation: origin.Incarnation, lastReportAt: now,
-			spent: map[string]int64{}, chargeRate: map[string]float64{}, advanceCharges: map[string]float64{},
-		}
-		t.peers[origin.Name] = p
-	}
-	p.peerVMs, p.remoteRegion = max(1, origin.VMs), origin.OtherRegion
-	for workspace, report := range reports {
-		t.applyReport(now, p, workspace, report.Spent, known)
-	}
-	for workspace := range p.chargeRate {
-		if _, ok := reports[workspace]; !ok {
-			// Reports omit workspaces whose count has not changed recently.
-			t.applyReport(now, p, workspace, p.spent[workspace], known)
-			delete(p.chargeRate, workspace)
-		}
-	}
-	p.lastReportAt = now
-	clear(p.advanceCharges)
-	if origin.Settled && len(t.buckets) > 0 {
-		t.adoptLevels(reports)
-	}
-}
-
-// applyReport charges the amount that was spent since the previous report.
-func (t *Table) applyReport(now time.Time, p *peer, workspace string, spent int64, known bool) {
-	b := t.buckets[workspace]
-	if b == nil {
-		return
-	}
-	t.refill(now, workspace, b)
-	if known {
-		t.chargeExcess(now, b, p, workspace, float64(spent-p.spent[workspace]))
-	}
-	p.spent[workspace] = spent
-}
-
-// chargeExcess charges the amount above the advance charges. The refill share that was reserved for a silent
-// VM is not returned to the bucket.
-func (t *Table) chargeExcess(now time.Time, b *bucket, p *peer, workspace string, amount float64) {
-	if p.remoteRegion {
-		amount = max(0, amount) // The count of a region decreases when one of its VMs restarts.
-	}
-	since := now.Sub(p.lastReportAt)
-	if since >= minReportInterval {
-		p.chargeRate[workspace] = amount / since.Seconds()
-	}
-	amount -= p.advanceCharges[workspace]
-	if since > reportTimeout {
-		amount = max(0, amount)
-	}
-	b.level = min(b.maxLevel, b.level-amount)
+	return known
 }
 
 // VMs returns the number of VMs that are known, including this one.
 func (t *Table) VMs() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.peerVMs() + 1
+	return t.peerVMs + 1
 }
 
 // Reports returns the reports of this VM for other VMs of its region: the workspaces that it charged
@@ -316,7 +221,7 @@
 		if !all && now.Sub(b.changedAt) > reportDuration {
 			continue
 		}
-		t.refill(now, name, b)
+		t.refill(now, b)
 		reports[name] = Report{Spent: b.spent, Level: int64(b.level)}
 	}
 	return reports
@@ -329,18 +234,12 @@
 	defer t.mu.Unlock()
 	reports := map[string]Report{}
 	for name, b := range t.buckets {
-		changed := all || now.Sub(b.changedAt) <= reportDuration
-		r := Report{Spent: b.spent}
-		for _, p := range t.peers {
-			if !p.remoteRegion {
-				r.Spent += p.spent[name]
-				changed = changed || p.chargeRate[name] != 0
-			}
-		}
+		changed := all || now.Sub(b.changedAt) <= reportDuration || now.Sub(b.peerChangedAt) <= reportDuration
+		r := Report{Spent: b.spent + b.peerSpent}
 		if !changed {
 			continue
 		}
-		t.refill(now, name, b)
+		t.refill(now, b)
 		r.Level = int64(b.level)
 		reports[name] = r
 	}
