fleet: let presences take turns in a large region

Cause: each VM sent a presence to each other VM of its region twice a second, 196 messages in each direction at 99 VMs, whatever their size.

Change: at each tick a presence goes to a part of the region's VMs, so that the interval grows by 15 ms for each VM (1.5 s at 99) and each tick has the same share. It names its interval, and receivers derive from it how long the VM counts as alive and its usage as reported. A VM whose last session ended counts as lost after 1.6 s as before; a change of readiness is sent to all at once. Regions of up to 9 VMs stay as they were.

--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -21,7 +21,7 @@
 
 // testCluster runs a store, upstreams and VMs on loopback.
 type testCluster struct {
-	t       *testing.T
+	t       testing.TB
 	store   *testStore
 	regions map[string]string
 	seeds   []string
@@ -44,7 +44,7 @@
 	server *httptest.Server
 }
 
-func newTestCluster(t *testing.T, regions ...string) *testCluster {
+func newTestCluster(t testing.TB, regions ...string) *testCluster {
 	t.Helper()
 	s := &testStore{Store: standin.NewStore()}
 	s.server = httptest.NewServer(s)
--- a/edge/new.go
+++ b/edge/new.go
@@ -76,7 +76,7 @@
 	e.Fleet.LoadSums = e.LoadSums
 	e.Fleet.OnSums = e.receiveSums
 	e.Fleet.OnCollecting = e.setCollecting
-	e.Fleet.OnPresence = func(now time.Time, m fleet.Member, p *vmwire.Presence) { e.ApplyPresence(now, m.Identity, p) }
+	e.Fleet.OnPresence = e.ApplyPresence
 	e.Fleet.OnControl = e.HandleControl
 	return e, nil
 }
--- a/edge/presence.go
+++ b/edge/presence.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
+	"parsleyhatch/fleet"
 	"parsleyhatch/quota"
 	"parsleyhatch/replica"
 	"parsleyhatch/route"
-	"parsleyhatch/vm"
 	"parsleyhatch/vmwire"
 )
 
@@ -67,7 +67,7 @@
 }
 
 // ApplyPresence applies the state that another VM reported.
-func (e *Edge) ApplyPresence(now time.Time, m vm.Identity, p *vmwire.Presence) {
+func (e *Edge) ApplyPresence(now time.Time, m fleet.Member, p *vmwire.Presence) {
 	reports := make(map[string]quota.Report, len(p.Spent))
 	for _, s := range p.Spent {
 		reports[s.Workspace] = quota.Report{Spent: s.Amount, Level: s.Level}
@@ -82,6 +82,7 @@
 		}
 		return
 	}
+	origin.Interval = m.PresenceInterval
 	e.Quota.ApplyReports(now, origin, reports)
 	e.divideUpstreamBounds(now)
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -70,7 +70,11 @@
 	// collecting is set while this VM collects load reports.
 	collecting atomic.Bool
 	// ticks counts the calls of maintain. It is accessed only by the goroutine of Run.
-	ticks         int
+	ticks int
+	// presenceInterval is the interval of the presences to VMs of this region, in nanoseconds.
+	presenceInterval atomic.Int64
+	// sentFlags are the flags of the latest presence. They are accessed only by the goroutine of Run.
+	sentFlags     uint8
 	pauseDetector pauseDetector
 }
 
@@ -139,16 +143,25 @@
 // closeTimedOut closes the sessions that received no frame within the read timeout.
 func (f *Fleet) closeTimedOut() {
 	for _, s := range f.allSessions() {
-		limit := sessionReadTimeout
-		if f.remote(s) {
-			limit = remoteSessionReadTimeout
-		}
-		if time.Since(s.LastReceivedAt()) > limit {
+		if time.Since(s.LastReceivedAt()) > f.readTimeout(s) {
 			s.Close(errReadTimeout)
 		}
 	}
 }
 
+// readTimeout returns the read timeout of a session, which is longer than the time for which its VM counts as alive.
+func (f *Fleet) readTimeout(s *vm.Session) time.Duration {
+	if f.remote(s) {
+		return remoteSessionReadTimeout
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.members[s.Peer.Slot]; m != nil {
+		return max(sessionReadTimeout, m.timeout()+tick)
+	}
+	return max(sessionReadTimeout, livenessIntervals*time.Duration(f.presenceInterval.Load())+tick)
+}
+
 // remote reports whether a session is with a VM of another region.
 func (f *Fleet) remote(s *vm.Session) bool { return s.Peer.Region != f.Endpoint.Self.Region }
 
@@ -317,6 +330,9 @@
 		delete(f.sessions, s.Peer.Slot)
 	}
 	disconnected := len(remaining) == 0
+	if m := f.members[s.Peer.Slot]; m != nil && disconnected && m.Incarnation == s.Peer.Incarnation {
+		m.DisconnectedAt = f.Now()
+	}
 	f.mu.Unlock()
 	if disconnected && s.Peer.Slot != f.Endpoint.Self.Slot {
 		event.PeerDown.Log(f.Log, "vm", s.Peer.Slot, "region", s.Peer.Region, "reason", reason)
--- a/fleet/loadreport_test.go
+++ b/fleet/loadreport_test.go
@@ -142,3 +142,24 @@
 		}
 	}
 }
+
+// Guards against presences whose number grows with the VMs of a region, and against a VM that counts as lost between two
+// of them.
+func TestPresenceInterval(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, sessions := range []int{1, 8, 9, 30, 98, 300} {
+		interval := time.Duration(presenceTicks(sessions)) * tick
+		if perSecond := float64(sessions) / interval.Seconds(); perSecond > 80 {
+			t.Errorf("%d sessions: %.0f presences a second", sessions, perSecond)
+		}
+		var m Member
+		m.apply(now, &vmwire.Presence{IntervalMillis: int32(interval.Milliseconds())})
+		if !m.Alive(now.Add(2*interval + tick)) {
+			t.Errorf("%d sessions: not alive after a missing presence", sessions)
+		}
+		m.DisconnectedAt = now
+		if m.Alive(now.Add(livenessTimeout + tick)) {
+			t.Errorf("%d sessions: alive %v after its last session ended", sessions, livenessTimeout+tick)
+		}
+	}
+}
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -16,14 +16,21 @@
 	// region or of another region counts as alive. They tolerate two lost presences plus their delay.
 	livenessTimeout       = 1600 * time.Millisecond
 	remoteLivenessTimeout = 2800 * time.Millisecond
+	// livenessIntervals is the number of intervals of a VM's presences for which it counts as alive, if that is longer
+	// than livenessTimeout.
+	livenessIntervals = 3
+	// maxPresenceInterval bounds the interval that another VM can announce.
+	maxPresenceInterval = 5 * time.Second
 	// sessionReadTimeout and remoteSessionReadTimeout are the times without a received frame after which a
 	// session within the region or to another region is closed and dialed again. A connection can stay dead
 	// while a new one to the same VM works.
 	sessionReadTimeout       = 1800 * time.Millisecond
 	remoteSessionReadTimeout = 3 * time.Second
 	// maxFullRateSessions is the number of sessions within the region up to which a presence is sent at each
-	// tick. With more sessions, presences are sent half as often to limit traffic.
-	maxFullRateSessions = 8
+	// tick. With more sessions, presences are sent half as often to limit traffic, and in a large region at an interval
+	// that grows by presenceIntervalPerVM for each VM, so that the number of messages does not grow.
+	maxFullRateSessions   = 8
+	presenceIntervalPerVM = 15 * time.Millisecond
 	// sessionsPerRemoteRegion is the number of VMs of each other region with which a VM keeps sessions. It limits
 	// the sessions and the traffic between regions, and leaves two sessions when one is lost.
 	sessionsPerRemoteRegion = 3
@@ -36,6 +43,9 @@
 	memberRetention = 60 * time.Second
 	// redialInterval is the minimum time between two attempts to dial a VM.
 	redialInterval = 300 * time.Millisecond
+	// maxRemotePresenceTicks is the largest number of ticks between two presences to another region, which divide the
+	// rates of workspaces by them.
+	maxRemotePresenceTicks = 4
 	// vmListTicks is the number of ticks between two VM lists.
 	vmListTicks = 8
 	// vmListMaxAge is the time since a VM was last seen up to which it is listed for other VMs and dialed.
@@ -66,6 +76,10 @@
 	ConfigVersion uint64
 	// Weight is the VM's relative share of the work.
 	Weight int
+	// PresenceInterval is the interval of the VM's presences to VMs of its region.
+	PresenceInterval time.Duration
+	// DisconnectedAt is when the last session with the VM ended, zero while there is one.
+	DisconnectedAt time.Time
 	// remote means that the VM is in another region.
 	remote bool
 }
@@ -75,13 +89,23 @@
 	if m.remote {
 		return now.Sub(m.LastPresenceAt) <= remoteLivenessTimeout
 	}
-	return now.Sub(m.LastPresenceAt) <= livenessTimeout
+	if !m.DisconnectedAt.IsZero() && now.Sub(m.DisconnectedAt) > livenessTimeout {
+		return false // Its process has ended, and no presence is due for some time in a large region.
+	}
+	return now.Sub(m.LastPresenceAt) <= m.timeout()
+}
+
+// timeout returns the time after the latest presence for which a VM of this region counts as alive.
+func (m *Member) timeout() time.Duration {
+	return max(livenessTimeout, livenessIntervals*m.PresenceInterval+tick)
 }
 
 // apply updates the member from a presence.
 func (m *Member) apply(now time.Time, p *vmwire.Presence) {
 	m.Address, m.CallerAddress = p.Address, p.CallerAddress
 	m.LastPresenceAt = now
+	m.DisconnectedAt = time.Time{}
+	m.PresenceInterval = min(time.Duration(p.IntervalMillis)*time.Millisecond, maxPresenceInterval)
 	m.Ready = p.Flags&vmwire.FlagReady != 0
 	m.Leaving = p.Flags&vmwire.FlagLeaving != 0
 	m.KeysCurrent = p.Flags&vmwire.FlagKeysCurrent != 0
--- a/fleet/presence.go
+++ b/fleet/presence.go
@@ -10,50 +10,67 @@
 )
 
 // BroadcastPresence immediately sends a presence to all VMs with a session.
-func (f *Fleet) BroadcastPresence() { f.sendPresences(true, true, false) }
-
-// sendDuePresences sends the presences that are due at this tick. In a large region they are sent less often.
-func (f *Fleet) sendDuePresences() {
-	localSessions := 0
-	for _, s := range f.allSessions() {
-		if !f.remote(s) {
-			localSessions++
+func (f *Fleet) BroadcastPresence() {
+	p := f.newPresence(true, false)
+	for _, slot := range f.localSlots() {
+		if s := f.session(slot); s != nil {
+			s.SendControl(vmwire.KindPresence, p)
 		}
 	}
-	interval := 1
-	if localSessions > maxFullRateSessions {
-		interval = 2
+	f.sendRemotePresences()
+}
+
+// presenceTicks returns the number of ticks between two presences to a VM of this region.
+func presenceTicks(localSessions int) int {
+	if localSessions <= maxFullRateSessions {
+		return 1
 	}
-	f.sendPresences(f.ticks%interval == 0, f.ticks%(2*interval) == 0, f.ticks%vmListTicks == 0)
+	interval := min(time.Duration(localSessions)*presenceIntervalPerVM, maxPresenceInterval)
+	return max(2, int(interval/tick))
 }
 
-// sendPresences sends presences within the region and to other regions as selected, and with withVMList a full
-// presence to a few random VMs.
-func (f *Fleet) sendPresences(local, remote, withVMList bool) {
-	slots := f.connectedSlots()
-	if local {
-		f.sendPresence(slots, true)
+// sendDuePresences sends the presences that are due at this tick. The VMs of this region take turns, so that each tick
+// has the same share. A change of what callers may rely on goes to all of them at once.
+func (f *Fleet) sendDuePresences() {
+	slots := f.localSlots()
+	interval := presenceTicks(len(slots))
+	f.presenceInterval.Store(int64(time.Duration(interval) * tick))
+	p := f.newPresence(true, false)
+	changed := (p.Flags^f.sentFlags)&urgentFlags != 0
+	f.sentFlags = p.Flags
+	for i, slot := range slots {
+		if s := f.session(slot); s != nil && (changed || (i+f.ticks)%interval == 0) {
+			s.SendControl(vmwire.KindPresence, p)
+		}
 	}
-	if remote {
-		f.sendPresence(slots, false)
+	if f.ticks%min(2*interval, maxRemotePresenceTicks) == 0 {
+		f.sendRemotePresences()
 	}
-	if !withVMList {
-		return
+	if f.ticks%vmListTicks == 0 {
+		f.sendVMLists()
 	}
-	rand.Shuffle(len(slots), func(i, j int) { slots[i], slots[j] = slots[j], slots[i] })
-	for _, slot := range slots[:min(vmListReceivers, len(slots))] {
-		if s := f.session(slot); s != nil {
-			f.sendFullPresence(s)
+}
+
+// urgentFlags are the flags whose change is sent to all VMs of the region at once.
+const urgentFlags = vmwire.FlagReady | vmwire.FlagLeaving
+
+// sendRemotePresences sends a presence to each connected VM of another region.
+func (f *Fleet) sendRemotePresences() {
+	p := f.newPresence(false, false)
+	for _, slot := range f.connectedSlots() {
+		if s := f.session(slot); s != nil && f.remote(s) {
+			s.SendControl(vmwire.KindPresence, p)
 		}
 	}
 }
 
-// sendPresence sends a presence to the connected VMs of this region or to those of other regions.
-func (f *Fleet) sendPresence(slots []string, sameRegion bool) {
-	p := f.newPresence(sameRegion, false)
-	for _, slot := range slots {
-		if s := f.session(slot); s != nil && f.remote(s) != sameRegion {
-			s.SendControl(vmwire.KindPresence, p)
+// sendVMLists sends a full presence to a few random VMs.
+func (f *Fleet) sendVMLists() {
+	slots := f.connectedSlots()
+	rand.Shuffle(len(slots), func(i, j int) { slots[i], slots[j] = slots[j], slots[i] })
+	for _, slot := range slots[:min(vmListReceivers, len(slots))] {
+		if s := f.session(slot); s != nil {
+			f.sendFullPresence(s)
 		}
 	}
 }
@@ -78,7 +95,8 @@
 
 func (f *Fleet) newPresence(sameRegion, full bool) *vmwire.Presence {
 	now := f.Now()
-	p := &vmwire.Presence{Address: f.Address, CallerAddress: f.CallerAddress}
+	interval := time.Duration(f.presenceInterval.Load())
+	p := &vmwire.Presence{Address: f.Address, CallerAddress: f.CallerAddress, IntervalMillis: int32(interval.Milliseconds())}
 	f.FillPresence(now, p, sameRegion, full)
 	f.mu.Lock()
 	f.ownPresence = p
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -437,6 +437,8 @@
 	Spent []WorkspaceUsage
 	// VMs is the VM list. It is sent periodically and otherwise empty.
 	VMs []KnownVM
+	// IntervalMillis is the interval of the sender's presences to VMs of its region, in milliseconds.
+	IntervalMillis int32
 }
 
 // StoreItem is a value of the platform's store, or its deletion.
--- a/vmwire/schema_gen.go
+++ b/vmwire/schema_gen.go
@@ -3437,8 +3437,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 10 {
-		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
+	if zb0001 != 11 {
+		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
 		return
 	}
 	z.Address, err = dc.ReadString()
@@ -3602,13 +3602,18 @@
 			return
 		}
 	}
+	z.IntervalMillis, err = dc.ReadInt32()
+	if err != nil {
+		err = msgp.WrapError(err, "IntervalMillis")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Presence) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 10
-	err = en.Append(0x9a)
+	// array header, size 11
+	err = en.Append(0x9b)
 	if err != nil {
 		return
 	}
@@ -3715,14 +3720,19 @@
 			return
 		}
 	}
+	err = en.WriteInt32(z.IntervalMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "IntervalMillis")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Presence) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 10
-	o = append(o, 0x9a)
+	// array header, size 11
+	o = append(o, 0x9b)
 	o = msgp.AppendString(o, z.Address)
 	o = msgp.AppendString(o, z.CallerAddress)
 	o = msgp.AppendUint8(o, z.Flags)
@@ -3756,6 +3766,7 @@
 			return
 		}
 	}
+	o = msgp.AppendInt32(o, z.IntervalMillis)
 	return
 }
 
@@ -3767,8 +3778,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 10 {
-		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
+	if zb0001 != 11 {
+		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
 		return
 	}
 	z.Address, bts, err = msgp.ReadStringBytes(bts)
@@ -3924,6 +3935,11 @@
 			return
 		}
 	}
+	z.IntervalMillis, bts, err = msgp.ReadInt32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "IntervalMillis")
+		return
+	}
 	o = bts
 	return
 }
@@ -3942,6 +3958,7 @@
 	for za0004 := range z.VMs {
 		s += z.VMs[za0004].Msgsize()
 	}
+	s += msgp.Int32Size
 	return
 }
 
