fleet: bound VM lists, and derive shared bounds and collectors less often

Cause: each presence made its receiver list all VMs of the region again for the shared bounds, the collectors were chosen ten times a second, and three lists of all VMs were sent every 2 s (about 13 KB each at 295 VMs, computed).

Change: the bounds are divided at each tick only, the collectors are chosen twice a second, and after the first 20 s a list names up to 32 VMs of each region, for other regions the same ones at all VMs.

--- a/edge/presence.go
+++ b/edge/presence.go
@@ -84,7 +84,6 @@
 	}
 	origin.Interval = m.PresenceInterval
 	e.Quota.ApplyReports(now, origin, reports)
-	e.divideUpstreamBounds(now)
 }
 
 // divideUpstreamBounds divides the bounds of upstreams among the known VMs of the region.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -59,6 +59,8 @@
 	// OnControl handles the other control messages. It must not block.
 	OnControl func(s *vm.Session, f vmwire.Frame)
 
+	startedAt time.Time
+
 	mu         sync.Mutex
 	members    map[string]*Member
 	sessions   map[string][]*vm.Session
@@ -81,7 +83,7 @@
 // New returns a fleet whose only dial candidates are the seeds.
 func New(now time.Time, e *vm.Endpoint, address, callerAddress string, seeds []string) *Fleet {
 	f := &Fleet{
-		Endpoint: e, Address: address, CallerAddress: callerAddress, Log: e.Log,
+		Endpoint: e, Address: address, CallerAddress: callerAddress, Log: e.Log, startedAt: now,
 		members: map[string]*Member{}, sessions: map[string][]*vm.Session{}, candidates: map[string]*candidate{},
 	}
 	f.AddSeeds(now, seeds)
@@ -308,7 +310,7 @@
 		go other.Close(errDuplicate)
 	}
 	event.PeerUp.Log(f.Log, "vm", s.Peer.Slot, "region", s.Peer.Region, "dialed", s.Dialed)
-	go f.sendFullPresence(s)
+	go f.sendFullPresence(s, true)
 }
 
 // isPreferred reports whether the VM with the lower name dialed the session.
--- a/fleet/loadreport.go
+++ b/fleet/loadreport.go
@@ -24,6 +24,8 @@
 	collectorCount = 2
 	// sumIntervalPerVM is the interval between two sums per VM of the region. It bounds what a collector sends.
 	sumIntervalPerVM = 4 * time.Millisecond
+	// collectorsInterval is the interval at which the collectors are chosen.
+	collectorsInterval = 500 * time.Millisecond
 	// missedSums is the number of sums of the first collector that may be missing before the second one sends.
 	missedSums = 3
 )
@@ -32,7 +34,10 @@
 type loadReporter struct {
 	reportedAt, fullReportAt, sentSumsAt time.Time
 	receivers                            []string
-	collecting                           bool
+	// collectors is the list of chosenAt.
+	collectors []string
+	chosenAt   time.Time
+	collecting bool
 }
 
 // runUses reports the load that this VM puts on upstreams, or the sums of all VMs, until ctx ends.
@@ -52,8 +57,11 @@
 
 // reportLoad sends what is due: the own load to its receivers, and as a collector the sums to all VMs of the region.
 func (f *Fleet) reportLoad(now time.Time, r *loadReporter) {
-	collectors := f.collectors(now)
-	r.setCollecting(f, slices.Contains(collectors, f.Endpoint.Self.Slot))
+	if now.Sub(r.chosenAt) >= collectorsInterval {
+		r.chosenAt, r.collectors = now, f.collectors(now)
+		r.setCollecting(f, slices.Contains(r.collectors, f.Endpoint.Self.Slot))
+	}
+	collectors := r.collectors
 	local := f.localSlots()
 	receivers, interval := local, usesInterval
 	if len(local) > maxDirectReceivers {
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -35,7 +35,12 @@
 	// the sessions and the traffic between regions, and leaves two sessions when one is lost.
 	sessionsPerRemoteRegion = 3
 	// vmListReceivers is the number of random sessions over which the VM list is sent each time.
-	vmListReceivers = 3
+	vmListReceivers = 2
+	// vmListRegionSize is the number of VMs of each region in a list, but for the list that opens a session. A VM needs a
+	// few VMs of another region and is connected with those of its own.
+	vmListRegionSize = 32
+	// fullListTime is the time after its start in which a VM sends lists of all VMs, since all may have started at once.
+	fullListTime = 20 * time.Second
 	// dialFailureCooldown is the time for which a VM of another region is not preferred after a failed dial.
 	dialFailureCooldown = 2 * time.Second
 	// memberRetention is the time after the latest presence for which a VM still counts as a sharer of the bounds of
--- a/fleet/presence.go
+++ b/fleet/presence.go
@@ -1,7 +1,10 @@
 package fleet
 
 import (
+	"cmp"
+	"hash/fnv"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"parsleyhatch/event"
@@ -70,7 +73,7 @@
 	rand.Shuffle(len(slots), func(i, j int) { slots[i], slots[j] = slots[j], slots[i] })
 	for _, slot := range slots[:min(vmListReceivers, len(slots))] {
 		if s := f.session(slot); s != nil {
-			f.sendFullPresence(s)
+			f.sendFullPresence(s, f.Now().Sub(f.startedAt) < fullListTime)
 		}
 	}
 }
@@ -86,10 +89,13 @@
 	return slots
 }
 
-// sendFullPresence sends a full presence with the list of known VMs.
-func (f *Fleet) sendFullPresence(s *vm.Session) {
+// sendFullPresence sends a full presence with the list of known VMs: all of them, or a part of each region.
+func (f *Fleet) sendFullPresence(s *vm.Session, allVMs bool) {
 	p := f.newPresence(!f.remote(s), true)
 	p.VMs = f.knownVMs(f.Now())
+	if !allVMs {
+		p.VMs = f.listedVMs(p.VMs)
+	}
 	s.SendControl(vmwire.KindPresence, p)
 }
 
@@ -127,6 +133,40 @@
 	return list
 }
 
+// listedVMs returns up to vmListRegionSize VMs of each region. For other regions all VMs choose the same ones, so that they
+// stay known; of its own region each VM lists random ones.
+func (f *Fleet) listedVMs(known []vmwire.KnownVM) []vmwire.KnownVM {
+	slices.SortFunc(known, func(a, b vmwire.KnownVM) int { return cmp.Compare(addressHash(a.Address), addressHash(b.Address)) })
+	start := rand.IntN(max(1, len(known)))
+	counts := map[string]int{}
+	var listed []vmwire.KnownVM
+	for i := range known {
+		row := known[i]
+		if row.Region == f.Endpoint.Self.Region {
+			continue
+		}
+		if counts[row.Region]++; counts[row.Region] <= vmListRegionSize {
+			listed = append(listed, row)
+		}
+	}
+	local := 0
+	for i := range known {
+		row := known[(start+i)%len(known)]
+		if row.Region == f.Endpoint.Self.Region && local < vmListRegionSize {
+			local++
+			listed = append(listed, row)
+		}
+	}
+	return listed
+}
+
+// addressHash orders VMs in a way that all VMs agree on.
+func addressHash(address string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(address))
+	return h.Sum64() * 0x9e3779b97f4a7c15
+}
+
 // handleControl handles the control messages of all sessions.
 func (f *Fleet) handleControl(s *vm.Session, frame vmwire.Frame) {
 	switch frame.Kind {
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -68,7 +68,17 @@
 }
 
 // SameRegionCount returns the number of names that SameRegionSlots returns.
-func (f *Fleet) SameRegionCount(now time.Time) int { return len(f.SameRegionSlots(now)) }
+func (f *Fleet) SameRegionCount(now time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 1
+	for _, m := range f.members {
+		if !m.remote && now.Sub(m.LastPresenceAt) <= memberRetention {
+			n++
+		}
+	}
+	return n
+}
 
 // LowestAliveSlot returns the lowest name among the live VMs of another region, or an empty string.
 func (f *Fleet) LowestAliveSlot(now time.Time, region string) string {
