source: one reader of the store a region, with fewer and shared answers

What a reader knew reached the other VMs only when their own watch ended, up to a second later.

Change: one reader a region; a watch lasts 0.3 of the revocation bound (1.5 s there), so that one answer may still be lost; the next read after a change waits until 200 ms have passed since the last one. A reader passes on at once that its knowledge is newer, and fails the watches of the others when it loses the store, so that they read it themselves. A reader without a session is not asked.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -57,6 +57,10 @@
 // bound covers the delay of the store's answers.
 const keyFreshnessShare = 0.7
 
+// watchShare is the timeout of a watch, as a share of the revocation bound. One answer may be lost before the known keys are
+// too old.
+const watchShare = 0.3
+
 // table returns the active configuration, or nil if there is none yet.
 func (e *Edge) table() *route.Table { return e.Watcher.Table() }
 
--- a/edge/new.go
+++ b/edge/new.go
@@ -62,9 +62,10 @@
 	e.Replicas.SetVMs(s.Name, []string{s.Name}, initialSharers)
 	e.Watcher = &source.Watcher{
 		Readers: e.readers, Replicas: e.Replicas, Log: log, Now: clock.Now,
-		Local:    func(domain string) bool { return s.Regions[domain] == s.Region },
-		Region:   func(domain string) string { return s.Regions[domain] },
-		OnConfig: func(t *route.Table) { e.Quota.Configure(clock.Now(), t.Config.Workspaces) },
+		Local:        func(domain string) bool { return s.Regions[domain] == s.Region },
+		Region:       func(domain string) string { return s.Regions[domain] },
+		WatchTimeout: time.Duration(watchShare * float64(s.Bounds.RevocationDelay)),
+		OnConfig:     func(t *route.Table) { e.Quota.Configure(clock.Now(), t.Config.Workspaces) },
 	}
 	endpoint := vm.NewInsecureEndpoint(identity, log)
 	endpoint.OnStream = e.ServeForwarded
--- a/edge/storeread.go
+++ b/edge/storeread.go
@@ -15,8 +15,9 @@
 
 const (
 	// storeReaders is the number of VMs of a region that read the store directly. The others read it through
-	// these VMs, so that the load on the store does not grow with the number of VMs.
-	storeReaders = 2
+	// these VMs, so that the load on the store does not grow with the number of VMs. When the reader is lost, its
+	// sessions end and the next VM reads.
+	storeReaders = 1
 	// storeProbeInterval is the interval at which a VM retries an unreachable store.
 	storeProbeInterval = 2 * time.Second
 	// readerAnswerMargin is how much longer than the requested wait the answer of another VM may take.
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -142,9 +142,11 @@
 	return rank
 }
 
-// storeReaders returns the ready VMs of a region with current knowledge of withdrawn keys and a reachable store.
+// storeReaders returns the connected ready VMs of a region with current knowledge of withdrawn keys and a reachable store.
 func (f *Fleet) storeReaders(now time.Time, region string) []Member {
-	return slices.DeleteFunc(f.ReadyMembers(now, region), func(m Member) bool { return !m.KeysCurrent || m.StoreDown })
+	return slices.DeleteFunc(f.ReadyMembers(now, region), func(m Member) bool {
+		return !m.KeysCurrent || m.StoreDown || !m.DisconnectedAt.IsZero()
+	})
 }
 
 // SendStoreQuery sends a store query to the first VM by name of this region that reaches the store, or else to one of
--- /dev/null
+++ b/source/history_test.go
@@ -0,0 +1,69 @@
+package source
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"parsleyhatch/platform"
+)
+
+// watchResult is what History.Watch returned.
+type watchResult struct {
+	answer Answer
+	err    error
+}
+
+// startWatch returns a history that is known at knownAt, and the result of a watch that waits for it.
+func startWatch(t *testing.T, knownAt time.Time) (*History, <-chan watchResult) {
+	t.Helper()
+	h := &History{}
+	h.add(Answer{Page: platform.Page{Revision: 5, Items: []platform.Item{{Key: "a", Revision: 5}}}}, 5, knownAt, time.Time{})
+	result := make(chan watchResult, 1)
+	go func() {
+		a, err := h.Watch(context.Background(), 5, time.Minute)
+		result <- watchResult{a, err}
+	}()
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		h.mu.Lock()
+		waiting := h.changed != nil
+		h.mu.Unlock()
+		if waiting {
+			return h, result
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the watch does not wait")
+		}
+	}
+}
+
+func receive(t *testing.T, result <-chan watchResult) watchResult {
+	t.Helper()
+	select {
+	case r := <-result:
+		return r
+	case <-time.After(5 * time.Second):
+		t.Fatal("the watch has not returned")
+		return watchResult{}
+	}
+}
+
+// Guards against knowledge of the store that ages at its reader before other VMs get it.
+func TestWatchReturnsNewerKnowledge(t *testing.T) {
+	knownAt := time.Unix(1000, 0)
+	h, result := startWatch(t, knownAt)
+	h.add(Answer{}, 5, knownAt.Add(time.Second), time.Time{})
+	if r := receive(t, result); r.err != nil || len(r.answer.Events) != 0 || !r.answer.KnownAt.Equal(knownAt.Add(time.Second)) {
+		t.Errorf("answer %+v, error %v", r.answer, r.err)
+	}
+}
+
+// Guards against VMs that wait for a reader that has lost the store.
+func TestWatchFailsWhenReaderLosesStore(t *testing.T) {
+	h, result := startWatch(t, time.Unix(1000, 0))
+	h.interrupt()
+	if r := receive(t, result); !errors.Is(r.err, ErrStateUnknown) {
+		t.Errorf("error %v, want %v", r.err, ErrStateUnknown)
+	}
+}
--- a/source/source.go
+++ b/source/source.go
@@ -20,9 +20,12 @@
 )
 
 const (
-	// watchTimeout is the time after which a watch returns although nothing has changed. The empty answer proves
-	// that the VM's state is current, and a missing answer reveals a dead connection.
-	watchTimeout = time.Second
+	// minReadInterval is the minimum time between the beginnings of a read that returns changes and the next one. Changes
+	// that follow each other are read together: in a large deployment, each watch would otherwise return at once.
+	minReadInterval = 200 * time.Millisecond
+	// indirectWatchMargin is the divisor of the time by which a watch through another VM lasts longer, so that the next
+	// answer of the store to that VM ends it.
+	indirectWatchMargin = 4
 	// minBackoff and maxBackoff bound the exponential backoff after failed calls.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
@@ -43,6 +46,9 @@
 	Local func(failureDomain string) bool
 	// Region returns the region of a failure domain.
 	Region func(failureDomain string) string
+	// WatchTimeout is the time after which a watch returns although nothing has changed. The empty answer proves that the
+	// VM's state is current, and a missing answer reveals a dead connection.
+	WatchTimeout time.Duration
 	// OnConfig is called with each configuration that becomes active.
 	OnConfig func(t *route.Table)
 
@@ -92,12 +98,16 @@
 	s.init()
 	backoff := minBackoff
 	for ctx.Err() == nil {
+		began, revision := s.Now(), s.revision
 		if err := s.readOnce(ctx); err != nil {
 			sleep(ctx, backoff/2+rand.N(backoff))
 			backoff = min(2*backoff, maxBackoff)
 			continue
 		}
 		backoff = minBackoff
+		if s.revision != revision {
+			sleep(ctx, began.Add(minReadInterval).Sub(s.Now()))
+		}
 	}
 }
 
@@ -125,7 +135,11 @@
 func (s *Watcher) readFrom(ctx context.Context, r Reader) error {
 	call := r.Range
 	if s.synced {
-		call = func(ctx context.Context) (Answer, error) { return r.Watch(ctx, s.revision, watchTimeout) }
+		timeout := s.WatchTimeout
+		if !r.Direct {
+			timeout += timeout / indirectWatchMargin
+		}
+		call = func(ctx context.Context) (Answer, error) { return r.Watch(ctx, s.revision, timeout) }
 	}
 	a, err := call(ctx)
 	compacted := errors.Is(err, platform.ErrCompacted)
@@ -166,6 +180,7 @@
 		return
 	}
 	if err != nil {
+		s.History.interrupt()
 		event.StoreDown.Log(s.Log, "error", err.Error(), "revision", s.revision)
 		return
 	}
