--- a/vm/fuzz_test.go
+++ b/vm/fuzz_test.go
@@ -73,6 +73,24 @@
 		_ = Decode(f, &vmwire.SuspectRequest{})
 	case vmwire.KindHandover:
 		_ = Decode(f, &vmwire.Handover{})
+	case vmwire.KindHandoverRequest:
+		_ = Decode(f, &vmwire.HandoverRequest{})
+	case vmwire.KindHeartbeatAck:
+		_ = Decode(f, &vmwire.HeartbeatAck{})
+	case vmwire.KindTokenRequest:
+		_ = Decode(f, &vmwire.TokenRequest{})
+	case vmwire.KindTokenGrant:
+		_ = Decode(f, &vmwire.TokenGrant{})
+	case vmwire.KindPresence:
+		_ = Decode(f, &vmwire.Presence{})
+	case vmwire.KindStoreQuery:
+		_ = Decode(f, &vmwire.StoreQuery{})
+	case vmwire.KindStoreReply:
+		_ = Decode(f, &vmwire.StoreReply{})
+	case vmwire.KindUpstreamLoads:
+		_ = Decode(f, &vmwire.UpstreamLoads{})
+	case vmwire.KindUpstreamSums:
+		_ = Decode(f, &vmwire.UpstreamSums{})
 	}
 }
 
