fleet: report the usage of a large region by three of its VMs only

Cause: each VM sent the usage of its whole region, about 1.2 KB with 40 workspaces (computed), once a second to about six VMs of each other region, each of which used the report of one VM.

Change: in a region of more than 13 VMs the three VMs with the lowest names report it and say so in a flag; each VM keeps one of its three sessions with each other region to the lowest of them, and lists name them. Levels are sent in full presences only, since only a VM that has started reads them.

New: TestUsageReporters, TestVMListKeepsUsageReporters.

--- a/edge/presence.go
+++ b/edge/presence.go
@@ -32,19 +32,33 @@
 	}
 	p.Weight = int32(e.weight())
 	p.RegionVMs = int32(e.Fleet.SameRegionCount(now))
-	reports := e.Quota.Reports(now, full)
-	if !sameRegion {
-		reports = e.Quota.RegionReports(now, full)
-	}
-	for workspace, r := range reports {
-		p.Spent = append(p.Spent, vmwire.WorkspaceUsage{Workspace: workspace, Amount: r.Spent, Level: r.Level})
-	}
+	e.describeUsage(now, p, sameRegion, full)
 	if t := e.table(); t != nil {
 		p.ConfigVersion = t.Config.Version
 		e.describeWaits(now, t, p)
 	}
 }
 
+// describeUsage adds the usage that this VM reports: its own within the region, and that of the region to other ones. The
+// levels are only for VMs that have started, which get a full presence.
+func (e *Edge) describeUsage(now time.Time, p *vmwire.Presence, sameRegion, full bool) {
+	var reports map[string]quota.Report
+	switch {
+	case sameRegion:
+		reports = e.Quota.Reports(now, full)
+	case e.Fleet.ReportsUsage(now):
+		p.Flags |= vmwire.FlagRegionUsage
+		reports = e.Quota.RegionReports(now, full)
+	}
+	for workspace, r := range reports {
+		usage := vmwire.WorkspaceUsage{Workspace: workspace, Amount: r.Spent}
+		if full {
+			usage.Level = r.Level
+		}
+		p.Spent = append(p.Spent, usage)
+	}
+}
+
 func (e *Edge) describeWaits(now time.Time, t *route.Table, p *vmwire.Presence) {
 	for i := range t.Config.Services {
 		s := &t.Config.Services[i]
@@ -76,7 +90,7 @@
 	origin := quota.Sender{Name: m.Slot, Incarnation: m.Incarnation, VMs: 1, Settled: p.Flags&vmwire.FlagUsageKnown != 0}
 	if m.Region != e.Settings.Region {
 		// Each VM of a region reports totals for the whole region, so the report of one VM is enough.
-		if e.Fleet.LowestAliveSlot(now, m.Region) == m.Slot {
+		if m.ReportsUsage && e.Fleet.UsageReporter(now, m.Region) == m.Slot {
 			origin.Name, origin.VMs, origin.OtherRegion = "region "+m.Region, int(p.RegionVMs), true
 			e.Quota.ApplyReports(now, origin, reports)
 		}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -206,19 +206,26 @@
 	return c.region != "" && c.region != f.Endpoint.Self.Region
 }
 
-// preferredRemotes returns the addresses of the VMs of other regions to keep sessions with. Rendezvous hashing
-// distributes the sessions of a region over the VMs of the other regions.
+// preferredRemotes returns the addresses of the VMs of other regions to keep sessions with: the VM with the lowest name of
+// each region, which reports the usage of the region, and others that rendezvous hashing distributes over the VMs.
 func (f *Fleet) preferredRemotes(now time.Time) map[string]bool {
 	byRegion := map[string][]string{}
+	lowest := map[string]string{}
 	for address, c := range f.candidates {
-		if f.isRemoteCandidate(c) && c.dialable(now) {
-			byRegion[c.region] = append(byRegion[c.region], address)
+		if !f.isRemoteCandidate(c) || !c.dialable(now) {
+			continue
+		}
+		byRegion[c.region] = append(byRegion[c.region], address)
+		if first := lowest[c.region]; first == "" || c.slot < f.candidates[first].slot {
+			lowest[c.region] = address
 		}
 	}
 	preferredRemotes := map[string]bool{}
-	for _, addresses := range byRegion {
+	for region, addresses := range byRegion {
+		preferredRemotes[lowest[region]] = true
+		addresses = slices.DeleteFunc(addresses, func(address string) bool { return address == lowest[region] })
 		slices.SortFunc(addresses, func(a, b string) int { return cmp.Compare(f.rendezvousWeight(b), f.rendezvousWeight(a)) })
-		for _, address := range addresses[:min(sessionsPerRemoteRegion, len(addresses))] {
+		for _, address := range addresses[:min(sessionsPerRemoteRegion-1, len(addresses))] {
 			preferredRemotes[address] = true
 		}
 	}
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -34,6 +34,9 @@
 	// sessionsPerRemoteRegion is the number of VMs of each other region with which a VM keeps sessions. It limits
 	// the sessions and the traffic between regions, and leaves two sessions when one is lost.
 	sessionsPerRemoteRegion = 3
+	// usageReporters is the number of VMs of a large region that report the usage of the region to other regions. A VM needs
+	// the report of one of them.
+	usageReporters = 3
 	// vmListReceivers is the number of random sessions over which the VM list is sent each time.
 	vmListReceivers = 2
 	// vmListRegionSize is the number of VMs of each region in a list, but for the list that opens a session. A VM needs a
@@ -70,6 +73,8 @@
 	LastPresenceAt time.Time
 	Ready          bool
 	Leaving        bool
+	// ReportsUsage means that the VM reports the usage of its region to this one.
+	ReportsUsage bool
 	// KeysCurrent means that the VM's list of withdrawn keys is current.
 	KeysCurrent bool
 	// StoreDown means that the store did not respond to the VM's latest call.
@@ -113,6 +118,7 @@
 	m.PresenceInterval = min(time.Duration(p.IntervalMillis)*time.Millisecond, maxPresenceInterval)
 	m.Ready = p.Flags&vmwire.FlagReady != 0
 	m.Leaving = p.Flags&vmwire.FlagLeaving != 0
+	m.ReportsUsage = p.Flags&vmwire.FlagRegionUsage != 0
 	m.KeysCurrent = p.Flags&vmwire.FlagKeysCurrent != 0
 	m.StoreDown = p.Flags&vmwire.FlagStoreDown != 0
 	m.OpenRequests = int(p.Open)
--- a/fleet/presence.go
+++ b/fleet/presence.go
@@ -133,29 +133,23 @@
 	return list
 }
 
-// listedVMs returns up to vmListRegionSize VMs of each region. For other regions all VMs choose the same ones, so that they
-// stay known; of its own region each VM lists random ones.
+// listedVMs returns up to vmListRegionSize VMs of each region. Of other regions all VMs choose the same ones, so that they
+// stay known, and those that may report the usage of the region; of its own region each VM lists random ones.
 func (f *Fleet) listedVMs(known []vmwire.KnownVM) []vmwire.KnownVM {
-	slices.SortFunc(known, func(a, b vmwire.KnownVM) int { return cmp.Compare(addressHash(a.Address), addressHash(b.Address)) })
-	start := rand.IntN(max(1, len(known)))
-	counts := map[string]int{}
-	var listed []vmwire.KnownVM
-	for i := range known {
-		row := known[i]
-		if row.Region == f.Endpoint.Self.Region {
-			continue
-		}
-		if counts[row.Region]++; counts[row.Region] <= vmListRegionSize {
-			listed = append(listed, row)
-		}
+	byRegion := map[string][]vmwire.KnownVM{}
+	for _, row := range known {
+		byRegion[row.Region] = append(byRegion[row.Region], row)
 	}
-	local := 0
-	for i := range known {
-		row := known[(start+i)%len(known)]
-		if row.Region == f.Endpoint.Self.Region && local < vmListRegionSize {
-			local++
-			listed = append(listed, row)
+	var listed []vmwire.KnownVM
+	for region, rows := range byRegion {
+		if region == f.Endpoint.Self.Region {
+			rand.Shuffle(len(rows), func(i, j int) { rows[i], rows[j] = rows[j], rows[i] })
+		} else {
+			slices.SortFunc(rows, func(a, b vmwire.KnownVM) int { return cmp.Compare(a.Slot, b.Slot) })
+			rest := rows[min(usageReporters, len(rows)):]
+			slices.SortFunc(rest, func(a, b vmwire.KnownVM) int { return cmp.Compare(addressHash(a.Address), addressHash(b.Address)) })
 		}
+		listed = append(listed, rows[:min(vmListRegionSize, len(rows))]...)
 	}
 	return listed
 }
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -80,19 +80,37 @@
 	return n
 }
 
-// LowestAliveSlot returns the lowest name among the live VMs of another region, or an empty string.
-func (f *Fleet) LowestAliveSlot(now time.Time, region string) string {
+// UsageReporter returns the lowest name among the live VMs of another region that report its usage, or an empty string.
+func (f *Fleet) UsageReporter(now time.Time, region string) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	first := ""
 	for slot, m := range f.members {
-		if m.Region == region && m.Alive(now) && (first == "" || slot < first) {
+		if m.Region == region && m.ReportsUsage && m.Alive(now) && (first == "" || slot < first) {
 			first = slot
 		}
 	}
 	return first
 }
 
+// ReportsUsage reports whether this VM reports the usage of its region to other regions: each VM of a small region, and
+// those with the lowest names of a large one.
+func (f *Fleet) ReportsUsage(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	local, lower := 0, 0
+	for slot, m := range f.members {
+		if m.remote || !m.Alive(now) {
+			continue
+		}
+		local++
+		if m.Ready && !m.Leaving && slot < f.Endpoint.Self.Slot {
+			lower++
+		}
+	}
+	return local <= maxDirectReceivers || lower < usageReporters
+}
+
 // ExpectedWait returns the lowest expected time to the first token of a service for a priority rank in another region,
 // and the time of the presence that reported it.
 func (f *Fleet) ExpectedWait(now time.Time, region, service string, rank int) (wait time.Duration, presenceAt time.Time, found bool) {
--- /dev/null
+++ b/fleet/view_test.go
@@ -0,0 +1,56 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"parsleyhatch/vm"
+	"parsleyhatch/vmwire"
+)
+
+// Guards against the usage of a large region that all its VMs report to other regions, and against one that none reports.
+func TestUsageReporters(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct{ vms, want int }{{3, 3}, {maxDirectReceivers + 1, maxDirectReceivers + 1}, {40, usageReporters}} {
+		reporters := 0
+		for self := range c.vms {
+			f := &Fleet{Endpoint: &vm.Endpoint{Self: vm.Identity{Slot: fmt.Sprintf("vm%02d", self), Region: "north"}}, members: map[string]*Member{}}
+			for i := range c.vms {
+				if i != self {
+					f.members[fmt.Sprintf("vm%02d", i)] = &Member{Ready: true, LastPresenceAt: now}
+				}
+			}
+			if f.ReportsUsage(now) {
+				reporters++
+			}
+		}
+		if reporters != c.want {
+			t.Errorf("%d VMs: %d report the usage of the region, want %d", c.vms, reporters, c.want)
+		}
+	}
+}
+
+// Guards against a VM list without the VMs that report the usage of a region, which its receiver must be able to dial.
+func TestVMListKeepsUsageReporters(t *testing.T) {
+	f := &Fleet{Endpoint: &vm.Endpoint{Self: vm.Identity{Slot: "self", Region: "north"}}}
+	var known []vmwire.KnownVM
+	for _, region := range []string{"north", "south"} {
+		for i := range 100 {
+			known = append(known, vmwire.KnownVM{Slot: fmt.Sprintf("%s%02d", region, i), Region: region, Address: fmt.Sprintf("10.0.%d.1:7600", i)})
+		}
+	}
+	listed := map[string]int{}
+	for _, row := range f.listedVMs(known) {
+		listed[row.Region]++
+		listed[row.Slot]++
+	}
+	if listed["north"] != vmListRegionSize || listed["south"] != vmListRegionSize {
+		t.Errorf("%d and %d VMs listed, want %d", listed["north"], listed["south"], vmListRegionSize)
+	}
+	for _, slot := range []string{"south00", "south01", "south02"} {
+		if listed[slot] != 1 {
+			t.Errorf("%s listed %d times", slot, listed[slot])
+		}
+	}
+}
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -163,6 +163,8 @@
 	FlagUsageKnown
 	// FlagStoreDown means that the store did not respond to the sender's latest call.
 	FlagStoreDown
+	// FlagRegionUsage means that a presence to another region reports the usage of the sender's region.
+	FlagRegionUsage
 )
 
 // Heartbeat shows that the sender is alive and carries its view of other VMs.
