--- a/edge/endless_test.go
+++ b/edge/endless_test.go
@@ -103,7 +103,7 @@
 			idle := heapBytes()
 			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 			defer cancel()
-			peak := v.callEndless(t, ctx, upstreams)
+			peak := v.callEndless(ctx, t, upstreams)
 			if growth := int64(peak) - int64(idle); growth > maxGrowth {
 				t.Errorf("%d requests took %d bytes, want at most %d", upstreams, growth, maxGrowth)
 			}
@@ -120,7 +120,7 @@
 
 // callEndless sends requests at the same time, reads no more of each answer than 64 KB a time until ctx ends, and returns
 // the largest heap in use.
-func (v *testVM) callEndless(t *testing.T, ctx context.Context, requests int) uint64 {
+func (v *testVM) callEndless(ctx context.Context, t *testing.T, requests int) uint64 {
 	t.Helper()
 	var wait sync.WaitGroup
 	for range requests {
