--- a/edge/control_test.go
+++ b/edge/control_test.go
@@ -17,7 +17,7 @@
 			w.publishConfig(1, routeJSON("a", "safe", "plain", ""))
 			for i := range 80 {
 				id := fmt.Sprintf("u%02d", i)
-				w.store.Put(platform.UpstreamPrefix+id, fmt.Sprintf(`{"service":"engine","address":"127.0.0.1:1","zone":"north-a","slots":64,"state":"ready","sequence":1,"born":1}`))
+				w.store.Put(platform.UpstreamPrefix+id, `{"service":"engine","address":"127.0.0.1:1","zone":"north-a","slots":64,"state":"ready","sequence":1,"born":1}`)
 			}
 			for i := range vms {
 				w.startVM(fmt.Sprintf("vm%03d", i), "north", false)
