vm: let a panic end one stream or session instead of the process

A panic while a message or a forwarded request of another VM is handled ended the process, with all its requests. Now the session or the stream ends, with event 1208 and the stack; a broken invariant still stops the process. TestPanicEndsStreamOrSession ended the test process before.

Not covered: the control loop of the gateway for the own protocol, which reads messages from a queue.

--- a/event/event.go
+++ b/event/event.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"runtime/debug"
 	"sort"
 )
 
@@ -41,10 +42,26 @@
 	l.Log(ctx, e.Level, e.Message, append([]any{"event", e.ID}, args...)...)
 }
 
+// BrokenInvariant is the value with which FailInvariant panics.
+type BrokenInvariant string
+
+// Error returns the event and its attributes.
+func (b BrokenInvariant) Error() string { return string(b) }
+
 // FailInvariant logs a broken invariant and panics.
 func FailInvariant(l *slog.Logger, e Event, args ...any) {
 	e.Log(l, args...)
-	panic(fmt.Sprintf("event %d: %s: %v", e.ID, e.Message, args))
+	panic(BrokenInvariant(fmt.Sprintf("event %d: %s: %v", e.ID, e.Message, args)))
+}
+
+// Recovered logs the value of a recovered panic with its stack and returns it as an error. It panics again with a broken
+// invariant, which must stop the process.
+func Recovered(l *slog.Logger, e Event, value any, args ...any) error {
+	if broken, ok := value.(BrokenInvariant); ok {
+		panic(broken)
+	}
+	e.Log(l, append(args, "panic", fmt.Sprint(value), "stack", string(debug.Stack()))...)
+	return fmt.Errorf("%s: %v", e.Message, value)
 }
 
 // Catalogue returns all registered events sorted by number.
--- a/event/events.go
+++ b/event/events.go
@@ -29,6 +29,7 @@
 	MemberDead     = New(1205, slog.LevelWarn, "vm considered dead", "Check the VM if it does not return.")
 	MemberReturned = New(1206, slog.LevelInfo, "vm is alive", "none")
 	HandoverSent   = New(1207, slog.LevelInfo, "call records handed over", "none")
+	PeerPanic      = New(1208, slog.LevelError, "unexpected failure in a request or session of a vm; it was ended", "Report the fault with the stack in the line.")
 	FrameInvalid   = New(1204, slog.LevelWarn, "invalid frame from vm; session closed", "Check that all VMs run compatible versions.")
 )
 
--- a/vm/endpoint.go
+++ b/vm/endpoint.go
@@ -145,6 +145,13 @@
 	}
 }
 
+// runStream serves a stream. A panic resets this stream and does not end the process.
 func (e *Endpoint) runStream(st *Stream, open vmwire.Open) {
+	defer func() {
+		if value := recover(); value != nil {
+			_ = event.Recovered(e.Log, event.PeerPanic, value, "vm", st.Peer().Slot, "request", open.RequestID)
+			st.Reset()
+		}
+	}()
 	e.OnStream(st, open)
 }
--- a/vm/session.go
+++ b/vm/session.go
@@ -12,6 +12,7 @@
 
 	"github.com/tinylib/msgp/msgp"
 
+	"parsleyhatch/event"
 	"parsleyhatch/vmwire"
 )
 
@@ -269,13 +270,23 @@
 		now := time.Now()
 		s.lastReceivedUnixNano.Store(now.UnixNano())
 		s.lastReceivedOffset.Store(int64(now.Sub(s.startedAt)))
-		if err := s.dispatch(f); err != nil {
+		if err := s.dispatchRecovered(f); err != nil {
 			s.Close(err)
 			return
 		}
 	}
 }
 
+// dispatchRecovered dispatches a frame. A panic ends this session and not the process.
+func (s *Session) dispatchRecovered(f vmwire.Frame) (err error) {
+	defer func() {
+		if value := recover(); value != nil {
+			err = event.Recovered(s.endpoint.Log, event.PeerPanic, value, "vm", s.Peer.Slot, "kind", f.Kind)
+		}
+	}()
+	return s.dispatch(f)
+}
+
 func (s *Session) dispatch(f vmwire.Frame) error {
 	switch f.Kind {
 	case vmwire.KindOpen:
--- a/vm/session_test.go
+++ b/vm/session_test.go
@@ -187,6 +187,25 @@
 	}
 }
 
+// Guards against a fault in one stream or in one message that ends the whole process.
+func TestPanicEndsStreamOrSession(t *testing.T) {
+	s, err := dialPair(t, testKey, testKey, func(*Stream, vmwire.Open) { panic("fault of a stream") })
+	if err != nil {
+		t.Fatal(err)
+	}
+	st, err := s.OpenStream(context.Background(), &vmwire.Open{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := st.Recv(context.Background()); !errors.Is(err, ErrStreamReset) {
+		t.Errorf("stream whose handler panicked: %v, want %v", err, ErrStreamReset)
+	}
+	s.endpoint.OnControl = func(*Session, vmwire.Frame) { panic("fault of a message") }
+	if err := s.dispatchRecovered(vmwire.Frame{Kind: vmwire.KindPresence}); err == nil {
+		t.Error("a message whose handler panicked was handled without an error")
+	}
+}
+
 // Guards against streams that hang on a link that drops all packets without closing the connection.
 func TestUnresponsivePeerEndsSession(t *testing.T) {
 	s, err := dialPair(t, testKey, testKey, func(*Stream, vmwire.Open) {})
