vm: count what is sent to other VMs by kind of message

The metrics address now tells frames and bytes for each kind, for VMs of the region and of other regions. BenchmarkControl reports frames, too.

--- a/edge/control_test.go
+++ b/edge/control_test.go
@@ -7,9 +7,10 @@
 	"time"
 
 	"parsleyhatch/platform"
+	"parsleyhatch/vmwire"
 )
 
-// BenchmarkControl measures what VMs of one region use without requests: processor time, and messages and bytes sent.
+// BenchmarkControl measures what VMs of one region use without requests: processor time, and frames and bytes sent.
 func BenchmarkControl(b *testing.B) {
 	for _, vms := range []int{10, 30, 100} {
 		b.Run(fmt.Sprint(vms), func(b *testing.B) {
@@ -26,23 +27,28 @@
 			time.Sleep(2 * time.Second)
 			const interval = 5 * time.Second
 			for b.Loop() {
-				sent, processor := w.bytesSent(), processorTime(b)
+				frames, bytes := w.sent()
+				processor := processorTime(b)
 				time.Sleep(interval)
 				perVM := float64(vms) * interval.Seconds()
 				b.ReportMetric(100*(processorTime(b)-processor).Seconds()/perVM, "%core/vm")
-				b.ReportMetric(float64(w.bytesSent()-sent)/perVM, "B/s/vm")
+				framesAfter, bytesAfter := w.sent()
+				b.ReportMetric(float64(framesAfter-frames)/perVM, "frames/s/vm")
+				b.ReportMetric(float64(bytesAfter-bytes)/perVM, "B/s/vm")
 			}
 		})
 	}
 }
 
-// bytesSent returns the bytes that all VMs have sent to each other over open sessions.
-func (w *testCluster) bytesSent() int64 {
-	var n int64
+// sent returns the frames and bytes that all VMs have sent to each other.
+func (w *testCluster) sent() (frames, bytes int64) {
 	for _, v := range w.vms {
-		n += v.Fleet.BytesSent()
+		for kind := range vmwire.KindCount {
+			f, b := v.Fleet.Endpoint.SentSameRegion.Sent(kind)
+			frames, bytes = frames+f, bytes+b
+		}
 	}
-	return n
+	return frames, bytes
 }
 
 // processorTime returns the processor time that the process has used.
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -189,12 +189,3 @@
 		}
 	}
 }
-
-// BytesSent returns the bytes that were sent over the open sessions.
-func (f *Fleet) BytesSent() int64 {
-	var n int64
-	for _, s := range f.allSessions() {
-		n += s.BytesSent()
-	}
-	return n
-}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -132,5 +132,12 @@
 // AddCounter adds to a counter without tags.
 func (m *Metrics) AddCounter(name string, n int64) { m.scope.Counter(name).Inc(n) }
 
+// SetSent sets the gauges of the frames of a kind that were sent to VMs, and of their bytes. peers says to which VMs.
+func (m *Metrics) SetSent(kind, peers string, frames, bytes int64) {
+	scope := m.scope.Tagged(map[string]string{"kind": kind, "peers": peers})
+	scope.Gauge("vm_frames_sent").Update(float64(frames))
+	scope.Gauge("vm_bytes_sent").Update(float64(bytes))
+}
+
 // SetGauge sets a gauge without tags.
 func (m *Metrics) SetGauge(name string, v float64) { m.scope.Gauge(name).Update(v) }
--- a/operator/vmmonitor.go
+++ b/operator/vmmonitor.go
@@ -12,12 +12,17 @@
 	"parsleyhatch/event"
 	"parsleyhatch/logbuf"
 	"parsleyhatch/platform"
+	"parsleyhatch/vm"
+	"parsleyhatch/vmwire"
 )
 
 // monitorInterval is the interval at which a VM checks its settings file and its readiness for changes and updates
 // the gauges.
 const monitorInterval = time.Second
 
+// sentReportTicks is the number of ticks between two updates of the gauges of what was sent to other VMs.
+const sentReportTicks = 5
+
 // runMonitor reloads changed settings, logs changes of the readiness and dropped log lines, and updates the gauges
 // until ctx is done.
 func (p *edgeProcess) runMonitor(ctx context.Context, path string, logWriter *logbuf.Writer, reload <-chan os.Signal) {
@@ -49,6 +54,8 @@
 	lastModified time.Time
 	ready        bool
 	dropped      int64
+	// ticks counts the calls of report.
+	ticks int
 }
 
 // modTime returns the modification time of a file, zero if it cannot be determined.
@@ -113,6 +120,22 @@
 	} {
 		e.Metrics.SetGauge(name, float64(value))
 	}
+	if m.ticks++; m.ticks%sentReportTicks == 0 {
+		m.reportSent()
+	}
+}
+
+// reportSent sets the gauges of what was sent to other VMs, by kind of message.
+func (m *monitor) reportSent() {
+	e := m.process.edge
+	endpoint := e.Fleet.Endpoint
+	for peers, counts := range map[string]*vm.SentCounts{"sameRegion": &endpoint.SentSameRegion, "otherRegions": &endpoint.SentOtherRegions} {
+		for kind, name := range vmwire.KindNames {
+			if frames, bytes := counts.Sent(kind); frames > 0 {
+				e.Metrics.SetSent(name, peers, frames, bytes)
+			}
+		}
+	}
 }
 
 // settingsSummary describes the machine and the seeds for the log line of the start.
--- a/vm/session.go
+++ b/vm/session.go
@@ -161,10 +161,12 @@
 	if err != nil {
 		return false
 	}
+	size := len(*buf)
 	select {
 	case <-s.done:
 		return false
 	case s.writeQueue <- buf:
+		s.endpoint.countSent(s, kind, size)
 		return true
 	default:
 		return false
@@ -177,8 +179,10 @@
 	if err != nil {
 		return err
 	}
+	size := len(*buf)
 	select {
 	case s.writeQueue <- buf:
+		s.endpoint.countSent(s, f.Kind, size)
 		return nil
 	case <-s.done:
 		return ErrSessionClosed
