--- a/replica/choose.go
+++ b/replica/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"hash/fnv"
-	"math"
 	"time"
 
 	"parsleyhatch/route"
@@ -70,7 +69,6 @@
 	pick.pickedAt = now
 	pick.rank = q.Rank
 	pick.heldTokens = pick.UncachedTokens + q.Prompt.MaxAnswerTokens
-	t.countArrival(now, q.Service.Name, pick.UncachedTokens)
 	t.changedUses[r.ID] = true
 	r.localUse.Running++
 	r.localUse.Prefill[q.Rank] += pick.UncachedTokens
@@ -102,29 +100,20 @@
 	candidates := t.byService[q.Service.Name]
 	affinityUpstream := t.affinityUpstream(now, candidates, q)
 	collected := t.collected(now)
-	t.eligibleNow, t.estimates, t.waits = t.eligibleNow[:0], t.estimates[:0], t.waits[:0]
+	var best *upstreamState
+	var found estimate
 	for _, r := range candidates {
 		if !t.eligible(now, r, q) {
 			continue
 		}
-		x := r.estimate(now, q, r == affinityUpstream, collected)
-		t.eligibleNow, t.estimates, t.waits = append(t.eligibleNow, r), append(t.estimates, x), append(t.waits, x.queueWait())
+		if x := r.estimate(now, q, r == affinityUpstream, collected); best == nil || x.cost < found.cost {
+			best, found = r, x
+		}
 	}
-	if len(t.eligibleNow) == 0 {
+	if best == nil {
 		return nil, Pick{}
 	}
-	level := math.Inf(-1)
-	if unseen := t.unseenWait(now, q.Service.Name); unseen > 0 {
-		level = fillLevel(t.waits, unseen)
-	}
-	best := 0
-	for i := range t.estimates {
-		t.estimates[i].raise(level)
-		if t.estimates[i].cost < t.estimates[best].cost {
-			best = i
-		}
-	}
-	return t.eligibleNow[best], t.eligibleNow[best].pick(t.estimates[best])
+	return best, best.pick(found)
 }
 
 // pick returns the Pick for an upstream and its estimate.
--- a/replica/estimate.go
+++ b/replica/estimate.go
@@ -85,17 +85,6 @@
 	return x
 }
 
-// queueWait returns the expected time before the upstream processes the prompt of the request, in milliseconds.
-func (x *estimate) queueWait() float64 { return x.firstToken - float64(x.uncached)/prefillRate }
-
-// raise adds the time by which the wait is below the level.
-func (x *estimate) raise(level float64) {
-	if missing := level - x.queueWait(); missing > 0 {
-		x.firstToken += missing
-		x.cost += missing
-	}
-}
-
 // promptReadMillis returns the time until the prompt is processed, in milliseconds.
 func (x *estimate) promptReadMillis(rank int) float64 {
 	inProgress := min(inProgressShare*float64(x.totalUse.ahead(RankCount-1)-x.ahead), maxInProgressTokens)
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"math"
-	"slices"
 	"testing"
 	"time"
 
@@ -349,51 +347,3 @@
 		t.Errorf("%d running after the sums expired, want 1", pick.LoadInputs.Running)
 	}
 }
-
-// Guards against VMs that all send to the same idle upstream because they know the same old load, and against a VM that
-// sends to a busy upstream although there is time for few requests since its last report.
-func TestStaleLoadSpreadsRequests(t *testing.T) {
-	const vms, upstreams = 50, 20
-	counts := map[string]int{}
-	for vm := range vms {
-		table := newTable(upstreams, "p")
-		table.SetVMs(fmt.Sprintf("vm%d", vm), nil, vms)
-		now := start
-		for range 40 { // Each VM has sent 10 requests a second.
-			now = now.Add(100 * time.Millisecond)
-			p, _ := table.Pick(now, Request{Service: plain})
-			table.Done(now, &p, Answered)
-		}
-		// One upstream looks idle, the others run four requests each.
-		table.ApplySums(now.Add(-400*time.Millisecond), func(string) Use { return Use{} })
-		table.ApplySums(now, func(id string) Use {
-			if id == "u7" {
-				return Use{}
-			}
-			return Use{Running: 4}
-		})
-		p, _ := table.Pick(now.Add(300*time.Millisecond), Request{Service: plain})
-		counts[p.ID]++
-	}
-	if counts["u7"] > vms/5 {
-		t.Errorf("%d of %d VMs chose the upstream that looked idle 300 ms ago", counts["u7"], vms)
-	}
-}
-
-// Guards against a level above or below that at which the whole amount is distributed.
-func TestFillLevel(t *testing.T) {
-	for _, c := range []struct {
-		values       []float64
-		amount, want float64
-	}{
-		{[]float64{5, 1, 3}, 0, 1},
-		{[]float64{5, 1, 3}, 1, 2},
-		{[]float64{5, 1, 3}, 6, 5},
-		{[]float64{5, 1, 3}, 9, 6},
-		{[]float64{2}, 3, 5},
-	} {
-		if got := fillLevel(slices.Clone(c.values), c.amount); math.Abs(got-c.want) > 1e-9 {
-			t.Errorf("fillLevel(%v, %v) = %v, want %v", c.values, c.amount, got, c.want)
-		}
-	}
-}
--- a/replica/table.go
+++ b/replica/table.go
@@ -27,14 +27,6 @@
 	changedUses map[string]bool
 	// sumsAt is the time of the latest sums of a collector, zero if this VM has none or collects itself.
 	sumsAt time.Time
-	// sumsInterval is the time between the latest two sums.
-	sumsInterval time.Duration
-	// arrivals holds the requests that this VM sends, by service.
-	arrivals map[string]*arrivals
-	// eligibleNow, estimates and waits are reused by each choice.
-	eligibleNow []*upstreamState
-	estimates   []estimate
-	waits       []float64
 	// vmCount is the number of VMs that share the bound of a cold upstream, localVM the name of this one, and
 	// vmNames the names of those that are known.
 	vmCount int
@@ -53,7 +45,6 @@
 		byService:   map[string][]*upstreamState{},
 		evacuated:   map[string]bool{},
 		changedUses: map[string]bool{},
-		arrivals:    map[string]*arrivals{},
 		partCounts:  popularity{counts: map[uint64]float64{}},
 		vmCount:     1,
 	}
--- a/replica/uses.go
+++ b/replica/uses.go
@@ -102,9 +102,6 @@
 func (t *Table) ApplySums(now time.Time, use func(id string) Use) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.sumsAt.IsZero() {
-		t.sumsInterval = min(now.Sub(t.sumsAt), maxSumsInterval)
-	}
 	t.sumsAt = now
 	for id, r := range t.upstreams {
 		r.othersUse = use(id)
