fleet: leave out of presences what their receivers do not need

Cause: each presence repeated two addresses, and within a region the expected waits, which only VMs of other regions use and whose computation took 5% of the control time (profile of BenchmarkControl).

Change: addresses come with full presences only, waits with presences to other regions. A VM whose addresses are not known yet is not named to callers.

--- a/edge/presence.go
+++ b/edge/presence.go
@@ -35,7 +35,9 @@
 	e.describeUsage(now, p, sameRegion, full)
 	if t := e.table(); t != nil {
 		p.ConfigVersion = t.Config.Version
-		e.describeWaits(now, t, p)
+		if !sameRegion { // VMs of this region choose upstreams themselves.
+			e.describeWaits(now, t, p)
+		}
 	}
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -248,7 +248,7 @@
 	for slot, list := range f.sessions {
 		m := f.members[slot]
 		for _, s := range list {
-			if s.Dialed && f.remote(s) && m != nil && !preferredRemotes[m.Address] && len(preferredRemotes) >= sessionsPerRemoteRegion && s.OpenStreams() == 0 {
+			if s.Dialed && f.remote(s) && m != nil && m.Address != "" && !preferredRemotes[m.Address] && len(preferredRemotes) >= sessionsPerRemoteRegion && s.OpenStreams() == 0 {
 				surplus = append(surplus, s)
 			}
 		}
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -66,7 +66,8 @@
 // Member is another VM as described by its latest presence.
 type Member struct {
 	vm.Identity
-	// Address accepts sessions and CallerAddress accepts callers, as IP:port.
+	// Address accepts sessions and CallerAddress accepts callers, as IP:port. Both are empty until the first full
+	// presence.
 	Address       string
 	CallerAddress string
 	// LastPresenceAt is the time of the latest presence.
@@ -112,7 +113,9 @@
 
 // apply updates the member from a presence.
 func (m *Member) apply(now time.Time, p *vmwire.Presence) {
-	m.Address, m.CallerAddress = p.Address, p.CallerAddress
+	if p.Address != "" {
+		m.Address, m.CallerAddress = p.Address, p.CallerAddress
+	}
 	m.LastPresenceAt = now
 	m.DisconnectedAt = time.Time{}
 	m.PresenceInterval = min(time.Duration(p.IntervalMillis)*time.Millisecond, maxPresenceInterval)
--- a/fleet/presence.go
+++ b/fleet/presence.go
@@ -102,7 +102,10 @@
 func (f *Fleet) newPresence(sameRegion, full bool) *vmwire.Presence {
 	now := f.Now()
 	interval := time.Duration(f.presenceInterval.Load())
-	p := &vmwire.Presence{Address: f.Address, CallerAddress: f.CallerAddress, IntervalMillis: int32(interval.Milliseconds())}
+	p := &vmwire.Presence{IntervalMillis: int32(interval.Milliseconds())}
+	if full {
+		p.Address, p.CallerAddress = f.Address, f.CallerAddress
+	}
 	f.FillPresence(now, p, sameRegion, full)
 	f.mu.Lock()
 	f.ownPresence = p
@@ -231,10 +234,10 @@
 		event.MemberReturned.Log(f.Log, "vm", s.Peer.Slot, "region", s.Peer.Region)
 	}
 	m.apply(now, p)
-	if c := f.candidates[p.Address]; c != nil {
+	if c := f.candidates[m.Address]; c != nil {
 		c.slot, c.region, c.lastSeenAt = s.Peer.Slot, s.Peer.Region, now
-	} else {
-		f.candidates[p.Address] = &candidate{slot: s.Peer.Slot, region: s.Peer.Region, lastSeenAt: now, nextDialAt: now.Add(redialInterval)}
+	} else if m.Address != "" {
+		f.candidates[m.Address] = &candidate{slot: s.Peer.Slot, region: s.Peer.Region, lastSeenAt: now, nextDialAt: now.Add(redialInterval)}
 	}
 	return *m, true
 }
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -27,7 +27,7 @@
 	defer f.mu.Unlock()
 	var list []Member
 	for _, m := range f.members {
-		if m.Region == region && m.Ready && m.Leaving == leaving && m.Alive(now) {
+		if m.Region == region && m.Ready && m.Leaving == leaving && m.Alive(now) && m.CallerAddress != "" {
 			list = append(list, *m)
 		}
 	}
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -437,7 +437,8 @@
 
 // Presence shows that the sender is alive and carries the state that it shares with other VMs.
 type Presence struct {
-	// Address accepts sessions and CallerAddress accepts callers, as IP:port.
+	// Address accepts sessions and CallerAddress accepts callers, as IP:port. They are sent when a session opens and with
+	// the VM list, and otherwise empty.
 	Address       string
 	CallerAddress string
 	Flags         uint8
@@ -447,7 +448,8 @@
 	// Weight is the sender's relative share of the work, and RegionVMs the number of VMs in its region.
 	Weight    int32
 	RegionVMs int32
-	Waits     []ServiceWait
+	// Waits are the expected waits in the sender's region, for VMs of other regions.
+	Waits []ServiceWait
 	// Spent is the usage charged by the sender for VMs of its region, and that charged by the whole region for
 	// VMs of other regions.
 	Spent []WorkspaceUsage
