--- a/fleet/loadreport.go
+++ b/fleet/loadreport.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -19,22 +18,19 @@
 	// In a larger region the VMs report to collectors, which send sums, so that the messages of a VM do not grow with
 	// the number of VMs.
 	maxDirectReceivers = 12
-	// collectorCount is the number of VMs of a region that collect load reports. The first one sends the sums, and
-	// the second one replaces it if it is lost.
-	collectorCount = 2
 	// sumIntervalPerVM is the interval between two sums per VM of the region. It bounds what a collector sends.
 	sumIntervalPerVM = 4 * time.Millisecond
-	// collectorsInterval is the interval at which the collectors are chosen.
-	collectorsInterval = 500 * time.Millisecond
 	// missedSums is the number of sums of the first collector that may be missing before the second one sends.
 	missedSums = 3
 )
 
 // loadReporter schedules the reports of upstream load. It is used only by the goroutine of runUses.
 type loadReporter struct {
+	// reportedAt, fullReportAt and sentSumsAt are the times of the latest report, full report and sums of this VM.
 	reportedAt, fullReportAt, sentSumsAt time.Time
-	receivers                            []string
-	// collectors is the list of chosenAt.
+	// receivers are the VMs that got the latest report. A change of them makes the next report a full one.
+	receivers []string
+	// collectors is the list of collectors at chosenAt, and collecting whether this VM is one of them.
 	collectors []string
 	chosenAt   time.Time
 	collecting bool
@@ -91,7 +87,8 @@
 	f.OnCollecting(collecting)
 }
 
-// sumInterval returns the interval of reports to a collector and of its sums, in whole ticks.
+// sumInterval returns the shortest time between two reports to a collector, and between two of its sums. It is half a tick of
+// runUses below the interval, because ticks come early or late.
 func sumInterval(vms int) time.Duration {
 	return max(usesInterval, (time.Duration(vms)*sumIntervalPerVM).Round(usesInterval)) - usesInterval/2
 }
@@ -148,44 +145,3 @@
 	slices.Sort(slots)
 	return slots
 }
-
-// collectors returns the VMs of this region that collect load reports, the one that sends the sums first. They are the
-// ready VMs with the largest weight, in different failure domains if there are several. All VMs compute the same list from
-// the presences that they have received.
-func (f *Fleet) collectors(now time.Time) []string {
-	candidates := f.ReadyMembers(now, f.Endpoint.Self.Region)
-	if own, ready := f.ownMember(); ready {
-		candidates = append(candidates, own)
-	}
-	slices.SortFunc(candidates, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(a.Slot, b.Slot))
-	})
-	var chosen []Member
-	for len(chosen) < collectorCount && len(chosen) < len(candidates) {
-		chosen = append(chosen, nextCollector(candidates, chosen))
-	}
-	names := make([]string, len(chosen))
-	for i, m := range chosen {
-		names[i] = m.Slot
-	}
-	return names
-}
-
-// nextCollector returns the first candidate that is not chosen yet, in a failure domain without a chosen one if possible.
-func nextCollector(candidates, chosen []Member) Member {
-	var next *Member
-	for i := range candidates {
-		c := &candidates[i]
-		if slices.ContainsFunc(chosen, func(m Member) bool { return m.Slot == c.Slot }) {
-			continue
-		}
-		sameDomain := slices.ContainsFunc(chosen, func(m Member) bool { return m.FailureDomain == c.FailureDomain })
-		if !sameDomain {
-			return *c
-		}
-		if next == nil {
-			next = c
-		}
-	}
-	return *next
-}
