outage: keep an own copy of the requests of a crash

Found while reading the diff: the caller removes the requests that an outage explains from the same list, so that recorded crashes shared the zero value and looked related. TestRecordedRequestsAreKept failed before.

--- a/outage/outage.go
+++ b/outage/outage.go
@@ -41,6 +41,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.dropOld(now)
+	crash.Running = slices.Clone(crash.Running)
 	t.recent = append(t.recent, crash)
 	upstreams := upstreamsByRequest(t.recent)
 	if unrelatedCrashes(t.recent, upstreams) < minCrashes || 2*t.lostIn(crash.FailureDomain) < domainSize(crash.FailureDomain) {
--- a/outage/outage_test.go
+++ b/outage/outage_test.go
@@ -75,3 +75,18 @@
 		t.Errorf("outage %v, cleared %v, want all but %v", found, cleared, repeated)
 	}
 }
+
+// Guards against crashes that look related because their list of requests was changed after it was recorded.
+func TestRecordedRequestsAreKept(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var table Table
+	found := false
+	for i, name := range []string{"a", "b", "c"} {
+		running := []poison.Fingerprint{{byte(i + 1)}}
+		_, found = table.RecordCrash(now, Crash{At: now, Upstream: name, FailureDomain: "x", Running: running}, func(string) int { return 4 })
+		running[0] = poison.Fingerprint{}
+	}
+	if !found {
+		t.Error("three unrelated crashes were not taken for an outage")
+	}
+}
