--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -6,47 +6,6 @@
 // Protocol is the version of this schema. Sessions with VMs of another version are refused.
 const Protocol = 5
 
-// Kinds of frames.
-const (
-	KindHello uint8 = iota + 1
-	KindOpen
-	KindData
-	KindEnd
-	KindReset
-	KindWindow
-	KindHeartbeat
-	KindHeartbeatAck
-	KindConfigRequest
-	KindConfigParts
-	KindLoad
-	KindSummary
-	KindTokenRequest
-	KindTokenGrant
-	KindSuspectRequest
-	KindHandover
-	KindHandoverRequest
-	KindPing
-	KindPresence
-	KindStoreQuery
-	KindStoreReply
-	KindUpstreamLoads
-	KindUpstreamSums
-	kindEnd
-)
-
-// KindCount is the number of kinds of frames, with the unused kind zero.
-const KindCount = int(kindEnd)
-
-// KindNames are the names of the kinds of frames in metrics.
-var KindNames = [KindCount]string{
-	KindHello: "hello", KindOpen: "open", KindData: "data", KindEnd: "end", KindReset: "reset", KindWindow: "window",
-	KindHeartbeat: "heartbeat", KindHeartbeatAck: "heartbeatAck", KindConfigRequest: "configRequest", KindConfigParts: "configParts",
-	KindLoad: "load", KindSummary: "summary", KindTokenRequest: "tokenRequest", KindTokenGrant: "tokenGrant",
-	KindSuspectRequest: "suspectRequest", KindHandover: "handover", KindHandoverRequest: "handoverRequest", KindPing: "ping",
-	KindPresence: "presence", KindStoreQuery: "storeQuery", KindStoreReply: "storeReply",
-	KindUpstreamLoads: "upstreamLoads", KindUpstreamSums: "upstreamSums",
-}
-
 // The limits bound what a decoder allocates for a length that a faulty peer announces. Without them, a
 // frame of 23 bytes made a VM allocate 128 GiB. The longest valid array is the list of parts of a
 // configuration, with about 700 entries at the target scale. Fields of raw bytes may fill a frame of
