fleet: count VMs that are only listed among the sharers of bounds

Cause, by reading: 99 VMs of a region that start at once learn of each other by lists first and are connected seconds later. A VM that is connected with 40 of them ranked itself among these 40, so that about 12 VMs could send a request to a cold upstream whose bound is 7 (computed).

TestListedVMsShareBounds failed before.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -50,7 +50,8 @@
 }
 
 // SameRegionSlots returns the names of the VMs of this region, including this one, that share the bounds of the
-// region's upstreams. A lost VM may only be cut off and counts until its retention ends.
+// region's upstreams. A lost VM may only be cut off and counts until its retention ends. A VM that is only listed by others
+// counts, too: where all VMs start at once, they learn the names long before they are connected, and must agree on the shares.
 func (f *Fleet) SameRegionSlots(now time.Time) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -64,9 +65,19 @@
 			names = append(names, slot)
 		}
 	}
+	for _, c := range f.candidates {
+		if f.isListedOnly(now, c) {
+			names = append(names, c.slot)
+		}
+	}
 	return names
 }
 
+// isListedOnly reports whether a candidate is another VM of this region from which no presence has come.
+func (f *Fleet) isListedOnly(now time.Time, c *candidate) bool {
+	return c.slot != "" && c.slot != f.Endpoint.Self.Slot && !f.isRemoteCandidate(c) && f.members[c.slot] == nil && now.Sub(c.lastSeenAt) <= vmListMaxAge
+}
+
 // SameRegionCount returns the number of names that SameRegionSlots returns.
 func (f *Fleet) SameRegionCount(now time.Time) int {
 	f.mu.Lock()
@@ -77,6 +88,11 @@
 			n++
 		}
 	}
+	for _, c := range f.candidates {
+		if f.isListedOnly(now, c) {
+			n++
+		}
+	}
 	return n
 }
 
--- a/fleet/view_test.go
+++ b/fleet/view_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -71,3 +72,22 @@
 		t.Errorf("VMs for callers after a full presence: %+v", ready)
 	}
 }
+
+// Guards against VMs that start together and divide a bound by the few VMs that they are connected with.
+func TestListedVMsShareBounds(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := New(now, &vm.Endpoint{Self: vm.Identity{Slot: "a", Region: "north"}}, "address-a", "callers", nil)
+	f.addCandidates(now, []vmwire.KnownVM{
+		{Slot: "a", Region: "north", Address: "address-a"}, {Slot: "b", Region: "north", Address: "address-b"},
+		{Slot: "c", Region: "north", Address: "address-c"}, {Slot: "d", Region: "south", Address: "address-d"},
+	})
+	f.members["b"] = &Member{LastPresenceAt: now}
+	slots := f.SameRegionSlots(now)
+	slices.Sort(slots)
+	if want := []string{"a", "b", "c"}; !slices.Equal(slots, want) || f.SameRegionCount(now) != len(want) {
+		t.Errorf("%v and %d sharers, want %v", slots, f.SameRegionCount(now), want)
+	}
+	if n := f.SameRegionCount(now.Add(2 * vmListMaxAge)); n != 2 {
+		t.Errorf("%d sharers after a listed VM was not seen again, want 2", n)
+	}
+}
