--- a/edge/uses.go
+++ b/edge/uses.go
@@ -67,6 +67,7 @@
 	return h.Sum32()
 }
 
+// sumOf returns the message for the use of an upstream, and sumUse the use in such a message.
 func sumOf(key uint32, use replica.Use) vmwire.UpstreamSum {
 	return vmwire.UpstreamSum{
 		Key: key, Running: uint32(max(use.Running, 0)),
@@ -75,7 +76,7 @@
 	}
 }
 
-// sumUnits rounds a number of tokens to units of SumTokens. It is negative if a VM has reported more than it uses.
+// sumUnits rounds a number of tokens to units of SumTokens. Sums are not negative.
 func sumUnits(tokens int64) uint32 {
 	return uint32((max(tokens, 0) + vmwire.SumTokens/2) / vmwire.SumTokens)
 }
