source: leave a reader whose knowledge of the store does not advance

A question that came to a reader just after it had lost the store waited its whole time; and a reader whose call hangs (3 s here) kept its region waiting until the keys were too old.

Change: a reader that has lost the store fails questions until it knows something newer; an answer that is older than a watch lasts counts as failed; after a failure the state of the store is read at once, without waiting for a change.

Before: TestWatchFailsWhenReaderLosesStore (watch after the loss) and TestKeysStayFreshWhenReaderHangs (503 after 3 s) fail. After: both pass four times, and TestKeysStayFreshThroughOtherVMs nine times under the race detector and four without.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -459,6 +460,38 @@
 	}
 }
 
+// Guards against a region whose VMs refuse all keys because the store has stopped answering their reader.
+func TestKeysStayFreshWhenReaderHangs(t *testing.T) {
+	w := newTestCluster(t, "north")
+	w.revokeBound = 3 * time.Second
+	w.publishConfig(1, routeJSON("a", "safe", "plain", ""))
+	w.addUpstream("u1", "plain", "north", nil)
+	hang := make(chan struct{})
+	hanging := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		select {
+		case <-hang:
+			<-r.Context().Done()
+		default:
+			w.store.ServeHTTP(rw, r)
+		}
+	}))
+	t.Cleanup(func() {
+		hanging.CloseClientConnections()
+		hanging.Close()
+	})
+	w.storeProxy = hanging
+	w.startVM("vm1", "north", true)
+	w.storeProxy = nil
+	v := w.startVM("vm2", "north", true)
+	w.waitForMembership()
+	close(hang)
+	for end := time.Now().Add(6 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if status, _, _ := v.call(t, "/a/", "x", nil); status != http.StatusOK {
+			t.Fatalf("status %d while this vm reaches the store", status)
+		}
+	}
+}
+
 // Guards against requests to an upstream that is draining or is no longer registered.
 func TestDrainingUpstreamGetsNoRequests(t *testing.T) {
 	w := newTestCluster(t, "north")
--- a/source/history.go
+++ b/source/history.go
@@ -32,16 +32,16 @@
 	knownAt           time.Time
 	storeReturnedAt   time.Time
 	changed           chan struct{}
-	// failures counts the calls of interrupt.
-	failures int
+	// lost is set from the loss of the store until newer knowledge arrives.
+	lost bool
 }
 
-// interrupt makes all waiting watches fail, since this VM no longer reads the store. The other VMs read it elsewhere at
-// once.
+// interrupt makes all watches fail until newer knowledge arrives, since this VM no longer reads the store. The other VMs
+// read it elsewhere at once.
 func (h *History) interrupt() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.failures++
+	h.lost = true
 	h.wake()
 }
 
@@ -79,6 +79,7 @@
 	newer := knownAt.After(h.knownAt)
 	h.revision, h.knownAt, h.storeReturnedAt = revision, knownAt, storeReturnedAt
 	if newer || len(a.Events)+len(a.Items) > 0 {
+		h.lost = false
 		h.wake()
 	}
 }
@@ -104,15 +105,13 @@
 func (h *History) Watch(ctx context.Context, after uint64, wait time.Duration) (Answer, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	knownAt, failures := h.state()
-	for {
+	var knownAt time.Time
+	for first := true; ; first = false {
 		a, changed, err := h.changesSince(after)
-		if err != nil || len(a.Events) > 0 || a.KnownAt.After(knownAt) {
+		if err != nil || len(a.Events) > 0 || !first && a.KnownAt.After(knownAt) {
 			return a, err
 		}
-		if _, now := h.state(); now != failures {
-			return Answer{}, ErrStateUnknown
-		}
+		knownAt = a.KnownAt
 		select {
 		case <-ctx.Done():
 			return a, ctx.Err()
@@ -124,19 +123,12 @@
 	}
 }
 
-// state returns the time up to which the state is known, and the number of failures.
-func (h *History) state() (knownAt time.Time, failures int) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.knownAt, h.failures
-}
-
 // changesSince returns the changes after a revision, and a channel that is closed when there are more.
 func (h *History) changesSince(after uint64) (Answer, <-chan struct{}, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	switch {
-	case h.items == nil || after > h.revision:
+	case h.items == nil || after > h.revision || h.lost:
 		return Answer{}, nil, ErrStateUnknown
 	case after < h.compactedRevision:
 		return Answer{}, nil, platform.ErrCompacted
--- a/source/history_test.go
+++ b/source/history_test.go
@@ -66,4 +66,11 @@
 	if r := receive(t, result); !errors.Is(r.err, ErrStateUnknown) {
 		t.Errorf("error %v, want %v", r.err, ErrStateUnknown)
 	}
+	if _, err := h.Watch(context.Background(), 5, 0); !errors.Is(err, ErrStateUnknown) {
+		t.Errorf("watch after the loss: error %v, want %v", err, ErrStateUnknown)
+	}
+	h.add(Answer{}, 5, time.Unix(1001, 0), time.Time{})
+	if _, err := h.Watch(context.Background(), 5, 0); err != nil {
+		t.Errorf("watch after newer knowledge arrived: %v", err)
+	}
 }
--- a/source/source.go
+++ b/source/source.go
@@ -121,7 +121,7 @@
 func (s *Watcher) readOnce(ctx context.Context) error {
 	var errs []error
 	for _, r := range s.Readers() {
-		err := s.readFrom(ctx, r)
+		err := s.readFrom(ctx, r, len(errs) > 0)
 		if err == nil || ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -130,15 +130,27 @@
 	return errors.Join(errs...)
 }
 
+// errNoProgress means that a reader's own watch should have ended, but has not.
+var errNoProgress = errors.New("the reader's knowledge of the store does not advance")
+
+// watchTimeout returns the timeout of a watch. After the failure of another reader, the state of the store is read at once.
+func (s *Watcher) watchTimeout(r Reader, afterFailure bool) time.Duration {
+	switch {
+	case afterFailure:
+		return time.Millisecond
+	case r.Direct:
+		return s.WatchTimeout
+	default:
+		return s.WatchTimeout + s.WatchTimeout/indirectWatchMargin
+	}
+}
+
 // readFrom makes one call to a reader and applies its answer. If the watched revision was compacted, the next
 // call reads all items.
-func (s *Watcher) readFrom(ctx context.Context, r Reader) error {
+func (s *Watcher) readFrom(ctx context.Context, r Reader, afterFailure bool) error {
 	call := r.Range
 	if s.synced {
-		timeout := s.WatchTimeout
-		if !r.Direct {
-			timeout += timeout / indirectWatchMargin
-		}
+		timeout := s.watchTimeout(r, afterFailure)
 		call = func(ctx context.Context) (Answer, error) { return r.Watch(ctx, s.revision, timeout) }
 	}
 	a, err := call(ctx)
@@ -155,8 +167,12 @@
 	case err != nil:
 		return err
 	}
+	noProgress := !r.Direct && s.synced && len(a.Events) == 0 && s.Now().Sub(a.KnownAt) > s.WatchTimeout
 	s.recordStoreReturn(a.StoreReturnedAt)
 	s.applyAnswer(a)
+	if noProgress {
+		return errNoProgress
+	}
 	return nil
 }
 
