--- a/edge/events.go
+++ b/edge/events.go
@@ -106,7 +106,7 @@
 
 // sendCompleteEvents appends data to the pending bytes and sends all events that are complete.
 func (s *eventRelay) sendCompleteEvents(data []byte) error {
-	// The separator may have begun in the bytes before data.
+	// The separator may have started in the bytes before data.
 	searched := max(0, len(s.pending)-1)
 	s.pending = append(s.pending, data...)
 	end := bytes.LastIndex(s.pending[searched:], []byte("\n\n"))
--- a/fleet/loadreport.go
+++ b/fleet/loadreport.go
@@ -77,7 +77,7 @@
 	}
 }
 
-// setCollecting tells the owner of the fleet when this VM starts or stops to collect load reports.
+// setCollecting notifies the owner of the fleet when this VM starts or stops to collect load reports.
 func (r *loadReporter) setCollecting(f *Fleet, collecting bool) {
 	if r.collecting == collecting {
 		return
--- a/gateway/borrow.go
+++ b/gateway/borrow.go
@@ -283,7 +283,7 @@
 	b.gateway.grants.setBackoff(slot, b.request.Workspace.Name, backoff{until: until, unanswered: true})
 }
 
-// end withdraws the open requests for tokens, and tells the lenders that their tokens are spent or gives them back.
+// end withdraws the open requests for tokens, and returns the unused tokens to the lenders.
 func (b *borrowing) end() {
 	g, workspace := b.gateway, b.request.Workspace.Name
 	for len(b.open) > 0 {
--- a/vm/session_test.go
+++ b/vm/session_test.go
@@ -187,7 +187,7 @@
 	}
 }
 
-// Guards against a fault in one stream or in one message that ends the whole process.
+// Guards against a fault in one stream or in one message that ends the process.
 func TestPanicEndsStreamOrSession(t *testing.T) {
 	s, err := dialPair(t, testKey, testKey, func(*Stream, vmwire.Open) { panic("fault of a stream") })
 	if err != nil {
