source: let a question say what its VM knows of the store

Cause: a VM that had lost the store asked the next one just after that had read the store anew. The answer waited for the read after it, since only knowledge newer than at the question counted; with the mutual question of the two before, 2.1 s passed.

Change: a question carries the time up to which its VM knows the state, and a VM that knows a state newer by 50 ms answers at once.

--- a/edge/storeread.go
+++ b/edge/storeread.go
@@ -78,6 +78,7 @@
 		e.storeReads.mu.Unlock()
 	}()
 	sentAt := e.Now()
+	m.KnownMillis = e.Watcher.FreshAt().Sub(sentAt).Milliseconds()
 	name, ok := e.Fleet.SendStoreQuery(sentAt, &m)
 	if !ok {
 		return source.Answer{}, errNoReader
@@ -131,7 +132,8 @@
 		a, err = e.Watcher.History.Range()
 	} else {
 		wait := min(time.Duration(m.WaitMillis)*time.Millisecond, 2*time.Second)
-		a, err = e.Watcher.History.Watch(ctx, m.After, wait)
+		known := arrived.Add(time.Duration(m.KnownMillis) * time.Millisecond)
+		a, err = e.Watcher.History.Watch(ctx, m.After, known, wait)
 	}
 	answer := &vmwire.StoreReply{ID: m.ID, Revision: a.Revision, ReturnedMillis: -1}
 	answer.KnownMillis = a.KnownAt.Sub(arrived).Milliseconds() - 1
--- a/source/history.go
+++ b/source/history.go
@@ -15,6 +15,9 @@
 	// maxAnswerBytes is the maximum size of the items in an answer to another VM, in bytes. An answer must fit in
 	// a frame.
 	maxAnswerBytes = 200 << 10
+	// minNewer is the time by which knowledge must be newer for an answer without changes. It exceeds the error of times
+	// that pass between VMs.
+	minNewer = 50 * time.Millisecond
 )
 
 // ErrStateUnknown reports that this VM does not know the state of the store, or that it is too large for an answer.
@@ -100,18 +103,16 @@
 	return a, nil
 }
 
-// Watch returns the changes after a revision as soon as there are any. It returns an empty answer when the state is known to
-// be newer than at the call, so that the reader's knowledge does not age here, or when wait has passed.
-func (h *History) Watch(ctx context.Context, after uint64, wait time.Duration) (Answer, error) {
+// Watch returns the changes after a revision as soon as there are any. It returns an empty answer as soon as the state is known
+// to be newer than knownAt, what the asking VM knows, so that the reader's knowledge does not age here, or when wait has passed.
+func (h *History) Watch(ctx context.Context, after uint64, knownAt time.Time, wait time.Duration) (Answer, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	var knownAt time.Time
-	for first := true; ; first = false {
+	for {
 		a, changed, err := h.changesSince(after)
-		if err != nil || len(a.Events) > 0 || !first && a.KnownAt.After(knownAt) {
+		if err != nil || len(a.Events) > 0 || a.KnownAt.After(knownAt.Add(minNewer)) {
 			return a, err
 		}
-		knownAt = a.KnownAt
 		select {
 		case <-ctx.Done():
 			return a, ctx.Err()
--- a/source/history_test.go
+++ b/source/history_test.go
@@ -22,7 +22,7 @@
 	h.add(Answer{Page: platform.Page{Revision: 5, Items: []platform.Item{{Key: "a", Revision: 5}}}}, 5, knownAt, time.Time{})
 	result := make(chan watchResult, 1)
 	go func() {
-		a, err := h.Watch(context.Background(), 5, time.Minute)
+		a, err := h.Watch(context.Background(), 5, knownAt, time.Minute)
 		result <- watchResult{a, err}
 	}()
 	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
@@ -66,11 +66,26 @@
 	if r := receive(t, result); !errors.Is(r.err, ErrStateUnknown) {
 		t.Errorf("error %v, want %v", r.err, ErrStateUnknown)
 	}
-	if _, err := h.Watch(context.Background(), 5, 0); !errors.Is(err, ErrStateUnknown) {
+	if _, err := h.Watch(context.Background(), 5, time.Unix(1001, 0), 0); !errors.Is(err, ErrStateUnknown) {
 		t.Errorf("watch after the loss: error %v, want %v", err, ErrStateUnknown)
 	}
 	h.add(Answer{}, 5, time.Unix(1001, 0), time.Time{})
-	if _, err := h.Watch(context.Background(), 5, 0); err != nil {
+	if _, err := h.Watch(context.Background(), 5, time.Unix(1001, 0), 0); err != nil {
 		t.Errorf("watch after newer knowledge arrived: %v", err)
 	}
 }
+
+// Guards against a VM that waits for the next answer of the store although its reader already knows more.
+func TestWatchReturnsWhatReaderKnows(t *testing.T) {
+	knownAt := time.Unix(1000, 0)
+	h := &History{}
+	h.add(Answer{Page: platform.Page{Revision: 5, Items: []platform.Item{{Key: "a", Revision: 5}}}}, 5, knownAt, time.Time{})
+	result := make(chan watchResult, 1)
+	go func() {
+		a, err := h.Watch(context.Background(), 5, knownAt.Add(-time.Second), time.Minute)
+		result <- watchResult{a, err}
+	}()
+	if r := receive(t, result); r.err != nil || !r.answer.KnownAt.Equal(knownAt) {
+		t.Errorf("answer %+v, error %v", r.answer, r.err)
+	}
+}
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -433,6 +433,9 @@
 	After uint64
 	// WaitMillis is the time after which the reply is sent even if nothing has changed, in milliseconds.
 	WaitMillis int64
+	// KnownMillis is the time up to which the sender knows the state of the store, less the time of sending, in
+	// milliseconds. A VM that knows a newer state replies at once.
+	KnownMillis int64
 }
 
 // Results of StoreQuery.
--- a/vmwire/schema_gen.go
+++ b/vmwire/schema_gen.go
@@ -4589,8 +4589,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.ID, err = dc.ReadUint64()
@@ -4608,13 +4608,18 @@
 		err = msgp.WrapError(err, "WaitMillis")
 		return
 	}
+	z.KnownMillis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "KnownMillis")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z StoreQuery) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 3
-	err = en.Append(0x93)
+func (z *StoreQuery) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
 		return
 	}
@@ -4633,17 +4638,23 @@
 		err = msgp.WrapError(err, "WaitMillis")
 		return
 	}
+	err = en.WriteInt64(z.KnownMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "KnownMillis")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z StoreQuery) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *StoreQuery) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendUint64(o, z.ID)
 	o = msgp.AppendUint64(o, z.After)
 	o = msgp.AppendInt64(o, z.WaitMillis)
+	o = msgp.AppendInt64(o, z.KnownMillis)
 	return
 }
 
@@ -4655,8 +4666,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
@@ -4674,13 +4685,18 @@
 		err = msgp.WrapError(err, "WaitMillis")
 		return
 	}
+	z.KnownMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "KnownMillis")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z StoreQuery) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Int64Size
+func (z *StoreQuery) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Int64Size + msgp.Int64Size
 	return
 }
 
