--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -27,6 +27,8 @@
 	seeds   []string
 	// revokeBound is the revocation bound of VMs that are started.
 	revokeBound time.Duration
+	// retrySlack is the slack of the retry budget of VMs that are started.
+	retrySlack float64
 	// storeProxy, if set, is the address at which VMs that are started reach the store.
 	storeProxy *httptest.Server
 	vms        []*testVM
@@ -53,7 +55,7 @@
 		s.server.CloseClientConnections()
 		s.server.Close()
 	})
-	w := &testCluster{t: t, store: s, regions: map[string]string{}, revokeBound: 5 * time.Second}
+	w := &testCluster{t: t, store: s, regions: map[string]string{}, revokeBound: 5 * time.Second, retrySlack: 1000}
 	for _, region := range regions {
 		w.regions[region+"-a"] = region
 	}
@@ -76,7 +78,7 @@
 		CallerListen: listeners[0].Addr().String(), PeerListen: listeners[1].Addr().String(),
 		Seeds: w.seeds, Store: w.storeAddress(),
 		Bounds: platform.Bounds{
-			RevocationDelay: w.revokeBound, RetryRatio: 0.2, RetrySlack: 1000, RetryWindow: 10 * time.Second,
+			RevocationDelay: w.revokeBound, RetryRatio: 0.2, RetrySlack: w.retrySlack, RetryWindow: 10 * time.Second,
 			WarmUpOverage: 1.5, WarmUpSlack: 3, DirectoryTTL: 5 * time.Second, ShutdownGrace: 8 * time.Second,
 		},
 	}
@@ -257,3 +259,15 @@
 	}
 	return resp.StatusCode, string(data), resp.Header
 }
+
+// read sends a request and returns its answer as far as it arrived, with the error that cut it off.
+func (v *testVM) read(t *testing.T, path string, extra extraHeaders) (int, string, error) {
+	t.Helper()
+	resp, err := http.DefaultClient.Do(v.request(t, path, "x", extra))
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data), err
+}
