edge: log and count answers that are aborted

The log line of a failed request did not say whether the caller got a failure with its status or a connection that was closed in the middle of the answer. The field aborted and the metric answers_aborted tell them apart.

--- a/edge/server.go
+++ b/edge/server.go
@@ -239,8 +239,12 @@
 	if t := e.table(); t != nil {
 		version = t.Config.Version
 	}
+	aborted := r.headSent && !out.Complete && out.Reason != CallerDisconnected
+	if aborted && !r.forwarded {
+		e.Metrics.AddCounter("answers_aborted", 1)
+	}
 	ev.Log(e.Log, "request", r.id, "route", name, "workspace", workspace, "reason", string(out.Reason),
-		"status", out.Status, "ran", out.Ran.String(), "place", r.destination, "tried", strings.Join(r.triedUpstreams, ","),
+		"status", out.Status, "ran", out.Ran.String(), "aborted", aborted, "place", r.destination, "tried", strings.Join(r.triedUpstreams, ","),
 		"vms", strings.Join(r.triedVMs, ","), "expectedMillis", r.expectedWait.Milliseconds(),
 		"running", r.inputs.Running, "readTokens", r.inputs.UncachedTokens, "aheadTokens", r.inputs.TokensAhead, "heldTokens", r.inputs.Held,
 		"slowness", math.Round(100*r.inputs.Slowness)/100, "failureShare", math.Round(100*r.inputs.Failures)/100,
