edge: keep streams of silent upstreams that cannot resume elsewhere

Callers lost resumable streams, with their connection closed in the middle of the answer, when an upstream sent no event for 1.5 s (four target gaps) and the stream could not go on elsewhere: the VM's retry budget was used up, or there was no other upstream with room. On a deployment with many VMs the budget of one VM is a few retries in ten seconds, so that a silent upstream with many streams cost most of them. A sound upstream may be silent for a second or two.

Cause: the wait for the next event was a read deadline that ended the stream at this upstream; only afterwards did the VM look whether another attempt was allowed. Ruled out: the upstream breaking off (its connection stays open and the rest of the answer arrives), the caller's deadline and the route's timeout (8 s in the test).

The VM now asks before it leaves the upstream: a stalled stream resumes elsewhere only if an upstream is expected to answer in time and its attempt is already counted in the retry budget; otherwise it waits and asks again. The wait follows from how long callers stay (2.6 s for a target latency of 1 s and gaps of 400 ms, 1.6 s before). After a pause of its own process a VM first reads what has arrived. A stall is no evidence that the request crashes upstreams.

TestStreamOfSilentUpstreamIsNotCut failed in all four cases (unexpected EOF after two of five events) and passes; TestStalledStreamsWaitForRetryBudget failed without the reservation, TestPausedVMKeepsStreams without the look at pauses.

--- a/edge/events.go
+++ b/edge/events.go
@@ -8,7 +8,10 @@
 	"strconv"
 	"time"
 
+	"parsleyhatch/event"
+	"parsleyhatch/fleet"
 	"parsleyhatch/replica"
+	"parsleyhatch/route"
 	"parsleyhatch/upstream"
 )
 
@@ -17,9 +20,18 @@
 	streamReadBytes = 2 << 10
 	// maxEventBytes is the maximum size of one event, in bytes. Streams without events must not fill the memory.
 	maxEventBytes = 128 << 10
-	// minStallTimeout is the minimum time without an event after which the upstream of a resumable stream is
-	// considered stalled. It is below two seconds because callers wait at least that long.
-	minStallTimeout = 1500 * time.Millisecond
+	// minStallTimeout is the minimum time without an event after which a stream resumes at another upstream. It is below
+	// minCallerPatience, which is the minimum time for which callers wait for the next event.
+	minStallTimeout   = 1500 * time.Millisecond
+	minCallerPatience = 2 * time.Second
+	// Callers wait at least latencyPatience times the target latency and gapPatience times the target gap.
+	latencyPatience = 4
+	gapPatience     = 8
+	// stallShare is the share of callers' patience after which a stream resumes elsewhere: sound upstreams may be silent for
+	// a second or two, and the other upstream needs the rest to process the prompt.
+	stallShare = 0.65
+	// stallCheckInterval is the interval at which a stalled stream that could not resume elsewhere checks again.
+	stallCheckInterval = 250 * time.Millisecond
 )
 
 var errEventTooLong = errors.New("event of a stream is too long")
@@ -42,6 +54,10 @@
 	case ctx.Err() != nil:
 		e.Replicas.Done(now, pick, replica.NoResponse)
 		return fail(TimedOut, "the stream has not ended in time")
+	case upstream.IsTimeout(err):
+		// A silent upstream may be sound, so that the request is no suspect.
+		e.Replicas.Done(now, pick, replica.NoResponse)
+		return fail(UpstreamFailed, "the upstream has sent no event for too long")
 	default:
 		e.Replicas.Done(now, pick, replica.Failed)
 		e.reportCrash(r, pick)
@@ -59,6 +75,8 @@
 	// pending holds the bytes of an incomplete event.
 	pending []byte
 	started bool
+	// stalled is set once the wait for an event has exceeded the stall timeout.
+	stalled bool
 	// lastEventAt is the time of the latest complete event.
 	lastEventAt time.Time
 	// resumedAfter is the number of the last event that the caller received from an earlier upstream. It is
@@ -78,6 +96,7 @@
 			return err
 		}
 	}
+	s.answer.OnReadTimeout(s.waitOrResume)
 	buf := make([]byte, streamReadBytes)
 	for {
 		s.setReadDeadline()
@@ -101,7 +120,33 @@
 		s.answer.SetReadDeadline(time.Time{})
 		return
 	}
-	s.answer.SetReadDeadline(s.lastEventAt.Add(max(minStallTimeout, 4*r.route.TargetGap)))
+	s.answer.SetReadDeadline(s.lastEventAt.Add(stallTimeout(r.route)))
+}
+
+// stallTimeout returns the time without an event after which a stream of the route resumes at another upstream.
+func stallTimeout(r *route.Route) time.Duration {
+	patience := max(minCallerPatience, latencyPatience*r.TargetLatency, gapPatience*r.TargetGap)
+	return max(minStallTimeout, time.Duration(stallShare*float64(patience)))
+}
+
+// waitOrResume decides about a stream whose next event is late. It returns zero if the stream can resume at another
+// upstream, otherwise the time of the next check: the upstream may only be silent for a while.
+func (s *eventRelay) waitOrResume() time.Time {
+	now := time.Now()
+	if s.edge.pausedRecently(s.edge.Now()) {
+		// Events that arrived while this process was paused have not been read yet.
+		return now.Add(fleet.PauseSettleTime)
+	}
+	resumes := s.edge.reserveResume(s.request)
+	if resumes || !s.stalled {
+		event.StreamStalled.Log(s.edge.Log, "request", s.request.id, "upstream", s.pick.ID,
+			"silentMillis", now.Sub(s.lastEventAt).Milliseconds(), "resumes", resumes)
+	}
+	s.stalled = true
+	if resumes {
+		return time.Time{}
+	}
+	return now.Add(stallCheckInterval)
 }
 
 // sendCompleteEvents appends data to the pending bytes and sends all events that are complete.
@@ -119,7 +164,7 @@
 	end += searched
 	complete := s.pending[:end+2]
 	if hasEvent(complete) {
-		s.lastEventAt = time.Now()
+		s.lastEventAt, s.stalled = time.Now(), false
 		s.recordStart()
 	}
 	if id, ok := lastEventID(complete); ok && (s.resumedAfter < 0 || eventNumber([]byte(id)) > s.resumedAfter) {
--- a/edge/silent_test.go
+++ b/edge/silent_test.go
@@ -4,10 +4,12 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"parsleyhatch/platform"
+	"parsleyhatch/route"
 )
 
 // silentTime is the time for which an upstream of these tests sends nothing in the middle of a stream: longer than
@@ -70,3 +72,65 @@
 		})
 	}
 }
+
+// Guards against streams that are broken off because several of them stall at a time and the retry budget allows only
+// some of them to resume elsewhere.
+func TestStalledStreamsWaitForRetryBudget(t *testing.T) {
+	const streams, retries = 6, 2
+	w := newTestCluster(t, "north")
+	w.retrySlack = retries * minSlackVMs
+	w.publishConfig(1, strings.Replace(routeJSON("a", "streaming", "plain", `,"resumable":true`), `"timeout_ms":3000`, `"timeout_ms":8000`, 1))
+	handle := func(rw http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(platform.HeaderLastEventID) == "2" {
+			writeEvents(rw, 3, 5, true)
+			return
+		}
+		writeEventsWithPause(rw, r)
+	}
+	u1, u2 := w.addUpstream("u1", "plain", "north", handle), w.addUpstream("u2", "plain", "north", handle)
+	v := w.startVM("vm1", "north", true)
+	w.waitFor("both upstreams are known", func() bool { return v.knowsUpstreams("plain", 2) })
+	var wait sync.WaitGroup
+	for range streams {
+		wait.Go(func() {
+			status, body, err := v.read(t, "/a/", extraHeaders{platform.HeaderDeadline: "8000"})
+			if status != http.StatusOK || err != nil || strings.Count(body, "data:") != 5 {
+				t.Errorf("answer %d %q, error %v, want all five events", status, body, err)
+			}
+		})
+	}
+	wait.Wait()
+	if resumed := u1.requestCount() + u2.requestCount() - streams; resumed != retries {
+		t.Errorf("%d streams resumed elsewhere, want %d", resumed, retries)
+	}
+}
+
+// Guards against a VM that gives up its upstreams after a pause of its own process, before it has read what they sent
+// meanwhile.
+func TestPausedVMKeepsStreams(t *testing.T) {
+	w := newTestCluster(t, "north")
+	w.publishConfig(1, strings.Replace(routeJSON("a", "streaming", "plain", `,"resumable":true`), `"timeout_ms":3000`, `"timeout_ms":8000`, 1))
+	u1 := w.addUpstream("u1", "plain", "north", writeEventsWithPause)
+	u2 := w.addUpstream("u2", "plain", "north", writeEventsWithPause)
+	v := w.startVM("vm1", "north", true)
+	v.pausedRecently = func(time.Time) bool { return true }
+	w.waitFor("both upstreams are known", func() bool { return v.knowsUpstreams("plain", 2) })
+	status, body, err := v.read(t, "/a/", extraHeaders{platform.HeaderDeadline: "8000"})
+	if status != http.StatusOK || err != nil || strings.Count(body, "data:") != 5 || u1.requestCount()+u2.requestCount() != 1 {
+		t.Errorf("answer %d %q, error %v, from %d requests", status, body, err, u1.requestCount()+u2.requestCount())
+	}
+}
+
+// Guards against a limit on pauses that gives up sound upstreams too soon, or callers that leave before the stream can
+// resume elsewhere.
+func TestStallTimeout(t *testing.T) {
+	for _, c := range []struct{ latency, gap, want time.Duration }{
+		{latency: 100 * time.Millisecond, want: 1500 * time.Millisecond},
+		{latency: time.Second, gap: 400 * time.Millisecond, want: 2600 * time.Millisecond},
+		{latency: 600 * time.Millisecond, gap: 400 * time.Millisecond, want: 2080 * time.Millisecond},
+	} {
+		if got := stallTimeout(&route.Route{TargetLatency: c.latency, TargetGap: c.gap}); got != c.want {
+			t.Errorf("latency %v, gap %v: %v, want %v", c.latency, c.gap, got, c.want)
+		}
+	}
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -45,9 +45,35 @@
 	return n, err
 }
 
+// patientConn is a connection whose reads may go on after their deadline. The parser of a body keeps a read error, so that
+// a read that has failed cannot be repeated above it.
+type patientConn struct {
+	net.Conn
+	// extend returns the next deadline of a read whose deadline has passed, or zero to let the read fail. Nil lets it fail.
+	extend func() time.Time
+}
+
+// Read reads from the connection until the last deadline has passed.
+func (c *patientConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if n > 0 || c.extend == nil || !IsTimeout(err) {
+			return n, err
+		}
+		at := c.extend()
+		if at.IsZero() {
+			return n, err
+		}
+		if deadlineErr := c.SetReadDeadline(at); deadlineErr != nil {
+			return n, deadlineErr
+		}
+	}
+}
+
 // conn is a connection to an upstream that carries one request at a time.
 type conn struct {
 	net.Conn
+	patient *patientConn
 	limiter *headLimiter
 	reader  *bufio.Reader
 	// reused means that the connection has carried an earlier request.
@@ -57,8 +83,9 @@
 }
 
 func newConn(c net.Conn) *conn {
-	limiter := &headLimiter{Conn: c}
-	return &conn{Conn: c, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
+	patient := &patientConn{Conn: c}
+	limiter := &headLimiter{Conn: patient}
+	return &conn{Conn: c, patient: patient, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
 }
 
 // limitHead bounds the bytes that are read until unlimitHead.
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -180,6 +180,10 @@
 // SetReadDeadline sets the deadline for reading more of the body, as a monotonic clock time.
 func (a *Response) SetReadDeadline(at time.Time) { _ = a.conn.SetReadDeadline(at) }
 
+// OnReadTimeout sets the function that decides what happens when the read deadline passes: it returns the next deadline, or
+// zero to let the read fail. It is called by the goroutine that reads.
+func (a *Response) OnReadTimeout(extend func() time.Time) { a.conn.patient.extend = extend }
+
 // IsTimeout reports whether Read failed because its deadline passed.
 func IsTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
 
@@ -197,6 +201,7 @@
 		return
 	}
 	_ = a.conn.SetReadDeadline(time.Time{})
+	a.conn.patient.extend = nil
 	a.pool.putIdle(a.address, a.conn, idle)
 }
 
