edge: send the head of a stream with its first event

The head was handed to the caller's connection as soon as the upstream had sent it, which rules out any other answer, although it left the VM only with the first event. A stream that ended before that closed the connection without a byte, also where the VM knew the reason. The head is sent together with the first event now; until then the caller gets 502 or 504, and a resumable stream is sent once more like any other request.

TestStreamWithoutEventIsAnswered: EOF in all six cases before, 502 and 504 after.

--- a/edge/events.go
+++ b/edge/events.go
@@ -89,13 +89,6 @@
 // run relays until the stream ends. It returns io.EOF at the end of the answer, otherwise the error that
 // interrupted it.
 func (s *eventRelay) run() error {
-	if !s.request.headSent {
-		s.request.headSent = true
-		if err := s.sink.Head(s.answer.Status, endToEnd(s.answer.Header), -1); err != nil {
-			s.sinkFailed = true
-			return err
-		}
-	}
 	s.answer.OnReadTimeout(s.waitOrResume)
 	buf := make([]byte, streamReadBytes)
 	for {
@@ -106,12 +99,31 @@
 				return sendErr
 			}
 		}
+		if errors.Is(err, io.EOF) && len(s.pending) == 0 {
+			if headErr := s.sendHead(); headErr != nil {
+				return headErr
+			}
+		}
 		if err != nil {
 			return err
 		}
 	}
 }
 
+// sendHead sends the head of the answer unless the caller has one. It is called once there is something to send after it,
+// so that a stream that fails before its first event ends with an answer that says so.
+func (s *eventRelay) sendHead() error {
+	if s.request.headSent {
+		return nil
+	}
+	s.request.headSent = true
+	if err := s.sink.Head(s.answer.Status, endToEnd(s.answer.Header), -1); err != nil {
+		s.sinkFailed = true
+		return err
+	}
+	return nil
+}
+
 // setReadDeadline limits the wait for the next event if the stream can resume at another upstream. Bytes that complete no
 // event do not extend the wait.
 func (s *eventRelay) setReadDeadline() {
@@ -171,6 +183,9 @@
 		s.request.lastEvent = id
 	}
 	if unsent := dropEventsThrough(complete, s.resumedAfter); len(unsent) > 0 {
+		if err := s.sendHead(); err != nil {
+			return err
+		}
 		if err := s.sink.Data(unsent, true); err != nil {
 			s.sinkFailed = true
 			return err
