--- a/callerconn/callerconn.go
+++ b/callerconn/callerconn.go
@@ -63,7 +63,7 @@
 	defer w.mu.Unlock()
 	switch state {
 	case http.StateNew, http.StateIdle:
-		w.conns[c] = &waitingConn{conn: cc, waitingSince: time.Now(), idle: state == http.StateIdle, reads: cc.reads.Load()}
+		w.conns[c] = &waitingConn{conn: cc, waitingSince: time.Now(), idle: state == http.StateIdle, reads: cc.readCount()}
 	default:
 		delete(w.conns, c)
 	}
@@ -87,7 +87,8 @@
 	w.mu.Lock()
 	var expired []net.Conn
 	for c, wc := range w.conns {
-		if wc.expired(now, limits) {
+		reads := wc.conn.readCount()
+		if wc.expired(now, limits, reads) && wc.conn.stopReads(reads) {
 			expired = append(expired, c)
 			delete(w.conns, c)
 		}
@@ -99,10 +100,10 @@
 	}
 }
 
-// expired reports whether the connection has exceeded a limit. On an idle connection, the header limit applies once
-// the next header has started to arrive.
-func (wc *waitingConn) expired(now time.Time, limits Limits) bool {
-	if wc.headerStartedAt.IsZero() && wc.conn.reads.Load() != wc.reads {
+// expired reports whether the connection has exceeded a limit after a number of reads. On an idle connection, the header
+// limit applies once the next header has started to arrive.
+func (wc *waitingConn) expired(now time.Time, limits Limits, reads int64) bool {
+	if wc.headerStartedAt.IsZero() && reads != wc.reads {
 		wc.headerStartedAt = now
 	}
 	switch {
@@ -129,14 +130,40 @@
 // countingConn counts the reads that returned data.
 type countingConn struct {
 	net.Conn
-	reads atomic.Int64
+
+	mu    sync.Mutex
+	reads int64
+	// stopped is set once the connection is about to be closed.
+	stopped bool
 }
 
-// Read reads from the connection.
+// Read reads from the connection. After stopReads it returns no data: the server would serve a request that arrives
+// while the connection is closed, and could not answer it.
 func (c *countingConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.reads.Add(1)
+	if n == 0 {
+		return n, err
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stopped {
+		return 0, net.ErrClosed
+	}
+	c.reads++
 	return n, err
 }
+
+func (c *countingConn) readCount() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reads
+}
+
+// stopReads makes the connection return no more data, unless it has returned some after the given number of reads. It
+// reports whether it did.
+func (c *countingConn) stopReads(reads int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopped = c.stopped || c.reads == reads
+	return c.stopped
+}
