vm: keep a session whose write queue is full when a stream is reset

Callers of streams that another region served lost them without an answer when another caller of the same session left or timed out while the link took no data for a moment. The queue holds 256 frames, which ten streams of 30 events a second fill in less than a second. A reset that found it full closed the session and failed all its streams.

A reset now waits for room in the background. The session is closed only if that takes longer than a write may. A stream sends its reset once.

--- a/vm/keepalive.go
+++ b/vm/keepalive.go
@@ -93,14 +93,16 @@
 	return len(s.streams)
 }
 
-// tryEnqueue queues a frame, or drops it if the write queue is full.
-func (s *Session) tryEnqueue(f *vmwire.Frame) {
+// tryEnqueue queues a frame. It reports false if the frame was dropped because the write queue is full.
+func (s *Session) tryEnqueue(f *vmwire.Frame) bool {
 	buf, err := encodeFrame(f)
 	if err != nil {
-		return
+		return false
 	}
 	select {
 	case s.writeQueue <- buf:
+		return true
 	default:
+		return false
 	}
 }
--- a/vm/session.go
+++ b/vm/session.go
@@ -325,21 +325,26 @@
 	}
 	st := newStream(s, f.Stream)
 	if s.endpoint.OnStream == nil || s.addStream(st) != nil {
-		return s.sendReset(f.Stream)
+		s.sendReset(f.Stream)
+		return nil
 	}
 	go s.endpoint.runStream(st, open)
 	return nil
 }
 
-func (s *Session) sendReset(id uint64) error {
-	buf, err := encodeFrame(&vmwire.Frame{Kind: vmwire.KindReset, Stream: id})
-	if err != nil {
-		return err
+// sendReset tells the other VM that a stream is reset, without blocking.
+func (s *Session) sendReset(id uint64) {
+	if !s.tryEnqueue(&vmwire.Frame{Kind: vmwire.KindReset, Stream: id}) {
+		go s.runReset(id)
 	}
-	select {
-	case s.writeQueue <- buf:
-		return nil
-	default:
-		return errors.New("output queue full")
+}
+
+// runReset sends a reset once the write queue has room. If that takes longer than a write may, it closes the session:
+// the other VM would otherwise continue its work without a receiver.
+func (s *Session) runReset(id uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
+	defer cancel()
+	if err := s.sendFrame(ctx, &vmwire.Frame{Kind: vmwire.KindReset, Stream: id}); err != nil {
+		s.Close(fmt.Errorf("reset stream %d: %w", id, err))
 	}
 }
--- a/vm/stream.go
+++ b/vm/stream.go
@@ -34,6 +34,8 @@
 
 	readable chan struct{}
 	writable chan struct{}
+
+	resetOnce sync.Once
 }
 
 func newStream(s *Session, id uint64) *Stream {
@@ -126,15 +128,7 @@
 func (st *Stream) Reset() {
 	st.session.removeStream(st.id)
 	st.fail(ErrStreamReset)
-	select {
-	case <-st.session.done:
-	default:
-		if st.session.sendReset(st.id) != nil {
-			// The write queue is full. Only closing the session still cancels the work of the peer,
-			// which would otherwise continue without a receiver.
-			st.session.Close(fmt.Errorf("reset stream %d: output queue full", st.id))
-		}
-	}
+	st.resetOnce.Do(func() { st.session.sendReset(st.id) })
 }
 
 // Recv returns the next body or the end of the stream. Exactly one of the three results is set.
