--- a/source/history_test.go
+++ b/source/history_test.go
@@ -89,3 +89,14 @@
 		t.Errorf("answer %+v, error %v", r.answer, r.err)
 	}
 }
+
+// Guards against a change that is too large for a frame between VMs and is dropped there: the asking VM would learn of it
+// only after its question has timed out.
+func TestWatchFailsOnOversizedChange(t *testing.T) {
+	h, result := startWatch(t, time.Unix(1000, 0))
+	item := platform.Item{Key: "config", Value: make([]byte, 500_000), Revision: 6}
+	h.add(Answer{Page: platform.Page{Revision: 6, Events: []platform.Item{item}}}, 6, time.Unix(1001, 0), time.Time{})
+	if r := receive(t, result); !errors.Is(r.err, ErrStateUnknown) {
+		t.Errorf("answer with %d changes, error %v, want %v", len(r.answer.Events), r.err, ErrStateUnknown)
+	}
+}
