source: fail a watch at once whose change is too large for a frame

VMs that do not read the store themselves learned of a configuration above 256 KB about two seconds late, and meanwhile refused the requests that VMs with the newer version forwarded to them. The reader's reply with such a change exceeds the limit of a frame and was dropped; the asking VM waited until its question timed out and read the store itself.

The watch now fails, as a range that is too large does, and the asking VM reads the store at once.

--- a/source/history.go
+++ b/source/history.go
@@ -143,7 +143,10 @@
 		if item.Revision <= after {
 			continue
 		}
-		if size += len(item.Key) + len(item.Value); size > maxAnswerBytes && len(a.Events) > 0 {
+		if size += len(item.Key) + len(item.Value); size > maxAnswerBytes {
+			if len(a.Events) == 0 {
+				return Answer{}, nil, ErrStateUnknown // The asking VM reads this change from the store.
+			}
 			// The remaining changes follow in the next answer. This one is not the current state, so it has no
 			// KnownAt.
 			a.Revision = a.Events[len(a.Events)-1].Revision
