--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -186,12 +186,16 @@
 		u.server.CloseClientConnections()
 		u.server.Close()
 	})
-	w.store.Put(platform.UpstreamPrefix+id, fmt.Sprintf(
-		`{"service":%q,"address":%q,"zone":%q,"slots":8,"state":"ready","born":1}`,
-		service, u.server.Listener.Addr().String(), region+"-a"))
+	w.registerUpstream(id, service, region, u.server.Listener.Addr().String())
 	return u
 }
 
+// registerUpstream registers the upstream at an address.
+func (w *testCluster) registerUpstream(id, service, region, address string) {
+	w.store.Put(platform.UpstreamPrefix+id, fmt.Sprintf(
+		`{"service":%q,"address":%q,"zone":%q,"slots":8,"state":"ready","born":1}`, service, address, region+"-a"))
+}
+
 func (u *fakeUpstream) serve(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	r.Body = io.NopCloser(strings.NewReader(string(body)))
