vm: end the sessions of a stopping VM only when its frames were read

Callers got 502, or a stream without its end, although the upstream of another region had answered, when the VM there stopped. It ended as soon as no request was open. The last frames of an answer may still be queued then, and a connection with unread messages is reset when the process ends, which also drops what the socket holds.

A stopping VM now ends each session with a last frame in the queue: it flushes, closes its side of the connection and waits until the other VM has read all of it and closed as well, for a second at most and within the margin before SIGKILL.

TestStoppingVMSendsForwardedAnswers, whose writes take 300 ms each, failed in three of three runs with 502 and passes in three of three.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -354,6 +354,15 @@
 	}
 }
 
+// Drain sends what is queued for other VMs and ends all sessions once it has been read, at the latest when ctx ends.
+func (f *Fleet) Drain(ctx context.Context) {
+	var wait sync.WaitGroup
+	for _, s := range f.allSessions() {
+		wait.Go(func() { s.Drain(ctx) })
+	}
+	wait.Wait()
+}
+
 // session returns the session to use with a VM, or nil if there is none.
 func (f *Fleet) session(slot string) *vm.Session {
 	f.mu.Lock()
--- a/operator/stop_test.go
+++ b/operator/stop_test.go
@@ -209,6 +209,9 @@
 	return c.Conn.Write(b)
 }
 
+// CloseWrite closes the side of the connection that is written to.
+func (c delayedConn) CloseWrite() error { return c.Conn.(*net.TCPConn).CloseWrite() }
+
 // Guards against an answer that is lost because the VM of another region, which has run the request, ends before it has
 // sent all of the answer.
 func TestStoppingVMSendsForwardedAnswers(t *testing.T) {
--- a/operator/vm.go
+++ b/operator/vm.go
@@ -26,8 +26,10 @@
 	// socket buffers and other memory that the runtime does not account for.
 	memoryLimitShare = 0.7
 	// killMargin is the time before the platform's SIGKILL at which a leaving VM stops waiting for open requests. The
-	// shutdown of the server for callers must fit into it.
+	// end of the sessions and the shutdown of the server for callers must fit into it.
 	killMargin = 700 * time.Millisecond
+	// maxSessionDrainTime is the maximum time for which a leaving VM waits until other VMs have read what it sent.
+	maxSessionDrainTime = time.Second
 	// drainPollInterval is the interval at which a leaving VM checks whether its requests have completed.
 	drainPollInterval = 50 * time.Millisecond
 	// minDrainTime is the minimum time for which a leaving VM keeps responding, so that callers can query the
@@ -201,8 +203,8 @@
 	}
 }
 
-// stop leaves the fleet, serves requests for at least minDrainTime, waits for open requests to complete and returns
-// before the platform's SIGKILL.
+// stop leaves the fleet, serves requests for at least minDrainTime, waits for open requests to complete, sends the rest of
+// forwarded answers and returns before the platform's SIGKILL.
 func (p *edgeProcess) stop() {
 	started := time.Now()
 	p.edge.BeginShutdown(p.edge.Now())
@@ -214,7 +216,16 @@
 			break
 		}
 	}
+	p.drainSessions(min(maxSessionDrainTime, limit+killMargin/4-time.Since(started)))
 	ctx, cancel := context.WithTimeout(context.Background(), killMargin/2)
 	defer cancel()
 	_ = p.callers.Shutdown(ctx) // Requests that are still open end with the process.
 }
+
+// drainSessions sends what is queued for other VMs. The end of the process would drop it, and reset connections with unread
+// messages.
+func (p *edgeProcess) drainSessions(timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	p.edge.Fleet.Drain(ctx)
+}
--- a/vm/session.go
+++ b/vm/session.go
@@ -41,9 +41,10 @@
 	// Dialed means that this side opened the connection.
 	Dialed bool
 
-	endpoint      *Endpoint
-	conn          net.Conn
-	reader        *bufio.Reader
+	endpoint *Endpoint
+	conn     net.Conn
+	reader   *bufio.Reader
+	// writeQueue holds encoded frames. A nil frame is the last one.
 	writeQueue    chan *[]byte
 	done          chan struct{}
 	once          sync.Once
@@ -234,6 +235,33 @@
 	return s.streams[id]
 }
 
+// Drain sends the queued frames and ends the session once the other VM has read them, at the latest when ctx ends. Frames
+// that are queued later are not sent.
+func (s *Session) Drain(ctx context.Context) {
+	select {
+	case s.writeQueue <- nil:
+	case <-s.done:
+	case <-ctx.Done():
+	}
+	select {
+	case <-s.done:
+	case <-ctx.Done():
+	}
+	s.Close(ErrSessionClosed)
+}
+
+// finishWriting flushes the written frames and tells the other VM that no more follow, so that it reads all of them before it
+// closes the connection.
+func (s *Session) finishWriting(w *bufio.Writer) error {
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	if c, ok := s.conn.(interface{ CloseWrite() error }); ok {
+		return c.CloseWrite()
+	}
+	return ErrSessionClosed
+}
+
 // runWrite writes queued frames and flushes whenever the queue is empty.
 func (s *Session) runWrite() {
 	w := bufio.NewWriterSize(s.conn, 16<<10)
@@ -243,6 +271,12 @@
 			return
 		case buf := <-s.writeQueue:
 			_ = s.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+			if buf == nil {
+				if err := s.finishWriting(w); err != nil {
+					s.Close(fmt.Errorf("write: %w", err))
+				}
+				return
+			}
 			size := len(*buf)
 			_, err := w.Write(*buf)
 			releaseBuffer(buf)
