edge: let a forwarded request wait for the configuration of the first VM

While a change of the configuration spread, callers got 503 for requests that cross to another region, and streams that resume there ended early: the VM there refused all requests of a VM with a newer version, up to four times within milliseconds.

It now waits for that version for up to 400 ms, twice the time between two reads of the store after a change, unless it has lost touch with the store and would wait in vain.

--- a/edge/forwarded.go
+++ b/edge/forwarded.go
@@ -19,6 +19,10 @@
 // headersNotForwarded are headers that are never sent to other VMs.
 var headersNotForwarded = []string{platform.HeaderAPIKey}
 
+// maxVersionWait is the maximum time for which a forwarded request waits for the configuration that the first VM has. It
+// exceeds the time between two reads of the store after a change.
+const maxVersionWait = 400 * time.Millisecond
+
 // endTimeout is the timeout for sending the end message of a stream.
 const endTimeout = time.Second
 
@@ -58,8 +62,8 @@
 
 // admitForwarded checks a forwarded request against the configuration of this VM and reads its body.
 func (e *Edge) admitForwarded(ctx context.Context, st *vm.Stream, open *vmwire.Open, r *request) (Outcome, bool) {
+	t := e.configForForwarded(ctx, open)
 	now := e.Now()
-	t := e.table()
 	if t == nil || t.Config.Version < open.ConfigNumber {
 		return refuse(NoConfiguration, "the configuration of this vm is older than that of the first", defaultRetryAfter), false
 	}
@@ -93,6 +97,19 @@
 	return Outcome{}, true
 }
 
+// configForForwarded returns the active configuration. If the VM that forwarded the request has a newer one, it waits for that,
+// unless this VM has lost touch with the store.
+func (e *Edge) configForForwarded(ctx context.Context, open *vmwire.Open) *route.Table {
+	t := e.table()
+	if t == nil || t.Config.Version >= open.ConfigNumber || !e.keysFresh(e.Now()) {
+		return t
+	}
+	wait := min(maxVersionWait, time.Duration(open.RemainingMillis)*time.Millisecond)
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	return e.Watcher.WaitForVersion(ctx, open.ConfigNumber)
+}
+
 // prepareForwarded is prepare for a forwarded request. The deadline set by the forwarding VM is kept if it is earlier.
 func (e *Edge) prepareForwarded(r *request) (Outcome, bool) {
 	deadline := r.deadline
--- a/source/source.go
+++ b/source/source.go
@@ -59,8 +59,10 @@
 	// upstreamCounts holds the numbers of the usable upstreams.
 	upstreamCounts      atomic.Pointer[RegionTotals]
 	registrationsLoaded atomic.Bool
-	// acceptMu serializes AcceptConfig.
+	// acceptMu serializes AcceptConfig and guards accepted, which is closed with the next configuration that becomes
+	// active.
 	acceptMu sync.Mutex
+	accepted chan struct{}
 
 	// History answers store reads of other VMs.
 	History History
@@ -286,6 +288,36 @@
 	s.table.Store(t)
 	event.ConfigAccepted.Log(s.Log, "version", c.Version, "routes", len(c.Routes), "workspaces", len(c.Workspaces))
 	s.OnConfig(t)
+	if s.accepted != nil {
+		close(s.accepted)
+		s.accepted = nil
+	}
+}
+
+// WaitForVersion waits until the active configuration has at least a version or ctx ends. It returns the active
+// configuration, or nil if there is none.
+func (s *Watcher) WaitForVersion(ctx context.Context, version uint64) *route.Table {
+	for {
+		accepted := s.nextAccepted()
+		if t := s.Table(); t != nil && t.Config.Version >= version {
+			return t
+		}
+		select {
+		case <-accepted:
+		case <-ctx.Done():
+			return s.Table()
+		}
+	}
+}
+
+// nextAccepted returns a channel that is closed with the next configuration that becomes active.
+func (s *Watcher) nextAccepted() <-chan struct{} {
+	s.acceptMu.Lock()
+	defer s.acceptMu.Unlock()
+	if s.accepted == nil {
+		s.accepted = make(chan struct{})
+	}
+	return s.accepted
 }
 
 func (s *Watcher) setDomainEvacuated(domain string, active bool) {
