--- a/edge/unsized_test.go
+++ b/edge/unsized_test.go
@@ -101,3 +101,31 @@
 		}
 	}
 }
+
+// Guards against a stream that goes on with another answer: when the upstream at which it should resume answers with a body
+// that is no stream, and is too long to be buffered.
+func TestResumedStreamRejectsLongAnswer(t *testing.T) {
+	long := strings.Repeat("0123456789abcdef", 2*maxUnsizedAnswer/16)
+	for _, second := range []string{"north", "south"} {
+		t.Run(second, func(t *testing.T) {
+			w := newTestCluster(t, "north", "south")
+			w.publishConfig(1, routeJSON("a", "streaming", "plain", `,"resumable":true`))
+			handle := func(rw http.ResponseWriter, r *http.Request) {
+				if r.Header.Get(platform.HeaderLastEventID) == "3" {
+					writeUnsized("text/plain", long, endClosed)(rw, r)
+					return
+				}
+				writeEvents(rw, 1, 3, false)
+			}
+			w.addUpstream("u1", "plain", "north", handle)
+			w.addUpstream("u2", "plain", second, handle)
+			v := w.startVM("vm1", "north", true)
+			w.startVM("vm2", "south", true)
+			w.waitForMembership()
+			w.waitFor("both upstreams are known", func() bool { return v.knowsUpstreams("plain", 2) })
+			if _, body, err := v.read(t, "/a/", nil); err == nil || strings.Contains(body, long[:16]) {
+				t.Errorf("the stream ends with %v after %d bytes", err, len(body))
+			}
+		})
+	}
+}
