edge: reject a long answer that is no stream where a stream resumes

A stream that resumed at an upstream of the same region went on with whatever that upstream answered, if the body was above 1 MB, or 128 KB without a length: it was relayed without a look at the events that the caller already had, and ended as complete. Shorter bodies were rejected.

TestResumedStreamRejectsLongAnswer failed before and passes in five of five runs.

--- a/edge/send.go
+++ b/edge/send.go
@@ -126,7 +126,7 @@
 }
 
 // relayBuffered reads an answer completely before it is sent to the caller. Answers that exceed the buffer are
-// relayed unbuffered.
+// relayed unbuffered, unless the caller already has a part of a stream.
 func (e *Edge) relayBuffered(ctx context.Context, r *request, pick *replica.Pick, a *upstream.Response, sink *Sink) Outcome {
 	limit := maxBufferedAnswer
 	if a.Length < 0 {
@@ -142,7 +142,7 @@
 		e.reportCrash(r, pick)
 		return fail(UpstreamFailed, "read answer: "+err.Error())
 	}
-	if len(body) > limit {
+	if len(body) > limit && !r.headSent {
 		return e.relayUnbuffered(r, pick, a, body, sink)
 	}
 	failed := a.Status >= http.StatusInternalServerError
