--- a/edge/configload_test.go
+++ b/edge/configload_test.go
@@ -105,6 +105,7 @@
 // region and in another one. A request may cross the close of a connection that was idle for long; none may be lost that
 // was passed on, or that was sent soon after the last answer.
 func TestConfigChangesLoseNoAnswers(t *testing.T) {
+	t.Parallel()
 	const callers, versions = 32, 13
 	w := newTestCluster(t, "north", "south")
 	var received receivedIDs
