--- a/edge/configload_test.go
+++ b/edge/configload_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -81,7 +82,11 @@
 	if n%2 == 1 {
 		service, other = other, service
 	}
-	routes := routeJSON("safe", "safe", service, "") + "," +
+	split := ""
+	if n%4 == 3 {
+		split = `,"traffic_split":[{"service":"s0","weight":1},{"service":"s1","weight":3}]`
+	}
+	routes := routeJSON("safe", "safe", service, split) + "," +
 		routeJSON("unsafe", "unsafe", other, `,"home_regions":["south"]`) + "," +
 		routeJSON("stream", "streaming", service, `,"resumable":true`) + "," +
 		routeJSON("far", "streaming", other, `,"resumable":true,"home_regions":["south"]`)
@@ -90,6 +95,9 @@
 		routes = routeJSON("safe", "safe", service, "")
 		services = fmt.Sprintf(`{"name":%q}`, service)
 	}
+	if n%2 == 0 {
+		routes = strings.ReplaceAll(routes, `"timeout_ms":3000`, `"timeout_ms":6000`)
+	}
 	idle, header := 60_000, 10_000
 	if n%3 == 2 {
 		idle, header = shortIdleMillis, 1000
