edge: show that a stream ends when another region refuses to resume it

The VM of the other region may already have a configuration without the route. The stream then ends, although an upstream of the caller's region could resume it.

--- a/edge/version_test.go
+++ b/edge/version_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"parsleyhatch/platform"
+	"parsleyhatch/replica"
 )
 
 // Guards against requests and streams that fail because the VM of another region gets a new configuration a moment later
@@ -46,3 +47,24 @@
 		})
 	}
 }
+
+// Guards against a stream that ends because the VM of another region refuses to resume it, although an upstream of the
+// caller's region can: the other VM may already have a configuration without the route.
+func TestStreamResumesHereAfterRefusalElsewhere(t *testing.T) {
+	w := newTestCluster(t, "north", "south")
+	w.publishConfig(1, routeJSON("a", "streaming", "plain", `,"resumable":true`))
+	resume := func(rw http.ResponseWriter, _ *http.Request) { writeEvents(rw, 4, 5, true) }
+	w.addUpstream("u1", "plain", "north", func(rw http.ResponseWriter, _ *http.Request) { writeEvents(rw, 1, 3, false) })
+	w.addUpstream("u2", "plain", "north", resume)
+	w.addUpstream("u3", "plain", "south", resume)
+	north, south := w.startVM("vm1", "north", true), w.startVM("vm2", "south", true)
+	w.waitForMembership()
+	w.waitFor("the upstreams are known", func() bool { return north.knowsUpstreams("plain", 3) })
+	// One second of work is queued at u2, so that the stream begins at u1 and would resume in the south.
+	north.Replicas.SetPeerUse(north.Now(), "other", map[string]replica.Use{"u2": {Running: 1, Prefill: [replica.RankCount]int64{60_000}}})
+	south.Watcher.AcceptConfig([]byte(`{"version":2,"routes":[` + routeJSON("b", "safe", "plain", "") + `],"services":[{"name":"plain"}],"tenants":[{"name":"w1","api_keys":["secret"]}]}`))
+	status, body, err := north.read(t, "/a/", nil)
+	if status != http.StatusOK || err != nil || strings.Count(body, "data:") != 5 {
+		t.Errorf("answer %d %q, error %v, want all five events", status, body, err)
+	}
+}
