edge: resume a stream elsewhere after another region has refused it

A stream that had to resume was cut off although an upstream of the caller's region could go on with it: the VM of another region, chosen first, refused it because its newer configuration no longer had the route, or because the region had just become full. Such a refusal ended the request. A running stream now tries the other upstreams, without a charge to the retry budget, since nothing has reached an upstream.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -98,6 +98,10 @@
 		switch out.Reason {
 		case UpstreamRefused, NoUpstream, VMLost, NoConfiguration, StaleKeys, Leaving:
 			return true
+		case NoRoute, Overloaded:
+			// The VM of another region refused to resume a stream. It may have a newer configuration, which does not
+			// end streams that are running.
+			return r.headSent && !r.forwarded
 		default:
 			return false
 		}
@@ -121,7 +125,7 @@
 		return false
 	}
 	switch out.Reason {
-	case NoUpstream, NoConfiguration, StaleKeys, Leaving:
+	case NoUpstream, NoConfiguration, StaleKeys, Leaving, NoRoute, Overloaded:
 		return true
 	default:
 		return e.Retries.TryRetry(e.Now(), r.service.Name)
