edge: quarantine prompt parts that crash upstreams

What callers saw: one part of a prompt crashed each upstream that began to answer a request with it. 31 upstreams ended one after the other, with all requests that ran there, and requests with the part were sent on.

Cause: a crash was recorded only with the fingerprint of the whole request, and no two of these requests were alike.

Change: poison.Parts keeps for each part the upstreams that were lost as they began to answer requests with it. A complete answer to a request with the part clears it, and an answer of the upstream to a request that was sent after the loss shows that only a connection was lost. Crashes in three episodes of 0.5 s, or of five upstreams in two episodes, quarantine the part. VMs share crashes, completions and answers in a new message, and send all of it when a session opens. Requests with a quarantined part are refused at admission and not retried. One VM tests a quarantine with one request at growing intervals, early if the part had completed before. The tests are far apart for a part that never did, because each of them may end an upstream.

Why it works: the crashing part never completes, and the parts that sound requests share do all the time. An outage is one episode, upstreams that reset connections go on answering, and the times merge by their maximum whatever the order of messages.

--- a/edge/admit.go
+++ b/edge/admit.go
@@ -90,6 +90,9 @@
 	if e.Poison.State(e.Now(), r.fingerprint) == poison.Quarantined {
 		return refuse(Quarantined, "the request crashed the upstreams that ran it", 0), false
 	}
+	if parts := e.quarantinedParts(r); len(parts) > 0 && !e.mayProbe(r, parts) {
+		return refuse(Quarantined, partQuarantinedDetail, 0), false
+	}
 	return Outcome{}, true
 }
 
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -36,6 +36,12 @@
 		if attempt > 0 && !e.mayRetry(ctx, r, out) {
 			break
 		}
+		if attempt > 0 && len(e.quarantinedParts(r)) > 0 {
+			if out.Ran == NotRun {
+				out = refuse(Quarantined, partQuarantinedDetail, 0)
+			}
+			break
+		}
 		next, tried := e.attempt(ctx, r, sink)
 		if !tried {
 			if attempt == 0 {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -36,6 +36,7 @@
 	Quota    *quota.Table
 	Retries  *retry.Window
 	Poison   *poison.Table
+	Parts    *poison.Parts
 	Metrics  *metrics.Metrics
 	// ConnLimiter enforces the time limits of callers' connections.
 	ConnLimiter *callerconn.Limiter
--- a/edge/events.go
+++ b/edge/events.go
@@ -44,7 +44,7 @@
 		return fail(TimedOut, "the stream has not ended in time")
 	default:
 		e.Replicas.Done(now, pick, replica.Failed)
-		e.reportCrash(r, pick)
+		e.reportCrash(r, pick, err)
 		return fail(UpstreamFailed, "read stream: "+err.Error())
 	}
 }
@@ -156,6 +156,7 @@
 func (e *Edge) recordFirstToken(r *request, pick *replica.Pick) {
 	e.Replicas.FirstToken(e.Now(), pick)
 	e.Metrics.ObserveFirstTokenError(r.service.Name, pick.FirstToken, pick.Elapsed(e.Now()))
+	r.answerStartedAt = e.Now()
 	r.firstTokenLatency = time.Since(r.arrived)
 	e.Metrics.ObserveFirstToken(r.route.Name, r.firstTokenLatency)
 }
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -59,7 +59,7 @@
 		RequestID: r.id, OriginSlot: e.Settings.Name, OriginRegion: e.Settings.Region,
 		Route: r.route.Name, Hops: 1, Method: r.method, Path: r.target, Header: header,
 		RemainingMillis: r.remaining(time.Now()).Milliseconds(), BodyBytes: int64(len(r.body)),
-		Runs: int32(r.runs), Resumed: r.headSent,
+		Runs: int32(r.runs), Resumed: r.headSent, Probe: r.probe,
 	}
 	if t := e.table(); t != nil {
 		msg.ConfigNumber = t.Config.Version
--- a/edge/forwarded.go
+++ b/edge/forwarded.go
@@ -36,6 +36,7 @@
 		out = e.run(runCtx, r, streamSink(runCtx, st))
 		stop()
 	}
+	e.endProbe(r, out)
 	e.recordOutcome(r, out)
 	e.end(st, r, out)
 }
@@ -45,7 +46,7 @@
 	now := time.Now()
 	r := &request{
 		id: open.RequestID, method: open.Method, target: open.Path, host: open.Header[hostHeader],
-		arrived: now, forwarded: true, runs: int(open.Runs), headSent: open.Resumed,
+		arrived: now, forwarded: true, runs: int(open.Runs), headSent: open.Resumed, probe: open.Probe,
 	}
 	delete(open.Header, hostHeader)
 	r.header = splitHeader(open.Header)
--- a/edge/new.go
+++ b/edge/new.go
@@ -52,6 +52,7 @@
 		Quota:       quota.New(now),
 		Retries:     retry.NewWindow(s.Bounds.RetryWindow, retryRatioShare*s.Bounds.RetryRatio, s.Bounds.RetrySlack/minSlackVMs),
 		Poison:      newPoison(),
+		Parts:       poison.NewParts(poison.DefaultPartLimits()),
 		Metrics:     metrics.New(s.Name, s.Region),
 		ConnLimiter: callerconn.New(),
 		hasher:      hasher,
@@ -60,6 +61,7 @@
 		return sv.WarmUpRate*s.Bounds.WarmUpOverage + s.Bounds.WarmUpSlack
 	}
 	e.Replicas.SetVMs(s.Name, []string{s.Name}, initialSharers)
+	e.Parts.Log = log
 	e.Watcher = &source.Watcher{
 		Readers: e.readers, Replicas: e.Replicas, Log: log, Now: clock.Now,
 		Local:        func(domain string) bool { return s.Regions[domain] == s.Region },
@@ -79,6 +81,7 @@
 	e.Fleet.OnCollecting = e.setCollecting
 	e.Fleet.OnPresence = e.ApplyPresence
 	e.Fleet.OnControl = e.HandleControl
+	e.Fleet.OnSession = e.sendSuspects
 	return e, nil
 }
 
--- a/edge/request.go
+++ b/edge/request.go
@@ -36,6 +36,10 @@
 	prompt      replica.Prompt
 	fingerprint poison.Fingerprint
 
+	// probe is set if the request tests the quarantine of one of its prompt parts, and probedPart if this VM decided it.
+	probe      bool
+	probedPart poison.Part
+
 	// forwarded is set if another VM forwarded the request. Such a request is not forwarded again.
 	forwarded bool
 	// triedUpstreams and triedVMs list the upstreams and the VMs that the request was sent to.
@@ -64,6 +68,8 @@
 	charged int64
 	// firstTokenLatency is the time from arrival to the first event, zero before the first event.
 	firstTokenLatency time.Duration
+	// answerStartedAt is the time of the first event of the latest attempt, zero before it.
+	answerStartedAt time.Time
 	// destination is the upstream or the region of the latest attempt.
 	destination string
 }
--- a/edge/send.go
+++ b/edge/send.go
@@ -11,7 +11,6 @@
 
 	"parsleyhatch/event"
 	"parsleyhatch/platform"
-	"parsleyhatch/poison"
 	"parsleyhatch/replica"
 	"parsleyhatch/route"
 	"parsleyhatch/upstream"
@@ -37,6 +36,8 @@
 	now := time.Now()
 	r.triedUpstreams = append(r.triedUpstreams, pick.ID)
 	r.sends++
+	r.answerStartedAt = time.Time{}
+	sentAt := e.Now()
 	a, err := e.Pool.Do(ctx, &upstream.Request{
 		Address: pick.Address, MaxConnections: e.connectionLimit(r.service),
 		ID: r.id, Method: r.method, Target: r.target, Host: r.host,
@@ -46,7 +47,10 @@
 		return e.handleSendFailure(ctx, r, pick, err)
 	}
 	defer a.Close()
-	return e.handleAnswer(ctx, r, pick, a, sink)
+	e.recordAnswer(pick, a, sentAt)
+	out := e.handleAnswer(ctx, r, pick, a, sink)
+	e.recordCompletion(r, a, out)
+	return out
 }
 
 // connectionLimit returns this VM's share of the connections to an upstream, zero for no limit.
@@ -82,20 +86,11 @@
 		return fail(CallerDisconnected, "the caller left")
 	default:
 		e.Replicas.Done(now, pick, replica.Failed)
-		e.reportCrash(r, pick)
+		e.reportCrash(r, pick, f)
 		return fail(UpstreamFailed, f.Error())
 	}
 }
 
-// reportCrash records that an upstream failed while it ran the request, and notifies the other VMs.
-func (e *Edge) reportCrash(r *request, pick *replica.Pick) {
-	now := e.Now()
-	e.Poison.RecordCrash(now, pick.ID, []poison.Fingerprint{r.fingerprint})
-	for _, m := range e.Poison.Messages(now, r.fingerprint) {
-		e.Fleet.BroadcastSuspect(&m, false)
-	}
-}
-
 // handleAnswer handles an answer whose response head has arrived.
 func (e *Edge) handleAnswer(ctx context.Context, r *request, pick *replica.Pick, a *upstream.Response, sink *Sink) Outcome {
 	if ms, err := strconv.ParseInt(a.Header.Get(platform.HeaderWarmUp), 10, 64); err == nil && ms > 0 {
@@ -139,7 +134,7 @@
 		if ctx.Err() != nil {
 			return fail(TimedOut, "the answer was not whole in time")
 		}
-		e.reportCrash(r, pick)
+		e.reportCrash(r, pick, err)
 		return fail(UpstreamFailed, "read answer: "+err.Error())
 	}
 	if len(body) > limit {
--- a/edge/server.go
+++ b/edge/server.go
@@ -102,6 +102,7 @@
 	if out.Ran == NotRun && r.charged > 0 {
 		e.Quota.Refund(e.Now(), r.workspace.Name, r.charged)
 	}
+	e.endProbe(r, out)
 	e.recordOutcome(r, out)
 	switch {
 	case out.Complete:
@@ -114,6 +115,7 @@
 
 // refuseCaller answers a request that was not admitted. It closes the connection if the body is unread.
 func (e *Edge) refuseCaller(w http.ResponseWriter, h *http.Request, r *request, out Outcome) {
+	e.endProbe(r, out)
 	e.recordOutcome(r, out)
 	if h.ContentLength != 0 && r.body == nil {
 		// On a connection that is kept alive, net/http reads the rest of the body before it sends the answer.
--- a/edge/storeread.go
+++ b/edge/storeread.go
@@ -173,6 +173,11 @@
 				e.Fleet.BroadcastSuspect(&m, true)
 			}
 		}
+	case vmwire.KindPartReport:
+		var m vmwire.PartReport
+		if err = vm.Decode(f, &m); err == nil {
+			e.applyPartReport(s, &m)
+		}
 	case vmwire.KindStoreQuery:
 		var m vmwire.StoreQuery
 		if err = vm.Decode(f, &m); err == nil {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -54,6 +54,8 @@
 	OnSums func(now time.Time, sums *vmwire.UpstreamSums)
 	// OnCollecting is called when this VM starts or stops to collect the load reports of its region.
 	OnCollecting func(collecting bool)
+	// OnSession is called when a session has opened, to send what its VM must know. It may block.
+	OnSession func(s *vm.Session)
 	// OnPresence handles the presence of another VM. It must not block.
 	OnPresence func(now time.Time, m Member, p *vmwire.Presence)
 	// OnControl handles the other control messages. It must not block.
@@ -317,7 +319,15 @@
 		go other.Close(errDuplicate)
 	}
 	event.PeerUp.Log(f.Log, "vm", s.Peer.Slot, "region", s.Peer.Region, "dialed", s.Dialed)
-	go f.sendFullPresence(s, true)
+	go f.runOpened(s)
+}
+
+// runOpened sends what the VM of a new session must know.
+func (f *Fleet) runOpened(s *vm.Session) {
+	f.sendFullPresence(s, true)
+	if f.OnSession != nil {
+		f.OnSession(s)
+	}
 }
 
 // isPreferred reports whether the VM with the lower name dialed the session.
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -205,3 +205,12 @@
 		}
 	}
 }
+
+// BroadcastParts sends a report on suspected prompt parts over all sessions, or with sameRegion only to VMs of this region.
+func (f *Fleet) BroadcastParts(report *vmwire.PartReport, sameRegion bool) {
+	for _, s := range f.allSessions() {
+		if !sameRegion || !f.remote(s) {
+			s.SendControl(vmwire.KindPartReport, report)
+		}
+	}
+}
--- a/operator/vmmonitor.go
+++ b/operator/vmmonitor.go
@@ -109,6 +109,7 @@
 		m.dropped = dropped
 	}
 	pool := e.Pool.Stats()
+	suspected, quarantined := e.Parts.Counts(now)
 	for name, value := range map[string]int64{
 		"open_requests":                  int64(e.OpenRequests()),
 		"keys_age_milliseconds":          now.Sub(e.Watcher.FreshAt()).Milliseconds(),
@@ -116,6 +117,8 @@
 		"upstream_connections_reused":    pool.Reused,
 		"upstream_connections_discarded": pool.Discarded,
 		"upstreams":                      int64(len(e.Replicas.IDs())),
+		"prompt_parts_suspected":         int64(suspected),
+		"prompt_parts_quarantined":       int64(quarantined),
 		"vms_of_region":                  int64(e.Fleet.SameRegionCount(now)),
 	} {
 		e.Metrics.SetGauge(name, float64(value))
--- a/vm/fuzz_test.go
+++ b/vm/fuzz_test.go
@@ -91,6 +91,8 @@
 		_ = Decode(f, &vmwire.UpstreamLoads{})
 	case vmwire.KindUpstreamSums:
 		_ = Decode(f, &vmwire.UpstreamSums{})
+	case vmwire.KindPartReport:
+		_ = Decode(f, &vmwire.PartReport{})
 	}
 }
 
--- a/vmwire/kinds.go
+++ b/vmwire/kinds.go
@@ -25,6 +25,7 @@
 	KindStoreReply
 	KindUpstreamLoads
 	KindUpstreamSums
+	KindPartReport
 	kindEnd
 )
 
@@ -38,5 +39,5 @@
 	KindLoad: "load", KindSummary: "summary", KindTokenRequest: "tokenRequest", KindTokenGrant: "tokenGrant",
 	KindSuspectRequest: "suspectRequest", KindHandover: "handover", KindHandoverRequest: "handoverRequest", KindPing: "ping",
 	KindPresence: "presence", KindStoreQuery: "storeQuery", KindStoreReply: "storeReply",
-	KindUpstreamLoads: "upstreamLoads", KindUpstreamSums: "upstreamSums",
+	KindUpstreamLoads: "upstreamLoads", KindUpstreamSums: "upstreamSums", KindPartReport: "partReport",
 }
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -4,7 +4,7 @@
 package vmwire
 
 // Protocol is the version of this schema. Sessions with VMs of another version are refused.
-const Protocol = 5
+const Protocol = 6
 
 // The limits bound what a decoder allocates for a length that a faulty peer announces. Without them, a
 // frame of 23 bytes made a VM allocate 128 GiB. The longest valid array is the list of parts of a
@@ -16,6 +16,7 @@
 //msgp:tuple Frame Hello Open Chunk End Window Heartbeat HeartbeatAck SlotView IngressVM ConfigRequest ConfigParts Part
 //msgp:tuple Load UpstreamLoad ModelWait Summary PoolSummary TokenRequest TokenGrant SuspectRequest Handover HandoverRequest HandoverRecord
 //msgp:tuple Presence WorkspaceUsage UpstreamLoads SenderLoad UpstreamSums UpstreamSum ServiceWait KnownVM StoreItem StoreQuery StoreReply
+//msgp:tuple PartReport PartCrash PartCompletion UpstreamAnswer
 
 // Frame is the envelope of every message.
 type Frame struct {
@@ -74,6 +75,8 @@
 	// Resumed means that the caller already has the start of a stream, so that only events of that stream may
 	// follow.
 	Resumed bool
+	// Probe means that the request tests the quarantine of one of its prompt parts and is not refused for it.
+	Probe bool
 }
 
 // Chunk is a part of an answer, carried in a Data frame from the VM that runs the request.
@@ -121,25 +124,6 @@
 	Queue int32
 }
 
-// Bits of Heartbeat.Flags, of Presence.Flags and of the flags of a compact view.
-const (
-	FlagLeaving uint8 = 1 << iota
-	FlagReady
-	// FlagNewestIncarnation means that the sender knows no newer incarnation of the receiver's slot.
-	FlagNewestIncarnation
-	// FlagKnowsNewest means that the sender has been connected long enough to know the newest incarnations.
-	FlagKnowsNewest
-	// FlagKeysCurrent means that the sender's list of withdrawn keys is current.
-	FlagKeysCurrent
-	// FlagUsageKnown means that the sender has run long enough to know the usage of all workspaces and reports
-	// all of them.
-	FlagUsageKnown
-	// FlagStoreDown means that the store did not respond to the sender's latest call.
-	FlagStoreDown
-	// FlagRegionUsage means that a presence to another region reports the usage of the sender's region.
-	FlagRegionUsage
-)
-
 // Heartbeat shows that the sender is alive and carries its view of other VMs.
 type Heartbeat struct {
 	// Sequence is returned in the acknowledgement.
@@ -461,3 +445,39 @@
 	// It is negative if that never happened.
 	ReturnedMillis int64
 }
+
+// PartReport shares what a VM knows about prompt parts that are suspected of crashing upstreams.
+type PartReport struct {
+	Crashes     []PartCrash
+	Completions []PartCompletion
+	Answers     []UpstreamAnswer
+	// Reply means that the report replies to one of the receiver's.
+	Reply bool
+}
+
+// PartCrash is the crash of an upstream that ran requests with the prompt parts.
+type PartCrash struct {
+	Service  string
+	Upstream string
+	// Born is the start time of the upstream in Unix milliseconds.
+	Born int64
+	// AgeMillis is the time since the crash, in milliseconds.
+	AgeMillis int64
+	Parts     []uint64
+}
+
+// PartCompletion is a complete answer to a request with a prompt part.
+type PartCompletion struct {
+	Service string
+	Part    uint64
+	// AgeMillis is the time since the completion, in milliseconds.
+	AgeMillis int64
+}
+
+// UpstreamAnswer is an answer of an upstream, which shows that it did not crash earlier.
+type UpstreamAnswer struct {
+	Upstream string
+	Born     int64
+	// AgeMillis is the time since the answered request was sent, in milliseconds.
+	AgeMillis int64
+}
--- a/vmwire/schema_gen.go
+++ b/vmwire/schema_gen.go
@@ -2714,8 +2714,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 20 {
-		err = msgp.ArrayError{Wanted: 20, Got: zb0001}
+	if zb0001 != 21 {
+		err = msgp.ArrayError{Wanted: 21, Got: zb0001}
 		return
 	}
 	z.RequestID, err = dc.ReadString()
@@ -2846,13 +2846,18 @@
 		err = msgp.WrapError(err, "Resumed")
 		return
 	}
+	z.Probe, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Probe")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Open) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 20
-	err = en.Append(0xdc, 0x0, 0x14)
+	// array header, size 21
+	err = en.Append(0xdc, 0x0, 0x15)
 	if err != nil {
 		return
 	}
@@ -2968,14 +2973,19 @@
 		err = msgp.WrapError(err, "Resumed")
 		return
 	}
+	err = en.WriteBool(z.Probe)
+	if err != nil {
+		err = msgp.WrapError(err, "Probe")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Open) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 20
-	o = append(o, 0xdc, 0x0, 0x14)
+	// array header, size 21
+	o = append(o, 0xdc, 0x0, 0x15)
 	o = msgp.AppendString(o, z.RequestID)
 	o = msgp.AppendString(o, z.OriginSlot)
 	o = msgp.AppendString(o, z.OriginRegion)
@@ -3000,6 +3010,7 @@
 	o = msgp.AppendInt64(o, z.BodyBytes)
 	o = msgp.AppendInt32(o, z.Runs)
 	o = msgp.AppendBool(o, z.Resumed)
+	o = msgp.AppendBool(o, z.Probe)
 	return
 }
 
@@ -3011,8 +3022,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 20 {
-		err = msgp.ArrayError{Wanted: 20, Got: zb0001}
+	if zb0001 != 21 {
+		err = msgp.ArrayError{Wanted: 21, Got: zb0001}
 		return
 	}
 	z.RequestID, bts, err = msgp.ReadStringBytes(bts)
@@ -3143,6 +3154,11 @@
 		err = msgp.WrapError(err, "Resumed")
 		return
 	}
+	z.Probe, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Probe")
+		return
+	}
 	o = bts
 	return
 }
@@ -3156,7 +3172,7 @@
 			s += msgp.StringPrefixSize + len(za0001) + msgp.StringPrefixSize + len(za0002)
 		}
 	}
-	s += msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.StringPrefixSize + len(z.IdempotencyKey) + msgp.Int64Size + msgp.Int32Size + msgp.BoolSize
+	s += msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.StringPrefixSize + len(z.IdempotencyKey) + msgp.Int64Size + msgp.Int32Size + msgp.BoolSize + msgp.BoolSize
 	return
 }
 
@@ -3186,87 +3202,774 @@
 		z.Bytes = []byte{}
 	}
 	if err != nil {
-		err = msgp.WrapError(err, "Bytes")
+		err = msgp.WrapError(err, "Bytes")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Part) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Digest)
+	if err != nil {
+		err = msgp.WrapError(err, "Digest")
+		return
+	}
+	err = en.WriteBytes(z.Bytes)
+	if err != nil {
+		err = msgp.WrapError(err, "Bytes")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Part) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Digest)
+	o = msgp.AppendBytes(o, z.Bytes)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Part) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Digest, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Digest")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadBytesHeader(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Bytes")
+		return
+	}
+	if zb0002 > 262144 {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Bytes == nil || uint32(cap(z.Bytes)) < zb0002 {
+		z.Bytes = make([]byte, zb0002)
+	} else {
+		z.Bytes = z.Bytes[:zb0002]
+	}
+	if uint32(len(bts)) < zb0002 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Bytes, bts[:zb0002])
+	bts = bts[zb0002:]
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Part) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Digest) + msgp.BytesPrefixSize + len(z.Bytes)
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *PartCompletion) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Service, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	z.Part, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Part")
+		return
+	}
+	z.AgeMillis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z PartCompletion) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	err = en.WriteUint64(z.Part)
+	if err != nil {
+		err = msgp.WrapError(err, "Part")
+		return
+	}
+	err = en.WriteInt64(z.AgeMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z PartCompletion) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendString(o, z.Service)
+	o = msgp.AppendUint64(o, z.Part)
+	o = msgp.AppendInt64(o, z.AgeMillis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PartCompletion) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	z.Part, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Part")
+		return
+	}
+	z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z PartCompletion) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.Uint64Size + msgp.Int64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *PartCrash) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Service, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	z.Upstream, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Upstream")
+		return
+	}
+	z.Born, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "Born")
+		return
+	}
+	z.AgeMillis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Parts")
+		return
+	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Parts) >= int(zb0002) {
+		z.Parts = (z.Parts)[:zb0002]
+	} else {
+		z.Parts = make([]uint64, zb0002)
+	}
+	for za0001 := range z.Parts {
+		z.Parts[za0001], err = dc.ReadUint64()
+		if err != nil {
+			err = msgp.WrapError(err, "Parts", za0001)
+			return
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *PartCrash) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 5
+	err = en.Append(0x95)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	err = en.WriteString(z.Upstream)
+	if err != nil {
+		err = msgp.WrapError(err, "Upstream")
+		return
+	}
+	err = en.WriteInt64(z.Born)
+	if err != nil {
+		err = msgp.WrapError(err, "Born")
+		return
+	}
+	err = en.WriteInt64(z.AgeMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Parts)))
+	if err != nil {
+		err = msgp.WrapError(err, "Parts")
+		return
+	}
+	for za0001 := range z.Parts {
+		err = en.WriteUint64(z.Parts[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "Parts", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *PartCrash) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 5
+	o = append(o, 0x95)
+	o = msgp.AppendString(o, z.Service)
+	o = msgp.AppendString(o, z.Upstream)
+	o = msgp.AppendInt64(o, z.Born)
+	o = msgp.AppendInt64(o, z.AgeMillis)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
+	for za0001 := range z.Parts {
+		o = msgp.AppendUint64(o, z.Parts[za0001])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PartCrash) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	z.Upstream, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Upstream")
+		return
+	}
+	z.Born, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Born")
+		return
+	}
+	z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Parts")
+		return
+	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Parts) >= int(zb0002) {
+		z.Parts = (z.Parts)[:zb0002]
+	} else {
+		z.Parts = make([]uint64, zb0002)
+	}
+	for za0001 := range z.Parts {
+		z.Parts[za0001], bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Parts", za0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *PartCrash) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Upstream) + msgp.Int64Size + msgp.Int64Size + msgp.ArrayHeaderSize + (len(z.Parts) * (msgp.Uint64Size))
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *PartReport) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Crashes")
+		return
+	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Crashes) >= int(zb0002) {
+		z.Crashes = (z.Crashes)[:zb0002]
+	} else {
+		z.Crashes = make([]PartCrash, zb0002)
+	}
+	for za0001 := range z.Crashes {
+		err = z.Crashes[za0001].DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Crashes", za0001)
+			return
+		}
+	}
+	var zb0003 uint32
+	zb0003, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Completions")
+		return
+	}
+	if zb0003 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Completions) >= int(zb0003) {
+		z.Completions = (z.Completions)[:zb0003]
+	} else {
+		z.Completions = make([]PartCompletion, zb0003)
+	}
+	for za0002 := range z.Completions {
+		var zb0004 uint32
+		zb0004, err = dc.ReadArrayHeader()
+		if err != nil {
+			err = msgp.WrapError(err, "Completions", za0002)
+			return
+		}
+		if zb0004 > zb417a25dlimitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		if zb0004 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0004}
+			return
+		}
+		z.Completions[za0002].Service, err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err, "Completions", za0002, "Service")
+			return
+		}
+		z.Completions[za0002].Part, err = dc.ReadUint64()
+		if err != nil {
+			err = msgp.WrapError(err, "Completions", za0002, "Part")
+			return
+		}
+		z.Completions[za0002].AgeMillis, err = dc.ReadInt64()
+		if err != nil {
+			err = msgp.WrapError(err, "Completions", za0002, "AgeMillis")
+			return
+		}
+	}
+	var zb0005 uint32
+	zb0005, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Answers")
+		return
+	}
+	if zb0005 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Answers) >= int(zb0005) {
+		z.Answers = (z.Answers)[:zb0005]
+	} else {
+		z.Answers = make([]UpstreamAnswer, zb0005)
+	}
+	for za0003 := range z.Answers {
+		var zb0006 uint32
+		zb0006, err = dc.ReadArrayHeader()
+		if err != nil {
+			err = msgp.WrapError(err, "Answers", za0003)
+			return
+		}
+		if zb0006 > zb417a25dlimitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		if zb0006 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0006}
+			return
+		}
+		z.Answers[za0003].Upstream, err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err, "Answers", za0003, "Upstream")
+			return
+		}
+		z.Answers[za0003].Born, err = dc.ReadInt64()
+		if err != nil {
+			err = msgp.WrapError(err, "Answers", za0003, "Born")
+			return
+		}
+		z.Answers[za0003].AgeMillis, err = dc.ReadInt64()
+		if err != nil {
+			err = msgp.WrapError(err, "Answers", za0003, "AgeMillis")
+			return
+		}
+	}
+	z.Reply, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Reply")
 		return
 	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Part) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 2
-	err = en.Append(0x92)
+func (z *PartReport) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
 		return
 	}
-	err = en.WriteString(z.Digest)
+	err = en.WriteArrayHeader(uint32(len(z.Crashes)))
 	if err != nil {
-		err = msgp.WrapError(err, "Digest")
+		err = msgp.WrapError(err, "Crashes")
 		return
 	}
-	err = en.WriteBytes(z.Bytes)
+	for za0001 := range z.Crashes {
+		err = z.Crashes[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Crashes", za0001)
+			return
+		}
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Completions)))
 	if err != nil {
-		err = msgp.WrapError(err, "Bytes")
+		err = msgp.WrapError(err, "Completions")
+		return
+	}
+	for za0002 := range z.Completions {
+		// array header, size 3
+		err = en.Append(0x93)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Completions[za0002].Service)
+		if err != nil {
+			err = msgp.WrapError(err, "Completions", za0002, "Service")
+			return
+		}
+		err = en.WriteUint64(z.Completions[za0002].Part)
+		if err != nil {
+			err = msgp.WrapError(err, "Completions", za0002, "Part")
+			return
+		}
+		err = en.WriteInt64(z.Completions[za0002].AgeMillis)
+		if err != nil {
+			err = msgp.WrapError(err, "Completions", za0002, "AgeMillis")
+			return
+		}
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Answers)))
+	if err != nil {
+		err = msgp.WrapError(err, "Answers")
+		return
+	}
+	for za0003 := range z.Answers {
+		// array header, size 3
+		err = en.Append(0x93)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Answers[za0003].Upstream)
+		if err != nil {
+			err = msgp.WrapError(err, "Answers", za0003, "Upstream")
+			return
+		}
+		err = en.WriteInt64(z.Answers[za0003].Born)
+		if err != nil {
+			err = msgp.WrapError(err, "Answers", za0003, "Born")
+			return
+		}
+		err = en.WriteInt64(z.Answers[za0003].AgeMillis)
+		if err != nil {
+			err = msgp.WrapError(err, "Answers", za0003, "AgeMillis")
+			return
+		}
+	}
+	err = en.WriteBool(z.Reply)
+	if err != nil {
+		err = msgp.WrapError(err, "Reply")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Part) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *PartReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
-	o = msgp.AppendString(o, z.Digest)
-	o = msgp.AppendBytes(o, z.Bytes)
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Crashes)))
+	for za0001 := range z.Crashes {
+		o, err = z.Crashes[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Crashes", za0001)
+			return
+		}
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Completions)))
+	for za0002 := range z.Completions {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendString(o, z.Completions[za0002].Service)
+		o = msgp.AppendUint64(o, z.Completions[za0002].Part)
+		o = msgp.AppendInt64(o, z.Completions[za0002].AgeMillis)
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Answers)))
+	for za0003 := range z.Answers {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendString(o, z.Answers[za0003].Upstream)
+		o = msgp.AppendInt64(o, z.Answers[za0003].Born)
+		o = msgp.AppendInt64(o, z.Answers[za0003].AgeMillis)
+	}
+	o = msgp.AppendBool(o, z.Reply)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Part) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *PartReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var zb0001 uint32
 	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
-	z.Digest, bts, err = msgp.ReadStringBytes(bts)
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Digest")
+		err = msgp.WrapError(err, "Crashes")
 		return
 	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadBytesHeader(bts)
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Crashes) >= int(zb0002) {
+		z.Crashes = (z.Crashes)[:zb0002]
+	} else {
+		z.Crashes = make([]PartCrash, zb0002)
+	}
+	for za0001 := range z.Crashes {
+		bts, err = z.Crashes[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Crashes", za0001)
+			return
+		}
+	}
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Bytes")
+		err = msgp.WrapError(err, "Completions")
 		return
 	}
-	if zb0002 > 262144 {
+	if zb0003 > zb417a25dlimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if z.Bytes == nil || uint32(cap(z.Bytes)) < zb0002 {
-		z.Bytes = make([]byte, zb0002)
+	if cap(z.Completions) >= int(zb0003) {
+		z.Completions = (z.Completions)[:zb0003]
 	} else {
-		z.Bytes = z.Bytes[:zb0002]
+		z.Completions = make([]PartCompletion, zb0003)
 	}
-	if uint32(len(bts)) < zb0002 {
-		err = msgp.ErrShortBytes
+	for za0002 := range z.Completions {
+		var zb0004 uint32
+		zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Completions", za0002)
+			return
+		}
+		if zb0004 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0004}
+			return
+		}
+		z.Completions[za0002].Service, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Completions", za0002, "Service")
+			return
+		}
+		z.Completions[za0002].Part, bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Completions", za0002, "Part")
+			return
+		}
+		z.Completions[za0002].AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Completions", za0002, "AgeMillis")
+			return
+		}
+	}
+	var zb0005 uint32
+	zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Answers")
+		return
+	}
+	if zb0005 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Answers) >= int(zb0005) {
+		z.Answers = (z.Answers)[:zb0005]
+	} else {
+		z.Answers = make([]UpstreamAnswer, zb0005)
+	}
+	for za0003 := range z.Answers {
+		var zb0006 uint32
+		zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Answers", za0003)
+			return
+		}
+		if zb0006 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0006}
+			return
+		}
+		z.Answers[za0003].Upstream, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Answers", za0003, "Upstream")
+			return
+		}
+		z.Answers[za0003].Born, bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Answers", za0003, "Born")
+			return
+		}
+		z.Answers[za0003].AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Answers", za0003, "AgeMillis")
+			return
+		}
+	}
+	z.Reply, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Reply")
 		return
 	}
-	copy(z.Bytes, bts[:zb0002])
-	bts = bts[zb0002:]
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Part) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Digest) + msgp.BytesPrefixSize + len(z.Bytes)
+func (z *PartReport) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize
+	for za0001 := range z.Crashes {
+		s += z.Crashes[za0001].Msgsize()
+	}
+	s += msgp.ArrayHeaderSize
+	for za0002 := range z.Completions {
+		s += 1 + msgp.StringPrefixSize + len(z.Completions[za0002].Service) + msgp.Uint64Size + msgp.Int64Size
+	}
+	s += msgp.ArrayHeaderSize
+	for za0003 := range z.Answers {
+		s += 1 + msgp.StringPrefixSize + len(z.Answers[za0003].Upstream) + msgp.Int64Size + msgp.Int64Size
+	}
+	s += msgp.BoolSize
 	return
 }
 
@@ -5612,6 +6315,113 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *UpstreamAnswer) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Upstream, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Upstream")
+		return
+	}
+	z.Born, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "Born")
+		return
+	}
+	z.AgeMillis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z UpstreamAnswer) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Upstream)
+	if err != nil {
+		err = msgp.WrapError(err, "Upstream")
+		return
+	}
+	err = en.WriteInt64(z.Born)
+	if err != nil {
+		err = msgp.WrapError(err, "Born")
+		return
+	}
+	err = en.WriteInt64(z.AgeMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z UpstreamAnswer) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendString(o, z.Upstream)
+	o = msgp.AppendInt64(o, z.Born)
+	o = msgp.AppendInt64(o, z.AgeMillis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *UpstreamAnswer) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Upstream, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Upstream")
+		return
+	}
+	z.Born, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Born")
+		return
+	}
+	z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z UpstreamAnswer) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Upstream) + msgp.Int64Size + msgp.Int64Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *UpstreamLoad) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
