edge: send suspect requests when a session opens

What callers saw: a request that had crashed three upstreams and was refused everywhere ended another one at each VM that had started since then.

Cause: crashes are broadcast as they happen, and a VM that starts later learns nothing of them. poison.Table.Export, which is meant for this, was called by the gateway of the own protocol only.

Change: a VM sends its suspect requests over each session that opens, after the suspected prompt parts, in batches that do not fill the queue of the session.

Test TestStartingVMLearnsQuarantinedRequests: before, both new VMs, in the region of the crashes and in another one, sent the request, and upstreams received it twice more; after, both refuse it and no upstream receives it.

--- a/edge/partquarantine_test.go
+++ b/edge/partquarantine_test.go
@@ -98,6 +98,43 @@
 	}
 }
 
+// Guards against a VM that sends a quarantined request again because it started after the crashes.
+func TestStartingVMLearnsQuarantinedRequests(t *testing.T) {
+	w := newTestCluster(t, "north", "south")
+	w.publishConfig(1, routeJSON("a", "unsafe", "plain", ""))
+	var upstreams []*fakeUpstream
+	for _, id := range []string{"u0", "u1", "u2", "u3", "u4"} {
+		upstreams = append(upstreams, w.addUpstream(id, "plain", "north", abortConnection))
+	}
+	received := func() int {
+		n := 0
+		for _, u := range upstreams {
+			n += u.requestCount()
+		}
+		return n
+	}
+	first := w.startVM("vm0", "north", true)
+	w.waitFor("the upstreams are known", func() bool { return first.knowsUpstreams("plain", len(upstreams)) })
+	for range 3 {
+		first.call(t, "/a/", "crash", nil)
+	}
+	crashes := received()
+	if status, body, _ := first.call(t, "/a/", "crash", nil); !strings.Contains(body, string(Quarantined)) || received() != crashes {
+		t.Fatalf("answer %d %q after %d crashes, want a refusal as quarantined", status, body, crashes)
+	}
+	for _, region := range []string{"north", "south"} {
+		v := w.startVM("new in "+region, region, true)
+		w.waitForMembership()
+		w.waitFor("the request is quarantined at the VM in "+region, func() bool { return v.Poison.Len() == 1 })
+		if status, body, _ := v.call(t, "/a/", "crash", nil); !strings.Contains(body, string(Quarantined)) {
+			t.Errorf("the VM in %s answers %d %q, want a refusal as quarantined", region, status, body)
+		}
+	}
+	if n := received() - crashes; n != 0 {
+		t.Errorf("upstreams received the request %d times more", n)
+	}
+}
+
 // Guards against a quarantine of a part that crashes nothing and that nothing ends, since no request with it is sent, or
 // since the one that is sent does not run.
 func TestWrongPartQuarantineHeals(t *testing.T) {
--- a/edge/parts.go
+++ b/edge/parts.go
@@ -163,9 +163,26 @@
 	}
 }
 
-// sendSuspects sends the suspected prompt parts to a VM with which a session has opened.
+// suspectBatch is the number of messages on suspect requests that are sent at once, and suspectBatchInterval the time
+// between two batches, so that they do not fill the queue of a session.
+const (
+	suspectBatch         = 64
+	suspectBatchInterval = 20 * time.Millisecond
+)
+
+// sendSuspects sends the suspected prompt parts and requests to a VM with which a session has opened.
 func (e *Edge) sendSuspects(s *vm.Session) {
 	for _, report := range e.Parts.Export(e.Now()) {
 		s.SendControl(vmwire.KindPartReport, report)
 	}
+	for i, m := range e.Poison.Export(e.Now()) {
+		if i%suspectBatch == suspectBatch-1 {
+			select {
+			case <-s.Done():
+				return
+			case <-time.After(suspectBatchInterval):
+			}
+		}
+		s.SendControl(vmwire.KindSuspectRequest, &m)
+	}
 }
