edge: log suspect requests

What operators saw: no line 1701 or 1702 when requests crashed upstreams or were refused for it, although the page on operations refers to them.

Cause: the table of suspect requests had no logger. TestSuspectsAreLogged missed both lines before and finds them now.

--- a/edge/new.go
+++ b/edge/new.go
@@ -61,7 +61,7 @@
 		return sv.WarmUpRate*s.Bounds.WarmUpOverage + s.Bounds.WarmUpSlack
 	}
 	e.Replicas.SetVMs(s.Name, []string{s.Name}, initialSharers)
-	e.Parts.Log = log
+	e.Poison.Log, e.Parts.Log = log, log
 	e.Watcher = &source.Watcher{
 		Readers: e.readers, Replicas: e.Replicas, Log: log, Now: clock.Now,
 		Local:        func(domain string) bool { return s.Regions[domain] == s.Region },
--- a/edge/partquarantine_test.go
+++ b/edge/partquarantine_test.go
@@ -1,9 +1,11 @@
 package edge
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"os"
 	"strings"
@@ -135,6 +137,26 @@
 	}
 }
 
+// Guards against suspicion and quarantine that operators do not see.
+func TestSuspectsAreLogged(t *testing.T) {
+	var log bytes.Buffer
+	e, err := New(platform.Settings{Name: "vm0", Region: "north"}, slog.New(slog.NewTextHandler(&log, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := e.Now()
+	for i := range 3 {
+		now = now.Add(time.Second)
+		e.Poison.RecordCrash(now, "u", []poison.Fingerprint{{1}})
+		e.Parts.RecordCrash(now, poison.Lifetime{Upstream: "u", Born: int64(i)}, "engine", []uint64{7})
+	}
+	for _, event := range []string{"event=1701", "event=1702", "event=1705", "event=1706"} {
+		if !strings.Contains(log.String(), event) {
+			t.Errorf("no line with %s in\n%s", event, &log)
+		}
+	}
+}
+
 // Guards against a quarantine of a part that crashes nothing and that nothing ends, since no request with it is sent, or
 // since the one that is sent does not run.
 func TestWrongPartQuarantineHeals(t *testing.T) {
