edge: clear suspect requests that complete

What callers saw: a request that callers send again and again, like a check, was refused as quarantined for two minutes after it had run at three upstreams as they were lost, although it completed each time in between.

Cause: completions were never recorded; only the gateway of the own protocol did so.

Change: a complete answer with a 2xx status clears the request, and the other VMs learn it. An answer that only the end of the connection delimits does not count, since a crash may have cut it.

Test TestCompletedRequestIsNotQuarantined: before, the request was refused from the third crash on, at the other VM too; after, it is served after each of five.

--- a/edge/partquarantine_test.go
+++ b/edge/partquarantine_test.go
@@ -137,6 +137,35 @@
 	}
 }
 
+// Guards against a request that is refused after it ran at three upstreams that crashed, although it completes in between.
+func TestCompletedRequestIsNotQuarantined(t *testing.T) {
+	w := newTestCluster(t, "north", "south")
+	w.publishConfig(1, routeJSON("a", "unsafe", "plain", ""))
+	var abort atomic.Bool
+	w.addUpstream("u0", "plain", "north", func(rw http.ResponseWriter, _ *http.Request) {
+		if abort.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(rw, "done")
+	})
+	v := w.startVM("vm0", "north", true)
+	other := w.startVM("vm1", "south", true)
+	w.waitForMembership()
+	w.waitFor("the upstream is known", func() bool { return v.knowsUpstreams("plain", 1) })
+	for i := range 5 {
+		abort.Store(true)
+		v.call(t, "/a/", "x", nil)
+		w.waitFor("the other VM suspects the request", func() bool { return other.Poison.Len() == 1 })
+		abort.Store(false)
+		if status, body, _ := v.call(t, "/a/", "x", nil); status != http.StatusOK {
+			t.Errorf("answer %d %q after %d crashes", status, body, i+1)
+		}
+	}
+	if status, body, _ := other.call(t, "/a/", "x", nil); status != http.StatusOK {
+		t.Errorf("the other VM answers %d %q", status, body)
+	}
+}
+
 // Guards against suspicion and quarantine that operators do not see.
 func TestSuspectsAreLogged(t *testing.T) {
 	var log bytes.Buffer
--- a/edge/parts.go
+++ b/edge/parts.go
@@ -99,9 +99,7 @@
 func (e *Edge) reportCrash(r *request, pick *replica.Pick, cause error) {
 	now := e.Now()
 	e.Poison.RecordCrash(now, pick.ID, []poison.Fingerprint{r.fingerprint})
-	for _, m := range e.Poison.Messages(now, r.fingerprint) {
-		e.Fleet.BroadcastSuspect(&m, false)
-	}
+	e.broadcastSuspect(now, r)
 	isSteady := !r.answerStartedAt.IsZero() && now.Sub(r.answerStartedAt) >= steadyAnswerTime
 	if isSteady || !isConnectionLoss(cause) {
 		return
@@ -109,6 +107,13 @@
 	e.broadcastParts(e.Parts.RecordCrash(now, lifetimeOf(pick), r.service.Name, r.sharedParts()))
 }
 
+// broadcastSuspect sends what is known of a suspect request to all other VMs.
+func (e *Edge) broadcastSuspect(now time.Time, r *request) {
+	for _, m := range e.Poison.Messages(now, r.fingerprint) {
+		e.Fleet.BroadcastSuspect(&m, false)
+	}
+}
+
 // isConnectionLoss reports whether an attempt failed because its connection ended, and not because the answer was late or
 // invalid.
 func isConnectionLoss(err error) bool {
@@ -137,7 +142,11 @@
 	if !out.Complete || !a.Framed || a.Status < http.StatusOK || a.Status >= http.StatusMultipleChoices {
 		return
 	}
-	e.broadcastParts(e.Parts.RecordCompletion(e.Now(), r.service.Name, r.sharedParts()))
+	now := e.Now()
+	if e.Poison.RecordCompletion(now, r.fingerprint) {
+		e.broadcastSuspect(now, r)
+	}
+	e.broadcastParts(e.Parts.RecordCompletion(now, r.service.Name, r.sharedParts()))
 }
 
 // broadcastParts sends a report to all other VMs, unless it is nil.
