--- a/edge/events.go
+++ b/edge/events.go
@@ -60,7 +60,7 @@
 		return fail(UpstreamFailed, "the upstream has sent no event for too long")
 	default:
 		e.Replicas.Done(now, pick, replica.Failed)
-		e.reportCrash(r, pick)
+		e.reportCrash(r, pick, err)
 		return fail(UpstreamFailed, "read stream: "+err.Error())
 	}
 }
@@ -216,6 +216,7 @@
 func (e *Edge) recordFirstToken(r *request, pick *replica.Pick) {
 	e.Replicas.FirstToken(e.Now(), pick)
 	e.Metrics.ObserveFirstTokenError(r.service.Name, pick.FirstToken, pick.Elapsed(e.Now()))
+	r.answerStartedAt = e.Now()
 	r.firstTokenLatency = time.Since(r.arrived)
 	e.Metrics.ObserveFirstToken(r.route.Name, r.firstTokenLatency)
 }
