edge: keep a silent upstream until another one has taken the stream

Callers lost streams of sound upstreams that were silent for a while when the upstream at which they should resume refused them or could not be reached, or when the other region did not have the route or the version of the first VM: the first upstream had been left before the other one was asked.

The other upstream is asked while the first one is kept. It is left when the other one has begun to answer, or 250 ms after the request was sent there, so that two upstreams never work on one request for long. After a refusal or a failed dial the stream stays. The silence of an upstream counts as a failure as soon as it is noticed.

TestStreamIsNotCutIfResumptionFails failed in all four cases (unexpected EOF after two of five events) and passes.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -130,10 +130,6 @@
 	if ctx.Err() != nil || r.remaining(time.Now()) < minRemaining {
 		return false
 	}
-	if r.retryReserved {
-		r.retryReserved = false
-		return true
-	}
 	switch out.Reason {
 	case NoUpstream, NoConfiguration, StaleKeys, Leaving, NoRoute, Overloaded:
 		return true
@@ -142,20 +138,6 @@
 	}
 }
 
-// reserveResume reports whether a stream that has begun can resume at another upstream without a long wait, and if so
-// counts the attempt in the retry budget.
-func (e *Edge) reserveResume(r *request) bool {
-	if r.sends >= maxSends || r.remaining(time.Now()) < minRemaining {
-		return false
-	}
-	best, ok := e.bestRegion(e.Now(), r)
-	if !ok || best.Wait > r.maxExpectedWait() || !e.Retries.TryRetry(e.Now(), r.service.Name) {
-		return false
-	}
-	r.retryReserved = true
-	return true
-}
-
 // waitAfterPause waits after a pause of this process until the messages that arrived during it are read. The VM
 // that forwarded the request may have cancelled it and sent it to another region.
 func (e *Edge) waitAfterPause(ctx context.Context) {
--- a/edge/events.go
+++ b/edge/events.go
@@ -8,10 +8,7 @@
 	"strconv"
 	"time"
 
-	"parsleyhatch/event"
-	"parsleyhatch/fleet"
 	"parsleyhatch/replica"
-	"parsleyhatch/route"
 	"parsleyhatch/upstream"
 )
 
@@ -20,31 +17,22 @@
 	streamReadBytes = 2 << 10
 	// maxEventBytes is the maximum size of one event, in bytes. Streams without events must not fill the memory.
 	maxEventBytes = 128 << 10
-	// minStallTimeout is the minimum time without an event after which a stream resumes at another upstream. It is below
-	// minCallerPatience, which is the minimum time for which callers wait for the next event.
-	minStallTimeout   = 1500 * time.Millisecond
-	minCallerPatience = 2 * time.Second
-	// Callers wait at least latencyPatience times the target latency and gapPatience times the target gap.
-	latencyPatience = 4
-	gapPatience     = 8
-	// stallShare is the share of callers' patience after which a stream resumes elsewhere: sound upstreams may be silent for
-	// a second or two, and the other upstream needs the rest to process the prompt.
-	stallShare = 0.65
-	// stallCheckInterval is the interval at which a stalled stream that could not resume elsewhere checks again.
-	stallCheckInterval = 250 * time.Millisecond
 )
 
 var errEventTooLong = errors.New("event of a stream is too long")
 
 // relayEventStream relays the events of a stream to the sink, each as soon as it is complete.
 func (e *Edge) relayEventStream(ctx context.Context, r *request, pick *replica.Pick, a *upstream.Response, sink *Sink) Outcome {
-	s := &eventRelay{edge: e, request: r, pick: pick, answer: a, sink: sink, resumedAfter: -1}
+	s := &eventRelay{ctx: ctx, edge: e, request: r, pick: pick, answer: a, sink: sink, resumedAfter: -1}
 	if r.headSent {
 		s.resumedAfter = eventNumber([]byte(r.lastEvent))
 	}
 	err := s.run()
 	now := e.Now()
 	switch {
+	case s.replacement != nil:
+		e.Replicas.Done(now, pick, replica.RequestCancelled)
+		return *s.replacement
 	case errors.Is(err, io.EOF) && len(s.pending) == 0:
 		e.Replicas.Done(now, pick, replica.Answered)
 		return Outcome{Reason: Answered, Status: a.Status, Ran: HasRun, Complete: true}
@@ -56,7 +44,7 @@
 		return fail(TimedOut, "the stream has not ended in time")
 	case upstream.IsTimeout(err):
 		// A silent upstream may be sound, so that the request is no suspect.
-		e.Replicas.Done(now, pick, replica.NoResponse)
+		e.Replicas.Done(now, pick, replica.RequestCancelled)
 		return fail(UpstreamFailed, "the upstream has sent no event for too long")
 	default:
 		e.Replicas.Done(now, pick, replica.Failed)
@@ -67,6 +55,7 @@
 
 // eventRelay relays one event stream from an upstream to a sink.
 type eventRelay struct {
+	ctx     context.Context
 	edge    *Edge
 	request *request
 	pick    *replica.Pick
@@ -75,10 +64,12 @@
 	// pending holds the bytes of an incomplete event.
 	pending []byte
 	started bool
-	// stalled is set once the wait for an event has exceeded the stall timeout.
-	stalled bool
 	// lastEventAt is the time of the latest complete event.
 	lastEventAt time.Time
+	// stall is the state of the wait for the next event.
+	stall stall
+	// replacement is the outcome of the attempt that has taken the place of this one, nil if there is none.
+	replacement *Outcome
 	// resumedAfter is the number of the last event that the caller received from an earlier upstream. It is
 	// negative if there is none or its id is not a number.
 	resumedAfter int64
@@ -124,43 +115,6 @@
 	return nil
 }
 
-// setReadDeadline limits the wait for the next event if the stream can resume at another upstream. Bytes that complete no
-// event do not extend the wait.
-func (s *eventRelay) setReadDeadline() {
-	r := s.request
-	if !s.started || !r.route.Resumable || r.runs >= r.route.MaxAttempts {
-		s.answer.SetReadDeadline(time.Time{})
-		return
-	}
-	s.answer.SetReadDeadline(s.lastEventAt.Add(stallTimeout(r.route)))
-}
-
-// stallTimeout returns the time without an event after which a stream of the route resumes at another upstream.
-func stallTimeout(r *route.Route) time.Duration {
-	patience := max(minCallerPatience, latencyPatience*r.TargetLatency, gapPatience*r.TargetGap)
-	return max(minStallTimeout, time.Duration(stallShare*float64(patience)))
-}
-
-// waitOrResume decides about a stream whose next event is late. It returns zero if the stream can resume at another
-// upstream, otherwise the time of the next check: the upstream may only be silent for a while.
-func (s *eventRelay) waitOrResume() time.Time {
-	now := time.Now()
-	if s.edge.pausedRecently(s.edge.Now()) {
-		// Events that arrived while this process was paused have not been read yet.
-		return now.Add(fleet.PauseSettleTime)
-	}
-	resumes := s.edge.reserveResume(s.request)
-	if resumes || !s.stalled {
-		event.StreamStalled.Log(s.edge.Log, "request", s.request.id, "upstream", s.pick.ID,
-			"silentMillis", now.Sub(s.lastEventAt).Milliseconds(), "resumes", resumes)
-	}
-	s.stalled = true
-	if resumes {
-		return time.Time{}
-	}
-	return now.Add(stallCheckInterval)
-}
-
 // sendCompleteEvents appends data to the pending bytes and sends all events that are complete.
 func (s *eventRelay) sendCompleteEvents(data []byte) error {
 	// The separator may have started in the bytes before data.
@@ -176,7 +130,7 @@
 	end += searched
 	complete := s.pending[:end+2]
 	if hasEvent(complete) {
-		s.lastEventAt, s.stalled = time.Now(), false
+		s.lastEventAt, s.stall = time.Now(), stall{}
 		s.recordStart()
 	}
 	if id, ok := lastEventID(complete); ok && (s.resumedAfter < 0 || eventNumber([]byte(id)) > s.resumedAfter) {
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -40,6 +40,7 @@
 		// The request has not run: the other VM starts a request only after its complete body has arrived.
 		return refuse(VMLost, "send to vm "+slot+": "+err.Error(), defaultRetryAfter), true
 	}
+	r.handover.sent()
 	e.forwards.Add(e.Now(), place.ServiceKey{Service: r.service.Name, Region: region}, r.prompt.Tokens)
 	return e.relayForwarded(ctx, r, slot, st, sink), true
 }
@@ -59,7 +60,7 @@
 		RequestID: r.id, OriginSlot: e.Settings.Name, OriginRegion: e.Settings.Region,
 		Route: r.route.Name, Hops: 1, Method: r.method, Path: r.target, Header: header,
 		RemainingMillis: r.remaining(time.Now()).Milliseconds(), BodyBytes: int64(len(r.body)),
-		Runs: int32(r.runs), Resumed: r.headSent, Probe: r.probe,
+		Runs: int32(r.runs), Resumed: r.headSent, Probe: r.probe, Handover: r.handover != nil,
 	}
 	if t := e.table(); t != nil {
 		msg.ConfigNumber = t.Config.Version
@@ -89,6 +90,7 @@
 		case end != nil:
 			return e.outcomeOfEnd(r, slot, end)
 		}
+		r.handover.accepted()
 		var c vmwire.Chunk
 		if _, err := c.UnmarshalMsg(body); err != nil {
 			st.Reset()
--- a/edge/request.go
+++ b/edge/request.go
@@ -52,8 +52,8 @@
 	// that it was sent to.
 	runs  int
 	sends int
-	// retryReserved is set if the next attempt is already counted in the retry budget.
-	retryReserved bool
+	// handover is set while an attempt is made to take the place of one whose upstream is silent.
+	handover *handover
 	// headSent is set once the response head was sent to the caller. lastEvent is the id of the last event that
 	// was sent to the caller.
 	headSent  bool
--- /dev/null
+++ b/edge/resume_test.go
@@ -0,0 +1,97 @@
+package edge
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"parsleyhatch/platform"
+)
+
+// longRouteJSON returns a resumable streaming route whose timeout is longer than the pauses of these tests.
+func longRouteJSON() string {
+	return strings.Replace(routeJSON("a", "streaming", "plain", `,"resumable":true`), `"timeout_ms":3000`, `"timeout_ms":8000`, 1)
+}
+
+// resumed reports whether a request asks to resume a stream.
+func resumed(r *http.Request) bool { return r.Header.Get(platform.HeaderLastEventID) != "" }
+
+func checkAllEvents(t *testing.T, v *testVM) {
+	t.Helper()
+	start := time.Now()
+	status, body, err := v.read(t, "/a/", extraHeaders{platform.HeaderDeadline: "8000"})
+	if status != http.StatusOK || err != nil || strings.Count(body, "data:") != 5 {
+		t.Errorf("answer %d %q, error %v after %v, want all five events", status, body, err, time.Since(start).Round(10*time.Millisecond))
+	}
+}
+
+// Guards against a stream that leaves a silent upstream for another one that then does not take it.
+func TestStreamIsNotCutIfResumptionFails(t *testing.T) {
+	t.Run("other upstream refuses", func(t *testing.T) {
+		t.Parallel()
+		w := newTestCluster(t, "north")
+		w.publishConfig(1, longRouteJSON())
+		handle := func(rw http.ResponseWriter, r *http.Request) {
+			if resumed(r) {
+				rw.Header().Set(platform.HeaderNotExecuted, "1")
+				rw.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			writeEventsWithPause(rw, r)
+		}
+		w.addUpstream("u1", "plain", "north", handle)
+		w.addUpstream("u2", "plain", "north", handle)
+		v := w.startVM("vm1", "north", true)
+		w.waitFor("the upstreams are known", func() bool { return v.knowsUpstreams("plain", 2) })
+		checkAllEvents(t, v)
+	})
+	t.Run("other upstream is unreachable", func(t *testing.T) {
+		t.Parallel()
+		w := newTestCluster(t, "north")
+		w.publishConfig(1, longRouteJSON())
+		w.addUpstream("u1", "plain", "north", func(rw http.ResponseWriter, r *http.Request) {
+			writeEvents(rw, 1, 2, true)
+			w.addUpstream("u2", "plain", "north", nil).server.Close()
+			time.Sleep(silentTime)
+			writeEvents(rw, 3, 5, true)
+		})
+		v := w.startVM("vm1", "north", true)
+		w.waitFor("the upstream is known", func() bool { return v.knowsUpstreams("plain", 1) })
+		checkAllEvents(t, v)
+	})
+	t.Run("other region dropped the route", func(t *testing.T) {
+		t.Parallel()
+		w := newTestCluster(t, "north", "south")
+		w.publishConfig(1, longRouteJSON())
+		w.addUpstream("u1", "plain", "north", func(rw http.ResponseWriter, r *http.Request) {
+			writeEvents(rw, 1, 2, true)
+			w.addUpstream("u2", "plain", "south", nil)
+			w.publishConfig(2, routeJSON("b", "streaming", "plain", `,"resumable":true`))
+			time.Sleep(silentTime)
+			writeEvents(rw, 3, 5, true)
+		})
+		v := w.startVM("vm1", "north", true)
+		w.startVM("vm2", "south", true)
+		w.waitForMembership()
+		w.waitFor("the upstream is known", func() bool { return v.knowsUpstreams("plain", 1) })
+		checkAllEvents(t, v)
+	})
+	t.Run("other region has an older configuration", func(t *testing.T) {
+		t.Parallel()
+		w := newTestCluster(t, "north", "south")
+		w.publishConfig(1, longRouteJSON())
+		w.addUpstream("u1", "plain", "north", func(rw http.ResponseWriter, r *http.Request) {
+			writeEvents(rw, 1, 2, true)
+			w.addUpstream("u2", "plain", "south", nil)
+			time.Sleep(silentTime)
+			writeEvents(rw, 3, 5, true)
+		})
+		v := w.startVM("vm1", "north", true)
+		w.startVM("vm2", "south", true)
+		w.waitForMembership()
+		w.waitFor("the upstream is known", func() bool { return v.knowsUpstreams("plain", 1) })
+		v.table().Config.Version = 99 // As after a change that has not reached the other region yet.
+		checkAllEvents(t, v)
+	})
+}
--- /dev/null
+++ b/edge/stall.go
@@ -0,0 +1,153 @@
+package edge
+
+import (
+	"sync"
+	"time"
+
+	"parsleyhatch/event"
+	"parsleyhatch/fleet"
+	"parsleyhatch/route"
+	"parsleyhatch/upstream"
+)
+
+const (
+	// minStallTimeout is the minimum time without an event after which a stream resumes at another upstream. It is below
+	// minCallerPatience, which is the minimum time for which callers wait for the next event.
+	minStallTimeout   = 1500 * time.Millisecond
+	minCallerPatience = 2 * time.Second
+	// Callers wait at least latencyPatience times the target latency and gapPatience times the target gap.
+	latencyPatience = 4
+	gapPatience     = 8
+	// stallShare is the share of callers' patience after which a stream resumes elsewhere: sound upstreams may be silent for
+	// a second or two, and the other upstream needs the rest to process the prompt.
+	stallShare = 0.65
+	// stallCheckInterval is the interval at which a stalled stream that could not resume elsewhere checks again.
+	stallCheckInterval = 250 * time.Millisecond
+	// overlapTime is the maximum time for which a stalled upstream is kept after the request was sent to another one, which
+	// may refuse it. Two upstreams must not work on one request for longer.
+	overlapTime = 250 * time.Millisecond
+)
+
+// stall is the state of the wait for an event that is late.
+type stall struct {
+	// logged is set once the stall was logged.
+	logged bool
+}
+
+// stallTimeout returns the time without an event after which a stream of the route resumes at another upstream.
+func stallTimeout(r *route.Route) time.Duration {
+	return max(minStallTimeout, time.Duration(stallShare*float64(callerPatience(r))))
+}
+
+// callerPatience returns the time for which callers wait at least for the next event of a stream of the route.
+func callerPatience(r *route.Route) time.Duration {
+	return max(minCallerPatience, latencyPatience*r.TargetLatency, gapPatience*r.TargetGap)
+}
+
+// setReadDeadline limits the wait for the next event if the stream can resume at another upstream. Bytes that complete no
+// event do not extend the wait.
+func (s *eventRelay) setReadDeadline() {
+	r := s.request
+	if !s.started || !r.route.Resumable || r.runs >= r.route.MaxAttempts {
+		s.answer.SetReadDeadline(time.Time{})
+		return
+	}
+	s.answer.SetReadDeadline(s.lastEventAt.Add(stallTimeout(r.route)))
+}
+
+// waitOrResume decides about a stream whose next event is late. It returns zero if the stream has left this upstream,
+// otherwise the time of the next check: the upstream may only be silent for a while.
+func (s *eventRelay) waitOrResume() time.Time {
+	now := time.Now()
+	switch {
+	case s.edge.pausedRecently(s.edge.Now()):
+		// Events that arrived while this process was paused have not been read yet.
+		return now.Add(fleet.PauseSettleTime)
+	case s.resume(now):
+		return time.Time{}
+	default:
+		return time.Now().Add(stallCheckInterval)
+	}
+}
+
+// resume sends the request to another upstream if one is expected to resume the stream in time, and relays its answer. It
+// reports false if the stream stays here: there is no such upstream, or it did not take the request.
+func (s *eventRelay) resume(now time.Time) bool {
+	r := s.request
+	reserved := s.edge.reserveResume(r)
+	if !s.stall.logged {
+		s.edge.Replicas.RecordSilence(s.edge.Now(), s.pick)
+	}
+	if reserved || !s.stall.logged {
+		s.stall.logged = true
+		event.StreamStalled.Log(s.edge.Log, "request", r.id, "upstream", s.pick.ID,
+			"silentMillis", now.Sub(s.lastEventAt).Milliseconds(), "resumes", reserved)
+	}
+	if !reserved {
+		return false
+	}
+	h := &handover{answer: s.answer}
+	previous, startedAt, destination := r.handover, r.answerStartedAt, r.destination
+	r.handover = h
+	out, _ := s.edge.attempt(s.ctx, r, s.sink)
+	r.handover = previous
+	if !out.Complete && h.keep() {
+		r.answerStartedAt, r.destination = startedAt, destination
+		return false
+	}
+	h.leave()
+	s.replacement = &out
+	return true
+}
+
+// handover is the change of a stalled stream from one upstream to another. The first one is kept until the other has begun to
+// answer or has had overlapTime to refuse the request. It is safe for concurrent use.
+type handover struct {
+	answer *upstream.Response
+
+	mu         sync.Mutex
+	kept, left bool
+}
+
+// sent is called when the request is sent to the other upstream.
+func (h *handover) sent() {
+	if h != nil {
+		time.AfterFunc(overlapTime, h.leave)
+	}
+}
+
+// accepted is called when the other upstream has begun to answer.
+func (h *handover) accepted() {
+	if h != nil {
+		h.leave()
+	}
+}
+
+// leave ends the attempt at the first upstream, unless the stream stays there.
+func (h *handover) leave() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.kept && !h.left {
+		h.left = true
+		h.answer.Abort()
+	}
+}
+
+// keep ends the handover because the other upstream did not take the request. It reports false if the first one was left
+// before.
+func (h *handover) keep() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.kept = !h.left
+	return h.kept
+}
+
+// reserveResume reports whether a stream that has begun can resume at another upstream without a long wait, and if so
+// counts the attempt in the retry budget.
+func (e *Edge) reserveResume(r *request) bool {
+	if r.sends >= maxSends || r.remaining(time.Now()) < minRemaining || len(e.quarantinedParts(r)) > 0 {
+		return false
+	}
+	best, ok := e.bestRegion(e.Now(), r)
+	return ok && best.Wait <= r.maxExpectedWait() && e.Retries.TryRetry(e.Now(), r.service.Name)
+}
--- a/replica/result.go
+++ b/replica/result.go
@@ -58,6 +58,15 @@
 	t.recordResult(now, r, result)
 }
 
+// RecordSilence records that the upstream of a pick sends nothing, while the request goes on there.
+func (t *Table) RecordSilence(now time.Time, p *Pick) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.upstreams[p.ID]; r != nil {
+		t.recordResult(now, r, NoResponse)
+	}
+}
+
 func (t *Table) recordResult(now time.Time, r *upstreamState, result Result) {
 	switch result {
 	case Answered:
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -40,6 +40,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// OnSend, if set, is called when a connection is established and the request is about to be sent.
+	OnSend func()
 }
 
 // Response is the response of an upstream. It must be closed.
@@ -74,6 +76,9 @@
 		p.discard(o.Address, c)
 		return nil, &Failure{Kind: NotSent, Err: ctx.Err()}
 	}
+	if o.OnSend != nil {
+		o.OnSend()
+	}
 	a := &Response{pool: p, address: o.Address, conn: c, stopCloseOnCancel: stopCloseOnCancel}
 	if err := a.exchange(o); err != nil {
 		a.Close()
@@ -184,6 +189,10 @@
 // zero to let the read fail. It is called by the goroutine that reads.
 func (a *Response) OnReadTimeout(extend func() time.Time) { a.conn.patient.extend = extend }
 
+// Abort closes the connection, which cancels the request at the upstream and fails the current read. Unlike Close, it may be
+// called while another goroutine reads; Close must still be called.
+func (a *Response) Abort() { _ = a.conn.Close() }
+
 // IsTimeout reports whether Read failed because its deadline passed.
 func IsTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
 
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -77,6 +77,8 @@
 	Resumed bool
 	// Probe means that the request tests the quarantine of one of its prompt parts and is not refused for it.
 	Probe bool
+	// Handover means that the sender still has another upstream for the stream, so that a refusal must come at once.
+	Handover bool
 }
 
 // Chunk is a part of an answer, carried in a Data frame from the VM that runs the request.
--- a/vmwire/schema_gen.go
+++ b/vmwire/schema_gen.go
@@ -2714,8 +2714,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 21 {
-		err = msgp.ArrayError{Wanted: 21, Got: zb0001}
+	if zb0001 != 22 {
+		err = msgp.ArrayError{Wanted: 22, Got: zb0001}
 		return
 	}
 	z.RequestID, err = dc.ReadString()
@@ -2851,13 +2851,18 @@
 		err = msgp.WrapError(err, "Probe")
 		return
 	}
+	z.Handover, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Handover")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Open) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 21
-	err = en.Append(0xdc, 0x0, 0x15)
+	// array header, size 22
+	err = en.Append(0xdc, 0x0, 0x16)
 	if err != nil {
 		return
 	}
@@ -2978,14 +2983,19 @@
 		err = msgp.WrapError(err, "Probe")
 		return
 	}
+	err = en.WriteBool(z.Handover)
+	if err != nil {
+		err = msgp.WrapError(err, "Handover")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Open) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 21
-	o = append(o, 0xdc, 0x0, 0x15)
+	// array header, size 22
+	o = append(o, 0xdc, 0x0, 0x16)
 	o = msgp.AppendString(o, z.RequestID)
 	o = msgp.AppendString(o, z.OriginSlot)
 	o = msgp.AppendString(o, z.OriginRegion)
@@ -3011,6 +3021,7 @@
 	o = msgp.AppendInt32(o, z.Runs)
 	o = msgp.AppendBool(o, z.Resumed)
 	o = msgp.AppendBool(o, z.Probe)
+	o = msgp.AppendBool(o, z.Handover)
 	return
 }
 
@@ -3022,8 +3033,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 21 {
-		err = msgp.ArrayError{Wanted: 21, Got: zb0001}
+	if zb0001 != 22 {
+		err = msgp.ArrayError{Wanted: 22, Got: zb0001}
 		return
 	}
 	z.RequestID, bts, err = msgp.ReadStringBytes(bts)
@@ -3159,6 +3170,11 @@
 		err = msgp.WrapError(err, "Probe")
 		return
 	}
+	z.Handover, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Handover")
+		return
+	}
 	o = bts
 	return
 }
@@ -3172,7 +3188,7 @@
 			s += msgp.StringPrefixSize + len(za0001) + msgp.StringPrefixSize + len(za0002)
 		}
 	}
-	s += msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.StringPrefixSize + len(z.IdempotencyKey) + msgp.Int64Size + msgp.Int32Size + msgp.BoolSize + msgp.BoolSize
+	s += msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.StringPrefixSize + len(z.IdempotencyKey) + msgp.Int64Size + msgp.Int32Size + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize
 	return
 }
 
