edge: do not count the time of a slow caller as silence of the upstream

A caller that read slowly lost its upstream: the wait for the next event began before the last one was written to the caller, and a read whose deadline has passed fails without a look at what has arrived. The stream was sent to a second upstream, or ended if there was none.

The wait begins after the write, and what has arrived is read once more before the VM decides.

TestSlowCallerKeepsUpstream failed before (a second request to an upstream that sends without pause) and passes.

--- a/edge/events.go
+++ b/edge/events.go
@@ -64,7 +64,7 @@
 	// pending holds the bytes of an incomplete event.
 	pending []byte
 	started bool
-	// lastEventAt is the time of the latest complete event.
+	// lastEventAt is the time at which the latest complete event was relayed.
 	lastEventAt time.Time
 	// stall is the state of the wait for the next event.
 	stall stall
@@ -129,8 +129,8 @@
 	}
 	end += searched
 	complete := s.pending[:end+2]
-	if hasEvent(complete) {
-		s.lastEventAt, s.stall = time.Now(), stall{}
+	isEvent := hasEvent(complete)
+	if isEvent {
 		s.recordStart()
 	}
 	if id, ok := lastEventID(complete); ok && (s.resumedAfter < 0 || eventNumber([]byte(id)) > s.resumedAfter) {
@@ -145,6 +145,10 @@
 			return err
 		}
 	}
+	if isEvent {
+		// Counts from the end of the write: a slow caller does not make the upstream late.
+		s.lastEventAt, s.stall = time.Now(), stall{}
+	}
 	s.pending = append(s.pending[:0], s.pending[end+2:]...)
 	return nil
 }
--- a/edge/resume_test.go
+++ b/edge/resume_test.go
@@ -1,7 +1,10 @@
 package edge
 
 import (
+	"fmt"
+	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -95,3 +98,39 @@
 		checkAllEvents(t, v)
 	})
 }
+
+// Guards against a sound upstream that is left because the caller reads slowly: the deadline of the next event passes while
+// the VM writes to the caller.
+func TestSlowCallerKeepsUpstream(t *testing.T) {
+	const events = 600
+	w := newTestCluster(t, "north")
+	w.publishConfig(1, longRouteJSON())
+	filler := strings.Repeat("x", 60<<10)
+	handle := func(rw http.ResponseWriter, r *http.Request) {
+		first := 1
+		if n, err := strconv.Atoi(r.Header.Get(platform.HeaderLastEventID)); err == nil {
+			first = n + 1
+		}
+		rw.Header().Set("Content-Type", "text/event-stream")
+		for i := first; i <= events; i++ {
+			fmt.Fprintf(rw, "id: %d\ndata: %s\n\n", i, filler)
+			rw.(http.Flusher).Flush()
+		}
+	}
+	u1, u2 := w.addUpstream("u1", "plain", "north", handle), w.addUpstream("u2", "plain", "north", handle)
+	v := w.startVM("vm1", "north", true)
+	w.waitFor("the upstreams are known", func() bool { return v.knowsUpstreams("plain", 2) })
+	resp, err := http.DefaultClient.Do(v.request(t, "/a/", "x", extraHeaders{platform.HeaderDeadline: "8000"}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	time.Sleep(silentTime)
+	body, err := io.ReadAll(resp.Body)
+	if n := strings.Count(string(body), "data:"); n != events || err != nil {
+		t.Errorf("%d events, error %v, want %d", n, err, events)
+	}
+	if n := u1.requestCount() + u2.requestCount(); n != 1 {
+		t.Errorf("the request was sent %d times, want once", n)
+	}
+}
--- a/edge/stall.go
+++ b/edge/stall.go
@@ -23,6 +23,8 @@
 	stallShare = 0.65
 	// stallCheckInterval is the interval at which a stalled stream that could not resume elsewhere checks again.
 	stallCheckInterval = 250 * time.Millisecond
+	// unreadGrace is the time for reading events that arrived before the deadline. A read fails without a look at them.
+	unreadGrace = 20 * time.Millisecond
 	// overlapTime is the maximum time for which a stalled upstream is kept after the request was sent to another one, which
 	// may refuse it. Two upstreams must not work on one request for longer.
 	overlapTime = 250 * time.Millisecond
@@ -30,6 +32,8 @@
 
 // stall is the state of the wait for an event that is late.
 type stall struct {
+	// reread is set once the events that arrived before the deadline have been read.
+	reread bool
 	// logged is set once the stall was logged.
 	logged bool
 }
@@ -63,6 +67,9 @@
 	case s.edge.pausedRecently(s.edge.Now()):
 		// Events that arrived while this process was paused have not been read yet.
 		return now.Add(fleet.PauseSettleTime)
+	case !s.stall.reread:
+		s.stall.reread = true
+		return now.Add(unreadGrace)
 	case s.resume(now):
 		return time.Time{}
 	default:
