edge: check a stalled stream at its interval only

Each packet of an upstream that sends comments after a stall made the VM compare all upstreams again: 2,778 checks in 3 s with a comment each millisecond, where 12 are intended. The time of the next check is kept across reads, and the retry budget, which is cheap to ask, comes before the comparison.

TestTricklingStreamIsCheckedAtInterval failed before and passes.

--- a/edge/resume_test.go
+++ b/edge/resume_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -134,3 +135,21 @@
 		t.Errorf("the request was sent %d times, want once", n)
 	}
 }
+
+// Guards against upstreams whose comments make the VM compare all upstreams for each packet.
+func TestTricklingStreamIsCheckedAtInterval(t *testing.T) {
+	w := newTestCluster(t, "north")
+	w.publishConfig(1, longRouteJSON())
+	w.addUpstream("u1", "plain", "north", func(rw http.ResponseWriter, r *http.Request) {
+		writeEvents(rw, 1, 2, true)
+		trickle(rw, r, ":\n\n", time.Millisecond)
+	})
+	v := w.startVM("vm1", "north", true)
+	var checks atomic.Int64
+	v.pausedRecently = func(time.Time) bool { checks.Add(1); return false }
+	w.waitFor("the upstream is known", func() bool { return v.knowsUpstreams("plain", 1) })
+	_, _, _ = v.read(t, "/a/", extraHeaders{platform.HeaderDeadline: "4500"})
+	if n := checks.Load(); n > 20 {
+		t.Errorf("%d checks in 3 s, want one each %v", n, stallCheckInterval)
+	}
+}
--- a/edge/stall.go
+++ b/edge/stall.go
@@ -36,6 +36,8 @@
 	reread bool
 	// logged is set once the stall was logged.
 	logged bool
+	// nextCheckAt is the time of the next check whether the stream can resume elsewhere.
+	nextCheckAt time.Time
 }
 
 // stallTimeout returns the time without an event after which a stream of the route resumes at another upstream.
@@ -56,7 +58,11 @@
 		s.answer.SetReadDeadline(time.Time{})
 		return
 	}
-	s.answer.SetReadDeadline(s.lastEventAt.Add(stallTimeout(r.route)))
+	at := s.lastEventAt.Add(stallTimeout(r.route))
+	if s.stall.nextCheckAt.After(at) {
+		at = s.stall.nextCheckAt
+	}
+	s.answer.SetReadDeadline(at)
 }
 
 // waitOrResume decides about a stream whose next event is late. It returns zero if the stream has left this upstream,
@@ -66,15 +72,16 @@
 	switch {
 	case s.edge.pausedRecently(s.edge.Now()):
 		// Events that arrived while this process was paused have not been read yet.
-		return now.Add(fleet.PauseSettleTime)
+		s.stall.nextCheckAt = now.Add(fleet.PauseSettleTime)
 	case !s.stall.reread:
 		s.stall.reread = true
-		return now.Add(unreadGrace)
+		s.stall.nextCheckAt = now.Add(unreadGrace)
 	case s.resume(now):
 		return time.Time{}
 	default:
-		return time.Now().Add(stallCheckInterval)
+		s.stall.nextCheckAt = time.Now().Add(stallCheckInterval)
 	}
+	return s.stall.nextCheckAt
 }
 
 // resume sends the request to another upstream if one is expected to resume the stream in time, and relays its answer. It
@@ -155,6 +162,9 @@
 	if r.sends >= maxSends || r.remaining(time.Now()) < minRemaining || len(e.quarantinedParts(r)) > 0 {
 		return false
 	}
+	if !e.Retries.HasCapacity(e.Now(), r.service.Name) {
+		return false
+	}
 	best, ok := e.bestRegion(e.Now(), r)
 	return ok && best.Wait <= r.maxExpectedWait() && e.Retries.TryRetry(e.Now(), r.service.Name)
 }
