edge: give a forwarded stream of a silent upstream back in time

A forwarded stream whose upstream stays silent ended at its deadline, though another region could have resumed it: the VM that runs it looks for an upstream in its own region only, and since it no longer leaves an upstream without an alternative, the first VM did not hear of the stall.

If the route allows other regions, the VM gives the stream back once 85% of the time has passed for which callers wait. The first VM then resumes it in another region.

TestForwardedStreamOfSilentUpstreamResumesInOtherRegion failed since (deadline after 8 s) and passes.

--- a/edge/forward.go
+++ b/edge/forward.go
@@ -9,6 +9,7 @@
 
 	"parsleyhatch/fleet"
 	"parsleyhatch/place"
+	"parsleyhatch/route"
 	"parsleyhatch/vm"
 	"parsleyhatch/vmwire"
 )
@@ -22,7 +23,7 @@
 // forward sends the request to a VM of another region and relays the answer. It reports false if no VM of
 // the region is available.
 func (e *Edge) forward(ctx context.Context, r *request, region string, sink *Sink) (Outcome, bool) {
-	msg := e.openMessage(r)
+	msg := e.openMessage(r, region)
 	slot, st, err := e.Fleet.OpenStream(ctx, e.Now(), region, r.service.Name, msg, r.triedVMs)
 	if errors.Is(err, fleet.ErrNoVM) {
 		return refuse(NoUpstream, "no vm of region "+region+" can run the request", defaultRetryAfter), false
@@ -45,7 +46,7 @@
 	return e.relayForwarded(ctx, r, slot, st, sink), true
 }
 
-func (e *Edge) openMessage(r *request) *vmwire.Open {
+func (e *Edge) openMessage(r *request, region string) *vmwire.Open {
 	header := map[string]string{hostHeader: r.host}
 	for name, values := range endToEnd(r.header) {
 		header[name] = strings.Join(values, valueSeparator)
@@ -60,7 +61,7 @@
 		RequestID: r.id, OriginSlot: e.Settings.Name, OriginRegion: e.Settings.Region,
 		Route: r.route.Name, Hops: 1, Method: r.method, Path: r.target, Header: header,
 		RemainingMillis: r.remaining(time.Now()).Milliseconds(), BodyBytes: int64(len(r.body)),
-		Runs: int32(r.runs), Resumed: r.headSent, Probe: r.probe, Handover: r.handover != nil,
+		Runs: int32(r.runs), Resumed: r.headSent, Probe: r.probe, Returnable: e.otherRegionMayRun(r, region), Handover: r.handover != nil,
 	}
 	if t := e.table(); t != nil {
 		msg.ConfigNumber = t.Config.Version
@@ -74,6 +75,16 @@
 	return msg
 }
 
+// otherRegionMayRun reports whether the request may run in a region other than the given one.
+func (e *Edge) otherRegionMayRun(r *request, region string) bool {
+	for _, other := range e.Settings.Regions {
+		if other != region && route.Allowed(r.route, r.workspace, other) {
+			return true
+		}
+	}
+	return false
+}
+
 // relayForwarded relays the answer of another VM to the sink.
 func (e *Edge) relayForwarded(ctx context.Context, r *request, slot string, st *vm.Stream, sink *Sink) Outcome {
 	resumed := r.headSent
--- a/edge/forwarded.go
+++ b/edge/forwarded.go
@@ -50,7 +50,7 @@
 	now := time.Now()
 	r := &request{
 		id: open.RequestID, method: open.Method, target: open.Path, host: open.Header[hostHeader],
-		arrived: now, forwarded: true, runs: int(open.Runs), headSent: open.Resumed, probe: open.Probe,
+		arrived: now, forwarded: true, runs: int(open.Runs), headSent: open.Resumed, probe: open.Probe, returnable: open.Returnable,
 	}
 	delete(open.Header, hostHeader)
 	r.header = splitHeader(open.Header)
--- a/edge/resume_test.go
+++ b/edge/resume_test.go
@@ -30,6 +30,23 @@
 	}
 }
 
+// Guards against a forwarded stream that stays with an upstream which is silent for good, although another region could
+// resume it.
+func TestForwardedStreamOfSilentUpstreamResumesInOtherRegion(t *testing.T) {
+	w := newTestCluster(t, "north", "south")
+	w.publishConfig(1, longRouteJSON())
+	w.addUpstream("u1", "plain", "south", func(rw http.ResponseWriter, r *http.Request) {
+		writeEvents(rw, 1, 2, true)
+		w.addUpstream("u2", "plain", "north", func(rw http.ResponseWriter, _ *http.Request) { writeEvents(rw, 3, 5, true) })
+		<-r.Context().Done()
+	})
+	v := w.startVM("vm1", "north", true)
+	w.startVM("vm2", "south", true)
+	w.waitForMembership()
+	w.waitFor("the upstream is known", func() bool { return v.knowsUpstreams("plain", 1) })
+	checkAllEvents(t, v)
+}
+
 // Guards against a stream that leaves a silent upstream for another one that then does not take it.
 func TestStreamIsNotCutIfResumptionFails(t *testing.T) {
 	t.Run("other upstream refuses", func(t *testing.T) {
--- a/edge/stall.go
+++ b/edge/stall.go
@@ -23,6 +23,9 @@
 	stallShare = 0.65
 	// stallCheckInterval is the interval at which a stalled stream that could not resume elsewhere checks again.
 	stallCheckInterval = 250 * time.Millisecond
+	// giveBackShare is the share of callers' patience after which a VM gives a forwarded stream back to the VM that forwarded
+	// it, because only other regions can resume it.
+	giveBackShare = 0.85
 	// unreadGrace is the time for reading events that arrived before the deadline. A read fails without a look at them.
 	unreadGrace = 20 * time.Millisecond
 	// overlapTime is the maximum time for which a stalled upstream is kept after the request was sent to another one, which
@@ -76,7 +79,7 @@
 	case !s.stall.reread:
 		s.stall.reread = true
 		s.stall.nextCheckAt = now.Add(unreadGrace)
-	case s.resume(now):
+	case s.resume(now) || s.givesBack(now):
 		return time.Time{}
 	default:
 		s.stall.nextCheckAt = time.Now().Add(stallCheckInterval)
@@ -156,6 +159,12 @@
 	return h.kept
 }
 
+// givesBack reports whether a forwarded stream returns to the VM that forwarded it.
+func (s *eventRelay) givesBack(now time.Time) bool {
+	patience := giveBackShare * float64(callerPatience(s.request.route))
+	return s.request.returnable && now.Sub(s.lastEventAt) > time.Duration(patience)
+}
+
 // reserveResume reports whether a stream that has begun can resume at another upstream without a long wait, and if so
 // counts the attempt in the retry budget.
 func (e *Edge) reserveResume(r *request) bool {
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -77,6 +77,8 @@
 	Resumed bool
 	// Probe means that the request tests the quarantine of one of its prompt parts and is not refused for it.
 	Probe bool
+	// Returnable means that other regions may run the request, too, so that a stream that stalls may be given back.
+	Returnable bool
 	// Handover means that the sender still has another upstream for the stream, so that a refusal must come at once.
 	Handover bool
 }
--- a/vmwire/schema_gen.go
+++ b/vmwire/schema_gen.go
@@ -2714,8 +2714,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 22 {
-		err = msgp.ArrayError{Wanted: 22, Got: zb0001}
+	if zb0001 != 23 {
+		err = msgp.ArrayError{Wanted: 23, Got: zb0001}
 		return
 	}
 	z.RequestID, err = dc.ReadString()
@@ -2851,6 +2851,11 @@
 		err = msgp.WrapError(err, "Probe")
 		return
 	}
+	z.Returnable, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Returnable")
+		return
+	}
 	z.Handover, err = dc.ReadBool()
 	if err != nil {
 		err = msgp.WrapError(err, "Handover")
@@ -2861,8 +2866,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Open) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 22
-	err = en.Append(0xdc, 0x0, 0x16)
+	// array header, size 23
+	err = en.Append(0xdc, 0x0, 0x17)
 	if err != nil {
 		return
 	}
@@ -2983,6 +2988,11 @@
 		err = msgp.WrapError(err, "Probe")
 		return
 	}
+	err = en.WriteBool(z.Returnable)
+	if err != nil {
+		err = msgp.WrapError(err, "Returnable")
+		return
+	}
 	err = en.WriteBool(z.Handover)
 	if err != nil {
 		err = msgp.WrapError(err, "Handover")
@@ -2994,8 +3004,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Open) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 22
-	o = append(o, 0xdc, 0x0, 0x16)
+	// array header, size 23
+	o = append(o, 0xdc, 0x0, 0x17)
 	o = msgp.AppendString(o, z.RequestID)
 	o = msgp.AppendString(o, z.OriginSlot)
 	o = msgp.AppendString(o, z.OriginRegion)
@@ -3021,6 +3031,7 @@
 	o = msgp.AppendInt32(o, z.Runs)
 	o = msgp.AppendBool(o, z.Resumed)
 	o = msgp.AppendBool(o, z.Probe)
+	o = msgp.AppendBool(o, z.Returnable)
 	o = msgp.AppendBool(o, z.Handover)
 	return
 }
@@ -3033,8 +3044,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 22 {
-		err = msgp.ArrayError{Wanted: 22, Got: zb0001}
+	if zb0001 != 23 {
+		err = msgp.ArrayError{Wanted: 23, Got: zb0001}
 		return
 	}
 	z.RequestID, bts, err = msgp.ReadStringBytes(bts)
@@ -3170,6 +3181,11 @@
 		err = msgp.WrapError(err, "Probe")
 		return
 	}
+	z.Returnable, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Returnable")
+		return
+	}
 	z.Handover, bts, err = msgp.ReadBoolBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Handover")
@@ -3188,7 +3204,7 @@
 			s += msgp.StringPrefixSize + len(za0001) + msgp.StringPrefixSize + len(za0002)
 		}
 	}
-	s += msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.StringPrefixSize + len(z.IdempotencyKey) + msgp.Int64Size + msgp.Int32Size + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize
+	s += msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.StringPrefixSize + len(z.IdempotencyKey) + msgp.Int64Size + msgp.Int32Size + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize
 	return
 }
 
