vm: check the liveness of sessions on the monotonic clock

Callers got 502, or streams that ended early, from sound sessions between VMs after the time of day was set back by 5 s or more: event 1202 with "no frame from the other vm within the read timeout" within a second of the step.

Cause: the arrival of the last frame was kept as Unix time. After the step it lay before the start of the period with streams, and the time since that start, which is measured on the monotonic clock, exceeded the read timeout. Fleet's own check of the same sessions uses the monotonic time already; the keepalive now does so, too, and the Unix time is gone.

TestClockStepKeepsSession failed before and passes.

--- a/vm/keepalive.go
+++ b/vm/keepalive.go
@@ -62,7 +62,7 @@
 		k.activeSince = now
 	}
 	k.hasStreams = hasStreams
-	lastReceived := time.Unix(0, s.lastReceivedUnixNano.Load())
+	lastReceived := s.LastReceivedAt()
 	if lastReceived.Before(k.activeSince) {
 		lastReceived = k.activeSince
 	}
--- a/vm/session.go
+++ b/vm/session.go
@@ -52,8 +52,6 @@
 	nextID        atomic.Uint64
 	bytesSent     atomic.Int64
 	bytesReceived atomic.Int64
-	// lastReceivedUnixNano is the arrival time of the last frame, as Unix time in nanoseconds.
-	lastReceivedUnixNano atomic.Int64
 	// startedAt is when the session was opened. lastReceivedOffset is the time from then to the arrival of
 	// the last frame, in nanoseconds on the monotonic clock.
 	startedAt          time.Time
@@ -305,9 +303,7 @@
 			return
 		}
 		s.bytesReceived.Add(int64(len(f.Body) + lengthPrefixBytes))
-		now := time.Now()
-		s.lastReceivedUnixNano.Store(now.UnixNano())
-		s.lastReceivedOffset.Store(int64(now.Sub(s.startedAt)))
+		s.lastReceivedOffset.Store(int64(time.Since(s.startedAt)))
 		if err := s.dispatchRecovered(f); err != nil {
 			s.Close(err)
 			return
--- a/vm/session_test.go
+++ b/vm/session_test.go
@@ -225,7 +225,7 @@
 			case <-stop:
 				return
 			default:
-				s.lastReceivedUnixNano.Store(0)
+				s.lastReceivedOffset.Store(int64(-time.Hour))
 				time.Sleep(time.Millisecond)
 			}
 		}
@@ -236,3 +236,21 @@
 		t.Fatalf("Recv on a session without received frames: %v", err)
 	}
 }
+
+// Guards against sessions that end when the time of day is set back, although frames arrive.
+func TestClockStepKeepsSession(t *testing.T) {
+	s, err := dialPair(t, testKey, testKey, func(*Stream, vmwire.Open) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.OpenStream(context.Background(), &vmwire.Open{}); err != nil {
+		t.Fatal(err)
+	}
+	// The arrival of a frame is known on the monotonic clock only, so that the time of day has no part in the check.
+	now := time.Now()
+	s.lastReceivedOffset.Store(int64(now.Sub(s.startedAt)))
+	k := &keepalive{activeSince: now.Add(-2 * activeReadTimeout), hasStreams: true}
+	if !s.checkAlive(now, k) {
+		t.Error("the session ends although a frame has just arrived")
+	}
+}
