edge: take a stream without an event that ends with its connection for broken

An answer with neither a length nor chunks ends with its connection. An upstream that ended after the head of such a stream looked like one with a complete, empty answer: the caller got 200 with an empty body, and the crash was not counted.

TestAnswersThatEndWithTheirConnection, case stream-empty, failed for both regions before and passes.

--- a/edge/events.go
+++ b/edge/events.go
@@ -33,7 +33,7 @@
 	case s.replacement != nil:
 		e.Replicas.Done(now, pick, replica.RequestCancelled)
 		return *s.replacement
-	case errors.Is(err, io.EOF) && len(s.pending) == 0:
+	case s.complete(err):
 		e.Replicas.Done(now, pick, replica.Answered)
 		return Outcome{Reason: Answered, Status: a.Status, Ran: HasRun, Complete: true}
 	case s.sinkFailed || ctx.Err() != nil && !errors.Is(context.Cause(ctx), errTimedOut):
@@ -90,7 +90,7 @@
 				return sendErr
 			}
 		}
-		if errors.Is(err, io.EOF) && len(s.pending) == 0 {
+		if s.complete(err) {
 			if headErr := s.sendHead(); headErr != nil {
 				return headErr
 			}
@@ -101,6 +101,12 @@
 	}
 }
 
+// complete reports whether a read error is the end of the whole stream. A stream that ends with its connection and has no
+// event was cut off.
+func (s *eventRelay) complete(err error) bool {
+	return errors.Is(err, io.EOF) && len(s.pending) == 0 && (s.answer.Framed || s.started)
+}
+
 // sendHead sends the head of the answer unless the caller has one. It is called once there is something to send after it,
 // so that a stream that fails before its first event ends with an answer that says so.
 func (s *eventRelay) sendHead() error {
--- a/edge/unsized_test.go
+++ b/edge/unsized_test.go
@@ -70,6 +70,7 @@
 		{"unsafe-reset", "unsafe", "text/plain", "answer", endReset},
 		{"stream-reset", "streaming", eventStream, stream, endReset},
 		{"stream-cut", "streaming", eventStream, stream, endInsideEvent},
+		{"stream-empty", "streaming", eventStream, "xxx", endInsideEvent},
 	}
 	var routes, services []string
 	for _, c := range cases {
