edge: clear prompt parts after streams that end with their connection

Completed answers clear the parts of their prompt from suspicion, but only those with a length or chunks counted, since a crash may have cut others. Where upstreams send all streams without, a popular sound part could not be cleared, and after a few crashes beside it all requests with it would have been refused. Streams with two events or more count now: a part that crashes upstreams does so when they begin to answer.

TestStreamsThatEndWithTheirConnectionClearParts failed before (one suspected part after a stream of three events) and passes.

--- a/edge/events.go
+++ b/edge/events.go
@@ -137,6 +137,7 @@
 	complete := s.pending[:end+2]
 	isEvent := hasEvent(complete)
 	if isEvent {
+		s.request.events += bytes.Count(complete, []byte("\n\n"))
 		s.recordStart()
 	}
 	if id, ok := lastEventID(complete); ok && (s.resumedAfter < 0 || eventNumber([]byte(id)) > s.resumedAfter) {
--- a/edge/partquarantine_test.go
+++ b/edge/partquarantine_test.go
@@ -65,6 +65,23 @@
 	return w, upstreams
 }
 
+// Guards against a sound part that stays suspected because all answers end with their connection, and against one that is
+// cleared by an answer that a crash may have cut after its first event.
+func TestStreamsThatEndWithTheirConnectionClearParts(t *testing.T) {
+	for events, suspected := range map[int]int{1: 1, 3: 0} {
+		body := strings.Repeat("id: 1\ndata: piece\n\n", events)
+		w, _ := newPartCluster(t, writeUnsized("text/event-stream", body, endClosed), "north")
+		v := w.vms[0]
+		v.mergeCrashes(1, 2)
+		if status, got, _ := v.call(t, "/a/", "x", partHeaders()); status != http.StatusOK || got != body {
+			t.Errorf("%d events: answer %d %q", events, status, got)
+		}
+		if n := v.suspectedParts(); n != suspected {
+			t.Errorf("%d events: %d suspected parts after the answer, want %d", events, n, suspected)
+		}
+	}
+}
+
 // Guards against a retry that crashes another upstream although its prompt part has been quarantined since the first
 // attempt.
 func TestRetryStopsAtQuarantine(t *testing.T) {
--- a/edge/parts.go
+++ b/edge/parts.go
@@ -20,6 +20,8 @@
 	// steadyAnswerTime is the time after its first event for which an answer may still be the cause of a crash. A part
 	// that crashes upstreams does so when they begin to answer.
 	steadyAnswerTime = time.Second
+	// minUnframedEvents is the number of events from which a stream that ends with its connection counts as complete.
+	minUnframedEvents = 2
 	// maxSharedParts bounds the parts of a prompt that are suspected and checked.
 	maxSharedParts = 256
 	// partQuarantinedDetail explains the refusal of a request with a quarantined part.
@@ -137,9 +139,9 @@
 }
 
 // recordCompletion records that an upstream completed its answer to a request. An answer that only the end of the
-// connection delimits may have been cut by a crash.
+// connection delimits may have been cut by a crash, unless it has events after the first.
 func (e *Edge) recordCompletion(r *request, a *upstream.Response, out Outcome) {
-	if !out.Complete || !a.Framed || a.Status < http.StatusOK || a.Status >= http.StatusMultipleChoices {
+	if !out.Complete || !a.Framed && r.events < minUnframedEvents || a.Status < http.StatusOK || a.Status >= http.StatusMultipleChoices {
 		return
 	}
 	now := e.Now()
--- a/edge/request.go
+++ b/edge/request.go
@@ -74,6 +74,8 @@
 	firstTokenLatency time.Duration
 	// answerStartedAt is the time of the first event of the latest attempt, zero before it.
 	answerStartedAt time.Time
+	// events is the number of events that the latest attempt has relayed.
+	events int
 	// destination is the upstream or the region of the latest attempt.
 	destination string
 }
--- a/edge/send.go
+++ b/edge/send.go
@@ -36,7 +36,7 @@
 	now := time.Now()
 	r.triedUpstreams = append(r.triedUpstreams, pick.ID)
 	r.sends++
-	r.answerStartedAt = time.Time{}
+	r.answerStartedAt, r.events = time.Time{}, 0
 	sentAt := e.Now()
 	a, err := e.Pool.Do(ctx, &upstream.Request{
 		Address: pick.Address, MaxConnections: e.connectionLimit(r.service),
--- a/edge/stall.go
+++ b/edge/stall.go
@@ -104,12 +104,12 @@
 		return false
 	}
 	h := &handover{answer: s.answer}
-	previous, startedAt, destination := r.handover, r.answerStartedAt, r.destination
+	previous, startedAt, events, destination := r.handover, r.answerStartedAt, r.events, r.destination
 	r.handover = h
 	out, _ := s.edge.attempt(s.ctx, r, s.sink)
 	r.handover = previous
 	if !out.Complete && h.keep() {
-		r.answerStartedAt, r.destination = startedAt, destination
+		r.answerStartedAt, r.events, r.destination = startedAt, events, destination
 		return false
 	}
 	h.leave()
