vm, edge: relay a refusal that arrives before the body is sent

A caller whose request had a body above the window of a stream, 64 KB, got 503 timedOut at its deadline, 3 s in the test, when the VM of another region had refused the request at once, as one without its configuration does. A body of 1 KB got the refusal at once. No other region was tried meanwhile.

The end of a stream woke only its reader. The sender of the body went on to wait for credit, which the peer no longer sends. Send now returns ErrStreamEnded and Recv then returns the end. The edge and the gateway read the end in that case and treat it like any other refusal.

--- a/edge/forward.go
+++ b/edge/forward.go
@@ -35,7 +35,12 @@
 	r.sends++
 	stop := context.AfterFunc(ctx, st.Reset)
 	defer stop()
-	if err := st.Send(ctx, r.body); err != nil {
+	err = st.Send(ctx, r.body)
+	if errors.Is(err, vm.ErrStreamEnded) {
+		// The other VM refused the request before it had read the body.
+		return e.relayForwarded(ctx, r, slot, st, sink), true
+	}
+	if err != nil {
 		st.Reset()
 		// The request has not run: the other VM starts a request only after its complete body has arrived.
 		return refuse(VMLost, "send to vm "+slot+": "+err.Error(), defaultRetryAfter), true
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return markRanUnknown(r.Route, refuseUntil(UnreachableRegion, "vm "+s.Peer.Slot+" is unreachable", shortRetryAfter))
 	}
-	if err := st.Send(ctx, r.Body); err != nil && !errors.Is(err, vm.ErrStreamReset) {
+	if err := st.Send(ctx, r.Body); err != nil && !errors.Is(err, vm.ErrStreamReset) && !errors.Is(err, vm.ErrStreamEnded) {
 		st.Reset()
 		return forwardLost(ctx, s)
 	}
--- a/vm/session.go
+++ b/vm/session.go
@@ -31,6 +31,7 @@
 var (
 	ErrSessionClosed  = errors.New("vm session closed")
 	ErrStreamReset    = errors.New("stream reset by the other vm")
+	ErrStreamEnded    = errors.New("stream ended by the other vm")
 	ErrTooManyStreams = errors.New("too many open streams")
 )
 
--- a/vm/stream.go
+++ b/vm/stream.go
@@ -54,7 +54,8 @@
 // SessionDone returns a channel that is closed when the session of the stream ends.
 func (st *Stream) SessionDone() <-chan struct{} { return st.session.done }
 
-// Send sends data as one or more Data frames, waiting for credit in the peer's window.
+// Send sends data as one or more Data frames, waiting for credit in the peer's window. If the peer has ended the stream, it
+// returns ErrStreamEnded, and Recv returns the end.
 func (st *Stream) Send(ctx context.Context, data []byte) error {
 	for len(data) > 0 {
 		n := min(len(data), MaxDataBytes)
@@ -94,9 +95,9 @@
 func (st *Stream) reserveCredit(ctx context.Context, n int64) (uint64, error) {
 	for {
 		st.mu.Lock()
-		if st.err != nil {
+		if err := st.sendError(); err != nil {
 			st.mu.Unlock()
-			return 0, st.err
+			return 0, err
 		}
 		if st.credit >= n {
 			st.credit -= n
@@ -114,6 +115,14 @@
 	}
 }
 
+// sendError returns the reason why no more data can be sent, or nil. The caller holds the mutex.
+func (st *Stream) sendError() error {
+	if st.end != nil {
+		return ErrStreamEnded
+	}
+	return st.err
+}
+
 // SendEnd ends the stream with the outcome of the request.
 func (st *Stream) SendEnd(ctx context.Context, end *vmwire.End) error {
 	defer st.session.removeStream(st.id)
@@ -207,6 +216,7 @@
 		st.mu.Unlock()
 		st.session.removeStream(st.id)
 		notify(st.readable)
+		notify(st.writable) // The peer sends no more credit.
 	case vmwire.KindReset:
 		st.session.removeStream(st.id)
 		st.fail(ErrStreamReset)
