edge: keep complete answers when the session to their caller is congested

A caller lost an answer of another region that was already complete: the connection between the VMs took no data for more than a second when the answer ended, and the VM then reset the stream, which discards what the other VM has not relayed yet.

The end message had a timeout of one second, although the caller may wait longer. It now waits up to a second beyond the deadline of the request. The write timeout of the session still ends a connection that takes nothing for 10 s. The deadline of a forwarded request is known from its first message on, so that early refusals have it too.

--- a/edge/forwarded.go
+++ b/edge/forwarded.go
@@ -23,8 +23,8 @@
 // exceeds the time between two reads of the store after a change.
 const maxVersionWait = 400 * time.Millisecond
 
-// endTimeout is the timeout for sending the end message of a stream.
-const endTimeout = time.Second
+// endMargin is the time after a request's deadline up to which its end message may wait for a congested session.
+const endMargin = time.Second
 
 // ServeForwarded runs a request that another VM forwarded.
 func (e *Edge) ServeForwarded(st *vm.Stream, open vmwire.Open) {
@@ -51,6 +51,7 @@
 		id: open.RequestID, method: open.Method, target: open.Path, host: open.Header[hostHeader],
 		arrived: now, forwarded: true, runs: int(open.Runs), headSent: open.Resumed,
 	}
+	r.deadline = now.Add(time.Duration(open.RemainingMillis) * time.Millisecond)
 	delete(open.Header, hostHeader)
 	r.header = splitHeader(open.Header)
 	r.lastEvent = r.header.Get(platform.HeaderLastEventID)
@@ -80,7 +81,6 @@
 	if !route.Allowed(r.route, r.workspace, e.Settings.Region) {
 		return refuse(NoUpstream, "the request must not run in this region", defaultRetryAfter), false
 	}
-	r.deadline = r.arrived.Add(time.Duration(open.RemainingMillis) * time.Millisecond)
 	bodyCtx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
 	for int64(len(r.body)) < open.BodyBytes {
@@ -157,9 +157,11 @@
 	}
 }
 
-// end reports the outcome of the request to the forwarding VM.
+// end reports the outcome of the request to the forwarding VM. The end of a complete answer waits as long as its caller may
+// still be waiting; a reset would discard the answer.
 func (e *Edge) end(st *vm.Stream, r *request, out Outcome) {
-	ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
+	timeout := max(r.remaining(time.Now()), 0) + endMargin
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	end := &vmwire.End{
 		Code: string(out.Reason), Message: out.Detail, Ran: out.Ran.String(), Status: int32(out.Status),
