fleet: read waiting frames after a pause before closing sessions

A VM whose process was paused for two seconds, as a VM that is frozen or moved is, closed sound sessions when it went on. Callers whose requests ran over them got vmLost, or their streams had to resume elsewhere.

The check of the read timeout ran with the first tick after the pause, before the frames that had arrived meanwhile were read. It is now left out until the settle time after the pause is over, which events and retries already wait for. A VM that pauses again and again is covered by the checks of the sessions themselves, after 4 s with open streams.

A silent session is still closed after the settle time, as before.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -131,7 +131,9 @@
 func (f *Fleet) maintain(ctx context.Context) {
 	now := f.Now()
 	f.pauseDetector.tick(now)
-	f.closeTimedOut()
+	if !f.PausedRecently(now) {
+		f.closeTimedOut()
+	}
 	if f.ticks%vmListTicks == 0 {
 		f.closeSurplus(now)
 	}
@@ -142,7 +144,8 @@
 	f.sendDuePresences()
 }
 
-// closeTimedOut closes the sessions that received no frame within the read timeout.
+// closeTimedOut closes the sessions that received no frame within the read timeout. After a pause of this process, frames
+// that arrived meanwhile must be read first.
 func (f *Fleet) closeTimedOut() {
 	for _, s := range f.allSessions() {
 		if time.Since(s.LastReceivedAt()) > f.readTimeout(s) {
--- a/fleet/pause_test.go
+++ b/fleet/pause_test.go
@@ -1,8 +1,12 @@
 package fleet
 
 import (
+	"net"
 	"testing"
 	"time"
+
+	"parsleyhatch/vm"
+	"parsleyhatch/vmwire"
 )
 
 // Guards against an undetected pause: the first tick after the pause has not run yet, or ran shortly before.
@@ -32,3 +36,55 @@
 		t.Error("pause reported after the end of the settle time")
 	}
 }
+
+// Guards against sound sessions that are closed after a pause of this process, before the frames that arrived during it
+// are read, and against silent ones that are then kept.
+func TestSessionsAreReadAfterPause(t *testing.T) {
+	for name, wantOpen := range map[string]bool{"peer sent frames": true, "peer is silent": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, "127.0.0.1:0", "a", "north")
+			_ = f.listener.Close()
+			s, peer := dialPeer(t, f, "b")
+			f.maintain(t.Context())
+			time.Sleep(sessionReadTimeout + tick)
+			f.maintain(t.Context())
+			if wantOpen {
+				peer.SendControl(vmwire.KindPresence, &vmwire.Presence{})
+			}
+			for range 1 + PauseSettleTime/tick {
+				time.Sleep(tick)
+				f.maintain(t.Context())
+			}
+			open := true
+			select {
+			case <-s.Done():
+				open = false
+			default:
+			}
+			if open != wantOpen {
+				t.Errorf("session open after the pause: %v, want %v", open, wantOpen)
+			}
+		})
+	}
+}
+
+// dialPeer opens a session from a fleet to a VM of its region that sends nothing by itself, and returns both ends.
+func dialPeer(t *testing.T, f *testFleet, name string) (own, peer *vm.Session) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	e := vm.NewInsecureEndpoint(vm.Identity{Slot: name, Incarnation: 1, Region: f.Endpoint.Self.Region}, f.Log)
+	opened := make(chan *vm.Session, 1)
+	e.OnSessionOpened = func(s *vm.Session) { opened <- s }
+	go func() { _ = e.Serve(l) }()
+	own, err = f.Endpoint.Dial(t.Context(), l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { own.Close(nil) })
+	return own, <-opened
+}
