fleet: keep a duplicate session until its streams have ended

When two VMs dialed each other at about the same time, or one dialed the other again, the second session closed the first one at once with its open streams: requests that had been forwarded over it ended with vmLost, and answers under way were cut.

Both sides still use the session that the VM with the lower name dialed, for all new streams. The other one is now closed when it has no open streams, and 2 s after the new one opened at the earliest: until its dial ends, the other VM may open streams on it. Until then it carries a ping each tick, without which the read timeout of 1.8 s would close it, since presences go over the session in use.

Sessions with another incarnation of a VM are still closed at once. The rule for duplicates no longer applies to them: it closed the session with the new incarnation if the VM with the higher name had dialed both.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -134,6 +134,7 @@
 	if !f.PausedRecently(now) {
 		f.closeTimedOut()
 	}
+	f.closeDuplicates(now)
 	if f.ticks%vmListTicks == 0 {
 		f.closeSurplus(now)
 	}
@@ -293,8 +294,8 @@
 	return dialTimeout
 }
 
-// addSession registers a session. Of several sessions with one VM, it keeps the one dialed by the VM with the lower
-// name, so that both sides keep the same one.
+// addSession registers a session. It closes those with other incarnations of the VM; closeDuplicates closes the others that
+// are not used.
 func (f *Fleet) addSession(s *vm.Session) {
 	if s.Peer.Slot == f.Endpoint.Self.Slot {
 		go s.Close(errDuplicate)
@@ -303,31 +304,20 @@
 	f.mu.Lock()
 	list := append(f.sessions[s.Peer.Slot], s)
 	f.sessions[s.Peer.Slot] = list
-	var surplus []*vm.Session
+	var replaced []*vm.Session
 	for _, other := range list {
-		switch {
-		case other.Peer.Incarnation != s.Peer.Incarnation:
-			surplus = append(surplus, other)
-		case len(list) > 1 && !f.isPreferred(other):
-			surplus = append(surplus, other)
+		if other.Peer.Incarnation != s.Peer.Incarnation {
+			replaced = append(replaced, other)
 		}
 	}
-	if len(surplus) == len(list) {
-		surplus = surplus[1:]
-	}
 	f.mu.Unlock()
-	for _, other := range surplus {
-		go other.Close(errDuplicate)
+	for _, other := range replaced {
+		go other.Close(errReplaced)
 	}
 	event.PeerUp.Log(f.Log, "vm", s.Peer.Slot, "region", s.Peer.Region, "dialed", s.Dialed)
 	go f.sendFullPresence(s, true)
 }
 
-// isPreferred reports whether the VM with the lower name dialed the session.
-func (f *Fleet) isPreferred(s *vm.Session) bool {
-	return s.Dialed == (f.Endpoint.Self.Slot < s.Peer.Slot)
-}
-
 func (f *Fleet) removeSession(s *vm.Session, reason error) {
 	f.mu.Lock()
 	list := f.sessions[s.Peer.Slot]
@@ -370,14 +360,5 @@
 func (f *Fleet) session(slot string) *vm.Session {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	list := f.sessions[slot]
-	for _, s := range list {
-		if f.isPreferred(s) {
-			return s
-		}
-	}
-	if len(list) > 0 {
-		return list[0]
-	}
-	return nil
+	return f.sessionToUse(f.sessions[slot])
 }
--- a/fleet/pause_test.go
+++ b/fleet/pause_test.go
@@ -45,7 +45,7 @@
 			t.Parallel()
 			f := newFleet(t, "127.0.0.1:0", "a", "north")
 			_ = f.listener.Close()
-			s, peer := dialPeer(t, f, "b")
+			s, peer := dialPeer(t, f, "b", 1)
 			f.maintain(t.Context())
 			time.Sleep(sessionReadTimeout + tick)
 			f.maintain(t.Context())
@@ -70,14 +70,14 @@
 }
 
 // dialPeer opens a session from a fleet to a VM of its region that sends nothing by itself, and returns both ends.
-func dialPeer(t *testing.T, f *testFleet, name string) (own, peer *vm.Session) {
+func dialPeer(t *testing.T, f *testFleet, name string, incarnation uint64) (own, peer *vm.Session) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	e := vm.NewInsecureEndpoint(vm.Identity{Slot: name, Incarnation: 1, Region: f.Endpoint.Self.Region}, f.Log)
+	e := vm.NewInsecureEndpoint(vm.Identity{Slot: name, Incarnation: incarnation, Region: f.Endpoint.Self.Region}, f.Log)
 	opened := make(chan *vm.Session, 1)
 	e.OnSessionOpened = func(s *vm.Session) { opened <- s }
 	go func() { _ = e.Serve(l) }()
--- a/vm/keepalive.go
+++ b/vm/keepalive.go
@@ -80,12 +80,15 @@
 	k.pingSent = false
 	if k.checksSinceSend >= pingChecks {
 		k.checksSinceSend, k.pingSent = 0, true
-		s.tryEnqueue(&vmwire.Frame{Kind: vmwire.KindPing})
+		s.Ping()
 	}
 	k.bytesSent = s.bytesSent.Load()
 	return true
 }
 
+// Ping sends a frame that only shows that the session is alive. It is dropped if the write queue is full.
+func (s *Session) Ping() { s.tryEnqueue(&vmwire.Frame{Kind: vmwire.KindPing}) }
+
 // OpenStreams returns the number of open streams of the session.
 func (s *Session) OpenStreams() int {
 	s.mu.Lock()
--- a/vm/session.go
+++ b/vm/session.go
@@ -124,6 +124,9 @@
 // Done returns a channel that is closed when the session ends.
 func (s *Session) Done() <-chan struct{} { return s.done }
 
+// StartedAt returns when the session was opened, with a monotonic clock reading.
+func (s *Session) StartedAt() time.Time { return s.startedAt }
+
 // BytesSent returns the number of bytes of frames written so far.
 func (s *Session) BytesSent() int64 { return s.bytesSent.Load() }
 
