--- a/edge/endless_test.go
+++ b/edge/endless_test.go
@@ -58,6 +58,7 @@
 
 // Guards against a sound stream that is cut because its events come slowly, just within the limit on pauses.
 func TestSlowStreamIsNotCut(t *testing.T) {
+	t.Parallel()
 	w := newTestCluster(t, "north")
 	w.publishConfig(1, routeJSON("a", "streaming", "plain", `,"resumable":true`))
 	handle := func(rw http.ResponseWriter, _ *http.Request) {
--- a/edge/resume_test.go
+++ b/edge/resume_test.go
@@ -33,6 +33,7 @@
 // Guards against a forwarded stream that stays with an upstream which is silent for good, although another region could
 // resume it.
 func TestForwardedStreamOfSilentUpstreamResumesInOtherRegion(t *testing.T) {
+	t.Parallel()
 	w := newTestCluster(t, "north", "south")
 	w.publishConfig(1, longRouteJSON())
 	w.addUpstream("u1", "plain", "south", func(rw http.ResponseWriter, r *http.Request) {
@@ -120,6 +121,7 @@
 // Guards against a sound upstream that is left because the caller reads slowly: the deadline of the next event passes while
 // the VM writes to the caller.
 func TestSlowCallerKeepsUpstream(t *testing.T) {
+	t.Parallel()
 	const events = 600
 	w := newTestCluster(t, "north")
 	w.publishConfig(1, longRouteJSON())
@@ -155,6 +157,7 @@
 
 // Guards against upstreams whose comments make the VM compare all upstreams for each packet.
 func TestTricklingStreamIsCheckedAtInterval(t *testing.T) {
+	t.Parallel()
 	w := newTestCluster(t, "north")
 	w.publishConfig(1, longRouteJSON())
 	w.addUpstream("u1", "plain", "north", func(rw http.ResponseWriter, r *http.Request) {
--- a/edge/silent_test.go
+++ b/edge/silent_test.go
@@ -76,6 +76,7 @@
 // Guards against streams that are broken off because several of them stall at a time and the retry budget allows only
 // some of them to resume elsewhere.
 func TestStalledStreamsWaitForRetryBudget(t *testing.T) {
+	t.Parallel()
 	const streams, retries = 6, 2
 	w := newTestCluster(t, "north")
 	w.retrySlack = retries * minSlackVMs
@@ -108,6 +109,7 @@
 // Guards against a VM that gives up its upstreams after a pause of its own process, before it has read what they sent
 // meanwhile.
 func TestPausedVMKeepsStreams(t *testing.T) {
+	t.Parallel()
 	w := newTestCluster(t, "north")
 	w.publishConfig(1, strings.Replace(routeJSON("a", "streaming", "plain", `,"resumable":true`), `"timeout_ms":3000`, `"timeout_ms":8000`, 1))
 	u1 := w.addUpstream("u1", "plain", "north", writeEventsWithPause)
