fleet: drive the test of a pause with its own clock

TestSessionsAreReadAfterPause slept between its ticks, so that a slow machine could add a second pause to the one under test. Its ticks now follow a clock of its own, and it waits until the waiting frame is read.

--- a/fleet/pause_test.go
+++ b/fleet/pause_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -45,16 +46,24 @@
 			t.Parallel()
 			f := newFleet(t, "127.0.0.1:0", "a", "north")
 			_ = f.listener.Close()
+			var offset atomic.Int64
+			start := time.Now()
+			f.Now = func() time.Time { return start.Add(time.Duration(offset.Load())) }
 			s, peer := dialPeer(t, f, "b", 1)
-			f.maintain(t.Context())
-			time.Sleep(sessionReadTimeout + tick)
-			f.maintain(t.Context())
+			maintainAfter := func(d time.Duration) {
+				offset.Add(int64(d))
+				f.maintain(t.Context())
+			}
+			maintainAfter(0)
+			time.Sleep(sessionReadTimeout + tick) // The age of the latest frame is read from the real clock.
+			maintainAfter(sessionReadTimeout + tick)
 			if wantOpen {
+				before := s.LastReceivedAt()
 				peer.SendControl(vmwire.KindPresence, &vmwire.Presence{})
+				waitUntil(t, time.Second, "the frame is read", func() bool { return s.LastReceivedAt() != before })
 			}
 			for range 1 + PauseSettleTime/tick {
-				time.Sleep(tick)
-				f.maintain(t.Context())
+				maintainAfter(tick)
 			}
 			open := true
 			select {
