--- a/edge/resume_test.go
+++ b/edge/resume_test.go
@@ -72,7 +72,7 @@
 		t.Parallel()
 		w := newTestCluster(t, "north")
 		w.publishConfig(1, longRouteJSON())
-		w.addUpstream("u1", "plain", "north", func(rw http.ResponseWriter, r *http.Request) {
+		w.addUpstream("u1", "plain", "north", func(rw http.ResponseWriter, _ *http.Request) {
 			writeEvents(rw, 1, 2, true)
 			w.addUpstream("u2", "plain", "north", nil).server.Close()
 			time.Sleep(silentTime)
@@ -86,7 +86,7 @@
 		t.Parallel()
 		w := newTestCluster(t, "north", "south")
 		w.publishConfig(1, longRouteJSON())
-		w.addUpstream("u1", "plain", "north", func(rw http.ResponseWriter, r *http.Request) {
+		w.addUpstream("u1", "plain", "north", func(rw http.ResponseWriter, _ *http.Request) {
 			writeEvents(rw, 1, 2, true)
 			w.addUpstream("u2", "plain", "south", nil)
 			w.publishConfig(2, routeJSON("b", "streaming", "plain", `,"resumable":true`))
@@ -103,7 +103,7 @@
 		t.Parallel()
 		w := newTestCluster(t, "north", "south")
 		w.publishConfig(1, longRouteJSON())
-		w.addUpstream("u1", "plain", "north", func(rw http.ResponseWriter, r *http.Request) {
+		w.addUpstream("u1", "plain", "north", func(rw http.ResponseWriter, _ *http.Request) {
 			writeEvents(rw, 1, 2, true)
 			w.addUpstream("u2", "plain", "south", nil)
 			time.Sleep(silentTime)
