edge: count the runs before a stalled stream is sent to another upstream

A stalled stream that stayed with its upstream because the other one had answered with an error was sent to a third upstream at the next check, although its route allows two runs. The check of the runs stood only where a read begins, not where it is extended.

TestStreamIsNotCutIfResumptionFails, case other upstream fails, failed before (3 upstreams) and passes.

--- a/edge/resume_test.go
+++ b/edge/resume_test.go
@@ -68,6 +68,32 @@
 		w.waitFor("the upstreams are known", func() bool { return v.knowsUpstreams("plain", 2) })
 		checkAllEvents(t, v)
 	})
+	t.Run("other upstream fails", func(t *testing.T) {
+		t.Parallel()
+		w := newTestCluster(t, "north")
+		w.publishConfig(1, longRouteJSON())
+		handle := func(rw http.ResponseWriter, r *http.Request) {
+			if resumed(r) {
+				rw.WriteHeader(http.StatusInternalServerError)
+				return
+			}
+			writeEventsWithPause(rw, r)
+		}
+		var upstreams []*fakeUpstream
+		for _, id := range []string{"u1", "u2", "u3"} {
+			upstreams = append(upstreams, w.addUpstream(id, "plain", "north", handle))
+		}
+		v := w.startVM("vm1", "north", true)
+		w.waitFor("the upstreams are known", func() bool { return v.knowsUpstreams("plain", 3) })
+		checkAllEvents(t, v)
+		requests := 0
+		for _, u := range upstreams {
+			requests += u.requestCount()
+		}
+		if requests != 2 {
+			t.Errorf("the request ran at %d upstreams, want the 2 that its route allows", requests)
+		}
+	})
 	t.Run("other upstream is unreachable", func(t *testing.T) {
 		t.Parallel()
 		w := newTestCluster(t, "north")
--- a/edge/stall.go
+++ b/edge/stall.go
@@ -168,7 +168,7 @@
 // reserveResume reports whether a stream that has begun can resume at another upstream without a long wait, and if so
 // counts the attempt in the retry budget.
 func (e *Edge) reserveResume(r *request) bool {
-	if r.sends >= maxSends || r.remaining(time.Now()) < minRemaining || len(e.quarantinedParts(r)) > 0 {
+	if r.sends >= maxSends || r.runs >= r.route.MaxAttempts || r.remaining(time.Now()) < minRemaining || len(e.quarantinedParts(r)) > 0 {
 		return false
 	}
 	if !e.Retries.HasCapacity(e.Now(), r.service.Name) {
