--- a/edge/request.go
+++ b/edge/request.go
@@ -52,8 +52,10 @@
 	// that it was sent to.
 	runs  int
 	sends int
-	// retryReserved is set if the next attempt is already counted in the retry budget.
-	retryReserved bool
+	// handover is set while an attempt is made to take the place of one whose upstream is silent.
+	handover *handover
+	// returnable is set if the request was forwarded by a VM that may send it to other regions, too.
+	returnable bool
 	// headSent is set once the response head was sent to the caller. lastEvent is the id of the last event that
 	// was sent to the caller.
 	headSent  bool
@@ -72,6 +74,8 @@
 	firstTokenLatency time.Duration
 	// answerStartedAt is the time of the first event of the latest attempt, zero before it.
 	answerStartedAt time.Time
+	// events is the number of events that the latest attempt has relayed.
+	events int
 	// destination is the upstream or the region of the latest attempt.
 	destination string
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -133,7 +133,10 @@
 func (f *Fleet) maintain(ctx context.Context) {
 	now := f.Now()
 	f.pauseDetector.tick(now)
-	f.closeTimedOut()
+	if !f.PausedRecently(now) {
+		f.closeTimedOut()
+	}
+	f.closeDuplicates(now)
 	if f.ticks%vmListTicks == 0 {
 		f.closeSurplus(now)
 	}
@@ -144,7 +147,8 @@
 	f.sendDuePresences()
 }
 
-// closeTimedOut closes the sessions that received no frame within the read timeout.
+// closeTimedOut closes the sessions that received no frame within the read timeout. After a pause of this process, frames
+// that arrived meanwhile must be read first.
 func (f *Fleet) closeTimedOut() {
 	for _, s := range f.allSessions() {
 		if time.Since(s.LastReceivedAt()) > f.readTimeout(s) {
@@ -292,8 +296,8 @@
 	return dialTimeout
 }
 
-// addSession registers a session. Of several sessions with one VM, it keeps the one dialed by the VM with the lower
-// name, so that both sides keep the same one.
+// addSession registers a session. It closes those with other incarnations of the VM; closeDuplicates closes the others that
+// are not used.
 func (f *Fleet) addSession(s *vm.Session) {
 	if s.Peer.Slot == f.Endpoint.Self.Slot {
 		go s.Close(errDuplicate)
@@ -302,21 +306,15 @@
 	f.mu.Lock()
 	list := append(f.sessions[s.Peer.Slot], s)
 	f.sessions[s.Peer.Slot] = list
-	var surplus []*vm.Session
+	var replaced []*vm.Session
 	for _, other := range list {
-		switch {
-		case other.Peer.Incarnation != s.Peer.Incarnation:
-			surplus = append(surplus, other)
-		case len(list) > 1 && !f.isPreferred(other):
-			surplus = append(surplus, other)
+		if other.Peer.Incarnation != s.Peer.Incarnation {
+			replaced = append(replaced, other)
 		}
 	}
-	if len(surplus) == len(list) {
-		surplus = surplus[1:]
-	}
 	f.mu.Unlock()
-	for _, other := range surplus {
-		go other.Close(errDuplicate)
+	for _, other := range replaced {
+		go other.Close(errReplaced)
 	}
 	event.PeerUp.Log(f.Log, "vm", s.Peer.Slot, "region", s.Peer.Region, "dialed", s.Dialed)
 	go f.runOpened(s)
@@ -330,11 +328,6 @@
 	}
 }
 
-// isPreferred reports whether the VM with the lower name dialed the session.
-func (f *Fleet) isPreferred(s *vm.Session) bool {
-	return s.Dialed == (f.Endpoint.Self.Slot < s.Peer.Slot)
-}
-
 func (f *Fleet) removeSession(s *vm.Session, reason error) {
 	f.mu.Lock()
 	list := f.sessions[s.Peer.Slot]
@@ -377,14 +370,5 @@
 func (f *Fleet) session(slot string) *vm.Session {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	list := f.sessions[slot]
-	for _, s := range list {
-		if f.isPreferred(s) {
-			return s
-		}
-	}
-	if len(list) > 0 {
-		return list[0]
-	}
-	return nil
+	return f.sessionToUse(f.sessions[slot])
 }
--- a/vm/session.go
+++ b/vm/session.go
@@ -31,6 +31,7 @@
 var (
 	ErrSessionClosed  = errors.New("vm session closed")
 	ErrStreamReset    = errors.New("stream reset by the other vm")
+	ErrStreamEnded    = errors.New("stream ended by the other vm")
 	ErrTooManyStreams = errors.New("too many open streams")
 )
 
@@ -52,8 +53,6 @@
 	nextID        atomic.Uint64
 	bytesSent     atomic.Int64
 	bytesReceived atomic.Int64
-	// lastReceivedUnixNano is the arrival time of the last frame, as Unix time in nanoseconds.
-	lastReceivedUnixNano atomic.Int64
 	// startedAt is when the session was opened. lastReceivedOffset is the time from then to the arrival of
 	// the last frame, in nanoseconds on the monotonic clock.
 	startedAt          time.Time
@@ -123,6 +122,9 @@
 // Done returns a channel that is closed when the session ends.
 func (s *Session) Done() <-chan struct{} { return s.done }
 
+// StartedAt returns when the session was opened, with a monotonic clock reading.
+func (s *Session) StartedAt() time.Time { return s.startedAt }
+
 // BytesSent returns the number of bytes of frames written so far.
 func (s *Session) BytesSent() int64 { return s.bytesSent.Load() }
 
@@ -305,9 +307,7 @@
 			return
 		}
 		s.bytesReceived.Add(int64(len(f.Body) + lengthPrefixBytes))
-		now := time.Now()
-		s.lastReceivedUnixNano.Store(now.UnixNano())
-		s.lastReceivedOffset.Store(int64(now.Sub(s.startedAt)))
+		s.lastReceivedOffset.Store(int64(time.Since(s.startedAt)))
 		if err := s.dispatchRecovered(f); err != nil {
 			s.Close(err)
 			return
