--- a/edge/forward.go
+++ b/edge/forward.go
@@ -46,7 +46,7 @@
 		// The request has not run: the other VM starts a request only after its complete body has arrived.
 		return refuse(VMLost, "send to vm "+slot+": "+err.Error(), defaultRetryAfter), true
 	}
-	r.handover.sent()
+	r.switchover.sent()
 	e.forwards.Add(e.Now(), place.ServiceKey{Service: r.service.Name, Region: region}, r.prompt.Tokens)
 	return e.relayForwarded(ctx, r, slot, st, sink), true
 }
@@ -66,7 +66,7 @@
 		RequestID: r.id, OriginSlot: e.Settings.Name, OriginRegion: e.Settings.Region,
 		Route: r.route.Name, Hops: 1, Method: r.method, Path: r.target, Header: header,
 		RemainingMillis: r.remaining(time.Now()).Milliseconds(), BodyBytes: int64(len(r.body)),
-		Runs: int32(r.runs), Resumed: r.headSent, Probe: r.probe, Returnable: e.otherRegionMayRun(r, region), Handover: r.handover != nil,
+		Runs: int32(r.runs), Resumed: r.headSent, Probe: r.probe, Returnable: e.otherRegionMayRun(r, region), Switchover: r.switchover != nil,
 	}
 	if t := e.table(); t != nil {
 		msg.ConfigNumber = t.Config.Version
@@ -106,7 +106,7 @@
 		case end != nil:
 			return e.outcomeOfEnd(r, slot, end)
 		}
-		r.handover.accepted()
+		r.switchover.accepted()
 		var c vmwire.Chunk
 		if _, err := c.UnmarshalMsg(body); err != nil {
 			st.Reset()
--- a/edge/forwarded.go
+++ b/edge/forwarded.go
@@ -102,7 +102,7 @@
 // unless this VM has lost touch with the store.
 func (e *Edge) configForForwarded(ctx context.Context, open *vmwire.Open) *route.Table {
 	t := e.table()
-	if t == nil || t.Config.Version >= open.ConfigNumber || open.Handover || !e.keysFresh(e.Now()) {
+	if t == nil || t.Config.Version >= open.ConfigNumber || open.Switchover || !e.keysFresh(e.Now()) {
 		return t
 	}
 	wait := min(maxVersionWait, time.Duration(open.RemainingMillis)*time.Millisecond)
--- a/edge/request.go
+++ b/edge/request.go
@@ -52,8 +52,8 @@
 	// that it was sent to.
 	runs  int
 	sends int
-	// handover is set while an attempt is made to take the place of one whose upstream is silent.
-	handover *handover
+	// switchover is set while an attempt is made to take the place of one whose upstream is silent.
+	switchover *switchover
 	// returnable is set if the request was forwarded by a VM that may send it to other regions, too.
 	returnable bool
 	// headSent is set once the response head was sent to the caller. lastEvent is the id of the last event that
--- a/edge/send.go
+++ b/edge/send.go
@@ -42,7 +42,7 @@
 		Address: pick.Address, MaxConnections: e.connectionLimit(r.service),
 		ID: r.id, Method: r.method, Target: r.target, Host: r.host,
 		Header: r.outgoingHeader(pick.ID, now), Body: r.body,
-		OnSend: r.handover.sent,
+		OnSend: r.switchover.sent,
 	})
 	if err != nil {
 		return e.handleSendFailure(ctx, r, pick, err)
@@ -102,7 +102,7 @@
 	}
 	r.runs++
 	if isEventStream(a) {
-		r.handover.accepted()
+		r.switchover.accepted()
 		return e.relayEventStream(ctx, r, pick, a, sink)
 	}
 	return e.relayBuffered(ctx, r, pick, a, sink)
--- a/edge/stall.go
+++ b/edge/stall.go
@@ -103,11 +103,11 @@
 	if !reserved {
 		return false
 	}
-	h := &handover{answer: s.answer}
-	previous, startedAt, events, destination := r.handover, r.answerStartedAt, r.events, r.destination
-	r.handover = h
+	h := &switchover{answer: s.answer}
+	previous, startedAt, events, destination := r.switchover, r.answerStartedAt, r.events, r.destination
+	r.switchover = h
 	out, _ := s.edge.attempt(s.ctx, r, s.sink)
-	r.handover = previous
+	r.switchover = previous
 	if !out.Complete && h.keep() {
 		r.answerStartedAt, r.events, r.destination = startedAt, events, destination
 		return false
@@ -117,9 +117,9 @@
 	return true
 }
 
-// handover is the change of a stalled stream from one upstream to another. The first one is kept until the other has begun to
+// switchover is the move of a stalled stream from one upstream to another. The first one is kept until the other has begun to
 // answer or has had overlapTime to refuse the request. It is safe for concurrent use.
-type handover struct {
+type switchover struct {
 	answer *upstream.Response
 
 	mu         sync.Mutex
@@ -127,21 +127,21 @@
 }
 
 // sent is called when the request is sent to the other upstream.
-func (h *handover) sent() {
+func (h *switchover) sent() {
 	if h != nil {
 		time.AfterFunc(overlapTime, h.leave)
 	}
 }
 
 // accepted is called when the other upstream has begun to answer.
-func (h *handover) accepted() {
+func (h *switchover) accepted() {
 	if h != nil {
 		h.leave()
 	}
 }
 
 // leave ends the attempt at the first upstream, unless the stream stays there.
-func (h *handover) leave() {
+func (h *switchover) leave() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.kept && !h.left {
@@ -150,9 +150,9 @@
 	}
 }
 
-// keep ends the handover because the other upstream did not take the request. It reports false if the first one was left
+// keep ends the switchover because the other upstream did not take the request. It reports false if the first one was left
 // before.
-func (h *handover) keep() bool {
+func (h *switchover) keep() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.kept = !h.left
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -79,8 +79,8 @@
 	Probe bool
 	// Returnable means that other regions may run the request, too, so that a stream that stalls may be given back.
 	Returnable bool
-	// Handover means that the sender still has another upstream for the stream, so that a refusal must come at once.
-	Handover bool
+	// Switchover means that the sender still has another upstream for the stream, so that a refusal must come at once.
+	Switchover bool
 }
 
 // Chunk is a part of an answer, carried in a Data frame from the VM that runs the request.
--- a/vmwire/schema_gen.go
+++ b/vmwire/schema_gen.go
@@ -2856,9 +2856,9 @@
 		err = msgp.WrapError(err, "Returnable")
 		return
 	}
-	z.Handover, err = dc.ReadBool()
+	z.Switchover, err = dc.ReadBool()
 	if err != nil {
-		err = msgp.WrapError(err, "Handover")
+		err = msgp.WrapError(err, "Switchover")
 		return
 	}
 	return
@@ -2993,9 +2993,9 @@
 		err = msgp.WrapError(err, "Returnable")
 		return
 	}
-	err = en.WriteBool(z.Handover)
+	err = en.WriteBool(z.Switchover)
 	if err != nil {
-		err = msgp.WrapError(err, "Handover")
+		err = msgp.WrapError(err, "Switchover")
 		return
 	}
 	return
@@ -3032,7 +3032,7 @@
 	o = msgp.AppendBool(o, z.Resumed)
 	o = msgp.AppendBool(o, z.Probe)
 	o = msgp.AppendBool(o, z.Returnable)
-	o = msgp.AppendBool(o, z.Handover)
+	o = msgp.AppendBool(o, z.Switchover)
 	return
 }
 
@@ -3186,9 +3186,9 @@
 		err = msgp.WrapError(err, "Returnable")
 		return
 	}
-	z.Handover, bts, err = msgp.ReadBoolBytes(bts)
+	z.Switchover, bts, err = msgp.ReadBoolBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Handover")
+		err = msgp.WrapError(err, "Switchover")
 		return
 	}
 	o = bts
