--- a/edge/resume_test.go
+++ b/edge/resume_test.go
@@ -33,6 +33,7 @@
 // Guards against a forwarded stream that stays with an upstream which is silent for good, although another region could
 // resume it.
 func TestForwardedStreamOfSilentUpstreamResumesInOtherRegion(t *testing.T) {
+	t.Parallel()
 	w := newTestCluster(t, "north", "south")
 	w.publishConfig(1, longRouteJSON())
 	w.addUpstream("u1", "plain", "south", func(rw http.ResponseWriter, r *http.Request) {
@@ -67,11 +68,37 @@
 		w.waitFor("the upstreams are known", func() bool { return v.knowsUpstreams("plain", 2) })
 		checkAllEvents(t, v)
 	})
+	t.Run("other upstream fails", func(t *testing.T) {
+		t.Parallel()
+		w := newTestCluster(t, "north")
+		w.publishConfig(1, longRouteJSON())
+		handle := func(rw http.ResponseWriter, r *http.Request) {
+			if resumed(r) {
+				rw.WriteHeader(http.StatusInternalServerError)
+				return
+			}
+			writeEventsWithPause(rw, r)
+		}
+		var upstreams []*fakeUpstream
+		for _, id := range []string{"u1", "u2", "u3"} {
+			upstreams = append(upstreams, w.addUpstream(id, "plain", "north", handle))
+		}
+		v := w.startVM("vm1", "north", true)
+		w.waitFor("the upstreams are known", func() bool { return v.knowsUpstreams("plain", 3) })
+		checkAllEvents(t, v)
+		requests := 0
+		for _, u := range upstreams {
+			requests += u.requestCount()
+		}
+		if requests != 2 {
+			t.Errorf("the request ran at %d upstreams, want the 2 that its route allows", requests)
+		}
+	})
 	t.Run("other upstream is unreachable", func(t *testing.T) {
 		t.Parallel()
 		w := newTestCluster(t, "north")
 		w.publishConfig(1, longRouteJSON())
-		w.addUpstream("u1", "plain", "north", func(rw http.ResponseWriter, r *http.Request) {
+		w.addUpstream("u1", "plain", "north", func(rw http.ResponseWriter, _ *http.Request) {
 			writeEvents(rw, 1, 2, true)
 			w.addUpstream("u2", "plain", "north", nil).server.Close()
 			time.Sleep(silentTime)
@@ -85,7 +112,7 @@
 		t.Parallel()
 		w := newTestCluster(t, "north", "south")
 		w.publishConfig(1, longRouteJSON())
-		w.addUpstream("u1", "plain", "north", func(rw http.ResponseWriter, r *http.Request) {
+		w.addUpstream("u1", "plain", "north", func(rw http.ResponseWriter, _ *http.Request) {
 			writeEvents(rw, 1, 2, true)
 			w.addUpstream("u2", "plain", "south", nil)
 			w.publishConfig(2, routeJSON("b", "streaming", "plain", `,"resumable":true`))
@@ -102,7 +129,7 @@
 		t.Parallel()
 		w := newTestCluster(t, "north", "south")
 		w.publishConfig(1, longRouteJSON())
-		w.addUpstream("u1", "plain", "north", func(rw http.ResponseWriter, r *http.Request) {
+		w.addUpstream("u1", "plain", "north", func(rw http.ResponseWriter, _ *http.Request) {
 			writeEvents(rw, 1, 2, true)
 			w.addUpstream("u2", "plain", "south", nil)
 			time.Sleep(silentTime)
@@ -120,6 +147,7 @@
 // Guards against a sound upstream that is left because the caller reads slowly: the deadline of the next event passes while
 // the VM writes to the caller.
 func TestSlowCallerKeepsUpstream(t *testing.T) {
+	t.Parallel()
 	const events = 600
 	w := newTestCluster(t, "north")
 	w.publishConfig(1, longRouteJSON())
@@ -155,6 +183,7 @@
 
 // Guards against upstreams whose comments make the VM compare all upstreams for each packet.
 func TestTricklingStreamIsCheckedAtInterval(t *testing.T) {
+	t.Parallel()
 	w := newTestCluster(t, "north")
 	w.publishConfig(1, longRouteJSON())
 	w.addUpstream("u1", "plain", "north", func(rw http.ResponseWriter, r *http.Request) {
