--- a/edge/events.go
+++ b/edge/events.go
@@ -101,7 +101,7 @@
 	}
 }
 
-// complete reports whether a read error is the end of the whole stream. A stream that ends with its connection and has no
+// complete reports whether a read error is the end of the complete stream. A stream that ends with its connection and has no
 // event was cut off.
 func (s *eventRelay) complete(err error) bool {
 	return errors.Is(err, io.EOF) && len(s.pending) == 0 && (s.answer.Framed || s.started)
--- a/edge/stall.go
+++ b/edge/stall.go
@@ -117,7 +117,7 @@
 	return true
 }
 
-// switchover is the move of a stalled stream from one upstream to another. The first one is kept until the other has begun to
+// switchover is the move of a stalled stream from one upstream to another. The first one is kept until the other has started to
 // answer or has had overlapTime to refuse the request. It is safe for concurrent use.
 type switchover struct {
 	answer *upstream.Response
@@ -133,7 +133,7 @@
 	}
 }
 
-// accepted is called when the other upstream has begun to answer.
+// accepted is called when the other upstream has started to answer.
 func (h *switchover) accepted() {
 	if h != nil {
 		h.leave()
@@ -165,7 +165,7 @@
 	return s.request.returnable && now.Sub(s.lastEventAt) > time.Duration(patience)
 }
 
-// reserveResume reports whether a stream that has begun can resume at another upstream without a long wait, and if so
+// reserveResume reports whether a started stream can resume at another upstream without a long wait, and if so
 // counts the attempt in the retry budget.
 func (e *Edge) reserveResume(r *request) bool {
 	if r.sends >= maxSends || r.runs >= r.route.MaxAttempts || r.remaining(time.Now()) < minRemaining || len(e.quarantinedParts(r)) > 0 {
--- a/event/poison.go
+++ b/event/poison.go
@@ -9,7 +9,7 @@
 	PoisonCleared     = New(1703, slog.LevelInfo, "suspected request completed", "none")
 	PoisonFull        = New(1704, slog.LevelWarn, "table of suspected requests is full; the oldest was dropped", "Look for a cause of crashes other than requests.")
 	PartSuspected     = New(1705, slog.LevelInfo, "prompt part suspected of crashing an upstream", "none")
-	PartQuarantined   = New(1706, slog.LevelWarn, "prompt part quarantined", "Find the requests refused as quarantined and tell their workspace's owner; requests with the part are refused until one completes or for 10 minutes after the last crash.")
+	PartQuarantined   = New(1706, slog.LevelWarn, "prompt part quarantined", "Find the requests refused as quarantined and notify their workspace's owner; requests with the part are refused until one completes or for 10 minutes after the last crash.")
 	PartCleared       = New(1707, slog.LevelInfo, "prompt part no longer quarantined", "none")
 )
 
--- a/vm/reset_test.go
+++ b/vm/reset_test.go
@@ -110,6 +110,6 @@
 	select {
 	case <-wasReset:
 	case <-ctx.Done():
-		t.Error("the other vm was not told of the reset")
+		t.Error("the other vm was not notified of the reset")
 	}
 }
--- a/vm/session.go
+++ b/vm/session.go
@@ -252,7 +252,7 @@
 	s.Close(ErrSessionClosed)
 }
 
-// finishWriting flushes the written frames and tells the other VM that no more follow, so that it reads all of them before it
+// finishWriting flushes the written frames and closes the sending side, so that it reads all of them before it
 // closes the connection.
 func (s *Session) finishWriting(w *bufio.Writer) error {
 	if err := w.Flush(); err != nil {
@@ -366,7 +366,7 @@
 	return nil
 }
 
-// sendReset tells the other VM that a stream is reset, without blocking.
+// sendReset notifies the other VM that a stream is reset, without blocking.
 func (s *Session) sendReset(id uint64) {
 	if !s.tryEnqueue(&vmwire.Frame{Kind: vmwire.KindReset, Stream: id}) {
 		go s.runReset(id)
