--- a/vm/session.go
+++ b/vm/session.go
@@ -252,8 +252,8 @@
 	s.Close(ErrSessionClosed)
 }
 
-// finishWriting flushes the written frames and closes the sending side, so that it reads all of them before it
-// closes the connection.
+// finishWriting flushes the written frames and closes the sending side of the connection, so that the other VM reads all of
+// them before it closes its own side.
 func (s *Session) finishWriting(w *bufio.Writer) error {
 	if err := w.Flush(); err != nil {
 		return err
