--- a/edge/send.go
+++ b/edge/send.go
@@ -37,6 +37,9 @@
 	r.triedUpstreams = append(r.triedUpstreams, pick.ID)
 	r.sends++
 	r.answerStartedAt, r.events = time.Time{}, 0
+	if e.Replicas.IsRateLimited(pick.ID) {
+		e.Metrics.AddCounter("requests_to_limited_upstreams", 1)
+	}
 	sentAt := e.Now()
 	a, err := e.Pool.Do(ctx, &upstream.Request{
 		Address: pick.Address, MaxConnections: e.connectionLimit(r.service),
@@ -49,6 +52,7 @@
 	}
 	defer a.Close()
 	e.recordAnswer(pick, a, sentAt)
+	e.recordRateLimit(pick, a)
 	out := e.handleAnswer(ctx, r, pick, a, sink)
 	e.recordCompletion(r, a, out)
 	return out
