--- /dev/null
+++ b/edge/ratelimit_test.go
@@ -0,0 +1,179 @@
+package edge
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"parsleyhatch/platform"
+)
+
+const (
+	// limitWindow is the window of the stated bound for an upstream that has announced a rate limit. In each window it may
+	// get limitOverage times what the limit allows, and limitSlack more.
+	limitWindow  = 4 * time.Second
+	limitOverage = 1.5
+	limitSlack   = 5
+)
+
+// limitedUpstream is an upstream that can announce a rate limit, and records when requests arrive.
+type limitedUpstream struct {
+	*fakeUpstream
+	mu       sync.Mutex
+	limit    string
+	arrivals []time.Time
+}
+
+// addLimitedUpstream starts an upstream that announces a limit, or none if limit is empty.
+func (w *testCluster) addLimitedUpstream(id, region, limit string) *limitedUpstream {
+	u := &limitedUpstream{limit: limit}
+	u.fakeUpstream = w.addUpstream(id, "plain", region, func(rw http.ResponseWriter, _ *http.Request) {
+		u.announce(rw)
+		_, _ = io.WriteString(rw, "ok")
+	})
+	return u
+}
+
+// announce records a request and sets the headers of its answer.
+func (u *limitedUpstream) announce(rw http.ResponseWriter) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.arrivals = append(u.arrivals, time.Now())
+	if u.limit != "" {
+		rw.Header().Set(platform.HeaderRateLimit, u.limit)
+	}
+	rw.Header().Set(platform.HeaderServerStamp, "stamp-"+u.id)
+}
+
+func (u *limitedUpstream) setLimit(limit string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.limit = limit
+}
+
+// arrivalsSince returns the times of the requests that arrived after a time.
+func (u *limitedUpstream) arrivalsSince(since time.Time) []time.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var times []time.Time
+	for _, at := range u.arrivals {
+		if at.After(since) {
+			times = append(times, at)
+		}
+	}
+	return times
+}
+
+// checkLimit checks the stated bound in all windows after a time, and that the upstream was used at all.
+func (u *limitedUpstream) checkLimit(t *testing.T, since time.Time) {
+	t.Helper()
+	perSecond, err := strconv.ParseFloat(u.limit, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	allowed := int(limitOverage*perSecond*limitWindow.Seconds()) + limitSlack
+	times := u.arrivalsSince(since)
+	first, most := 0, 0
+	for i, at := range times {
+		for at.Sub(times[first]) > limitWindow {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	if most > allowed {
+		t.Errorf("%s with a limit of %s a second got %d requests in %v, allowed %d", u.id, u.limit, most, limitWindow, allowed)
+	}
+	if len(times) == 0 {
+		t.Errorf("%s with a limit of %s a second got no request", u.id, u.limit)
+	}
+}
+
+// load sends requests through the VMs at an interval each until stop is called, and counts the answers by status.
+type load struct {
+	mu       sync.Mutex
+	statuses map[int]int
+	stopped  chan struct{}
+	wait     sync.WaitGroup
+}
+
+// startLoad starts requests to a path through VMs.
+func startLoad(t *testing.T, path string, interval time.Duration, vms ...*testVM) *load {
+	l := &load{statuses: map[int]int{}, stopped: make(chan struct{})}
+	for _, v := range vms {
+		l.wait.Go(func() { l.run(t, v, path, interval) })
+	}
+	return l
+}
+
+func (l *load) run(t *testing.T, v *testVM, path string, interval time.Duration) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-l.stopped:
+			return
+		case <-ticker.C:
+			l.wait.Go(func() {
+				status, _, err := v.read(t, path, nil)
+				if err != nil {
+					status = 0
+				}
+				l.mu.Lock()
+				defer l.mu.Unlock()
+				l.statuses[status]++
+			})
+		}
+	}
+}
+
+// stop ends the load and returns the answers by status, zero for those without a complete answer.
+func (l *load) stop() map[int]int {
+	close(l.stopped)
+	l.wait.Wait()
+	return l.statuses
+}
+
+// newLimitCluster returns a cluster with VMs in the north and one in the south, whose requests run in the north.
+func newLimitCluster(t *testing.T, vms int) *testCluster {
+	w := newTestCluster(t, "north", "south")
+	w.publishConfig(1, routeJSON("a", "safe", "plain", ""))
+	for i := range vms {
+		w.startVM(fmt.Sprintf("vm%d", i), "north", true)
+	}
+	w.startVM("far", "south", true)
+	w.waitForMembership()
+	return w
+}
+
+// waitForUpstreams waits until all VMs know n upstreams.
+func (w *testCluster) waitForUpstreams(n int) {
+	for _, v := range w.vms {
+		w.waitFor("the upstreams are known", func() bool { return v.knowsUpstreams("plain", n) })
+	}
+}
+
+// Guards against an upstream that gets more requests than the limit that it has named, because VMs do not know the limit or
+// each takes all of it. The requests that another region forwards count as well.
+func TestNamedLimitHoldsOverAllVMs(t *testing.T) {
+	t.Parallel()
+	w := newLimitCluster(t, 3)
+	limited := w.addLimitedUpstream("u1", "north", "1.1")
+	free := w.addLimitedUpstream("u2", "north", "")
+	w.waitForUpstreams(2)
+	l := startLoad(t, "/a/", 50*time.Millisecond, w.vms...)
+	time.Sleep(time.Second)
+	since := time.Now()
+	time.Sleep(limitWindow + time.Second)
+	statuses := l.stop()
+	limited.checkLimit(t, since)
+	if statuses[http.StatusOK] < 350 || len(statuses) != 1 {
+		t.Errorf("answers by status %v, want only 200", statuses)
+	}
+	if n := len(free.arrivalsSince(since)); n < 250 {
+		t.Errorf("the upstream without a limit got %d requests", n)
+	}
+}
