replica: divide the rate limit that an upstream announces among the VMs

Cause: nothing read the limit, so each VM chose such an upstream like any other.

Each VM has a token bucket with its share now, checked and charged where an upstream is chosen, so that first sends, resumptions, probes and requests of other regions all count. A low limit goes to the few VMs that rendezvous hashing names, since each share allows one request at once. The preferred upstream of a shared prompt is another one while the limit holds.

TestSharesOfRateLimitHoldWhileVMsChange: 56 cases of limits and VMs that start, end and do not hear each other for a while.

--- a/edge/ratelimit_test.go
+++ b/edge/ratelimit_test.go
@@ -49,12 +49,6 @@
 	rw.Header().Set(platform.HeaderServerStamp, "stamp-"+u.id)
 }
 
-func (u *limitedUpstream) setLimit(limit string) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.limit = limit
-}
-
 // arrivalsSince returns the times of the requests that arrived after a time.
 func (u *limitedUpstream) arrivalsSince(since time.Time) []time.Time {
 	u.mu.Lock()
--- a/replica/choose.go
+++ b/replica/choose.go
@@ -68,6 +68,7 @@
 	if r.isCold(now) {
 		r.coldRequests = append(r.coldRequests, now)
 	}
+	t.takeLimitCapacity(r)
 	pick.pickedAt = now
 	pick.rank = q.Rank
 	pick.heldTokens = pick.UncachedTokens + q.Prompt.MaxAnswerTokens
@@ -140,10 +141,10 @@
 			return false
 		}
 	}
-	if q.Service.WarmUpRate > 0 && r.isCold(now) {
-		return r.hasColdCapacity(now, t.coldQuota(r, q.Service))
+	if q.Service.WarmUpRate > 0 && r.isCold(now) && !r.hasColdCapacity(now, t.coldQuota(r, q.Service)) {
+		return false
 	}
-	return true
+	return t.hasLimitCapacity(now, r)
 }
 
 // coldQuota returns this VM's share of the requests that a cold upstream may receive in a second. If there
@@ -154,7 +155,15 @@
 	if t.vmCount <= bound {
 		return bound / t.vmCount
 	}
-	key := hashName(r.ID)
+	if t.rank(r.ID) < int(coldQuotaShare*float64(bound)) {
+		return 1
+	}
+	return 0
+}
+
+// rank returns the number of VMs that come before this one in the order of rendezvous hashing for an upstream.
+func (t *Table) rank(upstream string) int {
+	key := hashName(upstream)
 	own, above := RendezvousWeight(key, t.localVM), 0
 	for _, name := range t.vmNames {
 		if RendezvousWeight(key, name) > own {
@@ -162,11 +171,7 @@
 		}
 	}
 	// VMs that are not known yet may rank above this one, too.
-	above += t.vmCount - len(t.vmNames)
-	if above < int(coldQuotaShare*float64(bound)) {
-		return 1
-	}
-	return 0
+	return above + t.vmCount - len(t.vmNames)
 }
 
 func hashName(name string) uint64 {
@@ -187,7 +192,7 @@
 	var best *upstreamState
 	var highest uint64
 	for _, r := range candidates {
-		if r.Draining || t.evacuated[r.FailureDomain] || now.Before(r.backoffUntil) || r.isCold(now) && q.Service.WarmUpRate > 0 {
+		if r.Draining || t.evacuated[r.FailureDomain] || now.Before(r.backoffUntil) || r.isCold(now) && q.Service.WarmUpRate > 0 || t.isRateLimited(r) {
 			continue
 		}
 		if weight := RendezvousWeight(key, r.ID); best == nil || weight > highest {
--- /dev/null
+++ b/replica/ratelimit_test.go
@@ -0,0 +1,177 @@
+package replica
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+const (
+	// limitWindow, limitOverage and limitSlack state the bound for an upstream with a rate limit: in each window it gets at
+	// most limitOverage times what the limit allows, and limitSlack requests.
+	limitWindow  = 4 * time.Second
+	limitOverage = 1.5
+	limitSlack   = 5
+)
+
+// simulatedVM is the table of a VM that shares a rate limit with others, and the VMs that it knows.
+type simulatedVM struct {
+	name      string
+	table     *Table
+	startedAt time.Time
+	// lastSeenAt are the times at which this VM last received something from others, by name.
+	lastSeenAt map[string]time.Time
+}
+
+// updateSharers sets the VMs among which the table divides bounds, as a VM does that keeps lost VMs for a minute and assumes
+// more of them than it knows after its start.
+func (v *simulatedVM) updateSharers(now time.Time) {
+	names := []string{v.name}
+	for name, at := range v.lastSeenAt {
+		if now.Sub(at) <= time.Minute {
+			names = append(names, name)
+		}
+	}
+	n := len(names)
+	switch age := now.Sub(v.startedAt); {
+	case age < 3*time.Second:
+		n = max(n, 32)
+	case age < 15*time.Second:
+		n = max(n, 4)
+	}
+	v.table.SetVMs(v.name, names, n)
+}
+
+// limitSimulation is a region of VMs that all try to send requests to one upstream with a rate limit.
+type limitSimulation struct {
+	random *rand.Rand
+	limit  RateLimit
+	vms    []*simulatedVM
+	// separated holds the names of VMs that exchange nothing with the others.
+	separated map[string]bool
+	arrivals  []time.Time
+	started   int
+}
+
+func (s *limitSimulation) start(now time.Time) {
+	v := &simulatedVM{name: fmt.Sprintf("vm%d", s.started), table: newTable(1, "p"), startedAt: now, lastSeenAt: map[string]time.Time{}}
+	s.started++
+	v.table.RecordRateLimit(s.limit)
+	s.vms = append(s.vms, v)
+}
+
+// step lets the VMs exchange presences, and each of them send as many requests as its share allows.
+func (s *limitSimulation) step(now time.Time, exchange bool) {
+	for _, v := range s.vms {
+		for _, other := range s.vms {
+			if exchange && v != other && s.separated[v.name] == s.separated[other.name] {
+				v.lastSeenAt[other.name] = now
+			}
+		}
+		v.updateSharers(now)
+		for {
+			pick, ok := v.table.Pick(now, Request{Service: plain})
+			if !ok {
+				break
+			}
+			v.table.Done(now, &pick, Answered)
+			s.confirm(now, v)
+			s.arrivals = append(s.arrivals, now.Add(time.Duration(s.random.IntN(20))*time.Millisecond))
+		}
+	}
+}
+
+// confirm lets the VMs that hear of it know that the upstream has announced its limit again in an answer to one of them.
+func (s *limitSimulation) confirm(now time.Time, answered *simulatedVM) {
+	l := s.limit
+	l.AnnouncedAt = now
+	for _, v := range s.vms {
+		if v == answered || s.separated[v.name] == s.separated[answered.name] {
+			v.table.RecordRateLimit(l)
+		}
+	}
+}
+
+// most returns the largest number of arrivals in a window.
+func (s *limitSimulation) most() int {
+	first, most := 0, 0
+	for i, at := range s.arrivals {
+		for at.Sub(s.arrivals[first]) > limitWindow {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// Guards against shares of a rate limit that add up to more than the bound while VMs start, stop or do not hear each other, and
+// against shares that leave most of the limit unused.
+func TestSharesOfRateLimitHoldWhileVMsChange(t *testing.T) {
+	const steps, stepTime = 3500, 20 * time.Millisecond
+	for _, perSecond := range []float64{0, 0.3, 1, 1.2, 2.5, 8, 40} {
+		for _, vms := range []int{1, 3, 9, 33} {
+			for _, changes := range []bool{false, true} {
+				t.Run(fmt.Sprintf("limit %v, %d vms, changes %v", perSecond, vms, changes), func(t *testing.T) {
+					t.Parallel()
+					s := &limitSimulation{random: rand.New(rand.NewPCG(uint64(vms), 7)), separated: map[string]bool{}}
+					s.limit = RateLimit{Upstream: "u0", Born: 1, Limited: true, PerSecond: perSecond, AnnouncedAt: start}
+					for range vms {
+						s.start(start)
+					}
+					for i := range steps {
+						now := start.Add(time.Duration(i) * stepTime)
+						if changes && i%75 == 74 {
+							s.change(now)
+						}
+						s.step(now, i%13 == 0)
+					}
+					allowed := int(limitOverage*perSecond*limitWindow.Seconds()) + limitSlack
+					if most := s.most(); most > allowed {
+						t.Errorf("%d requests in %v, allowed %d", most, limitWindow, allowed)
+					}
+					if used := float64(len(s.arrivals)); !changes && used < 0.6*perSecond*steps*stepTime.Seconds() {
+						t.Errorf("only %v requests in %v", used, steps*stepTime)
+					}
+				})
+			}
+		}
+	}
+}
+
+// change starts a VM, ends one or separates some from the others.
+func (s *limitSimulation) change(now time.Time) {
+	switch i := s.random.IntN(len(s.vms)); s.random.IntN(4) {
+	case 0:
+		s.start(now)
+	case 1:
+		if len(s.vms) > 1 {
+			s.vms = append(s.vms[:i], s.vms[i+1:]...)
+		}
+	case 2:
+		s.separated[s.vms[i].name] = true
+	case 3:
+		clear(s.separated)
+	}
+}
+
+// Guards against a rate limit that outlives its upstream, that is lost with a registration that lapses for a while, and that
+// holds for another upstream under the same id.
+func TestRateLimitBelongsToLifetime(t *testing.T) {
+	table := newTable(1, "p")
+	table.RecordRateLimit(RateLimit{Upstream: "u0", Born: 1, Limited: true, AnnouncedAt: start})
+	e := Registration{ID: "u0", Service: "p", FailureDomain: "a", Slots: 64, Born: 1}
+	if _, ok := table.Pick(start, Request{Service: plain}); ok {
+		t.Error("a request at once although all VMs have just learned of the limit")
+	}
+	table.Remove("u0")
+	table.Put(start, e, 0)
+	if !table.IsRateLimited("u0") {
+		t.Error("the limit is forgotten after the registration lapsed")
+	}
+	e.Born = 2
+	table.Put(start, e, 0)
+	if _, ok := table.Pick(start, Request{Service: plain}); !ok || table.IsRateLimited("u0") {
+		t.Error("the limit holds for the next lifetime")
+	}
+}
--- a/replica/table.go
+++ b/replica/table.go
@@ -23,7 +23,7 @@
 	evacuated  map[string]bool
 	partCounts popularity
 	// rateLimits holds the rate limits that upstreams have announced, by id.
-	rateLimits map[string]*RateLimit
+	rateLimits map[string]*rateLimit
 	// changedUses holds the ids of upstreams at which this VM's use has changed since it was last reported to
 	// other VMs.
 	changedUses map[string]bool
@@ -47,7 +47,7 @@
 		byService:   map[string][]*upstreamState{},
 		evacuated:   map[string]bool{},
 		changedUses: map[string]bool{},
-		rateLimits:  map[string]*RateLimit{},
+		rateLimits:  map[string]*rateLimit{},
 		partCounts:  popularity{counts: map[uint64]float64{}},
 		vmCount:     1,
 	}
