edge: share the rate limits that upstreams announce among the VMs of a region

A VM knew of a limit only from answers to itself. One without a share of a low limit would never learn that it ended, and one that started or whose requests had gone elsewhere would exceed it until its first answer.

The VM that is answered tells the VMs of its region: changes at once, repetitions at most once a second over all VMs, since a message may be dropped; sessions begin with what is known. The later announcement holds, by its age. The message is a new kind, which VMs without it ignore, so Protocol stays 6.

TestLatestRateLimitHolds covers the order of messages.

--- a/edge/new.go
+++ b/edge/new.go
@@ -81,7 +81,7 @@
 	e.Fleet.OnCollecting = e.setCollecting
 	e.Fleet.OnPresence = e.ApplyPresence
 	e.Fleet.OnControl = e.HandleControl
-	e.Fleet.OnSession = e.sendSuspects
+	e.Fleet.OnSession = e.sendKnowledge
 	return e, nil
 }
 
--- a/edge/parts.go
+++ b/edge/parts.go
@@ -181,6 +181,12 @@
 	suspectBatchInterval = 20 * time.Millisecond
 )
 
+// sendKnowledge sends a VM with which a session has opened what it must know before it sends requests to upstreams.
+func (e *Edge) sendKnowledge(s *vm.Session) {
+	e.sendRateLimits(s)
+	e.sendSuspects(s)
+}
+
 // sendSuspects sends the suspected prompt parts and requests to a VM with which a session has opened.
 func (e *Edge) sendSuspects(s *vm.Session) {
 	for _, report := range e.Parts.Export(e.Now()) {
--- a/edge/ratelimit_test.go
+++ b/edge/ratelimit_test.go
@@ -49,6 +49,12 @@
 	rw.Header().Set(platform.HeaderServerStamp, "stamp-"+u.id)
 }
 
+func (u *limitedUpstream) setLimit(limit string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.limit = limit
+}
+
 // arrivalsSince returns the times of the requests that arrived after a time.
 func (u *limitedUpstream) arrivalsSince(since time.Time) []time.Time {
 	u.mu.Lock()
@@ -171,3 +177,30 @@
 		t.Errorf("the upstream without a limit got %d requests", n)
 	}
 }
+
+// isLimited reports whether a VM knows a rate limit of an upstream.
+func (v *testVM) isLimited(id string) bool { return v.Replicas.IsRateLimited(id) }
+
+// Guards against VMs that do not know a rate limit or its end because the upstream answered others: one without a share would
+// never send to it again, one that starts or was cut off would exceed the limit.
+func TestVMsShareAnnouncedLimits(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t, "north")
+	w.publishConfig(1, routeJSON("a", "safe", "plain", ""))
+	first := w.startVM("vm0", "north", true)
+	w.startVM("vm1", "north", true)
+	w.waitForMembership()
+	u := w.addLimitedUpstream("u1", "north", "5")
+	w.waitForUpstreams(1)
+	first.call(t, "/a/", "x", nil)
+	w.startVM("vm2", "north", true)
+	for _, v := range w.vms {
+		w.waitFor(v.Settings.Name+" knows the limit", func() bool { return v.isLimited("u1") })
+	}
+	u.setLimit("")
+	l := startLoad(t, "/a/", 50*time.Millisecond, first)
+	for _, v := range w.vms {
+		w.waitFor(v.Settings.Name+" knows the end of the limit", func() bool { return !v.isLimited("u1") })
+	}
+	l.stop()
+}
--- a/edge/storeread.go
+++ b/edge/storeread.go
@@ -188,6 +188,11 @@
 		if err = vm.Decode(f, &m); err == nil && s.Peer.Region == e.Settings.Region {
 			e.receiveUses(e.Now(), s.Peer, &m)
 		}
+	case vmwire.KindUpstreamLimits:
+		var m vmwire.UpstreamLimits
+		if err = vm.Decode(f, &m); err == nil && s.Peer.Region == e.Settings.Region {
+			e.receiveRateLimits(e.Now(), s.Peer, &m)
+		}
 	case vmwire.KindStoreReply:
 		var m vmwire.StoreReply
 		if err = vm.Decode(f, &m); err == nil {
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -223,3 +223,12 @@
 		}
 	}
 }
+
+// BroadcastLimits sends the rate limits of upstreams to all VMs of this region.
+func (f *Fleet) BroadcastLimits(limits *vmwire.UpstreamLimits) {
+	for _, s := range f.allSessions() {
+		if !f.remote(s) {
+			s.SendControl(vmwire.KindUpstreamLimits, limits)
+		}
+	}
+}
--- a/replica/ratelimit.go
+++ b/replica/ratelimit.go
@@ -21,6 +21,11 @@
 	// ended. A VM without a share then sends a request at minLimitedRate; limitConfirmationStep is the time between two VMs.
 	limitConfirmation     = 30 * time.Second
 	limitConfirmationStep = time.Second
+	// limitReportInterval is the interval at which the VMs repeat what an upstream announces, since a message may be lost.
+	limitReportInterval = time.Second
+	// limitRetention is the time for which the end of a limit is repeated, and the limit of an upstream kept that is not
+	// registered.
+	limitRetention = time.Minute
 )
 
 // RateLimit is what the latest known answer of an upstream says about the requests that it accepts.
@@ -47,30 +52,90 @@
 	// tokens is the number of requests that this VM may send at refilledAt.
 	tokens     float64
 	refilledAt time.Time
+	// endedAt is the time of the first answer after the latest limit.
+	endedAt time.Time
+	// reportedAt is the time of the latest message between this VM and others about the limit.
+	reportedAt time.Time
 }
 
-// RecordRateLimit records an announcement. It reports whether it differs from the previous one.
-func (t *Table) RecordRateLimit(l RateLimit) (changed bool) {
+// RecordRateLimit records what an upstream announced in an answer to this VM. It reports whether it differs from the previous
+// announcement, and whether the other VMs of the region must learn of it now.
+func (t *Table) RecordRateLimit(l RateLimit) (changed, report bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.recordRateLimit(l)
+	changed = t.recordRateLimit(l)
+	s := t.rateLimits[l.Upstream]
+	if s == nil || !changed && l.AnnouncedAt.Sub(s.reportedAt) < limitReportInterval {
+		return changed, false
+	}
+	s.reportedAt = l.AnnouncedAt
+	return changed, true
+}
+
+// MergeRateLimit records what an upstream announced to another VM, unless a later announcement is known. It reports whether it
+// differs from the previous one.
+func (t *Table) MergeRateLimit(now time.Time, l RateLimit) (changed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.rateLimits[l.Upstream]; s != nil {
+		if l.Born < s.Born || l.Born == s.Born && !l.AnnouncedAt.After(s.AnnouncedAt) {
+			return false
+		}
+	}
+	changed = t.recordRateLimit(l)
+	if s := t.rateLimits[l.Upstream]; s != nil {
+		s.reportedAt = now
+	}
+	return changed
 }
 
+// recordRateLimit replaces the announcement of an upstream. Ended limits are forgotten after limitRetention.
 func (t *Table) recordRateLimit(l RateLimit) (changed bool) {
 	s := t.rateLimits[l.Upstream]
-	if s == nil || s.Born != l.Born {
+	switch {
+	case s == nil || s.Born != l.Born:
+		delete(t.rateLimits, l.Upstream)
 		if !l.Limited {
 			return false
 		}
+		t.forgetRateLimits(l.AnnouncedAt)
 		// The bucket starts empty, since all VMs learn of the limit at about the same time.
 		t.rateLimits[l.Upstream] = &rateLimit{RateLimit: l, refilledAt: l.AnnouncedAt}
 		return true
+	case !s.Limited && !l.Limited:
+		if l.AnnouncedAt.Sub(s.endedAt) > limitRetention {
+			delete(t.rateLimits, l.Upstream)
+		}
+		s.AnnouncedAt = l.AnnouncedAt
+		return false
+	case s.Limited && !l.Limited:
+		s.endedAt = l.AnnouncedAt
 	}
 	changed = !s.sameLimit(l)
 	s.RateLimit = l
 	return changed
 }
 
+// forgetRateLimits drops the limits of upstreams that are not registered any more. A registration may lapse for a while.
+func (t *Table) forgetRateLimits(now time.Time) {
+	for id, s := range t.rateLimits {
+		if t.upstreams[id] == nil && now.Sub(s.AnnouncedAt) > limitRetention {
+			delete(t.rateLimits, id)
+		}
+	}
+}
+
+// RateLimits returns the known announcements.
+func (t *Table) RateLimits() []RateLimit {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	limits := make([]RateLimit, 0, len(t.rateLimits))
+	for _, s := range t.rateLimits {
+		limits = append(limits, s.RateLimit)
+	}
+	return limits
+}
+
 // IsRateLimited reports whether an upstream has announced a limit.
 func (t *Table) IsRateLimited(id string) bool {
 	t.mu.Lock()
--- a/replica/ratelimit_test.go
+++ b/replica/ratelimit_test.go
@@ -175,3 +175,33 @@
 		t.Error("the limit holds for the next lifetime")
 	}
 }
+
+// Guards against an older announcement that replaces a later one because its message was slow, and against messages that repeat
+// each answer.
+func TestLatestRateLimitHolds(t *testing.T) {
+	table := newTable(1, "p")
+	at := func(ms int, limited bool) RateLimit {
+		return RateLimit{Upstream: "u0", Born: 1, Limited: limited, PerSecond: 2, AnnouncedAt: start.Add(time.Duration(ms) * time.Millisecond)}
+	}
+	if changed, report := table.RecordRateLimit(at(0, true)); !changed || !report {
+		t.Errorf("first announcement: changed %v, report %v", changed, report)
+	}
+	if changed, report := table.RecordRateLimit(at(10, true)); changed || report {
+		t.Errorf("repeated announcement: changed %v, report %v", changed, report)
+	}
+	if changed, report := table.RecordRateLimit(at(20, false)); !changed || !report {
+		t.Errorf("end: changed %v, report %v", changed, report)
+	}
+	if table.MergeRateLimit(start.Add(30*time.Millisecond), at(15, true)) || table.IsRateLimited("u0") {
+		t.Error("an older announcement of another VM replaces a later one")
+	}
+	if !table.MergeRateLimit(start.Add(50*time.Millisecond), at(40, true)) || !table.IsRateLimited("u0") {
+		t.Error("a later announcement of another VM is ignored")
+	}
+	if changed, report := table.RecordRateLimit(at(200, true)); changed || report {
+		t.Errorf("announcement after the report of another VM: changed %v, report %v", changed, report)
+	}
+	if _, report := table.RecordRateLimit(at(1200, true)); !report {
+		t.Error("no repeated report")
+	}
+}
--- a/vmwire/kinds.go
+++ b/vmwire/kinds.go
@@ -26,6 +26,7 @@
 	KindUpstreamLoads
 	KindUpstreamSums
 	KindPartReport
+	KindUpstreamLimits
 	kindEnd
 )
 
@@ -40,4 +41,5 @@
 	KindSuspectRequest: "suspectRequest", KindHandover: "handover", KindHandoverRequest: "handoverRequest", KindPing: "ping",
 	KindPresence: "presence", KindStoreQuery: "storeQuery", KindStoreReply: "storeReply",
 	KindUpstreamLoads: "upstreamLoads", KindUpstreamSums: "upstreamSums", KindPartReport: "partReport",
+	KindUpstreamLimits: "upstreamLimits",
 }
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -16,7 +16,7 @@
 //msgp:tuple Frame Hello Open Chunk End Window Heartbeat HeartbeatAck SlotView IngressVM ConfigRequest ConfigParts Part
 //msgp:tuple Load UpstreamLoad ModelWait Summary PoolSummary TokenRequest TokenGrant SuspectRequest Handover HandoverRequest HandoverRecord
 //msgp:tuple Presence WorkspaceUsage UpstreamLoads SenderLoad UpstreamSums UpstreamSum ServiceWait KnownVM StoreItem StoreQuery StoreReply
-//msgp:tuple PartReport PartCrash PartCompletion UpstreamAnswer
+//msgp:tuple PartReport PartCrash PartCompletion UpstreamAnswer UpstreamLimits UpstreamLimit
 
 // Frame is the envelope of every message.
 type Frame struct {
@@ -485,3 +485,21 @@
 	// AgeMillis is the time since the answered request was sent, in milliseconds.
 	AgeMillis int64
 }
+
+// UpstreamLimits shares the rate limits that upstreams have announced among the VMs of their region.
+type UpstreamLimits struct {
+	Limits []UpstreamLimit
+}
+
+// UpstreamLimit is what the latest known answer of an upstream says about its rate limit.
+type UpstreamLimit struct {
+	Upstream string
+	// Born is the start time of the upstream in Unix milliseconds.
+	Born int64
+	// Limited is false if the answer announces no limit.
+	Limited bool
+	// PerSecond is the limit in requests per second.
+	PerSecond float64
+	// AgeMillis is the time since the answer arrived, in milliseconds.
+	AgeMillis int64
+}
--- a/vmwire/schema_gen.go
+++ b/vmwire/schema_gen.go
@@ -6454,6 +6454,271 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *UpstreamLimit) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Upstream, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Upstream")
+		return
+	}
+	z.Born, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "Born")
+		return
+	}
+	z.Limited, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Limited")
+		return
+	}
+	z.PerSecond, err = dc.ReadFloat64()
+	if err != nil {
+		err = msgp.WrapError(err, "PerSecond")
+		return
+	}
+	z.AgeMillis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *UpstreamLimit) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 5
+	err = en.Append(0x95)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Upstream)
+	if err != nil {
+		err = msgp.WrapError(err, "Upstream")
+		return
+	}
+	err = en.WriteInt64(z.Born)
+	if err != nil {
+		err = msgp.WrapError(err, "Born")
+		return
+	}
+	err = en.WriteBool(z.Limited)
+	if err != nil {
+		err = msgp.WrapError(err, "Limited")
+		return
+	}
+	err = en.WriteFloat64(z.PerSecond)
+	if err != nil {
+		err = msgp.WrapError(err, "PerSecond")
+		return
+	}
+	err = en.WriteInt64(z.AgeMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *UpstreamLimit) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 5
+	o = append(o, 0x95)
+	o = msgp.AppendString(o, z.Upstream)
+	o = msgp.AppendInt64(o, z.Born)
+	o = msgp.AppendBool(o, z.Limited)
+	o = msgp.AppendFloat64(o, z.PerSecond)
+	o = msgp.AppendInt64(o, z.AgeMillis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *UpstreamLimit) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Upstream, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Upstream")
+		return
+	}
+	z.Born, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Born")
+		return
+	}
+	z.Limited, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Limited")
+		return
+	}
+	z.PerSecond, bts, err = msgp.ReadFloat64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "PerSecond")
+		return
+	}
+	z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *UpstreamLimit) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Upstream) + msgp.Int64Size + msgp.BoolSize + msgp.Float64Size + msgp.Int64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *UpstreamLimits) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Limits")
+		return
+	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Limits) >= int(zb0002) {
+		z.Limits = (z.Limits)[:zb0002]
+	} else {
+		z.Limits = make([]UpstreamLimit, zb0002)
+	}
+	for za0001 := range z.Limits {
+		err = z.Limits[za0001].DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Limits", za0001)
+			return
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *UpstreamLimits) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 1
+	err = en.Append(0x91)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Limits)))
+	if err != nil {
+		err = msgp.WrapError(err, "Limits")
+		return
+	}
+	for za0001 := range z.Limits {
+		err = z.Limits[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Limits", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *UpstreamLimits) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Limits)))
+	for za0001 := range z.Limits {
+		o, err = z.Limits[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Limits", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *UpstreamLimits) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Limits")
+		return
+	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Limits) >= int(zb0002) {
+		z.Limits = (z.Limits)[:zb0002]
+	} else {
+		z.Limits = make([]UpstreamLimit, zb0002)
+	}
+	for za0001 := range z.Limits {
+		bts, err = z.Limits[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Limits", za0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *UpstreamLimits) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize
+	for za0001 := range z.Limits {
+		s += z.Limits[za0001].Msgsize()
+	}
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *UpstreamLoad) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
