fleet: keep the shares of lost VMs for ten minutes

What could be seen: VMs of a region that had not received anything from each other for a minute each took the whole bound of an upstream (rate limit, cold upstream, connections), although all of them still reached it.

A VM that leaves says so, and its share is free after a minute as before. One that is lost without a word may be cut off, and counts for ten minutes now. A crashed VM that does not return under its name costs the others its share for that time.

Before: TestLostVMsKeepTheirShares, 1 sharer after five minutes. After: 2, and the one that left is not counted.

--- a/fleet/member.go
+++ b/fleet/member.go
@@ -47,8 +47,9 @@
 	// dialFailureCooldown is the time for which a VM of another region is not preferred after a failed dial.
 	dialFailureCooldown = 2 * time.Second
 	// memberRetention is the time after the latest presence for which a VM still counts as a sharer of the bounds of
-	// upstreams.
-	memberRetention = 60 * time.Second
+	// upstreams, since it may only be cut off from this one. leftRetention is the same for a VM that was leaving.
+	memberRetention = 10 * time.Minute
+	leftRetention   = time.Minute
 	// redialInterval is the minimum time between two attempts to dial a VM.
 	redialInterval = 300 * time.Millisecond
 	// maxRemotePresenceTicks is the largest number of ticks between two presences to another region, which divide the
@@ -106,6 +107,14 @@
 	return now.Sub(m.LastPresenceAt) <= m.timeout()
 }
 
+// sharesBounds reports whether the VM counts as a sharer of the bounds of upstreams.
+func (m *Member) sharesBounds(now time.Time) bool {
+	if m.Leaving {
+		return now.Sub(m.LastPresenceAt) <= leftRetention
+	}
+	return now.Sub(m.LastPresenceAt) <= memberRetention
+}
+
 // timeout returns the time after the latest presence for which a VM of this region counts as alive.
 func (m *Member) timeout() time.Duration {
 	return max(livenessTimeout, livenessIntervals*m.PresenceInterval+tick)
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -66,7 +66,7 @@
 	defer f.mu.Unlock()
 	names := []string{f.Endpoint.Self.Slot}
 	for slot, m := range f.members {
-		if now.Sub(m.LastPresenceAt) > memberRetention {
+		if !m.sharesBounds(now) {
 			delete(f.members, slot)
 			continue
 		}
@@ -93,7 +93,7 @@
 	defer f.mu.Unlock()
 	n := 1
 	for _, m := range f.members {
-		if !m.remote && now.Sub(m.LastPresenceAt) <= memberRetention {
+		if !m.remote && m.sharesBounds(now) {
 			n++
 		}
 	}
--- a/fleet/view_test.go
+++ b/fleet/view_test.go
@@ -91,3 +91,19 @@
 		t.Errorf("%d sharers after a listed VM was not seen again, want 2", n)
 	}
 }
+
+// Guards against VMs that each take the whole bound of an upstream because they have not received anything from each other for
+// minutes, and against VMs that have left and still hold a share.
+func TestLostVMsKeepTheirShares(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := New(now, &vm.Endpoint{Self: vm.Identity{Slot: "a", Region: "north"}}, "address-a", "callers", nil)
+	f.members["lost"] = &Member{Identity: vm.Identity{Slot: "lost", Region: "north"}, LastPresenceAt: now, Ready: true}
+	f.members["left"] = &Member{Identity: vm.Identity{Slot: "left", Region: "north"}, LastPresenceAt: now, Leaving: true}
+	later := now.Add(5 * time.Minute)
+	if n := f.SameRegionCount(later); n != 2 {
+		t.Errorf("%d sharers after a cut of five minutes, want 2", n)
+	}
+	if slots := f.SameRegionSlots(later); !slices.Equal(slots, []string{"a", "lost"}) {
+		t.Errorf("sharers after a cut of five minutes %v", slots)
+	}
+}
--- a/replica/ratelimit_test.go
+++ b/replica/ratelimit_test.go
@@ -24,12 +24,12 @@
 	lastSeenAt map[string]time.Time
 }
 
-// updateSharers sets the VMs among which the table divides bounds, as a VM does that keeps lost VMs for a minute and assumes
+// updateSharers sets the VMs among which the table divides bounds, as a VM does that keeps lost VMs for ten minutes and assumes
 // more of them than it knows after its start.
 func (v *simulatedVM) updateSharers(now time.Time) {
 	names := []string{v.name}
 	for name, at := range v.lastSeenAt {
-		if now.Sub(at) <= time.Minute {
+		if now.Sub(at) <= 10*time.Minute {
 			names = append(names, name)
 		}
 	}
