edge: report waits without upstreams that have a rate limit

Found by reading for LIMIT. Such an upstream is idle because few requests are sent to it, and its wait was the one reported.

The wait of a region leaves such upstreams out now, unless it has no other.

--- a/edge/presence.go
+++ b/edge/presence.go
@@ -71,11 +71,18 @@
 }
 
 // expectedWaits returns the expected times to the first token of an empty prompt, in milliseconds by rank. It is
-// empty if no upstream of the region is usable.
+// empty if no upstream of the region is usable. An upstream with a rate limit looks idle, but accepts few requests: it counts only
+// if there is no other.
 func (e *Edge) expectedWaits(now time.Time, s *route.Service) []int32 {
 	var expectedWaits []int32
 	for rank := range replica.RankCount {
-		if pick, ok := e.Replicas.Estimate(now, replica.Request{Service: s, Rank: rank}); ok {
+		q := replica.Request{Service: s, Rank: rank, SkipLimited: true}
+		pick, ok := e.Replicas.Estimate(now, q)
+		if !ok {
+			q.SkipLimited = false
+			pick, ok = e.Replicas.Estimate(now, q)
+		}
+		if ok {
 			expectedWaits = append(expectedWaits, int32(pick.Wait.Milliseconds()))
 		}
 	}
--- a/edge/ratelimit_test.go
+++ b/edge/ratelimit_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"parsleyhatch/platform"
+	"parsleyhatch/replica"
 )
 
 const (
@@ -204,3 +205,22 @@
 	}
 	l.stop()
 }
+
+// Guards against other regions that send their requests to a region because an upstream there that accepts few requests is idle.
+func TestReportedWaitLeavesOutLimitedUpstreams(t *testing.T) {
+	w := newTestCluster(t, "north")
+	w.publishConfig(1, routeJSON("a", "safe", "plain", ""))
+	v := w.startVM("vm0", "north", true)
+	w.addLimitedUpstream("limited", "north", "1000")
+	w.addLimitedUpstream("busy", "north", "")
+	w.waitForUpstreams(2)
+	v.Replicas.SetPeerUse(v.Now(), "other", map[string]replica.Use{"busy": {Running: 20}})
+	v.Replicas.RecordRateLimit(replica.RateLimit{Upstream: "limited", Born: 1, Limited: true, PerSecond: 1000, AnnouncedAt: v.Now().Add(-time.Second)})
+	service := v.table().Service("plain")
+	if waits := v.expectedWaits(v.Now(), service); len(waits) == 0 || waits[0] < 400 {
+		t.Errorf("reported waits %v ms, want that of the upstream without a limit, which is busy", waits)
+	}
+	w.store.Remove(platform.UpstreamPrefix + "busy")
+	w.waitFor("the busy upstream is gone", func() bool { return v.knowsUpstreams("plain", 1) })
+	w.waitFor("a VM that knows only a limited upstream reports a wait", func() bool { return len(v.expectedWaits(v.Now(), service)) > 0 })
+}
--- a/replica/choose.go
+++ b/replica/choose.go
@@ -29,6 +29,8 @@
 	// AllowAttempted is set and there is no other one.
 	Attempted      []string
 	AllowAttempted bool
+	// SkipLimited leaves out upstreams that have announced a rate limit.
+	SkipLimited bool
 }
 
 // Pick is a chosen upstream with the estimates that led to the choice.
@@ -141,6 +143,9 @@
 			return false
 		}
 	}
+	if q.SkipLimited && t.isRateLimited(r) {
+		return false
+	}
 	if q.Service.WarmUpRate > 0 && r.isCold(now) && !r.hasColdCapacity(now, t.coldQuota(r, q.Service)) {
 		return false
 	}
