source: read the era of the store and log restores

The header Store-Era is read with each answer, and line 1908 shows a higher era with the revisions before and after it. Nothing decides by it yet.

--- a/event/edge.go
+++ b/event/edge.go
@@ -10,6 +10,7 @@
 	UpstreamUnregistered  = New(1904, slog.LevelInfo, "upstream no longer registered", "none")
 	UpstreamInvalid       = New(1905, slog.LevelWarn, "upstream registration invalid; upstream not used", "Correct the registration at its writer.")
 	DomainEvacuated       = New(1906, slog.LevelInfo, "failure domain evacuated", "none")
+	StoreRestored         = New(1908, slog.LevelWarn, "store restored from a copy; its state is read again", "Check that the latest configuration was written again.")
 	UpstreamLimited       = New(1922, slog.LevelWarn, "upstream announced a rate limit", "Check the upstream: it names the requests per second that it still accepts from all VMs.")
 	UpstreamLimitEnded    = New(1923, slog.LevelInfo, "upstream announced the end of its rate limit", "none")
 	UpstreamLimitInvalid  = New(1924, slog.LevelWarn, "upstream announced an invalid rate limit; the last valid one stays in force", "Correct the header at the upstream.")
--- a/source/source.go
+++ b/source/source.go
@@ -73,6 +73,8 @@
 	// revision; otherwise the next read fetches all items.
 	revision uint64
 	synced   bool
+	// era is the era of the store to which revision belongs.
+	era uint64
 	// storeReturnedAt is the time of the latest answer that ended a store outage, zero if there was none.
 	storeReturnedAt time.Time
 	evacuated       map[string]bool
@@ -171,6 +173,7 @@
 	}
 	noProgress := !r.Direct && s.synced && len(a.Events) == 0 && s.Now().Sub(a.KnownAt) > s.WatchTimeout
 	s.recordStoreReturn(a.StoreReturnedAt)
+	s.recordEra(a)
 	s.applyAnswer(a)
 	if noProgress {
 		return errNoProgress
@@ -178,6 +181,14 @@
 	return nil
 }
 
+// recordEra logs a restore of the store.
+func (s *Watcher) recordEra(a Answer) {
+	if s.registrationsLoaded.Load() && a.Era > s.era {
+		event.StoreRestored.Log(s.Log, "era", a.Era, "previousEra", s.era, "revision", a.Revision, "previousRevision", s.revision)
+	}
+	s.era = max(s.era, a.Era)
+}
+
 // applyAnswer applies an answer and adds it to the history for other VMs.
 func (s *Watcher) applyAnswer(a Answer) {
 	if !s.synced {
