--- a/standin/store.go
+++ b/standin/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"strconv"
 	"sync"
@@ -16,6 +17,14 @@
 	items    map[string]storeItem
 	changed  chan struct{}
 	down     bool
+	// era counts the restores.
+	era uint64
+}
+
+// StoreCopy is a copy of the state of a Store.
+type StoreCopy struct {
+	revision uint64
+	items    map[string]storeItem
 }
 
 type storeItem struct {
@@ -44,6 +53,22 @@
 	s.wake()
 }
 
+// Copy returns a copy of the state.
+func (s *Store) Copy() StoreCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return StoreCopy{revision: s.revision, items: maps.Clone(s.items)}
+}
+
+// Restore replaces the state by a copy and begins the next era. Revisions after that of the copy are given out again.
+func (s *Store) Restore(c StoreCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision, s.items = c.revision, maps.Clone(c.items)
+	s.era++
+	s.wake()
+}
+
 // SetDown makes the store refuse all calls, or answer them again.
 func (s *Store) SetDown(down bool) {
 	s.mu.Lock()
@@ -74,9 +99,10 @@
 		list = "events"
 	}
 	for {
-		page, changed, down := s.since(after, watch)
-		if down {
-			w.WriteHeader(http.StatusServiceUnavailable)
+		page, changed, status := s.since(after, watch)
+		if status != http.StatusOK {
+			s.setEra(w.Header())
+			w.WriteHeader(status)
 			return
 		}
 		if !watch || len(page) > 0 {
@@ -94,16 +120,31 @@
 	}
 }
 
+func (s *Store) setEra(h http.Header) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h.Set("Store-Era", strconv.FormatUint(s.era, 10))
+}
+
 func (s *Store) answer(w http.ResponseWriter, list string, page []map[string]any) {
+	s.setEra(w.Header())
 	s.mu.Lock()
 	at := s.revision
 	s.mu.Unlock()
 	_ = json.NewEncoder(w).Encode(map[string]any{list: page, "has_more": false, "at": at}) // The caller may have left.
 }
 
-func (s *Store) since(after uint64, watch bool) ([]map[string]any, chan struct{}, bool) {
+// since returns the changes after a revision, or the status of the answer if there are none to return: the store is down, or
+// does not have the revision, as after a restore.
+func (s *Store) since(after uint64, watch bool) ([]map[string]any, chan struct{}, int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.down {
+		return nil, nil, http.StatusServiceUnavailable
+	}
+	if after > s.revision {
+		return nil, nil, http.StatusGone
+	}
 	var page []map[string]any
 	for key, item := range s.items {
 		switch {
@@ -114,5 +155,5 @@
 			page = append(page, map[string]any{"key": key, "revision": item.revision, "value": []byte(item.value)})
 		}
 	}
-	return page, s.changed, s.down
+	return page, s.changed, http.StatusOK
 }
