source: watch revisions within an era of the store only

Cause: the VMs watched from the revision that they knew. The store had given it out again by then, so that it did not answer 410, and what it had written up to there was never read. A VM that reads through another one asks for the changes after such a revision as well.

A position is an era and a revision now, in watches, in the history for other VMs and in the messages between them (Protocol 7). An answer of a later era is not applied, and everything is read again; one of an earlier era is an error, so that the next reader is asked. Pages of one range are of one era.

TestRestoredStoreIsReadAgain, TestRestoreBetweenPages and TestWatchOfAnotherEra cover the parts.

--- a/edge/storeread.go
+++ b/edge/storeread.go
@@ -59,8 +59,8 @@
 	return a, err
 }
 
-func (e *Edge) watchThroughVM(ctx context.Context, after uint64, wait time.Duration) (source.Answer, error) {
-	return e.askReader(ctx, vmwire.StoreQuery{After: after, WaitMillis: wait.Milliseconds()})
+func (e *Edge) watchThroughVM(ctx context.Context, after source.Position, wait time.Duration) (source.Answer, error) {
+	return e.askReader(ctx, vmwire.StoreQuery{After: after.Revision, Era: after.Era, WaitMillis: wait.Milliseconds()})
 }
 
 // askReader reads the store through a VM that reads it directly. The age of the answer is counted from the time
@@ -104,7 +104,7 @@
 		return source.Answer{}, fmt.Errorf("read store through vm %s: %w", name, source.ErrStateUnknown)
 	}
 	a := source.Answer{KnownAt: sentAt.Add(time.Duration(m.KnownMillis) * time.Millisecond)}
-	a.Revision = m.Revision
+	a.Era, a.Revision = m.Era, m.Revision
 	for _, item := range m.Items {
 		a.Events = append(a.Events, platform.Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted})
 	}
@@ -133,9 +133,9 @@
 	} else {
 		wait := min(time.Duration(m.WaitMillis)*time.Millisecond, 2*time.Second)
 		known := arrived.Add(time.Duration(m.KnownMillis) * time.Millisecond)
-		a, err = e.Watcher.History.Watch(ctx, m.After, known, wait)
+		a, err = e.Watcher.History.Watch(ctx, source.Position{Era: m.Era, Revision: m.After}, known, wait)
 	}
-	answer := &vmwire.StoreReply{ID: m.ID, Revision: a.Revision, ReturnedMillis: -1}
+	answer := &vmwire.StoreReply{ID: m.ID, Era: a.Era, Revision: a.Revision, ReturnedMillis: -1}
 	answer.KnownMillis = a.KnownAt.Sub(arrived).Milliseconds() - 1
 	if !a.StoreReturnedAt.IsZero() {
 		answer.ReturnedMillis = e.Now().Sub(a.StoreReturnedAt).Milliseconds()
--- a/source/history.go
+++ b/source/history.go
@@ -31,7 +31,7 @@
 	items             map[string]platform.Item
 	events            []platform.Item
 	compactedRevision uint64
-	revision          uint64
+	position          Position
 	knownAt           time.Time
 	storeReturnedAt   time.Time
 	changed           chan struct{}
@@ -57,10 +57,10 @@
 }
 
 // add applies an answer of the store and wakes watchers if it contains changes or makes the state known to be newer.
-func (h *History) add(a Answer, revision uint64, knownAt, storeReturnedAt time.Time) {
+func (h *History) add(a Answer, position Position, knownAt, storeReturnedAt time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if len(a.Items) > 0 || h.items == nil {
+	if len(a.Items) > 0 || h.items == nil || position.Era != h.position.Era {
 		h.items = make(map[string]platform.Item, len(a.Items))
 		for _, item := range a.Items {
 			h.items[item.Key] = item
@@ -80,7 +80,7 @@
 		h.events = append([]platform.Item(nil), h.events[surplus:]...)
 	}
 	newer := knownAt.After(h.knownAt)
-	h.revision, h.knownAt, h.storeReturnedAt = revision, knownAt, storeReturnedAt
+	h.position, h.knownAt, h.storeReturnedAt = position, knownAt, storeReturnedAt
 	if newer || len(a.Events)+len(a.Items) > 0 {
 		h.lost = false
 		h.wake()
@@ -103,9 +103,9 @@
 	return a, nil
 }
 
-// Watch returns the changes after a revision as soon as there are any. It returns an empty answer as soon as the state is known
+// Watch returns the changes after a position as soon as there are any. It returns an empty answer as soon as the state is known
 // to be newer than knownAt, what the asking VM knows, so that the reader's knowledge does not age here, or when wait has passed.
-func (h *History) Watch(ctx context.Context, after uint64, knownAt time.Time, wait time.Duration) (Answer, error) {
+func (h *History) Watch(ctx context.Context, after Position, knownAt time.Time, wait time.Duration) (Answer, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -124,14 +124,14 @@
 	}
 }
 
-// changesSince returns the changes after a revision, and a channel that is closed when there are more.
-func (h *History) changesSince(after uint64) (Answer, <-chan struct{}, error) {
+// changesSince returns the changes after a position, and a channel that is closed when there are more.
+func (h *History) changesSince(after Position) (Answer, <-chan struct{}, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	switch {
-	case h.items == nil || after > h.revision || h.lost:
+	case h.items == nil || h.lost || after.Era > h.position.Era || after.Era == h.position.Era && after.Revision > h.position.Revision:
 		return Answer{}, nil, ErrStateUnknown
-	case after < h.compactedRevision:
+	case after.Era < h.position.Era || after.Revision < h.compactedRevision:
 		return Answer{}, nil, platform.ErrCompacted
 	}
 	if h.changed == nil {
@@ -140,7 +140,7 @@
 	a := h.answer()
 	size := 0
 	for _, item := range h.events {
-		if item.Revision <= after {
+		if item.Revision <= after.Revision {
 			continue
 		}
 		if size += len(item.Key) + len(item.Value); size > maxAnswerBytes {
@@ -159,5 +159,5 @@
 }
 
 func (h *History) answer() Answer {
-	return Answer{Page: platform.Page{Revision: h.revision}, KnownAt: h.knownAt, StoreReturnedAt: h.storeReturnedAt}
+	return Answer{Page: platform.Page{Era: h.position.Era, Revision: h.position.Revision}, KnownAt: h.knownAt, StoreReturnedAt: h.storeReturnedAt}
 }
--- a/source/history_test.go
+++ b/source/history_test.go
@@ -19,10 +19,10 @@
 func startWatch(t *testing.T, knownAt time.Time) (*History, <-chan watchResult) {
 	t.Helper()
 	h := &History{}
-	h.add(Answer{Page: platform.Page{Revision: 5, Items: []platform.Item{{Key: "a", Revision: 5}}}}, 5, knownAt, time.Time{})
+	h.add(Answer{Page: platform.Page{Revision: 5, Items: []platform.Item{{Key: "a", Revision: 5}}}}, Position{Revision: 5}, knownAt, time.Time{})
 	result := make(chan watchResult, 1)
 	go func() {
-		a, err := h.Watch(context.Background(), 5, knownAt, time.Minute)
+		a, err := h.Watch(context.Background(), Position{Revision: 5}, knownAt, time.Minute)
 		result <- watchResult{a, err}
 	}()
 	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
@@ -53,7 +53,7 @@
 func TestWatchReturnsNewerKnowledge(t *testing.T) {
 	knownAt := time.Unix(1000, 0)
 	h, result := startWatch(t, knownAt)
-	h.add(Answer{}, 5, knownAt.Add(time.Second), time.Time{})
+	h.add(Answer{}, Position{Revision: 5}, knownAt.Add(time.Second), time.Time{})
 	if r := receive(t, result); r.err != nil || len(r.answer.Events) != 0 || !r.answer.KnownAt.Equal(knownAt.Add(time.Second)) {
 		t.Errorf("answer %+v, error %v", r.answer, r.err)
 	}
@@ -66,11 +66,11 @@
 	if r := receive(t, result); !errors.Is(r.err, ErrStateUnknown) {
 		t.Errorf("error %v, want %v", r.err, ErrStateUnknown)
 	}
-	if _, err := h.Watch(context.Background(), 5, time.Unix(1001, 0), 0); !errors.Is(err, ErrStateUnknown) {
+	if _, err := h.Watch(context.Background(), Position{Revision: 5}, time.Unix(1001, 0), 0); !errors.Is(err, ErrStateUnknown) {
 		t.Errorf("watch after the loss: error %v, want %v", err, ErrStateUnknown)
 	}
-	h.add(Answer{}, 5, time.Unix(1001, 0), time.Time{})
-	if _, err := h.Watch(context.Background(), 5, time.Unix(1001, 0), 0); err != nil {
+	h.add(Answer{}, Position{Revision: 5}, time.Unix(1001, 0), time.Time{})
+	if _, err := h.Watch(context.Background(), Position{Revision: 5}, time.Unix(1001, 0), 0); err != nil {
 		t.Errorf("watch after newer knowledge arrived: %v", err)
 	}
 }
@@ -79,10 +79,10 @@
 func TestWatchReturnsWhatReaderKnows(t *testing.T) {
 	knownAt := time.Unix(1000, 0)
 	h := &History{}
-	h.add(Answer{Page: platform.Page{Revision: 5, Items: []platform.Item{{Key: "a", Revision: 5}}}}, 5, knownAt, time.Time{})
+	h.add(Answer{Page: platform.Page{Revision: 5, Items: []platform.Item{{Key: "a", Revision: 5}}}}, Position{Revision: 5}, knownAt, time.Time{})
 	result := make(chan watchResult, 1)
 	go func() {
-		a, err := h.Watch(context.Background(), 5, knownAt.Add(-time.Second), time.Minute)
+		a, err := h.Watch(context.Background(), Position{Revision: 5}, knownAt.Add(-time.Second), time.Minute)
 		result <- watchResult{a, err}
 	}()
 	if r := receive(t, result); r.err != nil || !r.answer.KnownAt.Equal(knownAt) {
@@ -95,8 +95,24 @@
 func TestWatchFailsOnOversizedChange(t *testing.T) {
 	h, result := startWatch(t, time.Unix(1000, 0))
 	item := platform.Item{Key: "config", Value: make([]byte, 500_000), Revision: 6}
-	h.add(Answer{Page: platform.Page{Revision: 6, Events: []platform.Item{item}}}, 6, time.Unix(1001, 0), time.Time{})
+	h.add(Answer{Page: platform.Page{Revision: 6, Events: []platform.Item{item}}}, Position{Revision: 6}, time.Unix(1001, 0), time.Time{})
 	if r := receive(t, result); !errors.Is(r.err, ErrStateUnknown) {
 		t.Errorf("answer with %d changes, error %v, want %v", len(r.answer.Events), r.err, ErrStateUnknown)
 	}
 }
+
+// Guards against VMs that miss the changes of a restored store because they ask another VM for those after a revision of the era
+// before, or that go back to that era.
+func TestWatchOfAnotherEra(t *testing.T) {
+	h := &History{}
+	h.add(Answer{Page: platform.Page{Items: []platform.Item{{Key: "a", Revision: 5}}}}, Position{Era: 2, Revision: 9}, time.Unix(1000, 0), time.Time{})
+	for era, want := range map[uint64]error{1: platform.ErrCompacted, 2: nil, 3: ErrStateUnknown} {
+		if _, err := h.Watch(context.Background(), Position{Era: era, Revision: 9}, time.Time{}, time.Minute); !errors.Is(err, want) {
+			t.Errorf("watch of era %d: %v, want %v", era, err, want)
+		}
+	}
+	h.add(Answer{}, Position{Era: 3, Revision: 0}, time.Unix(1001, 0), time.Time{})
+	if a, err := h.Range(); err != nil || len(a.Items) != 0 || a.Era != 3 {
+		t.Errorf("range of an empty store after a restore: %+v, %v", a, err)
+	}
+}
--- a/source/reader.go
+++ b/source/reader.go
@@ -16,14 +16,22 @@
 	StoreReturnedAt time.Time
 }
 
+// Position is a point in the history of the store. Revisions are unique within an era only: a store that was restored from a
+// copy gives out again what came after the copy.
+type Position struct {
+	Era      uint64
+	Revision uint64
+}
+
 // Reader reads the store, either directly or through another VM.
 type Reader struct {
 	// Direct is set if the calls go to the store itself.
 	Direct bool
 	// Range returns all items.
 	Range func(ctx context.Context) (Answer, error)
-	// Watch returns the changes after a revision as soon as there are any, or an empty answer when wait has passed.
-	Watch func(ctx context.Context, after uint64, wait time.Duration) (Answer, error)
+	// Watch returns the changes after a position as soon as there are any, or an empty answer when wait has passed. An answer
+	// of another era says nothing about the changes after the position.
+	Watch func(ctx context.Context, after Position, wait time.Duration) (Answer, error)
 }
 
 // DirectReader returns a Reader that reads the store directly.
@@ -35,9 +43,9 @@
 			page, err := store.Range(ctx, "")
 			return Answer{Page: page, KnownAt: sent}, err
 		},
-		Watch: func(ctx context.Context, after uint64, wait time.Duration) (Answer, error) {
+		Watch: func(ctx context.Context, after Position, wait time.Duration) (Answer, error) {
 			knownAt := now()
-			page, err := store.Watch(ctx, "", after, wait)
+			page, err := store.Watch(ctx, "", after.Revision, wait)
 			if len(page.Events) == 0 {
 				// An empty answer is sent only when wait has passed, so the state did not change until then.
 				knownAt = knownAt.Add(wait)
--- a/source/source.go
+++ b/source/source.go
@@ -70,11 +70,9 @@
 	down atomic.Bool
 
 	// The fields below are used only by the goroutine of Run. synced is set while changes are watched from
-	// revision; otherwise the next read fetches all items.
-	revision uint64
+	// position; otherwise the next read fetches all items.
+	position Position
 	synced   bool
-	// era is the era of the store to which revision belongs.
-	era uint64
 	// storeReturnedAt is the time of the latest answer that ended a store outage, zero if there was none.
 	storeReturnedAt time.Time
 	evacuated       map[string]bool
@@ -102,14 +100,14 @@
 	s.init()
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		began, revision := s.Now(), s.revision
+		began, position := s.Now(), s.position
 		if err := s.readOnce(ctx); err != nil {
 			sleep(ctx, backoff/2+rand.N(backoff))
 			backoff = min(2*backoff, maxBackoff)
 			continue
 		}
 		backoff = minBackoff
-		if s.revision != revision {
+		if s.position != position {
 			sleep(ctx, began.Add(minReadInterval).Sub(s.Now()))
 		}
 	}
@@ -149,13 +147,16 @@
 	}
 }
 
-// readFrom makes one call to a reader and applies its answer. If the watched revision was compacted, the next
-// call reads all items.
+// errEarlierEra means that a reader knows the store only as it was before it was restored.
+var errEarlierEra = errors.New("the reader's knowledge is from before a restore of the store")
+
+// readFrom makes one call to a reader and applies its answer. If the watched revision was compacted, or the store restored, the
+// next call reads all items.
 func (s *Watcher) readFrom(ctx context.Context, r Reader, afterFailure bool) error {
 	call := r.Range
 	if s.synced {
 		timeout := s.watchTimeout(r, afterFailure)
-		call = func(ctx context.Context) (Answer, error) { return r.Watch(ctx, s.revision, timeout) }
+		call = func(ctx context.Context) (Answer, error) { return r.Watch(ctx, s.position, timeout) }
 	}
 	a, err := call(ctx)
 	compacted := errors.Is(err, platform.ErrCompacted)
@@ -170,10 +171,14 @@
 		return nil
 	case err != nil:
 		return err
+	case a.Era < s.position.Era:
+		return errEarlierEra
+	case a.Era > s.position.Era && s.synced:
+		s.synced = false
+		return nil
 	}
 	noProgress := !r.Direct && s.synced && len(a.Events) == 0 && s.Now().Sub(a.KnownAt) > s.WatchTimeout
 	s.recordStoreReturn(a.StoreReturnedAt)
-	s.recordEra(a)
 	s.applyAnswer(a)
 	if noProgress {
 		return errNoProgress
@@ -181,26 +186,26 @@
 	return nil
 }
 
-// recordEra logs a restore of the store.
-func (s *Watcher) recordEra(a Answer) {
-	if s.registrationsLoaded.Load() && a.Era > s.era {
-		event.StoreRestored.Log(s.Log, "era", a.Era, "previousEra", s.era, "revision", a.Revision, "previousRevision", s.revision)
-	}
-	s.era = max(s.era, a.Era)
-}
-
 // applyAnswer applies an answer and adds it to the history for other VMs.
 func (s *Watcher) applyAnswer(a Answer) {
 	if !s.synced {
+		s.recordRestore(a.Page)
 		s.applyRange(a.Page)
 	}
 	for _, item := range a.Events {
 		s.applyItem(item)
 	}
-	s.revision = max(s.revision, a.Revision)
+	s.position.Revision = max(s.position.Revision, a.Revision)
 	s.removeExpired()
 	s.advanceFreshAt(a.KnownAt)
-	s.History.add(a, s.revision, s.FreshAt(), s.storeReturnedAt)
+	s.History.add(a, s.position, s.FreshAt(), s.storeReturnedAt)
+}
+
+// recordRestore logs a restore of the store that a range shows.
+func (s *Watcher) recordRestore(page platform.Page) {
+	if s.registrationsLoaded.Load() && page.Era > s.position.Era {
+		event.StoreRestored.Log(s.Log, "era", page.Era, "previousEra", s.position.Era, "revision", page.Revision, "previousRevision", s.position.Revision)
+	}
 }
 
 // recordStoreState records the result of a direct call, and logs when the store becomes unreachable or reachable.
@@ -210,11 +215,11 @@
 	}
 	if err != nil {
 		s.History.interrupt()
-		event.StoreDown.Log(s.Log, "error", err.Error(), "revision", s.revision)
+		event.StoreDown.Log(s.Log, "error", err.Error(), "revision", s.position.Revision)
 		return
 	}
 	s.recordStoreReturn(s.Now())
-	event.StoreReachable.Log(s.Log, "revision", s.revision)
+	event.StoreReachable.Log(s.Log, "revision", s.position.Revision)
 }
 
 func (s *Watcher) recordStoreReturn(at time.Time) {
@@ -258,7 +263,7 @@
 		}
 	}
 	s.removeExpired()
-	s.revision = page.Revision
+	s.position = Position{Era: page.Era, Revision: page.Revision}
 	s.synced = true
 	s.registrationsLoaded.Store(true)
 	s.Replicas.MarkLoaded()
--- a/source/source_test.go
+++ b/source/source_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/base64"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -17,7 +18,7 @@
 )
 
 // scriptedStore is a store that answers each call with the next text. An empty text is answered with status 503,
-// and "gone" with status 410. Calls fail when no text is left.
+// and "gone" with status 410. A text that begins with "era N " is the answer of an era. Calls fail when no text is left.
 type scriptedStore struct {
 	answers []string
 	calls   []string
@@ -30,6 +31,12 @@
 	}
 	text := s.answers[0]
 	s.answers = s.answers[1:]
+	header := http.Header{}
+	if rest, ok := strings.CutPrefix(text, "era "); ok {
+		era, body, _ := strings.Cut(rest, " ")
+		header.Set("Store-Era", era)
+		text = body
+	}
 	status := http.StatusOK
 	switch text {
 	case "":
@@ -37,7 +44,7 @@
 	case "gone":
 		status = http.StatusGone
 	}
-	return &http.Response{StatusCode: status, Body: io.NopCloser(strings.NewReader(text))}, nil
+	return &http.Response{StatusCode: status, Header: header, Body: io.NopCloser(strings.NewReader(text))}, nil
 }
 
 func itemJSON(key, value string, revision int) string {
@@ -198,3 +205,33 @@
 		t.Error("the upstream is not used after the evacuation ended")
 	}
 }
+
+// Guards against changes that are missed, or taken for changes after the known ones, because the store was restored and gives
+// out its revisions again.
+func TestRestoredStoreIsReadAgain(t *testing.T) {
+	ts := newSource(t,
+		"era 1 "+rangeJSON(20, configItem(7)),
+		"era 2 "+watchJSON(25, deletionJSON(platform.ConfigKey, 25)),
+		"era 2 "+rangeJSON(15, configItem(6)),
+		"era 2 "+watchJSON(16, configItem(8)),
+		"era 1 "+watchJSON(30, configItem(9)),
+	)
+	wants := []struct {
+		version  uint64
+		position Position
+	}{{7, Position{1, 20}}, {7, Position{1, 20}}, {7, Position{2, 15}}, {8, Position{2, 16}}, {8, Position{2, 16}}}
+	for i, want := range wants {
+		ts.readTimes(1)
+		if got := ts.Table().Config.Version; got != want.version || ts.position != want.position {
+			t.Errorf("after call %d: version %d at %+v, want %d at %+v", i, got, ts.position, want.version, want.position)
+		}
+	}
+}
+
+// Guards against items from before and after a restore that are taken for one state.
+func TestRestoreBetweenPages(t *testing.T) {
+	ts := newSource(t, "era 1 "+strings.Replace(rangeJSON(20, configItem(7)), `"at"`, `"has_more":true,"at"`, 1), "era 2 "+rangeJSON(15))
+	if err := ts.readOnce(context.Background()); !errors.Is(err, platform.ErrRestored) || ts.Table() != nil {
+		t.Errorf("error %v, configuration %v", err, ts.Table())
+	}
+}
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -4,7 +4,7 @@
 package vmwire
 
 // Protocol is the version of this schema. Sessions with VMs of another version are refused.
-const Protocol = 6
+const Protocol = 7
 
 // The limits bound what a decoder allocates for a length that a faulty peer announces. Without them, a
 // frame of 23 bytes made a VM allocate 128 GiB. The longest valid array is the list of parts of a
@@ -424,6 +424,8 @@
 	// KnownMillis is the time up to which the sender knows the state of the store, less the time of sending, in
 	// milliseconds. A VM that knows a newer state replies at once.
 	KnownMillis int64
+	// Era is the era of the store to which After belongs.
+	Era uint64
 }
 
 // Results of StoreQuery.
@@ -448,6 +450,8 @@
 	// ReturnedMillis is the time since the sender saw the store become reachable again, in milliseconds.
 	// It is negative if that never happened.
 	ReturnedMillis int64
+	// Era is the era of the store to which Revision belongs.
+	Era uint64
 }
 
 // PartReport shares what a VM knows about prompt parts that are suspected of crashing upstreams.
--- a/vmwire/schema_gen.go
+++ b/vmwire/schema_gen.go
@@ -5324,8 +5324,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.ID, err = dc.ReadUint64()
@@ -5348,13 +5348,18 @@
 		err = msgp.WrapError(err, "KnownMillis")
 		return
 	}
+	z.Era, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *StoreQuery) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 4
-	err = en.Append(0x94)
+	// array header, size 5
+	err = en.Append(0x95)
 	if err != nil {
 		return
 	}
@@ -5378,18 +5383,24 @@
 		err = msgp.WrapError(err, "KnownMillis")
 		return
 	}
+	err = en.WriteUint64(z.Era)
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *StoreQuery) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendUint64(o, z.ID)
 	o = msgp.AppendUint64(o, z.After)
 	o = msgp.AppendInt64(o, z.WaitMillis)
 	o = msgp.AppendInt64(o, z.KnownMillis)
+	o = msgp.AppendUint64(o, z.Era)
 	return
 }
 
@@ -5401,8 +5412,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
@@ -5425,13 +5436,18 @@
 		err = msgp.WrapError(err, "KnownMillis")
 		return
 	}
+	z.Era, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *StoreQuery) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Int64Size + msgp.Int64Size
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Int64Size + msgp.Int64Size + msgp.Uint64Size
 	return
 }
 
@@ -5447,8 +5463,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	z.ID, err = dc.ReadUint64()
@@ -5498,13 +5514,18 @@
 		err = msgp.WrapError(err, "ReturnedMillis")
 		return
 	}
+	z.Era, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *StoreReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 6
-	err = en.Append(0x96)
+	// array header, size 7
+	err = en.Append(0x97)
 	if err != nil {
 		return
 	}
@@ -5545,14 +5566,19 @@
 		err = msgp.WrapError(err, "ReturnedMillis")
 		return
 	}
+	err = en.WriteUint64(z.Era)
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *StoreReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 6
-	o = append(o, 0x96)
+	// array header, size 7
+	o = append(o, 0x97)
 	o = msgp.AppendUint64(o, z.ID)
 	o = msgp.AppendUint8(o, z.Result)
 	o = msgp.AppendUint64(o, z.Revision)
@@ -5566,6 +5592,7 @@
 	}
 	o = msgp.AppendInt64(o, z.KnownMillis)
 	o = msgp.AppendInt64(o, z.ReturnedMillis)
+	o = msgp.AppendUint64(o, z.Era)
 	return
 }
 
@@ -5577,8 +5604,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
@@ -5628,6 +5655,11 @@
 		err = msgp.WrapError(err, "ReturnedMillis")
 		return
 	}
+	z.Era, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
 	o = bts
 	return
 }
@@ -5638,7 +5670,7 @@
 	for za0001 := range z.Items {
 		s += z.Items[za0001].Msgsize()
 	}
-	s += msgp.Int64Size + msgp.Int64Size
+	s += msgp.Int64Size + msgp.Int64Size + msgp.Uint64Size
 	return
 }
 
