source: keep departures, registrations and evacuations over a restore of the store

What callers would see, found by reading and shown by tests: after a restore from a copy, requests go to upstreams that were leaving or gone before and are registered as ready in the copy (DRAIN, or lost requests); upstreams that registered after the copy was made are dropped at once, unless this VM saw the store away; the upstreams of an evacuated failure domain get requests until the operator writes the evacuation again (EVAC).

The end of a lifetime of an upstream is remembered for ten minutes. One that was leaving stays so; a registration of one that was gone counts once it is written again, or is still there 5 s after the restore, when those without an upstream have expired. A restore counts as a return of the store, so that missing registrations are kept for 2.2 s, and evacuations are kept for 5 s.

Before: TestRestoreKeepsUpstreamsOut usable in all three cases, TestRestoreKeepsLostItems 1 upstream of 2 and the evacuated domain in use, TestRestoreReturnsUpstreams. After: they pass, also under the race detector.

--- a/source/source.go
+++ b/source/source.go
@@ -81,6 +81,7 @@
 	// expired holds the IDs of upstreams whose registration is no longer in the store. They are removed unless
 	// reregisterGrace is running.
 	expired map[string]bool
+	restore restoreState
 }
 
 // Table returns the active configuration, or nil if there is none yet.
@@ -117,6 +118,7 @@
 	s.evacuated = map[string]bool{}
 	s.expired = map[string]bool{}
 	s.entries = map[string]replica.Registration{}
+	s.restore = newRestoreState()
 }
 
 // readOnce reads the store through the first reader that succeeds, and applies the answer.
@@ -197,17 +199,11 @@
 	}
 	s.position.Revision = max(s.position.Revision, a.Revision)
 	s.removeExpired()
+	s.settle()
 	s.advanceFreshAt(a.KnownAt)
 	s.History.add(a, s.position, s.FreshAt(), s.storeReturnedAt)
 }
 
-// recordRestore logs a restore of the store that a range shows.
-func (s *Watcher) recordRestore(page platform.Page) {
-	if s.registrationsLoaded.Load() && page.Era > s.position.Era {
-		event.StoreRestored.Log(s.Log, "era", page.Era, "previousEra", s.position.Era, "revision", page.Revision, "previousRevision", s.position.Revision)
-	}
-}
-
 // recordStoreState records the result of a direct call, and logs when the store becomes unreachable or reachable.
 func (s *Watcher) recordStoreState(err error) {
 	if down := err != nil; s.down.Swap(down) == down {
@@ -253,9 +249,13 @@
 		}
 		if id, ok := strings.CutPrefix(item.Key, platform.UpstreamPrefix); ok {
 			present[id] = true
+			if s.doubtUpstream(id, item) {
+				continue
+			}
 		}
 		s.applyItem(item)
 	}
+	s.keepEvacuations(evacuated)
 	s.setEvacuated(evacuated)
 	for id := range s.entries {
 		if !present[id] {
@@ -277,7 +277,9 @@
 			s.AcceptConfig(item.Value)
 		}
 	case strings.HasPrefix(item.Key, platform.EvacuatePrefix):
-		s.setDomainEvacuated(strings.TrimPrefix(item.Key, platform.EvacuatePrefix), !item.Deleted)
+		domain := strings.TrimPrefix(item.Key, platform.EvacuatePrefix)
+		delete(s.restore.kept, domain)
+		s.setDomainEvacuated(domain, !item.Deleted)
 	case strings.HasPrefix(item.Key, platform.UpstreamPrefix):
 		s.applyUpstream(strings.TrimPrefix(item.Key, platform.UpstreamPrefix), item)
 	}
--- a/source/upstreams.go
+++ b/source/upstreams.go
@@ -6,6 +6,7 @@
 )
 
 func (s *Watcher) applyUpstream(id string, item platform.Item) {
+	delete(s.restore.doubted, id)
 	if item.Deleted {
 		s.expired[id] = true
 		return
@@ -17,6 +18,12 @@
 		return
 	}
 	delete(s.expired, id)
+	if s.departureOf(e).draining {
+		e.Draining = true
+	}
+	if e.Draining {
+		s.recordDeparture(e, false)
+	}
 	s.entries[id] = e
 	s.updateCapacity()
 	if !s.Local(e.FailureDomain) {
@@ -34,6 +41,9 @@
 		return
 	}
 	for id := range s.expired {
+		if e, ok := s.entries[id]; ok {
+			s.recordDeparture(e, true)
+		}
 		s.removeUpstream(id)
 		event.UpstreamUnregistered.Log(s.Log, "upstream", id)
 	}
