edge: take the latest configuration of the other VMs at the start

What callers would see, found by reading and shown by a test: a VM that starts after the store was restored from a copy serves the configuration of the copy until the operator writes the latest one again. It accepts keys that were withdrawn since, and refuses routes and keys that were added (CONFIG). VMs that were running keep their configuration, but passed on the older one as well.

What a VM passes on has the configuration in force.

TestRestoreKeepsConfigurationForOtherVMs covers what is passed on.

--- a/edge/admit.go
+++ b/edge/admit.go
@@ -20,8 +20,8 @@
 func (e *Edge) admit(w http.ResponseWriter, h *http.Request, r *request) (Outcome, bool) {
 	now := e.Now()
 	t := e.table()
-	if t == nil {
-		return refuse(NoConfiguration, "no configuration is known yet", defaultRetryAfter), false
+	if t == nil || !e.startedUp(now) {
+		return refuse(NoConfiguration, "no current configuration is known yet", defaultRetryAfter), false
 	}
 	if leaving, since := e.isLeaving(now); leaving && since > ShutdownAcceptTime {
 		return refuse(Leaving, "this vm stops", 100*time.Millisecond), false
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -50,6 +50,7 @@
 	startedAt  time.Time
 	hasher     *poison.Hasher
 	open       atomic.Int64
+	catchUp    catchUp
 	// leavingSince is the time of SIGTERM in nanoseconds since boot, zero before.
 	leavingSince atomic.Int64
 }
@@ -95,7 +96,7 @@
 // acceptsRequests reports whether the VM accepts new requests.
 func (e *Edge) acceptsRequests(now time.Time) bool {
 	leaving, since := e.isLeaving(now)
-	return e.table() != nil && e.Watcher.RegistrationsLoaded() && !(leaving && since > ShutdownAcceptTime)
+	return e.table() != nil && e.startedUp(now) && e.Watcher.RegistrationsLoaded() && !(leaving && since > ShutdownAcceptTime)
 }
 
 // OpenRequests returns the number of open requests.
--- a/edge/forwarded.go
+++ b/edge/forwarded.go
@@ -66,7 +66,7 @@
 func (e *Edge) admitForwarded(ctx context.Context, st *vm.Stream, open *vmwire.Open, r *request) (Outcome, bool) {
 	t := e.configForForwarded(ctx, open)
 	now := e.Now()
-	if t == nil || t.Config.Version < open.ConfigNumber {
+	if t == nil || t.Config.Version < open.ConfigNumber || !e.startedUp(now) {
 		return refuse(NoConfiguration, "the configuration of this vm is older than that of the first", defaultRetryAfter), false
 	}
 	if leaving, since := e.isLeaving(now); leaving && since > ShutdownAcceptTime {
--- a/edge/presence.go
+++ b/edge/presence.go
@@ -91,6 +91,7 @@
 
 // ApplyPresence applies the state that another VM reported.
 func (e *Edge) ApplyPresence(now time.Time, m fleet.Member, p *vmwire.Presence) {
+	e.followConfig(now, m.Slot, p.ConfigVersion)
 	reports := make(map[string]quota.Report, len(p.Spent))
 	for _, s := range p.Spent {
 		reports[s.Workspace] = quota.Report{Spent: s.Amount, Level: s.Level}
--- a/edge/restore_test.go
+++ b/edge/restore_test.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"parsleyhatch/platform"
 )
 
 // newRestoreCluster returns a cluster with an upstream and three VMs of one region, of which one reads the store for the others.
@@ -44,3 +46,41 @@
 		}
 	}
 }
+
+// Guards against a VM that starts after a restore of the store and serves the older configuration of the copy, with keys and routes
+// that were withdrawn since.
+func TestVMStartingAfterRestoreUsesLatestConfiguration(t *testing.T) {
+	t.Parallel()
+	w := newRestoreCluster(t)
+	copied := w.store.Copy()
+	w.store.Put(platform.ConfigKey, `{"version":2,"routes":[`+routeJSON("a", "safe", "plain", "")+`],"services":[{"name":"plain"}],
+		"tenants":[{"name":"w1","api_keys":["other"]}]}`)
+	for _, v := range w.vms {
+		w.waitFor(v.Settings.Name+" has version 2", func() bool { return v.version() == 2 })
+	}
+	w.store.Restore(copied)
+	v := w.startVM("vm3", "north", false)
+	accepted := 0
+	for deadline := time.Now().Add(2 * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		if status, _, _ := v.call(t, "/a/", "x", nil); status == http.StatusOK {
+			accepted++
+		}
+	}
+	if accepted > 0 {
+		t.Errorf("the new VM accepted a withdrawn key %d times", accepted)
+	}
+	w.waitFor("the new VM is ready", func() bool { return v.Ready(v.Now()) })
+	if status, body, _ := v.call(t, "/a/", "x", extraHeaders{platform.HeaderAPIKey: "other"}); status != http.StatusOK || v.version() != 2 {
+		t.Errorf("answer %d %q with version %d", status, body, v.version())
+	}
+}
+
+// Guards against a VM that keeps an older configuration than another one because the store does not show it the newer one.
+func TestVMTakesNewerConfigurationOfOtherVM(t *testing.T) {
+	t.Parallel()
+	w := newRestoreCluster(t)
+	w.vms[0].Watcher.AcceptConfig([]byte(`{"version":2,"routes":[` + routeJSON("b", "safe", "plain", "") + `],"services":[{"name":"plain"}]}`))
+	for _, v := range w.vms {
+		w.waitFor(v.Settings.Name+" has version 2", func() bool { return v.version() == 2 })
+	}
+}
--- a/edge/storeread.go
+++ b/edge/storeread.go
@@ -63,9 +63,14 @@
 	return e.askReader(ctx, vmwire.StoreQuery{After: after.Revision, Era: after.Era, WaitMillis: wait.Milliseconds()})
 }
 
-// askReader reads the store through a VM that reads it directly. The age of the answer is counted from the time
-// when the request was sent, since the transit time of the answer is not known.
+// askReader reads the store through a VM that reads it directly.
 func (e *Edge) askReader(ctx context.Context, m vmwire.StoreQuery) (source.Answer, error) {
+	return e.ask(ctx, m, e.Fleet.SendStoreQuery)
+}
+
+// ask reads the store through the VM to which send sends the query. The age of the answer is counted from the time
+// when the request was sent, since the transit time of the answer is not known.
+func (e *Edge) ask(ctx context.Context, m vmwire.StoreQuery, send func(now time.Time, m *vmwire.StoreQuery) (string, bool)) (source.Answer, error) {
 	answers := make(chan vmwire.StoreReply, 1)
 	e.storeReads.mu.Lock()
 	e.storeReads.lastID++
@@ -79,7 +84,7 @@
 	}()
 	sentAt := e.Now()
 	m.KnownMillis = e.Watcher.FreshAt().Sub(sentAt).Milliseconds()
-	name, ok := e.Fleet.SendStoreQuery(sentAt, &m)
+	name, ok := send(sentAt, &m)
 	if !ok {
 		return source.Answer{}, errNoReader
 	}
@@ -129,7 +134,7 @@
 	var a source.Answer
 	var err error
 	if m.After == 0 {
-		a, err = e.Watcher.History.Range()
+		a, err = e.Watcher.RangeForVM()
 	} else {
 		wait := min(time.Duration(m.WaitMillis)*time.Millisecond, 2*time.Second)
 		known := arrived.Add(time.Duration(m.KnownMillis) * time.Millisecond)
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -205,6 +205,38 @@
 	return "", false
 }
 
+// SendStoreQueryTo sends a store query to a VM. It reports false if the VM did not take it.
+func (f *Fleet) SendStoreQueryTo(slot string, query *vmwire.StoreQuery) bool {
+	s := f.session(slot)
+	return s != nil && s.SendControl(vmwire.KindStoreQuery, query)
+}
+
+// LatestConfig returns the highest version of the configuration that a live VM has, and whether one of these VMs was running
+// settleTime before this one started, so that it has followed the changes.
+func (f *Fleet) LatestConfig(now time.Time, settleTime time.Duration) (version uint64, settled bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.members {
+		if m.Alive(now) && m.ConfigVersion > 0 {
+			version = max(version, m.ConfigVersion)
+			settled = settled || f.Endpoint.Self.StartedAt.Sub(m.StartedAt) > settleTime
+		}
+	}
+	return version, settled
+}
+
+// KnowsOthers reports whether this VM knows the address of another VM, or of a seed.
+func (f *Fleet) KnowsOthers() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range f.candidates {
+		if c.slot != f.Endpoint.Self.Slot {
+			return true
+		}
+	}
+	return false
+}
+
 // BroadcastSuspect sends the state of a suspect request over all sessions, or with sameRegion only to VMs of this
 // region.
 func (f *Fleet) BroadcastSuspect(suspect *vmwire.SuspectRequest, sameRegion bool) {
--- a/source/restore.go
+++ b/source/restore.go
@@ -117,3 +117,17 @@
 	s.restore.doubted[id] = item
 	return true
 }
+
+// RangeForVM returns the known items of the store for another VM, with the active configuration in place of an older or invalid
+// one. A VM that starts after a restore must not get the older configuration of the copy.
+func (s *Watcher) RangeForVM() (Answer, error) {
+	a, err := s.History.Range()
+	s.acceptMu.Lock()
+	defer s.acceptMu.Unlock()
+	for i, item := range a.Items {
+		if item.Key == platform.ConfigKey && s.latestConfig != nil {
+			a.Items[i].Value = s.latestConfig
+		}
+	}
+	return a, err
+}
--- a/source/restore_test.go
+++ b/source/restore_test.go
@@ -105,3 +105,15 @@
 		})
 	}
 }
+
+// Guards against a VM that starts after a restore and gets the older configuration of the copy from another VM.
+func TestRestoreKeepsConfigurationForOtherVMs(t *testing.T) {
+	ts := newSource(t, rangeJSON(5, configItem(7)), watchJSON(7, configItem(9)), "gone", "era 1 "+rangeJSON(5, configItem(7)), "era 1 "+watchJSON(6, configItem(8)))
+	for i, want := range []string{`{"version":7}`, `{"version":9}`, `{"version":9}`, `{"version":9}`, `{"version":9}`} {
+		ts.readTimes(1)
+		a, err := ts.RangeForVM()
+		if err != nil || len(a.Items) != 1 || string(a.Items[0].Value) != want {
+			t.Errorf("after call %d: %+v, %v, want %s", i, a.Items, err, want)
+		}
+	}
+}
--- a/source/source.go
+++ b/source/source.go
@@ -63,6 +63,8 @@
 	// active.
 	acceptMu sync.Mutex
 	accepted chan struct{}
+	// latestConfig is the value from which the active configuration was decoded. It is guarded by acceptMu.
+	latestConfig []byte
 
 	// History answers store reads of other VMs.
 	History History
@@ -304,6 +306,7 @@
 	}
 	t := route.New(c)
 	s.table.Store(t)
+	s.latestConfig = value
 	event.ConfigAccepted.Log(s.Log, "version", c.Version, "routes", len(c.Routes), "workspaces", len(c.Workspaces))
 	s.OnConfig(t)
 	if s.accepted != nil {
