--- a/proof/crash_test.go
+++ b/proof/crash_test.go
@@ -248,7 +248,7 @@
 	f.setServices(standin.ServiceSlow)
 	first := f.async(context.Background(), "norte-1", running, "deposit")
 	f.waitFor("execution", func() bool { return f.count(running, "") == 1 })
-	f.signal(child, syscall.SIGSTOP)
+	f.freeze(child)
 	f.setServices(standin.ServiceNormal)
 	second := f.async(context.Background(), "norte-1", queued, "deposit")
 	f.wantCall("frozen while the call ran", running, <-first, "unknown", "ok")
@@ -315,6 +315,33 @@
 	}
 }
 
+// freeze stops a child. The process goes on for some milliseconds after the signal if its threads wait for a processor, so it
+// waits until all of them are stopped.
+func (f *callFleet) freeze(c *child) {
+	f.t.Helper()
+	f.signal(c, syscall.SIGSTOP)
+	f.waitFor("stopped process", func() bool { return f.allThreadsStopped(c) })
+}
+
+func (f *callFleet) allThreadsStopped(c *child) bool {
+	f.t.Helper()
+	paths, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", c.process.Pid))
+	if err != nil || len(paths) == 0 {
+		f.t.Fatalf("threads of the child: %v, %v", paths, err)
+	}
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return false // The thread has just ended.
+		}
+		// The state follows the name of the thread, which may contain spaces.
+		if i := strings.LastIndex(string(data), ") "); !strings.HasPrefix(string(data)[i+2:], "T") {
+			return false
+		}
+	}
+	return true
+}
+
 func (f *callFleet) tryEnded(c *child) bool {
 	select {
 	case <-c.ended:
