edge: assume other VMs until one was found

What could be seen: a VM that starts while it reaches no other VM takes the whole of each bound of an upstream 15 s later (rate limit, cold upstream), although the others use it, too.

A VM that knows seeds or other addresses, and has received nothing from any VM, assumes four VMs in its region for as long.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -626,6 +626,17 @@
 	}
 }
 
+// Guards against a VM that takes the whole bound of an upstream because it starts while it reaches no other VM.
+func TestVMWithoutSessionsAssumesSharers(t *testing.T) {
+	w := newTestCluster(t, "north")
+	w.publishConfig(1, routeJSON("a", "safe", "plain", ""))
+	w.seeds = []string{"127.0.0.1:1"}
+	v := w.startVM("vm1", "north", true)
+	if n := v.sharers(v.Now().Add(discoveryTime)); n != minSharersInDiscovery {
+		t.Errorf("%d sharers without a session, want %d", n, minSharersInDiscovery)
+	}
+}
+
 // Guards against an overload of a cold upstream when all VMs of a large region start at once and do not know of
 // each other yet, and against a single VM that never uses a cold upstream.
 func TestStartingVMAvoidsColdUpstreams(t *testing.T) {
--- a/edge/presence.go
+++ b/edge/presence.go
@@ -132,7 +132,7 @@
 	switch age := now.Sub(e.startedAt); {
 	case age < initialDiscoveryTime:
 		return max(n, initialSharers)
-	case age < discoveryTime:
+	case age < discoveryTime, e.Fleet.FoundNone():
 		return max(n, minSharersInDiscovery)
 	default:
 		return n
@@ -144,8 +144,8 @@
 	// assumes at least initialSharers VMs in its region, because all of them may start at once.
 	initialDiscoveryTime = 3 * time.Second
 	initialSharers       = 32
-	// discoveryTime is the time after its start in which a VM discovers all other VMs. Until then, it assumes at
-	// least minSharersInDiscovery VMs in its region.
+	// discoveryTime is the time after its start in which a VM discovers all other VMs. Until then, and until it has found
+	// one, it assumes at least minSharersInDiscovery VMs in its region.
 	discoveryTime         = 15 * time.Second
 	minSharersInDiscovery = 4
 )
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -225,10 +225,21 @@
 	return version, settled
 }
 
+// FoundNone reports whether this VM knows the address of another VM, or of a seed, but has received nothing from any.
+func (f *Fleet) FoundNone() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.members) == 0 && f.knowsOthers()
+}
+
 // KnowsOthers reports whether this VM knows the address of another VM, or of a seed.
 func (f *Fleet) KnowsOthers() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.knowsOthers()
+}
+
+func (f *Fleet) knowsOthers() bool {
 	for _, c := range f.candidates {
 		if c.slot != f.Endpoint.Self.Slot {
 			return true
