replica: divide the slots of a brittle upstream among the VMs

What could happen: an upstream that names in Server-Brittle how many refusals in a second it bears gets more from VMs that do not read the header, and crashes. Each VM paused 30 ms after a refusal, so that three of them could get a hundred a second.

Why refusals occur at all: VMs know each other's load 100 ms late or more, and all of them take the last free slot. The VMs divide the slots of such an upstream now, by the number of VMs that share its bounds, so that none is refused for want of room; after a refusal a VM pauses so that all of them get at most half of the refusals that it bears. Types are called limits, no longer rate limits, where both are meant.

--- /dev/null
+++ b/edge/limits.go
@@ -0,0 +1,95 @@
+package edge
+
+import (
+	"math"
+	"net/http"
+	"time"
+
+	"parsleyhatch/event"
+	"parsleyhatch/platform"
+	"parsleyhatch/replica"
+	"parsleyhatch/upstream"
+	"parsleyhatch/vm"
+	"parsleyhatch/vmwire"
+)
+
+// maxLimitAge bounds the age of an announcement in messages between VMs.
+const maxLimitAge = 24 * time.Hour
+
+// recordLimits records the limits that an upstream announces in an answer, or that it announces none. A misdirected request was
+// answered by another upstream at the address.
+func (e *Edge) recordLimits(pick *replica.Pick, a *upstream.Response) {
+	if a.Status == http.StatusMisdirectedRequest {
+		return
+	}
+	announced, err := platform.ParseLimits(a.Header)
+	if err != nil {
+		event.UpstreamLimitInvalid.Log(e.Log, "upstream", pick.ID, "error", err.Error())
+		return
+	}
+	l := replica.Limits{
+		Upstream: pick.ID, Born: pick.Born, AnnouncedAt: e.Now(),
+		Limited: announced.RateLimited, PerSecond: announced.PerSecond, Brittle: announced.Brittle, MaxRefusals: announced.MaxRefusals,
+	}
+	changed, report := e.Replicas.RecordLimits(l)
+	if changed {
+		e.logLimits(l, e.Settings.Name)
+	}
+	if report {
+		e.Fleet.BroadcastLimits(limitsMessage(e.Now(), l))
+	}
+}
+
+// limitsMessage returns the message on rate limits of upstreams for other VMs.
+func limitsMessage(now time.Time, limits ...replica.Limits) *vmwire.UpstreamLimits {
+	m := &vmwire.UpstreamLimits{}
+	for _, l := range limits {
+		m.Limits = append(m.Limits, vmwire.UpstreamLimit{
+			Upstream: l.Upstream, Born: l.Born, Limited: l.Limited, PerSecond: l.PerSecond,
+			Brittle: l.Brittle, MaxRefusals: l.MaxRefusals, AgeMillis: now.Sub(l.AnnouncedAt).Milliseconds(),
+		})
+	}
+	return m
+}
+
+// sendLimits sends the known rate limits to a VM of this region with which a session has opened.
+func (e *Edge) sendLimits(s *vm.Session) {
+	limits := e.Replicas.KnownLimits()
+	if len(limits) > 0 && s.Peer.Region == e.Settings.Region {
+		s.SendControl(vmwire.KindUpstreamLimits, limitsMessage(e.Now(), limits...))
+	}
+}
+
+// receiveLimits records the rate limits that another VM of the region has learned. Ages are not negative, so that no VM can
+// announce a limit for the future.
+func (e *Edge) receiveLimits(now time.Time, from vm.Identity, m *vmwire.UpstreamLimits) {
+	for _, u := range m.Limits {
+		if !isLimit(u.PerSecond) || !isLimit(u.MaxRefusals) {
+			continue
+		}
+		age := time.Duration(max(0, min(u.AgeMillis, maxLimitAge.Milliseconds()))) * time.Millisecond
+		l := replica.Limits{
+			Upstream: u.Upstream, Born: u.Born, AnnouncedAt: now.Add(-age),
+			Limited: u.Limited, PerSecond: u.PerSecond, Brittle: u.Brittle, MaxRefusals: u.MaxRefusals,
+		}
+		if e.Replicas.MergeLimits(now, l) {
+			e.logLimits(l, from.Slot)
+		}
+	}
+}
+
+// isLimit reports whether a number of a message is a valid limit.
+func isLimit(n float64) bool { return n >= 0 && n <= math.MaxFloat64 }
+
+// logLimits logs a change of the limits of an upstream, which answered the VM named.
+func (e *Edge) logLimits(l replica.Limits, answered string) {
+	if l.Limited {
+		event.UpstreamLimited.Log(e.Log, "upstream", l.Upstream, "perSecond", l.PerSecond, "answered", answered)
+	}
+	if l.Brittle {
+		event.UpstreamBrittle.Log(e.Log, "upstream", l.Upstream, "maxRefusals", l.MaxRefusals, "answered", answered)
+	}
+	if !l.Limited && !l.Brittle {
+		event.UpstreamLimitEnded.Log(e.Log, "upstream", l.Upstream, "answered", answered)
+	}
+}
--- a/edge/ratelimit_test.go
+++ b/edge/limits_test.go
@@ -215,7 +215,7 @@
 	w.addLimitedUpstream("busy", "north", "")
 	w.waitForUpstreams(2)
 	v.Replicas.SetPeerUse(v.Now(), "other", map[string]replica.Use{"busy": {Running: 20}})
-	v.Replicas.RecordRateLimit(replica.RateLimit{Upstream: "limited", Born: 1, Limited: true, PerSecond: 1000, AnnouncedAt: v.Now().Add(-time.Second)})
+	v.Replicas.RecordLimits(replica.Limits{Upstream: "limited", Born: 1, Limited: true, PerSecond: 1000, AnnouncedAt: v.Now().Add(-time.Second)})
 	service := v.table().Service("plain")
 	if waits := v.expectedWaits(v.Now(), service); len(waits) == 0 || waits[0] < 400 {
 		t.Errorf("reported waits %v ms, want that of the upstream without a limit, which is busy", waits)
--- a/edge/parts.go
+++ b/edge/parts.go
@@ -183,7 +183,7 @@
 
 // sendKnowledge sends a VM with which a session has opened what it must know before it sends requests to upstreams.
 func (e *Edge) sendKnowledge(s *vm.Session) {
-	e.sendRateLimits(s)
+	e.sendLimits(s)
 	e.sendSuspects(s)
 }
 
--- a/edge/send.go
+++ b/edge/send.go
@@ -52,7 +52,7 @@
 	}
 	defer a.Close()
 	e.recordAnswer(pick, a, sentAt)
-	e.recordRateLimit(pick, a)
+	e.recordLimits(pick, a)
 	out := e.handleAnswer(ctx, r, pick, a, sink)
 	e.recordCompletion(r, a, out)
 	return out
--- a/edge/storeread.go
+++ b/edge/storeread.go
@@ -196,7 +196,7 @@
 	case vmwire.KindUpstreamLimits:
 		var m vmwire.UpstreamLimits
 		if err = vm.Decode(f, &m); err == nil && s.Peer.Region == e.Settings.Region {
-			e.receiveRateLimits(e.Now(), s.Peer, &m)
+			e.receiveLimits(e.Now(), s.Peer, &m)
 		}
 	case vmwire.KindStoreReply:
 		var m vmwire.StoreReply
--- a/event/edge.go
+++ b/event/edge.go
@@ -12,8 +12,9 @@
 	DomainEvacuated       = New(1906, slog.LevelInfo, "failure domain evacuated", "none")
 	StoreRestored         = New(1908, slog.LevelWarn, "store restored from a copy; its state is read again", "Check that the latest configuration was written again.")
 	UpstreamLimited       = New(1922, slog.LevelWarn, "upstream announced a rate limit", "Check the upstream: it names the requests per second that it still accepts from all VMs.")
-	UpstreamLimitEnded    = New(1923, slog.LevelInfo, "upstream announced the end of its rate limit", "none")
-	UpstreamLimitInvalid  = New(1924, slog.LevelWarn, "upstream announced an invalid rate limit; the last valid one stays in force", "Correct the header at the upstream.")
+	UpstreamLimitEnded    = New(1923, slog.LevelInfo, "upstream announced the end of its limits", "none")
+	UpstreamBrittle       = New(1925, slog.LevelWarn, "upstream announced that it is brittle", "Check the upstream: it crashes when it has to refuse more requests in a second than it names.")
+	UpstreamLimitInvalid  = New(1924, slog.LevelWarn, "upstream announced an invalid limit; the last valid one stays in force", "Correct the header at the upstream.")
 	DomainEvacuationEnded = New(1907, slog.LevelInfo, "failure domain no longer evacuated", "none")
 )
 
--- a/replica/choose.go
+++ b/replica/choose.go
@@ -149,7 +149,7 @@
 	if q.Service.WarmUpRate > 0 && r.isCold(now) && !r.hasColdCapacity(now, t.coldQuota(r, q.Service)) {
 		return false
 	}
-	return t.hasLimitCapacity(now, r)
+	return t.hasRoom(r) && t.hasLimitCapacity(now, r)
 }
 
 // coldQuota returns this VM's share of the requests that a cold upstream may receive in a second. If there
--- a/replica/ratelimit.go
+++ b/replica/limits.go
@@ -23,32 +23,41 @@
 	limitConfirmationStep = time.Second
 	// limitReportInterval is the interval at which the VMs repeat what an upstream announces, since a message may be lost.
 	limitReportInterval = time.Second
+	// brittleShare is the fraction of the refusals that a brittle upstream bears which the VMs use together.
+	brittleShare = 0.5
 	// limitRetention is the time for which the end of a limit is repeated, and the limit of an upstream kept that is not
 	// registered.
 	limitRetention = time.Minute
 )
 
-// RateLimit is what the latest known answer of an upstream says about the requests that it accepts.
-type RateLimit struct {
+// Limits is what the latest known answer of an upstream says about the requests that it accepts.
+type Limits struct {
 	// Upstream and Born identify a lifetime of an upstream, see Registration.
 	Upstream string
 	Born     int64
-	// Limited is false if the answer announces no limit.
-	Limited bool
-	// PerSecond is the number of requests per second that the upstream accepts from all VMs together.
+	// Limited is set if the upstream has a rate limit, and PerSecond is the number of requests per second that it accepts from
+	// all VMs together.
+	Limited   bool
 	PerSecond float64
+	// Brittle is set if the upstream crashes when it has to refuse more than MaxRefusals requests in a second for want of room.
+	Brittle     bool
+	MaxRefusals float64
 	// AnnouncedAt is the time at which the answer arrived at a VM.
 	AnnouncedAt time.Time
 }
 
-// sameLimit reports whether two announcements of a lifetime are equal but for their time.
-func (l *RateLimit) sameLimit(other RateLimit) bool {
-	return l.Born == other.Born && l.Limited == other.Limited && (!l.Limited || l.PerSecond == other.PerSecond)
+// restricts reports whether the upstream announces any limit.
+func (l *Limits) restricts() bool { return l.Limited || l.Brittle }
+
+// equal reports whether two announcements of a lifetime are equal but for their time.
+func (l *Limits) equal(other Limits) bool {
+	other.AnnouncedAt = l.AnnouncedAt
+	return *l == other
 }
 
-// rateLimit is a RateLimit with this VM's share of it as a token bucket.
-type rateLimit struct {
-	RateLimit
+// announcedLimits are Limits with this VM's share of the rate limit as a token bucket.
+type announcedLimits struct {
+	Limits
 	// tokens is the number of requests that this VM may send at refilledAt.
 	tokens     float64
 	refilledAt time.Time
@@ -58,13 +67,13 @@
 	reportedAt time.Time
 }
 
-// RecordRateLimit records what an upstream announced in an answer to this VM. It reports whether it differs from the previous
+// RecordLimits records what an upstream announced in an answer to this VM. It reports whether it differs from the previous
 // announcement, and whether the other VMs of the region must learn of it now.
-func (t *Table) RecordRateLimit(l RateLimit) (changed, report bool) {
+func (t *Table) RecordLimits(l Limits) (changed, report bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	changed = t.recordRateLimit(l)
-	s := t.rateLimits[l.Upstream]
+	changed = t.recordLimits(l)
+	s := t.limits[l.Upstream]
 	if s == nil || !changed && l.AnnouncedAt.Sub(s.reportedAt) < limitReportInterval {
 		return changed, false
 	}
@@ -72,66 +81,66 @@
 	return changed, true
 }
 
-// MergeRateLimit records what an upstream announced to another VM, unless a later announcement is known. It reports whether it
+// MergeLimits records what an upstream announced to another VM, unless a later announcement is known. It reports whether it
 // differs from the previous one.
-func (t *Table) MergeRateLimit(now time.Time, l RateLimit) (changed bool) {
+func (t *Table) MergeLimits(now time.Time, l Limits) (changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s := t.rateLimits[l.Upstream]; s != nil {
+	if s := t.limits[l.Upstream]; s != nil {
 		if l.Born < s.Born || l.Born == s.Born && !l.AnnouncedAt.After(s.AnnouncedAt) {
 			return false
 		}
 	}
-	changed = t.recordRateLimit(l)
-	if s := t.rateLimits[l.Upstream]; s != nil {
+	changed = t.recordLimits(l)
+	if s := t.limits[l.Upstream]; s != nil {
 		s.reportedAt = now
 	}
 	return changed
 }
 
-// recordRateLimit replaces the announcement of an upstream. Ended limits are forgotten after limitRetention.
-func (t *Table) recordRateLimit(l RateLimit) (changed bool) {
-	s := t.rateLimits[l.Upstream]
+// recordLimits replaces the announcement of an upstream. Ended limits are forgotten after limitRetention.
+func (t *Table) recordLimits(l Limits) (changed bool) {
+	s := t.limits[l.Upstream]
 	switch {
 	case s == nil || s.Born != l.Born:
-		delete(t.rateLimits, l.Upstream)
-		if !l.Limited {
+		delete(t.limits, l.Upstream)
+		if !l.restricts() {
 			return false
 		}
-		t.forgetRateLimits(l.AnnouncedAt)
+		t.forgetLimits(l.AnnouncedAt)
 		// The bucket starts empty, since all VMs learn of the limit at about the same time.
-		t.rateLimits[l.Upstream] = &rateLimit{RateLimit: l, refilledAt: l.AnnouncedAt}
+		t.limits[l.Upstream] = &announcedLimits{Limits: l, refilledAt: l.AnnouncedAt}
 		return true
-	case !s.Limited && !l.Limited:
+	case !s.restricts() && !l.restricts():
 		if l.AnnouncedAt.Sub(s.endedAt) > limitRetention {
-			delete(t.rateLimits, l.Upstream)
+			delete(t.limits, l.Upstream)
 		}
 		s.AnnouncedAt = l.AnnouncedAt
 		return false
-	case s.Limited && !l.Limited:
+	case s.restricts() && !l.restricts():
 		s.endedAt = l.AnnouncedAt
 	}
-	changed = !s.sameLimit(l)
-	s.RateLimit = l
+	changed = !s.equal(l)
+	s.Limits = l
 	return changed
 }
 
-// forgetRateLimits drops the limits of upstreams that are not registered any more. A registration may lapse for a while.
-func (t *Table) forgetRateLimits(now time.Time) {
-	for id, s := range t.rateLimits {
+// forgetLimits drops the limits of upstreams that are not registered any more. A registration may lapse for a while.
+func (t *Table) forgetLimits(now time.Time) {
+	for id, s := range t.limits {
 		if t.upstreams[id] == nil && now.Sub(s.AnnouncedAt) > limitRetention {
-			delete(t.rateLimits, id)
+			delete(t.limits, id)
 		}
 	}
 }
 
-// RateLimits returns the known announcements.
-func (t *Table) RateLimits() []RateLimit {
+// KnownLimits returns the known announcements.
+func (t *Table) KnownLimits() []Limits {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	limits := make([]RateLimit, 0, len(t.rateLimits))
-	for _, s := range t.rateLimits {
-		limits = append(limits, s.RateLimit)
+	limits := make([]Limits, 0, len(t.limits))
+	for _, s := range t.limits {
+		limits = append(limits, s.Limits)
 	}
 	return limits
 }
@@ -146,12 +155,43 @@
 func (t *Table) isRateLimited(r *upstreamState) bool { return r != nil && t.rateLimitOf(r) != nil }
 
 // rateLimitOf returns the rate limit that holds for an upstream, or nil if there is none.
-func (t *Table) rateLimitOf(r *upstreamState) *rateLimit {
-	s := t.rateLimits[r.ID]
-	if s == nil || s.Born != r.Born || !s.Limited {
-		return nil
+func (t *Table) rateLimitOf(r *upstreamState) *announcedLimits {
+	if s := t.limits[r.ID]; s != nil && s.Born == r.Born && s.Limited {
+		return s
+	}
+	return nil
+}
+
+// brittleness returns the limits of a brittle upstream, or nil if it is not brittle.
+func (t *Table) brittleness(r *upstreamState) *announcedLimits {
+	if s := t.limits[r.ID]; s != nil && s.Born == r.Born && s.Brittle {
+		return s
+	}
+	return nil
+}
+
+// hasRoom reports whether this VM may have another request at an upstream. The VMs divide the slots of a brittle one: what each of
+// them knows of the load of the others is too old to see the last free slot, which all of them would use.
+func (t *Table) hasRoom(r *upstreamState) bool {
+	if t.brittleness(r) == nil {
+		return true
+	}
+	share, rest := r.Slots/t.vmCount, r.Slots%t.vmCount
+	if t.rank(r.ID) < rest {
+		share++
+	}
+	return r.localUse.Running < share
+}
+
+// refusalPause returns the time without new requests of this VM after an upstream refused one because it was full. All VMs
+// together get at most half of the refusals that a brittle one bears.
+func (t *Table) refusalPause(r *upstreamState) time.Duration {
+	s := t.brittleness(r)
+	if s == nil {
+		return shedPause
 	}
-	return s
+	perVM := max(brittleShare*s.MaxRefusals/float64(t.vmCount), 1/maxBackoff.Seconds())
+	return max(shedPause, time.Duration(float64(time.Second)/perVM))
 }
 
 // hasLimitCapacity reports whether this VM's share of an upstream's rate limit, if there is one, allows a request now.
@@ -175,7 +215,7 @@
 
 // limitShare returns this VM's share of a rate limit: requests per second, and how many at once. Each VM may send one at
 // once, so a low limit is divided among the few VMs that rendezvous hashing selects.
-func (t *Table) limitShare(now time.Time, s *rateLimit) (rate, burst float64) {
+func (t *Table) limitShare(now time.Time, s *announcedLimits) (rate, burst float64) {
 	total := max(rateLimitShare*s.PerSecond, minLimitedRate)
 	holders := min(float64(t.vmCount), minLimitHolders+math.Floor(total))
 	rank := t.rank(s.Upstream)
--- a/replica/ratelimit_test.go
+++ b/replica/limits_test.go
@@ -46,7 +46,7 @@
 // limitSimulation is a region of VMs that all try to send requests to one upstream with a rate limit.
 type limitSimulation struct {
 	random *rand.Rand
-	limit  RateLimit
+	limit  Limits
 	vms    []*simulatedVM
 	// separated holds the names of VMs that exchange nothing with the others.
 	separated map[string]bool
@@ -57,7 +57,7 @@
 func (s *limitSimulation) start(now time.Time) {
 	v := &simulatedVM{name: fmt.Sprintf("vm%d", s.started), table: newTable(1, "p"), startedAt: now, lastSeenAt: map[string]time.Time{}}
 	s.started++
-	v.table.RecordRateLimit(s.limit)
+	v.table.RecordLimits(s.limit)
 	s.vms = append(s.vms, v)
 }
 
@@ -88,7 +88,7 @@
 	l.AnnouncedAt = now
 	for _, v := range s.vms {
 		if v == answered || s.separated[v.name] == s.separated[answered.name] {
-			v.table.RecordRateLimit(l)
+			v.table.RecordLimits(l)
 		}
 	}
 }
@@ -115,7 +115,7 @@
 				t.Run(fmt.Sprintf("limit %v, %d vms, changes %v", perSecond, vms, changes), func(t *testing.T) {
 					t.Parallel()
 					s := &limitSimulation{random: rand.New(rand.NewPCG(uint64(vms), 7)), separated: map[string]bool{}}
-					s.limit = RateLimit{Upstream: "u0", Born: 1, Limited: true, PerSecond: perSecond, AnnouncedAt: start}
+					s.limit = Limits{Upstream: "u0", Born: 1, Limited: true, PerSecond: perSecond, AnnouncedAt: start}
 					for range vms {
 						s.start(start)
 					}
@@ -159,7 +159,7 @@
 // holds for another upstream under the same id.
 func TestRateLimitBelongsToLifetime(t *testing.T) {
 	table := newTable(1, "p")
-	table.RecordRateLimit(RateLimit{Upstream: "u0", Born: 1, Limited: true, AnnouncedAt: start})
+	table.RecordLimits(Limits{Upstream: "u0", Born: 1, Limited: true, AnnouncedAt: start})
 	e := Registration{ID: "u0", Service: "p", FailureDomain: "a", Slots: 64, Born: 1}
 	if _, ok := table.Pick(start, Request{Service: plain}); ok {
 		t.Error("a request at once although all VMs have just learned of the limit")
@@ -180,28 +180,75 @@
 // each answer.
 func TestLatestRateLimitHolds(t *testing.T) {
 	table := newTable(1, "p")
-	at := func(ms int, limited bool) RateLimit {
-		return RateLimit{Upstream: "u0", Born: 1, Limited: limited, PerSecond: 2, AnnouncedAt: start.Add(time.Duration(ms) * time.Millisecond)}
+	at := func(ms int, limited bool) Limits {
+		return Limits{Upstream: "u0", Born: 1, Limited: limited, PerSecond: 2, AnnouncedAt: start.Add(time.Duration(ms) * time.Millisecond)}
 	}
-	if changed, report := table.RecordRateLimit(at(0, true)); !changed || !report {
+	if changed, report := table.RecordLimits(at(0, true)); !changed || !report {
 		t.Errorf("first announcement: changed %v, report %v", changed, report)
 	}
-	if changed, report := table.RecordRateLimit(at(10, true)); changed || report {
+	if changed, report := table.RecordLimits(at(10, true)); changed || report {
 		t.Errorf("repeated announcement: changed %v, report %v", changed, report)
 	}
-	if changed, report := table.RecordRateLimit(at(20, false)); !changed || !report {
+	if changed, report := table.RecordLimits(at(20, false)); !changed || !report {
 		t.Errorf("end: changed %v, report %v", changed, report)
 	}
-	if table.MergeRateLimit(start.Add(30*time.Millisecond), at(15, true)) || table.IsRateLimited("u0") {
+	if table.MergeLimits(start.Add(30*time.Millisecond), at(15, true)) || table.IsRateLimited("u0") {
 		t.Error("an older announcement of another VM replaces a later one")
 	}
-	if !table.MergeRateLimit(start.Add(50*time.Millisecond), at(40, true)) || !table.IsRateLimited("u0") {
+	if !table.MergeLimits(start.Add(50*time.Millisecond), at(40, true)) || !table.IsRateLimited("u0") {
 		t.Error("a later announcement of another VM is ignored")
 	}
-	if changed, report := table.RecordRateLimit(at(200, true)); changed || report {
+	if changed, report := table.RecordLimits(at(200, true)); changed || report {
 		t.Errorf("announcement after the report of another VM: changed %v, report %v", changed, report)
 	}
-	if _, report := table.RecordRateLimit(at(1200, true)); !report {
+	if _, report := table.RecordLimits(at(1200, true)); !report {
 		t.Error("no repeated report")
 	}
 }
+
+// Guards against VMs that together have more requests at a brittle upstream than it runs, and against slots that none of them uses.
+func TestBrittleSlotsAreDivided(t *testing.T) {
+	const slots = 64
+	for _, vms := range []int{1, 3, 33, 100} {
+		var names []string
+		for i := range vms {
+			names = append(names, fmt.Sprintf("vm%d", i))
+		}
+		sent := 0
+		for _, name := range names {
+			table := newTable(1, "p")
+			table.SetVMs(name, names, vms)
+			table.RecordLimits(Limits{Upstream: "u0", Born: 1, Brittle: true, MaxRefusals: 4, AnnouncedAt: start})
+			for {
+				if _, ok := table.Pick(start, Request{Service: plain}); !ok {
+					break
+				}
+				sent++
+			}
+		}
+		if sent != slots {
+			t.Errorf("%d VMs have %d requests at once, want %d", vms, sent, slots)
+		}
+	}
+}
+
+// Guards against VMs that together get more refusals from a brittle upstream than it bears, because each of them tries again soon.
+func TestRefusalsOfBrittleUpstream(t *testing.T) {
+	const vms, maxRefusals, length = 3, 4, 20 * time.Second
+	refusals := 0
+	for i := range vms {
+		table := newTable(1, "p")
+		table.SetVMs(fmt.Sprintf("vm%d", i), []string{"vm0", "vm1", "vm2"}, vms)
+		table.RecordLimits(Limits{Upstream: "u0", Born: 1, Brittle: true, MaxRefusals: maxRefusals, AnnouncedAt: start})
+		for elapsed := time.Duration(0); elapsed < length; elapsed += 10 * time.Millisecond {
+			now := start.Add(elapsed)
+			if pick, ok := table.Pick(now, Request{Service: plain}); ok {
+				table.Done(now, &pick, Shed)
+				refusals++
+			}
+		}
+	}
+	if most := int(maxRefusals * length.Seconds()); refusals > most || refusals < most/4 {
+		t.Errorf("%d refusals in %v, want at most %d and some", refusals, length, most)
+	}
+}
--- a/replica/result.go
+++ b/replica/result.go
@@ -81,7 +81,7 @@
 		t.indexStale = true
 	case Shed:
 		// A full upstream receives no requests for a short time, so that it can finish some.
-		r.backoffUntil = now.Add(shedPause)
+		r.backoffUntil = now.Add(t.refusalPause(r))
 	case RequestCancelled:
 	}
 }
--- a/replica/table.go
+++ b/replica/table.go
@@ -22,8 +22,8 @@
 	indexStale bool
 	evacuated  map[string]bool
 	partCounts popularity
-	// rateLimits holds the rate limits that upstreams have announced, by id.
-	rateLimits map[string]*rateLimit
+	// limits holds the limits that upstreams have announced, by id.
+	limits map[string]*announcedLimits
 	// changedUses holds the ids of upstreams at which this VM's use has changed since it was last reported to
 	// other VMs.
 	changedUses map[string]bool
@@ -47,7 +47,7 @@
 		byService:   map[string][]*upstreamState{},
 		evacuated:   map[string]bool{},
 		changedUses: map[string]bool{},
-		rateLimits:  map[string]*rateLimit{},
+		limits:      map[string]*announcedLimits{},
 		partCounts:  popularity{counts: map[uint64]float64{}},
 		vmCount:     1,
 	}
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -490,20 +490,22 @@
 	AgeMillis int64
 }
 
-// UpstreamLimits shares the rate limits that upstreams have announced among the VMs of their region.
+// UpstreamLimits shares the limits that upstreams have announced among the VMs of their region.
 type UpstreamLimits struct {
 	Limits []UpstreamLimit
 }
 
-// UpstreamLimit is what the latest known answer of an upstream says about its rate limit.
+// UpstreamLimit is what the latest known answer of an upstream says about its limits.
 type UpstreamLimit struct {
 	Upstream string
 	// Born is the start time of the upstream in Unix milliseconds.
 	Born int64
-	// Limited is false if the answer announces no limit.
-	Limited bool
-	// PerSecond is the limit in requests per second.
+	// Limited is set if there is a rate limit, and PerSecond is its number of requests per second.
+	Limited   bool
 	PerSecond float64
 	// AgeMillis is the time since the answer arrived, in milliseconds.
 	AgeMillis int64
+	// Brittle is set if the upstream is brittle, and MaxRefusals is the number of refusals in a second that it bears.
+	Brittle     bool
+	MaxRefusals float64
 }
--- a/vmwire/schema_gen.go
+++ b/vmwire/schema_gen.go
@@ -6498,8 +6498,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	z.Upstream, err = dc.ReadString()
@@ -6527,13 +6527,23 @@
 		err = msgp.WrapError(err, "AgeMillis")
 		return
 	}
+	z.Brittle, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Brittle")
+		return
+	}
+	z.MaxRefusals, err = dc.ReadFloat64()
+	if err != nil {
+		err = msgp.WrapError(err, "MaxRefusals")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *UpstreamLimit) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 5
-	err = en.Append(0x95)
+	// array header, size 7
+	err = en.Append(0x97)
 	if err != nil {
 		return
 	}
@@ -6562,19 +6572,31 @@
 		err = msgp.WrapError(err, "AgeMillis")
 		return
 	}
+	err = en.WriteBool(z.Brittle)
+	if err != nil {
+		err = msgp.WrapError(err, "Brittle")
+		return
+	}
+	err = en.WriteFloat64(z.MaxRefusals)
+	if err != nil {
+		err = msgp.WrapError(err, "MaxRefusals")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *UpstreamLimit) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 7
+	o = append(o, 0x97)
 	o = msgp.AppendString(o, z.Upstream)
 	o = msgp.AppendInt64(o, z.Born)
 	o = msgp.AppendBool(o, z.Limited)
 	o = msgp.AppendFloat64(o, z.PerSecond)
 	o = msgp.AppendInt64(o, z.AgeMillis)
+	o = msgp.AppendBool(o, z.Brittle)
+	o = msgp.AppendFloat64(o, z.MaxRefusals)
 	return
 }
 
@@ -6586,8 +6608,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	z.Upstream, bts, err = msgp.ReadStringBytes(bts)
@@ -6615,13 +6637,23 @@
 		err = msgp.WrapError(err, "AgeMillis")
 		return
 	}
+	z.Brittle, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Brittle")
+		return
+	}
+	z.MaxRefusals, bts, err = msgp.ReadFloat64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "MaxRefusals")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *UpstreamLimit) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Upstream) + msgp.Int64Size + msgp.BoolSize + msgp.Float64Size + msgp.Int64Size
+	s = 1 + msgp.StringPrefixSize + len(z.Upstream) + msgp.Int64Size + msgp.BoolSize + msgp.Float64Size + msgp.Int64Size + msgp.BoolSize + msgp.Float64Size
 	return
 }
 
