soak: announce rate limits and restore the store from copies

Neither was played with real processes. An upstream names a limit for some seconds, and the history checks the stated bound (1.5 times the limit and 5 requests in 4 s) from 1 s after it was first named, without excuse for killed or frozen VMs. The store returns from a copy a few seconds old; what it lost is written again at once or half a second later, and registrations without an upstream expire.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -6,6 +6,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"parsleyhatch/platform"
 )
 
 const (
@@ -16,6 +18,13 @@
 	// withdrawnKeyUseTime is how long callers keep using a withdrawn key. It exceeds the revocation bound, so that
 	// requests with a key that no longer works are sent, too.
 	withdrawnKeyUseTime = 7 * time.Second
+	// limitedTime is how much longer than its fault an upstream announces a rate limit, so that windows of the bound pass.
+	limitedTime = 6 * time.Second
+	// restoreDownTime is how long the store is away while it is restored, rewriteTime how long until the operator and the
+	// upstreams have written again what it lost, and registrationTTL when registrations without an upstream expire.
+	restoreDownTime = 200 * time.Millisecond
+	rewriteTime     = 500 * time.Millisecond
+	registrationTTL = 3 * time.Second
 )
 
 // runFaults injects each fault at its start time in a goroutine of its own, so that faults may overlap.
@@ -58,8 +67,10 @@
 	case faultUpstreamLink:
 		u := s.pickUpstream(f.target)
 		u.link.setFault([]int32{linkDelayed, linkDropsAll, linkDropsResponses, linkReset}[f.variant%4])
+		end := s.history.startDisturbance(partLinkTo(u.id))
 		s.disturbFor(f.duration, partUpstreams)
 		u.link.setFault(linkNormal)
+		end()
 	case faultUpstreamBehaviour:
 		u := s.pickUpstream(f.target)
 		u.behaviour.Store([]int32{respondsWithError, rejectsRequests, respondsSlowly, abortsConnections}[f.variant%4])
@@ -71,6 +82,13 @@
 		return s.drainUpstream(f)
 	case faultWithdrawKey:
 		s.withdrawKey(f)
+	case faultUpstreamLimit:
+		u := s.pickUpstream(f.target)
+		u.limit.Store([]int64{30, 100, 250, 800}[f.variant%4])
+		s.disturbFor(min(f.duration+limitedTime, s.Length-faultFreeTime-f.start), partUpstreams)
+		u.limit.Store(0)
+	case faultStoreRestore:
+		s.restoreStore(f)
 	}
 	return nil
 }
@@ -111,7 +129,7 @@
 	s.removeUpstream(u)
 	u.close()
 	s.disturbFor(f.duration, partUpstreams)
-	s.store.Remove("servers/" + u.id)
+	s.erase(platform.UpstreamPrefix + u.id)
 	u.link.close()
 	return s.addUpstream(u.region)
 }
@@ -128,12 +146,41 @@
 	s.history.drainingSince[u.id] = time.Now()
 	s.history.mu.Unlock()
 	time.Sleep(drainingTime)
-	s.store.Remove("servers/" + u.id)
+	s.erase(platform.UpstreamPrefix + u.id)
 	u.close()
 	u.link.close()
 	return nil
 }
 
+// restoreStore copies the store, and after the duration of the fault restores it from that copy. What was written meanwhile is
+// written again; what was deleted meanwhile expires.
+func (s *soak) restoreStore(f fault) {
+	copied := s.store.Copy()
+	time.Sleep(f.duration)
+	end := s.history.startDisturbance(partStore)
+	s.store.SetDown(true)
+	time.Sleep(restoreDownTime)
+	s.writeMu.Lock()
+	s.store.Restore(copied)
+	s.writeMu.Unlock()
+	s.store.SetDown(false)
+	time.Sleep(time.Duration(f.variant%2) * rewriteTime)
+	s.writeMu.Lock()
+	for key, value := range s.written {
+		s.store.Put(key, value)
+	}
+	s.writeMu.Unlock()
+	end()
+	time.Sleep(registrationTTL)
+	s.writeMu.Lock()
+	defer s.writeMu.Unlock()
+	for _, key := range copied.Keys() {
+		if _, ok := s.written[key]; !ok {
+			s.store.Remove(key)
+		}
+	}
+}
+
 // withdrawKey replaces the key of a workspace in the configuration. Callers keep using the old key for
 // withdrawnKeyUseTime.
 func (s *soak) withdrawKey(f fault) {
--- a/soak/history.go
+++ b/soak/history.go
@@ -62,6 +62,9 @@
 	partUpstreams = "upstreams"
 )
 
+// partLinkTo is the part that stands for the link to an upstream.
+func partLinkTo(upstream string) string { return "link to " + upstream }
+
 // disturbance is the time span in which a fault affects one part. end is zero while the fault lasts.
 type disturbance struct {
 	part       string
@@ -79,6 +82,8 @@
 	keyWithdrawnAt map[string]time.Time
 	// drainingSince maps draining upstreams to the time at which they were registered as draining.
 	drainingSince map[string]time.Time
+	// limitedArrivals are the requests that arrived at upstreams while they announced a rate limit, in the order of arrival.
+	limitedArrivals []limitedArrival
 	// workspaces maps keys to their workspaces.
 	workspaces map[string]string
 	// regions maps VMs and upstreams to their regions.
@@ -104,6 +109,20 @@
 	h.executions[e.id] = append(h.executions[e.id], e)
 }
 
+// limitedArrival is the arrival of a request at an upstream that announces a rate limit.
+type limitedArrival struct {
+	upstream string
+	at       time.Time
+	// limit is the announced limit in requests per second.
+	limit float64
+}
+
+func (h *history) recordLimitedArrival(upstream string, limit float64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.limitedArrivals = append(h.limitedArrivals, limitedArrival{upstream: upstream, at: time.Now(), limit: limit})
+}
+
 func (h *history) recordResponse(r response) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -140,6 +159,11 @@
 	// revoke is the longest time for which a withdrawn key works, drain the longest time for which a draining upstream
 	// receives requests, and settle the time after a disturbance until the other bounds hold again.
 	revoke, drain, settle time.Duration
+	// limitSettle is the time after the first announcement of a rate limit from which it holds. In each limitWindow an
+	// upstream may get limitOverage times what the limit allows, and limitSlack requests.
+	limitSettle, limitWindow time.Duration
+	limitOverage             float64
+	limitSlack               int
 	// responseSlack is the time after the deadline within which the final response must arrive.
 	responseSlack time.Duration
 	// successRate is the least share of requests that must succeed after all faults have ended.
@@ -162,6 +186,7 @@
 	{"upstreams get what callers sent", "RULES UNASKED", checkForwardedRequests},
 	{"withdrawn keys stop working", "RULES CONFIG, strict_revoke", checkWithdrawnKeys},
 	{"leaving upstreams get nothing new", "RULES DRAIN", checkDraining},
+	{"announced rate limits hold", "RULES LIMIT", checkRateLimits},
 	{"each request gets an answer in time", "RULES CONFIG, timeout_ms", checkResponseTimes},
 	{"service returns after faults", "RULES RECOVER", checkRecovery},
 }
@@ -288,6 +313,47 @@
 	return found
 }
 
+// checkRateLimits checks the limit of each upstream from limitSettle after its first announcement. While the link to the upstream
+// is disturbed, no VM may learn of the limit.
+func checkRateLimits(h *history, b bounds) []violation {
+	byUpstream := map[string][]limitedArrival{}
+	for _, a := range h.limitedArrivals {
+		list := byUpstream[a.upstream]
+		if len(list) > 0 && list[len(list)-1].limit != a.limit {
+			list = nil // Another limit, which is checked by itself.
+		}
+		byUpstream[a.upstream] = append(list, a)
+	}
+	var found []violation
+	for upstream, arrivals := range byUpstream {
+		from := arrivals[0].at
+		for _, d := range h.disturbances {
+			if d.part == partLinkTo(upstream) && d.end.After(from) {
+				from = d.end
+			}
+		}
+		allowed := int(b.limitOverage*arrivals[0].limit*b.limitWindow.Seconds()) + b.limitSlack
+		if most := mostInWindow(arrivals, from.Add(b.limitSettle), b.limitWindow); most > allowed {
+			found = append(found, violation{id: "many", detail: fmt.Sprintf("%d reached upstream %s in %v at a limit of %v a second, allowed %d", most, upstream, b.limitWindow, arrivals[0].limit, allowed)})
+		}
+	}
+	return found
+}
+
+// mostInWindow returns the largest number of arrivals after a time in one window.
+func mostInWindow(arrivals []limitedArrival, from time.Time, window time.Duration) int {
+	first, most := 0, 0
+	for i, a := range arrivals {
+		for first < i && (arrivals[first].at.Before(from) || a.at.Sub(arrivals[first].at) > window) {
+			first++
+		}
+		if !a.at.Before(from) {
+			most = max(most, i-first+1)
+		}
+	}
+	return most
+}
+
 func checkResponseTimes(h *history, b bounds) []violation {
 	var found []violation
 	for id, req := range h.requests {
--- a/soak/history_test.go
+++ b/soak/history_test.go
@@ -93,6 +93,7 @@
 
 var testBounds = bounds{
 	revoke: 50 * time.Millisecond, drain: 50 * time.Millisecond, settle: time.Millisecond,
+	limitSettle: time.Millisecond, limitWindow: time.Second, limitOverage: 1, limitSlack: 2,
 	responseSlack: 100 * time.Millisecond, successRate: 0.95,
 }
 
@@ -163,6 +164,18 @@
 				return false
 			}
 		}},
+		{"announced rate limits hold", kindSafe, func(d *vmDouble) {
+			d.upstream.limit.Store(100)
+			d.intercept = func(d *vmDouble, _ http.ResponseWriter, r *http.Request) bool {
+				for range 5 {
+					time.Sleep(2 * time.Millisecond)
+					if resp, err := d.forward(r, requestBody(r.Header.Get(platform.HeaderRequestID))); err == nil {
+						_ = resp.Body.Close()
+					}
+				}
+				return false
+			}
+		}},
 		{"service returns after faults", kindSafe, func(d *vmDouble) {
 			d.history.startDisturbance("other")()
 			time.Sleep(10 * time.Millisecond)
@@ -199,8 +212,8 @@
 
 // Guards against an invariant that is added without a case in TestViolationsAreReported.
 func TestEachInvariantHasFaultyVM(t *testing.T) {
-	if len(invariants) != 9 {
-		t.Errorf("%d invariants, want 9; add a case for each new one to TestViolationsAreReported", len(invariants))
+	if len(invariants) != 10 {
+		t.Errorf("%d invariants, want 10; add a case for each new one to TestViolationsAreReported", len(invariants))
 	}
 }
 
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -22,6 +22,8 @@
 	faultUpstreamBehaviour faultKind = "upstream misbehaves"
 	faultUpstreamLeave     faultKind = "upstream leaves"
 	faultWithdrawKey       faultKind = "key withdrawn"
+	faultUpstreamLimit     faultKind = "upstream announces a rate limit"
+	faultStoreRestore      faultKind = "store restored from a copy"
 )
 
 var faultKinds = []faultKind{
@@ -29,6 +31,10 @@
 	faultUpstreamCrash, faultUpstreamBehaviour, faultUpstreamLeave, faultWithdrawKey,
 }
 
+// laterFaultKinds are planned apart from faultKinds, so that the plans of earlier seeds stay as they were and the new faults are
+// added to them.
+var laterFaultKinds = []faultKind{faultUpstreamLimit, faultStoreRestore}
+
 // fault is one planned fault.
 type fault struct {
 	kind faultKind
@@ -42,28 +48,35 @@
 	// meanFaultInterval is the mean time between the starts of two faults. It is shorter than most faults, so that they
 	// overlap.
 	meanFaultInterval = 900 * time.Millisecond
+	// meanLaterFaultInterval is the same for laterFaultKinds.
+	meanLaterFaultInterval = 4 * time.Second
 	// maxFaultExtension is the largest time by which a fault lasts longer than the minimum of 200 ms.
 	maxFaultExtension = 3 * time.Second
 	// faultFreeTime is the time without faults at the end of a run, within which the service must recover.
 	faultFreeTime = 9 * time.Second
 )
 
-// planFaults returns the faults for a seed, ordered by start time. They arrive as a Poisson process.
+// planFaults returns the faults for a seed, ordered by start time.
 func planFaults(seed uint64, duration time.Duration) []fault {
-	rng := rand.New(rand.NewPCG(seed, 17))
+	faults := planKinds(rand.New(rand.NewPCG(seed, 17)), faultKinds, meanFaultInterval, duration)
+	faults = append(faults, planKinds(rand.New(rand.NewPCG(seed, 18)), laterFaultKinds, meanLaterFaultInterval, duration)...)
+	sort.SliceStable(faults, func(i, j int) bool { return faults[i].start < faults[j].start })
+	return faults
+}
+
+// planKinds returns faults of some kinds, which arrive as a Poisson process.
+func planKinds(rng *rand.Rand, kinds []faultKind, meanInterval, duration time.Duration) []fault {
 	var faults []fault
 	for at := time.Second; ; {
-		at += time.Duration(rng.ExpFloat64() * float64(meanFaultInterval))
+		at += time.Duration(rng.ExpFloat64() * float64(meanInterval))
 		f := fault{
-			kind: faultKinds[rng.IntN(len(faultKinds))], start: at,
+			kind: kinds[rng.IntN(len(kinds))], start: at,
 			duration: 200*time.Millisecond + time.Duration(rng.Float64()*float64(maxFaultExtension)),
 			target:   rng.IntN(1 << 16), variant: rng.IntN(1 << 16),
 		}
 		if f.start+f.duration > duration-faultFreeTime {
-			break
+			return faults
 		}
 		faults = append(faults, f)
 	}
-	sort.SliceStable(faults, func(i, j int) bool { return faults[i].start < faults[j].start })
-	return faults
 }
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -25,7 +25,7 @@
 			}
 		}
 	}
-	for _, k := range faultKinds {
+	for _, k := range append(slices.Clone(faultKinds), laterFaultKinds...) {
 		if !seen[k] {
 			t.Errorf("no plan has %q", k)
 		}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -33,6 +33,7 @@
 // defaultBounds are the documented bounds; revoke is the bounds.revoke_ms that writeSettings sets.
 var defaultBounds = bounds{
 	revoke: 5 * time.Second, drain: 3 * time.Second, settle: 5 * time.Second,
+	limitSettle: time.Second, limitWindow: 4 * time.Second, limitOverage: 1.5, limitSlack: 5,
 	responseSlack: time.Second, successRate: 0.95,
 }
 
@@ -65,6 +66,10 @@
 	vms         []*vmProcess
 	log         *lockedWriter
 
+	// writeMu guards written, the latest value of each key in the store.
+	writeMu sync.Mutex
+	written map[string]string
+
 	mu        sync.Mutex
 	upstreams []*registeredUpstream
 	keys      []string
@@ -95,7 +100,7 @@
 
 // Run runs a soak and returns its report.
 func Run(ctx context.Context, settings Settings) (Report, error) {
-	s := &soak{Settings: settings, history: newHistory(), store: standin.NewStore(), log: &lockedWriter{w: settings.Log}}
+	s := &soak{Settings: settings, history: newHistory(), store: standin.NewStore(), written: map[string]string{}, log: &lockedWriter{w: settings.Log}}
 	defer s.close()
 	if err := s.start(); err != nil {
 		return Report{}, err
@@ -239,11 +244,26 @@
 }
 
 func (s *soak) registerUpstream(u *registeredUpstream, state string) {
-	s.store.Put(platform.UpstreamPrefix+u.id, fmt.Sprintf(
+	s.write(platform.UpstreamPrefix+u.id, fmt.Sprintf(
 		`{"service":%q,"address":%q,"zone":%q,"slots":16,"state":%q,"born":%d}`,
 		service, u.link.address(), u.region+"-a", state, u.born))
 }
 
+// write writes a value to the store, and erase deletes one. Both remember what the store must hold after a restore.
+func (s *soak) write(key, value string) {
+	s.writeMu.Lock()
+	defer s.writeMu.Unlock()
+	s.written[key] = value
+	s.store.Put(key, value)
+}
+
+func (s *soak) erase(key string) {
+	s.writeMu.Lock()
+	defer s.writeMu.Unlock()
+	delete(s.written, key)
+	s.store.Remove(key)
+}
+
 // removeUpstream removes an upstream from the list, so that faults don't pick it.
 func (s *soak) removeUpstream(u *registeredUpstream) {
 	s.mu.Lock()
@@ -310,5 +330,5 @@
 	if err != nil {
 		panic(err) // Unreachable: all values above can be encoded.
 	}
-	s.store.Put(platform.ConfigKey, string(text))
+	s.write(platform.ConfigKey, string(text))
 }
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -39,8 +40,10 @@
 	id        string
 	history   *history
 	behaviour atomic.Int32
-	listener  net.Listener
-	server    *http.Server
+	// limit is the rate limit that the upstream announces, in hundredths of a request per second, zero for none.
+	limit    atomic.Int64
+	listener net.Listener
+	server   *http.Server
 }
 
 func newUpstream(id string, h *history) (*upstreamServer, error) {
@@ -72,6 +75,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	u.announceLimit(w)
 	if u.behaviour.Load() == rejectsRequests {
 		w.Header().Set(platform.HeaderNotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -85,6 +89,16 @@
 	u.respond(w, r, id)
 }
 
+// announceLimit records the arrival of a request and announces the rate limit, if there is one.
+func (u *upstreamServer) announceLimit(w http.ResponseWriter) {
+	limit := float64(u.limit.Load()) / 100
+	if limit == 0 {
+		return
+	}
+	u.history.recordLimitedArrival(u.id, limit)
+	w.Header().Set(platform.HeaderRateLimit, strconv.FormatFloat(limit, 'f', -1, 64))
+}
+
 func (u *upstreamServer) respond(w http.ResponseWriter, r *http.Request, id string) {
 	switch u.behaviour.Load() {
 	case respondsWithError:
--- a/standin/store.go
+++ b/standin/store.go
@@ -33,6 +33,17 @@
 	deleted  bool
 }
 
+// Keys returns the keys that the copy holds.
+func (c StoreCopy) Keys() []string {
+	var keys []string
+	for key, item := range c.items {
+		if !item.deleted {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
 // NewStore returns an empty store.
 func NewStore() *Store {
 	return &Store{items: map[string]storeItem{}, changed: make(chan struct{})}
