--- a/edge/limits.go
+++ b/edge/limits.go
@@ -40,7 +40,7 @@
 	}
 }
 
-// limitsMessage returns the message on rate limits of upstreams for other VMs.
+// limitsMessage returns the message on limits of upstreams for other VMs.
 func limitsMessage(now time.Time, limits ...replica.Limits) *vmwire.UpstreamLimits {
 	m := &vmwire.UpstreamLimits{}
 	for _, l := range limits {
@@ -52,7 +52,7 @@
 	return m
 }
 
-// sendLimits sends the known rate limits to a VM of this region with which a session has opened.
+// sendLimits sends the known limits to a VM of this region with which a session has opened.
 func (e *Edge) sendLimits(s *vm.Session) {
 	limits := e.Replicas.KnownLimits()
 	if len(limits) > 0 && s.Peer.Region == e.Settings.Region {
@@ -60,7 +60,7 @@
 	}
 }
 
-// receiveLimits records the rate limits that another VM of the region has learned. Ages are not negative, so that no VM can
+// receiveLimits records the limits that another VM of the region has learned. Ages are not negative, so that no VM can
 // announce a limit for the future.
 func (e *Edge) receiveLimits(now time.Time, from vm.Identity, m *vmwire.UpstreamLimits) {
 	for _, u := range m.Limits {
