--- a/vmwire/kinds.go
+++ b/vmwire/kinds.go
@@ -1,5 +1,8 @@
 package vmwire
 
+// Protocol is the version of the schema. Sessions with VMs of another version are refused.
+const Protocol = 7
+
 // Kinds of frames.
 const (
 	KindHello uint8 = iota + 1
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -3,9 +3,6 @@
 // together with a new protocol version.
 package vmwire
 
-// Protocol is the version of this schema. Sessions with VMs of another version are refused.
-const Protocol = 7
-
 // The limits bound what a decoder allocates for a length that a faulty peer announces. Without them, a
 // frame of 23 bytes made a VM allocate 128 GiB. The longest valid array is the list of parts of a
 // configuration, with about 700 entries at the target scale. Fields of raw bytes may fill a frame of
