source: take later ranges into account after a restore of the store

Found by reading the diff: after a restore, a second range (the history was dropped, or another VM is the reader) showed an evacuation that was written again, and it ended 5 s later all the same, since it was only counted as kept (EVAC). A registration that had been doubted and had expired by the second range was used from then on.

Before: TestSecondRangeAfterRestore fails in both. After: passes, also under the race detector.

--- a/source/restore_test.go
+++ b/source/restore_test.go
@@ -117,3 +117,21 @@
 		}
 	}
 }
+
+// Guards against an evacuation that ends, and a registration that is used, because a second range after a restore showed otherwise
+// and was not taken into account.
+func TestSecondRangeAfterRestore(t *testing.T) {
+	first := rangeJSON(5, configItem(1), upstreamItem("u1", "a"), upstreamItem("u2", "b"))
+	events := watchJSON(8, deletionJSON(platform.UpstreamPrefix+"u2", 7), itemJSON(platform.EvacuatePrefix+"a", "{}", 8))
+	again := rangeJSON(9, configItem(1), upstreamItem("u1", "a"), itemJSON(platform.EvacuatePrefix+"a", "{}", 6))
+	ts := newSource(t, first, events, "gone", "era 1 "+first, "gone", "era 1 "+again, "era 1 "+watchJSON(9))
+	ts.readTimes(6)
+	ts.now = ts.now.Add(restoreSettleTime)
+	ts.readTimes(1)
+	if ts.usable() {
+		t.Error("the failure domain is in use although its evacuation was written again")
+	}
+	if c := ts.Capacity("s"); c["region-b"] != 0 {
+		t.Errorf("capacity %v of an upstream that is not registered any more", c)
+	}
+}
--- a/source/source.go
+++ b/source/source.go
@@ -244,9 +244,11 @@
 func (s *Watcher) applyRange(page platform.Page) {
 	present := map[string]bool{}
 	evacuated := map[string]bool{}
+	clear(s.restore.doubted)
 	for _, item := range page.Items {
 		if domain, ok := strings.CutPrefix(item.Key, platform.EvacuatePrefix); ok {
 			evacuated[domain] = true
+			delete(s.restore.kept, domain)
 			continue
 		}
 		if id, ok := strings.CutPrefix(item.Key, platform.UpstreamPrefix); ok {
