fleet: count lost VMs for ten minutes in the bounds of upstreams only

Before: TestLostVMsKeepTheirShares with its new check, 2 VMs expected to send requests after five minutes. After: 1, and 2 sharers. The tests of sharers pass the number of known names; their checks are the same.

--- a/edge/presence.go
+++ b/edge/presence.go
@@ -112,7 +112,8 @@
 
 // divideUpstreamBounds divides the bounds of upstreams among the known VMs of the region.
 func (e *Edge) divideUpstreamBounds(now time.Time) {
-	e.Replicas.SetVMs(e.Settings.Name, e.Fleet.SameRegionSlots(now), e.sharers(now))
+	slots := e.Fleet.SameRegionSlots(now)
+	e.Replicas.SetVMs(e.Settings.Name, slots, e.sharers(now, len(slots)))
 }
 
 // weight returns this VM's capacity in hundredths of a core, limited by the bandwidth of its link.
@@ -125,10 +126,9 @@
 // second.
 const linkMbpsPerCore = 20
 
-// sharers returns the number of VMs that share the bounds of an upstream. A VM that has just started assumes a
+// sharers returns the number of VMs that share the bounds of an upstream if n are known. A VM that has just started assumes a
 // minimum, since it does not know all of them yet.
-func (e *Edge) sharers(now time.Time) int {
-	n := e.Fleet.SameRegionCount(now)
+func (e *Edge) sharers(now time.Time, n int) int {
 	switch age := now.Sub(e.startedAt); {
 	case age < initialDiscoveryTime:
 		return max(n, initialSharers)
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -47,7 +47,8 @@
 	// dialFailureCooldown is the time for which a VM of another region is not preferred after a failed dial.
 	dialFailureCooldown = 2 * time.Second
 	// memberRetention is the time after the latest presence for which a VM still counts as a sharer of the bounds of
-	// upstreams, since it may only be cut off from this one. leftRetention is the same for a VM that was leaving.
+	// upstreams, since it may only be cut off from this one. leftRetention is the same for a VM that was leaving, and the
+	// time for which a lost VM is expected to send requests.
 	memberRetention = 10 * time.Minute
 	leftRetention   = time.Minute
 	// redialInterval is the minimum time between two attempts to dial a VM.
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -87,13 +87,14 @@
 	return c.slot != "" && c.slot != f.Endpoint.Self.Slot && !f.isRemoteCandidate(c) && f.members[c.slot] == nil && now.Sub(c.lastSeenAt) <= vmListMaxAge
 }
 
-// SameRegionCount returns the number of names that SameRegionSlots returns.
+// SameRegionCount returns the number of VMs of this region, including this one, that probably send requests: the known ones except
+// those that were lost more than a minute ago.
 func (f *Fleet) SameRegionCount(now time.Time) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := 1
 	for _, m := range f.members {
-		if !m.remote && m.sharesBounds(now) {
+		if !m.remote && now.Sub(m.LastPresenceAt) <= leftRetention {
 			n++
 		}
 	}
