standin: answer reads of the store with the revision of their page

Cause, a fault of the stand-in: it read the revision of an answer after its page, so that a change in between was never returned to a watch that went on from there.

Page, revision and era are read together now.

--- a/standin/store.go
+++ b/standin/store.go
@@ -110,14 +110,9 @@
 		list = "events"
 	}
 	for {
-		page, changed, status := s.since(after, watch)
-		if status != http.StatusOK {
-			s.setEra(w.Header())
-			w.WriteHeader(status)
-			return
-		}
-		if !watch || len(page) > 0 {
-			s.answer(w, list, page)
+		a, changed := s.since(after, watch)
+		if a.status != http.StatusOK || !watch || len(a.page) > 0 {
+			a.write(w, list)
 			return
 		}
 		select {
@@ -125,46 +120,49 @@
 		case <-r.Context().Done():
 			return
 		case <-timeout:
-			s.answer(w, list, page)
+			a.write(w, list)
 			return
 		}
 	}
 }
 
-func (s *Store) setEra(h http.Header) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	h.Set("Store-Era", strconv.FormatUint(s.era, 10))
+// storeAnswer is an answer of the store, with the era and the revision at which its page was read.
+type storeAnswer struct {
+	status        int
+	page          []map[string]any
+	era, revision uint64
 }
 
-func (s *Store) answer(w http.ResponseWriter, list string, page []map[string]any) {
-	s.setEra(w.Header())
-	s.mu.Lock()
-	at := s.revision
-	s.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(map[string]any{list: page, "has_more": false, "at": at}) // The caller may have left.
+func (a *storeAnswer) write(w http.ResponseWriter, list string) {
+	w.Header().Set("Store-Era", strconv.FormatUint(a.era, 10))
+	w.WriteHeader(a.status)
+	if a.status == http.StatusOK {
+		_ = json.NewEncoder(w).Encode(map[string]any{list: a.page, "has_more": false, "at": a.revision}) // The caller may have left.
+	}
 }
 
-// since returns the changes after a revision, or the status of the answer if there are none to return: the store is down, or
-// does not have the revision, as after a restore.
-func (s *Store) since(after uint64, watch bool) ([]map[string]any, chan struct{}, int) {
+// since returns the changes after a revision, or an answer without a page: the store is down, or does not have the revision, as after
+// a restore.
+func (s *Store) since(after uint64, watch bool) (storeAnswer, chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	a := storeAnswer{status: http.StatusOK, era: s.era, revision: s.revision}
 	if s.down {
-		return nil, nil, http.StatusServiceUnavailable
+		a.status = http.StatusServiceUnavailable
+		return a, nil
 	}
 	if after > s.revision {
-		return nil, nil, http.StatusGone
+		a.status = http.StatusGone
+		return a, nil
 	}
-	var page []map[string]any
 	for key, item := range s.items {
 		switch {
 		case item.revision <= after || item.deleted && !watch:
 		case item.deleted:
-			page = append(page, map[string]any{"key": key, "revision": item.revision, "deleted": true})
+			a.page = append(a.page, map[string]any{"key": key, "revision": item.revision, "deleted": true})
 		default:
-			page = append(page, map[string]any{"key": key, "revision": item.revision, "value": []byte(item.value)})
+			a.page = append(a.page, map[string]any{"key": key, "revision": item.revision, "value": []byte(item.value)})
 		}
 	}
-	return page, s.changed, http.StatusOK
+	return a, s.changed
 }
