--- a/edge/send.go
+++ b/edge/send.go
@@ -40,6 +40,9 @@
 	if e.Replicas.IsRateLimited(pick.ID) {
 		e.Metrics.AddCounter("requests_to_limited_upstreams", 1)
 	}
+	if pick.Cold {
+		e.Metrics.AddCounter("requests_to_cold_upstreams", 1)
+	}
 	sentAt := e.Now()
 	a, err := e.Pool.Do(ctx, &upstream.Request{
 		Address: pick.Address, MaxConnections: e.connectionLimit(r.service),
@@ -51,6 +54,7 @@
 		return e.handleSendFailure(ctx, r, pick, err)
 	}
 	defer a.Close()
+	e.recordReachable(pick)
 	e.recordAnswer(pick, a, sentAt)
 	e.recordLimits(pick, a)
 	out := e.handleAnswer(ctx, r, pick, a, sink)
@@ -77,6 +81,8 @@
 		result := replica.Unreachable
 		if ctx.Err() != nil || upstream.IsPoolFull(f.Err) {
 			result = replica.RequestCancelled
+		} else {
+			e.recordUnreachable(pick, f)
 		}
 		e.Replicas.Done(now, pick, result)
 		return refuse(NoUpstream, f.Error(), defaultRetryAfter)
@@ -99,7 +105,7 @@
 // handleAnswer handles an answer whose response head has arrived.
 func (e *Edge) handleAnswer(ctx context.Context, r *request, pick *replica.Pick, a *upstream.Response, sink *Sink) Outcome {
 	if ms, err := strconv.ParseInt(a.Header.Get(platform.HeaderWarmUp), 10, 64); err == nil && ms > 0 {
-		e.Replicas.MarkCold(e.Now(), pick.ID, time.Duration(ms)*time.Millisecond)
+		e.markCold(pick.ID, time.Duration(ms)*time.Millisecond)
 	}
 	if a.Status == http.StatusMisdirectedRequest || a.Header.Get(platform.HeaderNotExecuted) != "" {
 		return e.handleRefusal(pick, a)
--- a/replica/choose.go
+++ b/replica/choose.go
@@ -49,6 +49,8 @@
 	Wait time.Duration
 	// LoadInputs are the load figures on which the choice was based.
 	LoadInputs LoadInputs
+	// Cold is set if the upstream is warming up.
+	Cold       bool
 	pickedAt   time.Time
 	rank       int
 	// heldTokens is the memory that the request takes, in tokens.
@@ -69,6 +71,7 @@
 	}
 	if r.isCold(now) {
 		r.coldRequests = append(r.coldRequests, now)
+		pick.Cold = true
 	}
 	t.takeLimitCapacity(r)
 	pick.pickedAt = now
--- a/replica/table.go
+++ b/replica/table.go
@@ -109,13 +109,24 @@
 	return ids
 }
 
-// MarkCold marks an upstream as cold for the given time.
-func (t *Table) MarkCold(now time.Time, id string, left time.Duration) {
+// MarkCold marks an upstream as cold for the given time. It reports whether the upstream was warm before.
+func (t *Table) MarkCold(now time.Time, id string, left time.Duration) (changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r := t.upstreams[id]; r != nil {
-		t.extendWarmUp(now, r, left)
+	r := t.upstreams[id]
+	if r == nil {
+		return false
 	}
+	wasCold := r.isCold(now)
+	t.extendWarmUp(now, r, left)
+	return !wasCold && r.isCold(now)
+}
+
+// Sharers returns the number of VMs among which this one divides the bounds of an upstream.
+func (t *Table) Sharers() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.vmCount
 }
 
 // SetEvacuated sets the failure domains that receive no requests. The upstreams of a domain that is no longer
--- a/replica/upstream.go
+++ b/replica/upstream.go
@@ -103,6 +103,8 @@
 	// backoffUntil is the end of the backoff after failed connections, and backoff its length.
 	backoffUntil time.Time
 	backoff      time.Duration
+	// unreachableSince is the time since which no connection could be opened, zero if the last attempt succeeded.
+	unreachableSince time.Time
 	// parts maps the ids of sent prompt parts to the time of their latest use.
 	parts map[uint64]time.Time
 }
