--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -93,17 +93,29 @@
 	}
 }
 
+// loadStatuses counts answers by status, zero for those without a complete answer.
+type loadStatuses map[int]int
+
+// share returns the share of the answers that have a status.
+func (s loadStatuses) share(status int) float64 {
+	all := 0
+	for _, n := range s {
+		all += n
+	}
+	return float64(s[status]) / float64(max(1, all))
+}
+
 // load sends requests through the VMs at an interval each until stop is called, and counts the answers by status.
 type load struct {
 	mu       sync.Mutex
-	statuses map[int]int
+	statuses loadStatuses
 	stopped  chan struct{}
 	wait     sync.WaitGroup
 }
 
 // startLoad starts requests to a path through VMs.
 func startLoad(t *testing.T, path string, interval time.Duration, vms ...*testVM) *load {
-	l := &load{statuses: map[int]int{}, stopped: make(chan struct{})}
+	l := &load{statuses: loadStatuses{}, stopped: make(chan struct{})}
 	for _, v := range vms {
 		l.wait.Go(func() { l.run(t, v, path, interval) })
 	}
@@ -132,7 +144,7 @@
 }
 
 // stop ends the load and returns the answers by status, zero for those without a complete answer.
-func (l *load) stop() map[int]int {
+func (l *load) stop() loadStatuses {
 	close(l.stopped)
 	l.wait.Wait()
 	return l.statuses
