edge: add a failing test of an upstream that returns cold

An upstream crashes, starts again at its address after 3.3 s and registers its new lifetime 0.7 s later.

--- /dev/null
+++ b/edge/cold_test.go
@@ -0,0 +1,111 @@
+package edge
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"parsleyhatch/platform"
+)
+
+const (
+	// coldRate is the number of requests per second of a cold upstream by the configuration. With the overage and the slack of
+	// the tests, coldBound is the most that it may get in a second.
+	coldRate  = 2.9
+	coldBound = 7
+	// coldAway is the time for which the upstream is away. Its registration would expire later.
+	coldAway = 3300 * time.Millisecond
+)
+
+// restartedUpstream is an upstream that crashes and starts again at its address.
+type restartedUpstream struct {
+	id, address string
+	mu          sync.Mutex
+	arrivals    []time.Time
+}
+
+func (u *restartedUpstream) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	u.mu.Lock()
+	u.arrivals = append(u.arrivals, time.Now())
+	u.mu.Unlock()
+	rw.Header().Set(platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID))
+	answerLater(rw, r)
+}
+
+// answerLater answers after a time in which other requests arrive, so that the load spreads over the upstreams.
+func answerLater(rw http.ResponseWriter, _ *http.Request) {
+	time.Sleep(100 * time.Millisecond)
+	_, _ = rw.Write([]byte("ok"))
+}
+
+// start starts a lifetime of the upstream and returns a function that ends it.
+func (u *restartedUpstream) start(t *testing.T) func() {
+	l, err := net.Listen("tcp", u.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	u.address = l.Addr().String()
+	server := &http.Server{Handler: u}
+	go func() { _ = server.Serve(l) }()
+	return func() { _ = server.Close() }
+}
+
+// mostInSecond returns the largest number of arrivals in a second.
+func (u *restartedUpstream) mostInSecond(since time.Time) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	most := 0
+	for i, at := range u.arrivals {
+		n := 0
+		for _, later := range u.arrivals[i:] {
+			if later.Sub(at) < time.Second {
+				n++
+			}
+		}
+		if at.After(since) {
+			most = max(most, n)
+		}
+	}
+	return most
+}
+
+// Guards against a cold upstream that is flooded because it returned before its registration says so: it crashed and started
+// again while its earlier registration was in force, and only then registers the new lifetime.
+func TestReturnedUpstreamIsCold(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t, "north")
+	w.store.Put(platform.ConfigKey, fmt.Sprintf(`{"version":1,"routes":[%s],"services":[{"name":"plain","warmup_s":3,"warmup_per_s":%v}],
+		"tenants":[{"name":"w1","api_keys":["secret"]}]}`, routeJSON("a", "safe", "plain", ""), coldRate))
+	u := &restartedUpstream{id: "u1", address: "127.0.0.1:0"}
+	stop := u.start(t)
+	w.registerUpstream(u.id, "plain", "north", u.address)
+	for i := range 3 {
+		w.addUpstream(fmt.Sprintf("other%d", i), "plain", "north", answerLater)
+	}
+	for i := range 4 {
+		w.startVM(fmt.Sprintf("vm%d", i), "north", true)
+	}
+	w.waitForMembership()
+	w.waitForUpstreams(4)
+	l := startLoad(t, "/a/", 20*time.Millisecond, w.vms...)
+	time.Sleep(time.Second)
+	stop()
+	time.Sleep(coldAway)
+	since := time.Now()
+	stop = u.start(t)
+	time.Sleep(700 * time.Millisecond)
+	w.store.Put(platform.UpstreamPrefix+u.id, fmt.Sprintf(
+		`{"service":"plain","address":%q,"zone":"north-a","slots":8,"state":"ready","born":2,"warmup_left_ms":2300}`, u.address))
+	time.Sleep(1500 * time.Millisecond)
+	statuses := l.stop()
+	stop()
+	if n := u.mostInSecond(since); n > coldBound {
+		t.Errorf("the cold upstream got %d requests in a second, %d allowed", n, coldBound)
+	}
+	if share := statuses.share(http.StatusOK); share < 0.9 {
+		t.Errorf("%.2f of the requests are served: %v", share, statuses)
+	}
+}
--- a/replica/choose.go
+++ b/replica/choose.go
@@ -50,9 +50,9 @@
 	// LoadInputs are the load figures on which the choice was based.
 	LoadInputs LoadInputs
 	// Cold is set if the upstream is warming up.
-	Cold       bool
-	pickedAt   time.Time
-	rank       int
+	Cold     bool
+	pickedAt time.Time
+	rank     int
 	// heldTokens is the memory that the request takes, in tokens.
 	heldTokens int64
 }
