edge: send requests through other VMs when this one is cut from the upstreams

Cause: a VM sent requests to upstreams of its region itself or not at all. It took each failed connection for the failure of that upstream, let callers' requests find out about each of them (dials of a second, three times a request; connections that hang until the deadline), went on reporting the upstreams as idle to other regions, and stayed in the directory. Ruled out: losses that are reported to other VMs (these serve all; TestCutOfOneVMLeavesUpstreamsToOthers).

A VM counts as cut from a service once it can open no connection to three of its upstreams (or to all), one after the other. It learns of it by connections of its own, in the background: to an upstream that has sent nothing for 400 ms while a request waits, or whose connection broke, and then to some others at once. Unreachable upstreams get no request until such a connection succeeds. A VM that is cut sends requests through VMs of its region that are not, says so in its presences, reports no waits to other regions, and is named by the directory only if fewer than half of the VMs reach the upstreams. Attempts that may be repeated leave the silent upstreams, with a reset, so that nothing of them arrives after the cut; they count as no crash. The timeout of a connection attempt is 500 ms, formerly 1 s.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -67,7 +67,7 @@
 	switch {
 	case region == "":
 		return out, false
-	case region == e.Settings.Region:
+	case region == e.Settings.Region && !r.throughOthers:
 		pick, ok := e.Replicas.Pick(now, r.replicaRequest())
 		if !ok {
 			return refuse(NoUpstream, "the upstreams of the region are not usable", defaultRetryAfter), false
--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -90,6 +90,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go e.Fleet.Run(ctx, listeners[1])
 	go e.Watcher.Run(ctx)
+	go e.RunProbes(ctx)
 	go e.ConnLimiter.Run(ctx, e.ConnLimits)
 	server := e.CallerServer(listeners[0])
 	go func() { _ = server.Start(ctx) }()
--- a/edge/directory.go
+++ b/edge/directory.go
@@ -79,7 +79,11 @@
 	for _, m := range ready {
 		maxWeight = max(maxWeight, m.Weight)
 	}
+	avoidCut := e.enoughReach(ready, here)
 	for _, m := range ready {
+		if avoidCut && len(m.CutServices) > 0 {
+			continue
+		}
 		if rand.IntN(maxWeight) >= m.Weight {
 			continue // Callers pick an address at random, so a VM with less capacity is listed less often.
 		}
@@ -89,7 +93,7 @@
 			stale = append(stale, m.CallerAddress)
 		}
 	}
-	if here && rand.IntN(maxWeight) < e.weight() {
+	if here && !(avoidCut && len(e.Replicas.CutServices()) > 0) && rand.IntN(maxWeight) < e.weight() {
 		if e.keysFresh(now) {
 			fresh = append(fresh, e.Settings.CallerListen)
 		} else {
@@ -102,6 +106,24 @@
 	return stale
 }
 
+// enoughReach reports whether at least half of the VMs reach the upstreams of all services, so that callers need not use those that
+// are cut. Otherwise too few VMs would take the connections of all callers.
+func (e *Edge) enoughReach(ready []fleet.Member, here bool) bool {
+	all, reaching := len(ready), 0
+	for _, m := range ready {
+		if len(m.CutServices) == 0 {
+			reaching++
+		}
+	}
+	if here {
+		all++
+		if len(e.Replicas.CutServices()) == 0 {
+			reaching++
+		}
+	}
+	return 2*reaching >= all
+}
+
 func (e *Edge) leavingIn(now time.Time, region string) []string {
 	addresses := e.callerAddresses(e.Fleet.LeavingMembers(now, region))
 	if leaving, _ := e.isLeaving(now); leaving && region == e.Settings.Region && e.acceptsRequests(now) {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -51,6 +51,7 @@
 	hasher     *poison.Hasher
 	open       atomic.Int64
 	catchUp    catchUp
+	reach      reach
 	// leavingSince is the time of SIGTERM in nanoseconds since boot, zero before.
 	leavingSince atomic.Int64
 }
--- a/edge/events.go
+++ b/edge/events.go
@@ -36,6 +36,9 @@
 	case s.complete(err):
 		e.Replicas.Done(now, pick, replica.Answered)
 		return Outcome{Reason: Answered, Status: a.Status, Ran: HasRun, Complete: true}
+	case a.Aborted() && ctx.Err() == nil:
+		e.Replicas.Done(now, pick, replica.RequestCancelled)
+		return fail(UpstreamFailed, errPathLost.Error())
 	case s.sinkFailed || ctx.Err() != nil && !errors.Is(context.Cause(ctx), errTimedOut):
 		e.Replicas.Done(now, pick, replica.RequestCancelled)
 		return fail(CallerDisconnected, err.Error())
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -20,7 +20,7 @@
 // valueSeparator joins multiple values of a header in messages between VMs. Header values cannot contain it.
 const valueSeparator = "\n"
 
-// forward sends the request to a VM of another region and relays the answer. It reports false if no VM of
+// forward sends the request to a VM of a region and relays the answer. It reports false if no VM of
 // the region is available.
 func (e *Edge) forward(ctx context.Context, r *request, region string, sink *Sink) (Outcome, bool) {
 	msg := e.openMessage(r, region)
@@ -32,8 +32,12 @@
 		return refuse(VMLost, err.Error(), defaultRetryAfter), true
 	}
 	r.triedVMs = append(r.triedVMs, slot)
-	r.triedRegions = append(r.triedRegions, region)
 	r.sends++
+	if region == e.Settings.Region {
+		e.Metrics.AddCounter("requests_through_other_vms", 1)
+	} else {
+		r.triedRegions = append(r.triedRegions, region)
+	}
 	stop := context.AfterFunc(ctx, st.Reset)
 	defer stop()
 	err = st.Send(ctx, r.body)
@@ -47,7 +51,9 @@
 		return refuse(VMLost, "send to vm "+slot+": "+err.Error(), defaultRetryAfter), true
 	}
 	r.switchover.sent()
-	e.forwards.Add(e.Now(), place.ServiceKey{Service: r.service.Name, Region: region}, r.prompt.Tokens)
+	if region != e.Settings.Region {
+		e.forwards.Add(e.Now(), place.ServiceKey{Service: r.service.Name, Region: region}, r.prompt.Tokens)
+	}
 	return e.relayForwarded(ctx, r, slot, st, sink), true
 }
 
--- a/edge/new.go
+++ b/edge/new.go
@@ -56,6 +56,7 @@
 		Metrics:     metrics.New(s.Name, s.Region),
 		ConnLimiter: callerconn.New(),
 		hasher:      hasher,
+		reach:       newReach(),
 	}
 	e.Replicas.ColdBound = func(sv *route.Service) float64 {
 		return sv.WarmUpRate*s.Bounds.WarmUpOverage + s.Bounds.WarmUpSlack
--- a/edge/presence.go
+++ b/edge/presence.go
@@ -27,6 +27,7 @@
 		p.Flags |= vmwire.FlagStoreDown
 	}
 	p.Open = int32(e.OpenRequests())
+	p.CutServices = e.Replicas.CutServices()
 	if full && e.Quota.Settled(now) {
 		p.Flags |= vmwire.FlagUsageKnown
 	}
@@ -64,6 +65,9 @@
 func (e *Edge) describeWaits(now time.Time, t *route.Table, p *vmwire.Presence) {
 	for i := range t.Config.Services {
 		s := &t.Config.Services[i]
+		if e.Replicas.IsCut(s.Name) {
+			continue
+		}
 		if expectedWaits := e.expectedWaits(now, s); len(expectedWaits) > 0 {
 			p.Waits = append(p.Waits, vmwire.ServiceWait{Service: s.Name, Millis: expectedWaits})
 		}
--- a/edge/reach.go
+++ b/edge/reach.go
@@ -1,23 +1,236 @@
 package edge
 
 import (
+	"context"
+	"errors"
+	"sync"
 	"time"
 
 	"parsleyhatch/event"
 	"parsleyhatch/replica"
+	"parsleyhatch/upstream"
 )
 
-// recordUnreachable records that no connection to an upstream could be opened.
-func (e *Edge) recordUnreachable(pick *replica.Pick, err error) {
-	if e.Replicas.RecordUnreachable(e.Now(), pick.ID) {
-		event.UpstreamUnreachable.Log(e.Log, "upstream", pick.ID, "error", err.Error())
+const (
+	// pathSilence is the time without any data from an upstream after which a waiting request makes this VM check its path to it.
+	// If the path is lost, requests that may be repeated leave the upstream after this time.
+	pathSilence = 400 * time.Millisecond
+	// probeTimeout bounds an attempt to connect to an upstream in order to check the path. A probe of an upstream that is
+	// reachable takes a round trip within the region.
+	probeTimeout = 400 * time.Millisecond
+	// probeInterval is the interval at which due probes of unreachable upstreams are sent, and maxProbes their number.
+	probeInterval = 100 * time.Millisecond
+	maxProbes     = 8
+	// sweepSize is the number of upstreams of each service that are probed at once when the path to one of them seems lost or
+	// has returned, and sweepInterval the minimum time between two such sweeps.
+	sweepSize     = 8
+	sweepInterval = time.Second
+)
+
+// errPathLost is the cancellation cause of an attempt whose upstream this VM does not reach any more.
+var errPathLost = errors.New("the path to the upstream is lost")
+
+// reach tracks the attempts that wait for upstreams, and which upstreams are probed.
+type reach struct {
+	mu      sync.Mutex
+	watches map[*pathWatch]struct{}
+	probing map[string]bool
+	sweptAt time.Time
+	// wake wakes the loop that probes unreachable upstreams.
+	wake chan struct{}
+}
+
+func newReach() reach {
+	return reach{watches: map[*pathWatch]struct{}{}, probing: map[string]bool{}, wake: make(chan struct{}, 1)}
+}
+
+// pathWatch watches the path to the upstream of one attempt.
+type pathWatch struct {
+	edge   *Edge
+	probe  replica.Probe
+	sentAt time.Time
+	// repeatable is set if the request may be sent to another upstream.
+	repeatable bool
+	timer      *time.Timer
+
+	mu sync.Mutex
+	// leave ends the attempt.
+	leave func()
+}
+
+// watchPath starts to watch the path of an attempt. The context ends when the path is lost before the upstream has answered.
+func (e *Edge) watchPath(ctx context.Context, r *request, pick *replica.Pick) (context.Context, *pathWatch) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	w := &pathWatch{edge: e, probe: probeOf(pick, r.service.Name), sentAt: e.Now(), repeatable: r.route.Idempotent()}
+	w.leave = func() { cancel(errPathLost) }
+	w.timer = time.AfterFunc(pathSilence, w.check)
+	e.reach.mu.Lock()
+	defer e.reach.mu.Unlock()
+	e.reach.watches[w] = struct{}{}
+	return ctx, w
+}
+
+func probeOf(pick *replica.Pick, service string) replica.Probe {
+	return replica.Probe{ID: pick.ID, Address: pick.Address, Service: service}
+}
+
+// answered goes on watching an attempt whose upstream has started to answer.
+func (w *pathWatch) answered(a *upstream.Response) {
+	w.timer.Stop()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leave = a.Abort
+}
+
+// stop ends the watch.
+func (w *pathWatch) stop() {
+	w.timer.Stop()
+	w.edge.reach.mu.Lock()
+	defer w.edge.reach.mu.Unlock()
+	delete(w.edge.reach.watches, w)
+}
+
+// check probes the upstream if it has sent nothing since the request was sent.
+func (w *pathWatch) check() {
+	if w.edge.Pool.LastReadAt(w.probe.Address).Before(w.sentAt) {
+		w.edge.checkPath(w.probe)
+	}
+}
+
+// isSilent reports whether nothing has come from the upstream for pathSilence.
+func (w *pathWatch) isSilent(now time.Time) bool {
+	since := w.sentAt
+	if at := w.edge.Pool.LastReadAt(w.probe.Address); at.After(since) {
+		since = at
+	}
+	return now.Sub(since) >= pathSilence
+}
+
+func (w *pathWatch) end() {
+	w.mu.Lock()
+	leave := w.leave
+	w.mu.Unlock()
+	leave()
+}
+
+// leaveLostPaths ends the attempts that may be repeated and wait for silent upstreams from whose service this VM is cut.
+func (e *Edge) leaveLostPaths(now time.Time) {
+	e.reach.mu.Lock()
+	var lost []*pathWatch
+	for w := range e.reach.watches {
+		if w.repeatable && e.Replicas.IsCut(w.probe.Service) && w.isSilent(now) {
+			lost = append(lost, w)
+		}
+	}
+	e.reach.mu.Unlock()
+	for _, w := range lost {
+		w.end()
+	}
+}
+
+// checkPath connects to an upstream in the background, unless that is being tried already.
+func (e *Edge) checkPath(p replica.Probe) {
+	e.reach.mu.Lock()
+	defer e.reach.mu.Unlock()
+	if e.reach.probing[p.ID] {
+		return
+	}
+	e.reach.probing[p.ID] = true
+	go e.runProbe(p)
+}
+
+func (e *Edge) runProbe(p replica.Probe) {
+	startedAt := e.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	err := e.Pool.Connect(ctx, p.Address)
+	cancel()
+	e.reach.mu.Lock()
+	delete(e.reach.probing, p.ID)
+	e.reach.mu.Unlock()
+	if err != nil {
+		e.recordUnreachable(p, startedAt, err)
+		return
+	}
+	e.recordReachable(p)
+}
+
+// recordUnreachable records that an attempt to connect to an upstream has failed.
+func (e *Edge) recordUnreachable(p replica.Probe, startedAt time.Time, err error) {
+	now := e.Now()
+	first, cut := e.Replicas.RecordUnreachable(now, startedAt, p.ID)
+	if first {
+		event.UpstreamUnreachable.Log(e.Log, "upstream", p.ID, "service", p.Service, "error", err.Error())
+		e.Pool.CloseIdle(p.Address)
+		e.sweep(now, true)
+	}
+	if cut {
+		event.PathLost.Log(e.Log, "service", p.Service, "sinceMillis", now.Sub(startedAt).Milliseconds())
+		e.leaveLostPaths(now)
+		e.Fleet.BroadcastPresence()
+	}
+	select {
+	case e.reach.wake <- struct{}{}:
+	default:
+	}
+}
+
+// recordReachable records that a connection to an upstream was opened.
+func (e *Edge) recordReachable(p replica.Probe) {
+	now := e.Now()
+	away, healed := e.Replicas.RecordReachable(now, p.ID)
+	if away > 0 {
+		event.UpstreamReachable.Log(e.Log, "upstream", p.ID, "service", p.Service, "awayMillis", away.Milliseconds())
+	}
+	if healed {
+		event.PathReturned.Log(e.Log, "service", p.Service)
+		e.Fleet.BroadcastPresence()
+		e.sweep(now, false)
+	}
+}
+
+// sweep probes some upstreams of each service at once: the reachable ones when the path to another has been lost, the unreachable
+// ones when it has returned.
+func (e *Edge) sweep(now time.Time, reachable bool) {
+	e.reach.mu.Lock()
+	due := !reachable || now.Sub(e.reach.sweptAt) >= sweepInterval
+	if due && reachable {
+		e.reach.sweptAt = now
+	}
+	e.reach.mu.Unlock()
+	if !due {
+		return
+	}
+	for _, p := range e.Replicas.SweepProbes(sweepSize, reachable) {
+		if !reachable || now.Sub(e.Pool.LastReadAt(p.Address)) >= pathSilence {
+			e.checkPath(p)
+		}
 	}
 }
 
-// recordReachable records that an upstream answered.
-func (e *Edge) recordReachable(pick *replica.Pick) {
-	if away := e.Replicas.RecordReachable(e.Now(), pick.ID); away > 0 {
-		event.UpstreamReachable.Log(e.Log, "upstream", pick.ID, "awayMillis", away.Milliseconds())
+// RunProbes probes unreachable upstreams until ctx ends, so that no caller's request waits for one.
+func (e *Edge) RunProbes(ctx context.Context) {
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if !e.Replicas.NeedsProbes() {
+			ticker.Stop()
+			select {
+			case <-ctx.Done():
+				return
+			case <-e.reach.wake:
+			}
+			ticker.Reset(probeInterval)
+		}
+		now := e.Now()
+		e.leaveLostPaths(now)
+		for _, p := range e.Replicas.DueProbes(now, maxProbes) {
+			e.checkPath(p)
+		}
 	}
 }
 
--- a/edge/region.go
+++ b/edge/region.go
@@ -44,11 +44,22 @@
 	return place.Best(regions, place.Request{HomeRegion: e.affinityRegion(r), Tokens: r.prompt.Tokens, SharedTokens: r.prompt.SharedTokens()})
 }
 
+// localRegion returns this region, if its upstreams can run the request. A VM that cannot reach them sends the request through
+// another VM of the region.
 func (e *Edge) localRegion(now time.Time, r *request) (place.Region, bool) {
 	if !route.Allowed(r.route, r.workspace, e.Settings.Region) {
 		return place.Region{}, false
 	}
-	pick, ok := e.Replicas.Estimate(now, r.replicaRequest())
+	q := r.replicaRequest()
+	pick, ok := e.Replicas.Estimate(now, q)
+	r.throughOthers = false
+	if cut := e.Replicas.IsCut(r.service.Name); cut || !ok && e.Replicas.IsImpaired(now, r.service) {
+		if r.forwarded || !e.Fleet.HasLocalRunner(now, r.service.Name, r.triedVMs) {
+			return place.Region{}, false
+		}
+		q.ThroughOthers, r.throughOthers = true, true
+		pick, ok = e.Replicas.Estimate(now, q)
+	}
 	r.inputs = pick.LoadInputs
 	return place.Region{
 		Name: e.Settings.Region, Local: true, Wait: pick.FirstToken, Penalty: pick.Wait - pick.FirstToken,
--- a/edge/request.go
+++ b/edge/request.go
@@ -62,6 +62,8 @@
 	lastEvent string
 	// failedAnswer is an error answer of an upstream. The caller receives it unless a later attempt succeeds.
 	failedAnswer *bufferedAnswer
+	// throughOthers is set if the latest choice was another VM of this region, because this VM cannot reach the upstreams.
+	throughOthers bool
 	// allowTried permits sending the request to an upstream again, because no untried upstream is left.
 	allowTried bool
 	// expectedWait is the expected time to the first token at the latest choice of a region or upstream.
--- a/edge/send.go
+++ b/edge/send.go
@@ -44,17 +44,22 @@
 		e.Metrics.AddCounter("requests_to_cold_upstreams", 1)
 	}
 	sentAt := e.Now()
-	a, err := e.Pool.Do(ctx, &upstream.Request{
+	attemptCtx, watch := e.watchPath(ctx, r, pick)
+	defer watch.stop()
+	a, err := e.Pool.Do(attemptCtx, &upstream.Request{
 		Address: pick.Address, MaxConnections: e.connectionLimit(r.service),
 		ID: r.id, Method: r.method, Target: r.target, Host: r.host,
 		Header: r.outgoingHeader(pick.ID, now), Body: r.body,
 		OnSend: r.switchover.sent,
 	})
 	if err != nil {
-		return e.handleSendFailure(ctx, r, pick, err)
+		return e.handleSendFailure(attemptCtx, r, pick, sentAt, err)
 	}
 	defer a.Close()
-	e.recordReachable(pick)
+	watch.answered(a)
+	if !a.Reused {
+		e.recordReachable(watch.probe)
+	}
 	e.recordAnswer(pick, a, sentAt)
 	e.recordLimits(pick, a)
 	out := e.handleAnswer(ctx, r, pick, a, sink)
@@ -71,7 +76,7 @@
 }
 
 // handleSendFailure handles a request for which no response head arrived.
-func (e *Edge) handleSendFailure(ctx context.Context, r *request, pick *replica.Pick, err error) Outcome {
+func (e *Edge) handleSendFailure(ctx context.Context, r *request, pick *replica.Pick, sentAt time.Time, err error) Outcome {
 	var f *upstream.Failure
 	if !errors.As(err, &f) {
 		f = &upstream.Failure{Kind: upstream.Broken, Err: err}
@@ -82,7 +87,7 @@
 		if ctx.Err() != nil || upstream.IsPoolFull(f.Err) {
 			result = replica.RequestCancelled
 		} else {
-			e.recordUnreachable(pick, f)
+			e.recordUnreachable(probeOf(pick, r.service.Name), sentAt, f)
 		}
 		e.Replicas.Done(now, pick, result)
 		return refuse(NoUpstream, f.Error(), defaultRetryAfter)
@@ -92,11 +97,15 @@
 	case f.Kind == upstream.Cancelled && errors.Is(context.Cause(ctx), errTimedOut):
 		e.Replicas.Done(now, pick, replica.NoResponse)
 		return fail(TimedOut, "the upstream has not answered in time")
+	case f.Kind == upstream.Cancelled && errors.Is(context.Cause(ctx), errPathLost):
+		e.Replicas.Done(now, pick, replica.RequestCancelled)
+		return fail(UpstreamFailed, errPathLost.Error())
 	case f.Kind == upstream.Cancelled:
 		e.Replicas.Done(now, pick, replica.RequestCancelled)
 		return fail(CallerDisconnected, "the caller left")
 	default:
 		e.Replicas.Done(now, pick, replica.Failed)
+		e.checkPath(probeOf(pick, r.service.Name))
 		e.reportCrash(r, pick, f)
 		return fail(UpstreamFailed, f.Error())
 	}
@@ -141,6 +150,10 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(a, int64(limit)+1))
 	now := e.Now()
+	if err != nil && a.Aborted() {
+		e.Replicas.Done(now, pick, replica.RequestCancelled)
+		return fail(UpstreamFailed, errPathLost.Error())
+	}
 	if err != nil {
 		e.Replicas.Done(now, pick, replica.Failed)
 		if ctx.Err() != nil {
--- a/event/edge.go
+++ b/event/edge.go
@@ -17,6 +17,8 @@
 	UpstreamLimitInvalid  = New(1924, slog.LevelWarn, "upstream announced an invalid limit; the last valid one stays in force", "Correct the header at the upstream.")
 	UpstreamUnreachable   = New(1926, slog.LevelWarn, "no connection to the upstream", "Check the upstream. If the line names most upstreams of a region at one VM only, check that VM's network.")
 	UpstreamReachable     = New(1927, slog.LevelInfo, "connection to the upstream possible again", "none")
+	PathLost              = New(1929, slog.LevelError, "no path to the upstreams of a service", "Check the network of the VM if other VMs of the region still reach the upstreams; it sends its requests through them.")
+	PathReturned          = New(1930, slog.LevelInfo, "path to the upstreams of a service returned", "none")
 	UpstreamCold          = New(1928, slog.LevelInfo, "upstream is cold", "none")
 	DomainEvacuationEnded = New(1907, slog.LevelInfo, "failure domain no longer evacuated", "none")
 )
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -77,8 +77,10 @@
 	ticks int
 	// presenceInterval is the interval of the presences to VMs of this region, in nanoseconds.
 	presenceInterval atomic.Int64
-	// sentFlags are the flags of the latest presence. They are accessed only by the goroutine of Run.
+	// sentFlags are the flags of the latest presence, and sentCuts is the number of its CutServices. They are accessed only by the
+	// goroutine of Run.
 	sentFlags     uint8
+	sentCuts      int
 	pauseDetector pauseDetector
 }
 
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -86,6 +86,8 @@
 	OpenRequests int
 	// ExpectedWaits holds the expected times to the first token in the VM's region, by service and priority rank.
 	ExpectedWaits map[string][]time.Duration
+	// CutServices are the services from whose upstreams the VM is cut.
+	CutServices   []string
 	ConfigVersion uint64
 	// Weight is the VM's relative share of the work.
 	Weight int
@@ -137,6 +139,7 @@
 	m.OpenRequests = int(p.Open)
 	m.ConfigVersion = p.ConfigVersion
 	m.Weight = int(p.Weight)
+	m.CutServices = p.CutServices
 	m.ExpectedWaits = make(map[string][]time.Duration, len(p.Waits))
 	for _, w := range p.Waits {
 		waits := make([]time.Duration, len(w.Millis))
--- a/fleet/presence.go
+++ b/fleet/presence.go
@@ -35,8 +35,8 @@
 	interval := presenceTicks(len(slots))
 	f.presenceInterval.Store(int64(time.Duration(interval) * tick))
 	p := f.newPresence(true, false)
-	changed := (p.Flags^f.sentFlags)&urgentFlags != 0
-	f.sentFlags = p.Flags
+	changed := (p.Flags^f.sentFlags)&urgentFlags != 0 || len(p.CutServices) != f.sentCuts
+	f.sentFlags, f.sentCuts = p.Flags, len(p.CutServices)
 	for i, slot := range slots {
 		if s := f.session(slot); s != nil && (changed || (i+f.ticks)%interval == 0) {
 			s.SendControl(vmwire.KindPresence, p)
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -148,18 +148,29 @@
 	return wait, presenceAt, found
 }
 
+// HasLocalRunner reports whether another VM of this region, except those that were tried, can run the service.
+func (f *Fleet) HasLocalRunner(now time.Time, service string, tried []string) bool {
+	return len(f.runners(now, f.Endpoint.Self.Region, service, tried)) > 0
+}
+
+// runners returns the VMs of a region that can run the service, except those that were tried. A VM of another region says so by an
+// expected wait, one of this region is not cut from the upstreams of the service.
+func (f *Fleet) runners(now time.Time, region, service string, tried []string) []Member {
+	return slices.DeleteFunc(f.ReadyMembers(now, region), func(m Member) bool {
+		if slices.Contains(tried, m.Slot) || slices.Contains(m.CutServices, service) {
+			return true
+		}
+		return m.remote && len(m.ExpectedWaits[service]) == 0
+	})
+}
+
 // ErrNoVM means that no VM of the region can run the request.
 var ErrNoVM = errors.New("no vm of the region can run the request")
 
 // OpenStream starts a stream to a VM of a region that can run the service, and returns the VM's name. Of two random
 // VMs it picks the one with fewer open requests.
 func (f *Fleet) OpenStream(ctx context.Context, now time.Time, region, service string, open *vmwire.Open, tried []string) (string, *vm.Stream, error) {
-	var list []Member
-	for _, m := range f.ReadyMembers(now, region) {
-		if len(m.ExpectedWaits[service]) > 0 && !slices.Contains(tried, m.Slot) {
-			list = append(list, m)
-		}
-	}
+	list := f.runners(now, region, service, tried)
 	if len(list) == 0 {
 		return "", nil, ErrNoVM
 	}
--- a/operator/vm.go
+++ b/operator/vm.go
@@ -148,6 +148,7 @@
 	event.Started.Log(log, "region", s.Region, "failureDomain", s.FailureDomain, "machine", settingsSummary(s))
 	go vm.Watcher.Run(ctx)
 	go vm.Pool.Run(ctx)
+	go vm.RunProbes(ctx)
 	go vm.ConnLimiter.Run(ctx, vm.ConnLimits)
 	go p.runMonitor(ctx, options.settingsPath, options.logWriter, options.signals.reload)
 	select {
--- a/replica/choose.go
+++ b/replica/choose.go
@@ -29,6 +29,9 @@
 	// AllowAttempted is set and there is no other one.
 	Attempted      []string
 	AllowAttempted bool
+	// ThroughOthers means that another VM of the region will send the request: what this VM may send and which upstreams it can
+	// reach does not matter.
+	ThroughOthers bool
 	// SkipLimited leaves out upstreams that have announced a rate limit.
 	SkipLimited bool
 }
@@ -138,7 +141,7 @@
 
 // eligible reports whether an upstream may receive the request now.
 func (t *Table) eligible(now time.Time, r *upstreamState, q Request) bool {
-	if r.Draining || t.evacuated[r.FailureDomain] || now.Before(r.backoffUntil) {
+	if r.Draining || t.evacuated[r.FailureDomain] {
 		return false
 	}
 	for _, id := range q.Attempted {
@@ -146,6 +149,12 @@
 			return false
 		}
 	}
+	if q.ThroughOthers {
+		return true
+	}
+	if now.Before(r.backoffUntil) || !r.unreachableSince.IsZero() {
+		return false
+	}
 	if q.SkipLimited && t.isRateLimited(r) {
 		return false
 	}
@@ -200,7 +209,7 @@
 	var best *upstreamState
 	var highest uint64
 	for _, r := range candidates {
-		if r.Draining || t.evacuated[r.FailureDomain] || now.Before(r.backoffUntil) || r.isCold(now) && q.Service.WarmUpRate > 0 || t.isRateLimited(r) {
+		if r.Draining || t.evacuated[r.FailureDomain] || now.Before(r.backoffUntil) || !r.unreachableSince.IsZero() || r.isCold(now) && q.Service.WarmUpRate > 0 || t.isRateLimited(r) {
 			continue
 		}
 		if weight := RendezvousWeight(key, r.ID); best == nil || weight > highest {
--- a/replica/reach.go
+++ b/replica/reach.go
@@ -1,30 +1,201 @@
 package replica
 
-import "time"
+import (
+	"time"
 
-// RecordUnreachable records that no connection to an upstream could be opened. It reports whether a connection could be opened
-// before.
-func (t *Table) RecordUnreachable(now time.Time, id string) (first bool) {
+	"parsleyhatch/route"
+)
+
+const (
+	// cutEvidence is the number of upstreams of a service to which no connection can be opened, one after the other, from which
+	// this VM counts as cut from the service. A few upstreams may crash at once, but then others still accept connections.
+	cutEvidence = 3
+	// firstProbeDelay and maxProbeDelay bound the time between two probes of an unreachable upstream.
+	firstProbeDelay = 250 * time.Millisecond
+	maxProbeDelay   = time.Second
+)
+
+// servicePath is the state of this VM's path to the upstreams of a service.
+type servicePath struct {
+	// failed holds the upstreams to which no connection could be opened since openedAt, with the time of the first attempt.
+	failed map[string]time.Time
+	// openedAt is the time at which a connection to an upstream of the service was last opened.
+	openedAt time.Time
+	// cut is set once a cut was reported.
+	cut bool
+	// healedAt is the time at which the latest cut ended.
+	healedAt time.Time
+}
+
+// Probe is an attempt to connect to an upstream in order to find out whether it is reachable.
+type Probe struct {
+	ID      string
+	Address string
+	Service string
+}
+
+// RecordUnreachable records that an attempt to connect to an upstream, made at startedAt, has failed. It reports whether the upstream
+// was reachable before, and whether this VM counts as cut from its service from now on.
+func (t *Table) RecordUnreachable(now, startedAt time.Time, id string) (first, cut bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.upstreams[id]
-	if r == nil || !r.unreachableSince.IsZero() {
+	if r == nil {
+		return false, false
+	}
+	if first = r.unreachableSince.IsZero(); first {
+		r.unreachableSince, r.probeDelay = startedAt, 0
+	}
+	r.probeDelay = min(max(firstProbeDelay, 2*r.probeDelay), maxProbeDelay)
+	r.probeAt = now.Add(r.probeDelay)
+	p := t.path(r.Service)
+	if !startedAt.After(p.openedAt) {
+		return first, false
+	}
+	if _, known := p.failed[id]; !known {
+		p.failed[id] = startedAt
+	}
+	if !p.cut && t.isCut(r.Service) {
+		p.cut = true
+		return first, true
+	}
+	return first, false
+}
+
+// isCut reports whether no connection could be opened to several upstreams of a service, and to none since. Upstreams that are
+// not registered any more do not count: they may all have been replaced.
+func (t *Table) isCut(service string) bool {
+	p := t.paths[service]
+	if p == nil || len(p.failed) == 0 {
 		return false
 	}
-	r.unreachableSince = now
-	return true
+	t.rebuildIndex()
+	usable, failed := 0, 0
+	for _, r := range t.byService[service] {
+		if r.Draining || t.evacuated[r.FailureDomain] {
+			continue
+		}
+		usable++
+		if _, ok := p.failed[r.ID]; ok {
+			failed++
+		}
+	}
+	return usable > 0 && failed >= min(cutEvidence, usable)
 }
 
-// RecordReachable records that a connection to an upstream is open. It returns for how long none could be opened before, zero if
-// the upstream was reachable.
-func (t *Table) RecordReachable(now time.Time, id string) (away time.Duration) {
+// RecordReachable records that a connection to an upstream was opened. It returns for how long none could be opened before, zero if
+// the upstream was reachable, and whether this ends a cut from its service.
+func (t *Table) RecordReachable(now time.Time, id string) (away time.Duration, healed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.upstreams[id]
-	if r == nil || r.unreachableSince.IsZero() {
-		return 0
+	if r == nil {
+		return 0, false
+	}
+	p := t.path(r.Service)
+	p.openedAt = now
+	clear(p.failed)
+	if healed = p.cut; healed {
+		p.cut, p.healedAt = false, now
+	}
+	if r.unreachableSince.IsZero() {
+		return 0, healed
 	}
 	away = now.Sub(r.unreachableSince)
-	r.unreachableSince = time.Time{}
-	return away
+	r.unreachableSince, r.backoffUntil, r.backoff = time.Time{}, time.Time{}, 0
+	return away, healed
+}
+
+func (t *Table) path(service string) *servicePath {
+	p := t.paths[service]
+	if p == nil {
+		p = &servicePath{failed: map[string]time.Time{}}
+		t.paths[service] = p
+	}
+	return p
+}
+
+// IsCut reports whether this VM is cut from the upstreams of a service.
+func (t *Table) IsCut(service string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.isCut(service)
+}
+
+// CutServices returns the services from whose upstreams this VM is cut.
+func (t *Table) CutServices() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var services []string
+	for service := range t.paths {
+		if t.isCut(service) {
+			services = append(services, service)
+		}
+	}
+	return services
+}
+
+// IsImpaired reports whether this VM may reach fewer upstreams of a service than other VMs do, or was cut from them until recently.
+func (t *Table) IsImpaired(now time.Time, s *route.Service) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p := t.paths[s.Name]; p != nil && (t.isCut(s.Name) || now.Sub(p.healedAt) < s.WarmUp) {
+		return true
+	}
+	for _, r := range t.byService[s.Name] {
+		if !r.unreachableSince.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+// NeedsProbes reports whether an upstream is unreachable, or this VM is cut from a service.
+func (t *Table) NeedsProbes() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.upstreams {
+		if t.needsProbe(r) {
+			return true
+		}
+	}
+	return false
+}
+
+// needsProbe reports whether an upstream is to be probed: it is unreachable, or nothing else is sent to it because of a cut.
+func (t *Table) needsProbe(r *upstreamState) bool {
+	return !r.unreachableSince.IsZero() || t.isCut(r.Service)
+}
+
+// DueProbes returns at most n probes that are due.
+func (t *Table) DueProbes(now time.Time, n int) []Probe {
+	return t.probes(n, func(r *upstreamState) bool { return t.needsProbe(r) && !now.Before(r.probeAt) })
+}
+
+// SweepProbes returns probes of upstreams with the given reachability, at most n of each service.
+func (t *Table) SweepProbes(n int, reachable bool) []Probe {
+	perService := map[string]int{}
+	return t.probes(0, func(r *upstreamState) bool {
+		if r.Draining || r.unreachableSince.IsZero() != reachable || perService[r.Service] == n {
+			return false
+		}
+		perService[r.Service]++
+		return true
+	})
+}
+
+// probes returns probes of the upstreams that are selected, at most n unless n is zero.
+func (t *Table) probes(n int, selected func(r *upstreamState) bool) []Probe {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Probe
+	for _, r := range t.upstreams {
+		if n > 0 && len(list) == n {
+			break
+		}
+		if selected(r) {
+			list = append(list, Probe{ID: r.ID, Address: r.Address, Service: r.Service})
+		}
+	}
+	return list
 }
--- /dev/null
+++ b/replica/reach_test.go
@@ -0,0 +1,57 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// Guards against a VM that takes crashed upstreams for a lost path, or a lost path for crashed upstreams, and against one that
+// stays cut because all upstreams that it could not reach were replaced.
+func TestCut(t *testing.T) {
+	for name, c := range map[string]struct {
+		upstreams int
+		failed    []int
+		// openedBetween is set if another connection is opened after the attempts began.
+		openedBetween bool
+		replaced      bool
+		want          bool
+	}{
+		"one of three":              {upstreams: 3, failed: []int{0}},
+		"all of three":              {upstreams: 3, failed: []int{0, 1, 2}, want: true},
+		"the only one":              {upstreams: 1, failed: []int{0}, want: true},
+		"the same one three times":  {upstreams: 5, failed: []int{0, 0, 0}},
+		"several of many":           {upstreams: 12, failed: []int{0, 1, 2}, want: true},
+		"others accept connections": {upstreams: 12, failed: []int{0, 1, 2}, openedBetween: true},
+		"all replaced":              {upstreams: 3, failed: []int{0, 1, 2}, replaced: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := newTable(c.upstreams, "p")
+			began, now := start.Add(time.Second), start.Add(2*time.Second)
+			if c.openedBetween {
+				table.RecordReachable(began.Add(time.Millisecond), fmt.Sprintf("u%d", c.upstreams-1))
+			}
+			for _, i := range c.failed {
+				table.RecordUnreachable(now, began, fmt.Sprintf("u%d", i))
+			}
+			if c.replaced {
+				for i := range c.upstreams {
+					table.Remove(fmt.Sprintf("u%d", i))
+					table.Put(now, Registration{ID: fmt.Sprintf("new%d", i), Service: "p", FailureDomain: "a", Slots: 64, Born: 2}, 0)
+				}
+			}
+			if got := table.IsCut("p"); got != c.want {
+				t.Errorf("cut %v, want %v", got, c.want)
+			}
+			if got := len(table.CutServices()) == 1; got != c.want {
+				t.Errorf("cut services %v", table.CutServices())
+			}
+			if c.want {
+				table.RecordReachable(now.Add(time.Second), fmt.Sprintf("u%d", c.failed[0]))
+			}
+			if table.IsCut("p") {
+				t.Error("cut although an upstream is reachable again")
+			}
+		})
+	}
+}
--- a/replica/table.go
+++ b/replica/table.go
@@ -27,6 +27,8 @@
 	// changedUses holds the ids of upstreams at which this VM's use has changed since it was last reported to
 	// other VMs.
 	changedUses map[string]bool
+	// paths holds the state of this VM's path to the upstreams of each service.
+	paths map[string]*servicePath
 	// sumsAt is the time of the latest sums of a collector, zero if this VM has none or collects itself.
 	sumsAt time.Time
 	// vmCount is the number of VMs that share the bound of a cold upstream, localVM the name of this one, and
@@ -48,6 +50,7 @@
 		evacuated:   map[string]bool{},
 		changedUses: map[string]bool{},
 		limits:      map[string]*announcedLimits{},
+		paths:       map[string]*servicePath{},
 		partCounts:  popularity{counts: map[uint64]float64{}},
 		vmCount:     1,
 	}
--- a/replica/upstream.go
+++ b/replica/upstream.go
@@ -105,6 +105,9 @@
 	backoff      time.Duration
 	// unreachableSince is the time since which no connection could be opened, zero if the last attempt succeeded.
 	unreachableSince time.Time
+	// probeAt is the time of the next probe of an unreachable upstream, and probeDelay the time between the latest two.
+	probeAt    time.Time
+	probeDelay time.Duration
 	// parts maps the ids of sent prompt parts to the time of their latest use.
 	parts map[uint64]time.Time
 }
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -45,6 +45,21 @@
 	return n, err
 }
 
+// recordingConn is a connection that reports when something was read from it.
+type recordingConn struct {
+	net.Conn
+	onRead func()
+}
+
+// Read reads from the connection.
+func (c *recordingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.onRead()
+	}
+	return n, err
+}
+
 // patientConn is a connection whose reads may go on after their deadline. The parser of a body keeps a read error, so that
 // a read that has failed cannot be repeated above it.
 type patientConn struct {
@@ -82,12 +97,21 @@
 	idleUntil time.Time
 }
 
-func newConn(c net.Conn) *conn {
-	patient := &patientConn{Conn: c}
+// newConn returns a connection. onRead is called whenever something was read from it.
+func newConn(c net.Conn, onRead func()) *conn {
+	patient := &patientConn{Conn: &recordingConn{Conn: c, onRead: onRead}}
 	limiter := &headLimiter{Conn: patient}
 	return &conn{Conn: c, patient: patient, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
 }
 
+// abort closes the connection with a reset, so that what has not reached the upstream yet does not reach it later.
+func (c *conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // limitHead bounds the bytes that are read until unlimitHead.
 func (c *conn) limitHead() { c.limiter.limited, c.limiter.remaining = true, maxHeadBytes }
 
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 )
 
@@ -53,6 +54,8 @@
 	// Framed means that the response is delimited by Content-Length or chunked encoding. Otherwise it ends
 	// when the connection is closed.
 	Framed bool
+	// Reused means that the connection had carried an earlier request.
+	Reused bool
 
 	pool              *Pool
 	address           string
@@ -62,6 +65,7 @@
 	writeResult       <-chan error
 	stopCloseOnCancel func() bool
 	closed            bool
+	aborted           atomic.Bool
 }
 
 // Do sends a request and reads the status and headers of the response. When ctx ends, the connection is
@@ -71,7 +75,7 @@
 	if err != nil {
 		return nil, &Failure{Kind: NotSent, Err: err}
 	}
-	stopCloseOnCancel := context.AfterFunc(ctx, func() { _ = c.Close() })
+	stopCloseOnCancel := context.AfterFunc(ctx, c.abort)
 	if ctx.Err() != nil {
 		p.discard(o.Address, c)
 		return nil, &Failure{Kind: NotSent, Err: ctx.Err()}
@@ -79,7 +83,7 @@
 	if o.OnSend != nil {
 		o.OnSend()
 	}
-	a := &Response{pool: p, address: o.Address, conn: c, stopCloseOnCancel: stopCloseOnCancel}
+	a := &Response{pool: p, address: o.Address, conn: c, Reused: c.reused, stopCloseOnCancel: stopCloseOnCancel}
 	if err := a.exchange(o); err != nil {
 		a.Close()
 		return nil, exchangeFailure(ctx, err)
@@ -191,7 +195,13 @@
 
 // Abort closes the connection, which cancels the request at the upstream and fails the current read. Unlike Close, it may be
 // called while another goroutine reads; Close must still be called.
-func (a *Response) Abort() { _ = a.conn.Close() }
+func (a *Response) Abort() {
+	a.aborted.Store(true)
+	a.conn.abort()
+}
+
+// Aborted reports whether Abort was called.
+func (a *Response) Aborted() bool { return a.aborted.Load() }
 
 // IsTimeout reports whether Read failed because its deadline passed.
 func IsTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -15,6 +16,10 @@
 // IsPoolFull reports whether an error means that the connection limit of an upstream is reached.
 func IsPoolFull(err error) bool { return errors.Is(err, errTooManyConnections) }
 
+// connectTimeout bounds an attempt to connect. An upstream is in the region of its VMs, and a lost packet is sent again after a
+// second only.
+const connectTimeout = 500 * time.Millisecond
+
 // idleCheckInterval is the interval at which expired idle connections are closed.
 const idleCheckInterval = 2 * time.Second
 
@@ -39,11 +44,13 @@
 type hostConns struct {
 	idle      []*conn
 	openCount int
+	// lastReadAt is the time at which something was last read from a connection, in nanoseconds, zero before.
+	lastReadAt atomic.Int64
 }
 
 // NewPool returns an empty pool.
 func NewPool(now func() time.Time) *Pool {
-	dialer := &net.Dialer{Timeout: time.Second, KeepAlive: -1}
+	dialer := &net.Dialer{Timeout: connectTimeout, KeepAlive: -1}
 	return &Pool{
 		DialFunc: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
@@ -66,7 +73,12 @@
 	if c := p.takeIdle(address); c != nil {
 		return c, nil
 	}
-	if !p.reserve(address, limit) {
+	return p.dial(ctx, address, limit)
+}
+
+func (p *Pool) dial(ctx context.Context, address string, limit int) (*conn, error) {
+	h := p.reserve(address, limit)
+	if h == nil {
 		return nil, errTooManyConnections
 	}
 	netConn, err := p.DialFunc(ctx, address)
@@ -74,7 +86,38 @@
 		p.release(address)
 		return nil, fmt.Errorf("dial upstream %s: %w", address, err)
 	}
-	return newConn(netConn), nil
+	return newConn(netConn, func() { h.lastReadAt.Store(p.Now().UnixNano()) }), nil
+}
+
+// Connect opens a connection to an upstream for later requests, in order to find out whether it is reachable.
+func (p *Pool) Connect(ctx context.Context, address string) error {
+	c, err := p.dial(ctx, address, 0)
+	if err != nil {
+		return err
+	}
+	p.putIdle(address, c, defaultIdleTimeout)
+	return nil
+}
+
+// LastReadAt returns the time at which something was last read from a connection to an address, zero if nothing was.
+func (p *Pool) LastReadAt(address string) time.Time {
+	p.mu.Lock()
+	h := p.hosts[address]
+	p.mu.Unlock()
+	if h == nil {
+		return time.Time{}
+	}
+	if at := h.lastReadAt.Load(); at != 0 {
+		return time.Unix(0, at)
+	}
+	return time.Time{}
+}
+
+// CloseIdle closes the idle connections to an address.
+func (p *Pool) CloseIdle(address string) {
+	for c := p.pop(address); c != nil; c = p.pop(address) {
+		p.discard(address, c)
+	}
 }
 
 // takeIdle returns the most recently used idle connection that can be reused, or nil. It discards the ones
@@ -106,7 +149,8 @@
 	return c
 }
 
-func (p *Pool) reserve(address string, limit int) bool {
+// reserve counts a connection to an address. It returns nil if the limit is reached.
+func (p *Pool) reserve(address string, limit int) *hostConns {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.hosts[address]
@@ -115,11 +159,11 @@
 		p.hosts[address] = h
 	}
 	if limit > 0 && h.openCount >= limit {
-		return false
+		return nil
 	}
 	h.openCount++
 	p.stats.Dialed++
-	return true
+	return h
 }
 
 func (p *Pool) release(address string) {
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -401,6 +401,8 @@
 	VMs []KnownVM
 	// IntervalMillis is the interval of the sender's presences to VMs of its region, in milliseconds.
 	IntervalMillis int32
+	// CutServices are the services from whose upstreams the sender is cut, although other VMs may reach them.
+	CutServices []string
 }
 
 // StoreItem is a value of the platform's store, or its deletion.
--- a/vmwire/schema_gen.go
+++ b/vmwire/schema_gen.go
@@ -4172,8 +4172,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 11 {
-		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
+	if zb0001 != 12 {
+		err = msgp.ArrayError{Wanted: 12, Got: zb0001}
 		return
 	}
 	z.Address, err = dc.ReadString()
@@ -4342,13 +4342,35 @@
 		err = msgp.WrapError(err, "IntervalMillis")
 		return
 	}
+	var zb0008 uint32
+	zb0008, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "CutServices")
+		return
+	}
+	if zb0008 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.CutServices) >= int(zb0008) {
+		z.CutServices = (z.CutServices)[:zb0008]
+	} else {
+		z.CutServices = make([]string, zb0008)
+	}
+	for za0005 := range z.CutServices {
+		z.CutServices[za0005], err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err, "CutServices", za0005)
+			return
+		}
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Presence) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 11
-	err = en.Append(0x9b)
+	// array header, size 12
+	err = en.Append(0x9c)
 	if err != nil {
 		return
 	}
@@ -4460,14 +4482,26 @@
 		err = msgp.WrapError(err, "IntervalMillis")
 		return
 	}
+	err = en.WriteArrayHeader(uint32(len(z.CutServices)))
+	if err != nil {
+		err = msgp.WrapError(err, "CutServices")
+		return
+	}
+	for za0005 := range z.CutServices {
+		err = en.WriteString(z.CutServices[za0005])
+		if err != nil {
+			err = msgp.WrapError(err, "CutServices", za0005)
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Presence) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 11
-	o = append(o, 0x9b)
+	// array header, size 12
+	o = append(o, 0x9c)
 	o = msgp.AppendString(o, z.Address)
 	o = msgp.AppendString(o, z.CallerAddress)
 	o = msgp.AppendUint8(o, z.Flags)
@@ -4502,6 +4536,10 @@
 		}
 	}
 	o = msgp.AppendInt32(o, z.IntervalMillis)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.CutServices)))
+	for za0005 := range z.CutServices {
+		o = msgp.AppendString(o, z.CutServices[za0005])
+	}
 	return
 }
 
@@ -4513,8 +4551,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 11 {
-		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
+	if zb0001 != 12 {
+		err = msgp.ArrayError{Wanted: 12, Got: zb0001}
 		return
 	}
 	z.Address, bts, err = msgp.ReadStringBytes(bts)
@@ -4675,6 +4713,28 @@
 		err = msgp.WrapError(err, "IntervalMillis")
 		return
 	}
+	var zb0008 uint32
+	zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "CutServices")
+		return
+	}
+	if zb0008 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.CutServices) >= int(zb0008) {
+		z.CutServices = (z.CutServices)[:zb0008]
+	} else {
+		z.CutServices = make([]string, zb0008)
+	}
+	for za0005 := range z.CutServices {
+		z.CutServices[za0005], bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "CutServices", za0005)
+			return
+		}
+	}
 	o = bts
 	return
 }
@@ -4693,7 +4753,10 @@
 	for za0004 := range z.VMs {
 		s += z.VMs[za0004].Msgsize()
 	}
-	s += msgp.Int32Size
+	s += msgp.Int32Size + msgp.ArrayHeaderSize
+	for za0005 := range z.CutServices {
+		s += msgp.StringPrefixSize + len(z.CutServices[za0005])
+	}
 	return
 }
 
