edge: count an upstream that returns as cold

Cause (hypothesis 4): an upstream that was away for less time than its registration lasts is back before its new lifetime is registered, and the VMs know it as warm until then; it is idle, so that all of them prefer it. An upstream to which no connection could be opened counts as cold for its warm-up once one succeeds. The VM that notices first reports it to its region, since a VM without requests for the upstream would not notice; a VM to which the upstream has sent something since then ignores the report, so that a VM that is cut off slows down nobody else.

The test has a second case now, with ten VMs of few requests each, and registers the new lifetime later.

--- a/edge/cold_test.go
+++ b/edge/cold_test.go
@@ -16,8 +16,8 @@
 	// the tests, coldBound is the most that it may get in a second.
 	coldRate  = 2.9
 	coldBound = 7
-	// coldAway is the time for which the upstream is away. Its registration would expire later.
-	coldAway = 3300 * time.Millisecond
+	// registrationDelay is the time from the start of an upstream until its registration says so.
+	registrationDelay = 1200 * time.Millisecond
 )
 
 // restartedUpstream is an upstream that crashes and starts again at its address.
@@ -73,39 +73,53 @@
 }
 
 // Guards against a cold upstream that is flooded because it returned before its registration says so: it crashed and started
-// again while its earlier registration was in force, and only then registers the new lifetime.
+// again while its earlier registration was in force, and only then registers the new lifetime. VMs with few requests may have sent
+// it nothing in the meantime.
 func TestReturnedUpstreamIsCold(t *testing.T) {
-	t.Parallel()
-	w := newTestCluster(t, "north")
-	w.store.Put(platform.ConfigKey, fmt.Sprintf(`{"version":1,"routes":[%s],"services":[{"name":"plain","warmup_s":3,"warmup_per_s":%v}],
-		"tenants":[{"name":"w1","api_keys":["secret"]}]}`, routeJSON("a", "safe", "plain", ""), coldRate))
-	u := &restartedUpstream{id: "u1", address: "127.0.0.1:0"}
-	stop := u.start(t)
-	w.registerUpstream(u.id, "plain", "north", u.address)
-	for i := range 3 {
-		w.addUpstream(fmt.Sprintf("other%d", i), "plain", "north", answerLater)
-	}
-	for i := range 4 {
-		w.startVM(fmt.Sprintf("vm%d", i), "north", true)
-	}
-	w.waitForMembership()
-	w.waitForUpstreams(4)
-	l := startLoad(t, "/a/", 20*time.Millisecond, w.vms...)
-	time.Sleep(time.Second)
-	stop()
-	time.Sleep(coldAway)
-	since := time.Now()
-	stop = u.start(t)
-	time.Sleep(700 * time.Millisecond)
-	w.store.Put(platform.UpstreamPrefix+u.id, fmt.Sprintf(
-		`{"service":"plain","address":%q,"zone":"north-a","slots":8,"state":"ready","born":2,"warmup_left_ms":2300}`, u.address))
-	time.Sleep(1500 * time.Millisecond)
-	statuses := l.stop()
-	stop()
-	if n := u.mostInSecond(since); n > coldBound {
-		t.Errorf("the cold upstream got %d requests in a second, %d allowed", n, coldBound)
-	}
-	if share := statuses.share(http.StatusOK); share < 0.9 {
-		t.Errorf("%.2f of the requests are served: %v", share, statuses)
+	for _, c := range []struct {
+		name     string
+		vms      int
+		interval time.Duration
+		// away is the time for which the upstream is away. Its registration would expire later.
+		away time.Duration
+	}{
+		{"all VMs notice", 4, 20 * time.Millisecond, 3300 * time.Millisecond},
+		{"some VMs notice", 10, 200 * time.Millisecond, 700 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			w := newTestCluster(t, "north")
+			w.store.Put(platform.ConfigKey, fmt.Sprintf(`{"version":1,"routes":[%s],"services":[{"name":"plain","warmup_s":3,"warmup_per_s":%v}],
+				"tenants":[{"name":"w1","api_keys":["secret"]}]}`, routeJSON("a", "safe", "plain", ""), coldRate))
+			u := &restartedUpstream{id: "u1", address: "127.0.0.1:0"}
+			stop := u.start(t)
+			w.registerUpstream(u.id, "plain", "north", u.address)
+			for i := range 3 {
+				w.addUpstream(fmt.Sprintf("other%d", i), "plain", "north", answerLater)
+			}
+			for i := range c.vms {
+				w.startVM(fmt.Sprintf("vm%d", i), "north", true)
+			}
+			w.waitForMembership()
+			w.waitForUpstreams(4)
+			l := startLoad(t, "/a/", c.interval, w.vms...)
+			time.Sleep(time.Second)
+			stop()
+			time.Sleep(c.away)
+			since := time.Now()
+			stop = u.start(t)
+			time.Sleep(registrationDelay)
+			w.store.Put(platform.UpstreamPrefix+u.id, fmt.Sprintf(
+				`{"service":"plain","address":%q,"zone":"north-a","slots":8,"state":"ready","born":2,"warmup_left_ms":1800}`, u.address))
+			time.Sleep(1500 * time.Millisecond)
+			statuses := l.stop()
+			stop()
+			if n := u.mostInSecond(since); n > coldBound {
+				t.Errorf("the cold upstream got %d requests in a second, %d allowed", n, coldBound)
+			}
+			if share := statuses.share(http.StatusOK); share < 0.9 {
+				t.Errorf("%.2f of the requests are served: %v", share, statuses)
+			}
+		})
 	}
 }
--- /dev/null
+++ b/edge/loss.go
@@ -0,0 +1,42 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"parsleyhatch/replica"
+	"parsleyhatch/vmwire"
+)
+
+// reportLoss reports an upstream that this VM does not reach any more to the VMs of its region: one that has nothing to send to it
+// until it has started again would not know that it is cold.
+func (e *Edge) reportLoss(p replica.Probe, startedAt time.Time) {
+	now := e.Now()
+	if born, report := e.Replicas.ReportLoss(now, p.ID); report {
+		e.Fleet.BroadcastLoss(&vmwire.UpstreamLoss{Upstream: p.ID, Born: born, AgeMillis: now.Sub(startedAt).Milliseconds()})
+	}
+}
+
+// receiveLoss handles the report of another VM that it does not reach an upstream. That VM may be cut off: what the upstream has
+// sent to this one since then shows that it has not started again.
+func (e *Edge) receiveLoss(now time.Time, m *vmwire.UpstreamLoss) {
+	p, check := e.Replicas.ReceiveLoss(now, m.Upstream, m.Born)
+	lostAt := now.Add(-time.Duration(max(0, m.AgeMillis)) * time.Millisecond)
+	if check && e.Pool.LastReadAt(p.Address).Before(lostAt) {
+		go e.runLossCheck(p)
+	}
+}
+
+// runLossCheck finds out whether this VM reaches an upstream that another VM does not reach. If it does, the upstream may have
+// started again since, and counts as cold.
+func (e *Edge) runLossCheck(p replica.Probe) {
+	startedAt := e.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	if err := e.Pool.Connect(ctx, p.Address); err != nil {
+		e.recordUnreachable(p, startedAt, err)
+		return
+	}
+	e.recordReachable(p)
+	e.markCold(p.ID, e.warmUp(p.Service))
+}
--- a/edge/reach.go
+++ b/edge/reach.go
@@ -161,6 +161,7 @@
 	if first {
 		event.UpstreamUnreachable.Log(e.Log, "upstream", p.ID, "service", p.Service, "error", err.Error())
 		e.Pool.CloseIdle(p.Address)
+		e.reportLoss(p, startedAt)
 		e.sweep(now, true)
 	}
 	if cut {
@@ -177,7 +178,7 @@
 // recordReachable records that a connection to an upstream was opened.
 func (e *Edge) recordReachable(p replica.Probe) {
 	now := e.Now()
-	away, healed := e.Replicas.RecordReachable(now, p.ID)
+	away, healed := e.Replicas.RecordReachable(now, p.ID, e.warmUp(p.Service))
 	if away > 0 {
 		event.UpstreamReachable.Log(e.Log, "upstream", p.ID, "service", p.Service, "awayMillis", away.Milliseconds())
 	}
@@ -234,6 +235,16 @@
 	}
 }
 
+// warmUp returns the time for which upstreams of a service are cold after their start.
+func (e *Edge) warmUp(service string) time.Duration {
+	if t := e.table(); t != nil {
+		if s := t.Service(service); s != nil {
+			return s.WarmUp
+		}
+	}
+	return 0
+}
+
 // markCold marks an upstream as cold for the time that its answer states.
 func (e *Edge) markCold(id string, left time.Duration) {
 	if e.Replicas.MarkCold(e.Now(), id, left) {
--- a/edge/storeread.go
+++ b/edge/storeread.go
@@ -198,6 +198,11 @@
 		if err = vm.Decode(f, &m); err == nil && s.Peer.Region == e.Settings.Region {
 			e.receiveLimits(e.Now(), s.Peer, &m)
 		}
+	case vmwire.KindUpstreamLoss:
+		var m vmwire.UpstreamLoss
+		if err = vm.Decode(f, &m); err == nil && s.Peer.Region == e.Settings.Region {
+			e.receiveLoss(e.Now(), &m)
+		}
 	case vmwire.KindStoreReply:
 		var m vmwire.StoreReply
 		if err = vm.Decode(f, &m); err == nil {
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -279,6 +279,15 @@
 	}
 }
 
+// BroadcastLoss reports an upstream that this VM does not reach to all VMs of this region.
+func (f *Fleet) BroadcastLoss(loss *vmwire.UpstreamLoss) {
+	for _, s := range f.allSessions() {
+		if !f.remote(s) {
+			s.SendControl(vmwire.KindUpstreamLoss, loss)
+		}
+	}
+}
+
 // BroadcastLimits sends the rate limits of upstreams to all VMs of this region.
 func (f *Fleet) BroadcastLimits(limits *vmwire.UpstreamLimits) {
 	for _, s := range f.allSessions() {
--- a/replica/reach.go
+++ b/replica/reach.go
@@ -13,6 +13,8 @@
 	// firstProbeDelay and maxProbeDelay bound the time between two probes of an unreachable upstream.
 	firstProbeDelay = 250 * time.Millisecond
 	maxProbeDelay   = time.Second
+	// lossReportInterval is the time for which the report of one VM that an upstream is not reachable stands for all of them.
+	lossReportInterval = 5 * time.Second
 )
 
 // servicePath is the state of this VM's path to the upstreams of a service.
@@ -84,8 +86,9 @@
 }
 
 // RecordReachable records that a connection to an upstream was opened. It returns for how long none could be opened before, zero if
-// the upstream was reachable, and whether this ends a cut from its service.
-func (t *Table) RecordReachable(now time.Time, id string) (away time.Duration, healed bool) {
+// the upstream was reachable, and whether this ends a cut from its service. An upstream that returns may have started again, and
+// its registration says so later than it accepts connections: it counts as cold for warmUp.
+func (t *Table) RecordReachable(now time.Time, id string, warmUp time.Duration) (away time.Duration, healed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.upstreams[id]
@@ -103,6 +106,7 @@
 	}
 	away = now.Sub(r.unreachableSince)
 	r.unreachableSince, r.backoffUntil, r.backoff = time.Time{}, time.Time{}, 0
+	t.extendWarmUp(now, r, warmUp)
 	return away, healed
 }
 
@@ -199,3 +203,29 @@
 	}
 	return list
 }
+
+// ReportLoss reports whether the other VMs must learn that an upstream is not reachable, and the start time of the upstream. They
+// must not if one of them has reported it.
+func (t *Table) ReportLoss(now time.Time, id string) (born int64, report bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.upstreams[id]
+	if r == nil || now.Sub(r.lossReportedAt) < lossReportInterval {
+		return 0, false
+	}
+	r.lossReportedAt = now
+	return r.Born, true
+}
+
+// ReceiveLoss records the report of another VM that a lifetime of an upstream was not reachable. It returns the probe that shows
+// whether this VM reaches it, unless this VM knows already that it does not.
+func (t *Table) ReceiveLoss(now time.Time, id string, born int64) (Probe, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.upstreams[id]
+	if r == nil || r.Born != born {
+		return Probe{}, false
+	}
+	r.lossReportedAt = now
+	return Probe{ID: r.ID, Address: r.Address, Service: r.Service}, r.unreachableSince.IsZero()
+}
--- a/replica/reach_test.go
+++ b/replica/reach_test.go
@@ -29,7 +29,7 @@
 			table := newTable(c.upstreams, "p")
 			began, now := start.Add(time.Second), start.Add(2*time.Second)
 			if c.openedBetween {
-				table.RecordReachable(began.Add(time.Millisecond), fmt.Sprintf("u%d", c.upstreams-1))
+				table.RecordReachable(began.Add(time.Millisecond), fmt.Sprintf("u%d", c.upstreams-1), 0)
 			}
 			for _, i := range c.failed {
 				table.RecordUnreachable(now, began, fmt.Sprintf("u%d", i))
@@ -47,7 +47,7 @@
 				t.Errorf("cut services %v", table.CutServices())
 			}
 			if c.want {
-				table.RecordReachable(now.Add(time.Second), fmt.Sprintf("u%d", c.failed[0]))
+				table.RecordReachable(now.Add(time.Second), fmt.Sprintf("u%d", c.failed[0]), 0)
 			}
 			if table.IsCut("p") {
 				t.Error("cut although an upstream is reachable again")
--- a/replica/upstream.go
+++ b/replica/upstream.go
@@ -105,6 +105,8 @@
 	backoff      time.Duration
 	// unreachableSince is the time since which no connection could be opened, zero if the last attempt succeeded.
 	unreachableSince time.Time
+	// lossReportedAt is the time of the latest report between this VM and others that the upstream was not reachable.
+	lossReportedAt time.Time
 	// probeAt is the time of the next probe of an unreachable upstream, and probeDelay the time between the latest two.
 	probeAt    time.Time
 	probeDelay time.Duration
--- a/vm/fuzz_test.go
+++ b/vm/fuzz_test.go
@@ -93,6 +93,8 @@
 		_ = Decode(f, &vmwire.UpstreamSums{})
 	case vmwire.KindPartReport:
 		_ = Decode(f, &vmwire.PartReport{})
+	case vmwire.KindUpstreamLoss:
+		_ = Decode(f, &vmwire.UpstreamLoss{})
 	case vmwire.KindUpstreamLimits:
 		_ = Decode(f, &vmwire.UpstreamLimits{})
 	}
--- a/vmwire/kinds.go
+++ b/vmwire/kinds.go
@@ -30,6 +30,7 @@
 	KindUpstreamSums
 	KindPartReport
 	KindUpstreamLimits
+	KindUpstreamLoss
 	kindEnd
 )
 
@@ -44,5 +45,5 @@
 	KindSuspectRequest: "suspectRequest", KindHandover: "handover", KindHandoverRequest: "handoverRequest", KindPing: "ping",
 	KindPresence: "presence", KindStoreQuery: "storeQuery", KindStoreReply: "storeReply",
 	KindUpstreamLoads: "upstreamLoads", KindUpstreamSums: "upstreamSums", KindPartReport: "partReport",
-	KindUpstreamLimits: "upstreamLimits",
+	KindUpstreamLimits: "upstreamLimits", KindUpstreamLoss: "upstreamLoss",
 }
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -13,7 +13,7 @@
 //msgp:tuple Frame Hello Open Chunk End Window Heartbeat HeartbeatAck SlotView IngressVM ConfigRequest ConfigParts Part
 //msgp:tuple Load UpstreamLoad ModelWait Summary PoolSummary TokenRequest TokenGrant SuspectRequest Handover HandoverRequest HandoverRecord
 //msgp:tuple Presence WorkspaceUsage UpstreamLoads SenderLoad UpstreamSums UpstreamSum ServiceWait KnownVM StoreItem StoreQuery StoreReply
-//msgp:tuple PartReport PartCrash PartCompletion UpstreamAnswer UpstreamLimits UpstreamLimit
+//msgp:tuple PartReport PartCrash PartCompletion UpstreamAnswer UpstreamLimits UpstreamLimit UpstreamLoss
 
 // Frame is the envelope of every message.
 type Frame struct {
@@ -498,3 +498,12 @@
 	Brittle     bool
 	MaxRefusals float64
 }
+
+// UpstreamLoss reports to the VMs of the region that the sender could open no connection to an upstream. It may start again before
+// its registration says so.
+type UpstreamLoss struct {
+	Upstream string
+	Born     int64
+	// AgeMillis is the time since the first attempt that failed, in milliseconds.
+	AgeMillis int64
+}
--- a/vmwire/schema_gen.go
+++ b/vmwire/schema_gen.go
@@ -7319,6 +7319,113 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *UpstreamLoss) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Upstream, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Upstream")
+		return
+	}
+	z.Born, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "Born")
+		return
+	}
+	z.AgeMillis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z UpstreamLoss) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Upstream)
+	if err != nil {
+		err = msgp.WrapError(err, "Upstream")
+		return
+	}
+	err = en.WriteInt64(z.Born)
+	if err != nil {
+		err = msgp.WrapError(err, "Born")
+		return
+	}
+	err = en.WriteInt64(z.AgeMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z UpstreamLoss) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendString(o, z.Upstream)
+	o = msgp.AppendInt64(o, z.Born)
+	o = msgp.AppendInt64(o, z.AgeMillis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *UpstreamLoss) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Upstream, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Upstream")
+		return
+	}
+	z.Born, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Born")
+		return
+	}
+	z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z UpstreamLoss) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Upstream) + msgp.Int64Size + msgp.Int64Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *UpstreamSum) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
