replica: count requests to a cold upstream across its registration

Seen in TestReturnedUpstreamIsCold with ten VMs: a cold upstream got 8 requests in a second, 7 allowed; four of them within a millisecond after its new lifetime was registered. Cause: a registration of a new lifetime replaced all that was known of the upstream, also the times of the latest requests, which had reached that lifetime already. They are kept if the address is the same.

--- a/replica/table.go
+++ b/replica/table.go
@@ -68,6 +68,9 @@
 		return
 	}
 	r := newUpstreamState(e)
+	if old != nil && old.Address == e.Address {
+		r.coldRequests = old.coldRequests // They may have reached the new lifetime before it was registered.
+	}
 	t.extendWarmUp(now, r, e.WarmUpLeft)
 	if t.loaded && !e.Draining {
 		t.extendWarmUp(now, r, warmUp)
