edge: ask an upstream that returns whether it is cold

A health answer says whether an upstream is cold. The VM that regains an upstream asks it, as one of the few requests that a cold upstream may get, and otherwise waits as before.

TestReturnedUpstreamIsAskedWhetherItIsCold fails without it for the warm upstream.

--- a/edge/cold_test.go
+++ b/edge/cold_test.go
@@ -123,3 +123,40 @@
 		})
 	}
 }
+
+// Guards against a sound upstream that gets few requests for seconds because one VM did not reach it, and against a cold one that is
+// flooded although it says that it is cold when it is asked.
+func TestReturnedUpstreamIsAskedWhetherItIsCold(t *testing.T) {
+	for name, warmUp := range map[string]string{"warm": "", "cold": "2500"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newTestCluster(t, "north")
+			w.store.Put(platform.ConfigKey, fmt.Sprintf(`{"version":1,"routes":[%s],
+				"services":[{"name":"plain","health_path":"/health","warmup_s":3,"warmup_per_s":%v}],
+				"tenants":[{"name":"w1","api_keys":["secret"]}]}`, routeJSON("a", "safe", "plain", ""), coldRate))
+			u := w.addUpstream("u1", "plain", "north", func(rw http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/health" {
+					rw.Header().Set(platform.HeaderInstanceID, "u1")
+					if warmUp != "" {
+						rw.Header().Set(platform.HeaderWarmUp, warmUp)
+					}
+				}
+			})
+			v := w.startVM("vm0", "north", true)
+			w.waitForUpstreams(1)
+			w.waitFor("the VM may send requests to cold upstreams", func() bool { return v.Replicas.Sharers() < coldBound })
+			link := cutLink(v)
+			l := startLoad(t, "/a/", 20*time.Millisecond, v)
+			link.set(cutResets)
+			time.Sleep(time.Second)
+			before := u.requestCount()
+			link.set(notCut)
+			time.Sleep(2 * time.Second)
+			n := u.requestCount() - before
+			l.stop()
+			if asked := n > 2*coldBound; asked != (warmUp == "") {
+				t.Errorf("the upstream got %d requests in two seconds after its return, %d allowed in a second if it is cold", n, coldBound)
+			}
+		})
+	}
+}
--- a/edge/reach.go
+++ b/edge/reach.go
@@ -8,6 +8,7 @@
 
 	"parsleyhatch/event"
 	"parsleyhatch/replica"
+	"parsleyhatch/route"
 	"parsleyhatch/upstream"
 )
 
@@ -180,6 +181,7 @@
 	now := e.Now()
 	away, healed := e.Replicas.RecordReachable(now, p.ID, e.warmUp(p.Service))
 	if away > 0 {
+		go e.askWarmUp(p)
 		event.UpstreamReachable.Log(e.Log, "upstream", p.ID, "service", p.Service, "awayMillis", away.Milliseconds())
 	}
 	if healed {
@@ -235,12 +237,18 @@
 	}
 }
 
+// service returns a service of the active configuration, or nil.
+func (e *Edge) service(name string) *route.Service {
+	if t := e.table(); t != nil {
+		return t.Service(name)
+	}
+	return nil
+}
+
 // warmUp returns the time for which upstreams of a service are cold after their start.
 func (e *Edge) warmUp(service string) time.Duration {
-	if t := e.table(); t != nil {
-		if s := t.Service(service); s != nil {
-			return s.WarmUp
-		}
+	if s := e.service(service); s != nil {
+		return s.WarmUp
 	}
 	return 0
 }
--- a/edge/send.go
+++ b/edge/send.go
@@ -113,9 +113,7 @@
 
 // handleAnswer handles an answer whose response head has arrived.
 func (e *Edge) handleAnswer(ctx context.Context, r *request, pick *replica.Pick, a *upstream.Response, sink *Sink) Outcome {
-	if ms, err := strconv.ParseInt(a.Header.Get(platform.HeaderWarmUp), 10, 64); err == nil && ms > 0 {
-		e.markCold(pick.ID, time.Duration(ms)*time.Millisecond)
-	}
+	e.applyWarmUp(pick.ID, a)
 	if a.Status == http.StatusMisdirectedRequest || a.Header.Get(platform.HeaderNotExecuted) != "" {
 		return e.handleRefusal(pick, a)
 	}
--- a/replica/reach.go
+++ b/replica/reach.go
@@ -106,7 +106,7 @@
 	}
 	away = now.Sub(r.unreachableSince)
 	r.unreachableSince, r.backoffUntil, r.backoff = time.Time{}, time.Time{}, 0
-	t.extendWarmUp(now, r, warmUp)
+	r.assumedColdUntil = now.Add(warmUp)
 	return away, healed
 }
 
@@ -229,3 +229,35 @@
 	r.lossReportedAt = now
 	return Probe{ID: r.ID, Address: r.Address, Service: r.Service}, r.unreachableSince.IsZero()
 }
+
+// AssumeCold counts an upstream as cold for warmUp, because it may have started again.
+func (t *Table) AssumeCold(now time.Time, id string, warmUp time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.upstreams[id]; r != nil {
+		r.assumedColdUntil = now.Add(warmUp)
+	}
+}
+
+// TakeColdRequest counts a request to an upstream that is assumed to be cold, which is to show whether it is. It returns false if
+// the upstream is not assumed to be cold, or may get no request from this VM now.
+func (t *Table) TakeColdRequest(now time.Time, id string, s *route.Service) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.upstreams[id]
+	if r == nil || !now.Before(r.assumedColdUntil) || !r.hasColdCapacity(now, t.coldQuota(r, s)) || !t.hasLimitCapacity(now, r) || !t.hasRoom(r) {
+		return false
+	}
+	r.coldRequests = append(r.coldRequests, now)
+	t.takeLimitCapacity(r)
+	return true
+}
+
+// ConfirmWarm ends the assumption that an upstream is cold.
+func (t *Table) ConfirmWarm(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.upstreams[id]; r != nil {
+		r.assumedColdUntil = time.Time{}
+	}
+}
--- a/replica/upstream.go
+++ b/replica/upstream.go
@@ -91,9 +91,10 @@
 	// peerUses holds the use that other VMs reported, and othersUse the sum of it that a collector reported.
 	peerUses  map[string]peerUse
 	othersUse Use
-	// coldUntil is the end of the warm-up. coldRequests are the times of recent requests during it.
-	coldUntil    time.Time
-	coldRequests []time.Time
+	// coldUntil is the end of the warm-up, and assumedColdUntil that of an upstream that may have started again. coldRequests are the times of recent requests during it.
+	coldUntil        time.Time
+	assumedColdUntil time.Time
+	coldRequests     []time.Time
 	// lastFailureShare is the share of failed requests at failuresUpdatedAt, from 0 to 1, weighted towards
 	// recent results.
 	lastFailureShare  float64
@@ -140,7 +141,9 @@
 	return sum
 }
 
-func (r *upstreamState) isCold(now time.Time) bool { return now.Before(r.coldUntil) }
+func (r *upstreamState) isCold(now time.Time) bool {
+	return now.Before(r.coldUntil) || now.Before(r.assumedColdUntil)
+}
 
 // hasColdCapacity reports whether this VM may send another request to the cold upstream now.
 func (r *upstreamState) hasColdCapacity(now time.Time, quota int) bool {
