--- a/edge/presence.go
+++ b/edge/presence.go
@@ -130,9 +130,10 @@
 // second.
 const linkMbpsPerCore = 20
 
-// sharers returns the number of VMs that share the bounds of an upstream if n are known. A VM that has just started assumes a
-// minimum, since it does not know all of them yet.
+// sharers returns the number of VMs that share the bounds of an upstream if n are known. A VM counts those that another VM knows, and
+// one that has just started assumes a minimum, since it does not know all of them yet.
 func (e *Edge) sharers(now time.Time, n int) int {
+	n = max(n, e.Fleet.ReportedRegionCount(now))
 	switch age := now.Sub(e.startedAt); {
 	case age < initialDiscoveryTime:
 		return max(n, initialSharers)
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -51,6 +51,8 @@
 	// time for which a lost VM is expected to send requests.
 	memberRetention = 10 * time.Minute
 	leftRetention   = time.Minute
+	// maxRegionVMs bounds the number of VMs of a region that another VM can report.
+	maxRegionVMs = 1000
 	// redialInterval is the minimum time between two attempts to dial a VM.
 	redialInterval = 300 * time.Millisecond
 	// maxRemotePresenceTicks is the largest number of ticks between two presences to another region, which divide the
@@ -91,6 +93,8 @@
 	ConfigVersion uint64
 	// Weight is the VM's relative share of the work.
 	Weight int
+	// RegionVMs is the number of VMs of its region that the VM knows.
+	RegionVMs int
 	// PresenceInterval is the interval of the VM's presences to VMs of its region.
 	PresenceInterval time.Duration
 	// DisconnectedAt is when the last session with the VM ended, zero while there is one.
@@ -139,6 +143,7 @@
 	m.OpenRequests = int(p.Open)
 	m.ConfigVersion = p.ConfigVersion
 	m.Weight = int(p.Weight)
+	m.RegionVMs = int(min(p.RegionVMs, maxRegionVMs))
 	m.CutServices = p.CutServices
 	m.ExpectedWaits = make(map[string][]time.Duration, len(p.Waits))
 	for _, w := range p.Waits {
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -106,6 +106,20 @@
 	return n
 }
 
+// ReportedRegionCount returns the largest number of VMs of this region that a live VM of the region knows. A VM that has just started
+// does not know all of them itself.
+func (f *Fleet) ReportedRegionCount(now time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, m := range f.members {
+		if !m.remote && m.Alive(now) {
+			n = max(n, m.RegionVMs)
+		}
+	}
+	return n
+}
+
 // UsageReporter returns the lowest name among the live VMs of another region that report its usage, or an empty string.
 func (f *Fleet) UsageReporter(now time.Time, region string) string {
 	f.mu.Lock()
--- a/fleet/view_test.go
+++ b/fleet/view_test.go
@@ -107,3 +107,21 @@
 		t.Errorf("sharers after a cut of five minutes %v", slots)
 	}
 }
+
+// Guards against a VM that has just started and takes the shares of VMs that only others know yet.
+func TestRegionCountOfOtherVMsCounts(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := &Fleet{Endpoint: &vm.Endpoint{Self: vm.Identity{Slot: "self", Region: "north"}}, members: map[string]*Member{}}
+	for slot, c := range map[string]struct {
+		age    time.Duration
+		remote bool
+		vms    int32
+	}{"informed": {vms: 25}, "new": {vms: 2}, "dead": {age: time.Minute, vms: 40}, "remote": {remote: true, vms: 60}} {
+		m := &Member{Identity: vm.Identity{Slot: slot}, remote: c.remote}
+		m.apply(now.Add(-c.age), &vmwire.Presence{RegionVMs: c.vms})
+		f.members[slot] = m
+	}
+	if n := f.ReportedRegionCount(now); n != 25 {
+		t.Errorf("%d VMs reported, want 25", n)
+	}
+}
