--- a/edge/request.go
+++ b/edge/request.go
@@ -45,6 +45,8 @@
 	// triedUpstreams and triedVMs list the upstreams and the VMs that the request was sent to.
 	triedUpstreams []string
 	triedVMs       []string
+	// versions lists the software versions of triedUpstreams.
+	versions []string
 	// triedRegions lists the other regions that the request was sent to. It is sent to them again only if no
 	// other region can run it.
 	triedRegions []string
--- a/edge/send.go
+++ b/edge/send.go
@@ -35,6 +35,7 @@
 func (e *Edge) send(ctx context.Context, r *request, pick *replica.Pick, sink *Sink) Outcome {
 	now := time.Now()
 	r.triedUpstreams = append(r.triedUpstreams, pick.ID)
+	r.versions = append(r.versions, pick.Version)
 	r.sends++
 	r.answerStartedAt, r.events = time.Time{}, 0
 	if e.Replicas.IsRateLimited(pick.ID) {
--- a/replica/choose.go
+++ b/replica/choose.go
@@ -42,6 +42,8 @@
 	Address string
 	// Born is the start time of the upstream, see Registration.
 	Born int64
+	// Version is the version of the upstream's software, see Registration.
+	Version string
 	// UncachedTokens is the number of prompt tokens that are not cached at the upstream and must be processed.
 	UncachedTokens int64
 	// FirstToken is the expected time to the first token, without penalties.
@@ -131,7 +133,7 @@
 func (r *upstreamState) pick(x estimate) Pick {
 	toleratedCost := failureCost * min(x.failures, toleratedFailureShare)
 	return Pick{
-		ID: r.ID, Address: r.Address, Born: r.Born, UncachedTokens: x.uncached,
+		ID: r.ID, Address: r.Address, Born: r.Born, Version: r.Version, UncachedTokens: x.uncached,
 		FirstToken: fromMillis(x.firstToken), Cost: fromMillis(x.cost), Wait: fromMillis(x.cost - toleratedCost),
 		LoadInputs: LoadInputs{
 			Running: x.totalUse.Running, UncachedTokens: x.uncached, TokensAhead: x.ahead, Held: x.totalUse.Held, Slowness: r.slowness, Failures: x.failures,
--- a/replica/upstream.go
+++ b/replica/upstream.go
@@ -15,6 +15,8 @@
 	FailureDomain string
 	Slots         int
 	Draining      bool
+	// Version is the version of the upstream's software. Versions have no order.
+	Version string
 	// WarmUpLeft is the remaining warm-up time of the upstream at the time of the registration.
 	WarmUpLeft time.Duration
 	// Born is the start time of the upstream in Unix milliseconds. A different value means a new lifetime of
--- a/source/upstreams.go
+++ b/source/upstreams.go
@@ -31,7 +31,7 @@
 		return
 	}
 	s.Replicas.Put(s.Now(), e, s.warmUp(e.Service))
-	event.UpstreamRegistered.Log(s.Log, "upstream", id, "service", e.Service, "draining", e.Draining, "born", e.Born, "coldMillis", e.WarmUpLeft.Milliseconds())
+	event.UpstreamRegistered.Log(s.Log, "upstream", id, "service", e.Service, "version", e.Version, "draining", e.Draining, "born", e.Born, "coldMillis", e.WarmUpLeft.Milliseconds())
 }
 
 // removeExpired removes the upstreams whose registration is no longer in the store. Registrations also expire during
