edge: add failing tests of streams that are joined from two software versions

A VM that resumes a stream within its answer, and a caller that resumes one at the same VM, at another one, in another region, or after all VMs were killed: the rest comes from whichever upstream is cheapest.

--- /dev/null
+++ b/edge/versions_test.go
@@ -0,0 +1,249 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"parsleyhatch/platform"
+)
+
+// versionedUpstream is an upstream whose events name its software version.
+type versionedUpstream struct {
+	*fakeUpstream
+	version, region string
+}
+
+// streamPause is the pause between two events of a versionedUpstream, and streamLength the number of its events.
+const (
+	streamPause  = 40 * time.Millisecond
+	streamLength = 8
+)
+
+// addVersion starts an upstream with a software version. If cut is set, it breaks off its streams after the second event, once cut is
+// closed.
+func (w *testCluster) addVersion(id, version, region string, cut <-chan struct{}) *versionedUpstream {
+	u := &versionedUpstream{version: version, region: region}
+	u.fakeUpstream = w.addUpstream(id, "plain", region, func(rw http.ResponseWriter, r *http.Request) {
+		u.writeStream(rw, r, cut)
+	})
+	u.register(w, 1)
+	return u
+}
+
+// register registers the upstream with the time of its start.
+func (u *versionedUpstream) register(w *testCluster, born int64) {
+	w.store.Put(platform.UpstreamPrefix+u.id, fmt.Sprintf(`{"service":"plain","address":%q,"zone":%q,"slots":8,"state":"ready","born":%d,"version":%q}`,
+		u.server.Listener.Addr(), u.region+"-a", born, u.version))
+}
+
+func (u *versionedUpstream) writeStream(rw http.ResponseWriter, r *http.Request, cut <-chan struct{}) {
+	rw.Header().Set("Content-Type", "text/event-stream")
+	first := 1
+	if last := r.Header.Get(platform.HeaderLastEventID); last != "" {
+		_, _ = fmt.Sscan(last, &first)
+		first++
+	}
+	for i := first; i <= streamLength; i++ {
+		if cut != nil && i == 3 {
+			<-cut
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprintf(rw, "id: %d\ndata: written by %s\n\n", i, u.version)
+		rw.(http.Flusher).Flush()
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(streamPause):
+		}
+	}
+}
+
+// readPart reads a stream until it has n events, and then leaves. It returns the request's id and what it has read.
+func (v *testVM) readPart(t *testing.T, n int, extra extraHeaders) (id, events string) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	r := v.request(t, "/a/", "x", extra).WithContext(ctx)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	buf := make([]byte, 256)
+	for strings.Count(events, "\n\n") < n {
+		got, err := resp.Body.Read(buf)
+		events += string(buf[:got])
+		if err != nil {
+			break
+		}
+	}
+	if resp.StatusCode != http.StatusOK || strings.Count(events, "\n\n") < n {
+		t.Fatalf("answer %d %q", resp.StatusCode, events)
+	}
+	return r.Header.Get(platform.HeaderRequestID), events
+}
+
+// resumeStream takes up a stream after a number of events, as callers do.
+func (v *testVM) resumeStream(t *testing.T, id string, events int) (status int, body string) {
+	t.Helper()
+	resp, err := http.DefaultClient.Do(v.request(t, "/a/", "x", extraHeaders{
+		platform.HeaderResumes: id, platform.HeaderLastEventID: fmt.Sprint(events),
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, _ := io.ReadAll(resp.Body) // What has arrived counts.
+	return resp.StatusCode, string(data)
+}
+
+func newVersionCluster(t *testing.T) *testCluster {
+	w := newTestCluster(t, "north", "south")
+	w.publishConfig(1, longRouteJSON())
+	return w
+}
+
+// Guards against an answer that is joined from two software versions, when a VM resumes its stream at another upstream.
+func TestStreamResumesAtItsVersion(t *testing.T) {
+	for name, c := range map[string]struct {
+		firstRegion string
+		// otherV1 is the region of another upstream of the first version, if there is one.
+		otherV1 string
+	}{
+		"in the region":            {firstRegion: "north", otherV1: "north"},
+		"in another region":        {firstRegion: "north", otherV1: "south"},
+		"forwarded":                {firstRegion: "south", otherV1: "south"},
+		"forwarded, then back":     {firstRegion: "south", otherV1: "north"},
+		"no upstream left":         {firstRegion: "north"},
+		"forwarded, no other left": {firstRegion: "south"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newVersionCluster(t)
+			v := w.startVM("vm1", "north", true)
+			w.startVM("vm2", "south", true)
+			w.waitForMembership()
+			cut := make(chan struct{})
+			w.addVersion("first", "v1", c.firstRegion, cut)
+			for _, vm := range w.vms {
+				w.waitFor("the first upstream is known", func() bool { return vm.Watcher.UpstreamCount("plain", c.firstRegion) == 1 })
+			}
+			if c.firstRegion == "south" {
+				w.waitFor("the south reports a wait", func() bool {
+					_, _, ok := v.Fleet.ExpectedWait(v.Now(), "south", "plain", 0)
+					return ok
+				})
+			}
+			resp, err := http.DefaultClient.Do(v.request(t, "/a/", "x", extraHeaders{platform.HeaderDeadline: "8000"}))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = resp.Body.Close() }()
+			// The others start once the first one has been chosen.
+			count := map[string]int{c.firstRegion: 1, c.otherV1: 0}
+			for _, region := range []string{"north", "south"} {
+				w.addVersion("new-"+region, "v2", region, nil)
+				count[region]++
+			}
+			if c.otherV1 != "" {
+				w.addVersion("other", "v1", c.otherV1, nil)
+				count[c.otherV1]++
+			}
+			for _, vm := range w.vms {
+				w.waitFor("the upstreams are known", func() bool {
+					return vm.Watcher.UpstreamCount("plain", "north") == count["north"] && vm.Watcher.UpstreamCount("plain", "south") == count["south"]
+				})
+			}
+			time.Sleep(600 * time.Millisecond) // VMs report waits to other regions each half second.
+			close(cut)
+			data, err := io.ReadAll(resp.Body)
+			body := string(data)
+			if strings.Contains(body, "v2") {
+				t.Errorf("the stream is joined from two versions: %q", body)
+			}
+			if whole := err == nil && strings.Count(body, "written by v1") == streamLength; whole != (c.otherV1 != "") {
+				t.Errorf("whole %v, error %v: %q", whole, err, body)
+			}
+		})
+	}
+}
+
+// Guards against a stream that a caller takes up again and that goes on at another software version, at the VM that served it or at
+// others, and against a refusal where the version is known.
+func TestCallerResumesAtItsVersion(t *testing.T) {
+	for name, choose := range map[string]func(w *testCluster) *testVM{
+		"at the same VM":       func(w *testCluster) *testVM { return w.vms[0] },
+		"at another VM":        func(w *testCluster) *testVM { return w.vms[1] },
+		"in another region":    func(w *testCluster) *testVM { return w.vms[2] },
+		"at a VM that started": func(w *testCluster) *testVM { return w.startVM("vm4", "north", true) },
+		"after the VM's end": func(w *testCluster) *testVM {
+			w.vms[0].cancel()
+			return w.vms[1]
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newVersionCluster(t)
+			first := w.startVM("vm1", "north", true)
+			w.startVM("vm2", "north", true)
+			w.startVM("vm3", "south", true)
+			w.waitForMembership()
+			for i := range 2 {
+				w.addVersion(fmt.Sprintf("old%d", i), "v1", "north", nil)
+				w.addVersion(fmt.Sprintf("new%d", i), "v2", "north", nil)
+			}
+			w.waitForUpstreams(4)
+			for range 6 {
+				id, events := first.readPart(t, 3, nil)
+				version := "v2"
+				if strings.Contains(events, "v1") {
+					version = "v1"
+				}
+				status, body := choose(w).resumeStream(t, id, 3)
+				if status != http.StatusOK || strings.Count(body, "written by "+version) != streamLength-3 || strings.Count(body, "data:") != streamLength-3 {
+					t.Fatalf("a stream of %s goes on with %d %q", version, status, body)
+				}
+				if name == "at a VM that started" || name == "after the VM's end" {
+					break
+				}
+			}
+		})
+	}
+}
+
+// Guards against streams that are joined from two versions after all VMs were killed at once: nothing tells any more which version
+// began them, if two are in service or the old one has just left. Where only one has been in service for long, they go on.
+func TestCallerResumesAfterLossOfAllVMs(t *testing.T) {
+	for name, c := range map[string]struct {
+		// born is the time since the start of the upstreams of the version that is left.
+		born     time.Duration
+		oldStays bool
+		want     int
+	}{
+		"two versions in service":     {born: time.Hour, oldStays: true, want: http.StatusServiceUnavailable},
+		"the old one has just left":   {born: time.Second, want: http.StatusServiceUnavailable},
+		"one version for a long time": {born: time.Hour, want: http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newVersionCluster(t)
+			w.addVersion("new", "v2", "north", nil).register(w, time.Now().Add(-c.born).UnixMilli())
+			if c.oldStays {
+				w.addVersion("old", "v1", "north", nil)
+			}
+			v := w.startVM("vm1", "north", true)
+			status, body := v.resumeStream(t, "id-of-an-earlier-attempt", 3)
+			if status != c.want {
+				t.Errorf("answer %d %q, want status %d", status, body, c.want)
+			}
+			if status == http.StatusServiceUnavailable && !strings.Contains(body, `"ran":"notRun"`) {
+				t.Errorf("the refusal does not say that the request has not run: %q", body)
+			}
+		})
+	}
+}
