--- a/edge/admit.go
+++ b/edge/admit.go
@@ -66,7 +66,7 @@
 			return refuse(UnknownKey, "the key is unknown or withdrawn", 0), false
 		}
 	}
-	r.service = t.Target(r.route, r.id)
+	r.service = t.Target(r.route, r.targetID())
 	if r.service == nil {
 		return refuse(NoUpstream, "the route has no service", defaultRetryAfter), false
 	}
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -83,7 +83,7 @@
 func (r *request) replicaRequest() replica.Request {
 	return replica.Request{
 		Service: r.service, Prompt: r.prompt, Attempted: r.triedUpstreams, AllowAttempted: r.allowTried,
-		Rank: r.rank(),
+		Rank: r.rank(), VersionBound: r.began.bound, Version: r.began.version,
 	}
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -20,6 +20,7 @@
 	"parsleyhatch/route"
 	"parsleyhatch/source"
 	"parsleyhatch/upstream"
+	"parsleyhatch/version"
 )
 
 // Edge is the request path of one VM.
@@ -37,6 +38,7 @@
 	Retries  *retry.Window
 	Poison   *poison.Table
 	Parts    *poison.Parts
+	Streams  *version.Streams
 	Metrics  *metrics.Metrics
 	// ConnLimiter enforces the time limits of callers' connections.
 	ConnLimiter *callerconn.Limiter
@@ -52,6 +54,7 @@
 	open       atomic.Int64
 	catchUp    catchUp
 	reach      reach
+	queries    streamQueries
 	// leavingSince is the time of SIGTERM in nanoseconds since boot, zero before.
 	leavingSince atomic.Int64
 }
--- a/edge/events.go
+++ b/edge/events.go
@@ -117,6 +117,7 @@
 		return nil
 	}
 	s.request.headSent = true
+	s.edge.streamBegan(s.request, s.pick.Version)
 	if err := s.sink.Head(s.answer.Status, endToEnd(s.answer.Header), -1); err != nil {
 		s.sinkFailed = true
 		return err
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -73,6 +73,7 @@
 		Route: r.route.Name, Hops: 1, Method: r.method, Path: r.target, Header: header,
 		RemainingMillis: r.remaining(time.Now()).Milliseconds(), BodyBytes: int64(len(r.body)),
 		Runs: int32(r.runs), Resumed: r.headSent, Probe: r.probe, Returnable: e.otherRegionMayRun(r, region), Switchover: r.switchover != nil,
+		VersionBound: r.began.bound, Version: r.began.version,
 	}
 	if t := e.table(); t != nil {
 		msg.ConfigNumber = t.Config.Version
@@ -140,6 +141,9 @@
 			return errDuplicateHead
 		}
 		r.headSent = true
+		if c.VersionKnown {
+			e.streamBegan(r, c.Version)
+		}
 		return sink.Head(int(c.Status), splitHeader(c.Header), int(c.End))
 	}
 	if id, ok := lastEventID(c.Data); ok && r.route.Resumable {
--- a/edge/forwarded.go
+++ b/edge/forwarded.go
@@ -37,7 +37,7 @@
 	if ok {
 		go watchReset(ctx, cancel, st)
 		runCtx, stop := context.WithDeadlineCause(ctx, r.deadline, errTimedOut)
-		out = e.run(runCtx, r, streamSink(runCtx, st))
+		out = e.run(runCtx, r, streamSink(runCtx, r, st))
 		stop()
 	}
 	e.endProbe(r, out)
@@ -52,6 +52,7 @@
 		id: open.RequestID, method: open.Method, target: open.Path, host: open.Header[hostHeader],
 		arrived: now, forwarded: true, runs: int(open.Runs), headSent: open.Resumed, probe: open.Probe, returnable: open.Returnable,
 	}
+	r.began = streamVersion{bound: open.VersionBound, version: open.Version}
 	r.deadline = now.Add(time.Duration(open.RemainingMillis) * time.Millisecond)
 	delete(open.Header, hostHeader)
 	r.header = splitHeader(open.Header)
@@ -136,14 +137,14 @@
 }
 
 // streamSink returns a sink that sends the answer to the forwarding VM.
-func streamSink(ctx context.Context, st *vm.Stream) *Sink {
+func streamSink(ctx context.Context, r *request, st *vm.Stream) *Sink {
 	return &Sink{
 		Head: func(status int, header http.Header, length int) error {
 			joined := make(map[string]string, len(header))
 			for name, values := range header {
 				joined[name] = strings.Join(values, valueSeparator)
 			}
-			return st.SendChunk(ctx, &vmwire.Chunk{Status: int32(status), Header: joined, End: int64(length)})
+			return st.SendChunk(ctx, &vmwire.Chunk{Status: int32(status), Header: joined, End: int64(length), VersionKnown: r.began.bound, Version: r.began.version})
 		},
 		Data: func(b []byte, _ bool) error {
 			for len(b) > 0 {
--- a/edge/new.go
+++ b/edge/new.go
@@ -17,6 +17,7 @@
 	"parsleyhatch/route"
 	"parsleyhatch/source"
 	"parsleyhatch/upstream"
+	"parsleyhatch/version"
 	"parsleyhatch/vm"
 	"parsleyhatch/vmwire"
 )
@@ -53,6 +54,8 @@
 		Retries:     retry.NewWindow(s.Bounds.RetryWindow, retryRatioShare*s.Bounds.RetryRatio, s.Bounds.RetrySlack/minSlackVMs),
 		Poison:      newPoison(),
 		Parts:       poison.NewParts(poison.DefaultPartLimits()),
+		Streams:     version.NewStreams(now, streamLifetime),
+		queries:     streamQueries{pending: map[uint64]chan vmwire.StreamReply{}},
 		Metrics:     metrics.New(s.Name, s.Region),
 		ConnLimiter: callerconn.New(),
 		hasher:      hasher,
@@ -64,7 +67,8 @@
 	e.Replicas.SetVMs(s.Name, []string{s.Name}, initialSharers)
 	e.Poison.Log, e.Parts.Log = log, log
 	e.Watcher = &source.Watcher{
-		Readers: e.readers, Replicas: e.Replicas, Log: log, Now: clock.Now,
+		Versions: version.NewHistory(),
+		Readers:  e.readers, Replicas: e.Replicas, Log: log, Now: clock.Now,
 		Local:        func(domain string) bool { return s.Regions[domain] == s.Region },
 		Region:       func(domain string) string { return s.Regions[domain] },
 		WatchTimeout: time.Duration(watchShare * float64(s.Bounds.RevocationDelay)),
--- a/edge/outcome.go
+++ b/edge/outcome.go
@@ -42,6 +42,7 @@
 	NoUpstream         Reason = "noUpstream"
 	Overloaded         Reason = "overloaded"
 	UpstreamRefused    Reason = "upstreamRefused"
+	VersionUnknown     Reason = "versionUnknown"
 	UpstreamFailed     Reason = "upstreamBroke"
 	VMLost             Reason = "vmLost"
 	TimedOut           Reason = "timedOut"
@@ -78,6 +79,7 @@
 	NoUpstream:         http.StatusServiceUnavailable,
 	Overloaded:         http.StatusServiceUnavailable,
 	UpstreamRefused:    http.StatusServiceUnavailable,
+	VersionUnknown:     http.StatusServiceUnavailable,
 	UpstreamFailed:     http.StatusBadGateway,
 	VMLost:             http.StatusBadGateway,
 	TimedOut:           http.StatusGatewayTimeout,
--- a/edge/region.go
+++ b/edge/region.go
@@ -77,6 +77,9 @@
 		if slices.Contains(r.triedRegions, region) != tried {
 			continue
 		}
+		if r.began.bound && !e.Watcher.HasVersion(r.service.Name, region, r.began.version) {
+			continue
+		}
 		wait, presenceAt, ok := e.Fleet.ExpectedWait(now, region, r.service.Name, r.rank())
 		if !ok {
 			continue
--- a/edge/request.go
+++ b/edge/request.go
@@ -62,6 +62,8 @@
 	// was sent to the caller.
 	headSent  bool
 	lastEvent string
+	// began is the software version of the upstream that sent the first event.
+	began streamVersion
 	// failedAnswer is an error answer of an upstream. The caller receives it unless a later attempt succeeds.
 	failedAnswer *bufferedAnswer
 	// throughOthers is set if the latest choice was another VM of this region, because this VM cannot reach the upstreams.
@@ -91,6 +93,15 @@
 	body   []byte
 }
 
+// targetID returns the id by which the service of a route with several services is chosen. A caller that resumes a stream has a new
+// id, and must get the service that began it.
+func (r *request) targetID() string {
+	if id := r.header.Get(platform.HeaderResumes); id != "" && r.lastEvent != "" {
+		return id
+	}
+	return r.id
+}
+
 // hopHeaders are the hop-by-hop headers, which are valid for a single connection.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
--- a/edge/server.go
+++ b/edge/server.go
@@ -98,7 +98,9 @@
 	ctx, cancel := context.WithDeadlineCause(h.Context(), r.deadline, errTimedOut)
 	defer cancel()
 	sink := e.callerSink(w)
-	out = e.run(ctx, r, sink)
+	if out, ok = e.bindResumed(ctx, r); ok {
+		out = e.run(ctx, r, sink)
+	}
 	if out.Ran == NotRun && r.charged > 0 {
 		e.Quota.Refund(e.Now(), r.workspace.Name, r.charged)
 	}
--- a/edge/storeread.go
+++ b/edge/storeread.go
@@ -9,6 +9,7 @@
 
 	"parsleyhatch/platform"
 	"parsleyhatch/source"
+	"parsleyhatch/version"
 	"parsleyhatch/vm"
 	"parsleyhatch/vmwire"
 )
@@ -203,6 +204,26 @@
 		if err = vm.Decode(f, &m); err == nil && s.Peer.Region == e.Settings.Region {
 			e.receiveLoss(e.Now(), &m)
 		}
+	case vmwire.KindStreamBegan:
+		var m vmwire.StreamBegan
+		if err = vm.Decode(f, &m); err == nil {
+			e.Streams.Add(e.Now(), m.RequestID, version.Stream{Service: m.Service, Version: m.Version})
+		}
+	case vmwire.KindStreamQuery:
+		var m vmwire.StreamQuery
+		if err = vm.Decode(f, &m); err == nil {
+			e.answerStreamQuery(s, &m)
+		}
+	case vmwire.KindStreamReply:
+		var m vmwire.StreamReply
+		if err = vm.Decode(f, &m); err == nil {
+			e.receiveStreamReply(m)
+		}
+	case vmwire.KindVersionKnowledge:
+		var m vmwire.VersionKnowledge
+		if err = vm.Decode(f, &m); err == nil {
+			e.receiveVersions(e.Now(), &m)
+		}
 	case vmwire.KindStoreReply:
 		var m vmwire.StoreReply
 		if err = vm.Decode(f, &m); err == nil {
--- a/edge/versions_test.go
+++ b/edge/versions_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -129,7 +130,9 @@
 			w.startVM("vm2", "south", true)
 			w.waitForMembership()
 			cut := make(chan struct{})
+			endFirst := sync.OnceFunc(func() { close(cut) })
 			w.addVersion("first", "v1", c.firstRegion, cut)
+			t.Cleanup(endFirst) // An upstream's server waits for its handlers.
 			for _, vm := range w.vms {
 				w.waitFor("the first upstream is known", func() bool { return vm.Watcher.UpstreamCount("plain", c.firstRegion) == 1 })
 			}
@@ -145,7 +148,7 @@
 			}
 			defer func() { _ = resp.Body.Close() }()
 			// The others start once the first one has been chosen.
-			count := map[string]int{c.firstRegion: 1, c.otherV1: 0}
+			count := map[string]int{c.firstRegion: 1}
 			for _, region := range []string{"north", "south"} {
 				w.addVersion("new-"+region, "v2", region, nil)
 				count[region]++
@@ -160,7 +163,7 @@
 				})
 			}
 			time.Sleep(600 * time.Millisecond) // VMs report waits to other regions each half second.
-			close(cut)
+			endFirst()
 			data, err := io.ReadAll(resp.Body)
 			body := string(data)
 			if strings.Contains(body, "v2") {
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/tinylib/msgp/msgp"
+
 	"parsleyhatch/vm"
 	"parsleyhatch/vmwire"
 )
@@ -274,6 +276,24 @@
 	return false
 }
 
+// Broadcast sends a message over all sessions, or with sameRegion only to VMs of this region. It returns the number of VMs that it was
+// sent to.
+func (f *Fleet) Broadcast(kind uint8, m msgp.Marshaler, sameRegion bool) int {
+	sent := 0
+	for _, slot := range f.connectedSlots() {
+		if s := f.session(slot); s != nil && !(sameRegion && f.remote(s)) && s.SendControl(kind, m) {
+			sent++
+		}
+	}
+	return sent
+}
+
+// SendTo sends a message to a VM. It reports false if the VM did not take it.
+func (f *Fleet) SendTo(slot string, kind uint8, m msgp.Marshaler) bool {
+	s := f.session(slot)
+	return s != nil && s.SendControl(kind, m)
+}
+
 // BroadcastSuspect sends the state of a suspect request over all sessions, or with sameRegion only to VMs of this
 // region.
 func (f *Fleet) BroadcastSuspect(suspect *vmwire.SuspectRequest, sameRegion bool) {
--- a/replica/choose.go
+++ b/replica/choose.go
@@ -29,6 +29,9 @@
 	// AllowAttempted is set and there is no other one.
 	Attempted      []string
 	AllowAttempted bool
+	// VersionBound means that only upstreams of the software version Version are eligible.
+	VersionBound bool
+	Version      string
 	// ThroughOthers means that another VM of the region will send the request: what this VM may send and which upstreams it can
 	// reach does not matter.
 	ThroughOthers bool
@@ -151,6 +154,9 @@
 			return false
 		}
 	}
+	if q.VersionBound && !r.hasVersion(now, q.Version) {
+		return false
+	}
 	if q.ThroughOthers {
 		return true
 	}
@@ -193,6 +199,9 @@
 	return above + t.vmCount - len(t.vmNames)
 }
 
+// NameKey returns the key of a name for rendezvous hashing.
+func NameKey(name string) uint64 { return hashName(name) }
+
 func hashName(name string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(name))
--- a/replica/reach.go
+++ b/replica/reach.go
@@ -106,7 +106,7 @@
 	}
 	away = now.Sub(r.unreachableSince)
 	r.unreachableSince, r.backoffUntil, r.backoff = time.Time{}, time.Time{}, 0
-	r.assumedColdUntil = now.Add(warmUp)
+	r.assumedColdUntil, r.doubtedAt = now.Add(warmUp), now
 	return away, healed
 }
 
@@ -230,12 +230,21 @@
 	return Probe{ID: r.ID, Address: r.Address, Service: r.Service}, r.unreachableSince.IsZero()
 }
 
+// RecordConnectionLoss records that a connection to an upstream was lost during a request, so that the upstream may start again.
+func (t *Table) RecordConnectionLoss(now time.Time, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.upstreams[id]; r != nil {
+		r.doubtedAt = now
+	}
+}
+
 // AssumeCold counts an upstream as cold for warmUp, because it may have started again.
 func (t *Table) AssumeCold(now time.Time, id string, warmUp time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r := t.upstreams[id]; r != nil {
-		r.assumedColdUntil = now.Add(warmUp)
+		r.assumedColdUntil, r.doubtedAt = now.Add(warmUp), now
 	}
 }
 
--- a/replica/upstream.go
+++ b/replica/upstream.go
@@ -81,6 +81,9 @@
 	failureHalfLife = 2 * time.Second
 	// slownessWeight is the weight of the latest first token in the slowness.
 	slownessWeight = 0.2
+	// registrationDelay is the time from the start of an upstream until its registration is known to all VMs, or its earlier one
+	// has expired.
+	registrationDelay = 5 * time.Second
 	// firstBackoff and maxBackoff bound the time without new requests after a failed connection.
 	firstBackoff = 250 * time.Millisecond
 	maxBackoff   = 2 * time.Second
@@ -108,6 +111,8 @@
 	backoff      time.Duration
 	// unreachableSince is the time since which no connection could be opened, zero if the last attempt succeeded.
 	unreachableSince time.Time
+	// doubtedAt is the latest time at which a connection to the upstream was lost or regained, so that it may have started again.
+	doubtedAt time.Time
 	// lossReportedAt is the time of the latest report between this VM and others that the upstream was not reachable.
 	lossReportedAt time.Time
 	// probeAt is the time of the next probe of an unreachable upstream, and probeDelay the time between the latest two.
@@ -143,6 +148,12 @@
 	return sum
 }
 
+// hasVersion reports whether the upstream has a software version for certain. After it has returned, it may have started again with
+// another one until its registration says so.
+func (r *upstreamState) hasVersion(now time.Time, version string) bool {
+	return r.Version == version && now.Sub(r.doubtedAt) > registrationDelay
+}
+
 func (r *upstreamState) isCold(now time.Time) bool {
 	return now.Before(r.coldUntil) || now.Before(r.assumedColdUntil)
 }
--- a/source/source.go
+++ b/source/source.go
@@ -17,6 +17,7 @@
 	"parsleyhatch/platform"
 	"parsleyhatch/replica"
 	"parsleyhatch/route"
+	"parsleyhatch/version"
 )
 
 const (
@@ -39,6 +40,8 @@
 	// Readers returns the readers of the store in order of preference.
 	Readers  func() []Reader
 	Replicas *replica.Table
+	// Versions keeps the software versions that have served. Nil keeps none.
+	Versions *version.History
 	Log      *slog.Logger
 	// Now returns the current time since boot, see clock.Now.
 	Now func() time.Time
@@ -59,6 +62,8 @@
 	// upstreamCounts holds the numbers of the usable upstreams.
 	upstreamCounts      atomic.Pointer[RegionTotals]
 	registrationsLoaded atomic.Bool
+	// versionCounts holds the numbers of the usable upstreams of each software version.
+	versionCounts atomic.Pointer[map[versionKey]int]
 	// acceptMu serializes AcceptConfig and guards accepted, which is closed with the next configuration that becomes
 	// active.
 	acceptMu sync.Mutex
@@ -84,6 +89,8 @@
 	// reregisterGrace is running.
 	expired map[string]bool
 	restore restoreState
+	// versionsStale is set if Versions does not reflect entries.
+	versionsStale bool
 }
 
 // Table returns the active configuration, or nil if there is none yet.
@@ -202,6 +209,10 @@
 	s.position.Revision = max(s.position.Revision, a.Revision)
 	s.removeExpired()
 	s.settle()
+	if s.versionsStale && s.Versions != nil {
+		s.versionsStale = false
+		s.Versions.Update(s.Now(), time.Now().UnixMilli(), s.entries)
+	}
 	s.advanceFreshAt(a.KnownAt)
 	s.History.add(a, s.position, s.FreshAt(), s.storeReturnedAt)
 }
--- a/source/upstreams.go
+++ b/source/upstreams.go
@@ -75,9 +75,19 @@
 	return 0
 }
 
+// versionKey names the upstreams of a service in a region with a software version.
+type versionKey struct{ service, region, version string }
+
+// HasVersion reports whether a service has a usable upstream of a software version in a region.
+func (s *Watcher) HasVersion(service, region, version string) bool {
+	counts := s.versionCounts.Load()
+	return counts != nil && (*counts)[versionKey{service, region, version}] > 0
+}
+
 // updateCapacity recomputes the totals over the upstreams that are neither draining nor evacuated.
 func (s *Watcher) updateCapacity() {
-	slots, counts := RegionTotals{}, RegionTotals{}
+	s.versionsStale = true
+	slots, counts, versions := RegionTotals{}, RegionTotals{}, map[versionKey]int{}
 	for _, e := range s.entries {
 		if e.Draining || s.evacuated[e.FailureDomain] {
 			continue
@@ -89,7 +99,9 @@
 		region := s.Region(e.FailureDomain)
 		slots[e.Service][region] += e.Slots
 		counts[e.Service][region]++
+		versions[versionKey{e.Service, region, e.Version}]++
 	}
 	s.capacity.Store(&slots)
 	s.upstreamCounts.Store(&counts)
+	s.versionCounts.Store(&versions)
 }
--- /dev/null
+++ b/version/history.go
@@ -0,0 +1,164 @@
+// Package version keeps which software versions of upstreams have served each service, and at which version streams began. A stream
+// may go on only at the version that began it.
+package version
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"parsleyhatch/replica"
+)
+
+// Seen is a version of a service with the latest time at which an upstream of the service had it.
+type Seen struct {
+	Version string
+	LastAt  time.Time
+}
+
+// Knowledge is what is known of the versions of one service.
+type Knowledge struct {
+	Service string
+	// Since is the time since which all versions of the service are known.
+	Since time.Time
+	Seen  []Seen
+}
+
+// History keeps the versions that have served each service. It is safe for concurrent use.
+type History struct {
+	mu       sync.Mutex
+	services map[string]*service
+	// loadedAt is the time of the first registrations, zero before.
+	loadedAt time.Time
+}
+
+type service struct {
+	// since is the time since which all versions are known.
+	since time.Time
+	// current holds the versions of the registered upstreams, and lastAt the latest times of the others.
+	current map[string]bool
+	lastAt  map[string]time.Time
+}
+
+// retention is the time for which versions that have left are kept. It exceeds the lifetime of streams.
+const retention = 10 * time.Minute
+
+// replacementTime is the time from the start of an upstream until the one that it replaces gets no new requests.
+const replacementTime = 5 * time.Second
+
+// NewHistory returns an empty history.
+func NewHistory() *History { return &History{services: map[string]*service{}} }
+
+// Update replaces the registered upstreams. unixNow is the present time in Unix milliseconds, which the start times of upstreams are
+// compared with. The first call shows more than the present: new versions come with new upstreams, so that no version has left
+// since before the latest start of an upstream, as long as each one that left was replaced.
+func (h *History) Update(now time.Time, unixNow int64, registered map[string]replica.Registration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	first := h.loadedAt.IsZero()
+	if first {
+		h.loadedAt = now
+	}
+	current, youngest := map[string]map[string]bool{}, map[string]time.Duration{}
+	for _, e := range registered {
+		if current[e.Service] == nil {
+			current[e.Service] = map[string]bool{}
+			youngest[e.Service] = retention
+		}
+		current[e.Service][e.Version] = true
+		age := time.Duration(unixNow-e.Born) * time.Millisecond
+		youngest[e.Service] = min(youngest[e.Service], max(0, age))
+	}
+	for name, versions := range current {
+		s := h.services[name]
+		if s == nil {
+			s = &service{since: h.loadedAt, lastAt: map[string]time.Time{}}
+			h.services[name] = s
+		}
+		if since := now.Add(replacementTime - youngest[name]); first && since.Before(s.since) {
+			s.since = since
+		}
+		s.replace(now, versions)
+	}
+	for name, s := range h.services {
+		if current[name] == nil {
+			s.replace(now, map[string]bool{})
+		}
+	}
+}
+
+// replace replaces the versions of the registered upstreams.
+func (s *service) replace(now time.Time, current map[string]bool) {
+	for v := range s.current {
+		if !current[v] {
+			s.lastAt[v] = now
+		}
+	}
+	s.current = current
+	for v, at := range s.lastAt {
+		if current[v] || now.Sub(at) > retention {
+			delete(s.lastAt, v)
+		}
+	}
+}
+
+// Only returns the version of all upstreams that have served a service since a time. It returns false if there were several, or if it
+// is not known.
+func (h *History) Only(service string, since time.Time) (string, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.services[service]
+	if s == nil || s.since.After(since) {
+		return "", false
+	}
+	only, n := "", 0
+	for v := range s.current {
+		only = v
+		n++
+	}
+	for v, at := range s.lastAt {
+		if at.After(since) {
+			only = v
+			n++
+		}
+	}
+	return only, n == 1
+}
+
+// Knowledge returns what is known of all services, for other VMs.
+func (h *History) Knowledge(now time.Time) []Knowledge {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var list []Knowledge
+	for name, s := range h.services {
+		k := Knowledge{Service: name, Since: s.since}
+		for v := range s.current {
+			k.Seen = append(k.Seen, Seen{Version: v, LastAt: now})
+		}
+		for v, at := range s.lastAt {
+			k.Seen = append(k.Seen, Seen{Version: v, LastAt: at})
+		}
+		slices.SortFunc(k.Seen, func(a, b Seen) int { return a.LastAt.Compare(b.LastAt) })
+		list = append(list, k)
+	}
+	return list
+}
+
+// Merge adds what another VM knows.
+func (h *History) Merge(k Knowledge) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.services[k.Service]
+	if s == nil {
+		s = &service{since: k.Since, current: map[string]bool{}, lastAt: map[string]time.Time{}}
+		h.services[k.Service] = s
+	}
+	if k.Since.Before(s.since) {
+		s.since = k.Since
+	}
+	for _, seen := range k.Seen {
+		if !s.current[seen.Version] && seen.LastAt.After(s.lastAt[seen.Version]) {
+			s.lastAt[seen.Version] = seen.LastAt
+		}
+	}
+}
--- /dev/null
+++ b/version/version_test.go
@@ -0,0 +1,93 @@
+package version
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"parsleyhatch/replica"
+)
+
+const unixStart = 1_000_000_000
+
+var start = time.Unix(1000, 0)
+
+// registered returns upstreams of one service with the given versions that started at an age before unixStart.
+func registered(age time.Duration, versions ...string) map[string]replica.Registration {
+	m := map[string]replica.Registration{}
+	for i, v := range versions {
+		id := fmt.Sprintf("u%d", i)
+		m[id] = replica.Registration{ID: id, Service: "s", Version: v, Born: unixStart - age.Milliseconds()}
+	}
+	return m
+}
+
+// Guards against a version that is taken for the only one since a time although another one served then, or may have.
+func TestOnly(t *testing.T) {
+	const window = 15 * time.Second
+	for name, c := range map[string]struct {
+		setUp func(h *History)
+		// after is the time from the first registrations to the question.
+		after time.Duration
+		want  string
+	}{
+		"one for long":      {setUp: func(h *History) { h.Update(start, unixStart, registered(time.Hour, "v1", "v1")) }, want: "v1"},
+		"two":               {setUp: func(h *History) { h.Update(start, unixStart, registered(time.Hour, "v1", "v2")) }},
+		"started just now":  {setUp: func(h *History) { h.Update(start, unixStart, registered(time.Second, "v2")) }},
+		"replaced just now": {setUp: func(h *History) { h.Update(start, unixStart, registered(window+time.Second, "v2")) }},
+		"known for long":    {setUp: func(h *History) { h.Update(start, unixStart, registered(time.Second, "v2")) }, after: window, want: "v2"},
+		"clock was set":     {setUp: func(h *History) { h.Update(start, unixStart, registered(-time.Second, "v2")) }},
+		"nothing is known":  {setUp: func(*History) {}},
+		"another one began": {setUp: func(h *History) {
+			h.Update(start, unixStart, registered(time.Hour, "v1"))
+			h.Update(start, unixStart, registered(0, "v2"))
+		}},
+		"the other left long ago": {setUp: func(h *History) {
+			h.Update(start, unixStart, registered(time.Hour, "v1", "v2"))
+			h.Update(start, unixStart, registered(time.Hour, "v2"))
+		}, after: window, want: "v2"},
+		"another VM knows more": {setUp: func(h *History) {
+			h.Update(start, unixStart, registered(time.Second, "v2"))
+			h.Merge(Knowledge{Service: "s", Since: start.Add(-time.Hour), Seen: []Seen{{"v2", start}}})
+		}, want: "v2"},
+		"another VM knows another version": {setUp: func(h *History) {
+			h.Update(start, unixStart, registered(time.Hour, "v2"))
+			h.Merge(Knowledge{Service: "s", Since: start.Add(-time.Hour), Seen: []Seen{{"v1", start.Add(-time.Second)}}})
+		}},
+		"what another VM knows comes first": {setUp: func(h *History) {
+			h.Merge(Knowledge{Service: "s", Since: start.Add(-time.Hour), Seen: []Seen{{"v1", start}}})
+			h.Update(start, unixStart, registered(time.Second, "v2"))
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := NewHistory()
+			c.setUp(h)
+			version, ok := h.Only("s", start.Add(c.after).Add(-window))
+			if ok != (c.want != "") || ok && version != c.want {
+				t.Errorf("only version %q, %v, want %q", version, ok, c.want)
+			}
+			if len(h.Knowledge(start)) == 0 && name != "nothing is known" {
+				t.Error("knows nothing of the service")
+			}
+		})
+	}
+}
+
+// Guards against a stream that is forgotten while a caller may resume it, and against memory that grows for ever.
+func TestStreams(t *testing.T) {
+	const lifetime = 30 * time.Second
+	s := NewStreams(start, lifetime)
+	s.Add(start.Add(lifetime-time.Second), "id", Stream{Service: "s", Version: "v1"})
+	if found, ok := s.Find(start.Add(2*lifetime-2*time.Second), "id"); !ok || found.Version != "v1" {
+		t.Errorf("found %v, %v within its lifetime", found, ok)
+	}
+	if _, ok := s.Find(start.Add(4*lifetime), "id"); ok {
+		t.Error("found after two lifetimes")
+	}
+	for i := range 3 * maxStreams {
+		s.Add(start, fmt.Sprint(i), Stream{})
+	}
+	if n := len(s.recent) + len(s.older); n > 2*maxStreams {
+		t.Errorf("%d streams are kept", n)
+	}
+}
--- a/vm/fuzz_test.go
+++ b/vm/fuzz_test.go
@@ -95,6 +95,14 @@
 		_ = Decode(f, &vmwire.PartReport{})
 	case vmwire.KindUpstreamLoss:
 		_ = Decode(f, &vmwire.UpstreamLoss{})
+	case vmwire.KindStreamBegan:
+		_ = Decode(f, &vmwire.StreamBegan{})
+	case vmwire.KindStreamQuery:
+		_ = Decode(f, &vmwire.StreamQuery{})
+	case vmwire.KindStreamReply:
+		_ = Decode(f, &vmwire.StreamReply{})
+	case vmwire.KindVersionKnowledge:
+		_ = Decode(f, &vmwire.VersionKnowledge{})
 	case vmwire.KindUpstreamLimits:
 		_ = Decode(f, &vmwire.UpstreamLimits{})
 	}
--- a/vmwire/kinds.go
+++ b/vmwire/kinds.go
@@ -1,7 +1,7 @@
 package vmwire
 
 // Protocol is the version of the schema. Sessions with VMs of another version are refused.
-const Protocol = 8
+const Protocol = 9
 
 // Kinds of frames.
 const (
@@ -31,6 +31,10 @@
 	KindPartReport
 	KindUpstreamLimits
 	KindUpstreamLoss
+	KindStreamBegan
+	KindStreamQuery
+	KindStreamReply
+	KindVersionKnowledge
 	kindEnd
 )
 
@@ -46,4 +50,6 @@
 	KindPresence: "presence", KindStoreQuery: "storeQuery", KindStoreReply: "storeReply",
 	KindUpstreamLoads: "upstreamLoads", KindUpstreamSums: "upstreamSums", KindPartReport: "partReport",
 	KindUpstreamLimits: "upstreamLimits", KindUpstreamLoss: "upstreamLoss",
+	KindStreamBegan: "streamBegan", KindStreamQuery: "streamQuery", KindStreamReply: "streamReply",
+	KindVersionKnowledge: "versionKnowledge",
 }
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -14,6 +14,7 @@
 //msgp:tuple Load UpstreamLoad ModelWait Summary PoolSummary TokenRequest TokenGrant SuspectRequest Handover HandoverRequest HandoverRecord
 //msgp:tuple Presence WorkspaceUsage UpstreamLoads SenderLoad UpstreamSums UpstreamSum ServiceWait KnownVM StoreItem StoreQuery StoreReply
 //msgp:tuple PartReport PartCrash PartCompletion UpstreamAnswer UpstreamLimits UpstreamLimit UpstreamLoss
+//msgp:tuple StreamBegan StreamQuery StreamReply VersionKnowledge ServiceVersions SeenVersion
 
 // Frame is the envelope of every message.
 type Frame struct {
@@ -78,6 +79,9 @@
 	Returnable bool
 	// Switchover means that the sender still has another upstream for the stream, so that a refusal must come at once.
 	Switchover bool
+	// VersionBound means that the stream may go on at upstreams of the software version Version only.
+	VersionBound bool
+	Version      string
 }
 
 // Chunk is a part of an answer, carried in a Data frame from the VM that runs the request.
@@ -89,6 +93,9 @@
 	Status int32
 	Header map[string]string
 	Data   []byte `msg:"Data,limit=262144"`
+	// VersionKnown is set with Status if an upstream of the software version Version began a stream that may be resumed.
+	VersionKnown bool
+	Version      string
 }
 
 // End closes a stream with the outcome of the request.
@@ -507,3 +514,44 @@
 	// AgeMillis is the time since the first attempt that failed, in milliseconds.
 	AgeMillis int64
 }
+
+// StreamBegan reports the software version of the upstream that began a stream to VMs that keep it, too.
+type StreamBegan struct {
+	RequestID string
+	Service   string
+	Version   string
+}
+
+// StreamQuery asks for the version of the stream that an attempt of a caller began. ID is returned in the reply.
+type StreamQuery struct {
+	ID        uint64
+	RequestID string
+}
+
+// StreamReply is the reply to StreamQuery.
+type StreamReply struct {
+	ID      uint64
+	Found   bool
+	Service string
+	Version string
+}
+
+// VersionKnowledge is what the sender knows of the software versions that have served.
+type VersionKnowledge struct {
+	Services []ServiceVersions
+}
+
+// ServiceVersions are the software versions of a service.
+type ServiceVersions struct {
+	Service string
+	// KnownMillis is the time for which the sender has known all versions, in milliseconds.
+	KnownMillis int64
+	Versions    []SeenVersion
+}
+
+// SeenVersion is a software version.
+type SeenVersion struct {
+	Version string
+	// AgeMillis is the time since an upstream last had the version, in milliseconds.
+	AgeMillis int64
+}
--- a/vmwire/schema_gen.go
+++ b/vmwire/schema_gen.go
@@ -24,8 +24,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	z.Start, err = dc.ReadInt64()
@@ -84,13 +84,23 @@
 		err = msgp.WrapError(err, "Data")
 		return
 	}
+	z.VersionKnown, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "VersionKnown")
+		return
+	}
+	z.Version, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Chunk) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 5
-	err = en.Append(0x95)
+	// array header, size 7
+	err = en.Append(0x97)
 	if err != nil {
 		return
 	}
@@ -131,14 +141,24 @@
 		err = msgp.WrapError(err, "Data")
 		return
 	}
+	err = en.WriteBool(z.VersionKnown)
+	if err != nil {
+		err = msgp.WrapError(err, "VersionKnown")
+		return
+	}
+	err = en.WriteString(z.Version)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Chunk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 7
+	o = append(o, 0x97)
 	o = msgp.AppendInt64(o, z.Start)
 	o = msgp.AppendInt64(o, z.End)
 	o = msgp.AppendInt32(o, z.Status)
@@ -148,6 +168,8 @@
 		o = msgp.AppendString(o, za0002)
 	}
 	o = msgp.AppendBytes(o, z.Data)
+	o = msgp.AppendBool(o, z.VersionKnown)
+	o = msgp.AppendString(o, z.Version)
 	return
 }
 
@@ -159,8 +181,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	z.Start, bts, err = msgp.ReadInt64Bytes(bts)
@@ -232,6 +254,16 @@
 	}
 	copy(z.Data, bts[:zb0003])
 	bts = bts[zb0003:]
+	z.VersionKnown, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "VersionKnown")
+		return
+	}
+	z.Version, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
 	o = bts
 	return
 }
@@ -245,7 +277,7 @@
 			s += msgp.StringPrefixSize + len(za0001) + msgp.StringPrefixSize + len(za0002)
 		}
 	}
-	s += msgp.BytesPrefixSize + len(z.Data)
+	s += msgp.BytesPrefixSize + len(z.Data) + msgp.BoolSize + msgp.StringPrefixSize + len(z.Version)
 	return
 }
 
@@ -2714,8 +2746,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 23 {
-		err = msgp.ArrayError{Wanted: 23, Got: zb0001}
+	if zb0001 != 25 {
+		err = msgp.ArrayError{Wanted: 25, Got: zb0001}
 		return
 	}
 	z.RequestID, err = dc.ReadString()
@@ -2861,13 +2893,23 @@
 		err = msgp.WrapError(err, "Switchover")
 		return
 	}
+	z.VersionBound, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "VersionBound")
+		return
+	}
+	z.Version, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Open) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 23
-	err = en.Append(0xdc, 0x0, 0x17)
+	// array header, size 25
+	err = en.Append(0xdc, 0x0, 0x19)
 	if err != nil {
 		return
 	}
@@ -2998,14 +3040,24 @@
 		err = msgp.WrapError(err, "Switchover")
 		return
 	}
+	err = en.WriteBool(z.VersionBound)
+	if err != nil {
+		err = msgp.WrapError(err, "VersionBound")
+		return
+	}
+	err = en.WriteString(z.Version)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Open) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 23
-	o = append(o, 0xdc, 0x0, 0x17)
+	// array header, size 25
+	o = append(o, 0xdc, 0x0, 0x19)
 	o = msgp.AppendString(o, z.RequestID)
 	o = msgp.AppendString(o, z.OriginSlot)
 	o = msgp.AppendString(o, z.OriginRegion)
@@ -3033,6 +3085,8 @@
 	o = msgp.AppendBool(o, z.Probe)
 	o = msgp.AppendBool(o, z.Returnable)
 	o = msgp.AppendBool(o, z.Switchover)
+	o = msgp.AppendBool(o, z.VersionBound)
+	o = msgp.AppendString(o, z.Version)
 	return
 }
 
@@ -3044,8 +3098,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 23 {
-		err = msgp.ArrayError{Wanted: 23, Got: zb0001}
+	if zb0001 != 25 {
+		err = msgp.ArrayError{Wanted: 25, Got: zb0001}
 		return
 	}
 	z.RequestID, bts, err = msgp.ReadStringBytes(bts)
@@ -3191,6 +3245,16 @@
 		err = msgp.WrapError(err, "Switchover")
 		return
 	}
+	z.VersionBound, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "VersionBound")
+		return
+	}
+	z.Version, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
 	o = bts
 	return
 }
@@ -3204,7 +3268,7 @@
 			s += msgp.StringPrefixSize + len(za0001) + msgp.StringPrefixSize + len(za0002)
 		}
 	}
-	s += msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.StringPrefixSize + len(z.IdempotencyKey) + msgp.Int64Size + msgp.Int32Size + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize
+	s += msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.StringPrefixSize + len(z.IdempotencyKey) + msgp.Int64Size + msgp.Int32Size + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize + msgp.StringPrefixSize + len(z.Version)
 	return
 }
 
@@ -4760,6 +4824,97 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *SeenVersion) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Version, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	z.AgeMillis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z SeenVersion) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Version)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	err = en.WriteInt64(z.AgeMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z SeenVersion) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Version)
+	o = msgp.AppendInt64(o, z.AgeMillis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *SeenVersion) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Version, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z SeenVersion) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Version) + msgp.Int64Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *SenderLoad) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -4928,7 +5083,7 @@
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *ServiceWait) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *ServiceVersions) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
 	zb0001, err = dc.ReadArrayHeader()
 	if err != nil {
@@ -4939,8 +5094,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.Service, err = dc.ReadString()
@@ -4948,25 +5103,49 @@
 		err = msgp.WrapError(err, "Service")
 		return
 	}
+	z.KnownMillis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "KnownMillis")
+		return
+	}
 	var zb0002 uint32
 	zb0002, err = dc.ReadArrayHeader()
 	if err != nil {
-		err = msgp.WrapError(err, "Millis")
+		err = msgp.WrapError(err, "Versions")
 		return
 	}
 	if zb0002 > zb417a25dlimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Millis) >= int(zb0002) {
-		z.Millis = (z.Millis)[:zb0002]
+	if cap(z.Versions) >= int(zb0002) {
+		z.Versions = (z.Versions)[:zb0002]
 	} else {
-		z.Millis = make([]int32, zb0002)
+		z.Versions = make([]SeenVersion, zb0002)
 	}
-	for za0001 := range z.Millis {
-		z.Millis[za0001], err = dc.ReadInt32()
+	for za0001 := range z.Versions {
+		var zb0003 uint32
+		zb0003, err = dc.ReadArrayHeader()
 		if err != nil {
-			err = msgp.WrapError(err, "Millis", za0001)
+			err = msgp.WrapError(err, "Versions", za0001)
+			return
+		}
+		if zb0003 > zb417a25dlimitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		if zb0003 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+			return
+		}
+		z.Versions[za0001].Version, err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err, "Versions", za0001, "Version")
+			return
+		}
+		z.Versions[za0001].AgeMillis, err = dc.ReadInt64()
+		if err != nil {
+			err = msgp.WrapError(err, "Versions", za0001, "AgeMillis")
 			return
 		}
 	}
@@ -4974,9 +5153,9 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *ServiceWait) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 2
-	err = en.Append(0x92)
+func (z *ServiceVersions) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
 	if err != nil {
 		return
 	}
@@ -4985,15 +5164,30 @@
 		err = msgp.WrapError(err, "Service")
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Millis)))
+	err = en.WriteInt64(z.KnownMillis)
 	if err != nil {
-		err = msgp.WrapError(err, "Millis")
+		err = msgp.WrapError(err, "KnownMillis")
 		return
 	}
-	for za0001 := range z.Millis {
-		err = en.WriteInt32(z.Millis[za0001])
+	err = en.WriteArrayHeader(uint32(len(z.Versions)))
+	if err != nil {
+		err = msgp.WrapError(err, "Versions")
+		return
+	}
+	for za0001 := range z.Versions {
+		// array header, size 2
+		err = en.Append(0x92)
 		if err != nil {
-			err = msgp.WrapError(err, "Millis", za0001)
+			return
+		}
+		err = en.WriteString(z.Versions[za0001].Version)
+		if err != nil {
+			err = msgp.WrapError(err, "Versions", za0001, "Version")
+			return
+		}
+		err = en.WriteInt64(z.Versions[za0001].AgeMillis)
+		if err != nil {
+			err = msgp.WrapError(err, "Versions", za0001, "AgeMillis")
 			return
 		}
 	}
@@ -5001,28 +5195,32 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *ServiceWait) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *ServiceVersions) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendString(o, z.Service)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Millis)))
-	for za0001 := range z.Millis {
-		o = msgp.AppendInt32(o, z.Millis[za0001])
+	o = msgp.AppendInt64(o, z.KnownMillis)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Versions)))
+	for za0001 := range z.Versions {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Versions[za0001].Version)
+		o = msgp.AppendInt64(o, z.Versions[za0001].AgeMillis)
 	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *ServiceWait) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *ServiceVersions) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var zb0001 uint32
 	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.Service, bts, err = msgp.ReadStringBytes(bts)
@@ -5030,25 +5228,45 @@
 		err = msgp.WrapError(err, "Service")
 		return
 	}
+	z.KnownMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "KnownMillis")
+		return
+	}
 	var zb0002 uint32
 	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Millis")
+		err = msgp.WrapError(err, "Versions")
 		return
 	}
 	if zb0002 > zb417a25dlimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Millis) >= int(zb0002) {
-		z.Millis = (z.Millis)[:zb0002]
+	if cap(z.Versions) >= int(zb0002) {
+		z.Versions = (z.Versions)[:zb0002]
 	} else {
-		z.Millis = make([]int32, zb0002)
+		z.Versions = make([]SeenVersion, zb0002)
 	}
-	for za0001 := range z.Millis {
-		z.Millis[za0001], bts, err = msgp.ReadInt32Bytes(bts)
+	for za0001 := range z.Versions {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Millis", za0001)
+			err = msgp.WrapError(err, "Versions", za0001)
+			return
+		}
+		if zb0003 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+			return
+		}
+		z.Versions[za0001].Version, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Versions", za0001, "Version")
+			return
+		}
+		z.Versions[za0001].AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Versions", za0001, "AgeMillis")
 			return
 		}
 	}
@@ -5057,13 +5275,16 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *ServiceWait) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.ArrayHeaderSize + (len(z.Millis) * (msgp.Int32Size))
+func (z *ServiceVersions) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.Int64Size + msgp.ArrayHeaderSize
+	for za0001 := range z.Versions {
+		s += 1 + msgp.StringPrefixSize + len(z.Versions[za0001].Version) + msgp.Int64Size
+	}
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *SlotView) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *ServiceWait) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
 	zb0001, err = dc.ReadArrayHeader()
 	if err != nil {
@@ -5074,8 +5295,143 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Service, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Millis")
+		return
+	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Millis) >= int(zb0002) {
+		z.Millis = (z.Millis)[:zb0002]
+	} else {
+		z.Millis = make([]int32, zb0002)
+	}
+	for za0001 := range z.Millis {
+		z.Millis[za0001], err = dc.ReadInt32()
+		if err != nil {
+			err = msgp.WrapError(err, "Millis", za0001)
+			return
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *ServiceWait) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Millis)))
+	if err != nil {
+		err = msgp.WrapError(err, "Millis")
+		return
+	}
+	for za0001 := range z.Millis {
+		err = en.WriteInt32(z.Millis[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "Millis", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ServiceWait) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Service)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Millis)))
+	for za0001 := range z.Millis {
+		o = msgp.AppendInt32(o, z.Millis[za0001])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ServiceWait) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Millis")
+		return
+	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Millis) >= int(zb0002) {
+		z.Millis = (z.Millis)[:zb0002]
+	} else {
+		z.Millis = make([]int32, zb0002)
+	}
+	for za0001 := range z.Millis {
+		z.Millis[za0001], bts, err = msgp.ReadInt32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Millis", za0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ServiceWait) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.ArrayHeaderSize + (len(z.Millis) * (msgp.Int32Size))
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *SlotView) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	z.Slot, err = dc.ReadString()
@@ -5509,13 +5865,434 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *StoreQuery) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Int64Size + msgp.Int64Size + msgp.Uint64Size
+func (z *StoreQuery) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Int64Size + msgp.Int64Size + msgp.Uint64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *StoreReply) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+		return
+	}
+	z.ID, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.Result, err = dc.ReadUint8()
+	if err != nil {
+		err = msgp.WrapError(err, "Result")
+		return
+	}
+	z.Revision, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Revision")
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Items")
+		return
+	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Items) >= int(zb0002) {
+		z.Items = (z.Items)[:zb0002]
+	} else {
+		z.Items = make([]StoreItem, zb0002)
+	}
+	for za0001 := range z.Items {
+		err = z.Items[za0001].DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Items", za0001)
+			return
+		}
+	}
+	z.KnownMillis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "KnownMillis")
+		return
+	}
+	z.ReturnedMillis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "ReturnedMillis")
+		return
+	}
+	z.Era, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *StoreReply) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 7
+	err = en.Append(0x97)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.ID)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	err = en.WriteUint8(z.Result)
+	if err != nil {
+		err = msgp.WrapError(err, "Result")
+		return
+	}
+	err = en.WriteUint64(z.Revision)
+	if err != nil {
+		err = msgp.WrapError(err, "Revision")
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Items)))
+	if err != nil {
+		err = msgp.WrapError(err, "Items")
+		return
+	}
+	for za0001 := range z.Items {
+		err = z.Items[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Items", za0001)
+			return
+		}
+	}
+	err = en.WriteInt64(z.KnownMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "KnownMillis")
+		return
+	}
+	err = en.WriteInt64(z.ReturnedMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "ReturnedMillis")
+		return
+	}
+	err = en.WriteUint64(z.Era)
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *StoreReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 7
+	o = append(o, 0x97)
+	o = msgp.AppendUint64(o, z.ID)
+	o = msgp.AppendUint8(o, z.Result)
+	o = msgp.AppendUint64(o, z.Revision)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Items)))
+	for za0001 := range z.Items {
+		o, err = z.Items[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Items", za0001)
+			return
+		}
+	}
+	o = msgp.AppendInt64(o, z.KnownMillis)
+	o = msgp.AppendInt64(o, z.ReturnedMillis)
+	o = msgp.AppendUint64(o, z.Era)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StoreReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+		return
+	}
+	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.Result, bts, err = msgp.ReadUint8Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Result")
+		return
+	}
+	z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Revision")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Items")
+		return
+	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Items) >= int(zb0002) {
+		z.Items = (z.Items)[:zb0002]
+	} else {
+		z.Items = make([]StoreItem, zb0002)
+	}
+	for za0001 := range z.Items {
+		bts, err = z.Items[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Items", za0001)
+			return
+		}
+	}
+	z.KnownMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "KnownMillis")
+		return
+	}
+	z.ReturnedMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ReturnedMillis")
+		return
+	}
+	z.Era, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *StoreReply) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint8Size + msgp.Uint64Size + msgp.ArrayHeaderSize
+	for za0001 := range z.Items {
+		s += z.Items[za0001].Msgsize()
+	}
+	s += msgp.Int64Size + msgp.Int64Size + msgp.Uint64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *StreamBegan) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.RequestID, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "RequestID")
+		return
+	}
+	z.Service, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	z.Version, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z StreamBegan) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.RequestID)
+	if err != nil {
+		err = msgp.WrapError(err, "RequestID")
+		return
+	}
+	err = en.WriteString(z.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	err = en.WriteString(z.Version)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z StreamBegan) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendString(o, z.RequestID)
+	o = msgp.AppendString(o, z.Service)
+	o = msgp.AppendString(o, z.Version)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StreamBegan) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.RequestID, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "RequestID")
+		return
+	}
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	z.Version, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z StreamBegan) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.RequestID) + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Version)
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *StreamQuery) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.ID, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.RequestID, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "RequestID")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z StreamQuery) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.ID)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	err = en.WriteString(z.RequestID)
+	if err != nil {
+		err = msgp.WrapError(err, "RequestID")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z StreamQuery) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendUint64(o, z.ID)
+	o = msgp.AppendString(o, z.RequestID)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StreamQuery) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.RequestID, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "RequestID")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z StreamQuery) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.RequestID)
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *StoreReply) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *StreamReply) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
 	zb0001, err = dc.ReadArrayHeader()
 	if err != nil {
@@ -5526,8 +6303,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.ID, err = dc.ReadUint64()
@@ -5535,60 +6312,28 @@
 		err = msgp.WrapError(err, "ID")
 		return
 	}
-	z.Result, err = dc.ReadUint8()
-	if err != nil {
-		err = msgp.WrapError(err, "Result")
-		return
-	}
-	z.Revision, err = dc.ReadUint64()
-	if err != nil {
-		err = msgp.WrapError(err, "Revision")
-		return
-	}
-	var zb0002 uint32
-	zb0002, err = dc.ReadArrayHeader()
-	if err != nil {
-		err = msgp.WrapError(err, "Items")
-		return
-	}
-	if zb0002 > zb417a25dlimitArrays {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	if cap(z.Items) >= int(zb0002) {
-		z.Items = (z.Items)[:zb0002]
-	} else {
-		z.Items = make([]StoreItem, zb0002)
-	}
-	for za0001 := range z.Items {
-		err = z.Items[za0001].DecodeMsg(dc)
-		if err != nil {
-			err = msgp.WrapError(err, "Items", za0001)
-			return
-		}
-	}
-	z.KnownMillis, err = dc.ReadInt64()
+	z.Found, err = dc.ReadBool()
 	if err != nil {
-		err = msgp.WrapError(err, "KnownMillis")
+		err = msgp.WrapError(err, "Found")
 		return
 	}
-	z.ReturnedMillis, err = dc.ReadInt64()
+	z.Service, err = dc.ReadString()
 	if err != nil {
-		err = msgp.WrapError(err, "ReturnedMillis")
+		err = msgp.WrapError(err, "Service")
 		return
 	}
-	z.Era, err = dc.ReadUint64()
+	z.Version, err = dc.ReadString()
 	if err != nil {
-		err = msgp.WrapError(err, "Era")
+		err = msgp.WrapError(err, "Version")
 		return
 	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *StoreReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 7
-	err = en.Append(0x97)
+func (z *StreamReply) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
 		return
 	}
@@ -5597,78 +6342,46 @@
 		err = msgp.WrapError(err, "ID")
 		return
 	}
-	err = en.WriteUint8(z.Result)
-	if err != nil {
-		err = msgp.WrapError(err, "Result")
-		return
-	}
-	err = en.WriteUint64(z.Revision)
-	if err != nil {
-		err = msgp.WrapError(err, "Revision")
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Items)))
-	if err != nil {
-		err = msgp.WrapError(err, "Items")
-		return
-	}
-	for za0001 := range z.Items {
-		err = z.Items[za0001].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Items", za0001)
-			return
-		}
-	}
-	err = en.WriteInt64(z.KnownMillis)
+	err = en.WriteBool(z.Found)
 	if err != nil {
-		err = msgp.WrapError(err, "KnownMillis")
+		err = msgp.WrapError(err, "Found")
 		return
 	}
-	err = en.WriteInt64(z.ReturnedMillis)
+	err = en.WriteString(z.Service)
 	if err != nil {
-		err = msgp.WrapError(err, "ReturnedMillis")
+		err = msgp.WrapError(err, "Service")
 		return
 	}
-	err = en.WriteUint64(z.Era)
+	err = en.WriteString(z.Version)
 	if err != nil {
-		err = msgp.WrapError(err, "Era")
+		err = msgp.WrapError(err, "Version")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *StoreReply) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *StreamReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendUint64(o, z.ID)
-	o = msgp.AppendUint8(o, z.Result)
-	o = msgp.AppendUint64(o, z.Revision)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Items)))
-	for za0001 := range z.Items {
-		o, err = z.Items[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Items", za0001)
-			return
-		}
-	}
-	o = msgp.AppendInt64(o, z.KnownMillis)
-	o = msgp.AppendInt64(o, z.ReturnedMillis)
-	o = msgp.AppendUint64(o, z.Era)
+	o = msgp.AppendBool(o, z.Found)
+	o = msgp.AppendString(o, z.Service)
+	o = msgp.AppendString(o, z.Version)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *StoreReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *StreamReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var zb0001 uint32
 	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
@@ -5676,51 +6389,19 @@
 		err = msgp.WrapError(err, "ID")
 		return
 	}
-	z.Result, bts, err = msgp.ReadUint8Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Result")
-		return
-	}
-	z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Revision")
-		return
-	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Items")
-		return
-	}
-	if zb0002 > zb417a25dlimitArrays {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	if cap(z.Items) >= int(zb0002) {
-		z.Items = (z.Items)[:zb0002]
-	} else {
-		z.Items = make([]StoreItem, zb0002)
-	}
-	for za0001 := range z.Items {
-		bts, err = z.Items[za0001].UnmarshalMsg(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Items", za0001)
-			return
-		}
-	}
-	z.KnownMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	z.Found, bts, err = msgp.ReadBoolBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "KnownMillis")
+		err = msgp.WrapError(err, "Found")
 		return
 	}
-	z.ReturnedMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "ReturnedMillis")
+		err = msgp.WrapError(err, "Service")
 		return
 	}
-	z.Era, bts, err = msgp.ReadUint64Bytes(bts)
+	z.Version, bts, err = msgp.ReadStringBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Era")
+		err = msgp.WrapError(err, "Version")
 		return
 	}
 	o = bts
@@ -5728,12 +6409,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *StoreReply) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint8Size + msgp.Uint64Size + msgp.ArrayHeaderSize
-	for za0001 := range z.Items {
-		s += z.Items[za0001].Msgsize()
-	}
-	s += msgp.Int64Size + msgp.Int64Size + msgp.Uint64Size
+func (z *StreamReply) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.BoolSize + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Version)
 	return
 }
 
@@ -7707,6 +8384,132 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *VersionKnowledge) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Services")
+		return
+	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Services) >= int(zb0002) {
+		z.Services = (z.Services)[:zb0002]
+	} else {
+		z.Services = make([]ServiceVersions, zb0002)
+	}
+	for za0001 := range z.Services {
+		err = z.Services[za0001].DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Services", za0001)
+			return
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *VersionKnowledge) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 1
+	err = en.Append(0x91)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Services)))
+	if err != nil {
+		err = msgp.WrapError(err, "Services")
+		return
+	}
+	for za0001 := range z.Services {
+		err = z.Services[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Services", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *VersionKnowledge) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Services)))
+	for za0001 := range z.Services {
+		o, err = z.Services[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Services", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *VersionKnowledge) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Services")
+		return
+	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Services) >= int(zb0002) {
+		z.Services = (z.Services)[:zb0002]
+	} else {
+		z.Services = make([]ServiceVersions, zb0002)
+	}
+	for za0001 := range z.Services {
+		bts, err = z.Services[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Services", za0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *VersionKnowledge) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize
+	for za0001 := range z.Services {
+		s += z.Services[za0001].Msgsize()
+	}
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Window) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
