edge: do not refuse streams that callers resume because new ones would be

It is refused only if its deadline would pass now, as a stream that a VM resumes. TestResumedStreamIsNotRefusedForLoad fails without it, in the region and where another region runs the request.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -89,10 +89,11 @@
 
 func (r *request) rank() int { return replica.Rank(route.Priority(r.route, r.workspace)) }
 
-// maxExpectedWait returns the expected wait beyond which the request is refused as overloaded.
+// maxExpectedWait returns the expected wait beyond which the request is refused as overloaded. A stream that a caller resumes is
+// refused only if its deadline would pass: a refusal would waste what has been generated.
 func (r *request) maxExpectedWait() time.Duration {
 	target := time.Duration(0)
-	if r.route.Kind == route.Streaming {
+	if r.route.Kind == route.Streaming && !r.takenUp {
 		target = r.route.TargetLatency
 	}
 	return place.MaxWait(r.remaining(time.Now()), target, replica.IdleFirstTokenTime(r.prompt))
--- a/edge/forwarded.go
+++ b/edge/forwarded.go
@@ -57,6 +57,7 @@
 	delete(open.Header, hostHeader)
 	r.header = splitHeader(open.Header)
 	r.lastEvent = r.header.Get(platform.HeaderLastEventID)
+	r.takenUp = r.lastEvent != "" && r.began.bound && !r.headSent
 	if raw, err := hex.DecodeString(open.KeyID); err == nil && len(raw) == len(r.key) {
 		r.key, r.hasKey = route.KeyHash(raw), true
 	}
--- a/edge/request.go
+++ b/edge/request.go
@@ -62,6 +62,8 @@
 	// was sent to the caller.
 	headSent  bool
 	lastEvent string
+	// takenUp is set if the caller resumes a stream of an earlier attempt.
+	takenUp bool
 	// began is the software version of the upstream that sent the first event.
 	began streamVersion
 	// failedAnswer is an error answer of an upstream. The caller receives it unless a later attempt succeeds.
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -84,6 +84,7 @@
 	if r.lastEvent == "" || !r.route.Resumable {
 		return Outcome{}, true
 	}
+	r.takenUp = true
 	now := e.Now()
 	id := r.header.Get(platform.HeaderResumes)
 	found, ok := e.Streams.Find(now, id)
--- a/edge/versions_test.go
+++ b/edge/versions_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"parsleyhatch/platform"
+	"parsleyhatch/replica"
+	"parsleyhatch/version"
 )
 
 // versionedUpstream is an upstream whose events name its software version.
@@ -203,13 +205,13 @@
 			w.waitForUpstreams(4)
 			for range 6 {
 				id, events := first.readPart(t, 3, nil)
-				version := "v2"
+				began := "v2"
 				if strings.Contains(events, "v1") {
-					version = "v1"
+					began = "v1"
 				}
 				status, body := choose(w).resumeStream(t, id, 3)
-				if status != http.StatusOK || strings.Count(body, "written by "+version) != streamLength-3 || strings.Count(body, "data:") != streamLength-3 {
-					t.Fatalf("a stream of %s goes on with %d %q", version, status, body)
+				if status != http.StatusOK || strings.Count(body, "written by "+began) != streamLength-3 || strings.Count(body, "data:") != streamLength-3 {
+					t.Fatalf("a stream of %s goes on with %d %q", began, status, body)
 				}
 				if name == "at a VM that started" || name == "after the VM's end" {
 					break
@@ -250,3 +252,36 @@
 		})
 	}
 }
+
+// Guards against a stream that a caller resumes and that is refused because new ones would be: there may be few upstreams of its
+// version, and what has been generated would be lost.
+func TestResumedStreamIsNotRefusedForLoad(t *testing.T) {
+	for _, region := range []string{"north", "south"} {
+		t.Run(region, func(t *testing.T) {
+			t.Parallel()
+			w := newVersionCluster(t)
+			v := w.startVM("vm1", "north", true)
+			far := w.startVM("vm2", "south", true)
+			w.waitForMembership()
+			w.addVersion("u1", "v1", region, nil)
+			for _, vm := range w.vms {
+				w.waitFor("the upstream is known", func() bool { return vm.Watcher.UpstreamCount("plain", region) == 1 })
+			}
+			v.Streams.Add(v.Now(), "earlier", version.Stream{Service: "plain", Version: "v1"})
+			busy := map[string]replica.Use{"u1": {Running: 25}}
+			for _, vm := range []*testVM{v, far} {
+				vm.Replicas.SetPeerUse(vm.Now(), "other", busy)
+			}
+			w.waitFor("the load is known", func() bool {
+				status, _, _ := v.read(t, "/a/", nil)
+				return status == http.StatusServiceUnavailable
+			})
+			for _, vm := range []*testVM{v, far} {
+				vm.Replicas.SetPeerUse(vm.Now(), "other", busy)
+			}
+			if status, body := v.resumeStream(t, "earlier", 3); status != http.StatusOK {
+				t.Errorf("a resumed stream gets %d %q", status, body)
+			}
+		})
+	}
+}
