--- a/edge/versions_test.go
+++ b/edge/versions_test.go
@@ -273,8 +273,8 @@
 				vm.Replicas.SetPeerUse(vm.Now(), "other", busy)
 			}
 			w.waitFor("the load is known", func() bool {
-				status, _, _ := v.read(t, "/a/", nil)
-				return status == http.StatusServiceUnavailable
+				_, body, _ := v.read(t, "/a/", nil)
+				return strings.Contains(body, string(Overloaded))
 			})
 			for _, vm := range []*testVM{v, far} {
 				vm.Replicas.SetPeerUse(vm.Now(), "other", busy)
