replica: doubt the version of upstreams that were not reachable only

An upstream that has started again was not reachable in between, and the VM tries to connect to it as soon as a connection breaks. Only an upstream that is reachable again is doubted, at this VM and at those that learn of it, and no more once it says that it is not cold. Through another VM of the region the registration counts.

TestVersionOfReturnedUpstream holds both sides.

--- a/edge/parts.go
+++ b/edge/parts.go
@@ -100,7 +100,6 @@
 // reportCrash records that an upstream failed while it ran the request, and notifies the other VMs.
 func (e *Edge) reportCrash(r *request, pick *replica.Pick, cause error) {
 	now := e.Now()
-	e.Replicas.RecordConnectionLoss(now, pick.ID)
 	e.Poison.RecordCrash(now, pick.ID, []poison.Fingerprint{r.fingerprint})
 	e.broadcastSuspect(now, r)
 	isSteady := !r.answerStartedAt.IsZero() && now.Sub(r.answerStartedAt) >= steadyAnswerTime
--- a/replica/choose.go
+++ b/replica/choose.go
@@ -154,7 +154,7 @@
 			return false
 		}
 	}
-	if q.VersionBound && !r.hasVersion(now, q.Version) {
+	if q.VersionBound && (r.Version != q.Version || !q.ThroughOthers && r.isDoubted(now)) {
 		return false
 	}
 	if q.ThroughOthers {
--- a/replica/reach.go
+++ b/replica/reach.go
@@ -230,15 +230,6 @@
 	return Probe{ID: r.ID, Address: r.Address, Service: r.Service}, r.unreachableSince.IsZero()
 }
 
-// RecordConnectionLoss records that a connection to an upstream was lost during a request, so that the upstream may start again.
-func (t *Table) RecordConnectionLoss(now time.Time, id string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if r := t.upstreams[id]; r != nil {
-		r.doubtedAt = now
-	}
-}
-
 // AssumeCold counts an upstream as cold for warmUp, because it may have started again.
 func (t *Table) AssumeCold(now time.Time, id string, warmUp time.Duration) {
 	t.mu.Lock()
@@ -262,11 +253,11 @@
 	return true
 }
 
-// ConfirmWarm ends the assumption that an upstream is cold.
+// ConfirmWarm ends the assumption that an upstream is cold. One that had started again while it was away would be.
 func (t *Table) ConfirmWarm(id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r := t.upstreams[id]; r != nil {
-		r.assumedColdUntil = time.Time{}
+		r.assumedColdUntil, r.doubtedAt = time.Time{}, time.Time{}
 	}
 }
--- a/replica/reach_test.go
+++ b/replica/reach_test.go
@@ -55,3 +55,47 @@
 		})
 	}
 }
+
+// Guards against a stream that goes on at an upstream that has started again with another software version under its registration,
+// and against one that cannot go on because connections were reset or this VM was cut off.
+func TestVersionOfReturnedUpstream(t *testing.T) {
+	bound := Request{Service: plain, VersionBound: true, Version: "v1"}
+	for name, c := range map[string]struct {
+		happens func(table *Table)
+		after   time.Duration
+		want    bool
+	}{
+		"nothing":            {happens: func(*Table) {}, want: true},
+		"connection refused": {happens: func(table *Table) { table.RecordUnreachable(start, start, "u0") }},
+		"returned": {happens: func(table *Table) {
+			table.RecordUnreachable(start, start, "u0")
+			table.RecordReachable(start.Add(time.Second), "u0", 0)
+		}, after: 2 * time.Second},
+		"returned long ago": {happens: func(table *Table) {
+			table.RecordUnreachable(start, start, "u0")
+			table.RecordReachable(start.Add(time.Second), "u0", 0)
+		}, after: time.Second + registrationDelay, want: true},
+		"says that it has not started again": {happens: func(table *Table) {
+			table.RecordUnreachable(start, start, "u0")
+			table.RecordReachable(start.Add(time.Second), "u0", 3*time.Second)
+			table.ConfirmWarm("u0")
+		}, after: 2 * time.Second, want: true},
+		"not reachable for another VM": {happens: func(table *Table) { table.AssumeCold(start, "u0", 0) }, after: time.Second},
+		"registered anew": {happens: func(table *Table) {
+			table.RecordUnreachable(start, start, "u0")
+			table.Put(start, Registration{ID: "u0", Service: "p", FailureDomain: "a", Slots: 64, Born: 2, Version: "v1"}, 0)
+		}, want: true},
+		"another version": {happens: func(table *Table) {
+			table.Put(start, Registration{ID: "u0", Service: "p", FailureDomain: "a", Slots: 64, Born: 2, Version: "v2"}, 0)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := newTable(0, "p")
+			table.Put(start, Registration{ID: "u0", Service: "p", FailureDomain: "a", Slots: 64, Born: 1, Version: "v1"}, 0)
+			c.happens(table)
+			if _, ok := table.Estimate(start.Add(c.after), bound); ok != c.want {
+				t.Errorf("eligible %v, want %v", ok, c.want)
+			}
+		})
+	}
+}
--- a/replica/upstream.go
+++ b/replica/upstream.go
@@ -111,7 +111,7 @@
 	backoff      time.Duration
 	// unreachableSince is the time since which no connection could be opened, zero if the last attempt succeeded.
 	unreachableSince time.Time
-	// doubtedAt is the latest time at which a connection to the upstream was lost or regained, so that it may have started again.
+	// doubtedAt is the latest time at which the upstream was reachable again, so that it may have started again.
 	doubtedAt time.Time
 	// lossReportedAt is the time of the latest report between this VM and others that the upstream was not reachable.
 	lossReportedAt time.Time
@@ -148,10 +148,10 @@
 	return sum
 }
 
-// hasVersion reports whether the upstream has a software version for certain. After it has returned, it may have started again with
-// another one until its registration says so.
-func (r *upstreamState) hasVersion(now time.Time, version string) bool {
-	return r.Version == version && now.Sub(r.doubtedAt) > registrationDelay
+// isDoubted reports whether the upstream may have another software version than its registration says: it was not reachable, and may
+// have started again.
+func (r *upstreamState) isDoubted(now time.Time) bool {
+	return now.Sub(r.doubtedAt) < registrationDelay
 }
 
 func (r *upstreamState) isCold(now time.Time) bool {
