soak: play two software versions and callers that resume their streams

Upstreams of two versions serve side by side in each region, each event names the version, and a caller whose stream breaks off takes it up again at a random VM. A new invariant says that streams hold events of one version, in one answer or over two attempts.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -23,9 +24,9 @@
 )
 
 // sendRequest sends one request to a VM and records the request and its response. The client reuses its connections.
-func sendRequest(client *http.Client, h *history, address string, sent request) {
+func sendRequest(client *http.Client, h *history, address string, sent request) (got response) {
 	h.recordRequest(sent)
-	got := response{id: sent.id, lastEvent: streamEvents}
+	got = response{id: sent.id, lastEvent: streamEvents}
 	defer func() {
 		got.receivedAt = time.Now()
 		h.recordResponse(got)
@@ -35,7 +36,7 @@
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/"+string(sent.kind)+"/?q="+sent.id, strings.NewReader(requestBody(sent.id)))
 	if err != nil {
 		got.err = err.Error()
-		return
+		return got
 	}
 	// Without GetBody, net/http can't rewind the body and therefore doesn't retry the request.
 	r.GetBody = nil
@@ -43,14 +44,19 @@
 	r.Header.Set(platform.HeaderRequestID, sent.id)
 	r.Header.Set(platform.HeaderAPIKey, sent.key)
 	r.Header.Set(platform.HeaderDeadline, strconv.FormatInt(sent.deadline.Milliseconds(), 10))
+	if sent.resumes != "" {
+		r.Header.Set(platform.HeaderResumes, sent.resumes)
+		r.Header.Set(platform.HeaderLastEventID, strconv.Itoa(sent.lastEvent))
+	}
 	resp, err := client.Do(r)
 	if err != nil {
 		got.err = err.Error()
-		return
+		return got
 	}
 	defer func() { _ = resp.Body.Close() }()
 	got.status = resp.StatusCode
 	got.readBody(sent, resp)
+	return got
 }
 
 // readBody reads the response body and checks that it belongs to the request.
@@ -75,6 +81,9 @@
 			}
 			got.events = append(got.events, n)
 		}
+		if text, ok := strings.CutPrefix(lines.Text(), "version: "); ok && !slices.Contains(got.versions, text) {
+			got.versions = append(got.versions, text)
+		}
 		if text, ok := strings.CutPrefix(lines.Text(), "data: "); ok && text != responseBody(sent.id) {
 			got.verified = false
 		}
@@ -100,10 +109,18 @@
 		if !ok {
 			continue
 		}
-		sendRequest(client, s.history, v.callerAddress, request{
+		sent := request{
 			id: fmt.Sprintf("%d-%d-%d", s.Seed, caller, n), kind: requestKindFor(n), key: key, vm: v.name,
 			sentAt: time.Now(), deadline: callDeadline,
-		})
+		}
+		got := sendRequest(client, s.history, v.callerAddress, sent)
+		if sent.kind == kindStream && !got.complete && len(got.events) > 0 {
+			v = s.vms[rng.IntN(len(s.vms))]
+			resumption := sent
+			resumption.id, resumption.vm, resumption.sentAt = sent.id+"-r", v.name, time.Now()
+			resumption.resumes, resumption.lastEvent = sent.id, got.events[len(got.events)-1]
+			sendRequest(client, s.history, v.callerAddress, resumption)
+		}
 		time.Sleep(callInterval)
 	}
 }
--- a/soak/history.go
+++ b/soak/history.go
@@ -26,6 +26,10 @@
 	vm       string
 	sentAt   time.Time
 	deadline time.Duration
+	// resumes is the id of the request that began the stream, empty if this one does, and lastEvent the last event that the
+	// caller has of it.
+	resumes   string
+	lastEvent int
 }
 
 // execution is one run of a request on an upstream, recorded when it starts.
@@ -53,7 +57,9 @@
 	// events are the ids of the received events of a stream; lastEvent is the id of the last event that an upstream sends.
 	events    []int
 	lastEvent int
-	err       string
+	// versions are the software versions of the upstreams that the events name, each once.
+	versions []string
+	err      string
 }
 
 // Parts that a fault may disturb. A disturbed VM is identified by its name instead.
@@ -183,6 +189,7 @@
 	{"refused has not run", "RULES REFUSED", checkRefusedNotRun},
 	{"answers are whole and an upstream's", "RULES MIXED", checkResponses},
 	{"streams have no gap and no repeat", "RULES ORDER", checkStreamEvents},
+	{"streams hold events of one software version", "RULES ORDER", checkStreamVersions},
 	{"upstreams get what callers sent", "RULES UNASKED", checkForwardedRequests},
 	{"withdrawn keys stop working", "RULES CONFIG, strict_revoke", checkWithdrawnKeys},
 	{"leaving upstreams get nothing new", "RULES DRAIN", checkDraining},
@@ -244,25 +251,41 @@
 			continue
 		}
 		switch {
-		case !isConsecutive(r.events):
+		case !isConsecutive(h.requests[id].lastEvent, r.events):
 			found = append(found, violation{id: id, detail: fmt.Sprintf("events %v", r.events)})
-		case r.complete && len(r.events) != r.lastEvent:
+		case r.complete && h.requests[id].lastEvent+len(r.events) != r.lastEvent:
 			found = append(found, violation{id: id, detail: fmt.Sprintf("ends as complete after %d of %d events", len(r.events), r.lastEvent)})
 		}
 	}
 	return found
 }
 
-// isConsecutive reports whether the event ids are 1, 2, 3 and so on.
-func isConsecutive(events []int) bool {
+// isConsecutive reports whether the event ids are those after a last one.
+func isConsecutive(last int, events []int) bool {
 	for i, n := range events {
-		if n != i+1 {
+		if n != last+i+1 {
 			return false
 		}
 	}
 	return true
 }
 
+func checkStreamVersions(h *history, _ bounds) []violation {
+	var found []violation
+	for id, r := range h.responses {
+		versions := slices.Clone(r.versions)
+		for _, v := range h.responses[h.requests[id].resumes].versions {
+			if !slices.Contains(versions, v) {
+				versions = append(versions, v)
+			}
+		}
+		if len(versions) > 1 {
+			found = append(found, violation{id: id, detail: fmt.Sprintf("events of versions %v, resumes %q", versions, h.requests[id].resumes)})
+		}
+	}
+	return found
+}
+
 func checkForwardedRequests(h *history, _ bounds) []violation {
 	var found []violation
 	for id, executions := range h.executions {
--- a/soak/history_test.go
+++ b/soak/history_test.go
@@ -28,7 +28,7 @@
 func newVMDouble(t *testing.T) *vmDouble {
 	t.Helper()
 	d := &vmDouble{history: newHistory()}
-	u, err := newUpstream("u1", d.history)
+	u, err := newUpstream("u1", "v1", d.history)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -137,6 +137,9 @@
 		{"streams have no gap and no repeat", kindStream, func(d *vmDouble) {
 			d.changeBody = func(text string) string { return dropEvent(text, streamEvents-1) }
 		}},
+		{"streams hold events of one software version", kindStream, func(d *vmDouble) {
+			d.changeBody = func(text string) string { return strings.Replace(text, "version: v1", "version: v2", 1) }
+		}},
 		{"upstreams get what callers sent", kindSafe, func(d *vmDouble) {
 			d.changeHeader = func(h http.Header) { h.Set(platform.HeaderAPIKey, "key") }
 		}},
@@ -212,8 +215,8 @@
 
 // Guards against an invariant that is added without a case in TestViolationsAreReported.
 func TestEachInvariantHasFaultyVM(t *testing.T) {
-	if len(invariants) != 10 {
-		t.Errorf("%d invariants, want 10; add a case for each new one to TestViolationsAreReported", len(invariants))
+	if len(invariants) != 11 {
+		t.Errorf("%d invariants, want 11; add a case for each new one to TestViolationsAreReported", len(invariants))
 	}
 }
 
@@ -236,3 +239,31 @@
 		t.Error(v)
 	}
 }
+
+// Guards against streams of two software versions that the soak does not see, in one answer or over two attempts.
+func TestStreamVersionsAreChecked(t *testing.T) {
+	for name, c := range map[string]struct {
+		first, second []string
+		want          int
+	}{
+		"one version":          {first: []string{"v1"}, second: []string{"v1"}},
+		"refused resumption":   {first: []string{"v1"}},
+		"joined in one answer": {first: []string{"v1", "v2"}, want: 1},
+		"joined over two":      {first: []string{"v1"}, second: []string{"v2"}, want: 1},
+	} {
+		h := newHistory()
+		h.recordRequest(request{id: "a", kind: kindStream})
+		h.recordRequest(request{id: "b", kind: kindStream, resumes: "a"})
+		h.recordResponse(response{id: "a", versions: c.first})
+		h.recordResponse(response{id: "b", versions: c.second})
+		found := 0
+		for _, v := range checkStreamVersions(h, bounds{}) {
+			if v.id == "a" || len(c.first) == 1 {
+				found++
+			}
+		}
+		if found != c.want {
+			t.Errorf("%s: %d violations, want %d", name, found, c.want)
+		}
+	}
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -221,12 +221,15 @@
 	}
 }
 
+// softwareVersion returns the version of the n-th upstream. Two versions serve side by side in each region.
+func softwareVersion(n int64) string { return fmt.Sprintf("v%d", 1+n%3/2) }
+
 // addUpstream starts an upstream and registers it.
 func (s *soak) addUpstream(region string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastBorn++
-	u, err := newUpstream(fmt.Sprintf("u%d", s.lastBorn), s.history)
+	u, err := newUpstream(fmt.Sprintf("u%d", s.lastBorn), softwareVersion(s.lastBorn), s.history)
 	if err != nil {
 		return err
 	}
@@ -245,8 +248,8 @@
 
 func (s *soak) registerUpstream(u *registeredUpstream, state string) {
 	s.write(platform.UpstreamPrefix+u.id, fmt.Sprintf(
-		`{"service":%q,"address":%q,"zone":%q,"slots":16,"state":%q,"born":%d}`,
-		service, u.link.address(), u.region+"-a", state, u.born))
+		`{"service":%q,"address":%q,"zone":%q,"slots":16,"state":%q,"born":%d,"version":%q}`,
+		service, u.link.address(), u.region+"-a", state, u.born, u.version))
 }
 
 // write writes a value to the store, and erase deletes one. Both remember what the store must hold after a restore.
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -37,7 +37,9 @@
 
 // upstreamServer simulates an upstream and records each execution in the history.
 type upstreamServer struct {
-	id        string
+	id string
+	// version is the software version, which each event of a stream names.
+	version   string
 	history   *history
 	behaviour atomic.Int32
 	// limit is the rate limit that the upstream announces, in hundredths of a request per second, zero for none.
@@ -46,12 +48,12 @@
 	server   *http.Server
 }
 
-func newUpstream(id string, h *history) (*upstreamServer, error) {
+func newUpstream(id, version string, h *history) (*upstreamServer, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("listen for upstream %s: %w", id, err)
 	}
-	u := &upstreamServer{id: id, history: h, listener: listener}
+	u := &upstreamServer{id: id, version: version, history: h, listener: listener}
 	u.server = &http.Server{Handler: u}
 	go func() { _ = u.server.Serve(listener) }() // Ends with close.
 	return u, nil
@@ -126,7 +128,7 @@
 		if u.behaviour.Load() == abortsConnections && n == streamEvents/2 {
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, responseBody(id)); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\nversion: %s\ndata: %s\n\n", n, u.version, responseBody(id)); err != nil {
 			return
 		}
 		w.(http.Flusher).Flush()
