--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -14,7 +14,6 @@
 //msgp:tuple Load UpstreamLoad ModelWait Summary PoolSummary TokenRequest TokenGrant SuspectRequest Handover HandoverRequest HandoverRecord
 //msgp:tuple Presence WorkspaceUsage UpstreamLoads SenderLoad UpstreamSums UpstreamSum ServiceWait KnownVM StoreItem StoreQuery StoreReply
 //msgp:tuple PartReport PartCrash PartCompletion UpstreamAnswer UpstreamLimits UpstreamLimit UpstreamLoss
-//msgp:tuple StreamBegan StreamQuery StreamReply VersionKnowledge ServiceVersions SeenVersion
 
 // Frame is the envelope of every message.
 type Frame struct {
@@ -514,44 +513,3 @@
 	// AgeMillis is the time since the first attempt that failed, in milliseconds.
 	AgeMillis int64
 }
-
-// StreamBegan reports the software version of the upstream that began a stream to VMs that keep it, too.
-type StreamBegan struct {
-	RequestID string
-	Service   string
-	Version   string
-}
-
-// StreamQuery asks for the version of the stream that an attempt of a caller began. ID is returned in the reply.
-type StreamQuery struct {
-	ID        uint64
-	RequestID string
-}
-
-// StreamReply is the reply to StreamQuery.
-type StreamReply struct {
-	ID      uint64
-	Found   bool
-	Service string
-	Version string
-}
-
-// VersionKnowledge is what the sender knows of the software versions that have served.
-type VersionKnowledge struct {
-	Services []ServiceVersions
-}
-
-// ServiceVersions are the software versions of a service.
-type ServiceVersions struct {
-	Service string
-	// KnownMillis is the time for which the sender has known all versions, in milliseconds.
-	KnownMillis int64
-	Versions    []SeenVersion
-}
-
-// SeenVersion is a software version.
-type SeenVersion struct {
-	Version string
-	// AgeMillis is the time since an upstream last had the version, in milliseconds.
-	AgeMillis int64
-}
--- a/vmwire/schema_gen.go
+++ b/vmwire/schema_gen.go
@@ -4824,97 +4824,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *SeenVersion) DecodeMsg(dc *msgp.Reader) (err error) {
-	var zb0001 uint32
-	zb0001, err = dc.ReadArrayHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 > zb417a25dlimitArrays {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
-		return
-	}
-	z.Version, err = dc.ReadString()
-	if err != nil {
-		err = msgp.WrapError(err, "Version")
-		return
-	}
-	z.AgeMillis, err = dc.ReadInt64()
-	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
-		return
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z SeenVersion) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 2
-	err = en.Append(0x92)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Version)
-	if err != nil {
-		err = msgp.WrapError(err, "Version")
-		return
-	}
-	err = en.WriteInt64(z.AgeMillis)
-	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z SeenVersion) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
-	o = msgp.AppendString(o, z.Version)
-	o = msgp.AppendInt64(o, z.AgeMillis)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *SeenVersion) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
-		return
-	}
-	z.Version, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Version")
-		return
-	}
-	z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
-		return
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z SeenVersion) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Version) + msgp.Int64Size
-	return
-}
-
 // DecodeMsg implements msgp.Decodable
 func (z *SenderLoad) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -5082,207 +4991,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *ServiceVersions) DecodeMsg(dc *msgp.Reader) (err error) {
-	var zb0001 uint32
-	zb0001, err = dc.ReadArrayHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 > zb417a25dlimitArrays {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
-		return
-	}
-	z.Service, err = dc.ReadString()
-	if err != nil {
-		err = msgp.WrapError(err, "Service")
-		return
-	}
-	z.KnownMillis, err = dc.ReadInt64()
-	if err != nil {
-		err = msgp.WrapError(err, "KnownMillis")
-		return
-	}
-	var zb0002 uint32
-	zb0002, err = dc.ReadArrayHeader()
-	if err != nil {
-		err = msgp.WrapError(err, "Versions")
-		return
-	}
-	if zb0002 > zb417a25dlimitArrays {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	if cap(z.Versions) >= int(zb0002) {
-		z.Versions = (z.Versions)[:zb0002]
-	} else {
-		z.Versions = make([]SeenVersion, zb0002)
-	}
-	for za0001 := range z.Versions {
-		var zb0003 uint32
-		zb0003, err = dc.ReadArrayHeader()
-		if err != nil {
-			err = msgp.WrapError(err, "Versions", za0001)
-			return
-		}
-		if zb0003 > zb417a25dlimitArrays {
-			err = msgp.ErrLimitExceeded
-			return
-		}
-		if zb0003 != 2 {
-			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
-			return
-		}
-		z.Versions[za0001].Version, err = dc.ReadString()
-		if err != nil {
-			err = msgp.WrapError(err, "Versions", za0001, "Version")
-			return
-		}
-		z.Versions[za0001].AgeMillis, err = dc.ReadInt64()
-		if err != nil {
-			err = msgp.WrapError(err, "Versions", za0001, "AgeMillis")
-			return
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *ServiceVersions) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 3
-	err = en.Append(0x93)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Service)
-	if err != nil {
-		err = msgp.WrapError(err, "Service")
-		return
-	}
-	err = en.WriteInt64(z.KnownMillis)
-	if err != nil {
-		err = msgp.WrapError(err, "KnownMillis")
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Versions)))
-	if err != nil {
-		err = msgp.WrapError(err, "Versions")
-		return
-	}
-	for za0001 := range z.Versions {
-		// array header, size 2
-		err = en.Append(0x92)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Versions[za0001].Version)
-		if err != nil {
-			err = msgp.WrapError(err, "Versions", za0001, "Version")
-			return
-		}
-		err = en.WriteInt64(z.Versions[za0001].AgeMillis)
-		if err != nil {
-			err = msgp.WrapError(err, "Versions", za0001, "AgeMillis")
-			return
-		}
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *ServiceVersions) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
-	o = msgp.AppendString(o, z.Service)
-	o = msgp.AppendInt64(o, z.KnownMillis)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Versions)))
-	for za0001 := range z.Versions {
-		// array header, size 2
-		o = append(o, 0x92)
-		o = msgp.AppendString(o, z.Versions[za0001].Version)
-		o = msgp.AppendInt64(o, z.Versions[za0001].AgeMillis)
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *ServiceVersions) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
-		return
-	}
-	z.Service, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Service")
-		return
-	}
-	z.KnownMillis, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "KnownMillis")
-		return
-	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Versions")
-		return
-	}
-	if zb0002 > zb417a25dlimitArrays {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	if cap(z.Versions) >= int(zb0002) {
-		z.Versions = (z.Versions)[:zb0002]
-	} else {
-		z.Versions = make([]SeenVersion, zb0002)
-	}
-	for za0001 := range z.Versions {
-		var zb0003 uint32
-		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Versions", za0001)
-			return
-		}
-		if zb0003 != 2 {
-			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
-			return
-		}
-		z.Versions[za0001].Version, bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Versions", za0001, "Version")
-			return
-		}
-		z.Versions[za0001].AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Versions", za0001, "AgeMillis")
-			return
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *ServiceVersions) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.Int64Size + msgp.ArrayHeaderSize
-	for za0001 := range z.Versions {
-		s += 1 + msgp.StringPrefixSize + len(z.Versions[za0001].Version) + msgp.Int64Size
-	}
-	return
-}
-
 // DecodeMsg implements msgp.Decodable
 func (z *ServiceWait) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -5857,428 +5565,7 @@
 	}
 	z.Era, bts, err = msgp.ReadUint64Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Era")
-		return
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *StoreQuery) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Int64Size + msgp.Int64Size + msgp.Uint64Size
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *StoreReply) DecodeMsg(dc *msgp.Reader) (err error) {
-	var zb0001 uint32
-	zb0001, err = dc.ReadArrayHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 > zb417a25dlimitArrays {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
-		return
-	}
-	z.ID, err = dc.ReadUint64()
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	z.Result, err = dc.ReadUint8()
-	if err != nil {
-		err = msgp.WrapError(err, "Result")
-		return
-	}
-	z.Revision, err = dc.ReadUint64()
-	if err != nil {
-		err = msgp.WrapError(err, "Revision")
-		return
-	}
-	var zb0002 uint32
-	zb0002, err = dc.ReadArrayHeader()
-	if err != nil {
-		err = msgp.WrapError(err, "Items")
-		return
-	}
-	if zb0002 > zb417a25dlimitArrays {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	if cap(z.Items) >= int(zb0002) {
-		z.Items = (z.Items)[:zb0002]
-	} else {
-		z.Items = make([]StoreItem, zb0002)
-	}
-	for za0001 := range z.Items {
-		err = z.Items[za0001].DecodeMsg(dc)
-		if err != nil {
-			err = msgp.WrapError(err, "Items", za0001)
-			return
-		}
-	}
-	z.KnownMillis, err = dc.ReadInt64()
-	if err != nil {
-		err = msgp.WrapError(err, "KnownMillis")
-		return
-	}
-	z.ReturnedMillis, err = dc.ReadInt64()
-	if err != nil {
-		err = msgp.WrapError(err, "ReturnedMillis")
-		return
-	}
-	z.Era, err = dc.ReadUint64()
-	if err != nil {
-		err = msgp.WrapError(err, "Era")
-		return
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *StoreReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 7
-	err = en.Append(0x97)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.ID)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	err = en.WriteUint8(z.Result)
-	if err != nil {
-		err = msgp.WrapError(err, "Result")
-		return
-	}
-	err = en.WriteUint64(z.Revision)
-	if err != nil {
-		err = msgp.WrapError(err, "Revision")
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Items)))
-	if err != nil {
-		err = msgp.WrapError(err, "Items")
-		return
-	}
-	for za0001 := range z.Items {
-		err = z.Items[za0001].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Items", za0001)
-			return
-		}
-	}
-	err = en.WriteInt64(z.KnownMillis)
-	if err != nil {
-		err = msgp.WrapError(err, "KnownMillis")
-		return
-	}
-	err = en.WriteInt64(z.ReturnedMillis)
-	if err != nil {
-		err = msgp.WrapError(err, "ReturnedMillis")
-		return
-	}
-	err = en.WriteUint64(z.Era)
-	if err != nil {
-		err = msgp.WrapError(err, "Era")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *StoreReply) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
-	o = msgp.AppendUint64(o, z.ID)
-	o = msgp.AppendUint8(o, z.Result)
-	o = msgp.AppendUint64(o, z.Revision)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Items)))
-	for za0001 := range z.Items {
-		o, err = z.Items[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Items", za0001)
-			return
-		}
-	}
-	o = msgp.AppendInt64(o, z.KnownMillis)
-	o = msgp.AppendInt64(o, z.ReturnedMillis)
-	o = msgp.AppendUint64(o, z.Era)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *StoreReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
-		return
-	}
-	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	z.Result, bts, err = msgp.ReadUint8Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Result")
-		return
-	}
-	z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Revision")
-		return
-	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Items")
-		return
-	}
-	if zb0002 > zb417a25dlimitArrays {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	if cap(z.Items) >= int(zb0002) {
-		z.Items = (z.Items)[:zb0002]
-	} else {
-		z.Items = make([]StoreItem, zb0002)
-	}
-	for za0001 := range z.Items {
-		bts, err = z.Items[za0001].UnmarshalMsg(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Items", za0001)
-			return
-		}
-	}
-	z.KnownMillis, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "KnownMillis")
-		return
-	}
-	z.ReturnedMillis, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "ReturnedMillis")
-		return
-	}
-	z.Era, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Era")
-		return
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *StoreReply) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint8Size + msgp.Uint64Size + msgp.ArrayHeaderSize
-	for za0001 := range z.Items {
-		s += z.Items[za0001].Msgsize()
-	}
-	s += msgp.Int64Size + msgp.Int64Size + msgp.Uint64Size
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *StreamBegan) DecodeMsg(dc *msgp.Reader) (err error) {
-	var zb0001 uint32
-	zb0001, err = dc.ReadArrayHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 > zb417a25dlimitArrays {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
-		return
-	}
-	z.RequestID, err = dc.ReadString()
-	if err != nil {
-		err = msgp.WrapError(err, "RequestID")
-		return
-	}
-	z.Service, err = dc.ReadString()
-	if err != nil {
-		err = msgp.WrapError(err, "Service")
-		return
-	}
-	z.Version, err = dc.ReadString()
-	if err != nil {
-		err = msgp.WrapError(err, "Version")
-		return
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z StreamBegan) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 3
-	err = en.Append(0x93)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.RequestID)
-	if err != nil {
-		err = msgp.WrapError(err, "RequestID")
-		return
-	}
-	err = en.WriteString(z.Service)
-	if err != nil {
-		err = msgp.WrapError(err, "Service")
-		return
-	}
-	err = en.WriteString(z.Version)
-	if err != nil {
-		err = msgp.WrapError(err, "Version")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z StreamBegan) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
-	o = msgp.AppendString(o, z.RequestID)
-	o = msgp.AppendString(o, z.Service)
-	o = msgp.AppendString(o, z.Version)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *StreamBegan) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
-		return
-	}
-	z.RequestID, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "RequestID")
-		return
-	}
-	z.Service, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Service")
-		return
-	}
-	z.Version, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Version")
-		return
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z StreamBegan) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.RequestID) + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Version)
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *StreamQuery) DecodeMsg(dc *msgp.Reader) (err error) {
-	var zb0001 uint32
-	zb0001, err = dc.ReadArrayHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 > zb417a25dlimitArrays {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
-		return
-	}
-	z.ID, err = dc.ReadUint64()
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	z.RequestID, err = dc.ReadString()
-	if err != nil {
-		err = msgp.WrapError(err, "RequestID")
-		return
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z StreamQuery) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 2
-	err = en.Append(0x92)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.ID)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	err = en.WriteString(z.RequestID)
-	if err != nil {
-		err = msgp.WrapError(err, "RequestID")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z StreamQuery) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
-	o = msgp.AppendUint64(o, z.ID)
-	o = msgp.AppendString(o, z.RequestID)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *StreamQuery) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
-		return
-	}
-	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	z.RequestID, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "RequestID")
+		err = msgp.WrapError(err, "Era")
 		return
 	}
 	o = bts
@@ -6286,13 +5573,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z StreamQuery) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.RequestID)
+func (z *StoreQuery) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Int64Size + msgp.Int64Size + msgp.Uint64Size
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *StreamReply) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *StoreReply) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
 	zb0001, err = dc.ReadArrayHeader()
 	if err != nil {
@@ -6303,8 +5590,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	z.ID, err = dc.ReadUint64()
@@ -6312,28 +5599,60 @@
 		err = msgp.WrapError(err, "ID")
 		return
 	}
-	z.Found, err = dc.ReadBool()
+	z.Result, err = dc.ReadUint8()
 	if err != nil {
-		err = msgp.WrapError(err, "Found")
+		err = msgp.WrapError(err, "Result")
 		return
 	}
-	z.Service, err = dc.ReadString()
+	z.Revision, err = dc.ReadUint64()
 	if err != nil {
-		err = msgp.WrapError(err, "Service")
+		err = msgp.WrapError(err, "Revision")
 		return
 	}
-	z.Version, err = dc.ReadString()
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
 	if err != nil {
-		err = msgp.WrapError(err, "Version")
+		err = msgp.WrapError(err, "Items")
+		return
+	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Items) >= int(zb0002) {
+		z.Items = (z.Items)[:zb0002]
+	} else {
+		z.Items = make([]StoreItem, zb0002)
+	}
+	for za0001 := range z.Items {
+		err = z.Items[za0001].DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Items", za0001)
+			return
+		}
+	}
+	z.KnownMillis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "KnownMillis")
+		return
+	}
+	z.ReturnedMillis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "ReturnedMillis")
+		return
+	}
+	z.Era, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
 		return
 	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *StreamReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 4
-	err = en.Append(0x94)
+func (z *StoreReply) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 7
+	err = en.Append(0x97)
 	if err != nil {
 		return
 	}
@@ -6342,46 +5661,78 @@
 		err = msgp.WrapError(err, "ID")
 		return
 	}
-	err = en.WriteBool(z.Found)
+	err = en.WriteUint8(z.Result)
 	if err != nil {
-		err = msgp.WrapError(err, "Found")
+		err = msgp.WrapError(err, "Result")
 		return
 	}
-	err = en.WriteString(z.Service)
+	err = en.WriteUint64(z.Revision)
 	if err != nil {
-		err = msgp.WrapError(err, "Service")
+		err = msgp.WrapError(err, "Revision")
 		return
 	}
-	err = en.WriteString(z.Version)
+	err = en.WriteArrayHeader(uint32(len(z.Items)))
 	if err != nil {
-		err = msgp.WrapError(err, "Version")
+		err = msgp.WrapError(err, "Items")
+		return
+	}
+	for za0001 := range z.Items {
+		err = z.Items[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Items", za0001)
+			return
+		}
+	}
+	err = en.WriteInt64(z.KnownMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "KnownMillis")
+		return
+	}
+	err = en.WriteInt64(z.ReturnedMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "ReturnedMillis")
+		return
+	}
+	err = en.WriteUint64(z.Era)
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *StreamReply) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *StoreReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 7
+	o = append(o, 0x97)
 	o = msgp.AppendUint64(o, z.ID)
-	o = msgp.AppendBool(o, z.Found)
-	o = msgp.AppendString(o, z.Service)
-	o = msgp.AppendString(o, z.Version)
+	o = msgp.AppendUint8(o, z.Result)
+	o = msgp.AppendUint64(o, z.Revision)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Items)))
+	for za0001 := range z.Items {
+		o, err = z.Items[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Items", za0001)
+			return
+		}
+	}
+	o = msgp.AppendInt64(o, z.KnownMillis)
+	o = msgp.AppendInt64(o, z.ReturnedMillis)
+	o = msgp.AppendUint64(o, z.Era)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *StreamReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *StoreReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var zb0001 uint32
 	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
@@ -6389,19 +5740,51 @@
 		err = msgp.WrapError(err, "ID")
 		return
 	}
-	z.Found, bts, err = msgp.ReadBoolBytes(bts)
+	z.Result, bts, err = msgp.ReadUint8Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Found")
+		err = msgp.WrapError(err, "Result")
 		return
 	}
-	z.Service, bts, err = msgp.ReadStringBytes(bts)
+	z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Service")
+		err = msgp.WrapError(err, "Revision")
 		return
 	}
-	z.Version, bts, err = msgp.ReadStringBytes(bts)
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Version")
+		err = msgp.WrapError(err, "Items")
+		return
+	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Items) >= int(zb0002) {
+		z.Items = (z.Items)[:zb0002]
+	} else {
+		z.Items = make([]StoreItem, zb0002)
+	}
+	for za0001 := range z.Items {
+		bts, err = z.Items[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Items", za0001)
+			return
+		}
+	}
+	z.KnownMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "KnownMillis")
+		return
+	}
+	z.ReturnedMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ReturnedMillis")
+		return
+	}
+	z.Era, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
 		return
 	}
 	o = bts
@@ -6409,8 +5792,12 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *StreamReply) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.BoolSize + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Version)
+func (z *StoreReply) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint8Size + msgp.Uint64Size + msgp.ArrayHeaderSize
+	for za0001 := range z.Items {
+		s += z.Items[za0001].Msgsize()
+	}
+	s += msgp.Int64Size + msgp.Int64Size + msgp.Uint64Size
 	return
 }
 
@@ -8384,132 +7771,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *VersionKnowledge) DecodeMsg(dc *msgp.Reader) (err error) {
-	var zb0001 uint32
-	zb0001, err = dc.ReadArrayHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 > zb417a25dlimitArrays {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
-		return
-	}
-	var zb0002 uint32
-	zb0002, err = dc.ReadArrayHeader()
-	if err != nil {
-		err = msgp.WrapError(err, "Services")
-		return
-	}
-	if zb0002 > zb417a25dlimitArrays {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	if cap(z.Services) >= int(zb0002) {
-		z.Services = (z.Services)[:zb0002]
-	} else {
-		z.Services = make([]ServiceVersions, zb0002)
-	}
-	for za0001 := range z.Services {
-		err = z.Services[za0001].DecodeMsg(dc)
-		if err != nil {
-			err = msgp.WrapError(err, "Services", za0001)
-			return
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *VersionKnowledge) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 1
-	err = en.Append(0x91)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Services)))
-	if err != nil {
-		err = msgp.WrapError(err, "Services")
-		return
-	}
-	for za0001 := range z.Services {
-		err = z.Services[za0001].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Services", za0001)
-			return
-		}
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *VersionKnowledge) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// array header, size 1
-	o = append(o, 0x91)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Services)))
-	for za0001 := range z.Services {
-		o, err = z.Services[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Services", za0001)
-			return
-		}
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *VersionKnowledge) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
-		return
-	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Services")
-		return
-	}
-	if zb0002 > zb417a25dlimitArrays {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	if cap(z.Services) >= int(zb0002) {
-		z.Services = (z.Services)[:zb0002]
-	} else {
-		z.Services = make([]ServiceVersions, zb0002)
-	}
-	for za0001 := range z.Services {
-		bts, err = z.Services[za0001].UnmarshalMsg(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Services", za0001)
-			return
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *VersionKnowledge) Msgsize() (s int) {
-	s = 1 + msgp.ArrayHeaderSize
-	for za0001 := range z.Services {
-		s += z.Services[za0001].Msgsize()
-	}
-	return
-}
-
 // DecodeMsg implements msgp.Decodable
 func (z *Window) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
