--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -13,7 +13,7 @@
 //msgp:tuple Frame Hello Open Chunk End Window Heartbeat HeartbeatAck SlotView IngressVM ConfigRequest ConfigParts Part
 //msgp:tuple Load UpstreamLoad ModelWait Summary PoolSummary TokenRequest TokenGrant SuspectRequest Handover HandoverRequest HandoverRecord
 //msgp:tuple Presence WorkspaceUsage UpstreamLoads SenderLoad UpstreamSums UpstreamSum ServiceWait KnownVM StoreItem StoreQuery StoreReply
-//msgp:tuple PartReport PartCrash PartCompletion UpstreamAnswer UpstreamLimits UpstreamLimit UpstreamLoss
+//msgp:tuple PartReport PartCrash PartCompletion UpstreamAnswer
 
 // Frame is the envelope of every message.
 type Frame struct {
@@ -484,32 +484,3 @@
 	// AgeMillis is the time since the answered request was sent, in milliseconds.
 	AgeMillis int64
 }
-
-// UpstreamLimits shares the limits that upstreams have announced among the VMs of their region.
-type UpstreamLimits struct {
-	Limits []UpstreamLimit
-}
-
-// UpstreamLimit is what the latest known answer of an upstream says about its limits.
-type UpstreamLimit struct {
-	Upstream string
-	// Born is the start time of the upstream in Unix milliseconds.
-	Born int64
-	// Limited is set if there is a rate limit, and PerSecond is its number of requests per second.
-	Limited   bool
-	PerSecond float64
-	// AgeMillis is the time since the answer arrived, in milliseconds.
-	AgeMillis int64
-	// Brittle is set if the upstream is brittle, and MaxRefusals is the number of refusals in a second that it bears.
-	Brittle     bool
-	MaxRefusals float64
-}
-
-// UpstreamLoss reports to the VMs of the region that the sender could open no connection to an upstream. It may start again before
-// its registration says so.
-type UpstreamLoss struct {
-	Upstream string
-	Born     int64
-	// AgeMillis is the time since the first attempt that failed, in milliseconds.
-	AgeMillis int64
-}
