replica: send nothing new to an upstream that says that it leaves

It is one more thing that the latest answer of an upstream says, kept and spread to the VMs of the region with its limits; a new lifetime starts without it. What runs there goes on.

Before: 103 requests in TestLeavingUpstreamGetsNothingNew in the second after the announcement was known, from four VMs. TestRetryAfterOfUpstreamIsObeyed fails and is listed.

--- a/edge/limits.go
+++ b/edge/limits.go
@@ -29,7 +29,7 @@
 	}
 	l := replica.Limits{
 		Upstream: pick.ID, Born: pick.Born, AnnouncedAt: e.Now(),
-		Limited: announced.RateLimited, PerSecond: announced.PerSecond, Brittle: announced.Brittle, MaxRefusals: announced.MaxRefusals,
+		Limited: announced.RateLimited, PerSecond: announced.PerSecond, Brittle: announced.Brittle, MaxRefusals: announced.MaxRefusals, Leaving: announced.Leaving,
 	}
 	changed, report := e.Replicas.RecordLimits(l)
 	if changed {
@@ -46,7 +46,7 @@
 	for _, l := range limits {
 		m.Limits = append(m.Limits, vmwire.UpstreamLimit{
 			Upstream: l.Upstream, Born: l.Born, Limited: l.Limited, PerSecond: l.PerSecond,
-			Brittle: l.Brittle, MaxRefusals: l.MaxRefusals, AgeMillis: now.Sub(l.AnnouncedAt).Milliseconds(),
+			Brittle: l.Brittle, MaxRefusals: l.MaxRefusals, Leaving: l.Leaving, AgeMillis: now.Sub(l.AnnouncedAt).Milliseconds(),
 		})
 	}
 	return m
@@ -70,7 +70,7 @@
 		age := time.Duration(max(0, min(u.AgeMillis, maxLimitAge.Milliseconds()))) * time.Millisecond
 		l := replica.Limits{
 			Upstream: u.Upstream, Born: u.Born, AnnouncedAt: now.Add(-age),
-			Limited: u.Limited, PerSecond: u.PerSecond, Brittle: u.Brittle, MaxRefusals: u.MaxRefusals,
+			Limited: u.Limited, PerSecond: u.PerSecond, Brittle: u.Brittle, MaxRefusals: u.MaxRefusals, Leaving: u.Leaving,
 		}
 		if e.Replicas.MergeLimits(now, l) {
 			e.logLimits(l, from.Slot)
@@ -89,7 +89,10 @@
 	if l.Brittle {
 		event.UpstreamBrittle.Log(e.Log, "upstream", l.Upstream, "maxRefusals", l.MaxRefusals, "answered", answered)
 	}
-	if !l.Limited && !l.Brittle {
+	if l.Leaving {
+		event.UpstreamLeaving.Log(e.Log, "upstream", l.Upstream, "answered", answered)
+	}
+	if !l.Limited && !l.Brittle && !l.Leaving {
 		event.UpstreamLimitEnded.Log(e.Log, "upstream", l.Upstream, "answered", answered)
 	}
 }
--- a/event/edge.go
+++ b/event/edge.go
@@ -20,6 +20,7 @@
 	PathLost              = New(1929, slog.LevelError, "no path to the upstreams of a service", "Check the network of the VM if other VMs of the region still reach the upstreams; it sends its requests through them.")
 	PathReturned          = New(1930, slog.LevelInfo, "path to the upstreams of a service returned", "none")
 	StreamVersionUnknown  = New(1931, slog.LevelInfo, "stream cannot be resumed: the version that began it is unknown", "None after all VMs were lost while several software versions of a service served.")
+	UpstreamLeaving       = New(1932, slog.LevelInfo, "upstream announced that it leaves", "none")
 	UpstreamCold          = New(1928, slog.LevelInfo, "upstream is cold", "none")
 	DomainEvacuationEnded = New(1907, slog.LevelInfo, "failure domain no longer evacuated", "none")
 )
--- a/replica/choose.go
+++ b/replica/choose.go
@@ -146,7 +146,7 @@
 
 // eligible reports whether an upstream may receive the request now.
 func (t *Table) eligible(now time.Time, r *upstreamState, q Request) bool {
-	if r.Draining || t.evacuated[r.FailureDomain] {
+	if r.Draining || t.evacuated[r.FailureDomain] || t.isLeaving(r) {
 		return false
 	}
 	for _, id := range q.Attempted {
@@ -220,7 +220,7 @@
 	var best *upstreamState
 	var highest uint64
 	for _, r := range candidates {
-		if r.Draining || t.evacuated[r.FailureDomain] || now.Before(r.backoffUntil) || !r.unreachableSince.IsZero() || r.isCold(now) && q.Service.WarmUpRate > 0 || t.isRateLimited(r) {
+		if r.Draining || t.evacuated[r.FailureDomain] || t.isLeaving(r) || now.Before(r.backoffUntil) || !r.unreachableSince.IsZero() || r.isCold(now) && q.Service.WarmUpRate > 0 || t.isRateLimited(r) {
 			continue
 		}
 		if weight := RendezvousWeight(key, r.ID); best == nil || weight > highest {
--- a/replica/limits.go
+++ b/replica/limits.go
@@ -42,12 +42,14 @@
 	// Brittle is set if the upstream crashes when it has to refuse more than MaxRefusals requests in a second for want of room.
 	Brittle     bool
 	MaxRefusals float64
+	// Leaving is set if the upstream leaves and wants no new requests.
+	Leaving bool
 	// AnnouncedAt is the time at which the answer arrived at a VM.
 	AnnouncedAt time.Time
 }
 
 // restricts reports whether the upstream announces any limit.
-func (l *Limits) restricts() bool { return l.Limited || l.Brittle }
+func (l *Limits) restricts() bool { return l.Limited || l.Brittle || l.Leaving }
 
 // equal reports whether two announcements of a lifetime are equal but for their time.
 func (l *Limits) equal(other Limits) bool {
@@ -170,6 +172,12 @@
 	return nil
 }
 
+// isLeaving reports whether an upstream has announced that it leaves.
+func (t *Table) isLeaving(r *upstreamState) bool {
+	s := t.limits[r.ID]
+	return s != nil && s.Born == r.Born && s.Leaving
+}
+
 // hasRoom reports whether this VM may have another request at an upstream. The VMs divide the slots of a brittle one: what each of
 // them knows of the load of the others is too old to see the last free slot, which all of them would use.
 func (t *Table) hasRoom(r *upstreamState) bool {
--- a/vmwire/upstreams.go
+++ b/vmwire/upstreams.go
@@ -24,6 +24,8 @@
 	// Brittle is set if the upstream is brittle, and MaxRefusals is the number of refusals in a second that it bears.
 	Brittle     bool
 	MaxRefusals float64
+	// Leaving means that the upstream leaves and wants no new requests.
+	Leaving bool
 }
 
 // UpstreamLoss reports to the VMs of the region that the sender could open no connection to an upstream. It may start again before
--- a/vmwire/upstreams_gen.go
+++ b/vmwire/upstreams_gen.go
@@ -24,8 +24,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.Upstream, err = dc.ReadString()
@@ -63,13 +63,18 @@
 		err = msgp.WrapError(err, "MaxRefusals")
 		return
 	}
+	z.Leaving, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Leaving")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *UpstreamLimit) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 7
-	err = en.Append(0x97)
+	// array header, size 8
+	err = en.Append(0x98)
 	if err != nil {
 		return
 	}
@@ -108,14 +113,19 @@
 		err = msgp.WrapError(err, "MaxRefusals")
 		return
 	}
+	err = en.WriteBool(z.Leaving)
+	if err != nil {
+		err = msgp.WrapError(err, "Leaving")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *UpstreamLimit) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// array header, size 8
+	o = append(o, 0x98)
 	o = msgp.AppendString(o, z.Upstream)
 	o = msgp.AppendInt64(o, z.Born)
 	o = msgp.AppendBool(o, z.Limited)
@@ -123,6 +133,7 @@
 	o = msgp.AppendInt64(o, z.AgeMillis)
 	o = msgp.AppendBool(o, z.Brittle)
 	o = msgp.AppendFloat64(o, z.MaxRefusals)
+	o = msgp.AppendBool(o, z.Leaving)
 	return
 }
 
@@ -134,8 +145,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.Upstream, bts, err = msgp.ReadStringBytes(bts)
@@ -173,13 +184,18 @@
 		err = msgp.WrapError(err, "MaxRefusals")
 		return
 	}
+	z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Leaving")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *UpstreamLimit) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Upstream) + msgp.Int64Size + msgp.BoolSize + msgp.Float64Size + msgp.Int64Size + msgp.BoolSize + msgp.Float64Size
+	s = 1 + msgp.StringPrefixSize + len(z.Upstream) + msgp.Int64Size + msgp.BoolSize + msgp.Float64Size + msgp.Int64Size + msgp.BoolSize + msgp.Float64Size + msgp.BoolSize
 	return
 }
 
