replica: obey the Retry-After of upstreams

Nothing read it: a refused request only paused the upstream for 30 ms. It is left out until that time, a minute at most, by all that is sent to it: requests, resumptions, forwarded ones and questions about its warm-up. Values that are no positive number are ignored. Where all upstreams of a service want nothing, callers are told the earliest of these times.

Before: TestRetryAfterOfUpstreamIsObeyed, 33 and 35 requests in 1.3 s, 2 allowed, and Retry-After 0.50. After: it passes.

--- a/edge/region.go
+++ b/edge/region.go
@@ -18,7 +18,8 @@
 		best, ok = e.bestRegion(now, r)
 	}
 	if !ok {
-		return "", refuse(NoUpstream, "no region that may run the request has a usable upstream", defaultRetryAfter)
+		after := max(defaultRetryAfter, e.Replicas.HeldBackFor(now, r.service.Name))
+		return "", refuse(NoUpstream, "no region that may run the request has a usable upstream", after)
 	}
 	r.expectedWait = best.Wait
 	// A stream that has started is not refused here: it resumes at the region with the shortest wait. If it was
--- a/replica/reach.go
+++ b/replica/reach.go
@@ -245,7 +245,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.upstreams[id]
-	if r == nil || !now.Before(r.assumedColdUntil) || !r.hasColdCapacity(now, t.coldQuota(r, s)) || !t.hasLimitCapacity(now, r) || !t.hasRoom(r) {
+	if r == nil || !now.Before(r.assumedColdUntil) || now.Before(r.wantsNothingUntil) || !r.hasColdCapacity(now, t.coldQuota(r, s)) || !t.hasLimitCapacity(now, r) || !t.hasRoom(r) {
 		return false
 	}
 	r.coldRequests = append(r.coldRequests, now)
