edge: never reset a connection whose attempt has ended

Found by reading: a VM that learns that it is cut collects the attempts to leave and then ends them one by one. An attempt that had ended in between had its connection reset, which may carry another caller's request by then. An attempt is left under its lock, and not after its watch has stopped, before its connection is given back. An attempt that is left just as its answer begins counts as left and not as a crash. TestEndedAttemptIsNotLeft fails without it. Also: a resumption without Resumes is no longer kept under an empty id, and ages of reports are bounded.

--- a/edge/cut_test.go
+++ b/edge/cut_test.go
@@ -10,6 +10,9 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"parsleyhatch/replica"
+	"parsleyhatch/route"
 )
 
 // cutForm is the way in which a VM is cut from all upstreams.
@@ -169,3 +172,23 @@
 		}
 	}
 }
+
+// Guards against a connection that is reset because an earlier request on it was to leave its upstream: the connection may carry
+// another caller's request by then.
+func TestEndedAttemptIsNotLeft(t *testing.T) {
+	w := newTestCluster(t, "north")
+	w.publishConfig(1, routeJSON("a", "safe", "plain", ""))
+	v := w.startVM("vm0", "north", true)
+	r := &request{route: &route.Route{Kind: route.Safe}, service: &route.Service{Name: "plain"}}
+	for _, ended := range []bool{false, true} {
+		ctx, watch := v.watchPath(t.Context(), r, &replica.Pick{ID: "u1"})
+		if ended {
+			watch.stop()
+		}
+		watch.end()
+		watch.stop()
+		if left := ctx.Err() != nil; left == ended {
+			t.Errorf("attempt that has ended %v: left %v", ended, left)
+		}
+	}
+}
--- a/edge/loss.go
+++ b/edge/loss.go
@@ -29,8 +29,7 @@
 // sent to this one since then shows that it has not started again.
 func (e *Edge) receiveLoss(now time.Time, m *vmwire.UpstreamLoss) {
 	p, check := e.Replicas.ReceiveLoss(now, m.Upstream, m.Born)
-	lostAt := now.Add(-time.Duration(max(0, m.AgeMillis)) * time.Millisecond)
-	if check && e.Pool.LastReadAt(p.Address).Before(lostAt) {
+	if check && e.Pool.LastReadAt(p.Address).Before(now.Add(-fromAge(m.AgeMillis))) {
 		go e.runLossCheck(p)
 	}
 }
--- a/edge/reach.go
+++ b/edge/reach.go
@@ -55,7 +55,7 @@
 	timer      *time.Timer
 
 	mu sync.Mutex
-	// leave ends the attempt.
+	// leave ends the attempt. It is nil once the attempt has ended, since its connection may carry another request then.
 	leave func()
 }
 
@@ -75,17 +75,23 @@
 	return replica.Probe{ID: pick.ID, Address: pick.Address, Service: service}
 }
 
-// answered goes on watching an attempt whose upstream has started to answer.
-func (w *pathWatch) answered(a *upstream.Response) {
+// answered goes on watching an attempt whose upstream has started to answer. ctx is the context that watchPath returned.
+func (w *pathWatch) answered(ctx context.Context, a *upstream.Response) {
 	w.timer.Stop()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.leave = a.Abort
+	if errors.Is(context.Cause(ctx), errPathLost) {
+		a.Abort() // The path was lost just before.
+	}
 }
 
-// stop ends the watch.
+// stop ends the watch. It must be called before the response is closed.
 func (w *pathWatch) stop() {
 	w.timer.Stop()
+	w.mu.Lock()
+	w.leave = nil
+	w.mu.Unlock()
 	w.edge.reach.mu.Lock()
 	defer w.edge.reach.mu.Unlock()
 	delete(w.edge.reach.watches, w)
@@ -107,11 +113,13 @@
 	return now.Sub(since) >= pathSilence
 }
 
+// end ends the attempt unless it has ended by itself.
 func (w *pathWatch) end() {
 	w.mu.Lock()
-	leave := w.leave
-	w.mu.Unlock()
-	leave()
+	defer w.mu.Unlock()
+	if w.leave != nil {
+		w.leave()
+	}
 }
 
 // leaveLostPaths ends the attempts that may be repeated and wait for silent upstreams from whose service this VM is cut.
--- a/edge/send.go
+++ b/edge/send.go
@@ -46,7 +46,6 @@
 	}
 	sentAt := e.Now()
 	attemptCtx, watch := e.watchPath(ctx, r, pick)
-	defer watch.stop()
 	a, err := e.Pool.Do(attemptCtx, &upstream.Request{
 		Address: pick.Address, MaxConnections: e.connectionLimit(r.service),
 		ID: r.id, Method: r.method, Target: r.target, Host: r.host,
@@ -54,10 +53,12 @@
 		OnSend: r.switchover.sent,
 	})
 	if err != nil {
+		watch.stop()
 		return e.handleSendFailure(attemptCtx, r, pick, sentAt, err)
 	}
 	defer a.Close()
-	watch.answered(a)
+	defer watch.stop()
+	watch.answered(attemptCtx, a)
 	if !a.Reused {
 		e.recordReachable(watch.probe)
 	}
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -88,7 +88,7 @@
 	now := e.Now()
 	id := r.header.Get(platform.HeaderResumes)
 	found, ok := e.Streams.Find(now, id)
-	if !ok {
+	if !ok || id == "" {
 		found.Version, ok = e.Watcher.Versions.Only(r.service.Name, e.earliestStart(now, r))
 		found.Service = r.service.Name
 	}
@@ -100,7 +100,9 @@
 		return refuse(VersionUnknown, "no vm knows the version of the upstream that began the stream", defaultRetryAfter), false
 	}
 	r.began = streamVersion{bound: true, version: found.Version}
-	e.Streams.Add(now, id, found)
+	if id != "" {
+		e.Streams.Add(now, id, found)
+	}
 	return Outcome{}, true
 }
 
