--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -83,7 +83,7 @@
 func (r *request) replicaRequest() replica.Request {
 	return replica.Request{
 		Service: r.service, Prompt: r.prompt, Attempted: r.triedUpstreams, AllowAttempted: r.allowTried,
-		Rank: r.rank(), VersionBound: r.began.bound, Version: r.began.version,
+		Rank: r.rank(), VersionBound: r.streamVersion.bound, Version: r.streamVersion.version,
 	}
 }
 
@@ -93,7 +93,7 @@
 // refused only if its deadline would pass: a refusal would waste what has been generated.
 func (r *request) maxExpectedWait() time.Duration {
 	target := time.Duration(0)
-	if r.route.Kind == route.Streaming && !r.takenUp {
+	if r.route.Kind == route.Streaming && !r.resumedByCaller {
 		target = r.route.TargetLatency
 	}
 	return place.MaxWait(r.remaining(time.Now()), target, replica.IdleFirstTokenTime(r.prompt))
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -73,7 +73,7 @@
 		Route: r.route.Name, Hops: 1, Method: r.method, Path: r.target, Header: header,
 		RemainingMillis: r.remaining(time.Now()).Milliseconds(), BodyBytes: int64(len(r.body)),
 		Runs: int32(r.runs), Resumed: r.headSent, Probe: r.probe, Returnable: e.otherRegionMayRun(r, region), Switchover: r.switchover != nil,
-		VersionBound: r.began.bound, Version: r.began.version,
+		VersionBound: r.streamVersion.bound, Version: r.streamVersion.version,
 	}
 	if t := e.table(); t != nil {
 		msg.ConfigNumber = t.Config.Version
--- a/edge/forwarded.go
+++ b/edge/forwarded.go
@@ -52,12 +52,12 @@
 		id: open.RequestID, method: open.Method, target: open.Path, host: open.Header[hostHeader],
 		arrived: now, forwarded: true, runs: int(open.Runs), headSent: open.Resumed, probe: open.Probe, returnable: open.Returnable,
 	}
-	r.began = streamVersion{bound: open.VersionBound, version: open.Version}
+	r.streamVersion = streamVersion{bound: open.VersionBound, version: open.Version}
 	r.deadline = now.Add(time.Duration(open.RemainingMillis) * time.Millisecond)
 	delete(open.Header, hostHeader)
 	r.header = splitHeader(open.Header)
 	r.lastEvent = r.header.Get(platform.HeaderLastEventID)
-	r.takenUp = r.lastEvent != "" && r.began.bound && !r.headSent
+	r.resumedByCaller = r.lastEvent != "" && r.streamVersion.bound && !r.headSent
 	if raw, err := hex.DecodeString(open.KeyID); err == nil && len(raw) == len(r.key) {
 		r.key, r.hasKey = route.KeyHash(raw), true
 	}
@@ -145,7 +145,7 @@
 			for name, values := range header {
 				joined[name] = strings.Join(values, valueSeparator)
 			}
-			return st.SendChunk(ctx, &vmwire.Chunk{Status: int32(status), Header: joined, End: int64(length), VersionKnown: r.began.bound, Version: r.began.version})
+			return st.SendChunk(ctx, &vmwire.Chunk{Status: int32(status), Header: joined, End: int64(length), VersionKnown: r.streamVersion.bound, Version: r.streamVersion.version})
 		},
 		Data: func(b []byte, _ bool) error {
 			for len(b) > 0 {
--- a/edge/region.go
+++ b/edge/region.go
@@ -78,7 +78,7 @@
 		if slices.Contains(r.triedRegions, region) != tried {
 			continue
 		}
-		if r.began.bound && !e.Watcher.HasVersion(r.service.Name, region, r.began.version) {
+		if r.streamVersion.bound && !e.Watcher.HasVersion(r.service.Name, region, r.streamVersion.version) {
 			continue
 		}
 		wait, presenceAt, ok := e.Fleet.ExpectedWait(now, region, r.service.Name, r.rank())
--- a/edge/request.go
+++ b/edge/request.go
@@ -62,10 +62,10 @@
 	// was sent to the caller.
 	headSent  bool
 	lastEvent string
-	// takenUp is set if the caller resumes a stream of an earlier attempt.
-	takenUp bool
-	// began is the software version of the upstream that sent the first event.
-	began streamVersion
+	// resumedByCaller is set if the caller resumes a stream of an earlier attempt.
+	resumedByCaller bool
+	// streamVersion is the software version of the upstream that sent the first event.
+	streamVersion streamVersion
 	// failedAnswer is an error answer of an upstream. The caller receives it unless a later attempt succeeds.
 	failedAnswer *bufferedAnswer
 	// throughOthers is set if the latest choice was another VM of this region, because this VM cannot reach the upstreams.
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -39,10 +39,10 @@
 
 // streamBegan binds a stream to the version of the upstream that sent its first event.
 func (e *Edge) streamBegan(r *request, v string) {
-	if r.began.bound || !r.route.Resumable {
+	if r.streamVersion.bound || !r.route.Resumable {
 		return
 	}
-	r.began = streamVersion{bound: true, version: v}
+	r.streamVersion = streamVersion{bound: true, version: v}
 	now := e.Now()
 	e.Streams.Add(now, r.id, version.Stream{Service: r.service.Name, Version: v})
 	if r.forwarded {
@@ -84,7 +84,7 @@
 	if r.lastEvent == "" || !r.route.Resumable {
 		return Outcome{}, true
 	}
-	r.takenUp = true
+	r.resumedByCaller = true
 	now := e.Now()
 	id := r.header.Get(platform.HeaderResumes)
 	found, ok := e.Streams.Find(now, id)
@@ -99,7 +99,7 @@
 		event.StreamVersionUnknown.Log(e.Log, "request", r.id, "resumes", id, "service", r.service.Name)
 		return refuse(VersionUnknown, "no vm knows the version of the upstream that began the stream", defaultRetryAfter), false
 	}
-	r.began = streamVersion{bound: true, version: found.Version}
+	r.streamVersion = streamVersion{bound: true, version: found.Version}
 	if id != "" {
 		e.Streams.Add(now, id, found)
 	}
--- a/edge/versions_test.go
+++ b/edge/versions_test.go
@@ -221,7 +221,7 @@
 	}
 }
 
-// Guards against streams that are joined from two versions after all VMs were killed at once: nothing tells any more which version
+// Guards against streams that are joined from two versions after all VMs were killed at once: nothing says any more which version
 // began them, if two are in service or the old one has just left. Where only one has been in service for long, they go on.
 func TestCallerResumesAfterLossOfAllVMs(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/replica/reach_test.go
+++ b/replica/reach_test.go
@@ -81,7 +81,7 @@
 			table.ConfirmWarm("u0")
 		}, after: 2 * time.Second, want: true},
 		"not reachable for another VM": {happens: func(table *Table) { table.AssumeCold(start, "u0", 0) }, after: time.Second},
-		"registered anew": {happens: func(table *Table) {
+		"registered again": {happens: func(table *Table) {
 			table.RecordUnreachable(start, start, "u0")
 			table.Put(start, Registration{ID: "u0", Service: "p", FailureDomain: "a", Slots: 64, Born: 2, Version: "v1"}, 0)
 		}, want: true},
