version: bound the ages of upstreams

A start time in a registration may be any number; its age overflowed, so that a version could pass for one that has served for long. TestOnly has both ends now.

--- a/version/history.go
+++ b/version/history.go
@@ -66,8 +66,8 @@
 			youngest[e.Service] = retention
 		}
 		current[e.Service][e.Version] = true
-		age := time.Duration(unixNow-e.Born) * time.Millisecond
-		youngest[e.Service] = min(youngest[e.Service], max(0, age))
+		ageMillis := min(max(0, unixNow-e.Born), retention.Milliseconds()) // A start time may be any number.
+		youngest[e.Service] = min(youngest[e.Service], time.Duration(ageMillis)*time.Millisecond)
 	}
 	for name, versions := range current {
 		s := h.services[name]
--- a/version/version_test.go
+++ b/version/version_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -37,7 +38,11 @@
 		"replaced just now": {setUp: func(h *History) { h.Update(start, unixStart, registered(window+time.Second, "v2")) }},
 		"known for long":    {setUp: func(h *History) { h.Update(start, unixStart, registered(time.Second, "v2")) }, after: window, want: "v2"},
 		"clock was set":     {setUp: func(h *History) { h.Update(start, unixStart, registered(-time.Second, "v2")) }},
-		"nothing is known":  {setUp: func(*History) {}},
+		"odd start time":    {setUp: func(h *History) { h.Update(start, unixStart, registered(math.MaxInt64, "v2")) }, want: "v2"},
+		"odd start time, far ahead": {setUp: func(h *History) {
+			h.Update(start, unixStart, map[string]replica.Registration{"u": {Service: "s", Version: "v2", Born: math.MinInt64}})
+		}},
+		"nothing is known": {setUp: func(*History) {}},
 		"another one began": {setUp: func(h *History) {
 			h.Update(start, unixStart, registered(time.Hour, "v1"))
 			h.Update(start, unixStart, registered(0, "v2"))
