--- a/edge/reach.go
+++ b/edge/reach.go
@@ -8,7 +8,6 @@
 
 	"parsleyhatch/event"
 	"parsleyhatch/replica"
-	"parsleyhatch/route"
 	"parsleyhatch/upstream"
 )
 
@@ -244,26 +243,3 @@
 		}
 	}
 }
-
-// service returns a service of the active configuration, or nil.
-func (e *Edge) service(name string) *route.Service {
-	if t := e.table(); t != nil {
-		return t.Service(name)
-	}
-	return nil
-}
-
-// warmUp returns the time for which upstreams of a service are cold after their start.
-func (e *Edge) warmUp(service string) time.Duration {
-	if s := e.service(service); s != nil {
-		return s.WarmUp
-	}
-	return 0
-}
-
-// markCold marks an upstream as cold for the time that its answer states.
-func (e *Edge) markCold(id string, left time.Duration) {
-	if e.Replicas.MarkCold(e.Now(), id, left) {
-		event.UpstreamCold.Log(e.Log, "upstream", id, "leftMillis", left.Milliseconds(), "sharers", e.Replicas.Sharers())
-	}
-}
--- a/edge/region.go
+++ b/edge/region.go
@@ -54,6 +54,7 @@
 	q := r.replicaRequest()
 	pick, ok := e.Replicas.Estimate(now, q)
 	r.throughOthers = false
+	// Without an eligible upstream, another VM helps only if it may reach more of them than this one.
 	if cut := e.Replicas.IsCut(r.service.Name); cut || !ok && e.Replicas.IsImpaired(now, r.service) {
 		if r.forwarded || !e.Fleet.HasLocalRunner(now, r.service.Name, r.triedVMs) {
 			return place.Region{}, false
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -18,7 +18,8 @@
 	streamLifetime = time.Minute
 	// resumeMargin is added to the timeout of a route for the time since which a stream may have begun.
 	resumeMargin = 2 * time.Second
-	// streamHolders is the number of other VMs that keep the version of a stream, too, while several versions serve.
+	// streamHolders is the number of other VMs that keep the version of a stream, too, while several versions serve, so that it
+	// outlives the loss of a few VMs at once.
 	streamHolders = 3
 	// streamQueryTimeout bounds the question to other VMs for the version of a stream. It exceeds a round trip between regions.
 	streamQueryTimeout = 250 * time.Millisecond
--- a/edge/versions_test.go
+++ b/edge/versions_test.go
@@ -171,8 +171,8 @@
 			if strings.Contains(body, "v2") {
 				t.Errorf("the stream is joined from two versions: %q", body)
 			}
-			if whole := err == nil && strings.Count(body, "written by v1") == streamLength; whole != (c.otherV1 != "") {
-				t.Errorf("whole %v, error %v: %q", whole, err, body)
+			if complete := err == nil && strings.Count(body, "written by v1") == streamLength; complete != (c.otherV1 != "") {
+				t.Errorf("complete %v, error %v: %q", complete, err, body)
 			}
 		})
 	}
--- /dev/null
+++ b/edge/warmup.go
@@ -0,0 +1,73 @@
+package edge
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"parsleyhatch/event"
+	"parsleyhatch/platform"
+	"parsleyhatch/replica"
+	"parsleyhatch/route"
+	"parsleyhatch/upstream"
+)
+
+// healthTimeout bounds the question whether an upstream is cold.
+const healthTimeout = time.Second
+
+// askWarmUp asks an upstream that may have started again whether it is cold. The question counts as a request to a cold upstream.
+func (e *Edge) askWarmUp(p replica.Probe) {
+	s := e.service(p.Service)
+	if s == nil || s.HealthPath == "" || s.WarmUp <= 0 || !e.Replicas.TakeColdRequest(e.Now(), p.ID, s) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), healthTimeout)
+	defer cancel()
+	a, err := e.Pool.Do(ctx, &upstream.Request{Address: p.Address, Method: http.MethodGet, Target: s.HealthPath, Host: p.Address})
+	if err != nil {
+		return
+	}
+	defer a.Close()
+	_, _ = io.Copy(io.Discard, io.LimitReader(a, maxDrainedRefusal)) // Drains the body so that the connection can be reused.
+	if a.Status != http.StatusOK || a.Header.Get(platform.HeaderInstanceID) != p.ID {
+		return
+	}
+	if !e.applyWarmUp(p.ID, a) {
+		e.Replicas.ConfirmWarm(p.ID)
+	}
+}
+
+// applyWarmUp marks an upstream as cold if its answer says so. It reports whether it does.
+func (e *Edge) applyWarmUp(id string, a *upstream.Response) bool {
+	ms, err := strconv.ParseInt(a.Header.Get(platform.HeaderWarmUp), 10, 64)
+	if err != nil || ms <= 0 {
+		return false
+	}
+	e.markCold(id, time.Duration(ms)*time.Millisecond)
+	return true
+}
+
+// service returns a service of the active configuration, or nil.
+func (e *Edge) service(name string) *route.Service {
+	if t := e.table(); t != nil {
+		return t.Service(name)
+	}
+	return nil
+}
+
+// warmUp returns the time for which upstreams of a service are cold after their start.
+func (e *Edge) warmUp(service string) time.Duration {
+	if s := e.service(service); s != nil {
+		return s.WarmUp
+	}
+	return 0
+}
+
+// markCold marks an upstream as cold for the time that its answer states.
+func (e *Edge) markCold(id string, left time.Duration) {
+	if e.Replicas.MarkCold(e.Now(), id, left) {
+		event.UpstreamCold.Log(e.Log, "upstream", id, "leftMillis", left.Milliseconds(), "sharers", e.Replicas.Sharers())
+	}
+}
--- a/version/streams.go
+++ b/version/streams.go
@@ -22,7 +22,7 @@
 	rotatedAt     time.Time
 }
 
-// maxStreams bounds the streams of one lifetime.
+// maxStreams bounds the streams of one lifetime, and so the memory for them.
 const maxStreams = 100_000
 
 // NewStreams returns an empty table.
