replica: take the software version of a changed registration

Traced by reading: the test registered each upstream without a version first, and with it a moment later. A VM that had read the first registration kept 'no version', since a change within a lifetime updated only the slots and draining; it bound the stream to that, and the VM that had just started knew v1 only. A registration's version is taken now whenever it changes (TestVersionOfReturnedUpstream fails without it, for a version that is withdrawn), and the test registers its upstreams once, with their versions. Its checks are the same.

--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -181,13 +181,19 @@
 
 // addUpstream starts an upstream and registers it in a region.
 func (w *testCluster) addUpstream(id, service, region string, handle http.HandlerFunc) *fakeUpstream {
+	u := w.startUpstream(id, handle)
+	w.registerUpstream(id, service, region, u.server.Listener.Addr().String())
+	return u
+}
+
+// startUpstream starts an upstream that is not registered.
+func (w *testCluster) startUpstream(id string, handle http.HandlerFunc) *fakeUpstream {
 	u := &fakeUpstream{id: id, handle: handle}
 	u.server = httptest.NewServer(http.HandlerFunc(u.serve))
 	w.t.Cleanup(func() {
 		u.server.CloseClientConnections()
 		u.server.Close()
 	})
-	w.registerUpstream(id, service, region, u.server.Listener.Addr().String())
 	return u
 }
 
--- a/edge/versions_test.go
+++ b/edge/versions_test.go
@@ -31,7 +31,7 @@
 // closed.
 func (w *testCluster) addVersion(id, version, region string, cut <-chan struct{}) *versionedUpstream {
 	u := &versionedUpstream{version: version, region: region}
-	u.fakeUpstream = w.addUpstream(id, "plain", region, func(rw http.ResponseWriter, r *http.Request) {
+	u.fakeUpstream = w.startUpstream(id, func(rw http.ResponseWriter, r *http.Request) {
 		u.writeStream(rw, r, cut)
 	})
 	u.register(w, 1)
--- a/replica/reach_test.go
+++ b/replica/reach_test.go
@@ -85,6 +85,13 @@
 			table.RecordUnreachable(start, start, "u0")
 			table.Put(start, Registration{ID: "u0", Service: "p", FailureDomain: "a", Slots: 64, Born: 2, Version: "v1"}, 0)
 		}, want: true},
+		"registered with its version later": {happens: func(table *Table) {
+			table.Put(start, Registration{ID: "u0", Service: "p", FailureDomain: "a", Slots: 64, Born: 1}, 0)
+			table.Put(start, Registration{ID: "u0", Service: "p", FailureDomain: "a", Slots: 64, Born: 1, Version: "v1"}, 0)
+		}, want: true},
+		"now without a version": {happens: func(table *Table) {
+			table.Put(start, Registration{ID: "u0", Service: "p", FailureDomain: "a", Slots: 64, Born: 1}, 0)
+		}},
 		"another version": {happens: func(table *Table) {
 			table.Put(start, Registration{ID: "u0", Service: "p", FailureDomain: "a", Slots: 64, Born: 2, Version: "v2"}, 0)
 		}},
--- a/replica/table.go
+++ b/replica/table.go
@@ -63,7 +63,7 @@
 	old := t.upstreams[e.ID]
 	if old != nil && old.Born == e.Born && old.Address == e.Address && old.Service == e.Service {
 		old.Draining = old.Draining || e.Draining
-		old.Slots = e.Slots
+		old.Slots, old.Version = e.Slots, e.Version
 		t.extendWarmUp(now, old, e.WarmUpLeft)
 		return
 	}
