--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,5 +3,5 @@
 # could not run. TROUBLE=0 leaves out the disruption.
 set -u
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/parsleyhatch ] && [ -x target/review-thirdrun ] || { echo "build the deploy file and review/build.sh first" >&2; exit 2; }
-exec target/review-thirdrun review/2 target/parsleyhatch
+[ -x target/parsleyhatch ] && [ -x target/review-standin ] || { echo "build the deploy file and review/build.sh first" >&2; exit 2; }
+exec target/review-standin thirdrun review/2 target/parsleyhatch
--- a/review/_thirdrun/main.go
+++ b/review/_standin/thirdrun.go
@@ -1,18 +1,12 @@
-// Command thirdrun starts three VMs of the gateway in three regions, with a stand-in for the platform's store and stand-ins for
-// replicas, and checks on how many replicas the streams of callers run.
 package main
 
 import (
 	"bufio"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
-	"os/exec"
-	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -40,109 +34,6 @@
 	shortCallers  = 4
 )
 
-var regions = []struct{ name, zone string }{{"norte", "porto-a"}, {"centro", "coimbra-a"}, {"sul", "faro-a"}}
-
-// record writes what was sent, answered and run.
-type record struct {
-	mu    sync.Mutex
-	file  *os.File
-	start time.Time
-}
-
-func (r *record) add(format string, args ...any) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	fmt.Fprintf(r.file, "%8.3f s  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
-}
-
-// item is a key of the store or the deletion of a key.
-type item struct {
-	Key      string `json:"key"`
-	Value    []byte `json:"value,omitempty"`
-	Revision uint64 `json:"revision"`
-	Created  uint64 `json:"created,omitempty"`
-	Lease    uint64 `json:"lease"`
-	Deleted  bool   `json:"deleted,omitempty"`
-}
-
-// store is a stand-in for the platform's metadata store.
-type store struct {
-	mu      sync.Mutex
-	items   map[string]item
-	events  []item
-	changed chan struct{}
-}
-
-func newStore() *store { return &store{items: map[string]item{}, changed: make(chan struct{})} }
-
-func (s *store) revision() uint64 { return uint64(len(s.events)) + 1 }
-
-func (s *store) put(key string, value any) {
-	data, err := json.Marshal(value)
-	if err != nil {
-		panic(err)
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	it := item{Key: key, Value: data, Revision: s.revision() + 1, Created: s.revision() + 1}
-	if old, ok := s.items[key]; ok {
-		it.Created = old.Created
-	}
-	s.items[key] = it
-	s.events = append(s.events, it)
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
-func (s *store) serveRange(w http.ResponseWriter, r *http.Request) {
-	prefix := r.URL.Query().Get("path_prefix")
-	s.mu.Lock()
-	list := []item{}
-	for key, it := range s.items {
-		if strings.HasPrefix(key, prefix) {
-			list = append(list, it)
-		}
-	}
-	at := s.revision()
-	s.mu.Unlock()
-	slices.SortFunc(list, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
-	writeJSON(w, map[string]any{"items": list, "has_more": false, "at": at})
-}
-
-func (s *store) serveWatch(w http.ResponseWriter, r *http.Request) {
-	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
-	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
-	defer timer.Stop()
-	for over := false; ; {
-		s.mu.Lock()
-		list := []item{}
-		for _, it := range s.events {
-			if it.Revision > after {
-				list = append(list, it)
-			}
-		}
-		at, changed := s.revision(), s.changed
-		s.mu.Unlock()
-		if len(list) > 0 || over {
-			writeJSON(w, map[string]any{"events": list, "at": at})
-			return
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			over = true
-		case <-r.Context().Done():
-			return
-		}
-	}
-}
-
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
-}
-
 // replica is a stand-in for a model replica. VMs reach it through a proxy that can reset connections.
 type replica struct {
 	id, region, zone string
@@ -308,25 +199,14 @@
 
 // deployment is the system with its surroundings.
 type deployment struct {
-	program, settingsDir, subnet string
-	record                       *record
-	store                        *store
-	storeAddress                 string
-	replicas                     []*replica
-	runs                         *runs
-	vms                          []*exec.Cmd
+	*system
+	record   *record
+	store    *store
+	replicas []*replica
+	runs     *runs
 }
 
 func (d *deployment) start() error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return err
-	}
-	d.storeAddress = l.Addr().String()
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /kv-range", d.store.serveRange)
-	mux.HandleFunc("GET /kv-watch", d.store.serveWatch)
-	go func() { _ = http.Serve(l, mux) }()
 	d.store.put("op/config", config())
 	for _, region := range regions {
 		for i := range 2 {
@@ -337,17 +217,7 @@
 	}
 	// The machines of the first region send their callers' requests to the other regions.
 	d.store.put("op/evacuate/"+regions[0].zone, map[string]any{})
-	for i := range regions {
-		if err := d.startVM(i); err != nil {
-			return err
-		}
-	}
-	for i := range regions {
-		if err := waitReady("http://" + d.address(i, 8224) + "/ready"); err != nil {
-			return err
-		}
-	}
-	return nil
+	return d.system.start()
 }
 
 func config() map[string]any {
@@ -392,60 +262,6 @@
 	return nil
 }
 
-func (d *deployment) address(vm, port int) string {
-	return fmt.Sprintf("%s.%d:%d", d.subnet, vm+1, port)
-}
-
-// startVM starts a VM with the command of the deploy file.
-func (d *deployment) startVM(i int) error {
-	lines := []string{
-		"node_name=front-" + regions[i].zone + "-1", "role=gateway", "machine_class=front", "serves=front,control,directory",
-		"zone=" + regions[i].zone, "region=" + regions[i].name,
-		"listen.front=" + d.address(i, 8221), "listen.ready=" + d.address(i, 8224),
-		"listen.control=" + d.address(i, 8229), "listen.directory=" + d.address(i, 8220), "internal_ports=7600,7615",
-		"seeds=" + d.address(0, 8229) + "," + d.address(1, 8229) + "," + d.address(2, 8229), "platform.address=" + d.storeAddress,
-		"limits.cpu_share=0.4", "limits.cores=1", "limits.memory_mb=284", "limits.max_fds=4100", "limits.link_mbps=1000.0",
-		"bounds.drain_ms=3000", "bounds.grace_s=8", "bounds.revoke_ms=5000", "bounds.retry_budget_ratio=0.2",
-		"bounds.budget_window_s=10", "bounds.retry_budget_slack=58", "bounds.warmup_overage=1.5", "bounds.warmup_slack=3", "bounds.ttl_max_s=5",
-	}
-	for _, region := range regions {
-		lines = append(lines, "zones."+region.zone+"="+region.name)
-	}
-	path := filepath.Join(d.settingsDir, fmt.Sprintf("vm%d.conf", i+1))
-	if err := os.WriteFile(path, []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
-		return err
-	}
-	command := exec.Command(d.program, "vm", "-metrics-port", "7600")
-	command.Env = append(os.Environ(), "PARSLEYHATCH_BOOT="+path)
-	if err := command.Start(); err != nil {
-		return err
-	}
-	d.vms = append(d.vms, command)
-	return nil
-}
-
-func waitReady(url string) error {
-	client := &http.Client{Timeout: time.Second}
-	for range 100 {
-		resp, err := client.Get(url)
-		if err == nil {
-			_ = resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				return nil
-			}
-		}
-		time.Sleep(100 * time.Millisecond)
-	}
-	return fmt.Errorf("%s: not ready", url)
-}
-
-func (d *deployment) stop() {
-	for _, vm := range d.vms {
-		_ = vm.Process.Kill()
-		_ = vm.Wait()
-	}
-}
-
 // call sends a request to the VM of the first region and returns the status and the number of the last event.
 func (d *deployment) call(client *http.Client, id, path string) (status, last int, err error) {
 	req, err := http.NewRequest(http.MethodPost, "http://"+d.address(0, 8221)+path, strings.NewReader("prompt"))
@@ -531,22 +347,9 @@
 	return best
 }
 
-func run(dir, program string, trouble bool) (int, error) {
-	file, err := os.Create(filepath.Join(dir, "record.txt"))
-	if err != nil {
-		return 2, err
-	}
-	defer file.Close()
-	settingsDir, err := os.MkdirTemp("", "thirdrun")
-	if err != nil {
-		return 2, err
-	}
-	defer os.RemoveAll(settingsDir)
-	d := &deployment{
-		program: program, settingsDir: settingsDir, subnet: fmt.Sprintf("127.%d.%d", 16+os.Getpid()%200, os.Getpid()/200%250),
-		record: &record{file: file, start: time.Now()}, store: newStore(), runs: &runs{byRequest: map[string][]string{}},
-	}
-	defer d.stop()
+// runThirdRun checks on how many replicas the streams of callers run when connections of a VM are reset and it is killed later.
+func runThirdRun(c *surroundings, trouble bool) (int, error) {
+	d := &deployment{system: c.system, record: c.record, store: c.store, runs: &runs{byRequest: map[string][]string{}}}
 	if err := d.start(); err != nil {
 		return 2, err
 	}
@@ -576,15 +379,3 @@
 	}
 	return 0, nil
 }
-
-func main() {
-	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: thirdrun FOLDER PROGRAM")
-		os.Exit(2)
-	}
-	code, err := run(os.Args[1], os.Args[2], os.Getenv("TROUBLE") != "0")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "thirdrun:", err)
-	}
-	os.Exit(code)
-}
--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the scripts of the cases start. The build of the deploy file comes first.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -buildvcs=false -o target/review-thirdrun review/_thirdrun/main.go
+go build -buildvcs=false -o target/review-standin review/_standin/*.go
