--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -16,6 +18,9 @@
 	store  *store
 }
 
+// timeLimit is the longest time that a case may take.
+const timeLimit = 110 * time.Second
+
 var cases = map[string]func(c *surroundings, trouble bool) (int, error){
 	"thirdrun":   runThirdRun,
 	"lateanswer": runLateAnswer,
@@ -43,9 +48,27 @@
 	}
 	c.system = newSystem(program, settingsDir, address)
 	defer c.system.stop()
+	done := make(chan struct{})
+	defer close(done)
+	go runLimit(c.system, settingsDir, done)
 	return runCase(c, trouble)
 }
 
+// runLimit ends the case if it takes too long or is interrupted.
+func runLimit(s *system, settingsDir string, done <-chan struct{}) {
+	interrupts := make(chan os.Signal, 1)
+	signal.Notify(interrupts, syscall.SIGINT, syscall.SIGTERM)
+	select {
+	case <-done:
+		return
+	case <-interrupts:
+	case <-time.After(timeLimit):
+	}
+	s.stop()
+	_ = os.RemoveAll(settingsDir)
+	os.Exit(2)
+}
+
 func main() {
 	if len(os.Args) != 4 {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER PROGRAM")
--- a/review/_standin/system.go
+++ b/review/_standin/system.go
@@ -1,27 +1,38 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"time"
 )
 
 // regions are the regions of the deployment with their only failure domain. Each has one VM.
 var regions = []struct{ name, zone string }{{"norte", "porto-a"}, {"centro", "coimbra-a"}, {"sul", "faro-a"}}
 
+// restartDelay is the time after which the platform starts a process again that has ended.
+const restartDelay = 500 * time.Millisecond
+
+var errStopped = errors.New("the system is stopped")
+
 // system holds the VMs of the gateway.
 type system struct {
 	program, settingsDir, subnet, storeAddress string
-	vms                                        []*exec.Cmd
+
+	mu sync.Mutex
+	// vms holds the running process of each VM. No process is started once stopped is set.
+	vms     map[int]*exec.Cmd
+	stopped bool
 }
 
 func newSystem(program, settingsDir, storeAddress string) *system {
 	subnet := fmt.Sprintf("127.%d.%d", 16+os.Getpid()%200, os.Getpid()/200%250)
-	return &system{program: program, settingsDir: settingsDir, storeAddress: storeAddress, subnet: subnet}
+	return &system{program: program, settingsDir: settingsDir, storeAddress: storeAddress, subnet: subnet, vms: map[int]*exec.Cmd{}}
 }
 
 // start starts the VMs and waits until they are ready.
@@ -65,10 +76,15 @@
 	}
 	command := exec.Command(s.program, "vm", "-metrics-port", "7600")
 	command.Env = append(os.Environ(), "PARSLEYHATCH_BOOT="+path)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped {
+		return errStopped
+	}
 	if err := command.Start(); err != nil {
 		return err
 	}
-	s.vms = append(s.vms, command)
+	s.vms[i] = command
 	return nil
 }
 
@@ -87,9 +103,25 @@
 	return fmt.Errorf("%s: not ready", url)
 }
 
+// kill ends the process of a VM as a SIGKILL does, and starts it again after restartDelay, as the platform does.
+func (s *system) kill(i int) error {
+	s.mu.Lock()
+	command := s.vms[i]
+	s.mu.Unlock()
+	_ = command.Process.Kill()
+	_ = command.Wait()
+	time.Sleep(restartDelay)
+	return s.startVM(i)
+}
+
+// stop ends all VMs.
 func (s *system) stop() {
-	for _, vm := range s.vms {
-		_ = vm.Process.Kill()
-		_ = vm.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped = true
+	for _, command := range s.vms {
+		_ = command.Process.Kill()
+		_ = command.Wait()
 	}
+	clear(s.vms)
 }
--- a/review/_standin/thirdrun.go
+++ b/review/_standin/thirdrun.go
@@ -11,7 +11,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -323,7 +322,11 @@
 	d.record.add("%d connections of the vm in %s to its replicas reset", n, regions[vm].name)
 	time.Sleep(2 * time.Second)
 	d.record.add("vm in %s killed", regions[vm].name)
-	_ = d.vms[vm].Process.Signal(syscall.SIGKILL)
+	if err := d.system.kill(vm); err != nil {
+		d.record.add("vm in %s not started again: %v", regions[vm].name, err)
+		return
+	}
+	d.record.add("vm in %s started again", regions[vm].name)
 }
 
 // busiestRegion returns the index of the region in which most streams run.
