edge: start further runs of a forwarded request with a grant only

The number of runs travelled only in the outcome, which is lost with the session: the first VM assumed one run.

Now the request brings one run. The VM that runs it asks for each further one, and the first VM counts what it has granted as made unless an outcome says otherwise. Without a reply within 500 ms no further run is started there.

Ruled out: an outcome with too few runs. Not seen, but possible before: a VM that goes on because it notices the loss later.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -122,8 +122,8 @@
 	return out.Reason == UpstreamFailed || out.Reason == VMLost
 }
 
-// mayRetry reports whether there is time and retry budget for another attempt. Attempts of which nothing has
-// reached an upstream are not charged to the budget.
+// mayRetry reports whether there is time and retry budget for another attempt, and whether the VM that forwarded the request allows
+// it. Attempts of which nothing has reached an upstream are not charged to the budget.
 func (e *Edge) mayRetry(ctx context.Context, r *request, out Outcome) bool {
 	if r.forwarded {
 		e.waitAfterPause(ctx)
@@ -131,6 +131,9 @@
 	if ctx.Err() != nil || r.remaining(time.Now()) < minRemaining {
 		return false
 	}
+	if !e.mayRunAgain(ctx, r) {
+		return false
+	}
 	switch out.Reason {
 	case NoUpstream, NoConfiguration, StaleKeys, Leaving, NoRoute, Overloaded:
 		return true
@@ -139,6 +142,15 @@
 	}
 }
 
+// mayRunAgain reports whether the VM that forwarded the request allows a run at another upstream.
+func (e *Edge) mayRunAgain(ctx context.Context, r *request) bool {
+	if r.origin.allows(ctx, r.runs+1) {
+		return true
+	}
+	e.Metrics.AddCounter("runs_not_granted", 1)
+	return false
+}
+
 // waitAfterPause waits after a pause of this process until the messages that arrived during it are read. The VM
 // that forwarded the request may have cancelled it and sent it to another region.
 func (e *Edge) waitAfterPause(ctx context.Context) {
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -97,59 +97,110 @@
 	return false
 }
 
+// forwardRelay relays the answer of another VM to the sink.
+type forwardRelay struct {
+	edge    *Edge
+	request *request
+	slot    string
+	stream  *vm.Stream
+	sink    *Sink
+	// resumed is set if the caller already has the response head.
+	resumed bool
+	// runs is the number of upstreams at which the other VM may run the request, including earlier attempts.
+	runs int
+}
+
 // relayForwarded relays the answer of another VM to the sink.
 func (e *Edge) relayForwarded(ctx context.Context, r *request, slot string, st *vm.Stream, sink *Sink) Outcome {
-	resumed := r.headSent
+	f := &forwardRelay{edge: e, request: r, slot: slot, stream: st, sink: sink, resumed: r.headSent, runs: r.runs + 1}
 	for {
 		body, end, err := st.Recv(ctx)
 		switch {
 		case err != nil && ctx.Err() != nil:
 			st.Reset()
-			r.runs++
-			return fail(CallerDisconnected, "the caller left or the time was over")
+			return f.lose(CallerDisconnected, "the caller left or the time was over")
 		case err != nil:
-			r.runs++
-			return fail(VMLost, "vm "+slot+": "+err.Error())
+			return f.lose(VMLost, "vm "+slot+": "+err.Error())
 		case end != nil:
 			return e.outcomeOfEnd(r, slot, end)
 		}
-		r.switchover.accepted()
-		var c vmwire.Chunk
-		if _, err := c.UnmarshalMsg(body); err != nil {
+		if err := f.receive(ctx, body); err != nil {
 			st.Reset()
-			r.runs++
-			return fail(VMLost, "vm "+slot+": "+err.Error())
-		}
-		if err := e.relayChunk(r, &c, sink, resumed); err != nil {
-			st.Reset()
-			r.runs++
-			if errors.Is(err, errDuplicateHead) {
-				return fail(VMLost, "vm "+slot+": "+err.Error())
+			var sinkErr *sinkError
+			if errors.As(err, &sinkErr) {
+				return f.lose(CallerDisconnected, err.Error())
 			}
-			return fail(CallerDisconnected, err.Error())
+			return f.lose(VMLost, "vm "+slot+": "+err.Error())
 		}
 	}
 }
 
+// lose returns the outcome if the other VM has not reported one. It may have run the request wherever it was allowed to.
+func (f *forwardRelay) lose(reason Reason, detail string) Outcome {
+	f.request.runs = max(f.request.runs, f.runs)
+	return fail(reason, detail)
+}
+
 // errDuplicateHead reports that another VM sent a response head although the caller already has one.
 var errDuplicateHead = errors.New("the other vm sent a second head")
 
-// relayChunk relays one chunk. If resumed is set, the caller already has the response head.
-func (e *Edge) relayChunk(r *request, c *vmwire.Chunk, sink *Sink, resumed bool) error {
+// sinkError is an error of the caller's connection, as opposed to one of the other VM.
+type sinkError struct{ err error }
+
+// Error returns the message of the cause.
+func (e *sinkError) Error() string { return e.err.Error() }
+
+// receive handles one message of the other VM.
+func (f *forwardRelay) receive(ctx context.Context, body []byte) error {
+	var c vmwire.Chunk
+	if _, err := c.UnmarshalMsg(body); err != nil {
+		return err
+	}
+	if c.RunRequest > 0 {
+		return f.grantRuns(ctx, int(c.RunRequest))
+	}
+	f.request.switchover.accepted()
+	return f.relayChunk(&c)
+}
+
+// grantRuns replies to the question whether the request may run at that many upstreams. Granted runs count as made from then on,
+// since the session may be lost before the other VM reports them.
+func (f *forwardRelay) grantRuns(ctx context.Context, runs int) error {
+	if runs <= f.request.route.MaxAttempts {
+		f.runs = max(f.runs, runs)
+	}
+	reply, err := (&vmwire.RunGrant{Runs: int32(f.runs)}).MarshalMsg(nil)
+	if err != nil {
+		return err
+	}
+	_ = f.stream.Send(ctx, reply) // The next read reports the end of the stream.
+	return nil
+}
+
+// relayChunk relays one chunk.
+func (f *forwardRelay) relayChunk(c *vmwire.Chunk) error {
+	r := f.request
 	if c.Status != 0 {
-		if resumed {
+		if f.resumed {
 			return errDuplicateHead
 		}
 		r.headSent = true
 		if c.VersionKnown {
-			e.streamBegan(r, c.Version)
+			f.edge.streamBegan(r, c.Version)
 		}
-		return sink.Head(int(c.Status), splitHeader(c.Header), int(c.End))
+		return asSinkError(f.sink.Head(int(c.Status), splitHeader(c.Header), int(c.End)))
 	}
 	if id, ok := lastEventID(c.Data); ok && r.route.Resumable {
 		r.lastEvent = id
 	}
-	return sink.Data(c.Data, true)
+	return asSinkError(f.sink.Data(c.Data, true))
+}
+
+func asSinkError(err error) error {
+	if err == nil {
+		return nil
+	}
+	return &sinkError{err: err}
 }
 
 func (e *Edge) outcomeOfEnd(r *request, slot string, end *vmwire.End) Outcome {
--- a/edge/forwarded.go
+++ b/edge/forwarded.go
@@ -31,11 +31,12 @@
 	e.open.Add(1)
 	defer e.open.Add(-1)
 	r := forwardedRequest(&open)
+	r.origin = newOrigin(st, r.runs+1)
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
 	out, ok := e.admitForwarded(ctx, st, &open, r)
 	if ok {
-		go watchReset(ctx, cancel, st)
+		go r.origin.loop(ctx, cancel)
 		runCtx, stop := context.WithDeadlineCause(ctx, r.deadline, errTimedOut)
 		out = e.run(runCtx, r, streamSink(runCtx, r, st))
 		stop()
@@ -123,20 +124,6 @@
 	return out, ok
 }
 
-// watchReset cancels the request when the forwarding VM resets its stream.
-func watchReset(ctx context.Context, cancel context.CancelCauseFunc, st *vm.Stream) {
-	for {
-		_, end, err := st.Recv(ctx)
-		if err != nil {
-			cancel(err)
-			return
-		}
-		if end != nil {
-			return
-		}
-	}
-}
-
 // streamSink returns a sink that sends the answer to the forwarding VM.
 func streamSink(ctx context.Context, r *request, st *vm.Stream) *Sink {
 	return &Sink{
--- /dev/null
+++ b/edge/origin.go
@@ -0,0 +1,100 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"parsleyhatch/vm"
+	"parsleyhatch/vmwire"
+)
+
+// runGrantTimeout bounds the wait for the permission to run a forwarded request once more. It exceeds a round trip between regions.
+const runGrantTimeout = 500 * time.Millisecond
+
+// origin is the VM that forwarded a request. That VM counts the runs which it has granted as made if it loses the session, because
+// it may then send the request elsewhere. So a run beyond the first one needs its grant. It is safe for concurrent use.
+type origin struct {
+	stream *vm.Stream
+	// replied is notified of each reply.
+	replied chan struct{}
+
+	mu sync.Mutex
+	// granted is the number of runs that the origin has counted, and asked the number of runs it was last asked for.
+	granted, asked int
+	// denied is set once the origin has replied that no further run is allowed.
+	denied bool
+}
+
+// newOrigin returns the origin of a request that opened a stream. The origin has counted the given number of runs.
+func newOrigin(st *vm.Stream, granted int) *origin {
+	return &origin{stream: st, replied: make(chan struct{}, 1), granted: granted}
+}
+
+// loop receives the grants of the origin, and cancels the request when the origin has reset the stream.
+func (o *origin) loop(ctx context.Context, cancel context.CancelCauseFunc) {
+	for {
+		body, end, err := o.stream.Recv(ctx)
+		switch {
+		case err != nil:
+			cancel(err)
+			return
+		case end != nil:
+			return
+		}
+		var g vmwire.RunGrant
+		if _, err := g.UnmarshalMsg(body); err != nil {
+			cancel(fmt.Errorf("receive run grant: %w", err))
+			return
+		}
+		o.receive(int(g.Runs))
+	}
+}
+
+func (o *origin) receive(granted int) {
+	o.mu.Lock()
+	o.granted = max(o.granted, granted)
+	o.denied = o.granted < o.asked
+	o.mu.Unlock()
+	select {
+	case o.replied <- struct{}{}:
+	default:
+	}
+}
+
+// allows reports whether the request may run at that many upstreams in all. If the origin has not granted them, it asks and waits for
+// the reply. Without an origin, all are allowed.
+func (o *origin) allows(ctx context.Context, runs int) bool {
+	if o == nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, runGrantTimeout)
+	defer cancel()
+	for {
+		granted, denied, ask := o.state(runs)
+		switch {
+		case granted || denied:
+			return granted
+		case ask && o.stream.SendChunk(ctx, &vmwire.Chunk{RunRequest: int32(runs)}) != nil:
+			return false
+		}
+		select {
+		case <-o.replied:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// state returns whether the runs are granted or denied, and whether the origin has to be asked for them.
+func (o *origin) state(runs int) (granted, denied, ask bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	granted = runs <= o.granted
+	ask = !granted && !o.denied && o.asked < runs
+	if ask {
+		o.asked = runs
+	}
+	return granted, o.denied, ask
+}
--- a/edge/request.go
+++ b/edge/request.go
@@ -42,6 +42,8 @@
 
 	// forwarded is set if another VM forwarded the request. Such a request is not forwarded again.
 	forwarded bool
+	// origin is the VM that forwarded the request, nil if none did.
+	origin *origin
 	// triedUpstreams and triedVMs list the upstreams and the VMs that the request was sent to.
 	triedUpstreams []string
 	triedVMs       []string
--- a/edge/stall.go
+++ b/edge/stall.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -91,7 +92,7 @@
 // reports false if the stream stays here: there is no such upstream, or it did not take the request.
 func (s *eventRelay) resume(now time.Time) bool {
 	r := s.request
-	reserved := s.edge.reserveResume(r)
+	reserved := s.edge.reserveResume(s.ctx, r)
 	if !s.stall.logged {
 		s.edge.Replicas.RecordSilence(s.edge.Now(), s.pick)
 	}
@@ -167,7 +168,7 @@
 
 // reserveResume reports whether a started stream can resume at another upstream without a long wait, and if so
 // counts the attempt in the retry budget.
-func (e *Edge) reserveResume(r *request) bool {
+func (e *Edge) reserveResume(ctx context.Context, r *request) bool {
 	if r.sends >= maxSends || r.runs >= r.route.MaxAttempts || r.remaining(time.Now()) < minRemaining || len(e.quarantinedParts(r)) > 0 {
 		return false
 	}
@@ -175,5 +176,5 @@
 		return false
 	}
 	best, ok := e.bestRegion(e.Now(), r)
-	return ok && best.Wait <= r.maxExpectedWait() && e.Retries.TryRetry(e.Now(), r.service.Name)
+	return ok && best.Wait <= r.maxExpectedWait() && e.mayRunAgain(ctx, r) && e.Retries.TryRetry(e.Now(), r.service.Name)
 }
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -13,7 +13,7 @@
 //msgp:tuple Frame Hello Open Chunk End Window Heartbeat HeartbeatAck SlotView IngressVM ConfigRequest ConfigParts Part
 //msgp:tuple Load UpstreamLoad ModelWait Summary PoolSummary TokenRequest TokenGrant SuspectRequest Handover HandoverRequest HandoverRecord
 //msgp:tuple Presence WorkspaceUsage UpstreamLoads SenderLoad UpstreamSums UpstreamSum ServiceWait KnownVM StoreItem StoreQuery StoreReply
-//msgp:tuple PartReport PartCrash PartCompletion UpstreamAnswer
+//msgp:tuple RunGrant PartReport PartCrash PartCompletion UpstreamAnswer
 
 // Frame is the envelope of every message.
 type Frame struct {
@@ -95,6 +95,14 @@
 	// VersionKnown is set with Status if an upstream of the software version Version began a stream that may be resumed.
 	VersionKnown bool
 	Version      string
+	// RunRequest asks the VM that forwarded the request for a RunGrant of that many runs. Nothing else is set then.
+	RunRequest int32
+}
+
+// RunGrant allows the VM that runs a forwarded request to run it, including earlier attempts, at Runs upstreams. It is carried in a
+// Data frame after the body. The sender counts these runs as made if the session ends.
+type RunGrant struct {
+	Runs int32
 }
 
 // End closes a stream with the outcome of the request.
--- a/vmwire/schema_gen.go
+++ b/vmwire/schema_gen.go
@@ -24,8 +24,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.Start, err = dc.ReadInt64()
@@ -94,13 +94,18 @@
 		err = msgp.WrapError(err, "Version")
 		return
 	}
+	z.RunRequest, err = dc.ReadInt32()
+	if err != nil {
+		err = msgp.WrapError(err, "RunRequest")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Chunk) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 7
-	err = en.Append(0x97)
+	// array header, size 8
+	err = en.Append(0x98)
 	if err != nil {
 		return
 	}
@@ -151,14 +156,19 @@
 		err = msgp.WrapError(err, "Version")
 		return
 	}
+	err = en.WriteInt32(z.RunRequest)
+	if err != nil {
+		err = msgp.WrapError(err, "RunRequest")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Chunk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// array header, size 8
+	o = append(o, 0x98)
 	o = msgp.AppendInt64(o, z.Start)
 	o = msgp.AppendInt64(o, z.End)
 	o = msgp.AppendInt32(o, z.Status)
@@ -170,6 +180,7 @@
 	o = msgp.AppendBytes(o, z.Data)
 	o = msgp.AppendBool(o, z.VersionKnown)
 	o = msgp.AppendString(o, z.Version)
+	o = msgp.AppendInt32(o, z.RunRequest)
 	return
 }
 
@@ -181,8 +192,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.Start, bts, err = msgp.ReadInt64Bytes(bts)
@@ -264,6 +275,11 @@
 		err = msgp.WrapError(err, "Version")
 		return
 	}
+	z.RunRequest, bts, err = msgp.ReadInt32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "RunRequest")
+		return
+	}
 	o = bts
 	return
 }
@@ -277,7 +293,7 @@
 			s += msgp.StringPrefixSize + len(za0001) + msgp.StringPrefixSize + len(za0002)
 		}
 	}
-	s += msgp.BytesPrefixSize + len(z.Data) + msgp.BoolSize + msgp.StringPrefixSize + len(z.Version)
+	s += msgp.BytesPrefixSize + len(z.Data) + msgp.BoolSize + msgp.StringPrefixSize + len(z.Version) + msgp.Int32Size
 	return
 }
 
@@ -4824,6 +4840,81 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *RunGrant) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	z.Runs, err = dc.ReadInt32()
+	if err != nil {
+		err = msgp.WrapError(err, "Runs")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z RunGrant) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 1
+	err = en.Append(0x91)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt32(z.Runs)
+	if err != nil {
+		err = msgp.WrapError(err, "Runs")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z RunGrant) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendInt32(o, z.Runs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RunGrant) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	z.Runs, bts, err = msgp.ReadInt32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Runs")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z RunGrant) Msgsize() (s int) {
+	s = 1 + msgp.Int32Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *SenderLoad) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
