--- a/soak/history.go
+++ b/soak/history.go
@@ -186,6 +186,7 @@
 // invariants are the rules that a soak checks.
 var invariants = []invariant{
 	{"unsafe runs once", "RULES TWICE", checkUnsafeRunsOnce},
+	{"requests run at few upstreams", "RULES BUDGET, max_attempts", checkRuns},
 	{"refused has not run", "RULES REFUSED", checkRefusedNotRun},
 	{"answers are whole and an upstream's", "RULES MIXED", checkResponses},
 	{"streams have no gap and no repeat", "RULES ORDER", checkStreamEvents},
@@ -224,6 +225,20 @@
 	return found
 }
 
+func checkRuns(h *history, _ bounds) []violation {
+	var found []violation
+	for id, executions := range h.executions {
+		upstreams := map[string]bool{}
+		for _, e := range executions {
+			upstreams[e.upstream] = true
+		}
+		if len(upstreams) > maxAttempts {
+			found = append(found, violation{id: id, detail: fmt.Sprintf("ran at %d upstreams, want %d at most", len(upstreams), maxAttempts)})
+		}
+	}
+	return found
+}
+
 func checkRefusedNotRun(h *history, _ bounds) []violation {
 	var found []violation
 	for id, r := range h.responses {
--- a/soak/history_test.go
+++ b/soak/history_test.go
@@ -113,6 +113,11 @@
 				return false
 			}
 		}},
+		{"requests run at few upstreams", kindSafe, func(d *vmDouble) {
+			for _, upstream := range []string{"u2", "u3"} {
+				d.history.recordExecution(execution{id: "id-1", upstream: upstream, workspace: "workspace", unmodified: true})
+			}
+		}},
 		{"refused has not run", kindUnsafe, func(d *vmDouble) {
 			d.intercept = func(d *vmDouble, w http.ResponseWriter, r *http.Request) bool {
 				if resp, err := d.forward(r, requestBody(r.Header.Get(platform.HeaderRequestID))); err == nil {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -26,6 +26,8 @@
 	// upstreamsPerRegion and vmsPerRegion are the numbers of upstreams and VMs of each region.
 	upstreamsPerRegion = 3
 	vmsPerRegion       = 2
+	// maxAttempts is the number of upstreams that may run a request.
+	maxAttempts = 2
 )
 
 var regions = []string{"north", "south"}
@@ -324,7 +326,7 @@
 	for name, kind := range map[requestKind]string{kindSafe: "safe", kindUnsafe: "unsafe", kindStream: "streaming"} {
 		routes = append(routes, routeConfig{
 			Name: string(name), Host: host, Prefix: "/" + string(name) + "/", Kind: kind, Service: service,
-			TimeoutMillis: float64(callDeadline.Milliseconds()), TargetMillis: 1000, MaxAttempts: 2, Resumable: name == kindStream,
+			TimeoutMillis: float64(callDeadline.Milliseconds()), TargetMillis: 1000, MaxAttempts: maxAttempts, Resumable: name == kindStream,
 		})
 	}
 	text, err := json.Marshal(map[string]any{
