--- a/event/edge.go
+++ b/event/edge.go
@@ -6,6 +6,7 @@
 var (
 	StoreDown             = New(1901, slog.LevelWarn, "store unreachable", "Check the store and the network path to it; requests with keys are refused once the known keys are too old.")
 	StoreReachable        = New(1902, slog.LevelInfo, "store reachable again", "none")
+	StoreReadLate         = New(1934, slog.LevelInfo, "changes of the store read late", "None, unless the event repeats at a VM: check its path to the store and to other VMs.")
 	UpstreamRegistered    = New(1903, slog.LevelInfo, "upstream registered", "none")
 	UpstreamUnregistered  = New(1904, slog.LevelInfo, "upstream no longer registered", "none")
 	UpstreamInvalid       = New(1905, slog.LevelWarn, "upstream registration invalid; upstream not used", "Correct the registration at its writer.")
--- a/source/source.go
+++ b/source/source.go
@@ -30,6 +30,8 @@
 	// minBackoff and maxBackoff bound the exponential backoff after failed calls.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
+	// lateReadIntervals is the age of the known state, in timeouts of a watch, from which a read that ends it is logged.
+	lateReadIntervals = 2
 	// reregisterGrace is the time after a store outage in which upstreams whose registration has expired can
 	// register again before they are removed.
 	reregisterGrace = 2200 * time.Millisecond
@@ -213,7 +215,12 @@
 		s.versionsStale = false
 		s.Versions.Update(s.Now(), time.Now().UnixMilli(), s.entries)
 	}
+	before := s.Now().Sub(s.FreshAt())
 	s.advanceFreshAt(a.KnownAt)
+	if s.registrationsLoaded.Load() && before > lateReadIntervals*s.WatchTimeout {
+		event.StoreReadLate.Log(s.Log, "ageMillis", before.Milliseconds(), "ageAfterMillis", s.Now().Sub(s.FreshAt()).Milliseconds(),
+			"changes", len(a.Events), "items", len(a.Items), "revision", a.Revision)
+	}
 	s.History.add(a, s.position, s.FreshAt(), s.storeReturnedAt)
 }
 
