vmwire: carry ages between VMs as a type that can be unknown

Changes beyond 200 KB come in parts from another VM. The time at which the first part was current is not known: the zero time, which became a saturated number of milliseconds less one, overflowed at the receiver into the year 2262 and counted as the present.

The time for which a question is held is bounded by what the asking VM measures, and a VM that was never current says so.

Ruled out: answers of the store that are cut off (49 changes in one), correct answers that are used too long (age 0 after 14 s).

--- a/edge/server.go
+++ b/edge/server.go
@@ -20,6 +20,7 @@
 	"parsleyhatch/logbuf"
 	"parsleyhatch/platform"
 	"parsleyhatch/route"
+	"parsleyhatch/vmwire"
 )
 
 const (
@@ -254,7 +255,7 @@
 		"running", r.inputs.Running, "readTokens", r.inputs.UncachedTokens, "aheadTokens", r.inputs.TokensAhead, "heldTokens", r.inputs.Held,
 		"slowness", math.Round(100*r.inputs.Slowness)/100, "failureShare", math.Round(100*r.inputs.Failures)/100,
 		"charged", r.charged, "firstMillis", r.firstTokenLatency.Milliseconds(), "tookMillis", elapsed.Milliseconds(),
-		"config", version, "keysAgeMillis", e.Now().Sub(e.Watcher.FreshAt()).Milliseconds(),
+		"config", version, "keysAgeMillis", int64(vmwire.AgeOf(e.Now(), e.Watcher.FreshAt())),
 		"forwarded", r.forwarded, "detail", out.Detail)
 }
 
--- a/edge/storeread.go
+++ b/edge/storeread.go
@@ -23,6 +23,8 @@
 	storeProbeInterval = 2 * time.Second
 	// readerAnswerMargin is how much longer than the requested wait the answer of another VM may take.
 	readerAnswerMargin = 400 * time.Millisecond
+	// maxQueryWait bounds the time for which the query of another VM waits for changes.
+	maxQueryWait = 2 * time.Second
 )
 
 var errNoReader = errors.New("no other vm reads the store")
@@ -70,7 +72,7 @@
 }
 
 // ask reads the store through the VM to which send sends the query. The age of the answer is counted from the time
-// when the request was sent, since the transit time of the answer is not known.
+// when the query was sent, plus the time for which the other VM held it, since the transit times are not known.
 func (e *Edge) ask(ctx context.Context, m vmwire.StoreQuery, send func(now time.Time, m *vmwire.StoreQuery) (string, bool)) (source.Answer, error) {
 	answers := make(chan vmwire.StoreReply, 1)
 	e.storeReads.mu.Lock()
@@ -84,7 +86,7 @@
 		e.storeReads.mu.Unlock()
 	}()
 	sentAt := e.Now()
-	m.KnownMillis = e.Watcher.FreshAt().Sub(sentAt).Milliseconds()
+	m.KnownAge = vmwire.AgeOf(sentAt, e.Watcher.FreshAt())
 	name, ok := send(sentAt, &m)
 	if !ok {
 		return source.Answer{}, errNoReader
@@ -109,14 +111,13 @@
 	default:
 		return source.Answer{}, fmt.Errorf("read store through vm %s: %w", name, source.ErrStateUnknown)
 	}
-	a := source.Answer{KnownAt: sentAt.Add(time.Duration(m.KnownMillis) * time.Millisecond)}
+	now := e.Now()
+	held := time.Duration(max(0, min(m.HeldMillis, now.Sub(sentAt).Milliseconds()))) * time.Millisecond
+	a := source.Answer{KnownAt: m.KnownAge.Moment(sentAt.Add(held)), StoreReturnedAt: m.ReturnedAge.Moment(now)}
 	a.Era, a.Revision = m.Era, m.Revision
 	for _, item := range m.Items {
 		a.Events = append(a.Events, platform.Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted})
 	}
-	if m.ReturnedMillis >= 0 {
-		a.StoreReturnedAt = e.Now().Add(-time.Duration(m.ReturnedMillis) * time.Millisecond)
-	}
 	return a, nil
 }
 
@@ -137,14 +138,13 @@
 	if m.After == 0 {
 		a, err = e.Watcher.RangeForVM()
 	} else {
-		wait := min(time.Duration(m.WaitMillis)*time.Millisecond, 2*time.Second)
-		known := arrived.Add(time.Duration(m.KnownMillis) * time.Millisecond)
-		a, err = e.Watcher.History.Watch(ctx, source.Position{Era: m.Era, Revision: m.After}, known, wait)
+		wait := time.Duration(min(m.WaitMillis, maxQueryWait.Milliseconds())) * time.Millisecond
+		a, err = e.Watcher.History.Watch(ctx, source.Position{Era: m.Era, Revision: m.After}, m.KnownAge.Moment(arrived), wait)
 	}
-	answer := &vmwire.StoreReply{ID: m.ID, Era: a.Era, Revision: a.Revision, ReturnedMillis: -1}
-	answer.KnownMillis = a.KnownAt.Sub(arrived).Milliseconds() - 1
-	if !a.StoreReturnedAt.IsZero() {
-		answer.ReturnedMillis = e.Now().Sub(a.StoreReturnedAt).Milliseconds()
+	now := e.Now()
+	answer := &vmwire.StoreReply{
+		ID: m.ID, Era: a.Era, Revision: a.Revision, HeldMillis: now.Sub(arrived).Milliseconds(),
+		KnownAge: vmwire.AgeOf(now, a.KnownAt), ReturnedAge: vmwire.AgeOf(now, a.StoreReturnedAt),
 	}
 	switch {
 	case errors.Is(err, platform.ErrCompacted):
--- a/operator/vmmonitor.go
+++ b/operator/vmmonitor.go
@@ -112,7 +112,7 @@
 	suspected, quarantined := e.Parts.Counts(now)
 	for name, value := range map[string]int64{
 		"open_requests":                  int64(e.OpenRequests()),
-		"keys_age_milliseconds":          now.Sub(e.Watcher.FreshAt()).Milliseconds(),
+		"keys_age_milliseconds":          int64(vmwire.AgeOf(now, e.Watcher.FreshAt())),
 		"upstream_connections_dialed":    pool.Dialed,
 		"upstream_connections_reused":    pool.Reused,
 		"upstream_connections_discarded": pool.Discarded,
--- a/source/source.go
+++ b/source/source.go
@@ -98,8 +98,14 @@
 // Table returns the active configuration, or nil if there is none yet.
 func (s *Watcher) Table() *route.Table { return s.table.Load() }
 
-// FreshAt returns the latest known time at which this VM's state matched the store.
-func (s *Watcher) FreshAt() time.Time { return time.Unix(0, s.freshAt.Load()) }
+// FreshAt returns the latest known time at which this VM's state matched the store. It is the zero time if there is none.
+func (s *Watcher) FreshAt() time.Time {
+	at := s.freshAt.Load()
+	if at == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, at)
+}
 
 // RegistrationsLoaded reports whether the registrations have been read at least once.
 func (s *Watcher) RegistrationsLoaded() bool { return s.registrationsLoaded.Load() }
@@ -215,15 +221,23 @@
 		s.versionsStale = false
 		s.Versions.Update(s.Now(), time.Now().UnixMilli(), s.entries)
 	}
-	before := s.Now().Sub(s.FreshAt())
+	before := s.FreshAt()
 	s.advanceFreshAt(a.KnownAt)
-	if s.registrationsLoaded.Load() && before > lateReadIntervals*s.WatchTimeout {
-		event.StoreReadLate.Log(s.Log, "ageMillis", before.Milliseconds(), "ageAfterMillis", s.Now().Sub(s.FreshAt()).Milliseconds(),
-			"changes", len(a.Events), "items", len(a.Items), "revision", a.Revision)
-	}
+	s.logLateRead(before, a)
 	s.History.add(a, s.position, s.FreshAt(), s.storeReturnedAt)
 }
 
+// logLateRead logs an answer after a long time in which nothing was known of the store. before is the time up to which the VM's
+// state was current.
+func (s *Watcher) logLateRead(before time.Time, a Answer) {
+	now := s.Now()
+	if before.IsZero() || now.Sub(before) <= lateReadIntervals*s.WatchTimeout {
+		return
+	}
+	event.StoreReadLate.Log(s.Log, "ageMillis", now.Sub(before).Milliseconds(), "ageAfterMillis", now.Sub(s.FreshAt()).Milliseconds(),
+		"changes", len(a.Events), "items", len(a.Items), "revision", a.Revision)
+}
+
 // recordStoreState records the result of a direct call, and logs when the store becomes unreachable or reachable.
 func (s *Watcher) recordStoreState(err error) {
 	if down := err != nil; s.down.Swap(down) == down {
@@ -244,9 +258,12 @@
 	}
 }
 
-// advanceFreshAt records that the VM's state was current at a time. The recorded time never decreases and is never
-// in the future.
+// advanceFreshAt records that the VM's state was current at a time, unless that is not known. The recorded time never decreases
+// and is never in the future.
 func (s *Watcher) advanceFreshAt(at time.Time) {
+	if at.IsZero() {
+		return
+	}
 	if now := s.Now(); at.After(now) {
 		at = now
 	}
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -15,6 +15,10 @@
 //msgp:tuple Presence WorkspaceUsage UpstreamLoads SenderLoad UpstreamSums UpstreamSum ServiceWait KnownVM StoreItem StoreQuery StoreReply
 //msgp:tuple RunGrant PartReport PartCrash PartCompletion UpstreamAnswer
 
+// Age is the time since a moment, in milliseconds. VMs have no common clock, so that messages carry ages instead of times. An age never
+// makes a moment look newer to the receiver than it is to the sender. See age.go.
+type Age int64
+
 // Frame is the envelope of every message.
 type Frame struct {
 	Kind uint8
@@ -434,9 +438,8 @@
 	After uint64
 	// WaitMillis is the time after which the reply is sent even if nothing has changed, in milliseconds.
 	WaitMillis int64
-	// KnownMillis is the time up to which the sender knows the state of the store, less the time of sending, in
-	// milliseconds. A VM that knows a newer state replies at once.
-	KnownMillis int64
+	// KnownAge is the age of the state of the store that the sender knows. A VM that knows a newer state replies at once.
+	KnownAge Age
 	// Era is the era of the store to which After belongs.
 	Era uint64
 }
@@ -447,12 +450,13 @@
 	Result   uint8
 	Revision uint64
 	Items    []StoreItem
-	// KnownMillis is the time from the arrival of the request to the latest moment at which the sender's
-	// knowledge was current, in milliseconds. It is negative if that moment was before the arrival.
-	KnownMillis int64
-	// ReturnedMillis is the time since the sender saw the store become reachable again, in milliseconds.
-	// It is negative if that never happened.
-	ReturnedMillis int64
+	// HeldMillis is the time from the arrival of the query to this reply, in milliseconds.
+	HeldMillis int64
+	// KnownAge is the age of the latest moment at which Items led to the state of the store. It is unknown if more changes follow.
+	KnownAge Age
+	// ReturnedAge is the age of the moment at which the sender saw the store become reachable again, unknown if that never
+	// happened.
+	ReturnedAge Age
 	// Era is the era of the store to which Revision belongs.
 	Era uint64
 }
--- a/vmwire/schema_gen.go
+++ b/vmwire/schema_gen.go
@@ -12,6 +12,58 @@
 	zb417a25dlimitMaps   = 256
 )
 
+// DecodeMsg implements msgp.Decodable
+func (z *Age) DecodeMsg(dc *msgp.Reader) (err error) {
+	{
+		var zb0001 int64
+		zb0001, err = dc.ReadInt64()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = Age(zb0001)
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z Age) EncodeMsg(en *msgp.Writer) (err error) {
+	err = en.WriteInt64(int64(z))
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Age) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendInt64(o, int64(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Age) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 int64
+		zb0001, bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = Age(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Age) Msgsize() (s int) {
+	s = msgp.Int64Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Chunk) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -5561,10 +5613,14 @@
 		err = msgp.WrapError(err, "WaitMillis")
 		return
 	}
-	z.KnownMillis, err = dc.ReadInt64()
-	if err != nil {
-		err = msgp.WrapError(err, "KnownMillis")
-		return
+	{
+		var zb0002 int64
+		zb0002, err = dc.ReadInt64()
+		if err != nil {
+			err = msgp.WrapError(err, "KnownAge")
+			return
+		}
+		z.KnownAge = Age(zb0002)
 	}
 	z.Era, err = dc.ReadUint64()
 	if err != nil {
@@ -5596,9 +5652,9 @@
 		err = msgp.WrapError(err, "WaitMillis")
 		return
 	}
-	err = en.WriteInt64(z.KnownMillis)
+	err = en.WriteInt64(int64(z.KnownAge))
 	if err != nil {
-		err = msgp.WrapError(err, "KnownMillis")
+		err = msgp.WrapError(err, "KnownAge")
 		return
 	}
 	err = en.WriteUint64(z.Era)
@@ -5617,7 +5673,7 @@
 	o = msgp.AppendUint64(o, z.ID)
 	o = msgp.AppendUint64(o, z.After)
 	o = msgp.AppendInt64(o, z.WaitMillis)
-	o = msgp.AppendInt64(o, z.KnownMillis)
+	o = msgp.AppendInt64(o, int64(z.KnownAge))
 	o = msgp.AppendUint64(o, z.Era)
 	return
 }
@@ -5649,10 +5705,14 @@
 		err = msgp.WrapError(err, "WaitMillis")
 		return
 	}
-	z.KnownMillis, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "KnownMillis")
-		return
+	{
+		var zb0002 int64
+		zb0002, bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "KnownAge")
+			return
+		}
+		z.KnownAge = Age(zb0002)
 	}
 	z.Era, bts, err = msgp.ReadUint64Bytes(bts)
 	if err != nil {
@@ -5681,8 +5741,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.ID, err = dc.ReadUint64()
@@ -5722,15 +5782,28 @@
 			return
 		}
 	}
-	z.KnownMillis, err = dc.ReadInt64()
+	z.HeldMillis, err = dc.ReadInt64()
 	if err != nil {
-		err = msgp.WrapError(err, "KnownMillis")
+		err = msgp.WrapError(err, "HeldMillis")
 		return
 	}
-	z.ReturnedMillis, err = dc.ReadInt64()
-	if err != nil {
-		err = msgp.WrapError(err, "ReturnedMillis")
-		return
+	{
+		var zb0003 int64
+		zb0003, err = dc.ReadInt64()
+		if err != nil {
+			err = msgp.WrapError(err, "KnownAge")
+			return
+		}
+		z.KnownAge = Age(zb0003)
+	}
+	{
+		var zb0004 int64
+		zb0004, err = dc.ReadInt64()
+		if err != nil {
+			err = msgp.WrapError(err, "ReturnedAge")
+			return
+		}
+		z.ReturnedAge = Age(zb0004)
 	}
 	z.Era, err = dc.ReadUint64()
 	if err != nil {
@@ -5742,8 +5815,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *StoreReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 7
-	err = en.Append(0x97)
+	// array header, size 8
+	err = en.Append(0x98)
 	if err != nil {
 		return
 	}
@@ -5774,14 +5847,19 @@
 			return
 		}
 	}
-	err = en.WriteInt64(z.KnownMillis)
+	err = en.WriteInt64(z.HeldMillis)
 	if err != nil {
-		err = msgp.WrapError(err, "KnownMillis")
+		err = msgp.WrapError(err, "HeldMillis")
 		return
 	}
-	err = en.WriteInt64(z.ReturnedMillis)
+	err = en.WriteInt64(int64(z.KnownAge))
 	if err != nil {
-		err = msgp.WrapError(err, "ReturnedMillis")
+		err = msgp.WrapError(err, "KnownAge")
+		return
+	}
+	err = en.WriteInt64(int64(z.ReturnedAge))
+	if err != nil {
+		err = msgp.WrapError(err, "ReturnedAge")
 		return
 	}
 	err = en.WriteUint64(z.Era)
@@ -5795,8 +5873,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *StoreReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// array header, size 8
+	o = append(o, 0x98)
 	o = msgp.AppendUint64(o, z.ID)
 	o = msgp.AppendUint8(o, z.Result)
 	o = msgp.AppendUint64(o, z.Revision)
@@ -5808,8 +5886,9 @@
 			return
 		}
 	}
-	o = msgp.AppendInt64(o, z.KnownMillis)
-	o = msgp.AppendInt64(o, z.ReturnedMillis)
+	o = msgp.AppendInt64(o, z.HeldMillis)
+	o = msgp.AppendInt64(o, int64(z.KnownAge))
+	o = msgp.AppendInt64(o, int64(z.ReturnedAge))
 	o = msgp.AppendUint64(o, z.Era)
 	return
 }
@@ -5822,8 +5901,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
@@ -5863,15 +5942,28 @@
 			return
 		}
 	}
-	z.KnownMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	z.HeldMillis, bts, err = msgp.ReadInt64Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "KnownMillis")
+		err = msgp.WrapError(err, "HeldMillis")
 		return
 	}
-	z.ReturnedMillis, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "ReturnedMillis")
-		return
+	{
+		var zb0003 int64
+		zb0003, bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "KnownAge")
+			return
+		}
+		z.KnownAge = Age(zb0003)
+	}
+	{
+		var zb0004 int64
+		zb0004, bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "ReturnedAge")
+			return
+		}
+		z.ReturnedAge = Age(zb0004)
 	}
 	z.Era, bts, err = msgp.ReadUint64Bytes(bts)
 	if err != nil {
@@ -5888,7 +5980,7 @@
 	for za0001 := range z.Items {
 		s += z.Items[za0001].Msgsize()
 	}
-	s += msgp.Int64Size + msgp.Int64Size + msgp.Uint64Size
+	s += msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Uint64Size
 	return
 }
 
