--- a/edge/limits.go
+++ b/edge/limits.go
@@ -13,9 +13,6 @@
 	"parsleyhatch/vmwire"
 )
 
-// maxLimitAge bounds the age of an announcement in messages between VMs.
-const maxLimitAge = 24 * time.Hour
-
 // recordLimits records the limits that an upstream announces in an answer, or that it announces none. A misdirected request was
 // answered by another upstream at the address.
 func (e *Edge) recordLimits(pick *replica.Pick, a *upstream.Response) {
@@ -46,7 +43,7 @@
 	for _, l := range limits {
 		m.Limits = append(m.Limits, vmwire.UpstreamLimit{
 			Upstream: l.Upstream, Born: l.Born, Limited: l.Limited, PerSecond: l.PerSecond,
-			Brittle: l.Brittle, MaxRefusals: l.MaxRefusals, Leaving: l.Leaving, AgeMillis: now.Sub(l.AnnouncedAt).Milliseconds(),
+			Brittle: l.Brittle, MaxRefusals: l.MaxRefusals, Leaving: l.Leaving, Age: vmwire.AgeOf(now, l.AnnouncedAt),
 		})
 	}
 	return m
@@ -67,9 +64,8 @@
 		if !isLimit(u.PerSecond) || !isLimit(u.MaxRefusals) {
 			continue
 		}
-		age := time.Duration(max(0, min(u.AgeMillis, maxLimitAge.Milliseconds()))) * time.Millisecond
 		l := replica.Limits{
-			Upstream: u.Upstream, Born: u.Born, AnnouncedAt: now.Add(-age),
+			Upstream: u.Upstream, Born: u.Born, AnnouncedAt: now.Add(-u.Age.Duration()),
 			Limited: u.Limited, PerSecond: u.PerSecond, Brittle: u.Brittle, MaxRefusals: u.MaxRefusals, Leaving: u.Leaving,
 		}
 		if e.Replicas.MergeLimits(now, l) {
--- a/edge/loss.go
+++ b/edge/loss.go
@@ -13,7 +13,7 @@
 func (e *Edge) reportLoss(p replica.Probe, startedAt time.Time) {
 	now := e.Now()
 	if born, report := e.Replicas.ReportLoss(now, p.ID); report {
-		e.Fleet.BroadcastLoss(&vmwire.UpstreamLoss{Upstream: p.ID, Born: born, AgeMillis: now.Sub(startedAt).Milliseconds()})
+		e.Fleet.BroadcastLoss(&vmwire.UpstreamLoss{Upstream: p.ID, Born: born, Age: vmwire.AgeOf(now, startedAt)})
 	}
 }
 
@@ -21,7 +21,7 @@
 // sent to this one since then shows that it has not started again.
 func (e *Edge) receiveLoss(now time.Time, m *vmwire.UpstreamLoss) {
 	p, check := e.Replicas.ReceiveLoss(now, m.Upstream, m.Born)
-	if check && e.Pool.LastReadAt(p.Address).Before(now.Add(-fromAge(m.AgeMillis))) {
+	if check && e.Pool.LastReadAt(p.Address).Before(now.Add(-m.Age.Duration())) {
 		go e.runLossCheck(p)
 	}
 }
--- a/edge/partquarantine_test.go
+++ b/edge/partquarantine_test.go
@@ -31,7 +31,7 @@
 	m := &vmwire.PartReport{}
 	for i, age := range ages {
 		m.Crashes = append(m.Crashes, vmwire.PartCrash{
-			Service: "engine", Upstream: "gone", Born: int64(i), AgeMillis: 1000 * age, Parts: []uint64{7},
+			Service: "engine", Upstream: "gone", Born: int64(i), Age: vmwire.Age(1000 * age), Parts: []uint64{7},
 		})
 	}
 	v.Parts.Merge(v.Now(), m)
@@ -220,7 +220,7 @@
 	began := time.Now()
 	for _, v := range w.vms {
 		// The part completed before the crashes, so it is tested early.
-		v.Parts.Merge(v.Now(), &vmwire.PartReport{Completions: []vmwire.PartCompletion{{Service: "engine", Part: 7, AgeMillis: 20000}}})
+		v.Parts.Merge(v.Now(), &vmwire.PartReport{Completions: []vmwire.PartCompletion{{Service: "engine", Part: 7, Age: 20000}}})
 		v.mergeCrashes(8, 6, 4)
 	}
 	answered := 0
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -158,9 +158,9 @@
 	now := e.Now()
 	m := &vmwire.VersionKnowledge{}
 	for _, k := range e.Watcher.Versions.Knowledge(now) {
-		service := vmwire.ServiceVersions{Service: k.Service, KnownMillis: now.Sub(k.Since).Milliseconds()}
+		service := vmwire.ServiceVersions{Service: k.Service, KnownAge: vmwire.AgeOf(now, k.Since)}
 		for _, seen := range k.Seen {
-			service.Versions = append(service.Versions, vmwire.SeenVersion{Version: seen.Version, AgeMillis: now.Sub(seen.LastAt).Milliseconds()})
+			service.Versions = append(service.Versions, vmwire.SeenVersion{Version: seen.Version, Age: vmwire.AgeOf(now, seen.LastAt)})
 		}
 		m.Services = append(m.Services, service)
 	}
@@ -172,15 +172,10 @@
 // receiveVersions adds what another VM knows of the versions of services.
 func (e *Edge) receiveVersions(now time.Time, m *vmwire.VersionKnowledge) {
 	for _, service := range m.Services {
-		k := version.Knowledge{Service: service.Service, Since: now.Add(-fromAge(service.KnownMillis))}
+		k := version.Knowledge{Service: service.Service, Since: now.Add(-service.KnownAge.Duration())}
 		for _, seen := range service.Versions {
-			k.Seen = append(k.Seen, version.Seen{Version: seen.Version, LastAt: now.Add(-fromAge(seen.AgeMillis))})
+			k.Seen = append(k.Seen, version.Seen{Version: seen.Version, LastAt: now.Add(-seen.Age.Duration())})
 		}
 		e.Watcher.Versions.Merge(k)
 	}
 }
-
-// fromAge converts an age of a message. Ages are not negative, so that no VM reports the future.
-func fromAge(millis int64) time.Duration {
-	return time.Duration(max(0, min(millis, maxLimitAge.Milliseconds()))) * time.Millisecond
-}
--- a/fleet/view_test.go
+++ b/fleet/view_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -125,3 +126,16 @@
 		t.Errorf("%d VMs reported, want 25", n)
 	}
 }
+
+// Guards against a VM that is remembered for ever because a faulty VM reports an age out of range.
+func TestReportedVMIsNotSeenInFuture(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := New(now, &vm.Endpoint{Self: vm.Identity{Slot: "a", Region: "north"}}, "address-a", "callers", nil)
+	for i, age := range []vmwire.Age{math.MinInt64, vmwire.UnknownAge, 0, math.MaxInt64 / 1_000_000 * 2, math.MaxInt64} {
+		address := fmt.Sprintf("10.0.0.%d:1", i)
+		f.addCandidates(now, []vmwire.KnownVM{{Slot: "other", Region: "north", Address: address, Age: age}})
+		if c := f.candidates[address]; c != nil && (age != 0 || c.lastSeenAt.After(now)) {
+			t.Errorf("age %d: seen at %v, now %v", age, c.lastSeenAt, now)
+		}
+	}
+}
--- a/fleet/vmlist.go
+++ b/fleet/vmlist.go
@@ -28,7 +28,7 @@
 	list := make([]vmwire.KnownVM, 0, len(f.candidates))
 	for address, c := range f.candidates {
 		if age := now.Sub(c.lastSeenAt); age < vmListMaxAge && c.slot != "" {
-			list = append(list, vmwire.KnownVM{Slot: c.slot, Region: c.region, Address: address, AgeMillis: age.Milliseconds()})
+			list = append(list, vmwire.KnownVM{Slot: c.slot, Region: c.region, Address: address, Age: vmwire.AgeOf(now, c.lastSeenAt)})
 		}
 	}
 	return list
@@ -67,7 +67,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, row := range rows {
-		age := time.Duration(row.AgeMillis) * time.Millisecond
+		age := row.Age.Duration()
 		if row.Slot == f.Endpoint.Self.Slot || age > vmListMaxAge {
 			continue
 		}
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -142,7 +142,7 @@
 	if full || !listed || now.Sub(b.changedAt[v.Slot]) < fullViewTime {
 		m.Slots = append(m.Slots, vmwire.SlotView{
 			Slot: v.Slot, Incarnation: v.Incarnation.Number, StartedAtUnixMilli: v.Incarnation.StartedAtUnixMilli,
-			AgeMillis: v.Age.Milliseconds(), Leaving: v.Leaving, Ready: v.Ready, Queue: g.peerQueues[v.Slot],
+			Age: vmwire.Age(v.Age.Milliseconds()), Leaving: v.Leaving, Ready: v.Ready, Queue: g.peerQueues[v.Slot],
 		})
 		return
 	}
@@ -173,7 +173,7 @@
 	for _, v := range w.Slots {
 		views = append(views, member.View{
 			Slot: v.Slot, Incarnation: member.Incarnation{Number: v.Incarnation, StartedAtUnixMilli: v.StartedAtUnixMilli},
-			Age: time.Duration(v.AgeMillis) * time.Millisecond, Leaving: v.Leaving, Ready: v.Ready,
+			Age: v.Age.Duration(), Leaving: v.Leaving, Ready: v.Ready,
 		})
 	}
 	s := g.Snapshot()
--- a/gateway/load.go
+++ b/gateway/load.go
@@ -247,9 +247,9 @@
 func loadMessage(now time.Time, r loadResult) vmwire.UpstreamLoad {
 	return vmwire.UpstreamLoad{
 		Upstream: r.name, Running: int32(r.load.Running), Waiting: int32(r.load.Waiting),
-		AgeMillis: now.Sub(r.at).Milliseconds(), CachedTokens: r.load.CachedTokens, Down: r.err != nil,
+		Age: vmwire.AgeOf(now, r.at), CachedTokens: r.load.CachedTokens, Down: r.err != nil,
 		Model: r.load.Model, Version: r.load.Version, Adapters: r.load.Adapters, Role: r.load.Role, Loading: r.load.Loading,
-		Fencing: r.fence, FencingRead: r.fenceRead, StateAgeMillis: now.Sub(r.stateAt).Milliseconds(),
+		Fencing: r.fence, FencingRead: r.fenceRead, StateAge: vmwire.AgeOf(now, r.stateAt),
 	}
 }
 
--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -304,7 +304,7 @@
 	g.engines[d.Upstream] = e
 	g.engineChanged = true
 	g.sendLoad(ctx, now, &vmwire.Load{Upstreams: []vmwire.UpstreamLoad{{
-		Upstream: d.Upstream, Running: int32(e.running), AgeMillis: now.Sub(e.at).Milliseconds(),
+		Upstream: d.Upstream, Running: int32(e.running), Age: vmwire.AgeOf(now, e.at),
 		Model: e.state.Model, Version: e.state.Version, Adapters: e.state.Adapters, Role: e.state.Role,
 		Loading: true,
 	}}})
@@ -397,7 +397,7 @@
 // an order that follows from it carries an old fencing number and is refused by the engine.
 func reportOfWire(now time.Time, l vmwire.UpstreamLoad) engineReport {
 	return engineReport{
-		at:      now.Add(-time.Duration(l.StateAgeMillis) * time.Millisecond),
+		at:      now.Add(-l.StateAge.Duration()),
 		state:   stateOf(l.Model, l.Version, l.Adapters, l.Role),
 		loading: l.Loading, running: int(l.Running + l.Waiting),
 		fence: l.Fencing, fenceRead: l.FencingRead,
--- a/gateway/orders_test.go
+++ b/gateway/orders_test.go
@@ -147,7 +147,7 @@
 	for b.Loop() {
 		size = 0
 		for i := range 343 {
-			l := vmwire.UpstreamLoad{Upstream: fmt.Sprintf("engine-%d", i), Running: 4, AgeMillis: 3, CachedTokens: 100000, Model: "redator", Version: "v12", Role: "", Fencing: 7, FencingRead: true, StateAgeMillis: 4}
+			l := vmwire.UpstreamLoad{Upstream: fmt.Sprintf("engine-%d", i), Running: 4, Age: 3, CachedTokens: 100000, Model: "redator", Version: "v12", Role: "", Fencing: 7, FencingRead: true, StateAge: 4}
 			data, err := l.MarshalMsg(nil)
 			if err != nil {
 				b.Fatal(err)
--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -113,7 +113,7 @@
 		return
 	}
 	now := g.Now()
-	at := now.Add(-time.Duration(w.AgeMillis) * time.Millisecond)
+	at := now.Add(-w.Age.Duration())
 	if !at.After(g.entryVMs[w.Region].at) {
 		return
 	}
@@ -132,7 +132,7 @@
 	if m.from.Peer.Region != w.Region {
 		return
 	}
-	w.AgeMillis = now.Sub(at).Milliseconds()
+	w.Age = vmwire.AgeOf(now, at)
 	for _, slot := range g.members.LiveSlots(now, g.Self.Region) {
 		if s := g.sessions.get(slot); s != nil {
 			s.SendControl(vmwire.KindSummary, &w)
--- a/poison/merge.go
+++ b/poison/merge.go
@@ -12,10 +12,8 @@
 	if len(s.Fingerprint) != len(Fingerprint{}) {
 		return false
 	}
-	at := now.Add(time.Duration(s.TTLMillis)*time.Millisecond - t.limits.Lifetime)
-	if at.After(now) {
-		at = now // The remaining time cannot exceed the lifetime.
-	}
+	remaining := time.Duration(max(0, min(s.TTLMillis, t.limits.Lifetime.Milliseconds()))) * time.Millisecond
+	at := now.Add(remaining - t.limits.Lifetime)
 	f := Fingerprint(s.Fingerprint)
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/poison/partmerge.go
+++ b/poison/partmerge.go
@@ -21,18 +21,18 @@
 	changed, reply = &vmwire.PartReport{}, &vmwire.PartReport{Reply: true}
 	for _, a := range m.Answers {
 		l := Lifetime{Upstream: a.Upstream, Born: a.Born}
-		if at, ok := t.timeOf(now, a.AgeMillis); ok && t.addAnswer(now, l, at) {
+		if at, ok := t.timeOf(now, a.Age); ok && t.addAnswer(now, l, at) {
 			changed.Answers = append(changed.Answers, a)
 		}
 	}
 	for _, c := range m.Completions {
 		p := Part{Service: c.Service, ID: c.Part}
-		if at, ok := t.timeOf(now, c.AgeMillis); ok && t.addCompletion(now, p, at) {
+		if at, ok := t.timeOf(now, c.Age); ok && t.addCompletion(now, p, at) {
 			changed.Completions = append(changed.Completions, c)
 		}
 	}
 	for _, c := range m.Crashes {
-		at, ok := t.timeOf(now, c.AgeMillis)
+		at, ok := t.timeOf(now, c.Age)
 		if !ok || len(c.Parts) > maxReportParts {
 			continue
 		}
@@ -50,7 +50,7 @@
 // mergeCrash adds a crash that happened at a time, and adds to the reports what follows from it.
 func (t *Parts) mergeCrash(now, at time.Time, c vmwire.PartCrash, changed, reply *vmwire.PartReport) {
 	l := Lifetime{Upstream: c.Upstream, Born: c.Born}
-	added := vmwire.PartCrash{Service: c.Service, Upstream: c.Upstream, Born: c.Born, AgeMillis: c.AgeMillis}
+	added := vmwire.PartCrash{Service: c.Service, Upstream: c.Upstream, Born: c.Born, Age: c.Age}
 	for _, id := range c.Parts {
 		p := Part{Service: c.Service, ID: id}
 		if t.addCrash(now, p, l, at) {
@@ -69,9 +69,8 @@
 }
 
 // timeOf returns the time of an event of an age, and whether the event still counts.
-func (t *Parts) timeOf(now time.Time, ageMillis int64) (time.Time, bool) {
-	age := time.Duration(ageMillis) * time.Millisecond
-	return now.Add(-max(age, 0)), ageMillis < t.limits.Lifetime.Milliseconds()
+func (t *Parts) timeOf(now time.Time, age vmwire.Age) (time.Time, bool) {
+	return now.Add(-age.Duration()), age.Duration() < t.limits.Lifetime
 }
 
 // Export returns all that is known about suspected parts, for a VM with which a session has opened.
@@ -100,7 +99,7 @@
 		}
 		for l, at := range e.crashes {
 			report.Crashes = append(report.Crashes, vmwire.PartCrash{
-				Service: p.Service, Upstream: l.Upstream, Born: l.Born, AgeMillis: now.Sub(at).Milliseconds(), Parts: []uint64{p.ID},
+				Service: p.Service, Upstream: l.Upstream, Born: l.Born, Age: vmwire.AgeOf(now, at), Parts: []uint64{p.ID},
 			})
 			next()
 		}
@@ -113,12 +112,11 @@
 
 // completionMessage returns the message for a completion at a time.
 func (t *Parts) completionMessage(now time.Time, p Part, at time.Time) vmwire.PartCompletion {
-	return vmwire.PartCompletion{Service: p.Service, Part: p.ID, AgeMillis: now.Sub(at).Milliseconds()}
+	return vmwire.PartCompletion{Service: p.Service, Part: p.ID, Age: vmwire.AgeOf(now, at)}
 }
 
-// answerMessage returns the message for an answer to a request that was sent at a time. The age is rounded up, so that the
+// answerMessage returns the message for an answer to a request that was sent at a time. Ages are rounded up, so that the
 // answer does not discard a later crash.
 func (t *Parts) answerMessage(now time.Time, l Lifetime, sentAt time.Time) vmwire.UpstreamAnswer {
-	age := now.Sub(sentAt) + time.Millisecond - 1
-	return vmwire.UpstreamAnswer{Upstream: l.Upstream, Born: l.Born, AgeMillis: age.Milliseconds()}
+	return vmwire.UpstreamAnswer{Upstream: l.Upstream, Born: l.Born, Age: vmwire.AgeOf(now, sentAt)}
 }
--- a/poison/parts_test.go
+++ b/poison/parts_test.go
@@ -221,15 +221,15 @@
 	return rapid.Custom(func(t *rapid.T) *vmwire.PartReport {
 		l := testLifetime(rapid.IntRange(0, 5).Draw(t, "upstream"))
 		id := rapid.Uint64Range(1, 3).Draw(t, "part")
-		age := rapid.Int64Range(0, 20).Draw(t, "age") * 500
+		age := vmwire.Age(rapid.Int64Range(0, 20).Draw(t, "age") * 500)
 		switch rapid.IntRange(0, 4).Draw(t, "kind") {
 		case 0:
-			return &vmwire.PartReport{Completions: []vmwire.PartCompletion{{Service: testService, Part: id, AgeMillis: age}}}
+			return &vmwire.PartReport{Completions: []vmwire.PartCompletion{{Service: testService, Part: id, Age: age}}}
 		case 1:
-			return &vmwire.PartReport{Answers: []vmwire.UpstreamAnswer{{Upstream: l.Upstream, Born: l.Born, AgeMillis: age}}}
+			return &vmwire.PartReport{Answers: []vmwire.UpstreamAnswer{{Upstream: l.Upstream, Born: l.Born, Age: age}}}
 		default:
 			return &vmwire.PartReport{Crashes: []vmwire.PartCrash{{
-				Service: testService, Upstream: l.Upstream, Born: l.Born, AgeMillis: age, Parts: []uint64{id, id + 1},
+				Service: testService, Upstream: l.Upstream, Born: l.Born, Age: age, Parts: []uint64{id, id + 1},
 			}}}
 		}
 	})
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -135,10 +135,10 @@
 	Slot               string
 	Incarnation        uint64
 	StartedAtUnixMilli int64
-	// AgeMillis is the time since the VM was last known to be alive, in milliseconds.
-	AgeMillis int64
-	Leaving   bool
-	Ready     bool
+	// Age is the time since the VM was last known to be alive.
+	Age     Age
+	Leaving bool
+	Ready   bool
 	// Queue is the number of requests open at the VM.
 	Queue int32
 }
@@ -200,8 +200,8 @@
 	Upstream string
 	Running  int32
 	Waiting  int32
-	// AgeMillis is the age of the report at the time of sending, in milliseconds.
-	AgeMillis int64
+	// Age is the age of the report at the time of sending.
+	Age Age
 	// CachedTokens is the used size of the prefix cache, in tokens.
 	CachedTokens int64
 	Down         bool
@@ -215,9 +215,8 @@
 	// read before the engine made the report.
 	Fencing     uint64
 	FencingRead bool
-	// StateAgeMillis is the time from sending the read request of the report to sending this message, in
-	// milliseconds.
-	StateAgeMillis int64
+	// StateAge is the time from sending the read request of the report to sending this message.
+	StateAge Age
 }
 
 // ModelWait is the time for which requests of a model wait in the sender's queue.
@@ -264,10 +263,10 @@
 // Summary carries a region's pools to other regions.
 type Summary struct {
 	Region string
-	// AgeMillis is the age of the summary at the time of sending, in milliseconds.
-	AgeMillis int64
-	Pools     []PoolSummary
-	Entries   []IngressVM
+	// Age is the age of the summary at the time of sending.
+	Age     Age
+	Pools   []PoolSummary
+	Entries []IngressVM
 }
 
 // TokenRequest requests rate-limit tokens of a workspace from a VM that holds some.
@@ -340,8 +339,8 @@
 	Region string
 	// Address accepts sessions, as IP:port.
 	Address string
-	// AgeMillis is the time since the sender last saw the VM alive, directly or in a VM list, in milliseconds.
-	AgeMillis int64
+	// Age is the time since the sender last saw the VM alive, directly or in a VM list.
+	Age Age
 }
 
 // WorkspaceUsage is the amount that the sender has charged to a workspace since its start, in tokens or requests.
@@ -476,23 +475,23 @@
 	Upstream string
 	// Born is the start time of the upstream in Unix milliseconds.
 	Born int64
-	// AgeMillis is the time since the crash, in milliseconds.
-	AgeMillis int64
-	Parts     []uint64
+	// Age is the time since the crash.
+	Age   Age
+	Parts []uint64
 }
 
 // PartCompletion is a complete answer to a request with a prompt part.
 type PartCompletion struct {
 	Service string
 	Part    uint64
-	// AgeMillis is the time since the completion, in milliseconds.
-	AgeMillis int64
+	// Age is the time since the completion.
+	Age Age
 }
 
 // UpstreamAnswer is an answer of an upstream, which shows that it did not crash earlier.
 type UpstreamAnswer struct {
 	Upstream string
 	Born     int64
-	// AgeMillis is the time since the answered request was sent, in milliseconds.
-	AgeMillis int64
+	// Age is the time since the answered request was sent.
+	Age Age
 }
--- a/vmwire/schema_gen.go
+++ b/vmwire/schema_gen.go
@@ -2314,10 +2314,14 @@
 		err = msgp.WrapError(err, "Address")
 		return
 	}
-	z.AgeMillis, err = dc.ReadInt64()
-	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
-		return
+	{
+		var zb0002 int64
+		zb0002, err = dc.ReadInt64()
+		if err != nil {
+			err = msgp.WrapError(err, "Age")
+			return
+		}
+		z.Age = Age(zb0002)
 	}
 	return
 }
@@ -2344,9 +2348,9 @@
 		err = msgp.WrapError(err, "Address")
 		return
 	}
-	err = en.WriteInt64(z.AgeMillis)
+	err = en.WriteInt64(int64(z.Age))
 	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
+		err = msgp.WrapError(err, "Age")
 		return
 	}
 	return
@@ -2360,7 +2364,7 @@
 	o = msgp.AppendString(o, z.Slot)
 	o = msgp.AppendString(o, z.Region)
 	o = msgp.AppendString(o, z.Address)
-	o = msgp.AppendInt64(o, z.AgeMillis)
+	o = msgp.AppendInt64(o, int64(z.Age))
 	return
 }
 
@@ -2391,10 +2395,14 @@
 		err = msgp.WrapError(err, "Address")
 		return
 	}
-	z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
-		return
+	{
+		var zb0002 int64
+		zb0002, bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Age")
+			return
+		}
+		z.Age = Age(zb0002)
 	}
 	o = bts
 	return
@@ -3476,10 +3484,14 @@
 		err = msgp.WrapError(err, "Part")
 		return
 	}
-	z.AgeMillis, err = dc.ReadInt64()
-	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
-		return
+	{
+		var zb0002 int64
+		zb0002, err = dc.ReadInt64()
+		if err != nil {
+			err = msgp.WrapError(err, "Age")
+			return
+		}
+		z.Age = Age(zb0002)
 	}
 	return
 }
@@ -3501,9 +3513,9 @@
 		err = msgp.WrapError(err, "Part")
 		return
 	}
-	err = en.WriteInt64(z.AgeMillis)
+	err = en.WriteInt64(int64(z.Age))
 	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
+		err = msgp.WrapError(err, "Age")
 		return
 	}
 	return
@@ -3516,7 +3528,7 @@
 	o = append(o, 0x93)
 	o = msgp.AppendString(o, z.Service)
 	o = msgp.AppendUint64(o, z.Part)
-	o = msgp.AppendInt64(o, z.AgeMillis)
+	o = msgp.AppendInt64(o, int64(z.Age))
 	return
 }
 
@@ -3542,10 +3554,14 @@
 		err = msgp.WrapError(err, "Part")
 		return
 	}
-	z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
-		return
+	{
+		var zb0002 int64
+		zb0002, bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Age")
+			return
+		}
+		z.Age = Age(zb0002)
 	}
 	o = bts
 	return
@@ -3588,25 +3604,29 @@
 		err = msgp.WrapError(err, "Born")
 		return
 	}
-	z.AgeMillis, err = dc.ReadInt64()
-	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
-		return
+	{
+		var zb0002 int64
+		zb0002, err = dc.ReadInt64()
+		if err != nil {
+			err = msgp.WrapError(err, "Age")
+			return
+		}
+		z.Age = Age(zb0002)
 	}
-	var zb0002 uint32
-	zb0002, err = dc.ReadArrayHeader()
+	var zb0003 uint32
+	zb0003, err = dc.ReadArrayHeader()
 	if err != nil {
 		err = msgp.WrapError(err, "Parts")
 		return
 	}
-	if zb0002 > zb417a25dlimitArrays {
+	if zb0003 > zb417a25dlimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Parts) >= int(zb0002) {
-		z.Parts = (z.Parts)[:zb0002]
+	if cap(z.Parts) >= int(zb0003) {
+		z.Parts = (z.Parts)[:zb0003]
 	} else {
-		z.Parts = make([]uint64, zb0002)
+		z.Parts = make([]uint64, zb0003)
 	}
 	for za0001 := range z.Parts {
 		z.Parts[za0001], err = dc.ReadUint64()
@@ -3640,9 +3660,9 @@
 		err = msgp.WrapError(err, "Born")
 		return
 	}
-	err = en.WriteInt64(z.AgeMillis)
+	err = en.WriteInt64(int64(z.Age))
 	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
+		err = msgp.WrapError(err, "Age")
 		return
 	}
 	err = en.WriteArrayHeader(uint32(len(z.Parts)))
@@ -3668,7 +3688,7 @@
 	o = msgp.AppendString(o, z.Service)
 	o = msgp.AppendString(o, z.Upstream)
 	o = msgp.AppendInt64(o, z.Born)
-	o = msgp.AppendInt64(o, z.AgeMillis)
+	o = msgp.AppendInt64(o, int64(z.Age))
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
 	for za0001 := range z.Parts {
 		o = msgp.AppendUint64(o, z.Parts[za0001])
@@ -3703,25 +3723,29 @@
 		err = msgp.WrapError(err, "Born")
 		return
 	}
-	z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
-		return
+	{
+		var zb0002 int64
+		zb0002, bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Age")
+			return
+		}
+		z.Age = Age(zb0002)
 	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Parts")
 		return
 	}
-	if zb0002 > zb417a25dlimitArrays {
+	if zb0003 > zb417a25dlimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Parts) >= int(zb0002) {
-		z.Parts = (z.Parts)[:zb0002]
+	if cap(z.Parts) >= int(zb0003) {
+		z.Parts = (z.Parts)[:zb0003]
 	} else {
-		z.Parts = make([]uint64, zb0002)
+		z.Parts = make([]uint64, zb0003)
 	}
 	for za0001 := range z.Parts {
 		z.Parts[za0001], bts, err = msgp.ReadUint64Bytes(bts)
@@ -3794,81 +3818,33 @@
 		z.Completions = make([]PartCompletion, zb0003)
 	}
 	for za0002 := range z.Completions {
-		var zb0004 uint32
-		zb0004, err = dc.ReadArrayHeader()
+		err = z.Completions[za0002].DecodeMsg(dc)
 		if err != nil {
 			err = msgp.WrapError(err, "Completions", za0002)
 			return
 		}
-		if zb0004 > zb417a25dlimitArrays {
-			err = msgp.ErrLimitExceeded
-			return
-		}
-		if zb0004 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0004}
-			return
-		}
-		z.Completions[za0002].Service, err = dc.ReadString()
-		if err != nil {
-			err = msgp.WrapError(err, "Completions", za0002, "Service")
-			return
-		}
-		z.Completions[za0002].Part, err = dc.ReadUint64()
-		if err != nil {
-			err = msgp.WrapError(err, "Completions", za0002, "Part")
-			return
-		}
-		z.Completions[za0002].AgeMillis, err = dc.ReadInt64()
-		if err != nil {
-			err = msgp.WrapError(err, "Completions", za0002, "AgeMillis")
-			return
-		}
 	}
-	var zb0005 uint32
-	zb0005, err = dc.ReadArrayHeader()
+	var zb0004 uint32
+	zb0004, err = dc.ReadArrayHeader()
 	if err != nil {
 		err = msgp.WrapError(err, "Answers")
 		return
 	}
-	if zb0005 > zb417a25dlimitArrays {
+	if zb0004 > zb417a25dlimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Answers) >= int(zb0005) {
-		z.Answers = (z.Answers)[:zb0005]
+	if cap(z.Answers) >= int(zb0004) {
+		z.Answers = (z.Answers)[:zb0004]
 	} else {
-		z.Answers = make([]UpstreamAnswer, zb0005)
+		z.Answers = make([]UpstreamAnswer, zb0004)
 	}
 	for za0003 := range z.Answers {
-		var zb0006 uint32
-		zb0006, err = dc.ReadArrayHeader()
+		err = z.Answers[za0003].DecodeMsg(dc)
 		if err != nil {
 			err = msgp.WrapError(err, "Answers", za0003)
 			return
 		}
-		if zb0006 > zb417a25dlimitArrays {
-			err = msgp.ErrLimitExceeded
-			return
-		}
-		if zb0006 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0006}
-			return
-		}
-		z.Answers[za0003].Upstream, err = dc.ReadString()
-		if err != nil {
-			err = msgp.WrapError(err, "Answers", za0003, "Upstream")
-			return
-		}
-		z.Answers[za0003].Born, err = dc.ReadInt64()
-		if err != nil {
-			err = msgp.WrapError(err, "Answers", za0003, "Born")
-			return
-		}
-		z.Answers[za0003].AgeMillis, err = dc.ReadInt64()
-		if err != nil {
-			err = msgp.WrapError(err, "Answers", za0003, "AgeMillis")
-			return
-		}
 	}
 	z.Reply, err = dc.ReadBool()
 	if err != nil {
@@ -3903,24 +3879,9 @@
 		return
 	}
 	for za0002 := range z.Completions {
-		// array header, size 3
-		err = en.Append(0x93)
+		err = z.Completions[za0002].EncodeMsg(en)
 		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Completions[za0002].Service)
-		if err != nil {
-			err = msgp.WrapError(err, "Completions", za0002, "Service")
-			return
-		}
-		err = en.WriteUint64(z.Completions[za0002].Part)
-		if err != nil {
-			err = msgp.WrapError(err, "Completions", za0002, "Part")
-			return
-		}
-		err = en.WriteInt64(z.Completions[za0002].AgeMillis)
-		if err != nil {
-			err = msgp.WrapError(err, "Completions", za0002, "AgeMillis")
+			err = msgp.WrapError(err, "Completions", za0002)
 			return
 		}
 	}
@@ -3930,24 +3891,9 @@
 		return
 	}
 	for za0003 := range z.Answers {
-		// array header, size 3
-		err = en.Append(0x93)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Answers[za0003].Upstream)
+		err = z.Answers[za0003].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Answers", za0003, "Upstream")
-			return
-		}
-		err = en.WriteInt64(z.Answers[za0003].Born)
-		if err != nil {
-			err = msgp.WrapError(err, "Answers", za0003, "Born")
-			return
-		}
-		err = en.WriteInt64(z.Answers[za0003].AgeMillis)
-		if err != nil {
-			err = msgp.WrapError(err, "Answers", za0003, "AgeMillis")
+			err = msgp.WrapError(err, "Answers", za0003)
 			return
 		}
 	}
@@ -3974,19 +3920,19 @@
 	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Completions)))
 	for za0002 := range z.Completions {
-		// array header, size 3
-		o = append(o, 0x93)
-		o = msgp.AppendString(o, z.Completions[za0002].Service)
-		o = msgp.AppendUint64(o, z.Completions[za0002].Part)
-		o = msgp.AppendInt64(o, z.Completions[za0002].AgeMillis)
+		o, err = z.Completions[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Completions", za0002)
+			return
+		}
 	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Answers)))
 	for za0003 := range z.Answers {
-		// array header, size 3
-		o = append(o, 0x93)
-		o = msgp.AppendString(o, z.Answers[za0003].Upstream)
-		o = msgp.AppendInt64(o, z.Answers[za0003].Born)
-		o = msgp.AppendInt64(o, z.Answers[za0003].AgeMillis)
+		o, err = z.Answers[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Answers", za0003)
+			return
+		}
 	}
 	o = msgp.AppendBool(o, z.Reply)
 	return
@@ -4042,73 +3988,33 @@
 		z.Completions = make([]PartCompletion, zb0003)
 	}
 	for za0002 := range z.Completions {
-		var zb0004 uint32
-		zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		bts, err = z.Completions[za0002].UnmarshalMsg(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Completions", za0002)
 			return
 		}
-		if zb0004 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0004}
-			return
-		}
-		z.Completions[za0002].Service, bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Completions", za0002, "Service")
-			return
-		}
-		z.Completions[za0002].Part, bts, err = msgp.ReadUint64Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Completions", za0002, "Part")
-			return
-		}
-		z.Completions[za0002].AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Completions", za0002, "AgeMillis")
-			return
-		}
 	}
-	var zb0005 uint32
-	zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Answers")
 		return
 	}
-	if zb0005 > zb417a25dlimitArrays {
+	if zb0004 > zb417a25dlimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Answers) >= int(zb0005) {
-		z.Answers = (z.Answers)[:zb0005]
+	if cap(z.Answers) >= int(zb0004) {
+		z.Answers = (z.Answers)[:zb0004]
 	} else {
-		z.Answers = make([]UpstreamAnswer, zb0005)
+		z.Answers = make([]UpstreamAnswer, zb0004)
 	}
 	for za0003 := range z.Answers {
-		var zb0006 uint32
-		zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		bts, err = z.Answers[za0003].UnmarshalMsg(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Answers", za0003)
 			return
 		}
-		if zb0006 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0006}
-			return
-		}
-		z.Answers[za0003].Upstream, bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Answers", za0003, "Upstream")
-			return
-		}
-		z.Answers[za0003].Born, bts, err = msgp.ReadInt64Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Answers", za0003, "Born")
-			return
-		}
-		z.Answers[za0003].AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Answers", za0003, "AgeMillis")
-			return
-		}
 	}
 	z.Reply, bts, err = msgp.ReadBoolBytes(bts)
 	if err != nil {
@@ -4127,11 +4033,11 @@
 	}
 	s += msgp.ArrayHeaderSize
 	for za0002 := range z.Completions {
-		s += 1 + msgp.StringPrefixSize + len(z.Completions[za0002].Service) + msgp.Uint64Size + msgp.Int64Size
+		s += z.Completions[za0002].Msgsize()
 	}
 	s += msgp.ArrayHeaderSize
 	for za0003 := range z.Answers {
-		s += 1 + msgp.StringPrefixSize + len(z.Answers[za0003].Upstream) + msgp.Int64Size + msgp.Int64Size
+		s += z.Answers[za0003].Msgsize()
 	}
 	s += msgp.BoolSize
 	return
@@ -5300,10 +5206,14 @@
 		err = msgp.WrapError(err, "StartedAtUnixMilli")
 		return
 	}
-	z.AgeMillis, err = dc.ReadInt64()
-	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
-		return
+	{
+		var zb0002 int64
+		zb0002, err = dc.ReadInt64()
+		if err != nil {
+			err = msgp.WrapError(err, "Age")
+			return
+		}
+		z.Age = Age(zb0002)
 	}
 	z.Leaving, err = dc.ReadBool()
 	if err != nil {
@@ -5345,9 +5255,9 @@
 		err = msgp.WrapError(err, "StartedAtUnixMilli")
 		return
 	}
-	err = en.WriteInt64(z.AgeMillis)
+	err = en.WriteInt64(int64(z.Age))
 	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
+		err = msgp.WrapError(err, "Age")
 		return
 	}
 	err = en.WriteBool(z.Leaving)
@@ -5376,7 +5286,7 @@
 	o = msgp.AppendString(o, z.Slot)
 	o = msgp.AppendUint64(o, z.Incarnation)
 	o = msgp.AppendInt64(o, z.StartedAtUnixMilli)
-	o = msgp.AppendInt64(o, z.AgeMillis)
+	o = msgp.AppendInt64(o, int64(z.Age))
 	o = msgp.AppendBool(o, z.Leaving)
 	o = msgp.AppendBool(o, z.Ready)
 	o = msgp.AppendInt32(o, z.Queue)
@@ -5410,10 +5320,14 @@
 		err = msgp.WrapError(err, "StartedAtUnixMilli")
 		return
 	}
-	z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
-		return
+	{
+		var zb0002 int64
+		zb0002, bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Age")
+			return
+		}
+		z.Age = Age(zb0002)
 	}
 	z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
 	if err != nil {
@@ -6005,25 +5919,29 @@
 		err = msgp.WrapError(err, "Region")
 		return
 	}
-	z.AgeMillis, err = dc.ReadInt64()
-	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
-		return
+	{
+		var zb0002 int64
+		zb0002, err = dc.ReadInt64()
+		if err != nil {
+			err = msgp.WrapError(err, "Age")
+			return
+		}
+		z.Age = Age(zb0002)
 	}
-	var zb0002 uint32
-	zb0002, err = dc.ReadArrayHeader()
+	var zb0003 uint32
+	zb0003, err = dc.ReadArrayHeader()
 	if err != nil {
 		err = msgp.WrapError(err, "Pools")
 		return
 	}
-	if zb0002 > zb417a25dlimitArrays {
+	if zb0003 > zb417a25dlimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Pools) >= int(zb0002) {
-		z.Pools = (z.Pools)[:zb0002]
+	if cap(z.Pools) >= int(zb0003) {
+		z.Pools = (z.Pools)[:zb0003]
 	} else {
-		z.Pools = make([]PoolSummary, zb0002)
+		z.Pools = make([]PoolSummary, zb0003)
 	}
 	for za0001 := range z.Pools {
 		err = z.Pools[za0001].DecodeMsg(dc)
@@ -6032,34 +5950,34 @@
 			return
 		}
 	}
-	var zb0003 uint32
-	zb0003, err = dc.ReadArrayHeader()
+	var zb0004 uint32
+	zb0004, err = dc.ReadArrayHeader()
 	if err != nil {
 		err = msgp.WrapError(err, "Entries")
 		return
 	}
-	if zb0003 > zb417a25dlimitArrays {
+	if zb0004 > zb417a25dlimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Entries) >= int(zb0003) {
-		z.Entries = (z.Entries)[:zb0003]
+	if cap(z.Entries) >= int(zb0004) {
+		z.Entries = (z.Entries)[:zb0004]
 	} else {
-		z.Entries = make([]IngressVM, zb0003)
+		z.Entries = make([]IngressVM, zb0004)
 	}
 	for za0002 := range z.Entries {
-		var zb0004 uint32
-		zb0004, err = dc.ReadArrayHeader()
+		var zb0005 uint32
+		zb0005, err = dc.ReadArrayHeader()
 		if err != nil {
 			err = msgp.WrapError(err, "Entries", za0002)
 			return
 		}
-		if zb0004 > zb417a25dlimitArrays {
+		if zb0005 > zb417a25dlimitArrays {
 			err = msgp.ErrLimitExceeded
 			return
 		}
-		if zb0004 != 2 {
-			err = msgp.ArrayError{Wanted: 2, Got: zb0004}
+		if zb0005 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0005}
 			return
 		}
 		z.Entries[za0002].Slot, err = dc.ReadString()
@@ -6088,9 +6006,9 @@
 		err = msgp.WrapError(err, "Region")
 		return
 	}
-	err = en.WriteInt64(z.AgeMillis)
+	err = en.WriteInt64(int64(z.Age))
 	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
+		err = msgp.WrapError(err, "Age")
 		return
 	}
 	err = en.WriteArrayHeader(uint32(len(z.Pools)))
@@ -6136,7 +6054,7 @@
 	// array header, size 4
 	o = append(o, 0x94)
 	o = msgp.AppendString(o, z.Region)
-	o = msgp.AppendInt64(o, z.AgeMillis)
+	o = msgp.AppendInt64(o, int64(z.Age))
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Pools)))
 	for za0001 := range z.Pools {
 		o, err = z.Pools[za0001].MarshalMsg(o)
@@ -6172,25 +6090,29 @@
 		err = msgp.WrapError(err, "Region")
 		return
 	}
-	z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
-		return
+	{
+		var zb0002 int64
+		zb0002, bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Age")
+			return
+		}
+		z.Age = Age(zb0002)
 	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Pools")
 		return
 	}
-	if zb0002 > zb417a25dlimitArrays {
+	if zb0003 > zb417a25dlimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Pools) >= int(zb0002) {
-		z.Pools = (z.Pools)[:zb0002]
+	if cap(z.Pools) >= int(zb0003) {
+		z.Pools = (z.Pools)[:zb0003]
 	} else {
-		z.Pools = make([]PoolSummary, zb0002)
+		z.Pools = make([]PoolSummary, zb0003)
 	}
 	for za0001 := range z.Pools {
 		bts, err = z.Pools[za0001].UnmarshalMsg(bts)
@@ -6199,30 +6121,30 @@
 			return
 		}
 	}
-	var zb0003 uint32
-	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Entries")
 		return
 	}
-	if zb0003 > zb417a25dlimitArrays {
+	if zb0004 > zb417a25dlimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Entries) >= int(zb0003) {
-		z.Entries = (z.Entries)[:zb0003]
+	if cap(z.Entries) >= int(zb0004) {
+		z.Entries = (z.Entries)[:zb0004]
 	} else {
-		z.Entries = make([]IngressVM, zb0003)
+		z.Entries = make([]IngressVM, zb0004)
 	}
 	for za0002 := range z.Entries {
-		var zb0004 uint32
-		zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		var zb0005 uint32
+		zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Entries", za0002)
 			return
 		}
-		if zb0004 != 2 {
-			err = msgp.ArrayError{Wanted: 2, Got: zb0004}
+		if zb0005 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0005}
 			return
 		}
 		z.Entries[za0002].Slot, bts, err = msgp.ReadStringBytes(bts)
@@ -6715,10 +6637,14 @@
 		err = msgp.WrapError(err, "Born")
 		return
 	}
-	z.AgeMillis, err = dc.ReadInt64()
-	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
-		return
+	{
+		var zb0002 int64
+		zb0002, err = dc.ReadInt64()
+		if err != nil {
+			err = msgp.WrapError(err, "Age")
+			return
+		}
+		z.Age = Age(zb0002)
 	}
 	return
 }
@@ -6740,9 +6666,9 @@
 		err = msgp.WrapError(err, "Born")
 		return
 	}
-	err = en.WriteInt64(z.AgeMillis)
+	err = en.WriteInt64(int64(z.Age))
 	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
+		err = msgp.WrapError(err, "Age")
 		return
 	}
 	return
@@ -6755,7 +6681,7 @@
 	o = append(o, 0x93)
 	o = msgp.AppendString(o, z.Upstream)
 	o = msgp.AppendInt64(o, z.Born)
-	o = msgp.AppendInt64(o, z.AgeMillis)
+	o = msgp.AppendInt64(o, int64(z.Age))
 	return
 }
 
@@ -6781,10 +6707,14 @@
 		err = msgp.WrapError(err, "Born")
 		return
 	}
-	z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
-		return
+	{
+		var zb0002 int64
+		zb0002, bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Age")
+			return
+		}
+		z.Age = Age(zb0002)
 	}
 	o = bts
 	return
@@ -6827,10 +6757,14 @@
 		err = msgp.WrapError(err, "Waiting")
 		return
 	}
-	z.AgeMillis, err = dc.ReadInt64()
-	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
-		return
+	{
+		var zb0002 int64
+		zb0002, err = dc.ReadInt64()
+		if err != nil {
+			err = msgp.WrapError(err, "Age")
+			return
+		}
+		z.Age = Age(zb0002)
 	}
 	z.CachedTokens, err = dc.ReadInt64()
 	if err != nil {
@@ -6852,20 +6786,20 @@
 		err = msgp.WrapError(err, "Version")
 		return
 	}
-	var zb0002 uint32
-	zb0002, err = dc.ReadArrayHeader()
+	var zb0003 uint32
+	zb0003, err = dc.ReadArrayHeader()
 	if err != nil {
 		err = msgp.WrapError(err, "Adapters")
 		return
 	}
-	if zb0002 > zb417a25dlimitArrays {
+	if zb0003 > zb417a25dlimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Adapters) >= int(zb0002) {
-		z.Adapters = (z.Adapters)[:zb0002]
+	if cap(z.Adapters) >= int(zb0003) {
+		z.Adapters = (z.Adapters)[:zb0003]
 	} else {
-		z.Adapters = make([]string, zb0002)
+		z.Adapters = make([]string, zb0003)
 	}
 	for za0001 := range z.Adapters {
 		z.Adapters[za0001], err = dc.ReadString()
@@ -6894,10 +6828,14 @@
 		err = msgp.WrapError(err, "FencingRead")
 		return
 	}
-	z.StateAgeMillis, err = dc.ReadInt64()
-	if err != nil {
-		err = msgp.WrapError(err, "StateAgeMillis")
-		return
+	{
+		var zb0004 int64
+		zb0004, err = dc.ReadInt64()
+		if err != nil {
+			err = msgp.WrapError(err, "StateAge")
+			return
+		}
+		z.StateAge = Age(zb0004)
 	}
 	return
 }
@@ -6924,9 +6862,9 @@
 		err = msgp.WrapError(err, "Waiting")
 		return
 	}
-	err = en.WriteInt64(z.AgeMillis)
+	err = en.WriteInt64(int64(z.Age))
 	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
+		err = msgp.WrapError(err, "Age")
 		return
 	}
 	err = en.WriteInt64(z.CachedTokens)
@@ -6981,9 +6919,9 @@
 		err = msgp.WrapError(err, "FencingRead")
 		return
 	}
-	err = en.WriteInt64(z.StateAgeMillis)
+	err = en.WriteInt64(int64(z.StateAge))
 	if err != nil {
-		err = msgp.WrapError(err, "StateAgeMillis")
+		err = msgp.WrapError(err, "StateAge")
 		return
 	}
 	return
@@ -6997,7 +6935,7 @@
 	o = msgp.AppendString(o, z.Upstream)
 	o = msgp.AppendInt32(o, z.Running)
 	o = msgp.AppendInt32(o, z.Waiting)
-	o = msgp.AppendInt64(o, z.AgeMillis)
+	o = msgp.AppendInt64(o, int64(z.Age))
 	o = msgp.AppendInt64(o, z.CachedTokens)
 	o = msgp.AppendBool(o, z.Down)
 	o = msgp.AppendString(o, z.Model)
@@ -7010,7 +6948,7 @@
 	o = msgp.AppendBool(o, z.Loading)
 	o = msgp.AppendUint64(o, z.Fencing)
 	o = msgp.AppendBool(o, z.FencingRead)
-	o = msgp.AppendInt64(o, z.StateAgeMillis)
+	o = msgp.AppendInt64(o, int64(z.StateAge))
 	return
 }
 
@@ -7041,10 +6979,14 @@
 		err = msgp.WrapError(err, "Waiting")
 		return
 	}
-	z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
-		return
+	{
+		var zb0002 int64
+		zb0002, bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Age")
+			return
+		}
+		z.Age = Age(zb0002)
 	}
 	z.CachedTokens, bts, err = msgp.ReadInt64Bytes(bts)
 	if err != nil {
@@ -7066,20 +7008,20 @@
 		err = msgp.WrapError(err, "Version")
 		return
 	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Adapters")
 		return
 	}
-	if zb0002 > zb417a25dlimitArrays {
+	if zb0003 > zb417a25dlimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Adapters) >= int(zb0002) {
-		z.Adapters = (z.Adapters)[:zb0002]
+	if cap(z.Adapters) >= int(zb0003) {
+		z.Adapters = (z.Adapters)[:zb0003]
 	} else {
-		z.Adapters = make([]string, zb0002)
+		z.Adapters = make([]string, zb0003)
 	}
 	for za0001 := range z.Adapters {
 		z.Adapters[za0001], bts, err = msgp.ReadStringBytes(bts)
@@ -7108,10 +7050,14 @@
 		err = msgp.WrapError(err, "FencingRead")
 		return
 	}
-	z.StateAgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "StateAgeMillis")
-		return
+	{
+		var zb0004 int64
+		zb0004, bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "StateAge")
+			return
+		}
+		z.StateAge = Age(zb0004)
 	}
 	o = bts
 	return
--- a/vmwire/upstreams.go
+++ b/vmwire/upstreams.go
@@ -19,8 +19,8 @@
 	// Limited is set if there is a rate limit, and PerSecond is its number of requests per second.
 	Limited   bool
 	PerSecond float64
-	// AgeMillis is the time since the answer arrived, in milliseconds.
-	AgeMillis int64
+	// Age is the time since the answer arrived.
+	Age Age
 	// Brittle is set if the upstream is brittle, and MaxRefusals is the number of refusals in a second that it bears.
 	Brittle     bool
 	MaxRefusals float64
@@ -33,6 +33,6 @@
 type UpstreamLoss struct {
 	Upstream string
 	Born     int64
-	// AgeMillis is the time since the first attempt that failed, in milliseconds.
-	AgeMillis int64
+	// Age is the time since the first attempt that failed.
+	Age Age
 }
--- a/vmwire/upstreams_gen.go
+++ b/vmwire/upstreams_gen.go
@@ -48,9 +48,9 @@
 		err = msgp.WrapError(err, "PerSecond")
 		return
 	}
-	z.AgeMillis, err = dc.ReadInt64()
+	err = z.Age.DecodeMsg(dc)
 	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
+		err = msgp.WrapError(err, "Age")
 		return
 	}
 	z.Brittle, err = dc.ReadBool()
@@ -98,9 +98,9 @@
 		err = msgp.WrapError(err, "PerSecond")
 		return
 	}
-	err = en.WriteInt64(z.AgeMillis)
+	err = z.Age.EncodeMsg(en)
 	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
+		err = msgp.WrapError(err, "Age")
 		return
 	}
 	err = en.WriteBool(z.Brittle)
@@ -130,7 +130,11 @@
 	o = msgp.AppendInt64(o, z.Born)
 	o = msgp.AppendBool(o, z.Limited)
 	o = msgp.AppendFloat64(o, z.PerSecond)
-	o = msgp.AppendInt64(o, z.AgeMillis)
+	o, err = z.Age.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
 	o = msgp.AppendBool(o, z.Brittle)
 	o = msgp.AppendFloat64(o, z.MaxRefusals)
 	o = msgp.AppendBool(o, z.Leaving)
@@ -169,9 +173,9 @@
 		err = msgp.WrapError(err, "PerSecond")
 		return
 	}
-	z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	bts, err = z.Age.UnmarshalMsg(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
+		err = msgp.WrapError(err, "Age")
 		return
 	}
 	z.Brittle, bts, err = msgp.ReadBoolBytes(bts)
@@ -195,7 +199,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *UpstreamLimit) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Upstream) + msgp.Int64Size + msgp.BoolSize + msgp.Float64Size + msgp.Int64Size + msgp.BoolSize + msgp.Float64Size + msgp.BoolSize
+	s = 1 + msgp.StringPrefixSize + len(z.Upstream) + msgp.Int64Size + msgp.BoolSize + msgp.Float64Size + z.Age.Msgsize() + msgp.BoolSize + msgp.Float64Size + msgp.BoolSize
 	return
 }
 
@@ -351,16 +355,16 @@
 		err = msgp.WrapError(err, "Born")
 		return
 	}
-	z.AgeMillis, err = dc.ReadInt64()
+	err = z.Age.DecodeMsg(dc)
 	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
+		err = msgp.WrapError(err, "Age")
 		return
 	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z UpstreamLoss) EncodeMsg(en *msgp.Writer) (err error) {
+func (z *UpstreamLoss) EncodeMsg(en *msgp.Writer) (err error) {
 	// array header, size 3
 	err = en.Append(0x93)
 	if err != nil {
@@ -376,22 +380,26 @@
 		err = msgp.WrapError(err, "Born")
 		return
 	}
-	err = en.WriteInt64(z.AgeMillis)
+	err = z.Age.EncodeMsg(en)
 	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
+		err = msgp.WrapError(err, "Age")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z UpstreamLoss) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *UpstreamLoss) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// array header, size 3
 	o = append(o, 0x93)
 	o = msgp.AppendString(o, z.Upstream)
 	o = msgp.AppendInt64(o, z.Born)
-	o = msgp.AppendInt64(o, z.AgeMillis)
+	o, err = z.Age.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
 	return
 }
 
@@ -417,9 +425,9 @@
 		err = msgp.WrapError(err, "Born")
 		return
 	}
-	z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	bts, err = z.Age.UnmarshalMsg(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
+		err = msgp.WrapError(err, "Age")
 		return
 	}
 	o = bts
@@ -427,7 +435,7 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z UpstreamLoss) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Upstream) + msgp.Int64Size + msgp.Int64Size
+func (z *UpstreamLoss) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Upstream) + msgp.Int64Size + z.Age.Msgsize()
 	return
 }
--- a/vmwire/versions.go
+++ b/vmwire/versions.go
@@ -35,14 +35,14 @@
 // ServiceVersions are the software versions of a service.
 type ServiceVersions struct {
 	Service string
-	// KnownMillis is the time for which the sender has known all versions, in milliseconds.
-	KnownMillis int64
-	Versions    []SeenVersion
+	// KnownAge is the time for which the sender has known all versions.
+	KnownAge Age
+	Versions []SeenVersion
 }
 
 // SeenVersion is a software version.
 type SeenVersion struct {
 	Version string
-	// AgeMillis is the time since an upstream last had the version, in milliseconds.
-	AgeMillis int64
+	// Age is the time since an upstream last had the version.
+	Age Age
 }
--- a/vmwire/versions_gen.go
+++ b/vmwire/versions_gen.go
@@ -33,16 +33,16 @@
 		err = msgp.WrapError(err, "Version")
 		return
 	}
-	z.AgeMillis, err = dc.ReadInt64()
+	err = z.Age.DecodeMsg(dc)
 	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
+		err = msgp.WrapError(err, "Age")
 		return
 	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z SeenVersion) EncodeMsg(en *msgp.Writer) (err error) {
+func (z *SeenVersion) EncodeMsg(en *msgp.Writer) (err error) {
 	// array header, size 2
 	err = en.Append(0x92)
 	if err != nil {
@@ -53,21 +53,25 @@
 		err = msgp.WrapError(err, "Version")
 		return
 	}
-	err = en.WriteInt64(z.AgeMillis)
+	err = z.Age.EncodeMsg(en)
 	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
+		err = msgp.WrapError(err, "Age")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z SeenVersion) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *SeenVersion) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// array header, size 2
 	o = append(o, 0x92)
 	o = msgp.AppendString(o, z.Version)
-	o = msgp.AppendInt64(o, z.AgeMillis)
+	o, err = z.Age.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
 	return
 }
 
@@ -88,9 +92,9 @@
 		err = msgp.WrapError(err, "Version")
 		return
 	}
-	z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	bts, err = z.Age.UnmarshalMsg(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
+		err = msgp.WrapError(err, "Age")
 		return
 	}
 	o = bts
@@ -98,8 +102,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z SeenVersion) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Version) + msgp.Int64Size
+func (z *SeenVersion) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Version) + z.Age.Msgsize()
 	return
 }
 
@@ -124,9 +128,9 @@
 		err = msgp.WrapError(err, "Service")
 		return
 	}
-	z.KnownMillis, err = dc.ReadInt64()
+	err = z.KnownAge.DecodeMsg(dc)
 	if err != nil {
-		err = msgp.WrapError(err, "KnownMillis")
+		err = msgp.WrapError(err, "KnownAge")
 		return
 	}
 	var zb0002 uint32
@@ -164,9 +168,9 @@
 			err = msgp.WrapError(err, "Versions", za0001, "Version")
 			return
 		}
-		z.Versions[za0001].AgeMillis, err = dc.ReadInt64()
+		err = z.Versions[za0001].Age.DecodeMsg(dc)
 		if err != nil {
-			err = msgp.WrapError(err, "Versions", za0001, "AgeMillis")
+			err = msgp.WrapError(err, "Versions", za0001, "Age")
 			return
 		}
 	}
@@ -185,9 +189,9 @@
 		err = msgp.WrapError(err, "Service")
 		return
 	}
-	err = en.WriteInt64(z.KnownMillis)
+	err = z.KnownAge.EncodeMsg(en)
 	if err != nil {
-		err = msgp.WrapError(err, "KnownMillis")
+		err = msgp.WrapError(err, "KnownAge")
 		return
 	}
 	err = en.WriteArrayHeader(uint32(len(z.Versions)))
@@ -206,9 +210,9 @@
 			err = msgp.WrapError(err, "Versions", za0001, "Version")
 			return
 		}
-		err = en.WriteInt64(z.Versions[za0001].AgeMillis)
+		err = z.Versions[za0001].Age.EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Versions", za0001, "AgeMillis")
+			err = msgp.WrapError(err, "Versions", za0001, "Age")
 			return
 		}
 	}
@@ -221,13 +225,21 @@
 	// array header, size 3
 	o = append(o, 0x93)
 	o = msgp.AppendString(o, z.Service)
-	o = msgp.AppendInt64(o, z.KnownMillis)
+	o, err = z.KnownAge.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "KnownAge")
+		return
+	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Versions)))
 	for za0001 := range z.Versions {
 		// array header, size 2
 		o = append(o, 0x92)
 		o = msgp.AppendString(o, z.Versions[za0001].Version)
-		o = msgp.AppendInt64(o, z.Versions[za0001].AgeMillis)
+		o, err = z.Versions[za0001].Age.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Versions", za0001, "Age")
+			return
+		}
 	}
 	return
 }
@@ -249,9 +261,9 @@
 		err = msgp.WrapError(err, "Service")
 		return
 	}
-	z.KnownMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	bts, err = z.KnownAge.UnmarshalMsg(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "KnownMillis")
+		err = msgp.WrapError(err, "KnownAge")
 		return
 	}
 	var zb0002 uint32
@@ -285,9 +297,9 @@
 			err = msgp.WrapError(err, "Versions", za0001, "Version")
 			return
 		}
-		z.Versions[za0001].AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+		bts, err = z.Versions[za0001].Age.UnmarshalMsg(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Versions", za0001, "AgeMillis")
+			err = msgp.WrapError(err, "Versions", za0001, "Age")
 			return
 		}
 	}
@@ -297,9 +309,9 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ServiceVersions) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.Int64Size + msgp.ArrayHeaderSize
+	s = 1 + msgp.StringPrefixSize + len(z.Service) + z.KnownAge.Msgsize() + msgp.ArrayHeaderSize
 	for za0001 := range z.Versions {
-		s += 1 + msgp.StringPrefixSize + len(z.Versions[za0001].Version) + msgp.Int64Size
+		s += 1 + msgp.StringPrefixSize + len(z.Versions[za0001].Version) + z.Versions[za0001].Age.Msgsize()
 	}
 	return
 }
