source: read the parts of many changes without a pause

A VM that has been cut off refuses requests with keys until it has read all changes.

Before: TestPartsOfChangesAreReadAtOnce, a pause of 200 ms after a part.

--- a/source/source.go
+++ b/source/source.go
@@ -82,6 +82,8 @@
 	// position; otherwise the next read fetches all items.
 	position Position
 	synced   bool
+	// incomplete is set if the latest answer held only a part of the changes, so that the next read follows at once.
+	incomplete bool
 	// storeReturnedAt is the time of the latest answer that ended a store outage, zero if there was none.
 	storeReturnedAt time.Time
 	evacuated       map[string]bool
@@ -125,10 +127,16 @@
 			continue
 		}
 		backoff = minBackoff
-		if s.position != position {
-			sleep(ctx, began.Add(minReadInterval).Sub(s.Now()))
-		}
+		sleep(ctx, s.readPause(began, position))
+	}
+}
+
+// readPause returns the time until the next read. The latest one began at a time and a position.
+func (s *Watcher) readPause(began time.Time, position Position) time.Duration {
+	if s.position == position || s.incomplete {
+		return 0
 	}
+	return max(0, began.Add(minReadInterval).Sub(s.Now()))
 }
 
 func (s *Watcher) init() {
@@ -199,6 +207,7 @@
 	noProgress := !r.Direct && s.synced && len(a.Events) == 0 && s.Now().Sub(a.KnownAt) > s.WatchTimeout
 	s.recordStoreReturn(a.StoreReturnedAt)
 	s.applyAnswer(a)
+	s.incomplete = len(a.Events) > 0 && a.KnownAt.IsZero()
 	if noProgress {
 		return errNoProgress
 	}
@@ -416,6 +425,9 @@
 }
 
 func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/source/source_test.go
+++ b/source/source_test.go
@@ -235,3 +235,24 @@
 		t.Errorf("error %v, configuration %v", err, ts.Table())
 	}
 }
+
+// Guards against a VM that is behind and waits between the parts of the changes, while it refuses requests with keys.
+func TestPartsOfChangesAreReadAtOnce(t *testing.T) {
+	ts := newSource(t, rangeJSON(5))
+	ts.readTimes(1)
+	part := Answer{Page: platform.Page{Revision: 6, Events: []platform.Item{{Key: "k", Revision: 6}}}}
+	last := Answer{Page: platform.Page{Revision: 7, Events: []platform.Item{{Key: "k", Revision: 7}}}, KnownAt: ts.now}
+	for _, c := range []struct {
+		answer Answer
+		want   time.Duration
+	}{{part, 0}, {last, minReadInterval}} {
+		position := ts.position
+		reader := Reader{Watch: func(context.Context, Position, time.Duration) (Answer, error) { return c.answer, nil }}
+		if err := ts.readFrom(t.Context(), reader, false); err != nil {
+			t.Fatal(err)
+		}
+		if pause := ts.readPause(ts.now, position); pause != c.want {
+			t.Errorf("pause of %v after revision %d, want %v", pause, c.answer.Revision, c.want)
+		}
+	}
+}
