edge: ask other VMs before a stream is bound to the only known version

It can happen here: a stream that a caller resumes was bound to the only version in this VM's registrations before any other VM was asked, whatever the age of the registrations.

Other VMs are asked first: eight of the region, and those of other regions with sessions, for 250 ms at most. Their replies carry the versions that they know. A VM that gets no reply although it has just heard of others, or whose registrations are old, refuses the stream.

Before: TestCallerResumesAtVMOutOfStep, three of four cases go on at the wrong version. After: it passes. Ruled out: versions lost within one answer.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -59,7 +59,7 @@
 	leavingSince atomic.Int64
 }
 
-// keyFreshnessShare is the maximum age of the known keys, as a share of the revocation bound. The rest of the
+// keyFreshnessShare is the maximum age of the known state of the store, as a share of the revocation bound. The rest of the
 // bound covers the delay of the store's answers.
 const keyFreshnessShare = 0.7
 
@@ -71,9 +71,11 @@
 func (e *Edge) table() *route.Table { return e.Watcher.Table() }
 
 // keysFresh reports whether the known keys are recent enough to honor the revocation bound.
-func (e *Edge) keysFresh(now time.Time) bool {
-	limit := time.Duration(keyFreshnessShare * float64(e.Settings.Bounds.RevocationDelay))
-	return now.Sub(e.Watcher.FreshAt()) <= limit
+func (e *Edge) keysFresh(now time.Time) bool { return now.Sub(e.Watcher.FreshAt()) <= e.maxStateAge() }
+
+// maxStateAge returns the age up to which the known state of the store counts as current.
+func (e *Edge) maxStateAge() time.Duration {
+	return time.Duration(keyFreshnessShare * float64(e.Settings.Bounds.RevocationDelay))
 }
 
 // isLeaving reports whether the VM is shutting down, and for how long.
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -1,11 +1,14 @@
 package edge
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"parsleyhatch/event"
+	"parsleyhatch/fleet"
 	"parsleyhatch/platform"
 	"parsleyhatch/replica"
 	"parsleyhatch/version"
@@ -23,6 +26,9 @@
 	streamHolders = 3
 	// streamQueryTimeout bounds the question to other VMs for the version of a stream. It exceeds a round trip between regions.
 	streamQueryTimeout = 250 * time.Millisecond
+	// maxStreamQueries is the number of VMs of this region that are asked. It exceeds streamHolders, since VMs may know different
+	// members of the region.
+	maxStreamQueries = 8
 )
 
 // streamVersion is the software version that a stream is bound to.
@@ -56,18 +62,23 @@
 
 // reportStream sends the version of a stream to streamHolders VMs of this region, since this one may end.
 func (e *Edge) reportStream(now time.Time, m *vmwire.StreamBegan) {
+	for _, slot := range e.rendezvousVMs(now, m.RequestID, streamHolders) {
+		e.Fleet.SendTo(slot, vmwire.KindStreamBegan, m)
+	}
+}
+
+// rendezvousVMs returns the n ready VMs of this region that rendezvous hashing orders first for a request.
+func (e *Edge) rendezvousVMs(now time.Time, id string, n int) []string {
 	ready := e.Fleet.ReadyMembers(now, e.Settings.Region)
-	key := replica.NameKey(m.RequestID)
-	for range min(streamHolders, len(ready)) {
-		best := 0
-		for i := range ready {
-			if replica.RendezvousWeight(key, ready[i].Slot) > replica.RendezvousWeight(key, ready[best].Slot) {
-				best = i
-			}
-		}
-		e.Fleet.SendTo(ready[best].Slot, vmwire.KindStreamBegan, m)
-		ready = append(ready[:best], ready[best+1:]...)
+	key := replica.NameKey(id)
+	slices.SortFunc(ready, func(a, b fleet.Member) int {
+		return cmp.Compare(replica.RendezvousWeight(key, b.Slot), replica.RendezvousWeight(key, a.Slot))
+	})
+	var slots []string
+	for _, m := range ready[:min(n, len(ready))] {
+		slots = append(slots, m.Slot)
 	}
+	return slots
 }
 
 // earliestStart returns the earliest time at which a stream that a caller resumes may have begun.
@@ -86,33 +97,45 @@
 		return Outcome{}, true
 	}
 	r.resumedByCaller = true
-	now := e.Now()
 	id := r.header.Get(platform.HeaderResumes)
-	found, ok := e.Streams.Find(now, id)
-	if !ok || id == "" {
-		found.Version, ok = e.Watcher.Versions.Only(r.service.Name, e.earliestStart(now, r))
-		found.Service = r.service.Name
-	}
-	if !ok && id != "" {
-		found, ok = e.askStream(ctx, id)
-	}
+	found, ok := e.findStream(ctx, r, id)
 	if !ok || found.Service != r.service.Name {
 		event.StreamVersionUnknown.Log(e.Log, "request", r.id, "resumes", id, "service", r.service.Name)
 		return refuse(VersionUnknown, "no vm knows the version of the upstream that began the stream", defaultRetryAfter), false
 	}
 	r.streamVersion = streamVersion{bound: true, version: found.Version}
 	if id != "" {
-		e.Streams.Add(now, id, found)
+		e.Streams.Add(e.Now(), id, found)
 	}
 	return Outcome{}, true
 }
 
-// askStream asks the other VMs for the version of a stream, and returns the first reply that has it.
-func (e *Edge) askStream(ctx context.Context, id string) (version.Stream, bool) {
+// findStream returns the stream that an attempt of a caller began. If no VM knows the attempt, it is the only version that has served;
+// other VMs are asked first, since this one may not know yet of a version that has joined.
+func (e *Edge) findStream(ctx context.Context, r *request, id string) (version.Stream, bool) {
+	if id != "" {
+		if found, ok := e.Streams.Find(e.Now(), id); ok {
+			return found, true
+		}
+	}
+	found, ok, confirmed := e.askStream(ctx, id, r.service.Name)
+	if ok {
+		return found, true
+	}
+	if !confirmed {
+		return version.Stream{}, false
+	}
+	only, ok := e.Watcher.Versions.Only(r.service.Name, e.earliestStart(e.Now(), r))
+	return version.Stream{Service: r.service.Name, Version: only}, ok
+}
+
+// askStream asks other VMs for the version of a stream, and returns the first reply that has it. If none has it, confirmed
+// reports whether all versions that have served are known, with what the replies added.
+func (e *Edge) askStream(ctx context.Context, id, service string) (found version.Stream, ok, confirmed bool) {
 	replies := make(chan vmwire.StreamReply, maxStreamReplies)
 	e.queries.mu.Lock()
 	e.queries.last++
-	query := &vmwire.StreamQuery{ID: e.queries.last, RequestID: id}
+	query := &vmwire.StreamQuery{ID: e.queries.last, RequestID: id, Service: service}
 	e.queries.pending[query.ID] = replies
 	e.queries.mu.Unlock()
 	defer func() {
@@ -122,17 +145,55 @@
 	}()
 	ctx, cancel := context.WithTimeout(ctx, streamQueryTimeout)
 	defer cancel()
-	for asked := e.Fleet.Broadcast(vmwire.KindStreamQuery, query, false); asked > 0; asked-- {
+	knownAt, replied := e.Watcher.FreshAt(), false
+	for asked := e.sendStreamQuery(query); asked > 0; asked-- {
 		select {
 		case <-ctx.Done():
-			return version.Stream{}, false
+			asked = 0
 		case reply := <-replies:
 			if reply.Found {
-				return version.Stream{Service: reply.Service, Version: reply.Version}, true
+				return version.Stream{Service: reply.Service, Version: reply.Version}, true, true
 			}
+			replied, knownAt = true, latest(knownAt, e.mergeReply(service, reply))
 		}
 	}
-	return version.Stream{}, false
+	return version.Stream{}, false, e.versionsConfirmed(e.Now(), replied, knownAt)
+}
+
+// versionsConfirmed reports whether all versions are known, if they are known up to a time. replied is set if another VM has added
+// what it knows; if none did although there are others, this VM may be cut off.
+func (e *Edge) versionsConfirmed(now time.Time, replied bool, knownAt time.Time) bool {
+	if knownAt.IsZero() || now.Sub(knownAt) > e.maxStateAge() {
+		return false
+	}
+	return replied || !e.Fleet.SeenSince(now.Add(-e.maxStateAge()))
+}
+
+// sendStreamQuery sends a query to the VMs of this region that keep the stream if they know it, and to those of other regions with
+// which this one has sessions. It returns their number.
+func (e *Edge) sendStreamQuery(query *vmwire.StreamQuery) int {
+	asked := e.Fleet.SendToOtherRegions(vmwire.KindStreamQuery, query)
+	for _, slot := range e.rendezvousVMs(e.Now(), query.RequestID, maxStreamQueries) {
+		if e.Fleet.SendTo(slot, vmwire.KindStreamQuery, query) {
+			asked++
+		}
+	}
+	return asked
+}
+
+// mergeReply adds the versions that another VM knows, and returns the time up to which it knows them.
+func (e *Edge) mergeReply(service string, reply vmwire.StreamReply) time.Time {
+	now := e.Now()
+	k := version.Knowledge{Service: service, Since: now, Seen: seenVersions(now, reply.Seen)}
+	e.Watcher.Versions.Merge(k)
+	return reply.KnownAge.Moment(now)
+}
+
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
 }
 
 // maxStreamReplies bounds the replies to a question that are kept.
@@ -140,8 +201,16 @@
 
 // answerStreamQuery answers the question of another VM for the version of a stream.
 func (e *Edge) answerStreamQuery(s *vm.Session, m *vmwire.StreamQuery) {
-	found, ok := e.Streams.Find(e.Now(), m.RequestID)
-	s.SendControl(vmwire.KindStreamReply, &vmwire.StreamReply{ID: m.ID, Found: ok, Service: found.Service, Version: found.Version})
+	now := e.Now()
+	found, ok := e.Streams.Find(now, m.RequestID)
+	reply := &vmwire.StreamReply{ID: m.ID, Found: ok && m.RequestID != "", Service: found.Service, Version: found.Version}
+	reply.KnownAge = vmwire.AgeOf(now, e.Watcher.FreshAt())
+	for _, k := range e.Watcher.Versions.Knowledge(now) {
+		if k.Service == m.Service {
+			reply.Seen = toSeenVersions(now, k.Seen)
+		}
+	}
+	s.SendControl(vmwire.KindStreamReply, reply)
 }
 
 func (e *Edge) receiveStreamReply(m vmwire.StreamReply) {
@@ -158,11 +227,9 @@
 	now := e.Now()
 	m := &vmwire.VersionKnowledge{}
 	for _, k := range e.Watcher.Versions.Knowledge(now) {
-		service := vmwire.ServiceVersions{Service: k.Service, KnownAge: vmwire.AgeOf(now, k.Since)}
-		for _, seen := range k.Seen {
-			service.Versions = append(service.Versions, vmwire.SeenVersion{Version: seen.Version, Age: vmwire.AgeOf(now, seen.LastAt)})
-		}
-		m.Services = append(m.Services, service)
+		m.Services = append(m.Services, vmwire.ServiceVersions{
+			Service: k.Service, KnownAge: vmwire.AgeOf(now, k.Since), Versions: toSeenVersions(now, k.Seen),
+		})
 	}
 	if len(m.Services) > 0 {
 		s.SendControl(vmwire.KindVersionKnowledge, m)
@@ -172,10 +239,26 @@
 // receiveVersions adds what another VM knows of the versions of services.
 func (e *Edge) receiveVersions(now time.Time, m *vmwire.VersionKnowledge) {
 	for _, service := range m.Services {
-		k := version.Knowledge{Service: service.Service, Since: now.Add(-service.KnownAge.Duration())}
-		for _, seen := range service.Versions {
-			k.Seen = append(k.Seen, version.Seen{Version: seen.Version, LastAt: now.Add(-seen.Age.Duration())})
+		since := service.KnownAge.Moment(now)
+		if since.IsZero() {
+			since = now
 		}
-		e.Watcher.Versions.Merge(k)
+		e.Watcher.Versions.Merge(version.Knowledge{Service: service.Service, Since: since, Seen: seenVersions(now, service.Versions)})
+	}
+}
+
+func toSeenVersions(now time.Time, list []version.Seen) []vmwire.SeenVersion {
+	var versions []vmwire.SeenVersion
+	for _, seen := range list {
+		versions = append(versions, vmwire.SeenVersion{Version: seen.Version, Age: vmwire.AgeOf(now, seen.LastAt)})
+	}
+	return versions
+}
+
+func seenVersions(now time.Time, list []vmwire.SeenVersion) []version.Seen {
+	var versions []version.Seen
+	for _, seen := range list {
+		versions = append(versions, version.Seen{Version: seen.Version, LastAt: now.Add(-seen.Age.Duration())})
 	}
+	return versions
 }
--- a/edge/versions_test.go
+++ b/edge/versions_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"strings"
 	"sync"
@@ -13,6 +14,8 @@
 	"parsleyhatch/platform"
 	"parsleyhatch/replica"
 	"parsleyhatch/version"
+	"parsleyhatch/vm"
+	"parsleyhatch/vmwire"
 )
 
 // versionedUpstream is an upstream whose events name its software version.
@@ -135,8 +138,8 @@
 			endFirst := sync.OnceFunc(func() { close(cut) })
 			w.addVersion("first", "v1", c.firstRegion, cut)
 			t.Cleanup(endFirst) // An upstream's server waits for its handlers.
-			for _, vm := range w.vms {
-				w.waitFor("the first upstream is known", func() bool { return vm.Watcher.UpstreamCount("plain", c.firstRegion) == 1 })
+			for _, other := range w.vms {
+				w.waitFor("the first upstream is known", func() bool { return other.Watcher.UpstreamCount("plain", c.firstRegion) == 1 })
 			}
 			if c.firstRegion == "south" {
 				w.waitFor("the south reports a wait", func() bool {
@@ -159,9 +162,9 @@
 				w.addVersion("other", "v1", c.otherV1, nil)
 				count[c.otherV1]++
 			}
-			for _, vm := range w.vms {
+			for _, other := range w.vms {
 				w.waitFor("the upstreams are known", func() bool {
-					return vm.Watcher.UpstreamCount("plain", "north") == count["north"] && vm.Watcher.UpstreamCount("plain", "south") == count["south"]
+					return other.Watcher.UpstreamCount("plain", "north") == count["north"] && other.Watcher.UpstreamCount("plain", "south") == count["south"]
 				})
 			}
 			time.Sleep(600 * time.Millisecond) // VMs report waits to other regions each half second.
@@ -264,8 +267,8 @@
 			far := w.startVM("vm2", "south", true)
 			w.waitForMembership()
 			w.addVersion("u1", "v1", region, nil)
-			for _, vm := range w.vms {
-				w.waitFor("the upstream is known", func() bool { return vm.Watcher.UpstreamCount("plain", region) == 1 })
+			for _, other := range w.vms {
+				w.waitFor("the upstream is known", func() bool { return other.Watcher.UpstreamCount("plain", region) == 1 })
 			}
 			v.Streams.Add(v.Now(), "earlier", version.Stream{Service: "plain", Version: "v1"})
 			busy := map[string]replica.Use{"u1": {Running: 25}}
@@ -285,3 +288,52 @@
 		})
 	}
 }
+
+// Guards against a stream that goes on at another software version because the VM at which its caller resumes it does not know yet
+// that a second version has joined, and against a refusal where only one has served.
+func TestCallerResumesAtVMOutOfStep(t *testing.T) {
+	second := version.Knowledge{Service: "plain", Seen: []version.Seen{{Version: "v2"}}}
+	for name, c := range map[string]struct {
+		// prepare lets another VM know what the first one does not know.
+		prepare func(v, other *testVM)
+		want    int
+	}{
+		"one version has served": {func(_, _ *testVM) {}, http.StatusOK},
+		"another VM knows the stream": {func(_, other *testVM) {
+			other.Streams.Add(other.Now(), "earlier", version.Stream{Service: "plain", Version: "v2"})
+		}, http.StatusServiceUnavailable},
+		"another VM knows the version": {func(_, other *testVM) {
+			second.Since, second.Seen[0].LastAt = other.Now(), other.Now()
+			other.Watcher.Versions.Merge(second)
+		}, http.StatusServiceUnavailable},
+		"no other VM replies": {func(v, other *testVM) {
+			other.cancel()
+			v.joinSilently(t)
+		}, http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newVersionCluster(t)
+			w.addVersion("old", "v1", "north", nil).register(w, time.Now().Add(-time.Hour).UnixMilli())
+			v, other := w.startVM("vm1", "north", true), w.startVM("vm2", "north", true)
+			w.waitForMembership()
+			c.prepare(v, other)
+			if status, body := v.resumeStream(t, "earlier", 3); status != c.want {
+				t.Errorf("answer %d %q, want status %d", status, body, c.want)
+			}
+		})
+	}
+}
+
+// joinSilently makes the VM know another one that replies to nothing, as behind a cut that has just begun.
+func (v *testVM) joinSilently(t *testing.T) {
+	t.Helper()
+	e := vm.NewInsecureEndpoint(vm.Identity{Slot: "silent", Region: "north", Incarnation: 1}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	s, err := e.Dial(t.Context(), v.Settings.PeerListen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.Close(nil) })
+	s.SendControl(vmwire.KindPresence, &vmwire.Presence{Address: "127.0.0.1:1", CallerAddress: "127.0.0.1:2", Flags: vmwire.FlagReady})
+	time.Sleep(50 * time.Millisecond) // The presence arrives.
+}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -253,6 +253,18 @@
 	return version, settled
 }
 
+// SeenSince reports whether a presence of any other VM has arrived since a time.
+func (f *Fleet) SeenSince(since time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.members {
+		if m.LastPresenceAt.After(since) {
+			return true
+		}
+	}
+	return false
+}
+
 // FoundNone reports whether this VM knows the address of another VM, or of a seed, but has received nothing from any.
 func (f *Fleet) FoundNone() bool {
 	f.mu.Lock()
@@ -288,6 +300,17 @@
 	return sent
 }
 
+// SendToOtherRegions sends a message over the sessions with VMs of other regions, and returns their number.
+func (f *Fleet) SendToOtherRegions(kind uint8, m msgp.Marshaler) int {
+	sent := 0
+	for _, slot := range f.connectedSlots() {
+		if s := f.session(slot); s != nil && f.remote(s) && s.SendControl(kind, m) {
+			sent++
+		}
+	}
+	return sent
+}
+
 // SendTo sends a message to a VM. It reports false if the VM did not take it.
 func (f *Fleet) SendTo(slot string, kind uint8, m msgp.Marshaler) bool {
 	s := f.session(slot)
--- a/vmwire/versions.go
+++ b/vmwire/versions.go
@@ -13,10 +13,13 @@
 	Version   string
 }
 
-// StreamQuery asks for the version of the stream that an attempt of a caller began. ID is returned in the reply.
+// StreamQuery asks for the version of the stream of a service that an attempt of a caller began, and for the versions that have served.
+// ID is returned in the reply.
 type StreamQuery struct {
-	ID        uint64
+	ID uint64
+	// RequestID identifies the attempt. It is empty if the caller has not named one.
 	RequestID string
+	Service   string
 }
 
 // StreamReply is the reply to StreamQuery.
@@ -25,6 +28,9 @@
 	Found   bool
 	Service string
 	Version string
+	// Seen are the versions of the service that the sender knows of, up to the moment with the age KnownAge.
+	Seen     []SeenVersion
+	KnownAge Age
 }
 
 // VersionKnowledge is what the sender knows of the software versions that have served.
--- a/vmwire/versions_gen.go
+++ b/vmwire/versions_gen.go
@@ -435,8 +435,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.ID, err = dc.ReadUint64()
@@ -449,13 +449,18 @@
 		err = msgp.WrapError(err, "RequestID")
 		return
 	}
+	z.Service, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z StreamQuery) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 2
-	err = en.Append(0x92)
+	// array header, size 3
+	err = en.Append(0x93)
 	if err != nil {
 		return
 	}
@@ -469,16 +474,22 @@
 		err = msgp.WrapError(err, "RequestID")
 		return
 	}
+	err = en.WriteString(z.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z StreamQuery) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendUint64(o, z.ID)
 	o = msgp.AppendString(o, z.RequestID)
+	o = msgp.AppendString(o, z.Service)
 	return
 }
 
@@ -490,8 +501,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
@@ -504,13 +515,18 @@
 		err = msgp.WrapError(err, "RequestID")
 		return
 	}
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z StreamQuery) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.RequestID)
+	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.RequestID) + msgp.StringPrefixSize + len(z.Service)
 	return
 }
 
@@ -526,8 +542,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.ID, err = dc.ReadUint64()
@@ -550,13 +566,59 @@
 		err = msgp.WrapError(err, "Version")
 		return
 	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Seen")
+		return
+	}
+	if zb0002 > z405979c1limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Seen) >= int(zb0002) {
+		z.Seen = (z.Seen)[:zb0002]
+	} else {
+		z.Seen = make([]SeenVersion, zb0002)
+	}
+	for za0001 := range z.Seen {
+		var zb0003 uint32
+		zb0003, err = dc.ReadArrayHeader()
+		if err != nil {
+			err = msgp.WrapError(err, "Seen", za0001)
+			return
+		}
+		if zb0003 > z405979c1limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		if zb0003 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+			return
+		}
+		z.Seen[za0001].Version, err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err, "Seen", za0001, "Version")
+			return
+		}
+		err = z.Seen[za0001].Age.DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Seen", za0001, "Age")
+			return
+		}
+	}
+	err = z.KnownAge.DecodeMsg(dc)
+	if err != nil {
+		err = msgp.WrapError(err, "KnownAge")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *StreamReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 4
-	err = en.Append(0x94)
+	// array header, size 6
+	err = en.Append(0x96)
 	if err != nil {
 		return
 	}
@@ -580,18 +642,61 @@
 		err = msgp.WrapError(err, "Version")
 		return
 	}
+	err = en.WriteArrayHeader(uint32(len(z.Seen)))
+	if err != nil {
+		err = msgp.WrapError(err, "Seen")
+		return
+	}
+	for za0001 := range z.Seen {
+		// array header, size 2
+		err = en.Append(0x92)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Seen[za0001].Version)
+		if err != nil {
+			err = msgp.WrapError(err, "Seen", za0001, "Version")
+			return
+		}
+		err = z.Seen[za0001].Age.EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Seen", za0001, "Age")
+			return
+		}
+	}
+	err = z.KnownAge.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "KnownAge")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *StreamReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendUint64(o, z.ID)
 	o = msgp.AppendBool(o, z.Found)
 	o = msgp.AppendString(o, z.Service)
 	o = msgp.AppendString(o, z.Version)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Seen)))
+	for za0001 := range z.Seen {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Seen[za0001].Version)
+		o, err = z.Seen[za0001].Age.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Seen", za0001, "Age")
+			return
+		}
+	}
+	o, err = z.KnownAge.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "KnownAge")
+		return
+	}
 	return
 }
 
@@ -603,8 +708,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
@@ -627,13 +732,59 @@
 		err = msgp.WrapError(err, "Version")
 		return
 	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Seen")
+		return
+	}
+	if zb0002 > z405979c1limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Seen) >= int(zb0002) {
+		z.Seen = (z.Seen)[:zb0002]
+	} else {
+		z.Seen = make([]SeenVersion, zb0002)
+	}
+	for za0001 := range z.Seen {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Seen", za0001)
+			return
+		}
+		if zb0003 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+			return
+		}
+		z.Seen[za0001].Version, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Seen", za0001, "Version")
+			return
+		}
+		bts, err = z.Seen[za0001].Age.UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Seen", za0001, "Age")
+			return
+		}
+	}
+	bts, err = z.KnownAge.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "KnownAge")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *StreamReply) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.BoolSize + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Version)
+	s = 1 + msgp.Uint64Size + msgp.BoolSize + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Version) + msgp.ArrayHeaderSize
+	for za0001 := range z.Seen {
+		s += 1 + msgp.StringPrefixSize + len(z.Seen[za0001].Version) + z.Seen[za0001].Age.Msgsize()
+	}
+	s += z.KnownAge.Msgsize()
 	return
 }
 
