--- a/edge/events.go
+++ b/edge/events.go
@@ -19,6 +19,9 @@
 	maxEventBytes = 128 << 10
 )
 
+// eventEnd separates the events of a stream.
+var eventEnd = []byte("\n\n")
+
 var errEventTooLong = errors.New("event of a stream is too long")
 
 // relayEventStream relays the events of a stream to the sink, each as soon as it is complete.
@@ -130,7 +133,7 @@
 	// The separator may have started in the bytes before data.
 	searched := max(0, len(s.pending)-1)
 	s.pending = append(s.pending, data...)
-	end := bytes.LastIndex(s.pending[searched:], []byte("\n\n"))
+	end := bytes.LastIndex(s.pending[searched:], eventEnd)
 	if end < 0 {
 		if len(s.pending) > maxEventBytes {
 			return errEventTooLong
@@ -138,10 +141,10 @@
 		return nil
 	}
 	end += searched
-	complete := s.pending[:end+2]
+	complete := s.pending[:end+len(eventEnd)]
 	isEvent := hasEvent(complete)
 	if isEvent {
-		s.request.events += bytes.Count(complete, []byte("\n\n"))
+		s.request.events += bytes.Count(complete, eventEnd)
 		s.recordStart()
 	}
 	if id, ok := lastEventID(complete); ok && (s.resumedAfter < 0 || eventNumber([]byte(id)) > s.resumedAfter) {
@@ -160,7 +163,7 @@
 		// Counts from the end of the write: a slow caller does not make the upstream late.
 		s.lastEventAt, s.stall = time.Now(), stall{}
 	}
-	s.pending = append(s.pending[:0], s.pending[end+2:]...)
+	s.pending = append(s.pending[:0], s.pending[end+len(eventEnd):]...)
 	return nil
 }
 
@@ -217,7 +220,7 @@
 		return events
 	}
 	var kept []byte
-	for event := range bytes.SplitAfterSeq(events, []byte("\n\n")) {
+	for event := range bytes.SplitAfterSeq(events, eventEnd) {
 		id, ok := lastEventID(event)
 		if n := eventNumber([]byte(id)); !ok || n < 0 || n > last {
 			kept = append(kept, event...)
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net/http"
@@ -108,11 +109,14 @@
 	resumed bool
 	// runs is the number of upstreams at which the other VM may run the request, including earlier attempts.
 	runs int
+	// events is set if the answer is an event stream, and pending holds the bytes of an incomplete event.
+	events  bool
+	pending []byte
 }
 
 // relayForwarded relays the answer of another VM to the sink.
 func (e *Edge) relayForwarded(ctx context.Context, r *request, slot string, st *vm.Stream, sink *Sink) Outcome {
-	f := &forwardRelay{edge: e, request: r, slot: slot, stream: st, sink: sink, resumed: r.headSent, runs: r.runs + 1}
+	f := &forwardRelay{edge: e, request: r, slot: slot, stream: st, sink: sink, resumed: r.headSent, events: r.headSent, runs: r.runs + 1}
 	for {
 		body, end, err := st.Recv(ctx)
 		switch {
@@ -121,6 +125,8 @@
 			return f.lose(CallerDisconnected, "the caller left or the time was over")
 		case err != nil:
 			return f.lose(VMLost, "vm "+slot+": "+err.Error())
+		case end != nil && len(f.pending) > 0 && Reason(end.Code) == Answered:
+			return f.lose(VMLost, "vm "+slot+": the stream ends inside an event")
 		case end != nil:
 			return e.outcomeOfEnd(r, slot, end)
 		}
@@ -179,21 +185,50 @@
 
 // relayChunk relays one chunk.
 func (f *forwardRelay) relayChunk(c *vmwire.Chunk) error {
-	r := f.request
 	if c.Status != 0 {
-		if f.resumed {
-			return errDuplicateHead
-		}
-		r.headSent = true
-		if c.VersionKnown {
-			f.edge.streamBegan(r, c.Version)
-		}
-		return asSinkError(f.sink.Head(int(c.Status), splitHeader(c.Header), int(c.End)))
+		return f.relayHead(c)
+	}
+	data := c.Data
+	if f.events {
+		data = f.completeEvents(c.Data)
+	}
+	if len(f.pending) > maxEventBytes {
+		return errEventTooLong
+	}
+	if len(data) == 0 {
+		return nil
+	}
+	if id, ok := lastEventID(data); ok && f.request.route.Resumable {
+		f.request.lastEvent = id
 	}
-	if id, ok := lastEventID(c.Data); ok && r.route.Resumable {
-		r.lastEvent = id
+	return asSinkError(f.sink.Data(data, true))
+}
+
+func (f *forwardRelay) relayHead(c *vmwire.Chunk) error {
+	if f.resumed {
+		return errDuplicateHead
+	}
+	header := splitHeader(c.Header)
+	f.request.headSent = true
+	f.events = isEventStream(int(c.Status), header)
+	if c.VersionKnown {
+		f.edge.streamBegan(f.request, c.Version)
+	}
+	return asSinkError(f.sink.Head(int(c.Status), header, int(c.End)))
+}
+
+// completeEvents returns the events that data completes. VMs split long events, and the caller must get no part of an event that
+// another upstream may repeat.
+func (f *forwardRelay) completeEvents(data []byte) []byte {
+	f.pending = append(f.pending, data...)
+	end := bytes.LastIndex(f.pending, eventEnd)
+	if end < 0 {
+		return nil
 	}
-	return asSinkError(f.sink.Data(c.Data, true))
+	end += len(eventEnd)
+	complete := f.pending[:end:end]
+	f.pending = append([]byte(nil), f.pending[end:]...)
+	return complete
 }
 
 func asSinkError(err error) error {
--- a/edge/send.go
+++ b/edge/send.go
@@ -124,7 +124,7 @@
 		return e.handleRefusal(pick, a)
 	}
 	r.runs++
-	if isEventStream(a) {
+	if isEventStream(a.Status, a.Header) {
 		r.switchover.accepted()
 		return e.relayEventStream(ctx, r, pick, a, sink)
 	}
@@ -141,8 +141,8 @@
 	return refuse(UpstreamRefused, "upstream "+pick.ID+" answered "+strconv.Itoa(a.Status), defaultRetryAfter)
 }
 
-func isEventStream(a *upstream.Response) bool {
-	return a.Status == http.StatusOK && strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream")
+func isEventStream(status int, header http.Header) bool {
+	return status == http.StatusOK && strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
 }
 
 // relayBuffered reads an answer completely before it is sent to the caller. Answers that exceed the buffer are
--- a/edge/versions_test.go
+++ b/edge/versions_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"log/slog"
 	"net/http"
 	"strings"
 	"sync"
@@ -14,8 +13,6 @@
 	"parsleyhatch/platform"
 	"parsleyhatch/replica"
 	"parsleyhatch/version"
-	"parsleyhatch/vm"
-	"parsleyhatch/vmwire"
 )
 
 // versionedUpstream is an upstream whose events name its software version.
@@ -308,7 +305,7 @@
 		}, http.StatusServiceUnavailable},
 		"no other VM replies": {func(v, other *testVM) {
 			other.cancel()
-			v.joinSilently(t)
+			v.joinAs(t, "north", nil)
 		}, http.StatusServiceUnavailable},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -324,16 +321,3 @@
 		})
 	}
 }
-
-// joinSilently makes the VM know another one that replies to nothing, as behind a cut that has just begun.
-func (v *testVM) joinSilently(t *testing.T) {
-	t.Helper()
-	e := vm.NewInsecureEndpoint(vm.Identity{Slot: "silent", Region: "north", Incarnation: 1}, slog.New(slog.NewTextHandler(io.Discard, nil)))
-	s, err := e.Dial(t.Context(), v.Settings.PeerListen)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { s.Close(nil) })
-	s.SendControl(vmwire.KindPresence, &vmwire.Presence{Address: "127.0.0.1:1", CallerAddress: "127.0.0.1:2", Flags: vmwire.FlagReady})
-	time.Sleep(50 * time.Millisecond) // The presence arrives.
-}
