edge: continue a stream only after, and with, events that have ids

Before: TestBrokenAnswerGoesOnWithItsStreamOnly fails in eight of eight cases. After: it passes. The status and the type of the next answer were checked before.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -117,7 +117,7 @@
 		return false
 	}
 	if r.headSent {
-		return r.route.Kind == route.Streaming && r.route.Resumable
+		return r.route.Kind == route.Streaming && r.route.Resumable && !r.notResumable
 	}
 	return out.Reason == UpstreamFailed || out.Reason == VMLost
 }
--- a/edge/events.go
+++ b/edge/events.go
@@ -22,13 +22,16 @@
 // eventEnd separates the events of a stream.
 var eventEnd = []byte("\n\n")
 
+// errNotContinued reports that an upstream continues a stream with something that is no event of it.
+var errNotContinued = errors.New("the upstream continues the stream with an event without an id")
+
 var errEventTooLong = errors.New("event of a stream is too long")
 
 // relayEventStream relays the events of a stream to the sink, each as soon as it is complete.
 func (e *Edge) relayEventStream(ctx context.Context, r *request, pick *replica.Pick, a *upstream.Response, sink *Sink) Outcome {
 	s := &eventRelay{ctx: ctx, edge: e, request: r, pick: pick, answer: a, sink: sink, resumedAfter: -1}
-	if r.headSent {
-		s.resumedAfter = eventNumber([]byte(r.lastEvent))
+	if r.headSent && r.lastEvent != "" {
+		s.resumes, s.resumedAfter = true, eventNumber([]byte(r.lastEvent))
 	}
 	err := s.run()
 	now := e.Now()
@@ -48,6 +51,9 @@
 	case ctx.Err() != nil:
 		e.Replicas.Done(now, pick, replica.NoResponse)
 		return fail(TimedOut, "the stream has not ended in time")
+	case errors.Is(err, errNotContinued):
+		e.Replicas.Done(now, pick, replica.Failed)
+		return fail(UpstreamFailed, err.Error())
 	case upstream.IsTimeout(err):
 		// A silent upstream may be sound, so that the request is no suspect.
 		e.Replicas.Done(now, pick, replica.RequestCancelled)
@@ -76,6 +82,8 @@
 	stall stall
 	// replacement is the outcome of the attempt that has taken the place of this one, nil if there is none.
 	replacement *Outcome
+	// resumes is set if the caller received events from an earlier upstream.
+	resumes bool
 	// resumedAfter is the number of the last event that the caller received from an earlier upstream. It is
 	// negative if there is none or its id is not a number.
 	resumedAfter int64
@@ -142,15 +150,16 @@
 	}
 	end += searched
 	complete := s.pending[:end+len(eventEnd)]
+	if s.resumes && hasEventWithoutID(complete) {
+		return errNotContinued
+	}
 	isEvent := hasEvent(complete)
 	if isEvent {
 		s.request.events += bytes.Count(complete, eventEnd)
 		s.recordStart()
 	}
-	if id, ok := lastEventID(complete); ok && (s.resumedAfter < 0 || eventNumber([]byte(id)) > s.resumedAfter) {
-		s.request.lastEvent = id
-	}
 	if unsent := dropEventsThrough(complete, s.resumedAfter); len(unsent) > 0 {
+		s.request.recordEvents(unsent)
 		if err := s.sendHead(); err != nil {
 			return err
 		}
@@ -185,6 +194,24 @@
 	return false
 }
 
+// recordEvents records the events that are relayed to the caller.
+func (r *request) recordEvents(events []byte) {
+	if id, ok := lastEventID(events); ok {
+		r.lastEvent = id
+	}
+	r.notResumable = r.notResumable || hasEventWithoutID(events)
+}
+
+// hasEventWithoutID reports whether complete blocks of a stream hold an event without an id.
+func hasEventWithoutID(blocks []byte) bool {
+	for block := range bytes.SplitAfterSeq(blocks, eventEnd) {
+		if _, ok := lastEventID(block); !ok && hasEvent(block) {
+			return true
+		}
+	}
+	return false
+}
+
 func (e *Edge) recordFirstToken(r *request, pick *replica.Pick) {
 	e.Replicas.FirstToken(e.Now(), pick)
 	e.Metrics.ObserveFirstTokenError(r.service.Name, pick.FirstToken, pick.Elapsed(e.Now()))
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -198,8 +198,8 @@
 	if len(data) == 0 {
 		return nil
 	}
-	if id, ok := lastEventID(data); ok && f.request.route.Resumable {
-		f.request.lastEvent = id
+	if f.events {
+		f.request.recordEvents(data)
 	}
 	return asSinkError(f.sink.Data(data, true))
 }
@@ -211,6 +211,7 @@
 	header := splitHeader(c.Header)
 	f.request.headSent = true
 	f.events = isEventStream(int(c.Status), header)
+	f.request.notResumable = !f.events
 	if c.VersionKnown {
 		f.edge.streamBegan(f.request, c.Version)
 	}
--- a/edge/request.go
+++ b/edge/request.go
@@ -64,6 +64,9 @@
 	// was sent to the caller.
 	headSent  bool
 	lastEvent string
+	// notResumable is set once the caller has a part of an answer that no other upstream can continue: one that is no event stream, or
+	// an event without an id.
+	notResumable bool
 	// resumedByCaller is set if the caller resumes a stream of an earlier attempt.
 	resumedByCaller bool
 	// streamVersion is the software version of the upstream that sent the first event.
--- a/edge/send.go
+++ b/edge/send.go
@@ -214,7 +214,7 @@
 
 // relayUnbuffered relays an answer that is too long to be buffered. prefix holds the bytes that were already read.
 func (e *Edge) relayUnbuffered(r *request, pick *replica.Pick, a *upstream.Response, prefix []byte, sink *Sink) Outcome {
-	r.headSent = true
+	r.headSent, r.notResumable = true, true
 	result := replica.Failed
 	defer func() { e.Replicas.Done(e.Now(), pick, result) }()
 	if err := sink.Head(a.Status, endToEnd(a.Header), -1); err != nil {
--- a/edge/stall.go
+++ b/edge/stall.go
@@ -58,7 +58,7 @@
 // event do not extend the wait.
 func (s *eventRelay) setReadDeadline() {
 	r := s.request
-	if !s.started || !r.route.Resumable || r.runs >= r.route.MaxAttempts {
+	if !s.started || !r.route.Resumable || r.notResumable || r.runs >= r.route.MaxAttempts {
 		s.answer.SetReadDeadline(time.Time{})
 		return
 	}
