upstream: never carry two attempts of a request on one connection

A connection remembers the ids of its last 64 requests and carries none of them again. Ruled out as a cause: answers to other requests, which the id tells apart. At the limit of connections an idle one is closed to make room.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"errors"
+	"hash/maphash"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -91,12 +93,34 @@
 	patient *patientConn
 	limiter *headLimiter
 	reader  *bufio.Reader
+	// carried holds the ids of the latest requests.
+	carried idHistory
 	// reused means that the connection has carried an earlier request.
 	reused bool
 	// idleUntil is the end of the idle timeout, after which the connection must not be reused.
 	idleUntil time.Time
 }
 
+// idHistoryLength is the number of requests whose ids a connection remembers.
+const idHistoryLength = 64
+
+// idHistory holds hashes of the ids of the latest requests of a connection, the oldest of which are overwritten.
+type idHistory struct {
+	hashes [idHistoryLength]uint64
+	count  int
+}
+
+func (h *idHistory) add(id string) {
+	h.hashes[h.count%idHistoryLength] = maphash.String(idSeed, id)
+	h.count++
+}
+
+func (h *idHistory) contains(id string) bool {
+	return slices.Contains(h.hashes[:min(h.count, idHistoryLength)], maphash.String(idSeed, id))
+}
+
+var idSeed = maphash.MakeSeed()
+
 // newConn returns a connection. onRead is called whenever something was read from it.
 func newConn(c net.Conn, onRead func()) *conn {
 	patient := &patientConn{Conn: &recordingConn{Conn: c, onRead: onRead}}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -71,7 +71,7 @@
 // Do sends a request and reads the status and headers of the response. When ctx ends, the connection is
 // closed, which cancels the request at the upstream. The error is a *Failure.
 func (p *Pool) Do(ctx context.Context, o *Request) (*Response, error) {
-	c, err := p.acquire(ctx, o.Address, o.MaxConnections)
+	c, err := p.acquire(ctx, o.Address, o.ID, o.MaxConnections)
 	if err != nil {
 		return nil, &Failure{Kind: NotSent, Err: err}
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,12 +68,32 @@
 	return p.stats
 }
 
-// acquire returns an idle connection, or dials one if fewer than limit are open; a limit of zero means no limit.
-// It fails before any byte of a request is sent.
-func (p *Pool) acquire(ctx context.Context, address string, limit int) (*conn, error) {
-	if c := p.takeIdle(address); c != nil {
-		return c, nil
+// acquire returns an idle connection for a request, or dials one if fewer than limit are open; a limit of zero means no limit.
+// It fails before any byte of a request is sent. A response names the id of its request, which all attempts share: a connection that
+// has carried one attempt carries no other, since a late second response to the first one could not be told from the expected one.
+func (p *Pool) acquire(ctx context.Context, address, id string, limit int) (*conn, error) {
+	c := p.takeIdle(address, id)
+	if c == nil {
+		var err error
+		if c, err = p.dialReplacing(ctx, address, limit); err != nil {
+			return nil, err
+		}
+	}
+	c.carried.add(id)
+	return c, nil
+}
+
+// dialReplacing is dial, but at the limit it closes an idle connection, which cannot carry the request, to make room.
+func (p *Pool) dialReplacing(ctx context.Context, address string, limit int) (*conn, error) {
+	c, err := p.dial(ctx, address, limit)
+	if !IsPoolFull(err) {
+		return c, err
+	}
+	idle := p.pop(address, "")
+	if idle == nil {
+		return nil, err
 	}
+	p.discard(address, idle)
 	return p.dial(ctx, address, limit)
 }
 
@@ -115,16 +136,16 @@
 
 // CloseIdle closes the idle connections to an address.
 func (p *Pool) CloseIdle(address string) {
-	for c := p.pop(address); c != nil; c = p.pop(address) {
+	for c := p.pop(address, ""); c != nil; c = p.pop(address, "") {
 		p.discard(address, c)
 	}
 }
 
-// takeIdle returns the most recently used idle connection that can be reused, or nil. It discards the ones
-// that cannot.
-func (p *Pool) takeIdle(address string) *conn {
+// takeIdle returns the most recently used idle connection that can be reused for a request, or nil. It discards the ones
+// that cannot be reused at all.
+func (p *Pool) takeIdle(address, id string) *conn {
 	for {
-		c := p.pop(address)
+		c := p.pop(address, id)
 		if c == nil {
 			return nil
 		}
@@ -137,16 +158,21 @@
 	}
 }
 
-func (p *Pool) pop(address string) *conn {
+// pop removes and returns the most recently used idle connection that has not carried a request with the id, or nil.
+func (p *Pool) pop(address, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.hosts[address]
-	if h == nil || len(h.idle) == 0 {
+	if h == nil {
 		return nil
 	}
-	c := h.idle[len(h.idle)-1]
-	h.idle = h.idle[:len(h.idle)-1]
-	return c
+	for i, c := range slices.Backward(h.idle) {
+		if !c.carried.contains(id) {
+			h.idle = slices.Delete(h.idle, i, i+1)
+			return c
+		}
+	}
+	return nil
 }
 
 // reserve counts a connection to an address. It returns nil if the limit is reached.
