--- a/vm/fuzz_test.go
+++ b/vm/fuzz_test.go
@@ -55,6 +55,7 @@
 		_ = Decode(f, &vmwire.Open{})
 	case vmwire.KindData:
 		_ = Decode(f, &vmwire.Chunk{})
+		_ = Decode(f, &vmwire.RunGrant{})
 	case vmwire.KindEnd:
 		_ = Decode(f, &vmwire.End{})
 	case vmwire.KindWindow:
