--- a/edge/versions.go
+++ b/edge/versions.go
@@ -110,8 +110,8 @@
 	return Outcome{}, true
 }
 
-// findStream returns the stream that an attempt of a caller began. If no VM knows the attempt, it is the only version that has served;
-// other VMs are asked first, since this one may not know yet of a version that has joined.
+// findStream returns the stream that an attempt of a caller began. If no VM knows the attempt, the stream has the only version that
+// has served, if there was only one. Other VMs are asked first, since this one may not know yet of a version that has joined.
 func (e *Edge) findStream(ctx context.Context, r *request, id string) (version.Stream, bool) {
 	if id != "" {
 		if found, ok := e.Streams.Find(e.Now(), id); ok {
