--- a/edge/head_test.go
+++ b/edge/head_test.go
@@ -34,15 +34,15 @@
 				w.startVM("vm2", "south", true)
 				w.waitForMembership()
 				w.waitFor("the upstream is known", func() bool { return v.knowsUpstreams("plain", 1) })
-				whole := len(fmt.Sprintf(head, "id-100", contentType)) + len(body)
-				for length := range whole + 1 {
+				total := len(fmt.Sprintf(head, "id-100", contentType)) + len(body)
+				for length := range total + 1 {
 					status, got, err := v.read(t, fmt.Sprintf("/a/%d", length), extraHeaders{"Cut-After": fmt.Sprint(length), platform.HeaderRequestID: "id-100"})
-					if complete := status == http.StatusOK && err == nil; complete != (length == whole) {
-						t.Fatalf("an answer of %d of %d bytes: %d %q, error %v", length, whole, status, got, err)
+					if complete := status == http.StatusOK && err == nil; complete != (length == total) {
+						t.Fatalf("an answer of %d of %d bytes: %d %q, error %v", length, total, status, got, err)
 					}
 				}
-				if n := u.requestCount(); n <= whole {
-					t.Errorf("the upstream got %d requests, want more than %d", n, whole)
+				if n := u.requestCount(); n <= total {
+					t.Errorf("the upstream got %d requests, want more than %d", n, total)
 				}
 			})
 		}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -70,7 +70,7 @@
 
 // acquire returns an idle connection for a request, or dials one if fewer than limit are open; a limit of zero means no limit.
 // It fails before any byte of a request is sent. A response names the id of its request, which all attempts share: a connection that
-// has carried one attempt carries no other, since a late second response to the first one could not be told from the expected one.
+// has carried one attempt carries no other, since a late second response to the first one could not be distinguished from the expected one.
 func (p *Pool) acquire(ctx context.Context, address, id string, limit int) (*conn, error) {
 	c := p.takeIdle(address, id)
 	if c == nil {
