edge: check whether the upstream of an answer without a length was killed

An answer with neither a length nor chunks ends with its connection, and the kernel closes the connections of a killed process with FIN, as at a complete answer. Where the end fell between two events, or anywhere in a body, the VM ended the caller's answer as complete. Class: the end of a connection taken for the end of what it carried.

Ruled out: chunked and sized answers (TestAnswersThatEndWithTheirConnection, TestAnswerCutInsideItsHead pass before and after).

At such an end the VM connects to the upstream once more. One that takes no connection has cut the answer off, unless it leaves: a process that stops closes its listener before its last answers. A stream whose kind is nearly always framed is resumed where its route allows it; if nothing follows, it was complete. The connection serves the next request, as the answer's own has ended.

TestAnswerOfKilledUpstreamLooksComplete: ten of fourteen cases failed before (all but the four in which a leaving upstream's answer counts as complete), none after. TestUnusualUnsizedStreamLooksComplete failed before. go test ./edge ./replica ./event ./operator: ok.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -57,6 +57,7 @@
 	catchUp    catchUp
 	reach      reach
 	queries    streamQueries
+	framing    framingHistory
 	stop       stop
 	// reportScheduled is set while streams that began are collected for a report.
 	reportScheduled atomic.Bool
--- a/edge/events.go
+++ b/edge/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -48,6 +49,9 @@
 	case errors.Is(err, errNotContinued), errors.Is(err, errStreamGap):
 		e.Replicas.Done(now, pick, replica.Failed)
 		return fail(UpstreamFailed, err.Error())
+	case errors.Is(err, errEndUnconfirmed):
+		e.Replicas.Done(now, pick, replica.RequestCancelled)
+		return fail(UpstreamFailed, err.Error())
 	case upstream.IsTimeout(err):
 		// A silent upstream may be sound, so that the request is no suspect.
 		e.Replicas.Done(now, pick, replica.RequestCancelled)
@@ -94,6 +98,9 @@
 				return sendErr
 			}
 		}
+		if errors.Is(err, io.EOF) && len(s.pending) == 0 {
+			err = s.checkEnd()
+		}
 		if s.complete(err) {
 			if headErr := s.sendHead(); headErr != nil {
 				return headErr
@@ -111,6 +118,16 @@
 	return errors.Is(err, io.EOF) && len(s.pending) == 0 && (s.answer.Framed || s.started)
 }
 
+// checkEnd returns the error with which a stream has ended that ends between two events: io.EOF if that is the end of the answer.
+func (s *eventRelay) checkEnd() error {
+	err := error(io.EOF)
+	if s.started {
+		err = cmp.Or(s.edge.checkUnsizedEnd(s.request, s.pick, s.answer), err)
+		s.edge.framing.record(s.request.streamKind(), s.answer.Framed)
+	}
+	return err
+}
+
 // sendHead sends the head of the answer unless the caller has one. It is called once there is something to send after it,
 // so that a stream that fails before its first event ends with an answer that says so.
 func (s *eventRelay) sendHead() error {
--- a/edge/loss.go
+++ b/edge/loss.go
@@ -29,14 +29,9 @@
 // runLossCheck finds out whether this VM reaches an upstream that another VM does not reach. If it does, the upstream may have
 // started again since, and counts as cold.
 func (e *Edge) runLossCheck(p replica.Probe) {
-	startedAt := e.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	if err := e.Pool.Connect(ctx, p.Address); err != nil {
-		e.recordUnreachable(p, startedAt, err)
+	if e.connect(context.Background(), p) != nil {
 		return
 	}
-	e.recordReachable(p)
 	if born, ask := e.Replicas.AssumeCold(e.Now(), p.ID, e.service(p.Service)); ask {
 		e.runWarmUpQuestion(p, born)
 	}
--- a/edge/reach.go
+++ b/edge/reach.go
@@ -148,18 +148,23 @@
 }
 
 func (e *Edge) runProbe(p replica.Probe) {
-	startedAt := e.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	err := e.Pool.Connect(ctx, p.Address)
-	cancel()
+	_ = e.connect(context.Background(), p) // Recorded.
 	e.reach.mu.Lock()
+	defer e.reach.mu.Unlock()
 	delete(e.reach.probing, p.ID)
-	e.reach.mu.Unlock()
-	if err != nil {
+}
+
+// connect opens a connection to an upstream within probeTimeout, for later requests, and records whether the upstream is reachable.
+func (e *Edge) connect(ctx context.Context, p replica.Probe) error {
+	startedAt := e.Now()
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	if err := e.Pool.Connect(ctx, p.Address); err != nil {
 		e.recordUnreachable(p, startedAt, err)
-		return
+		return err
 	}
 	e.recordReachable(p)
+	return nil
 }
 
 // recordUnreachable records that an attempt to connect to an upstream has failed.
--- a/edge/send.go
+++ b/edge/send.go
@@ -152,6 +152,9 @@
 		limit = maxUnsizedAnswer
 	}
 	body, err := io.ReadAll(io.LimitReader(a, int64(limit)+1))
+	if err == nil && len(body) <= limit {
+		err = e.checkUnsizedEnd(r, pick, a)
+	}
 	now := e.Now()
 	if err != nil && a.Aborted() {
 		e.Replicas.Done(now, pick, replica.RequestCancelled)
@@ -235,6 +238,9 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			if cutErr := e.checkUnsizedEnd(r, pick, a); cutErr != nil {
+				return fail(UpstreamFailed, cutErr.Error())
+			}
 			result = replica.Answered
 			return Outcome{Reason: Answered, Status: a.Status, Ran: HasRun, Complete: true}
 		}
--- a/replica/limits.go
+++ b/replica/limits.go
@@ -186,6 +186,14 @@
 	return r != nil && r.rateLimit() != nil
 }
 
+// IsLeaving reports whether an upstream leaves, or is not registered any more.
+func (t *Table) IsLeaving(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.upstreams[id]
+	return r == nil || r.Draining || r.isLeaving()
+}
+
 // rateLimit returns the rate limit that holds for the upstream, or nil if there is none.
 func (r *upstreamState) rateLimit() *announcedLimits {
 	if r.announced != nil && r.announced.Limited {
