sequence: see the end of events whose lines end with a carriage return

Callers of an upstream whose event streams have CRLF line ends, as the format allows, got no event: the VM looked for two line feeds, held the whole stream back, and failed the request at its end (502 in the region and through another VM in the test). A block that ends with CRLF counted as an event even if it held only a comment.

--- a/edge/events.go
+++ b/edge/events.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -20,9 +19,6 @@
 	maxEventBytes = 128 << 10
 )
 
-// eventEnd separates the events of a stream.
-var eventEnd = []byte("\n\n")
-
 var errEventTooLong = errors.New("event of a stream is too long")
 
 // relayEventStream relays the events of a stream to the sink, each as soon as it is complete.
@@ -145,21 +141,18 @@
 
 // sendCompleteEvents appends data to the pending bytes and sends all events that are complete.
 func (s *eventRelay) sendCompleteEvents(data []byte) error {
-	// The separator may have started in the bytes before data.
-	searched := max(0, len(s.pending)-1)
 	s.pending = append(s.pending, data...)
-	end := bytes.LastIndex(s.pending[searched:], eventEnd)
-	if end < 0 {
+	end := sequence.EndOfLast(s.pending, len(data))
+	if end == 0 {
 		if len(s.pending) > maxEventBytes {
 			return errEventTooLong
 		}
 		return nil
 	}
-	end += searched
-	complete := s.pending[:end+len(eventEnd)]
+	complete := s.pending[:end]
 	isEvent := sequence.HasEvent(complete)
 	if isEvent {
-		s.request.events += bytes.Count(complete, eventEnd)
+		s.request.events += sequence.CountBlocks(complete)
 		s.recordStart()
 	}
 	if err := s.sendNext(complete); err != nil {
@@ -169,7 +162,7 @@
 		// Counts from the end of the write: a slow caller does not make the upstream late.
 		s.lastEventAt, s.stall = time.Now(), stall{}
 	}
-	s.pending = append(s.pending[:0], s.pending[end+len(eventEnd):]...)
+	s.pending = append(s.pending[:0], s.pending[end:]...)
 	return nil
 }
 
--- a/edge/eventsource.go
+++ b/edge/eventsource.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"bytes"
 	"errors"
 
 	"parsleyhatch/event"
@@ -70,7 +69,7 @@
 	}
 	kept := 0
 	for start := 0; start < len(blocks); {
-		block := firstBlock(blocks[start:])
+		block := sequence.FirstBlock(blocks[start:])
 		switch s.order.Check(block) {
 		case sequence.Next:
 			if kept < start {
@@ -98,14 +97,6 @@
 	}
 }
 
-// firstBlock returns the first of complete blocks, with the separator after it.
-func firstBlock(blocks []byte) []byte {
-	if i := bytes.Index(blocks, eventEnd); i >= 0 {
-		return blocks[:i+len(eventEnd)]
-	}
-	return blocks
-}
-
 // recordRepeat counts an event that the caller has, and logs the first one of the source.
 func (s *eventSource) recordRepeat(block []byte) {
 	s.edge.Metrics.AddCounter("events_repeated", 1)
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"net/http"
@@ -12,6 +11,7 @@
 	"parsleyhatch/fleet"
 	"parsleyhatch/place"
 	"parsleyhatch/route"
+	"parsleyhatch/sequence"
 	"parsleyhatch/vm"
 	"parsleyhatch/vmwire"
 )
@@ -231,11 +231,10 @@
 // another upstream may repeat.
 func (f *forwardRelay) completeEvents(data []byte) []byte {
 	f.pending = append(f.pending, data...)
-	end := bytes.LastIndex(f.pending, eventEnd)
-	if end < 0 {
+	end := sequence.EndOfLast(f.pending, len(data))
+	if end == 0 {
 		return nil
 	}
-	end += len(eventEnd)
 	complete := f.pending[:end:end]
 	f.pending = append([]byte(nil), f.pending[end:]...)
 	return complete
--- a/edge/halfevent_test.go
+++ b/edge/halfevent_test.go
@@ -69,3 +69,34 @@
 		}
 	}
 }
+
+// Guards against streams whose lines end with a carriage return and a line feed, as the format of event streams allows: their events were never
+// seen as complete.
+func TestStreamOfCRLFLines(t *testing.T) {
+	const events = "id: 1\r\ndata: a\r\n\r\n: comment\r\n\r\ndata: b\r\nid: 2\r\n\r\n"
+	for _, region := range []string{"north", "south"} {
+		w := newTestCluster(t, "north", "south")
+		w.publishConfig(1, routeJSON("a", "streaming", "plain", `,"resumable":true`))
+		handle := func(rw http.ResponseWriter, r *http.Request) {
+			rw.Header().Set("Content-Type", "text/event-stream")
+			if r.Header.Get(platform.HeaderLastEventID) == "2" {
+				_, _ = io.WriteString(rw, "id: 3\r\ndata: c\r\n\r\n")
+				return
+			}
+			for i := range events {
+				_, _ = io.WriteString(rw, events[i:i+1])
+				rw.(http.Flusher).Flush()
+			}
+			panic(http.ErrAbortHandler)
+		}
+		w.addUpstream("u1", "plain", region, handle)
+		w.addUpstream("u2", "plain", region, handle)
+		v := w.startVM("vm1", "north", true)
+		w.startVM("vm2", "south", true)
+		w.waitForMembership()
+		w.waitFor("the upstreams are known", func() bool { return v.knowsUpstreams("plain", 2) })
+		if status, body, err := v.read(t, "/a/", nil); status != http.StatusOK || err != nil || body != events+"id: 3\r\ndata: c\r\n\r\n" {
+			t.Errorf("in %s: answer %d %q, error %v", region, status, body, err)
+		}
+	}
+}
--- a/sequence/sequence.go
+++ b/sequence/sequence.go
@@ -168,6 +168,7 @@
 func HasEvent(blocks []byte) bool {
 	for len(blocks) > 0 {
 		line, rest, _ := bytes.Cut(blocks, []byte("\n"))
+		line = bytes.TrimSuffix(line, []byte("\r"))
 		if len(line) > 0 && line[0] != ':' {
 			return true
 		}
