callerconn: reset the connection of an HTTP/1.0 caller whose answer is not complete

A caller that speaks HTTP/1.0 got a regular end of a stream that its upstream had broken off: net/http closes the connection of an aborted answer, and for HTTP/1.0 that is where a complete answer ends.

TestBrokenAnswerLooksCompleteToHTTP10: three of four events and a nil error before, a reset after.

--- a/caller/service.go
+++ b/caller/service.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"parsleyhatch/callerconn"
 	"parsleyhatch/config"
 	"parsleyhatch/gateway"
 	"parsleyhatch/vmwire"
@@ -51,7 +52,7 @@
 	case !started:
 		writeError(w, req.ID, out)
 	default:
-		panic(http.ErrAbortHandler) // Aborting the connection is the only way to signal an incomplete response.
+		callerconn.Abort(w, r)
 	}
 }
 
--- /dev/null
+++ b/callerconn/abort.go
@@ -0,0 +1,25 @@
+package callerconn
+
+import (
+	"net"
+	"net/http"
+)
+
+// Abort ends an answer that is not complete, so that its caller sees that. It panics with http.ErrAbortHandler, or returns after it has reset the
+// connection of a caller that speaks HTTP/1.0: the end of such a connection is the end of a complete answer.
+func Abort(w http.ResponseWriter, r *http.Request) {
+	if r.ProtoAtLeast(1, 1) {
+		panic(http.ErrAbortHandler)
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if c, ok := conn.(*countingConn); ok {
+		conn = c.Conn
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
--- a/edge/server.go
+++ b/edge/server.go
@@ -110,7 +110,7 @@
 	switch {
 	case out.Complete:
 	case r.headSent:
-		panic(http.ErrAbortHandler) // Aborts the connection, so that the caller sees that the answer is incomplete.
+		callerconn.Abort(w, h)
 	default:
 		e.writeRefusal(w, out)
 	}
--- a/edge/unsizedcut_test.go
+++ b/edge/unsizedcut_test.go
@@ -1,6 +1,9 @@
 package edge
 
 import (
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -122,3 +125,22 @@
 		}
 	}
 }
+
+// Guards against an incomplete answer that looks complete to a caller that speaks HTTP/1.0, for which an answer ends with its connection.
+func TestBrokenAnswerLooksCompleteToHTTP10(t *testing.T) {
+	w := newTestCluster(t, "north")
+	w.publishConfig(1, routeJSON("a", "streaming", "plain", ""))
+	w.addUpstream("u1", "plain", "north", func(rw http.ResponseWriter, _ *http.Request) { writeEvents(rw, 1, 3, false) })
+	v := w.startVM("vm1", "north", true)
+	w.waitFor("the upstream is known", func() bool { return v.knowsUpstreams("plain", 1) })
+	conn, err := net.Dial("tcp", v.Settings.CallerListen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	fmt.Fprintf(conn, "GET /a/ HTTP/1.0\r\nHost: h\r\n%s: secret\r\n%s: r1\r\n\r\n", platform.HeaderAPIKey, platform.HeaderRequestID)
+	answer, err := io.ReadAll(conn)
+	if !strings.Contains(string(answer), "200 OK") || err == nil {
+		t.Errorf("answer %q ends with %v", answer, err)
+	}
+}
