upstream: skip interim responses of plain services

A plain service that sent an interim response (100, 103) first had it taken for its answer: the caller got the status 100 with an empty body, and the final response was lost with the connection.

Cause: CallOnce parsed one response and did not look at its status. It now reads on to the first response that is not an interim one, as the platform's path does, and gives up after as many (maxReadResponses).

--- a/upstream/service.go
+++ b/upstream/service.go
@@ -36,6 +36,9 @@
 // ErrSendNotConfirmed means that the caller's check just before sending returned false or the context ended.
 var ErrSendNotConfirmed = errors.New("call withdrawn before it was sent")
 
+// errTooManyInterim means that a service sent only interim responses.
+var errTooManyInterim = errors.New("too many interim responses")
+
 // CallOnce sends the request on a new connection and never retries it. Go's HTTP client is not used, since
 // it retries a request that carries an Idempotency-Key when a connection breaks. confirmSend is called once
 // the connection is open, just before the first byte is written; if it returns false, nothing is sent. A
@@ -79,7 +82,7 @@
 	if err := req.Write(conn); err != nil {
 		return ServiceResponse{}, &Failure{Kind: Broken, Err: fmt.Errorf("send to service: %w", err)}
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(conn), req)
+	resp, err := readFinalResponse(bufio.NewReader(conn), req)
 	if err != nil {
 		return ServiceResponse{}, &Failure{Kind: Broken, Err: fmt.Errorf("read from service: %w", err)}
 	}
@@ -93,3 +96,14 @@
 	}
 	return ServiceResponse{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
+
+// readFinalResponse reads the head of the first response that is not an interim one.
+func readFinalResponse(r *bufio.Reader, req *http.Request) (*http.Response, error) {
+	for range maxReadResponses {
+		resp, err := http.ReadResponse(r, req)
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return resp, err
+		}
+	}
+	return nil, errTooManyInterim
+}
