upstream: end the call of a plain service at the limit of its body

A plain service that sends a body without end held the call, its goroutine and a connection until the deadline, although the limit of 1 MB was reached long before, and the VM read all that came.

Cause: after the limit CallOnce closed the body, and closing a body of http.ReadResponse reads it to its end. The body is no longer closed; the connection is, and it carries one call only.

--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -94,3 +94,26 @@
 		}
 	}
 }
+
+// Guards against a call of a plain service that reads on after its limit: the body of a response is read to its end when it is closed.
+func TestEndlessBodiesOfServices(t *testing.T) {
+	chunk := "1000\r\n" + strings.Repeat("x", 0x1000) + "\r\n"
+	for name, answer := range map[string]endlessAnswer{
+		"with a length":    {"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", chunk},
+		"in chunks":        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", chunk},
+		"until the end":    {"HTTP/1.1 200 OK\r\n\r\n", chunk},
+		"error, in chunks": {"HTTP/1.1 500 Internal Server Error\r\nTransfer-Encoding: chunked\r\n\r\n", chunk},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var err error
+			taken := answer.takenFrom(func(dial func() (net.Conn, error)) { err = endlessClients["plain service"](t.Context(), dial) })
+			var f *Failure
+			if !errors.As(err, &f) || f.Kind != Broken {
+				t.Errorf("%v, want a broken response", err)
+			}
+			if taken > 2*MaxServiceResponseBytes {
+				t.Errorf("%d bytes taken, want at most %d", taken, 2*MaxServiceResponseBytes)
+			}
+		})
+	}
+}
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -89,7 +89,7 @@
 	if err != nil {
 		return ServiceResponse{}, &Failure{Kind: Broken, Err: fmt.Errorf("read from service: %w", err)}
 	}
-	defer func() { _ = resp.Body.Close() }()
+	// The body is not closed, which would read it to its end: the caller closes the connection.
 	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxServiceResponseBytes+1))
 	if err != nil {
 		return ServiceResponse{}, &Failure{Kind: Broken, Err: fmt.Errorf("read from service: %w", err)}
