upstream, platform, configserver: bound the heads that Go's client reads

A faulty engine, store or configuration service could make a VM keep 10 MB a call with a head, which is the default of net/http; a VM makes many of these calls at once, and has 184 to 800 MB.

The clients now set MaxResponseHeaderBytes to 64 KB, the limit of the platform's path. It counts interim responses with the final one.

--- a/configserver/client.go
+++ b/configserver/client.go
@@ -19,6 +19,8 @@
 const (
 	// maxValueBytes is the platform's size limit for a value.
 	maxValueBytes = 1 << 20
+	// maxHeadBytes bounds the heads of all responses to a read, in bytes.
+	maxHeadBytes = 64 << 10
 	// callTimeout bounds a read that does not wait for changes. A watch adds its wait time to it.
 	callTimeout = 3 * time.Second
 	// headKey and partPrefix are the keys under which operators publish the configuration; the digest
@@ -40,7 +42,7 @@
 
 // New returns a client of the service at the base URL.
 func New(baseURL string) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}
+	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes}
 	client := &http.Client{Transport: transport}
 	return &Client{BaseURL: baseURL, Do: client.Do}
 }
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -100,11 +100,12 @@
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			return c.DialFunc(ctx, network, address)
 		},
-		MaxIdleConnsPerHost: maxIdlePerUpstream,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
-		ReadBufferSize:      readBufferBytes,
-		WriteBufferSize:     writeBufferBytes,
+		MaxIdleConnsPerHost:    maxIdlePerUpstream,
+		IdleConnTimeout:        30 * time.Second,
+		MaxResponseHeaderBytes: maxHeadBytes,
+		DisableCompression:     true,
+		ReadBufferSize:         readBufferBytes,
+		WriteBufferSize:        writeBufferBytes,
 	}}
 	return c
 }
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -59,6 +59,23 @@
 		}
 		return err
 	},
+	"engine stream": func(ctx context.Context, dial func() (net.Conn, error)) error {
+		c := New("credential")
+		c.DialFunc = func(context.Context, string, string) (net.Conn, error) { return dial() }
+		s, f := c.Stream(ctx, "u", CompletionRequest{RequestID: "1", StallTimeout: time.Minute})
+		if f != nil {
+			return f
+		}
+		defer s.Close()
+		_, err := s.Next()
+		return err
+	},
+	"engine control": func(ctx context.Context, dial func() (net.Conn, error)) error {
+		c := New("credential")
+		c.DialFunc = func(context.Context, string, string) (net.Conn, error) { return dial() }
+		_, err := c.Load(ctx, "u")
+		return err
+	},
 	"plain service": func(ctx context.Context, dial func() (net.Conn, error)) error {
 		c := New("credential")
 		c.DialFunc = func(context.Context, string, string) (net.Conn, error) { return dial() }
