upstream: bound an engine's event as a whole

An engine that sends an event of lines without end filled the memory of the VM that called it, until the stall timeout of the stream ended.

Cause: the limit of 48 KB held for one line, and the lines of data of one event were joined without a limit. Comments, ids and empty lines were not kept, but read until the stall timeout. All lines of an event, comments included, now count against one limit of 56 KB, so that a line of 48 KB still passes with its id.

--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -134,3 +134,28 @@
 		})
 	}
 }
+
+// Guards against an engine that fills the memory with one event, or whose lines are read although they belong to no event.
+func TestEndlessEvents(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1:0:1\n"
+	digits := strings.Repeat("0123456789", 100)
+	for name, filler := range map[string]string{
+		"one line":      "data: " + digits,
+		"lines of data": "data: " + digits + "\n",
+		"comments":      ": " + digits + "\n",
+		"empty lines":   strings.Repeat("\n", 1000),
+		"ids":           "id: " + digits + "\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var err error
+			taken := endlessAnswer{head, filler}.takenFrom(func(dial func() (net.Conn, error)) { err = endlessClients["engine stream"](t.Context(), dial) })
+			var f *Failure
+			if !errors.As(err, &f) || f.Kind != Mismatched {
+				t.Errorf("%v, want a mismatched response", err)
+			}
+			if want := 2 * maxEventBytes; taken > want {
+				t.Errorf("%d bytes taken, want at most %d", taken, want)
+			}
+		})
+	}
+}
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -12,8 +12,9 @@
 	"time"
 )
 
-// maxLineBytes bounds one line of an event stream, in bytes.
-const maxLineBytes = 48 << 10
+// maxEventBytes bounds what an engine sends for one event, including comments, in bytes. A chunk must fit in the window of a stream
+// between VMs.
+const maxEventBytes = 56 << 10
 
 // CompletionRequest is a chat completion request to an engine.
 type CompletionRequest struct {
@@ -55,6 +56,8 @@
 	// eventID and eventData belong to the last event. Their memory is reused for the next one.
 	eventID   []byte
 	eventData []byte
+	// eventBytes is the number of bytes read since the event before it.
+	eventBytes int
 }
 
 var errModelNotLoaded = errors.New("engine does not run the request's model")
@@ -172,7 +175,7 @@
 // readEvent reads one server-sent event into eventID and eventData.
 func (s *Stream) readEvent() error {
 	s.stallTimer.Reset(s.stallTimeout)
-	s.eventID, s.eventData = s.eventID[:0], s.eventData[:0]
+	s.eventID, s.eventData, s.eventBytes = s.eventID[:0], s.eventData[:0], 0
 	for {
 		line, err := s.line()
 		if err != nil {
@@ -196,6 +199,9 @@
 	var accumulated []byte
 	for {
 		part, err := s.reader.ReadSlice('\n')
+		if s.eventBytes += len(part); s.eventBytes > maxEventBytes {
+			return nil, &Failure{Kind: Mismatched, Err: fmt.Errorf("event exceeds %d bytes", maxEventBytes)}
+		}
 		if err == nil && accumulated == nil {
 			return bytes.TrimRight(part, "\r\n"), nil
 		}
@@ -203,9 +209,6 @@
 			return nil, s.readFailure(err)
 		}
 		accumulated = append(accumulated, part...)
-		if len(accumulated) > maxLineBytes {
-			return nil, &Failure{Kind: Mismatched, Err: fmt.Errorf("event line exceeds %d bytes", maxLineBytes)}
-		}
 		if err == nil {
 			return bytes.TrimRight(accumulated, "\r\n"), nil
 		}
