upstream: fail control calls whose body exceeds its limit

An engine's answer to a control call (a load report, cache events) was cut at 1 MB without an error, and what was left was parsed: a body that is whole JSON up to the limit and goes on passed for a whole answer.

The clients now read bodies with one function, which returns a *LimitError above the limit. The same type names the limits of heads, skipped bodies and events, so that a log line can say which one an answer exceeded.

TestEndlessBodies, which replaces TestEndlessBodiesOfServices with all its rows, failed before in all four rows of control calls: three returned no error, one the status of the cut answer. TestEndlessHeads now also asks that the error names the limit.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -220,7 +220,7 @@
 		return &Failure{Kind: failureKind(err), Err: fmt.Errorf("call %s: %w", path, err)}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxControlBytes))
+	data, err := readBody(resp.Body, maxControlBytes)
 	if err != nil {
 		return &Failure{Kind: Broken, Err: fmt.Errorf("call %s: %w", path, err)}
 	}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"hash/maphash"
 	"net"
 	"net/http"
@@ -23,9 +22,6 @@
 	defaultIdleTimeout = 4 * time.Second
 )
 
-// errHeadTooLong means that the heads of the responses to a request exceed maxHeadBytes.
-var errHeadTooLong = errors.New("head of the answer is too long")
-
 // headLimiter bounds the bytes that are read from a connection while response heads are parsed. The parser itself has no
 // limit, so that a head without end would fill the memory.
 type headLimiter struct {
@@ -34,13 +30,13 @@
 	remaining int
 }
 
-// Read reads from the connection, or fails with errHeadTooLong once the limit is reached.
+// Read reads from the connection, or fails with a *LimitError once the limit is reached.
 func (l *headLimiter) Read(b []byte) (int, error) {
 	if !l.limited {
 		return l.Conn.Read(b)
 	}
 	if l.remaining <= 0 {
-		return 0, errHeadTooLong
+		return 0, &LimitError{Limit: LimitHead, MaxBytes: maxHeadBytes}
 	}
 	n, err := l.Conn.Read(b[:min(len(b), l.remaining)])
 	l.remaining -= n
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -101,8 +101,8 @@
 				var err error
 				taken := answer.takenFrom(func(dial func() (net.Conn, error)) { err = call(t.Context(), dial) })
 				var f *Failure
-				if !errors.As(err, &f) || f.Kind != Broken {
-					t.Errorf("%v, want a broken response", err)
+				if !errors.As(err, &f) || f.Kind != Broken || !strings.Contains(err.Error(), "exceed") {
+					t.Errorf("%v, want a broken response that names the limit", err)
 				}
 				if taken > maxHeadBytes {
 					t.Errorf("%d bytes taken, want at most %d", taken, maxHeadBytes)
@@ -112,26 +112,35 @@
 	}
 }
 
-// Guards against a call of a plain service that reads on after its limit: the body of a response is read to its end when it is closed.
-func TestEndlessBodiesOfServices(t *testing.T) {
-	chunk := "1000\r\n" + strings.Repeat("x", 0x1000) + "\r\n"
-	for name, answer := range map[string]endlessAnswer{
-		"with a length":    {"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", chunk},
-		"in chunks":        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", chunk},
-		"until the end":    {"HTTP/1.1 200 OK\r\n\r\n", chunk},
-		"error, in chunks": {"HTTP/1.1 500 Internal Server Error\r\nTransfer-Encoding: chunked\r\n\r\n", chunk},
+// Guards against calls that read on after their limit, and against a cut body that is taken for a whole one. The body of a response of
+// http.ReadResponse is read to its end when it is closed.
+func TestEndlessBodies(t *testing.T) {
+	spaces := "1000\r\n" + strings.Repeat(" ", 0x1000) + "\r\n"
+	for name, head := range map[string]string{
+		"with a length":    "200 OK\r\nContent-Length: 99999999999\r\n\r\n{}",
+		"in chunks":        "200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n",
+		"until the end":    "200 OK\r\n\r\n{}",
+		"error, in chunks": "500 Internal Server Error\r\nTransfer-Encoding: chunked\r\n\r\n",
 	} {
-		t.Run(name, func(t *testing.T) {
-			var err error
-			taken := answer.takenFrom(func(dial func() (net.Conn, error)) { err = endlessClients["plain service"](t.Context(), dial) })
-			var f *Failure
-			if !errors.As(err, &f) || f.Kind != Broken {
-				t.Errorf("%v, want a broken response", err)
-			}
-			if taken > 2*MaxServiceResponseBytes {
-				t.Errorf("%d bytes taken, want at most %d", taken, 2*MaxServiceResponseBytes)
-			}
-		})
+		filler := spaces
+		if !strings.Contains(head, "chunked") {
+			filler = strings.Repeat(" ", 0x1000)
+		}
+		for _, client := range []string{"plain service", "engine control"} {
+			t.Run(client+"/"+name, func(t *testing.T) {
+				var err error
+				answer := endlessAnswer{"HTTP/1.1 " + head, filler}
+				taken := answer.takenFrom(func(dial func() (net.Conn, error)) { err = endlessClients[client](t.Context(), dial) })
+				var f *Failure
+				var exceeded *LimitError
+				if !errors.As(err, &f) || f.Kind != Broken || !errors.As(err, &exceeded) || exceeded.Limit != LimitBody {
+					t.Errorf("%v, want a broken response above the limit of a body", err)
+				}
+				if taken > 2*MaxServiceResponseBytes {
+					t.Errorf("%d bytes taken, want at most %d", taken, 2*MaxServiceResponseBytes)
+				}
+			})
+		}
 	}
 }
 
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -144,7 +144,7 @@
 		return err
 	}
 	if n > maxSkippedBodyBytes {
-		return errResponseMismatch
+		return fmt.Errorf("%w: %w", errResponseMismatch, &LimitError{Limit: LimitSkippedBody, MaxBytes: maxSkippedBodyBytes})
 	}
 	return nil
 }
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -90,13 +89,10 @@
 		return ServiceResponse{}, &Failure{Kind: Broken, Err: fmt.Errorf("read from service: %w", err)}
 	}
 	// The body is not closed, which would read it to its end: the caller closes the connection.
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxServiceResponseBytes+1))
+	body, err := readBody(resp.Body, MaxServiceResponseBytes)
 	if err != nil {
 		return ServiceResponse{}, &Failure{Kind: Broken, Err: fmt.Errorf("read from service: %w", err)}
 	}
-	if len(body) > MaxServiceResponseBytes {
-		return ServiceResponse{}, &Failure{Kind: Broken, Err: fmt.Errorf("service response exceeds %d bytes", MaxServiceResponseBytes)}
-	}
 	return ServiceResponse{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
 
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -200,7 +200,7 @@
 	for {
 		part, err := s.reader.ReadSlice('\n')
 		if s.eventBytes += len(part); s.eventBytes > maxEventBytes {
-			return nil, &Failure{Kind: Mismatched, Err: fmt.Errorf("event exceeds %d bytes", maxEventBytes)}
+			return nil, &Failure{Kind: Mismatched, Err: &LimitError{Limit: LimitEvent, MaxBytes: maxEventBytes}}
 		}
 		if err == nil && accumulated == nil {
 			return bytes.TrimRight(part, "\r\n"), nil
