upstream: test answers without end in chunk framing and skipped responses

Shown, not changed: chunk sizes, chunk extensions, trailers and skipped responses without end were bounded before on all four ways that a VM calls upstreams (the platform's pool, plain services, an engine's stream and its control calls).

They hold on these ways only as long as the parser does, so that a test stands for it.

--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -54,9 +55,11 @@
 		p := NewPool(time.Now)
 		p.DialFunc = func(context.Context, string) (net.Conn, error) { return dial() }
 		a, err := p.Do(ctx, newOutgoing("u", "1"))
-		if err == nil {
-			a.Close()
+		if err != nil {
+			return err
 		}
+		defer a.Close()
+		_, err = io.Copy(io.Discard, a)
 		return err
 	},
 	"engine stream": func(ctx context.Context, dial func() (net.Conn, error)) error {
@@ -144,6 +147,56 @@
 	}
 }
 
+// Guards against a VM that keeps or reads without end what surrounds the body of a response in chunks.
+func TestEndlessChunkFraming(t *testing.T) {
+	digits := strings.Repeat("0123456789", 100)
+	for name, answer := range map[string]endlessAnswer{
+		"size of a chunk":         {"", digits},
+		"zeros before a size":     {"", strings.Repeat("0", 1000)},
+		"extension of a chunk":    {"1;", digits},
+		"extensions of chunks":    {"", "1;x=" + digits + "\r\nx\r\n"},
+		"fields after the body":   {"0\r\n", "X-Filler: " + digits + "\r\n"},
+		"one field after a body":  {"0\r\nX-Filler: ", digits},
+		"spaces after the body":   {"0\r\n", strings.Repeat(" ", 1000)},
+		"no chunk":                {"", digits + "\r\n"},
+		"bytes instead of an end": {"1\r\nx", digits},
+	} {
+		answer.head = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nTransfer-Encoding: chunked\r\n\r\n" + answer.head
+		for client, call := range endlessClients {
+			t.Run(client+"/"+name, func(t *testing.T) {
+				var err error
+				taken := answer.takenFrom(func(dial func() (net.Conn, error)) { err = call(t.Context(), dial) })
+				if err == nil || taken > maxHeadBytes {
+					t.Errorf("error %v after %d bytes, want one after at most %d", err, taken, maxHeadBytes)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a VM that reads without end what belongs to another request.
+func TestEndlessSkippedResponses(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n"
+	text := strings.Repeat("x", 0x100)
+	for name, answer := range map[string]endlessAnswer{
+		"with a length":     {head + "Content-Length: 99999999999\r\n\r\n", text},
+		"in chunks":         {head + "Transfer-Encoding: chunked\r\n\r\n", "100\r\n" + text + "\r\n"},
+		"until the end":     {head + "\r\n", text},
+		"responses":         {"", response("other", text)},
+		"long responses":    {"", response("other", strings.Repeat(text, 100))},
+		"before a response": {response("other", text), text},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var err error
+			taken := answer.takenFrom(func(dial func() (net.Conn, error)) { err = endlessClients["pool"](t.Context(), dial) })
+			var f *Failure
+			if !errors.As(err, &f) || taken > maxHeadBytes {
+				t.Errorf("error %v after %d bytes, want a failure after at most %d", err, taken, maxHeadBytes)
+			}
+		})
+	}
+}
+
 // Guards against an engine that fills the memory with one event, or whose lines are read although they belong to no event.
 func TestEndlessEvents(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1:0:1\n"
