edge: log and count answers that exceed a limit

When a VM ended an answer because it exceeded a limit, operators saw at most a failed request; a head without end was reported as bytes of no request (1961, malformed), and a health answer without end not at all.

The attempt fails and counts against the upstream, as before. A head that reaches its limit is no longer reported as malformed too: what it would have been is not known.

--- /dev/null
+++ b/edge/abovelimit_test.go
@@ -0,0 +1,114 @@
+package edge
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"parsleyhatch/platform"
+	"parsleyhatch/replica"
+)
+
+// logLines collects the lines of a log. It is safe for concurrent use.
+type logLines struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write adds a line.
+func (l *logLines) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(line)
+}
+
+// with returns the lines that contain all words.
+func (l *logLines) with(words ...string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var lines []string
+	for line := range strings.Lines(l.text.String()) {
+		found := true
+		for _, word := range words {
+			found = found && strings.Contains(line, word)
+		}
+		if found {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
+
+// writeEndless answers with a head, in which {id} stands for the id of the request, and goes on with filler until the VM closes the
+// connection.
+func writeEndless(head, filler string) http.HandlerFunc {
+	return func(rw http.ResponseWriter, r *http.Request) {
+		conn, _, err := rw.(http.Hijacker).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer func() { _ = conn.Close() }()
+		for text := strings.ReplaceAll(head, "{id}", r.Header.Get(platform.HeaderRequestID)); err == nil; text = filler {
+			_, err = fmt.Fprint(conn, text)
+		}
+	}
+}
+
+// Guards against an upstream without an end of its answers that operators never hear of, that counts as sound, or that takes other
+// requests with it.
+func TestAnswersAboveLimitsAreReported(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n" + platform.HeaderRequestID + ": {id}\r\n"
+	digits := strings.Repeat("0123456789", 400)
+	for name, c := range map[string]struct {
+		head, filler, limit string
+	}{
+		"head":             {"HTTP/1.1 200 OK\r\nX-Filler: ", digits, "head"},
+		"no answer":        {"", digits, "head"},
+		"skipped response": {strings.Replace(ok, "{id}", "other", 1) + "\r\n", digits, "skippedBody"},
+		"event":            {ok + "Content-Type: text/event-stream\r\n\r\n", "data: " + digits + "\n", "event"},
+		"body":             {ok + "\r\n", digits, "body"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			lines := &logLines{}
+			w := newTestCluster(t, "north")
+			w.log = lines
+			w.publishConfig(1, routeJSON("a", "safe", "plain", "")+","+routeJSON("b", "safe", "plain", ""))
+			u := w.addUpstream("u1", "plain", "north", writeEndless(c.head, c.filler))
+			v := w.startVM("vm1", "north", true)
+			w.waitFor("the upstream is known", func() bool { return v.knowsUpstreams("plain", 1) })
+			if status, body, err := v.read(t, "/a/", nil); status == http.StatusOK && err == nil {
+				t.Errorf("answer of %d bytes looks complete", len(body))
+			}
+			want := []string{"event=1962", "upstream=u1", "limit=" + c.limit, "request=id-"}
+			w.waitFor("the answer is reported", func() bool { return len(lines.with(want...)) == u.requestCount() })
+			if wrong := lines.with("event=1961", "malformed"); len(wrong) > 0 {
+				t.Errorf("reported as bytes of no request as well: %q", wrong)
+			}
+			w.addUpstream("u2", "plain", "north", nil)
+			w.waitFor("the sound upstream is known", func() bool { return v.knowsUpstreams("plain", 2) })
+			w.waitFor("other requests are answered", func() bool {
+				_, body, err := v.read(t, "/b/", nil)
+				return err == nil && body == "u2 answers x"
+			})
+		})
+	}
+}
+
+// Guards against a health answer without an end that operators never hear of.
+func TestHealthAnswerAboveLimitIsReported(t *testing.T) {
+	lines := &logLines{}
+	w := newTestCluster(t, "north")
+	w.log = lines
+	w.store.Put(platform.ConfigKey, `{"version":1,"routes":[`+routeJSON("a", "safe", "plain", "")+`],"services":[{"name":"plain","health_path":"/health"}]}`)
+	u := w.addUpstream("u1", "plain", "north", writeEndless("HTTP/1.1 200 OK\r\nX-Filler: ", strings.Repeat("0123456789", 400)))
+	v := w.startVM("vm1", "north", true)
+	w.waitFor("the upstream is known", func() bool { return v.knowsUpstreams("plain", 1) })
+	v.runWarmUpQuestion(replica.Probe{ID: "u1", Address: u.server.Listener.Addr().String(), Service: "plain"}, 1)
+	if len(lines.with("event=1962", "upstream=u1", "limit=head")) == 0 {
+		t.Error("not reported")
+	}
+}
--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -31,6 +31,8 @@
 	grace time.Duration
 	// retrySlack is the slack of the retry budget of VMs that are started.
 	retrySlack float64
+	// log receives the log of VMs that are started.
+	log io.Writer
 	// storeProxy, if set, is the address at which VMs that are started reach the store.
 	storeProxy *httptest.Server
 	vms        []*testVM
@@ -57,7 +59,7 @@
 		s.server.CloseClientConnections()
 		s.server.Close()
 	})
-	w := &testCluster{t: t, store: s, regions: map[string]string{}, revokeBound: 5 * time.Second, grace: 8 * time.Second, retrySlack: 100_000}
+	w := &testCluster{t: t, store: s, regions: map[string]string{}, log: io.Discard, revokeBound: 5 * time.Second, grace: 8 * time.Second, retrySlack: 100_000}
 	for _, region := range regions {
 		w.regions[region+"-a"] = region
 	}
@@ -85,7 +87,7 @@
 		},
 	}
 	w.seeds = append(w.seeds, s.PeerListen)
-	e, err := New(s, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	e, err := New(s, slog.New(slog.NewTextHandler(w.log, nil)))
 	if err != nil {
 		w.t.Fatal(err)
 	}
--- a/edge/events.go
+++ b/edge/events.go
@@ -22,7 +22,7 @@
 // eventEnd separates the events of a stream.
 var eventEnd = []byte("\n\n")
 
-var errEventTooLong = errors.New("event of a stream is too long")
+var errEventTooLong = &upstream.LimitError{Limit: upstream.LimitEvent, MaxBytes: maxEventBytes}
 
 // relayEventStream relays the events of a stream to the sink, each as soon as it is complete.
 func (e *Edge) relayEventStream(ctx context.Context, r *request, pick *replica.Pick, a *upstream.Response, sink *Sink) Outcome {
--- a/edge/parts.go
+++ b/edge/parts.go
@@ -99,6 +99,7 @@
 
 // reportCrash records that an upstream failed while it ran the request, and notifies the other VMs.
 func (e *Edge) reportCrash(r *request, pick *replica.Pick, cause error) {
+	e.recordAboveLimit(pick.ID, r.id, cause)
 	now := e.Now()
 	e.Poison.RecordCrash(now, pick.ID, []poison.Fingerprint{r.fingerprint})
 	e.broadcastSuspect(now, r)
--- a/edge/send.go
+++ b/edge/send.go
@@ -227,6 +227,7 @@
 	for {
 		n, err := a.Read(buf)
 		if relayed += n; relayed > maxRelayedAnswer && a.Length < 0 {
+			e.recordAboveLimit(pick.ID, r.id, &upstream.LimitError{Limit: upstream.LimitBody, MaxBytes: maxRelayedAnswer})
 			return fail(UpstreamFailed, "the answer has no end")
 		}
 		if n > 0 {
--- a/edge/warmup.go
+++ b/edge/warmup.go
@@ -28,6 +28,7 @@
 	defer cancel()
 	a, err := e.Pool.Do(ctx, &upstream.Request{Address: p.Address, Method: http.MethodGet, Target: s.HealthPath, Host: p.Address})
 	if err != nil {
+		e.recordAboveLimit(p.ID, "", err)
 		return
 	}
 	defer a.Close()
--- a/event/edge.go
+++ b/event/edge.go
@@ -24,6 +24,7 @@
 	UpstreamLeaving       = New(1932, slog.LevelInfo, "upstream announced that it leaves", "none")
 	UpstreamHeldBack      = New(1933, slog.LevelInfo, "upstream wants no requests for a time", "none")
 	UpstreamUnexpected    = New(1961, slog.LevelWarn, "upstream sent bytes that belong to no request", "Check the upstream if the event repeats for it: it answers requests twice, or sends bytes that are no response.")
+	AnswerAboveLimit      = New(1962, slog.LevelWarn, "answer of an upstream ended because it exceeds a limit", "Check the upstream if the event repeats for it: it sends more than an answer may hold, or bytes without end.")
 	UpstreamCold          = New(1928, slog.LevelInfo, "upstream is cold", "none")
 	DomainEvacuationEnded = New(1907, slog.LevelInfo, "failure domain no longer evacuated", "none")
 )
--- a/upstream/unexpected.go
+++ b/upstream/unexpected.go
@@ -28,7 +28,8 @@
 }
 
 // isMalformed reports whether a read failed because of the bytes that were read, not because the connection ended, was closed or
-// was silent.
+// was silent, or because a limit was reached.
 func (a *Response) isMalformed(err error) bool {
-	return err != nil && !errors.Is(err, io.EOF) && !IsTimeout(err) && !a.conn.recording.ended
+	var limit *LimitError
+	return err != nil && !errors.As(err, &limit) && !errors.Is(err, io.EOF) && !IsTimeout(err) && !a.conn.recording.ended
 }
