edge: suspect no prompt part of an answer that exceeds a limit

An upstream that sent a head without end made the parts of the prompts that it was asked with suspects of crashing upstreams: with three such upstreams or lifetimes, requests with a part are refused in all regions.

Cause: such a failure has the kind Broken, as the loss of a connection has, and only events that are too long were told apart.

TestConnectionLoss has a row for it, which failed before: a head above its limit counted as a connection loss.

--- a/edge/partquarantine_test.go
+++ b/edge/partquarantine_test.go
@@ -320,6 +320,7 @@
 		{&upstream.Failure{Kind: upstream.Mismatched, Err: errors.New("answer to another request")}, false},
 		{fmt.Errorf("read: %w", os.ErrDeadlineExceeded), false},
 		{errEventTooLong, false},
+		{&upstream.Failure{Kind: upstream.Broken, Err: &upstream.LimitError{Limit: upstream.LimitHead}}, false},
 	} {
 		if got := isConnectionLoss(c.err); got != c.want {
 			t.Errorf("%v: %v, want %v", c.err, got, c.want)
--- a/edge/parts.go
+++ b/edge/parts.go
@@ -117,14 +117,15 @@
 	}
 }
 
-// isConnectionLoss reports whether an attempt failed because its connection ended, and not because the answer was late or
-// invalid.
+// isConnectionLoss reports whether an attempt failed because its connection ended, and not because the answer was late,
+// invalid or too long.
 func isConnectionLoss(err error) bool {
 	var f *upstream.Failure
 	if errors.As(err, &f) && f.Kind != upstream.Broken {
 		return false
 	}
-	return !upstream.IsTimeout(err) && !errors.Is(err, errEventTooLong)
+	var limit *upstream.LimitError
+	return !upstream.IsTimeout(err) && !errors.As(err, &limit)
 }
 
 func lifetimeOf(pick *replica.Pick) poison.Lifetime {
