vm: end the session of a VM that sends empty data frames

A faulty VM that sends data frames without a body on a stream filled the memory of the VM that serves it: the window counts bytes, and an empty frame has none, so that the queue of the stream grew without end. No VM sends such frames.

An empty data frame now ends the session, as other violations of the window do.

TestEndlessDataIsRefused failed before in the row of empty frames: 65,537 frames kept, which is where the test stops.

--- a/vm/stream.go
+++ b/vm/stream.go
@@ -236,6 +236,9 @@
 	if f.Seq != st.nextRecvSeq {
 		return fmt.Errorf("stream %d: data frame %d, want %d", st.id, f.Seq, st.nextRecvSeq)
 	}
+	if len(f.Body) == 0 {
+		return fmt.Errorf("stream %d: empty data frame", st.id) // The window does not bound empty frames.
+	}
 	if st.queuedBytes+int(st.consumedBytes)+len(f.Body) > WindowBytes {
 		return fmt.Errorf("stream %d: window exceeded", st.id)
 	}
