edge: bound the body of a forwarded request

A VM that forwards a request names the length of its body, and the VM that serves it kept as much as was named: the limit on bodies (max_body_bytes, 4 MB if none is set) held only where the caller is connected. A faulty VM could fill the memory of another one with one stream, in spite of its window, since the body is read as it comes.

The serving VM now refuses a body above its limit before it reads it, as TooLarge.

TestForwardedBodyIsBounded failed before in the row above the limit: the request was answered with 200.

--- a/edge/abovelimit_test.go
+++ b/edge/abovelimit_test.go
@@ -10,6 +10,9 @@
 
 	"parsleyhatch/platform"
 	"parsleyhatch/replica"
+	"parsleyhatch/route"
+	"parsleyhatch/vm"
+	"parsleyhatch/vmwire"
 )
 
 // logLines collects the lines of a log. It is safe for concurrent use.
@@ -112,3 +115,38 @@
 		t.Error("not reported")
 	}
 }
+
+// Guards against a VM whose memory is filled by the body of a request that another VM forwards.
+func TestForwardedBodyIsBounded(t *testing.T) {
+	for name, c := range map[string]struct {
+		bodyBytes int
+		want      Reason
+	}{
+		"at the limit":    {defaultBodyBytes, Answered},
+		"above the limit": {defaultBodyBytes + 1, TooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newTestCluster(t, "south")
+			w.publishConfig(1, routeJSON("a", "safe", "plain", ""))
+			w.addUpstream("u1", "plain", "south", func(rw http.ResponseWriter, _ *http.Request) { fmt.Fprint(rw, "answer") })
+			v := w.startVM("vm1", "south", true)
+			w.waitFor("the upstream is known", func() bool { return v.knowsUpstreams("plain", 1) })
+			s := v.connectFrom(t, vm.Identity{Slot: "vm2", Region: "north", Incarnation: 1})
+			st, err := s.OpenStream(t.Context(), &vmwire.Open{
+				RequestID: "id", Route: "a", Method: http.MethodPost, Path: "/a/", Header: map[string]string{hostHeader: "h", platform.HeaderRequestID: "id"},
+				KeyID: route.HashKey("secret").String(), RemainingMillis: 3000, ConfigNumber: 1, BodyBytes: int64(c.bodyBytes),
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() { _ = st.Send(t.Context(), make([]byte, c.bodyBytes)) }() // Fails if the VM refuses the request.
+			var end *vmwire.End
+			for end == nil && err == nil {
+				_, end, err = st.Recv(t.Context())
+			}
+			if err != nil || end.Code != string(c.want) {
+				t.Errorf("outcome %+v, error %v, want %s", end, err, c.want)
+			}
+		})
+	}
+}
--- a/edge/forwarded.go
+++ b/edge/forwarded.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/hex"
+	"fmt"
 	"net/http"
 	"net/url"
 	"strings"
@@ -86,6 +87,9 @@
 	if !route.Allowed(r.route, r.workspace, e.Settings.Region) {
 		return refuse(NoUpstream, "the request must not run in this region", defaultRetryAfter), false
 	}
+	if limit := maxBodyBytes(t.Config.Limits); open.BodyBytes > limit {
+		return refuse(TooLarge, fmt.Sprintf("body above %d bytes", limit), 0), false
+	}
 	bodyCtx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
 	defer context.AfterFunc(e.stop.accepting, cancel)()
--- a/edge/server.go
+++ b/edge/server.go
@@ -196,10 +196,7 @@
 // readBody reads the body within the configured size limit and bodyTimeout. A body that is not complete when a leaving VM ceases to
 // accept requests is not waited for.
 func (e *Edge) readBody(w http.ResponseWriter, h *http.Request, limits route.Limits) ([]byte, Outcome, bool) {
-	limit := limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
+	limit := maxBodyBytes(limits)
 	if h.ContentLength > limit {
 		return nil, refuse(TooLarge, fmt.Sprintf("body above %d bytes", limit), 0), false
 	}
@@ -227,6 +224,14 @@
 // defaultBodyBytes is the maximum size of a body in bytes if the configuration sets none.
 const defaultBodyBytes = 4 << 20
 
+// maxBodyBytes returns the maximum size of the body of a request in bytes.
+func maxBodyBytes(limits route.Limits) int64 {
+	if limits.MaxBodyBytes > 0 {
+		return limits.MaxBodyBytes
+	}
+	return defaultBodyBytes
+}
+
 // recordOutcome logs the outcome of a request and updates the metrics. It never logs keys or content.
 func (e *Edge) recordOutcome(r *request, out Outcome) {
 	elapsed := time.Since(r.arrived)
