--- a/edge/parts.go
+++ b/edge/parts.go
@@ -99,6 +99,7 @@
 
 // reportCrash records that an upstream failed while it ran the request, and notifies the other VMs.
 func (e *Edge) reportCrash(r *request, pick *replica.Pick, cause error) {
+	e.recordAboveLimit(pick.ID, r.id, cause)
 	now := e.Now()
 	e.Poison.RecordCrash(now, pick.ID, []poison.Fingerprint{r.fingerprint})
 	e.broadcastSuspect(now, r)
@@ -116,14 +117,15 @@
 	}
 }
 
-// isConnectionLoss reports whether an attempt failed because its connection ended, and not because the answer was late or
-// invalid.
+// isConnectionLoss reports whether an attempt failed because its connection ended, and not because the answer was late,
+// invalid or too long.
 func isConnectionLoss(err error) bool {
 	var f *upstream.Failure
 	if errors.As(err, &f) && f.Kind != upstream.Broken {
 		return false
 	}
-	return !upstream.IsTimeout(err) && !errors.Is(err, errEventTooLong)
+	var limit *upstream.LimitError
+	return !upstream.IsTimeout(err) && !errors.As(err, &limit)
 }
 
 func lifetimeOf(pick *replica.Pick) poison.Lifetime {
