upstream: fail the call of a plain service that was killed as it responded

Callers of the own path got a 200 with a part of a body as if it were whole: a response without a length ends with its connection, and that of a killed process ends in the same way. The client connects to the service once more; if that fails, the call has failed, and may have run.

TestResponseOfKilledServiceIsBroken failed before: 200 "part".

--- a/upstream/service.go
+++ b/upstream/service.go
@@ -30,6 +30,8 @@
 	Status      int
 	ContentType string
 	Body        []byte
+	// unsized means that the body ended with its connection.
+	unsized bool
 }
 
 // ErrSendNotConfirmed means that the caller's check just before sending returned false or the context ended.
@@ -57,7 +59,25 @@
 	if ctx.Err() != nil || !confirmSend() {
 		return ServiceResponse{}, &Failure{Kind: NotSent, Err: ErrSendNotConfirmed}
 	}
-	return roundTrip(conn, req)
+	resp, fail := roundTrip(conn, req)
+	if fail == nil && resp.unsized {
+		fail = c.checkUnsizedEnd(ctx, address)
+	}
+	if fail != nil {
+		return ServiceResponse{}, fail
+	}
+	return resp, nil
+}
+
+// checkUnsizedEnd fails if a service that has sent a response without a length accepts no connection any more: the connection of a process that is
+// killed ends like that of a complete response.
+func (c *Client) checkUnsizedEnd(ctx context.Context, address string) *Failure {
+	conn, err := c.DialFunc(ctx, "tcp", address)
+	if err != nil {
+		return &Failure{Kind: Broken, Err: fmt.Errorf("service has ended with its response, which has no length: %w", err)}
+	}
+	_ = conn.Close()
+	return nil
 }
 
 func (c *Client) serviceRequest(ctx context.Context, address string, call ServiceRequest) (*http.Request, error) {
@@ -93,7 +113,8 @@
 	if err != nil {
 		return ServiceResponse{}, &Failure{Kind: Broken, Err: fmt.Errorf("read from service: %w", err)}
 	}
-	return ServiceResponse{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
+	unsized := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	return ServiceResponse{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body, unsized: unsized}, nil
 }
 
 // readFinalResponse reads the head of the first response that is not an interim one.
--- a/upstream/service_test.go
+++ b/upstream/service_test.go
@@ -21,3 +21,31 @@
 		t.Errorf("answer %d %q, failure %v, want the final response", resp.Status, resp.Body, f)
 	}
 }
+
+// Guards against a cut response that is taken for a complete one because its service was killed: without a length, it ends with its connection.
+func TestResponseOfKilledServiceIsBroken(t *testing.T) {
+	for name, killed := range map[string]bool{"killed": true, "running": false} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = l.Close() }()
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = readRequest(bufio.NewReader(c))
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\n\r\npart")
+			if killed {
+				_ = l.Close()
+			}
+			_ = c.Close()
+		}()
+		call := ServiceRequest{RequestID: "1", Method: "POST", Path: "/"}
+		resp, f := New("credential").CallOnce(t.Context(), l.Addr().String(), call, func() bool { return true })
+		if broken := f != nil && f.Kind == Broken; broken != killed || !killed && string(resp.Body) != "part" {
+			t.Errorf("%s: answer %d %q, failure %v", name, resp.Status, resp.Body, f)
+		}
+	}
+}
