edge: bound the memory of all requests together

Cause: every answer, body and event has a limit, their sum has none.

Change: a tenth of limits.memory_mb for bodies, a tenth for buffered answers and incomplete events, at the VM of the caller and at the one that it forwards to. A body without memory is refused as not run (reason memoryFull, 503 with Retry-After), on its length if it has one. An answer is relayed as it arrives; an event, which the caller must not get in part, fails the attempt. One upstream gets a quarter of the memory for answers, one workspace three quarters of that for bodies. Event 1943, metrics memory_full, held_body_bytes and held_answer_bytes. A changed limit in the settings takes effect at their reload.

After: TestEndlessBodies, TestStuckAnswersLeaveMemoryForOthers and TestBodiesWithinMemory pass.

Tests changed: TestEndlessBodies has a handler for each case and two more cases, its limit is the same. TestOnlyOutcomesWithoutSendAreExempt lists memoryFull, which a VM says before it has read the body.

--- a/edge/admit.go
+++ b/edge/admit.go
@@ -31,7 +31,7 @@
 	if out, ok := e.routeAndAuthenticate(now, t, r, h.URL.Path); !ok {
 		return out, false
 	}
-	body, out, ok := e.readBody(w, h, t.Config.Limits)
+	body, out, ok := e.readBody(w, h, r, t.Config.Limits)
 	if !ok {
 		return out, false
 	}
@@ -78,11 +78,7 @@
 		return refuse(BadRequest, err.Error(), 0), false
 	}
 	r.prompt = prompt
-	workspace := ""
-	if r.workspace != nil {
-		workspace = r.workspace.Name
-	}
-	r.fingerprint = e.hasher.Fingerprint(workspace+" "+r.target, r.body)
+	r.fingerprint = e.hasher.Fingerprint(r.workspaceName()+" "+r.target, r.body)
 	if e.Poison.State(e.Now(), r.fingerprint) == poison.Quarantined {
 		return refuse(Quarantined, "the request crashed the upstreams that ran it", 0), false
 	}
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -109,7 +109,7 @@
 func retryable(r *request, out Outcome) bool {
 	if out.Ran == NotRun {
 		switch out.Reason {
-		case UpstreamRefused, NoUpstream, VMLost, NoConfiguration, StaleKeys, Leaving:
+		case UpstreamRefused, NoUpstream, VMLost, NoConfiguration, StaleKeys, Leaving, MemoryFull:
 			return true
 		case NoRoute, Overloaded:
 			// The VM of another region refused to resume a stream. It may have a newer configuration, which does not
--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -31,6 +31,8 @@
 	grace time.Duration
 	// retrySlack is the slack of the retry budget of VMs that are started.
 	retrySlack float64
+	// memoryBytes is the memory of VMs that are started, zero for the default.
+	memoryBytes int64
 	// storeProxy, if set, is the address at which VMs that are started reach the store.
 	storeProxy *httptest.Server
 	vms        []*testVM
@@ -78,7 +80,7 @@
 	s := platform.Settings{
 		Name: name, Region: region, FailureDomain: region + "-a", Regions: w.regions,
 		CallerListen: listeners[0].Addr().String(), PeerListen: listeners[1].Addr().String(),
-		Seeds: w.seeds, Store: w.storeAddress(),
+		Seeds: w.seeds, Store: w.storeAddress(), MemoryBytes: w.memoryBytes,
 		Bounds: platform.Bounds{
 			RevocationDelay: w.revokeBound, RetryRatio: 0.2, RetrySlack: w.retrySlack, RetryWindow: 10 * time.Second,
 			WarmUpOverage: 1.5, WarmUpSlack: 3, DirectoryTTL: 5 * time.Second, ShutdownGrace: w.grace,
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -48,6 +48,7 @@
 	// pausedRecently reports whether the process was paused until shortly before now.
 	pausedRecently func(now time.Time) bool
 
+	memory     *requestMemory
 	store      *platform.Store
 	storeReads pendingStoreReads
 	forwards   place.SentTokens
--- a/edge/endless_test.go
+++ b/edge/endless_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -78,27 +80,64 @@
 	}
 }
 
-// Guards against a VM whose memory is filled by upstreams that send bytes without end.
+// writeFiller writes filler until the request is cancelled or limit bytes are sent.
+func writeFiller(w io.Writer, r *http.Request, limit int) {
+	filler := []byte(strings.Repeat("0123456789", 400))
+	for sent := 0; sent < limit && r.Context().Err() == nil; sent += len(filler) {
+		if _, err := w.Write(filler[:min(len(filler), limit-sent)]); err != nil {
+			return
+		}
+	}
+}
+
+// stopShort returns a handler whose answer stops after the given bytes of a body of maxBufferedAnswer until the request is
+// cancelled.
+func stopShort(sent int) http.HandlerFunc {
+	return func(rw http.ResponseWriter, r *http.Request) {
+		rw.Header().Set("Content-Length", strconv.Itoa(maxBufferedAnswer))
+		writeFiller(rw, r, sent)
+		rw.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}
+}
+
+// writeEndless returns a handler whose answer has no end.
+func writeEndless(contentType string) http.HandlerFunc {
+	return func(rw http.ResponseWriter, r *http.Request) {
+		rw.Header().Set("Content-Type", contentType)
+		writeFiller(rw, r, 4*maxRelayedAnswer)
+	}
+}
+
+// writeEndlessHead sends the head of an answer that has no end.
+func writeEndlessHead(rw http.ResponseWriter, r *http.Request) {
+	conn, _, err := rw.(http.Hijacker).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nFiller: ") // The next write fails if this one does.
+	writeFiller(conn, r, 4*maxRelayedAnswer)
+}
+
+// Guards against a VM whose memory is filled by upstreams that send bytes without end, or less than they announce.
 func TestEndlessBodies(t *testing.T) {
 	const upstreams = 32
 	const maxGrowth = 20 << 20
-	filler := []byte(strings.Repeat("0123456789", 400))
-	for name, c := range map[string]struct{ kind, header string }{
-		"stream without events":   {"streaming", "text/event-stream"},
-		"body without a length":   {"safe", "application/octet-stream"},
-		"stream that is no event": {"streaming", "application/json"},
+	for name, c := range map[string]struct {
+		kind   string
+		handle http.HandlerFunc
+	}{
+		"stream without events":   {"streaming", writeEndless("text/event-stream")},
+		"body without a length":   {"safe", writeEndless("application/octet-stream")},
+		"stream that is no event": {"streaming", writeEndless("application/json")},
+		"body that stops short":   {"unsafe", stopShort(maxBufferedAnswer - 1)},
+		"head without an end":     {"safe", writeEndlessHead},
 	} {
 		t.Run(name, func(t *testing.T) {
 			w := newTestCluster(t, "north")
 			w.publishConfig(1, routeJSON("a", c.kind, "plain", ""))
-			w.addUpstream("u1", "plain", "north", func(rw http.ResponseWriter, r *http.Request) {
-				rw.Header().Set("Content-Type", c.header)
-				for sent := 0; sent < 4*maxRelayedAnswer && r.Context().Err() == nil; sent += len(filler) {
-					if _, err := rw.Write(filler); err != nil {
-						return
-					}
-				}
-			})
+			w.addUpstream("u1", "plain", "north", c.handle)
 			v := w.startVM("vm1", "north", true)
 			w.waitFor("the upstream is known", func() bool { return v.knowsUpstreams("plain", 1) })
 			idle := heapBytes()
--- a/edge/events.go
+++ b/edge/events.go
@@ -7,6 +7,7 @@
 	"io"
 	"time"
 
+	"parsleyhatch/memory"
 	"parsleyhatch/replica"
 	"parsleyhatch/sequence"
 	"parsleyhatch/upstream"
@@ -27,6 +28,8 @@
 // relayEventStream relays the events of a stream to the sink, each as soon as it is complete.
 func (e *Edge) relayEventStream(ctx context.Context, r *request, pick *replica.Pick, a *upstream.Response, sink *Sink) Outcome {
 	s := &eventRelay{ctx: ctx, edge: e, request: r, pick: pick, answer: a, sink: sink, source: e.newEventSource(r, pick.ID, "")}
+	s.pending = e.memory.answers.Buffer(pick.ID)
+	defer s.pending.Release()
 	err := s.run()
 	now := e.Now()
 	switch {
@@ -48,6 +51,10 @@
 	case errors.Is(err, errNotContinued), errors.Is(err, errStreamGap):
 		e.Replicas.Done(now, pick, replica.Failed)
 		return fail(UpstreamFailed, err.Error())
+	case memory.IsFull(err):
+		e.recordMemoryFull(r, heldEvent, pick.ID, err)
+		e.Replicas.Done(now, pick, resultOfFull(err))
+		return fail(UpstreamFailed, "read event: "+err.Error())
 	case upstream.IsTimeout(err):
 		// A silent upstream may be sound, so that the request is no suspect.
 		e.Replicas.Done(now, pick, replica.RequestCancelled)
@@ -69,7 +76,7 @@
 	sink    *Sink
 	source  *eventSource
 	// pending holds the bytes of an incomplete event.
-	pending []byte
+	pending *memory.Buffer
 	started bool
 	// lastEventAt is the time at which the latest complete event was relayed.
 	lastEventAt time.Time
@@ -108,7 +115,7 @@
 // complete reports whether a read error is the end of the complete stream. A stream that ends with its connection and has no
 // event was cut off.
 func (s *eventRelay) complete(err error) bool {
-	return errors.Is(err, io.EOF) && len(s.pending) == 0 && (s.answer.Framed || s.started)
+	return errors.Is(err, io.EOF) && s.pending.Len() == 0 && (s.answer.Framed || s.started)
 }
 
 // sendHead sends the head of the answer unless the caller has one. It is called once there is something to send after it,
@@ -129,17 +136,19 @@
 // sendCompleteEvents appends data to the pending bytes and sends all events that are complete.
 func (s *eventRelay) sendCompleteEvents(data []byte) error {
 	// The separator may have started in the bytes before data.
-	searched := max(0, len(s.pending)-1)
-	s.pending = append(s.pending, data...)
-	end := bytes.LastIndex(s.pending[searched:], eventEnd)
+	searched := max(0, s.pending.Len()-1)
+	if err := s.pending.Append(data); err != nil {
+		return err
+	}
+	end := bytes.LastIndex(s.pending.Bytes()[searched:], eventEnd)
 	if end < 0 {
-		if len(s.pending) > maxEventBytes {
+		if s.pending.Len() > maxEventBytes {
 			return errEventTooLong
 		}
 		return nil
 	}
-	end += searched
-	complete := s.pending[:end+len(eventEnd)]
+	end += searched + len(eventEnd)
+	complete := s.pending.Bytes()[:end]
 	isEvent := sequence.HasEvent(complete)
 	if isEvent {
 		s.request.events += bytes.Count(complete, eventEnd)
@@ -152,7 +161,7 @@
 		// Counts from the end of the write: a slow caller does not make the upstream late.
 		s.lastEventAt, s.stall = time.Now(), stall{}
 	}
-	s.pending = append(s.pending[:0], s.pending[end+len(eventEnd):]...)
+	s.pending.Consume(end)
 	return nil
 }
 
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"parsleyhatch/fleet"
+	"parsleyhatch/memory"
 	"parsleyhatch/place"
 	"parsleyhatch/route"
 	"parsleyhatch/vm"
@@ -110,9 +111,11 @@
 	resumed bool
 	// runs is the number of upstreams at which the other VM may run the request, including earlier attempts.
 	runs int
-	// events is set if the answer is an event stream, and pending holds the bytes of an incomplete event.
-	events  bool
-	pending []byte
+	// events is set if the answer is an event stream.
+	events bool
+	// pending holds the bytes of an incomplete event. VMs split long events, and the caller must get no part of an event that another
+	// upstream may repeat.
+	pending *memory.Buffer
 	// source checks the events of a stream.
 	source *eventSource
 }
@@ -121,6 +124,8 @@
 func (e *Edge) relayForwarded(ctx context.Context, r *request, slot string, st *vm.Stream, sink *Sink) Outcome {
 	f := &forwardRelay{edge: e, request: r, slot: slot, stream: st, sink: sink, resumed: r.headSent, events: r.headSent, runs: r.runs + 1}
 	f.source = e.newEventSource(r, "", slot)
+	f.pending = e.memory.answers.Buffer(slot)
+	defer f.pending.Release()
 	for {
 		body, end, err := st.Recv(ctx)
 		switch {
@@ -129,7 +134,7 @@
 			return f.lose(CallerDisconnected, "the caller left or the time was over")
 		case err != nil:
 			return f.lose(VMLost, "vm "+slot+": "+err.Error())
-		case end != nil && len(f.pending) > 0 && Reason(end.Code) == Answered:
+		case end != nil && f.pending.Len() > 0 && Reason(end.Code) == Answered:
 			return f.lose(VMLost, "vm "+slot+": the stream ends inside an event")
 		case end != nil:
 			return e.outcomeOfEnd(r, slot, end)
@@ -199,10 +204,25 @@
 	if !f.events {
 		return asSinkError(f.sink.Data(c.Data, true))
 	}
-	complete := f.completeEvents(c.Data)
-	if len(f.pending) > maxEventBytes {
-		return errEventTooLong
+	if err := f.pending.Append(c.Data); err != nil {
+		f.edge.recordMemoryFull(f.request, heldEvent, f.slot, err)
+		return err
+	}
+	end := bytes.LastIndex(f.pending.Bytes(), eventEnd)
+	if end < 0 {
+		if f.pending.Len() > maxEventBytes {
+			return errEventTooLong
+		}
+		return nil
 	}
+	end += len(eventEnd)
+	err := f.relayEvents(f.pending.Bytes()[:end])
+	f.pending.Consume(end)
+	return err
+}
+
+// relayEvents relays those of the complete events that the caller does not have.
+func (f *forwardRelay) relayEvents(complete []byte) error {
 	events, err := f.source.next(complete)
 	if len(events) > 0 {
 		f.source.reportStep()
@@ -227,20 +247,6 @@
 	return asSinkError(f.sink.Head(int(c.Status), header, int(c.End)))
 }
 
-// completeEvents returns the events that data completes. VMs split long events, and the caller must get no part of an event that
-// another upstream may repeat.
-func (f *forwardRelay) completeEvents(data []byte) []byte {
-	f.pending = append(f.pending, data...)
-	end := bytes.LastIndex(f.pending, eventEnd)
-	if end < 0 {
-		return nil
-	}
-	end += len(eventEnd)
-	complete := f.pending[:end:end]
-	f.pending = append([]byte(nil), f.pending[end:]...)
-	return complete
-}
-
 func asSinkError(err error) error {
 	if err == nil {
 		return nil
--- a/edge/forwarded.go
+++ b/edge/forwarded.go
@@ -31,6 +31,7 @@
 	e.open.Add(1)
 	defer e.open.Add(-1)
 	r := forwardedRequest(&open)
+	defer r.releaseMemory()
 	r.origin = newOrigin(st, r.runs+1)
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
@@ -86,20 +87,35 @@
 	if !route.Allowed(r.route, r.workspace, e.Settings.Region) {
 		return refuse(NoUpstream, "the request must not run in this region", defaultRetryAfter), false
 	}
-	bodyCtx, cancel := context.WithDeadline(ctx, r.deadline)
+	if out, ok := e.receiveBody(ctx, st, open, r); !ok {
+		return out, false
+	}
+	return e.prepareForwarded(r)
+}
+
+// receiveBody reads the body of a forwarded request.
+func (e *Edge) receiveBody(ctx context.Context, st *vm.Stream, open *vmwire.Open, r *request) (Outcome, bool) {
+	body := e.newBody(r)
+	if err := body.Reserve(open.BodyBytes); err != nil {
+		return e.refuseBody(r, err), false
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
 	defer context.AfterFunc(e.stop.accepting, cancel)()
-	for int64(len(r.body)) < open.BodyBytes {
-		data, end, err := st.Recv(bodyCtx)
+	for int64(body.Len()) < open.BodyBytes {
+		data, end, err := st.Recv(ctx)
 		if err != nil && e.stop.accepting.Err() != nil {
 			return refuseLeaving(defaultRetryAfter), false
 		}
 		if err != nil || end != nil {
 			return refuse(BadRequest, "the body has not arrived", 0), false
 		}
-		r.body = append(r.body, data...)
+		if err := body.Append(data); err != nil {
+			return e.refuseBody(r, err), false
+		}
 	}
-	return e.prepareForwarded(r)
+	r.body = body.Bytes()
+	return Outcome{}, true
 }
 
 // configForForwarded returns the active configuration. If the VM that forwarded the request has a newer one, it waits for that,
--- /dev/null
+++ b/edge/memory.go
@@ -0,0 +1,127 @@
+package edge
+
+import (
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"parsleyhatch/event"
+	"parsleyhatch/memory"
+	"parsleyhatch/replica"
+)
+
+const (
+	// defaultMemoryBytes is the memory of a machine whose settings name none.
+	defaultMemoryBytes = 256 << 20
+	// bodyMemoryShare is the share of the machine's memory for request bodies. They take twice as much while they are sent, since a
+	// request is encoded in one piece.
+	bodyMemoryShare = 0.1
+	// answerMemoryShare is the share of the machine's memory for buffered answers and incomplete events.
+	answerMemoryShare = 0.1
+	// workspaceBodyShare is the share of the memory for bodies that one workspace may use, and upstreamAnswerShare the share of the
+	// memory for answers that one upstream may use: none of them stops the requests of the others.
+	workspaceBodyShare  = 0.75
+	upstreamAnswerShare = 0.25
+	// memoryLogInterval is the minimum time between two log lines about full memory.
+	memoryLogInterval = time.Second
+)
+
+// requestMemory bounds the memory of all open requests.
+type requestMemory struct {
+	// bodies is held by workspaces. answers is held by upstreams, and by other VMs for the streams that they forward.
+	bodies, answers *memory.Budget
+	// logAt is the earliest time of the next log line about full memory, in nanoseconds since boot.
+	logAt atomic.Int64
+}
+
+func newRequestMemory() *requestMemory {
+	return &requestMemory{bodies: memory.NewBudget(0, workspaceBodyShare), answers: memory.NewBudget(0, upstreamAnswerShare)}
+}
+
+// setLimits sets the limits for a machine with that many bytes of memory.
+func (m *requestMemory) setLimits(machine int64) {
+	if machine <= 0 {
+		machine = defaultMemoryBytes
+	}
+	m.bodies.SetLimit(int64(bodyMemoryShare * float64(machine)))
+	m.answers.SetLimit(int64(answerMemoryShare * float64(machine)))
+}
+
+// SetMemory changes the memory of the machine, in bytes, of which the requests have a share.
+func (e *Edge) SetMemory(machine int64) { e.memory.setLimits(machine) }
+
+// HeldBytes returns the bytes that are reserved for request bodies and for answers.
+func (e *Edge) HeldBytes() (bodies, answers int64) {
+	return e.memory.bodies.Usage().Used, e.memory.answers.Usage().Used
+}
+
+// heldData says what memory was needed for, in log lines and metrics.
+type heldData string
+
+const (
+	heldBody   heldData = "body"
+	heldAnswer heldData = "answer"
+	heldEvent  heldData = "event"
+)
+
+// recordMemoryFull counts and logs that there was no memory for data of a request. holder is the workspace, upstream or VM that it
+// would have been reserved for.
+func (e *Edge) recordMemoryFull(r *request, data heldData, holder string, cause error) {
+	e.Metrics.CountMemoryFull(string(data))
+	now := e.Now()
+	at := e.memory.logAt.Load()
+	if now.UnixNano() < at || !e.memory.logAt.CompareAndSwap(at, now.Add(memoryLogInterval).UnixNano()) {
+		return
+	}
+	budget := e.memory.answers
+	if data == heldBody {
+		budget = e.memory.bodies
+	}
+	u := budget.Usage()
+	event.MemoryFull.Log(e.Log, "request", r.id, "data", string(data), "holder", holder, "cause", cause.Error(),
+		"usedBytes", u.Used, "limitBytes", u.Limit, "largestHolder", u.Largest, "largestBytes", u.LargestUsed)
+}
+
+// newBody returns the buffer for the body of the request, which is released with the request.
+func (e *Edge) newBody(r *request) *memory.Buffer {
+	r.bodyBuffer = e.memory.bodies.Buffer(r.workspaceName())
+	return r.bodyBuffer
+}
+
+// resultOfFull returns the result of an attempt for which there was no memory. Only an upstream that has used its own share is
+// blamed.
+func resultOfFull(err error) replica.Result {
+	if errors.Is(err, memory.ErrShareFull) {
+		return replica.Failed
+	}
+	return replica.RequestCancelled
+}
+
+// refuseBody returns the refusal of a request for whose body there is no memory.
+func (e *Edge) refuseBody(r *request, cause error) Outcome {
+	e.recordMemoryFull(r, heldBody, r.workspaceName(), cause)
+	return refuse(MemoryFull, cause.Error(), defaultRetryAfter)
+}
+
+// releaseMemory gives back what the request holds. It is called when the request has ended.
+func (r *request) releaseMemory() {
+	if r.bodyBuffer != nil {
+		r.bodyBuffer.Release()
+	}
+	if r.failedAnswer != nil {
+		r.failedAnswer.body.Release()
+	}
+}
+
+// keepFailedAnswer keeps the latest error answer of an upstream.
+func (r *request) keepFailedAnswer(a *bufferedAnswer) {
+	if r.failedAnswer != nil {
+		r.failedAnswer.body.Release()
+	}
+	r.failedAnswer = a
+}
+
+// keeps reports whether the request keeps the answer in a buffer until its end.
+func (r *request) keeps(b *memory.Buffer) bool {
+	return r.failedAnswer != nil && r.failedAnswer.body == b
+}
--- /dev/null
+++ b/edge/memory_test.go
@@ -0,0 +1,164 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"parsleyhatch/platform"
+)
+
+// testMemoryBytes is the memory of VMs whose requests use all of their share.
+const testMemoryBytes = 64 << 20
+
+// publishTwoServices publishes the route /a/ to the service "plain", and the route /b/ to "other".
+func (w *testCluster) publishTwoServices(kind string) {
+	w.store.Put(platform.ConfigKey, fmt.Sprintf(`{"version":1,"routes":[%s,%s],"services":[{"name":"plain"},{"name":"other"}],
+		"tenants":[{"name":"w1","api_keys":["secret"]}]}`, routeJSON("a", kind, "plain", ""), routeJSON("b", "safe", "other", "")))
+}
+
+// stopInsideEvent begins an event that it does not end before the request is cancelled.
+func stopInsideEvent(rw http.ResponseWriter, r *http.Request) {
+	rw.Header().Set("Content-Type", "text/event-stream")
+	writeFiller(rw, r, maxEventBytes)
+	rw.(http.Flusher).Flush()
+	<-r.Context().Done()
+}
+
+// Guards against answers of one upstream that do not end and fill the memory, at the VM of the caller or at the one that it forwards
+// to, or that take the memory from the answers of others.
+func TestStuckAnswersLeaveMemoryForOthers(t *testing.T) {
+	const requests = 40
+	for name, c := range map[string]struct {
+		kind, data string
+		handle     http.HandlerFunc
+	}{
+		"body":  {"unsafe", "answer", stopShort(maxBufferedAnswer - 1)},
+		"event": {"streaming", "event", stopInsideEvent},
+	} {
+		for _, region := range []string{"north", "south"} {
+			t.Run(name+" in "+region, func(t *testing.T) {
+				w := newTestCluster(t, "north", "south")
+				w.memoryBytes = testMemoryBytes / 2
+				w.publishTwoServices(c.kind)
+				w.addUpstream("u1", "plain", region, c.handle)
+				long := strings.Repeat("x", maxBufferedAnswer/2)
+				w.addUpstream("u2", "other", region, func(rw http.ResponseWriter, _ *http.Request) {
+					rw.Header().Set("Content-Length", strconv.Itoa(len(long)))
+					_, _ = io.WriteString(rw, long) // The caller's side of the test sees a failure.
+				})
+				v := w.startVM("vm1", "north", true)
+				w.startVM("vm2", "south", true)
+				w.waitForMembership()
+				w.waitFor("the upstreams are known", func() bool { return v.knowsUpstreams("plain", 1) && v.knowsUpstreams("other", 1) })
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				go v.callEndless(ctx, t, requests)
+				w.waitFor("the upstream has used its share", w.shareUsed)
+				for range 5 {
+					status, body, header := v.call(t, "/b/", "x", nil)
+					if status != http.StatusOK || body != long || header.Get("Content-Length") != strconv.Itoa(len(long)) {
+						t.Errorf("answer %d of %d bytes, want a buffered one of %d", status, len(body), len(long))
+					}
+					w.checkAnswerShare()
+				}
+				cancel()
+				w.waitFor("the memory is given back", func() bool { return w.heldBytes() == 0 })
+				serving := w.vms[slices.Index([]string{"north", "south"}, region)]
+				if serving.counted(t, `memory_full{data="`+c.data) == 0 {
+					t.Error("the VM that serves the request has not counted the answers without memory")
+				}
+			})
+		}
+	}
+}
+
+// shareUsed reports whether an upstream was refused memory for answers at a VM.
+func (w *testCluster) shareUsed() bool {
+	return slices.ContainsFunc(w.vms, func(v *testVM) bool { return v.memory.logAt.Load() > 0 })
+}
+
+// checkAnswerShare checks that no upstream has more than its share of the memory for answers.
+func (w *testCluster) checkAnswerShare() {
+	w.t.Helper()
+	for _, v := range w.vms {
+		u := v.memory.answers.Usage()
+		if u.LargestUsed > int64(upstreamAnswerShare*float64(u.Limit)) {
+			w.t.Errorf("%s: %+v", v.Settings.Name, u)
+		}
+	}
+}
+
+// heldBytes returns the memory that all VMs hold for requests.
+func (w *testCluster) heldBytes() int64 {
+	sum := int64(0)
+	for _, v := range w.vms {
+		bodies, answers := v.HeldBytes()
+		sum += bodies + answers
+	}
+	return sum
+}
+
+// Guards against bodies that fill the memory of a VM, and against a refusal that does not say at once that the request has not run
+// and may be sent again.
+func TestBodiesWithinMemory(t *testing.T) {
+	const bodyBytes = 4 << 20
+	for _, region := range []string{"north", "south"} {
+		for _, length := range []int64{bodyBytes, -1} {
+			t.Run(fmt.Sprintf("upstream in %s, length %d", region, length), func(t *testing.T) {
+				w := newTestCluster(t, "north", "south")
+				w.publishConfig(1, routeJSON("a", "unsafe", "plain", ""))
+				finish := make(chan struct{})
+				u := w.addUpstream("u1", "plain", region, func(_ http.ResponseWriter, r *http.Request) {
+					if r.ContentLength == bodyBytes {
+						<-finish
+					}
+				})
+				if region == "north" {
+					w.memoryBytes = testMemoryBytes
+				}
+				v := w.startVM("vm1", "north", true)
+				w.memoryBytes = testMemoryBytes
+				w.startVM("vm2", "south", true)
+				w.waitForMembership()
+				w.waitFor("the upstream is known", func() bool { return v.knowsUpstreams("plain", 1) })
+				send := func() *http.Response {
+					r := v.request(t, "/a/", strings.Repeat("x", bodyBytes), nil)
+					r.ContentLength = length
+					resp, err := http.DefaultClient.Do(r)
+					if err != nil {
+						t.Error(err)
+						return &http.Response{Body: http.NoBody}
+					}
+					return resp
+				}
+				first := make(chan int)
+				go func() {
+					resp := send()
+					_ = resp.Body.Close()
+					first <- resp.StatusCode
+				}()
+				w.waitFor("the first request runs", func() bool { return u.requestCount() == 1 })
+				resp := send()
+				answer, _ := io.ReadAll(resp.Body)
+				_ = resp.Body.Close()
+				if resp.StatusCode != http.StatusServiceUnavailable || !strings.Contains(string(answer), `"error":"memoryFull","ran":"notRun"`) || resp.Header.Get("Retry-After") == "" {
+					t.Errorf("answer %d %v %s", resp.StatusCode, resp.Header, answer)
+				}
+				if status, _, _ := v.call(t, "/a/", "small", nil); status != http.StatusOK || u.requestCount() != 2 {
+					t.Errorf("small request: status %d, %d requests have run", status, u.requestCount())
+				}
+				close(finish)
+				if status := <-first; status != http.StatusOK {
+					t.Errorf("first request: status %d", status)
+				}
+				w.waitFor("the memory is given back", func() bool { return w.heldBytes() == 0 })
+			})
+		}
+	}
+}
--- a/edge/new.go
+++ b/edge/new.go
@@ -52,8 +52,10 @@
 		ConnLimiter: callerconn.New(),
 		hasher:      hasher,
 		stop:        newStop(s.Bounds.ShutdownGrace),
+		memory:      newRequestMemory(),
 		reach:       newReach(),
 	}
+	e.SetMemory(s.MemoryBytes)
 	e.Replicas.ColdBound = func(sv *route.Service) float64 {
 		return sv.WarmUpRate*s.Bounds.WarmUpOverage + s.Bounds.WarmUpSlack
 	}
--- a/edge/outcome.go
+++ b/edge/outcome.go
@@ -41,6 +41,7 @@
 	Quarantined        Reason = "quarantined"
 	NoUpstream         Reason = "noUpstream"
 	Overloaded         Reason = "overloaded"
+	MemoryFull         Reason = "memoryFull"
 	UpstreamRefused    Reason = "upstreamRefused"
 	VersionUnknown     Reason = "versionUnknown"
 	UpstreamFailed     Reason = "upstreamBroke"
@@ -79,6 +80,7 @@
 	Quarantined:        http.StatusInternalServerError,
 	NoUpstream:         http.StatusServiceUnavailable,
 	Overloaded:         http.StatusServiceUnavailable,
+	MemoryFull:         http.StatusServiceUnavailable,
 	UpstreamRefused:    http.StatusServiceUnavailable,
 	VersionUnknown:     http.StatusServiceUnavailable,
 	UpstreamFailed:     http.StatusBadGateway,
--- a/edge/request.go
+++ b/edge/request.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"parsleyhatch/memory"
 	"parsleyhatch/platform"
 	"parsleyhatch/poison"
 	"parsleyhatch/replica"
@@ -22,6 +23,8 @@
 	host   string
 	header http.Header
 	body   []byte
+	// bodyBuffer holds body, nil until it is read.
+	bodyBuffer *memory.Buffer
 
 	// arrived and deadline carry a monotonic clock reading.
 	arrived  time.Time
@@ -106,7 +109,15 @@
 type bufferedAnswer struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *memory.Buffer
+}
+
+// workspaceName returns the name of the request's workspace, empty if it has none.
+func (r *request) workspaceName() string {
+	if r.workspace == nil {
+		return ""
+	}
+	return r.workspace.Name
 }
 
 // targetID returns the id by which the service of a route with several services is chosen. A caller that resumes a stream has a new
--- a/edge/retries.go
+++ b/edge/retries.go
@@ -41,7 +41,7 @@
 // causeOf returns why a request is sent once more after an outcome.
 func causeOf(out Outcome) retryCause {
 	switch out.Reason {
-	case NoUpstream, NoConfiguration, StaleKeys, Leaving, NoRoute, Overloaded:
+	case NoUpstream, NoConfiguration, StaleKeys, Leaving, NoRoute, Overloaded, MemoryFull:
 		return causeNotSent
 	case UpstreamRefused:
 		return causeRefused
--- a/edge/retries_test.go
+++ b/edge/retries_test.go
@@ -118,28 +118,34 @@
 
 // chargedRetries returns the number of retries that the VM has charged to its budget, from its metrics. It ends the metrics.
 func (v *testVM) chargedRetries(t *testing.T) int {
+	t.Helper()
+	return v.counted(t, `retries{budget="charged"`)
+}
+
+// counted returns the sum of the counters whose name and tags begin with prefix. It ends the metrics.
+func (v *testVM) counted(t *testing.T, prefix string) int {
 	t.Helper()
 	if err := v.Metrics.Close(); err != nil { // Closing reports the recorded values.
 		t.Fatal(err)
 	}
 	page := httptest.NewRecorder()
 	v.Metrics.Handler().ServeHTTP(page, httptest.NewRequest(http.MethodGet, "/metrics", nil))
-	charged := 0
+	sum := 0
 	for line := range strings.Lines(page.Body.String()) {
-		if strings.HasPrefix(line, `parsleyhatch_retries{budget="charged"`) {
+		if strings.HasPrefix(line, "parsleyhatch_"+prefix) {
 			n, err := strconv.Atoi(strings.TrimSpace(line[strings.LastIndex(line, " "):]))
 			if err != nil {
 				t.Fatal(err)
 			}
-			charged += n
+			sum += n
 		}
 	}
-	return charged
+	return sum
 }
 
 // Guards against an outcome that is exempt from the retry budget although it may follow a request that has reached an upstream.
 func TestOnlyOutcomesWithoutSendAreExempt(t *testing.T) {
-	exempt := map[Reason]bool{NoUpstream: true, NoConfiguration: true, StaleKeys: true, Leaving: true, NoRoute: true, Overloaded: true}
+	exempt := map[Reason]bool{NoUpstream: true, NoConfiguration: true, StaleKeys: true, Leaving: true, NoRoute: true, Overloaded: true, MemoryFull: true}
 	for reason := range statuses {
 		if got := causeOf(Outcome{Reason: reason}) == causeNotSent; got != exempt[reason] {
 			t.Errorf("%s: exempt %v, want %v", reason, got, exempt[reason])
--- a/edge/send.go
+++ b/edge/send.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"parsleyhatch/event"
+	"parsleyhatch/memory"
 	"parsleyhatch/platform"
 	"parsleyhatch/replica"
 	"parsleyhatch/route"
@@ -24,6 +25,8 @@
 	maxUnsizedAnswer = 128 << 10
 	// maxRelayedAnswer is the maximum size of an answer without a length that is relayed unbuffered, in bytes.
 	maxRelayedAnswer = 64 << 20
+	// relayReadBytes is the buffer size for reads of an answer that is relayed unbuffered, in bytes.
+	relayReadBytes = 8 << 10
 	// maxDrainedRefusal is the maximum size of a refusal that is read so that its connection can be reused, in bytes.
 	maxDrainedRefusal = 16 << 10
 	// reservedVMs is the number of VMs, in addition to the known ones, for which connections to an upstream
@@ -151,13 +154,26 @@
 	if a.Length < 0 {
 		limit = maxUnsizedAnswer
 	}
-	body, err := io.ReadAll(io.LimitReader(a, int64(limit)+1))
+	body := e.memory.answers.Buffer(pick.ID)
+	defer func() {
+		if !r.keeps(body) {
+			body.Release()
+		}
+	}()
+	err := body.ReadAll(a, limit)
+	full := memory.IsFull(err)
+	if full {
+		e.recordMemoryFull(r, heldAnswer, pick.ID, err)
+	}
+	if (full || errors.Is(err, memory.ErrTooLong)) && !r.headSent {
+		return e.relayUnbuffered(r, pick, a, body, sink)
+	}
 	now := e.Now()
 	if err != nil && a.Aborted() {
 		e.Replicas.Done(now, pick, replica.RequestCancelled)
 		return fail(UpstreamFailed, errPathLost.Error())
 	}
-	if err != nil {
+	if err != nil && !full && !errors.Is(err, memory.ErrTooLong) {
 		e.Replicas.Done(now, pick, replica.Failed)
 		if ctx.Err() != nil {
 			return fail(TimedOut, "the answer was not whole in time")
@@ -165,9 +181,6 @@
 		e.reportCrash(r, pick, err)
 		return fail(UpstreamFailed, "read answer: "+err.Error())
 	}
-	if len(body) > limit && !r.headSent {
-		return e.relayUnbuffered(r, pick, a, body, sink)
-	}
 	failed := a.Status >= http.StatusInternalServerError
 	result := replica.Answered
 	if failed {
@@ -178,7 +191,7 @@
 	answer := &bufferedAnswer{status: a.Status, header: endToEnd(a.Header), body: body}
 	if failed && e.mayReplaceFailure(ctx, r) {
 		event.EdgeRetried.Log(e.Log, "request", r.id, "upstream", pick.ID, "status", a.Status)
-		r.failedAnswer = answer
+		r.keepFailedAnswer(answer)
 		return fail(UpstreamFailed, "upstream answered "+strconv.Itoa(a.Status))
 	}
 	if r.headSent {
@@ -197,12 +210,12 @@
 func (r *request) deliver(a *bufferedAnswer, sink *Sink) Outcome {
 	r.headSent = true
 	out := Outcome{Reason: Answered, Status: a.status, Ran: HasRun}
-	if err := sink.Head(a.status, a.header, len(a.body)); err != nil {
+	if err := sink.Head(a.status, a.header, a.body.Len()); err != nil {
 		out.Reason, out.Detail = CallerDisconnected, err.Error()
 		return out
 	}
-	if len(a.body) > 0 {
-		if err := sink.Data(a.body, false); err != nil {
+	if a.body.Len() > 0 {
+		if err := sink.Data(a.body.Bytes(), false); err != nil {
 			out.Reason, out.Detail = CallerDisconnected, err.Error()
 			return out
 		}
@@ -211,19 +224,21 @@
 	return out
 }
 
-// relayUnbuffered relays an answer that is too long to be buffered. prefix holds the bytes that were already read.
-func (e *Edge) relayUnbuffered(r *request, pick *replica.Pick, a *upstream.Response, prefix []byte, sink *Sink) Outcome {
+// relayUnbuffered relays an answer that is too long to be buffered, or for which there is no memory. prefix holds the bytes that were
+// already read.
+func (e *Edge) relayUnbuffered(r *request, pick *replica.Pick, a *upstream.Response, prefix *memory.Buffer, sink *Sink) Outcome {
 	r.headSent, r.notResumable = true, true
 	result := replica.Failed
 	defer func() { e.Replicas.Done(e.Now(), pick, result) }()
 	if err := sink.Head(a.Status, endToEnd(a.Header), -1); err != nil {
 		return fail(CallerDisconnected, err.Error())
 	}
-	if err := sink.Data(prefix, false); err != nil {
+	if err := sink.Data(prefix.Bytes(), false); err != nil {
 		return fail(CallerDisconnected, err.Error())
 	}
-	buf := make([]byte, 32<<10)
-	relayed := len(prefix)
+	relayed := prefix.Len()
+	prefix.Release()
+	buf := make([]byte, relayReadBytes)
 	for {
 		n, err := a.Read(buf)
 		if relayed += n; relayed > maxRelayedAnswer && a.Length < 0 {
--- a/edge/server.go
+++ b/edge/server.go
@@ -18,6 +18,7 @@
 	"parsleyhatch/callerconn"
 	"parsleyhatch/event"
 	"parsleyhatch/logbuf"
+	"parsleyhatch/memory"
 	"parsleyhatch/platform"
 	"parsleyhatch/route"
 	"parsleyhatch/vmwire"
@@ -91,6 +92,7 @@
 		id: h.Header.Get(platform.HeaderRequestID), method: h.Method, target: h.RequestURI, host: h.Host,
 		header: h.Header, arrived: time.Now(), lastEvent: h.Header.Get(platform.HeaderLastEventID),
 	}
+	defer r.releaseMemory()
 	out, ok := e.admit(w, h, r)
 	if !ok {
 		e.refuseCaller(w, h, r, out)
@@ -194,8 +196,8 @@
 }
 
 // readBody reads the body within the configured size limit and bodyTimeout. A body that is not complete when a leaving VM ceases to
-// accept requests is not waited for.
-func (e *Edge) readBody(w http.ResponseWriter, h *http.Request, limits route.Limits) ([]byte, Outcome, bool) {
+// accept requests is not waited for. One for which there is no memory is refused on its announced length, if it has one.
+func (e *Edge) readBody(w http.ResponseWriter, h *http.Request, r *request, limits route.Limits) ([]byte, Outcome, bool) {
 	limit := limits.MaxBodyBytes
 	if limit <= 0 {
 		limit = defaultBodyBytes
@@ -206,22 +208,28 @@
 	if h.Body == nil || h.ContentLength == 0 {
 		return []byte{}, Outcome{}, true
 	}
+	body := e.newBody(r)
+	if err := body.Reserve(h.ContentLength); err != nil {
+		return nil, e.refuseBody(r, err), false
+	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
 	stop := context.AfterFunc(e.stop.accepting, func() { _ = control.SetReadDeadline(time.Now()) })
-	body, err := io.ReadAll(http.MaxBytesReader(w, h.Body, limit))
+	err := body.ReadAll(http.MaxBytesReader(w, h.Body, limit), int(limit))
 	if !stop() {
 		return nil, refuseLeaving(leavingRetryAfter), false
 	}
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
+	case memory.IsFull(err):
+		return nil, e.refuseBody(r, err), false
 	case errors.As(err, &tooLarge):
 		return nil, refuse(TooLarge, fmt.Sprintf("body above %d bytes", limit), 0), false
 	case err != nil:
 		return nil, refuse(BadRequest, "read body: "+err.Error(), 0), false
 	}
-	return body, Outcome{}, true
+	return body.Bytes(), Outcome{}, true
 }
 
 // defaultBodyBytes is the maximum size of a body in bytes if the configuration sets none.
@@ -230,13 +238,10 @@
 // recordOutcome logs the outcome of a request and updates the metrics. It never logs keys or content.
 func (e *Edge) recordOutcome(r *request, out Outcome) {
 	elapsed := time.Since(r.arrived)
-	name, workspace := "", ""
+	name, workspace := "", r.workspaceName()
 	if r.route != nil {
 		name = r.route.Name
 	}
-	if r.workspace != nil {
-		workspace = r.workspace.Name
-	}
 	e.Metrics.ObserveRequest(name, string(out.Reason), out.Ran.String(), r.forwarded, elapsed, 0)
 	ev := event.EdgeFailed
 	switch {
--- a/edge/stream_bench_test.go
+++ b/edge/stream_bench_test.go
@@ -27,7 +27,7 @@
 	var s *eventRelay
 	for i := 0; b.Loop(); i++ {
 		if i%events == 0 {
-			s = &eventRelay{ctx: context.Background(), edge: v.Edge, request: r, pick: &replica.Pick{}, answer: &upstream.Response{}, sink: sink, started: true}
+			s = &eventRelay{ctx: context.Background(), edge: v.Edge, request: r, pick: &replica.Pick{}, answer: &upstream.Response{}, sink: sink, started: true, pending: v.memory.answers.Buffer("u1")}
 			r.sequence = nil
 			s.source = v.newEventSource(r, "u1", "")
 		}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -146,6 +146,11 @@
 	m.scope.Tagged(map[string]string{"service": service, "cause": cause, "budget": budget}).Counter("retries").Inc(1)
 }
 
+// CountMemoryFull counts data of requests for which there was no memory.
+func (m *Metrics) CountMemoryFull(data string) {
+	m.scope.Tagged(map[string]string{"data": data}).Counter("memory_full").Inc(1)
+}
+
 // AddCounter adds to a counter without tags.
 func (m *Metrics) AddCounter(name string, n int64) { m.scope.Counter(name).Inc(n) }
 
--- a/operator/vmmonitor.go
+++ b/operator/vmmonitor.go
@@ -80,6 +80,7 @@
 	event.SettingsReloaded.Log(m.process.log, "changed", strings.Join(changed, ","))
 	m.process.edge.Fleet.AddSeeds(m.process.edge.Now(), next.Seeds)
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(next.MemoryBytes)))
+	m.process.edge.SetMemory(next.MemoryBytes)
 	m.settings = next
 }
 
@@ -110,12 +111,15 @@
 	}
 	pool := e.Pool.Stats()
 	suspected, quarantined := e.Parts.Counts(now)
+	bodyBytes, answerBytes := e.HeldBytes()
 	for name, value := range map[string]int64{
 		"open_requests":                  int64(e.OpenRequests()),
 		"keys_age_milliseconds":          int64(vmwire.AgeOf(now, e.Watcher.FreshAt())),
 		"upstream_connections_dialed":    pool.Dialed,
 		"upstream_connections_reused":    pool.Reused,
 		"upstream_connections_discarded": pool.Discarded,
+		"held_body_bytes":                bodyBytes,
+		"held_answer_bytes":              answerBytes,
 		"upstreams":                      int64(len(e.Replicas.IDs())),
 		"prompt_parts_suspected":         int64(suspected),
 		"prompt_parts_quarantined":       int64(quarantined),
