edge: take memory back from answers that are stuck

What callers saw: answers that stop short of their length held their part of the memory for answers until the deadlines of their requests. While many upstreams are stuck so, the answers of others cannot be retried any more, and their long events fail. Cause: an answer gave its memory back only when it needed more, or at its end.

Change: an answer with a length that makes no progress for two checks of 500 ms, while three quarters of the memory or of its upstream's share are used, is replaced by another attempt if the request may run again and has a destination; otherwise what has arrived is relayed. The same holds for an error for which there is no memory: before it was relayed although a retry was allowed. A buffer grows by half instead of a quarter, and not beyond the length of its answer: each step leaves a copy to the garbage collector.

--- a/edge/endless_test.go
+++ b/edge/endless_test.go
@@ -125,17 +125,19 @@
 	const upstreams = 32
 	const maxGrowth = 20 << 20
 	for name, c := range map[string]struct {
-		kind   string
-		handle http.HandlerFunc
+		kind        string
+		memoryBytes int64
+		handle      http.HandlerFunc
 	}{
-		"stream without events":   {"streaming", writeEndless("text/event-stream")},
-		"body without a length":   {"safe", writeEndless("application/octet-stream")},
-		"stream that is no event": {"streaming", writeEndless("application/json")},
-		"body that stops short":   {"unsafe", stopShort(maxBufferedAnswer - 1)},
-		"head without an end":     {"safe", writeEndlessHead},
+		"stream without events":   {"streaming", 0, writeEndless("text/event-stream")},
+		"body without a length":   {"safe", 0, writeEndless("application/octet-stream")},
+		"stream that is no event": {"streaming", 0, writeEndless("application/json")},
+		"body that stops short":   {"unsafe", testMemoryBytes, stopShort(maxBufferedAnswer - 1)},
+		"head without an end":     {"safe", 0, writeEndlessHead},
 	} {
 		t.Run(name, func(t *testing.T) {
 			w := newTestCluster(t, "north")
+			w.memoryBytes = c.memoryBytes
 			w.publishConfig(1, routeJSON("a", c.kind, "plain", ""))
 			w.addUpstream("u1", "plain", "north", c.handle)
 			v := w.startVM("vm1", "north", true)
--- a/edge/memory.go
+++ b/edge/memory.go
@@ -1,13 +1,16 @@
 package edge
 
 import (
+	"context"
 	"errors"
+	"net/http"
 	"sync/atomic"
 	"time"
 
 	"parsleyhatch/event"
 	"parsleyhatch/memory"
 	"parsleyhatch/replica"
+	"parsleyhatch/upstream"
 )
 
 const (
@@ -22,6 +25,10 @@
 	// memory for answers that one upstream may use: none of them stops the requests of the others.
 	workspaceBodyShare  = 0.75
 	upstreamAnswerShare = 0.25
+	// progressInterval is the interval at which an answer with a length is checked for progress, and minIdleChecks the number of checks
+	// in a row without any after which it counts as stuck. After a pause of the process the first one fails although bytes have arrived.
+	progressInterval = 500 * time.Millisecond
+	minIdleChecks    = 2
 	// memoryLogInterval is the minimum time between two log lines about full memory.
 	memoryLogInterval = time.Second
 )
@@ -82,6 +89,44 @@
 		"usedBytes", u.Used, "limitBytes", u.Limit, "largestHolder", u.Largest, "largestBytes", u.LargestUsed)
 }
 
+// errAnswerStuck reports that an answer makes no progress while its memory is needed.
+var errAnswerStuck = errors.New("the answer makes no progress while memory is short")
+
+// readAnswer reads an answer into a buffer. It gives up an answer with a length that holds memory without progress while memory is
+// short. One without a length holds less, and its parser cannot go on after a read that has timed out.
+func (e *Edge) readAnswer(a *upstream.Response, upstreamID string, body *memory.Buffer) error {
+	if a.Length < 0 {
+		return body.ReadAll(a, maxUnsizedAnswer)
+	}
+	limit := int(min(a.Length, maxBufferedAnswer))
+	if a.Length <= memory.UncountedBytes {
+		return body.ReadAll(a, limit)
+	}
+	defer a.SetReadDeadline(time.Time{})
+	for idleChecks := 0; ; {
+		received := body.Len()
+		a.SetReadDeadline(time.Now().Add(progressInterval))
+		err := body.ReadAll(a, limit)
+		if !upstream.IsTimeout(err) {
+			return err
+		}
+		idleChecks++
+		if body.Len() > received {
+			idleChecks = 0
+		}
+		if idleChecks >= minIdleChecks && e.memory.answers.IsShort(upstreamID) {
+			return errAnswerStuck
+		}
+	}
+}
+
+// mayLeave reports whether another attempt replaces an answer for which there is no memory: one that is stuck or an error, if the
+// request may run again and has a destination. Any other answer is relayed as it arrives.
+func (e *Edge) mayLeave(ctx context.Context, r *request, a *upstream.Response, err error) bool {
+	replaceable := errors.Is(err, errAnswerStuck) || a.Status >= http.StatusInternalServerError
+	return replaceable && e.mayReplaceFailure(ctx, r) && e.hasDestination(r)
+}
+
 // newBody returns the buffer for the body of the request, which is released with the request.
 func (e *Edge) newBody(r *request) *memory.Buffer {
 	r.bodyBuffer = e.memory.bodies.Buffer(r.workspaceName())
--- a/edge/memory_test.go
+++ b/edge/memory_test.go
@@ -11,6 +11,7 @@
 	"testing"
 
 	"parsleyhatch/platform"
+	"parsleyhatch/replica"
 )
 
 // testMemoryBytes is the memory of VMs whose requests use all of their share.
@@ -78,6 +79,48 @@
 	}
 }
 
+// Guards against answers that hold memory until their deadline although they make no progress and others need it, and against requests
+// that are not retried although they may be.
+func TestStuckAnswersGiveMemoryBack(t *testing.T) {
+	// Together they leave little of the share of their upstream, and do not exceed it.
+	const requests, sent = 5, maxBufferedAnswer / 8
+	for kind, want := range map[string]string{"safe": "whole", "unsafe": "broken off"} {
+		t.Run(kind, func(t *testing.T) {
+			w := newTestCluster(t, "north")
+			w.memoryBytes = testMemoryBytes / 2
+			w.publishConfig(1, routeJSON("a", kind, "plain", ""))
+			w.addUpstream("u1", "plain", "north", stopShort(sent))
+			w.addUpstream("u2", "plain", "north", nil)
+			v := w.startVM("vm1", "north", true)
+			w.waitFor("the upstreams are known", func() bool { return v.knowsUpstreams("plain", 2) })
+			// u2 has more load, so that all requests begin at u1.
+			v.Replicas.SetPeerUse(v.Now(), "other", map[string]replica.Use{"u2": {Running: 7}})
+			results := make(chan string, requests)
+			for range requests {
+				go func() {
+					status, _, err := v.read(t, "/a/", nil)
+					switch {
+					case status != http.StatusOK:
+						results <- strconv.Itoa(status)
+					case err != nil:
+						results <- "broken off"
+					default:
+						results <- "whole"
+					}
+				}()
+			}
+			counts := map[string]int{}
+			for range requests {
+				counts[<-results]++
+			}
+			if counts[want] == 0 || counts[want]+counts["504"] != requests {
+				t.Errorf("answers: %v, want some that are %s and the rest 504", counts, want)
+			}
+			w.waitFor("the memory is given back", func() bool { return w.heldBytes() == 0 })
+		})
+	}
+}
+
 // shareUsed reports whether an upstream was refused memory for answers at a VM.
 func (w *testCluster) shareUsed() bool {
 	return slices.ContainsFunc(w.vms, func(v *testVM) bool { return v.memory.logAt.Load() > 0 })
--- a/edge/send.go
+++ b/edge/send.go
@@ -147,40 +147,32 @@
 	return status == http.StatusOK && strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
 }
 
-// relayBuffered reads an answer completely before it is sent to the caller. Answers that exceed the buffer are
+// relayBuffered reads an answer completely before it is sent to the caller. Answers that exceed the buffer or the memory are
 // relayed unbuffered, unless the caller already has a part of a stream.
 func (e *Edge) relayBuffered(ctx context.Context, r *request, pick *replica.Pick, a *upstream.Response, sink *Sink) Outcome {
-	limit := maxBufferedAnswer
-	if a.Length < 0 {
-		limit = maxUnsizedAnswer
-	}
 	body := e.memory.answers.Buffer(pick.ID)
 	defer func() {
 		if !r.keeps(body) {
 			body.Release()
 		}
 	}()
-	err := body.ReadAll(a, limit)
-	full := memory.IsFull(err)
-	if full {
+	err := e.readAnswer(a, pick.ID, body)
+	noMemory := memory.IsFull(err) || errors.Is(err, errAnswerStuck)
+	if noMemory {
 		e.recordMemoryFull(r, heldAnswer, pick.ID, err)
 	}
-	if (full || errors.Is(err, memory.ErrTooLong)) && !r.headSent {
-		return e.relayUnbuffered(r, pick, a, body, sink)
+	if noMemory && e.mayLeave(ctx, r, a, err) {
+		e.Replicas.Done(e.Now(), pick, resultOfFull(err))
+		return fail(UpstreamFailed, "read answer: "+err.Error())
 	}
-	now := e.Now()
-	if err != nil && a.Aborted() {
-		e.Replicas.Done(now, pick, replica.RequestCancelled)
-		return fail(UpstreamFailed, errPathLost.Error())
+	tooLong := noMemory || errors.Is(err, memory.ErrTooLong)
+	if tooLong && !r.headSent {
+		return e.relayUnbuffered(r, pick, a, body, sink)
 	}
-	if err != nil && !full && !errors.Is(err, memory.ErrTooLong) {
-		e.Replicas.Done(now, pick, replica.Failed)
-		if ctx.Err() != nil {
-			return fail(TimedOut, "the answer was not whole in time")
-		}
-		e.reportCrash(r, pick, err)
-		return fail(UpstreamFailed, "read answer: "+err.Error())
+	if err != nil && !tooLong {
+		return e.handleReadFailure(ctx, r, pick, a, err)
 	}
+	now := e.Now()
 	failed := a.Status >= http.StatusInternalServerError
 	result := replica.Answered
 	if failed {
@@ -200,6 +192,20 @@
 	return r.deliver(answer, sink)
 }
 
+// handleReadFailure handles an answer that broke off, was aborted or was not complete in time.
+func (e *Edge) handleReadFailure(ctx context.Context, r *request, pick *replica.Pick, a *upstream.Response, err error) Outcome {
+	if a.Aborted() {
+		e.Replicas.Done(e.Now(), pick, replica.RequestCancelled)
+		return fail(UpstreamFailed, errPathLost.Error())
+	}
+	e.Replicas.Done(e.Now(), pick, replica.Failed)
+	if ctx.Err() != nil {
+		return fail(TimedOut, "the answer was not whole in time")
+	}
+	e.reportCrash(r, pick, err)
+	return fail(UpstreamFailed, "read answer: "+err.Error())
+}
+
 // mayReplaceFailure reports whether another attempt may replace the error answer of an upstream.
 func (e *Edge) mayReplaceFailure(ctx context.Context, r *request) bool {
 	return ctx.Err() == nil && r.route.Idempotent() && !r.headSent && r.runs < r.route.MaxAttempts &&
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -66,6 +66,17 @@
 	}
 }
 
+// shortShare is the share of the budget, or of what one holder may use, from which on it is short.
+const shortShare = 0.75
+
+// IsShort reports whether little is left in all, or for a holder, so that what holds memory without need should give it back.
+func (b *Budget) IsShort(holder string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	short := shortShare * float64(b.limit)
+	return float64(b.used) > short || float64(b.held[holder]) > short*b.holderShare
+}
+
 // Usage is the use of a budget, in bytes.
 type Usage struct {
 	Limit, Used int64
--- a/memory/buffer.go
+++ b/memory/buffer.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math"
 	"slices"
 )
 
@@ -12,7 +13,7 @@
 	UncountedBytes = 4 << 10
 	// minCapacity is the smallest capacity of a buffer that holds anything, in bytes.
 	minCapacity = 512
-	// maxDoubledBytes is the capacity up to which a growing buffer doubles; a larger one grows by a quarter.
+	// maxDoubledBytes is the capacity up to which a growing buffer doubles; a larger one grows by half.
 	maxDoubledBytes = 64 << 10
 )
 
@@ -54,21 +55,21 @@
 	return nil
 }
 
-// grow makes room for n bytes in all, and for more where the buffer goes on growing.
-func (b *Buffer) grow(n int) error {
+// grow makes room for n bytes in all, and for more up to most bytes, since the buffer may go on growing.
+func (b *Buffer) grow(n, most int) error {
 	if n <= cap(b.bytes) {
 		return nil
 	}
 	next := 2 * cap(b.bytes)
 	if next > maxDoubledBytes {
-		next = cap(b.bytes) + cap(b.bytes)/4
+		next = cap(b.bytes) + cap(b.bytes)/2
 	}
-	return b.Reserve(int64(max(n, next, minCapacity)))
+	return b.Reserve(int64(max(n, min(max(next, minCapacity), most))))
 }
 
 // Append appends data, or nothing if it fails because the budget is full.
 func (b *Buffer) Append(data []byte) error {
-	if err := b.grow(len(b.bytes) + len(data)); err != nil {
+	if err := b.grow(len(b.bytes)+len(data), math.MaxInt); err != nil {
 		return err
 	}
 	b.bytes = append(b.bytes, data...)
@@ -79,7 +80,7 @@
 // it fails: with ErrTooLong if there is more, with ErrFull or ErrShareFull, or with the error of r.
 func (b *Buffer) ReadAll(r io.Reader, limit int) error {
 	for len(b.bytes) <= limit {
-		if err := b.grow(len(b.bytes) + 1); err != nil {
+		if err := b.grow(len(b.bytes)+1, limit+1); err != nil {
 			return err
 		}
 		n, err := r.Read(b.bytes[len(b.bytes):min(cap(b.bytes), limit+1)])
--- a/memory/memory_test.go
+++ b/memory/memory_test.go
@@ -36,6 +36,13 @@
 	if u := b.Usage(); u.Used != limit || u.Largest != "u1" || u.LargestUsed != limit/2 {
 		t.Errorf("usage %+v", u)
 	}
+	if !b.IsShort("u3") {
+		t.Error("a full budget is not short")
+	}
+	second.Release()
+	if !b.IsShort("u1") || b.IsShort("u3") {
+		t.Errorf("short for u1: %v, for u3: %v, want for u1 only", b.IsShort("u1"), b.IsShort("u3"))
+	}
 	for _, buffer := range []*Buffer{first, second, third} {
 		buffer.Release()
 		buffer.Release()
