--- a/edge/send.go
+++ b/edge/send.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"parsleyhatch/event"
+	"parsleyhatch/memory"
 	"parsleyhatch/platform"
 	"parsleyhatch/replica"
 	"parsleyhatch/route"
@@ -24,6 +25,8 @@
 	maxUnsizedAnswer = 128 << 10
 	// maxRelayedAnswer is the maximum size of an answer without a length that is relayed unbuffered, in bytes.
 	maxRelayedAnswer = 64 << 20
+	// relayReadBytes is the buffer size for reads of an answer that is relayed unbuffered, in bytes.
+	relayReadBytes = 8 << 10
 	// maxDrainedRefusal is the maximum size of a refusal that is read so that its connection can be reused, in bytes.
 	maxDrainedRefusal = 16 << 10
 	// reservedVMs is the number of VMs, in addition to the known ones, for which connections to an upstream
@@ -144,33 +147,35 @@
 	return status == http.StatusOK && strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
 }
 
-// relayBuffered reads an answer completely before it is sent to the caller. Answers that exceed the buffer are
+// relayBuffered reads an answer completely before it is sent to the caller. Answers that exceed the buffer or the memory are
 // relayed unbuffered, unless the caller already has a part of a stream.
 func (e *Edge) relayBuffered(ctx context.Context, r *request, pick *replica.Pick, a *upstream.Response, sink *Sink) Outcome {
-	limit := maxBufferedAnswer
-	if a.Length < 0 {
-		limit = maxUnsizedAnswer
-	}
-	body, err := io.ReadAll(io.LimitReader(a, int64(limit)+1))
-	if err == nil && len(body) <= limit {
+	body := e.memory.answers.Buffer(pick.ID)
+	defer func() {
+		if !r.keeps(body) {
+			body.Release()
+		}
+	}()
+	err := e.readAnswer(a, pick.ID, body)
+	if err == nil {
 		err = e.checkUnsizedEnd(r, pick, a)
 	}
-	now := e.Now()
-	if err != nil && a.Aborted() {
-		e.Replicas.Done(now, pick, replica.RequestCancelled)
-		return fail(UpstreamFailed, errPathLost.Error())
+	noMemory := memory.IsFull(err) || errors.Is(err, errAnswerStuck)
+	if noMemory {
+		e.recordMemoryFull(r, heldAnswer, pick.ID, err)
 	}
-	if err != nil {
-		e.Replicas.Done(now, pick, replica.Failed)
-		if ctx.Err() != nil {
-			return fail(TimedOut, "the answer was not whole in time")
-		}
-		e.reportCrash(r, pick, err)
+	if noMemory && e.mayLeave(ctx, r, a, err) {
+		e.Replicas.Done(e.Now(), pick, resultOfFull(err))
 		return fail(UpstreamFailed, "read answer: "+err.Error())
 	}
-	if len(body) > limit && !r.headSent {
+	tooLong := noMemory || errors.Is(err, memory.ErrTooLong)
+	if tooLong && !r.headSent {
 		return e.relayUnbuffered(r, pick, a, body, sink)
 	}
+	if err != nil && !tooLong {
+		return e.handleReadFailure(ctx, r, pick, a, err)
+	}
+	now := e.Now()
 	failed := a.Status >= http.StatusInternalServerError
 	result := replica.Answered
 	if failed {
@@ -181,7 +186,7 @@
 	answer := &bufferedAnswer{status: a.Status, header: endToEnd(a.Header), body: body}
 	if failed && e.mayReplaceFailure(ctx, r) {
 		event.EdgeRetried.Log(e.Log, "request", r.id, "upstream", pick.ID, "status", a.Status)
-		r.failedAnswer = answer
+		r.keepFailedAnswer(answer)
 		return fail(UpstreamFailed, "upstream answered "+strconv.Itoa(a.Status))
 	}
 	if r.headSent {
@@ -190,6 +195,20 @@
 	return r.deliver(answer, sink)
 }
 
+// handleReadFailure handles an answer that broke off, was aborted or was not complete in time.
+func (e *Edge) handleReadFailure(ctx context.Context, r *request, pick *replica.Pick, a *upstream.Response, err error) Outcome {
+	if a.Aborted() {
+		e.Replicas.Done(e.Now(), pick, replica.RequestCancelled)
+		return fail(UpstreamFailed, errPathLost.Error())
+	}
+	e.Replicas.Done(e.Now(), pick, replica.Failed)
+	if ctx.Err() != nil {
+		return fail(TimedOut, "the answer was not whole in time")
+	}
+	e.reportCrash(r, pick, err)
+	return fail(UpstreamFailed, "read answer: "+err.Error())
+}
+
 // mayReplaceFailure reports whether another attempt may replace the error answer of an upstream.
 func (e *Edge) mayReplaceFailure(ctx context.Context, r *request) bool {
 	return ctx.Err() == nil && r.route.Idempotent() && !r.headSent && r.runs < r.route.MaxAttempts &&
@@ -200,12 +219,12 @@
 func (r *request) deliver(a *bufferedAnswer, sink *Sink) Outcome {
 	r.headSent = true
 	out := Outcome{Reason: Answered, Status: a.status, Ran: HasRun}
-	if err := sink.Head(a.status, a.header, len(a.body)); err != nil {
+	if err := sink.Head(a.status, a.header, a.body.Len()); err != nil {
 		out.Reason, out.Detail = CallerDisconnected, err.Error()
 		return out
 	}
-	if len(a.body) > 0 {
-		if err := sink.Data(a.body, false); err != nil {
+	if a.body.Len() > 0 {
+		if err := sink.Data(a.body.Bytes(), false); err != nil {
 			out.Reason, out.Detail = CallerDisconnected, err.Error()
 			return out
 		}
@@ -214,19 +233,21 @@
 	return out
 }
 
-// relayUnbuffered relays an answer that is too long to be buffered. prefix holds the bytes that were already read.
-func (e *Edge) relayUnbuffered(r *request, pick *replica.Pick, a *upstream.Response, prefix []byte, sink *Sink) Outcome {
+// relayUnbuffered relays an answer that is too long to be buffered, or for which there is no memory. prefix holds the bytes that were
+// already read.
+func (e *Edge) relayUnbuffered(r *request, pick *replica.Pick, a *upstream.Response, prefix *memory.Buffer, sink *Sink) Outcome {
 	r.headSent, r.notResumable = true, true
 	result := replica.Failed
 	defer func() { e.Replicas.Done(e.Now(), pick, result) }()
 	if err := sink.Head(a.Status, endToEnd(a.Header), -1); err != nil {
 		return fail(CallerDisconnected, err.Error())
 	}
-	if err := sink.Data(prefix, false); err != nil {
+	if err := sink.Data(prefix.Bytes(), false); err != nil {
 		return fail(CallerDisconnected, err.Error())
 	}
-	buf := make([]byte, 32<<10)
-	relayed := len(prefix)
+	relayed := prefix.Len()
+	prefix.Release()
+	buf := make([]byte, relayReadBytes)
 	for {
 		n, err := a.Read(buf)
 		if relayed += n; relayed > maxRelayedAnswer && a.Length < 0 {
