--- a/edge/memory_test.go
+++ b/edge/memory_test.go
@@ -79,6 +79,38 @@
 	}
 }
 
+// Guards against a VM whose memory is filled by long events that another VM passes on in parts, and against a part of one that
+// reaches the caller.
+func TestForwardedEventsWithinMemory(t *testing.T) {
+	w := newTestCluster(t, "north", "south")
+	w.publishConfig(1, routeJSON("a", "streaming", "plain", ""))
+	long := "id: 2\ndata: " + strings.Repeat("x", maxEventBytes/2) + "\n\n"
+	w.addUpstream("u1", "plain", "south", func(rw http.ResponseWriter, _ *http.Request) {
+		writeEvents(rw, 1, 1, true)
+		_, _ = io.WriteString(rw, long) // The caller's side of the test sees a failure.
+	})
+	w.memoryBytes = 1 << 20 // Its share for answers of one VM is less than the event.
+	small := w.startVM("vm1", "north", true)
+	w.memoryBytes = testMemoryBytes
+	large := w.startVM("vm2", "north", true)
+	w.startVM("vm3", "south", true)
+	w.waitForMembership()
+	for _, c := range []struct {
+		vm       *testVM
+		want     string
+		complete bool
+	}{{small, pieces(1, 1), false}, {large, pieces(1, 1) + long, true}} {
+		w.waitFor("the upstream is known", func() bool { return c.vm.knowsUpstreams("plain", 1) })
+		if status, body, err := c.vm.read(t, "/a/", nil); status != http.StatusOK || body != c.want || (err == nil) != c.complete {
+			t.Errorf("%s: answer %d of %d bytes, error %v", c.vm.Settings.Name, status, len(body), err)
+		}
+	}
+	if small.counted(t, `memory_full{data="event"`) != 1 {
+		t.Error("the event without memory was not counted")
+	}
+	w.waitFor("the memory is given back", func() bool { return w.heldBytes() == 0 })
+}
+
 // Guards against answers that hold memory until their deadline although they make no progress and others need it, and against requests
 // that are not retried although they may be.
 func TestStuckAnswersGiveMemoryBack(t *testing.T) {
