edge: don't wait for the body of a refusal

An upstream that refused a request (421, or 503 with Not-Executed) and did not send the body that its head announced held the request until its deadline: the caller got timedOut after 3 s although another upstream was free.

Cause: the body of a refusal is read so that the connection can be reused, up to 16 KB and without a limit on the time. Response.Drain now ends after 50 ms; the connection is closed then and the request goes on. The health answer of an upstream is drained in the same way.

--- a/edge/send.go
+++ b/edge/send.go
@@ -131,7 +131,7 @@
 }
 
 func (e *Edge) handleRefusal(pick *replica.Pick, a *upstream.Response) Outcome {
-	_, _ = io.Copy(io.Discard, io.LimitReader(a, maxDrainedRefusal)) // Drains the body so that the connection can be reused.
+	a.Drain(maxDrainedRefusal)
 	result := replica.Shed
 	if a.Status == http.StatusMisdirectedRequest {
 		result = replica.Misdirected
--- a/edge/warmup.go
+++ b/edge/warmup.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -32,7 +31,7 @@
 		return
 	}
 	defer a.Close()
-	_, _ = io.Copy(io.Discard, io.LimitReader(a, maxDrainedRefusal)) // Drains the body so that the connection can be reused.
+	a.Drain(maxDrainedRefusal)
 	if a.Header.Get(platform.HeaderInstanceID) != p.ID {
 		return // Another upstream may have the address.
 	}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -21,6 +21,8 @@
 	maxReadResponses = 3
 	// maxSkippedBodyBytes bounds the body of a skipped response, in bytes.
 	maxSkippedBodyBytes = 32 << 10
+	// drainTimeout bounds the wait for a body that is dropped. It normally arrives with its head.
+	drainTimeout = 50 * time.Millisecond
 )
 
 // errResponseMismatch means that the responses on a connection belong to other requests.
@@ -200,6 +202,13 @@
 	return n, err
 }
 
+// Drain reads and drops the rest of the body, so that the connection can be reused. A body that is longer than maxBytes or not
+// complete within drainTimeout is left, and Close then closes the connection.
+func (a *Response) Drain(maxBytes int64) {
+	_ = a.conn.SetReadDeadline(time.Now().Add(drainTimeout))
+	_, _ = io.Copy(io.Discard, io.LimitReader(a, maxBytes))
+}
+
 // SetReadDeadline sets the deadline for reading more of the body, as a monotonic clock time.
 func (a *Response) SetReadDeadline(at time.Time) { _ = a.conn.SetReadDeadline(at) }
 
