source: bound the changes kept for other VMs by their size

A VM that reads the store keeps the latest 2,000 changes for other VMs, whatever they hold: with values of 1 MB, the store's limit, that is 2 GB. A large configuration that changes often is enough; a faulty store need not be.

The changes are now bounded by 8 MB as well. A VM that asks for older ones reads all items, as before beyond 2,000.

TestHistoryIsBounded failed before in its second row: all 24 changes of 1 MB were kept.

--- a/source/history.go
+++ b/source/history.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +13,8 @@
 const (
 	// maxHistoryEvents is the maximum number of changes that are kept for other VMs.
 	maxHistoryEvents = 2000
+	// maxHistoryBytes is the maximum size of these changes, in bytes.
+	maxHistoryBytes = 8 << 20
 	// maxAnswerBytes is the maximum size of the items in an answer to another VM, in bytes. An answer must fit in
 	// a frame.
 	maxAnswerBytes = 200 << 10
@@ -75,7 +78,7 @@
 		}
 	}
 	h.events = append(h.events, a.Events...)
-	if surplus := len(h.events) - maxHistoryEvents; surplus > 0 {
+	if surplus := surplusEvents(h.events); surplus > 0 {
 		h.compactedRevision = h.events[surplus-1].Revision
 		h.events = append([]platform.Item(nil), h.events[surplus:]...)
 	}
@@ -87,6 +90,20 @@
 	}
 }
 
+// surplusEvents returns how many of the earliest changes exceed the limits on their number and size.
+func surplusEvents(events []platform.Item) int {
+	size := 0
+	for i, item := range slices.Backward(events) {
+		size += itemBytes(item)
+		if size > maxHistoryBytes || len(events)-i > maxHistoryEvents {
+			return i + 1
+		}
+	}
+	return 0
+}
+
+func itemBytes(item platform.Item) int { return len(item.Key) + len(item.Value) }
+
 // Range returns all current items.
 func (h *History) Range() (Answer, error) {
 	h.mu.Lock()
@@ -94,7 +111,7 @@
 	a := h.answer()
 	size := 0
 	for _, item := range h.items {
-		size += len(item.Key) + len(item.Value)
+		size += itemBytes(item)
 		a.Items = append(a.Items, item)
 	}
 	if h.items == nil || size > maxAnswerBytes {
@@ -143,7 +160,7 @@
 		if item.Revision <= after.Revision {
 			continue
 		}
-		if size += len(item.Key) + len(item.Value); size > maxAnswerBytes {
+		if size += itemBytes(item); size > maxAnswerBytes {
 			if len(a.Events) == 0 {
 				return Answer{}, nil, ErrStateUnknown // The asking VM reads this change from the store.
 			}
--- a/source/history_test.go
+++ b/source/history_test.go
@@ -116,3 +116,21 @@
 		t.Errorf("range of an empty store after a restore: %+v, %v", a, err)
 	}
 }
+
+// Guards against a VM whose memory is filled by the values of changes that it keeps for other VMs.
+func TestHistoryIsBounded(t *testing.T) {
+	for name, c := range map[string]struct{ changes, valueBytes, want int }{
+		"small changes": {maxHistoryEvents + 10, 100, maxHistoryEvents},
+		"large changes": {3 * maxHistoryBytes / (1 << 20), 1<<20 - 1, maxHistoryBytes / (1 << 20)},
+	} {
+		h := &History{}
+		for i := range c.changes {
+			revision := uint64(i + 1)
+			change := platform.Item{Key: "c", Value: make([]byte, c.valueBytes), Revision: revision}
+			h.add(Answer{Page: platform.Page{Events: []platform.Item{change}, Revision: revision}}, Position{Revision: revision}, time.Unix(1, 0), time.Time{})
+		}
+		if len(h.events) != c.want || h.compactedRevision != h.events[0].Revision-1 {
+			t.Errorf("%s: %d changes are kept, from %d on, want %d", name, len(h.events), h.compactedRevision+1, c.want)
+		}
+	}
+}
