--- a/edge/admit.go
+++ b/edge/admit.go
@@ -36,16 +36,17 @@
 		return out, false
 	}
 	r.body = body
-	if out, ok := e.prepare(r); !ok {
+	if out, ok := e.prepare(t, r); !ok {
 		return out, false
 	}
 	e.recordForBudget(now, r)
 	return e.charge(now, r)
 }
 
-// routeAndAuthenticate sets the route, the workspace and the service of a request.
+// routeAndAuthenticate sets the route and the workspace of a request.
 func (e *Edge) routeAndAuthenticate(now time.Time, t *route.Table, r *request, path string) (Outcome, bool) {
 	fresh := e.keysFresh(now)
+	r.path = path
 	r.route = t.Match(r.host, path)
 	if r.route == nil {
 		if !fresh {
@@ -62,16 +63,12 @@
 			return refuse(UnknownKey, "the key is unknown or withdrawn", 0), false
 		}
 	}
-	r.service = t.Target(r.route, r.targetID())
-	if r.service == nil {
-		return refuse(NoUpstream, "the route has no service", defaultRetryAfter), false
-	}
 	return Outcome{}, true
 }
 
-// prepare sets the deadline, the prompt and the fingerprint of a request from its headers and body, and
+// prepare sets the deadline, the prompt, the fingerprint and the service of a request from its headers and body, and
 // refuses quarantined requests.
-func (e *Edge) prepare(r *request) (Outcome, bool) {
+func (e *Edge) prepare(t *route.Table, r *request) (Outcome, bool) {
 	r.setDeadline()
 	prompt, err := replica.ParsePrompt(r.header.Get(platform.HeaderPromptPrefix), r.header.Get(platform.HeaderTokenUsage))
 	if err != nil {
@@ -83,6 +80,9 @@
 		workspace = r.workspace.Name
 	}
 	r.fingerprint = e.hasher.Fingerprint(workspace+" "+r.target, r.body)
+	if out, ok := e.chooseService(t, r); !ok {
+		return out, false
+	}
 	if e.Poison.State(e.Now(), r.fingerprint) == poison.Quarantined {
 		return refuse(Quarantined, "the request crashed the upstreams that ran it", 0), false
 	}
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -115,6 +115,9 @@
 			// The VM of another region refused to resume a stream. It may have a newer configuration, which does not
 			// end streams that are running.
 			return r.headSent && !r.forwarded
+		case VersionUnknown:
+			// The configuration of the other VM does not allow the service of the stream.
+			return !r.forwarded
 		default:
 			return false
 		}
--- a/edge/catchup.go
+++ b/edge/catchup.go
@@ -97,7 +97,7 @@
 	}
 	for _, item := range a.Events {
 		if item.Key == platform.ConfigKey && !item.Deleted {
-			e.Watcher.AcceptConfig(item.Value)
+			e.Watcher.AcceptConfigItem(item)
 		}
 	}
 }
--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -170,11 +170,16 @@
 	}
 }
 
-// publishConfig publishes a configuration with the given routes and one workspace with the key "secret".
+// publishConfig publishes the configuration that configJSON returns.
 func (w *testCluster) publishConfig(version int, routes string) {
-	w.store.Put(platform.ConfigKey, fmt.Sprintf(`{"version":%d,"routes":[%s],
+	w.store.Put(platform.ConfigKey, configJSON(version, routes))
+}
+
+// configJSON returns a configuration with the given routes and one workspace with the key "secret".
+func configJSON(version int, routes string) string {
+	return fmt.Sprintf(`{"version":%d,"routes":[%s],
 		"services":[{"name":"plain"},{"name":"engine","engine":{"slots":8,"kv_capacity":100000}}],
-		"tenants":[{"name":"w1","api_keys":["secret"],"unit":"tokens","plain_tokens":1}]}`, version, routes))
+		"tenants":[{"name":"w1","api_keys":["secret"],"unit":"tokens","plain_tokens":1}]}`, version, routes)
 }
 
 // routeJSON returns a route of the host "h" in the format of the configuration.
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -75,7 +75,7 @@
 		Route: r.route.Name, Hops: 1, Method: r.method, Path: r.target, Header: header,
 		RemainingMillis: r.remaining(time.Now()).Milliseconds(), BodyBytes: int64(len(r.body)),
 		Runs: int32(r.runs), Resumed: r.headSent, Probe: r.probe, Returnable: e.otherRegionMayRun(r, region), Switchover: r.switchover != nil,
-		VersionBound: r.streamVersion.bound, Version: r.streamVersion.version,
+		VersionBound: r.streamVersion.bound, Version: r.streamVersion.version, Service: r.service.Name,
 	}
 	if t := e.table(); t != nil {
 		msg.ConfigNumber = t.Config.Version
@@ -221,6 +221,7 @@
 	f.request.headSent = true
 	f.events = isEventStream(int(c.Status), header)
 	f.request.notResumable = !f.events
+	f.edge.adoptService(f.request, c.Service)
 	if c.VersionKnown {
 		f.edge.streamBegan(f.request, c.Version)
 	}
--- a/edge/forwarded.go
+++ b/edge/forwarded.go
@@ -52,6 +52,7 @@
 	r := &request{
 		id: open.RequestID, method: open.Method, target: open.Path, host: open.Header[hostHeader],
 		arrived: now, forwarded: true, runs: int(open.Runs), headSent: open.Resumed, probe: open.Probe, returnable: open.Returnable,
+		chosenService: open.Service,
 	}
 	r.streamVersion = streamVersion{bound: open.VersionBound, version: open.Version}
 	r.deadline = now.Add(time.Duration(open.RemainingMillis) * time.Millisecond)
@@ -99,7 +100,7 @@
 		}
 		r.body = append(r.body, data...)
 	}
-	return e.prepareForwarded(r)
+	return e.prepareForwarded(t, r)
 }
 
 // configForForwarded returns the active configuration. If the VM that forwarded the request has a newer one, it waits for that,
@@ -116,9 +117,9 @@
 }
 
 // prepareForwarded is prepare for a forwarded request. The deadline set by the forwarding VM is kept if it is earlier.
-func (e *Edge) prepareForwarded(r *request) (Outcome, bool) {
+func (e *Edge) prepareForwarded(t *route.Table, r *request) (Outcome, bool) {
 	deadline := r.deadline
-	out, ok := e.prepare(r)
+	out, ok := e.prepare(t, r)
 	if deadline.Before(r.deadline) {
 		r.deadline = deadline
 	}
@@ -133,7 +134,8 @@
 			for name, values := range header {
 				joined[name] = strings.Join(values, valueSeparator)
 			}
-			return st.SendChunk(ctx, &vmwire.Chunk{Status: int32(status), Header: joined, End: int64(length), VersionKnown: r.streamVersion.bound, Version: r.streamVersion.version})
+			return st.SendChunk(ctx, &vmwire.Chunk{Status: int32(status), Header: joined, End: int64(length), Service: r.service.Name,
+				VersionKnown: r.streamVersion.bound, Version: r.streamVersion.version})
 		},
 		Data: func(b []byte, _ bool) error {
 			for len(b) > 0 {
--- a/edge/request.go
+++ b/edge/request.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"encoding/hex"
 	"net/http"
 	"strconv"
 	"strings"
@@ -19,6 +20,8 @@
 	method string
 	// target is the request target: the path and the query exactly as the caller sent them.
 	target string
+	// path is the path of target.
+	path   string
 	host   string
 	header http.Header
 	body   []byte
@@ -31,11 +34,13 @@
 	key    route.KeyHash
 	hasKey bool
 
-	route       *route.Route
-	workspace   *route.Workspace
-	service     *route.Service
-	prompt      replica.Prompt
-	fingerprint poison.Fingerprint
+	route     *route.Route
+	workspace *route.Workspace
+	service   *route.Service
+	// chosenService is the service that the VM which forwarded the request has chosen, empty if none did.
+	chosenService string
+	prompt        replica.Prompt
+	fingerprint   poison.Fingerprint
 
 	// probe is set if the request tests the quarantine of one of its prompt parts, and probedPart if this VM decided it.
 	probe      bool
@@ -109,11 +114,11 @@
 	body   []byte
 }
 
-// targetID returns the id by which the service of a route with several services is chosen. A caller that resumes a stream has a new
-// id, and must get the service that began it.
-func (r *request) targetID() string {
-	if id := r.header.Get(platform.HeaderResumes); id != "" && r.lastEventID() != "" {
-		return id
+// splitKey returns the key by which the service of a route with several services is chosen. A caller that resumes a stream has a new id
+// and need not name the earlier one, so that the key of a resumable stream is what all its attempts have in common.
+func (r *request) splitKey() string {
+	if r.route.KeepsService() {
+		return hex.EncodeToString(r.fingerprint[:])
 	}
 	return r.id
 }
--- a/edge/sinkfailure_test.go
+++ b/edge/sinkfailure_test.go
@@ -22,7 +22,7 @@
 			if out, ok := w.caller.routeAndAuthenticate(w.caller.Now(), w.caller.table(), r, r.target); !ok {
 				t.Fatal(out)
 			}
-			if out, ok := w.caller.prepare(r); !ok {
+			if out, ok := w.caller.prepare(w.caller.table(), r); !ok {
 				t.Fatal(out)
 			}
 			writes := 0
--- a/edge/storeread.go
+++ b/edge/storeread.go
@@ -115,7 +115,7 @@
 	a := source.Answer{KnownAt: m.KnownAge.Moment(sentAt.Add(held)), StoreReturnedAt: m.ReturnedAge.Moment(now)}
 	a.Era, a.Revision = m.Era, m.Revision
 	for _, item := range m.Items {
-		a.Events = append(a.Events, platform.Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted})
+		a.Events = append(a.Events, platform.Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Created: item.Created, Deleted: item.Deleted})
 	}
 	return a, nil
 }
@@ -152,7 +152,7 @@
 		answer.Result = vmwire.StoreUnknown
 	}
 	for _, item := range append(a.Items, a.Events...) {
-		answer.Items = append(answer.Items, vmwire.StoreItem{Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted})
+		answer.Items = append(answer.Items, vmwire.StoreItem{Key: item.Key, Value: item.Value, Revision: item.Revision, Created: item.Created, Deleted: item.Deleted})
 	}
 	s.SendControl(vmwire.KindStoreReply, answer)
 }
--- /dev/null
+++ b/edge/streamservice.go
@@ -0,0 +1,82 @@
+package edge
+
+import (
+	"time"
+
+	"parsleyhatch/event"
+	"parsleyhatch/platform"
+	"parsleyhatch/route"
+	"parsleyhatch/vmwire"
+)
+
+// A stream belongs to the service that began it: no other service can continue it. Whoever resumes it runs it there or refuses it.
+
+// chooseService sets the service of a request. A forwarded one keeps the service that the first VM has chosen, if the configuration of
+// this VM allows it.
+func (e *Edge) chooseService(t *route.Table, r *request) (Outcome, bool) {
+	r.service = t.Target(r.route, r.splitKey())
+	if r.service == nil {
+		return refuse(NoUpstream, "the route has no service", defaultRetryAfter), false
+	}
+	if r.chosenService == "" || e.keepService(t, r, r.chosenService) {
+		return Outcome{}, true
+	}
+	if r.headSent || r.streamVersion.bound {
+		return e.refuseService(r, r.chosenService, "the route has no longer the service that began the stream"), false
+	}
+	return Outcome{}, true
+}
+
+// keepService sets the service of a request to the given one, if the configuration allows it.
+func (e *Edge) keepService(t *route.Table, r *request, name string) bool {
+	service := t.Service(name)
+	if service == nil || !r.route.Allows(name) {
+		return false
+	}
+	r.service = service
+	return true
+}
+
+// refuseService refuses a stream that cannot go on at the service that began it, which is empty if it is unknown.
+func (e *Edge) refuseService(r *request, began, detail string) Outcome {
+	e.Metrics.AddCounter("streams_service_unknown", 1)
+	event.StreamServiceUnknown.Log(e.Log, "request", r.id, "resumes", r.header.Get(platform.HeaderResumes), "route", r.route.Name,
+		"service", began, "selected", r.service.Name, "forwarded", r.forwarded)
+	return refuse(VersionUnknown, detail, defaultRetryAfter)
+}
+
+// adoptService sets the service of a request to the one at which another VM runs it. The other VM has a newer configuration if it differs.
+func (e *Edge) adoptService(r *request, name string) {
+	if name == r.service.Name {
+		return
+	}
+	r.service = e.service(name)
+	if r.service == nil {
+		r.service = &route.Service{Name: name}
+	}
+}
+
+// targetsSince returns the earliest time at which the service of a stream that a caller resumes may have been chosen: another VM may
+// have had an older configuration for a while.
+func (e *Edge) targetsSince(now time.Time, r *route.Route) time.Time {
+	return earliestStart(now, r).Add(-e.maxStateAge())
+}
+
+// serviceCertain reports whether a stream that no VM knows can have begun at the chosen service only: all configurations since its
+// earliest start have chosen it, at this VM and at those that were asked.
+func (e *Edge) serviceCertain(now time.Time, r *request, a streamAnswer) bool {
+	targets, known := e.table().TargetsSince(e.targetsSince(now, r.route), r.host, r.path, r.splitKey())
+	for _, target := range append(targets, a.targets...) {
+		if target != r.service.Name {
+			return false
+		}
+	}
+	return known || a.targetsKnown
+}
+
+// addTargets adds the services that the configurations of this VM have chosen to the reply to a question for a stream.
+func (e *Edge) addTargets(now time.Time, m *vmwire.StreamQuery, reply *vmwire.StreamReply) {
+	if t := e.table(); t != nil {
+		reply.Targets, reply.TargetsKnown = t.TargetsSince(m.TargetsAge.Moment(now), m.Host, m.Path, m.Key)
+	}
+}
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -55,8 +55,8 @@
 	}
 }
 
-// bindResumed binds a stream that a caller resumes to the version that began it. It reports false with a refusal if no VM knows it,
-// and more than one version may have begun it. While sessions are missing, it waits for what they may bring.
+// bindResumed binds a stream that a caller resumes to the service and the version that began it. It reports false with a refusal if no VM
+// knows it, and more than one service or version may have begun it. While sessions are missing, it waits for what they may bring.
 func (e *Edge) bindResumed(ctx context.Context, r *request) (Outcome, bool) {
 	if r.lastEvent == "" || !r.route.Resumable {
 		return Outcome{}, true
@@ -66,10 +66,15 @@
 	defer cancel()
 	id := r.header.Get(platform.HeaderResumes)
 	found, answer := e.findStream(ctx, r, id)
-	if found.Service != r.service.Name {
+	switch {
+	case found.Service == "" && !e.serviceCertain(e.Now(), r, answer):
+		return e.refuseService(r, "", "no vm knows the service that began the stream"), false
+	case found.Service == "":
 		event.StreamVersionUnknown.Log(e.Log, "request", r.id, "resumes", id, "service", r.service.Name, "asked", answer.asked,
 			"replies", answer.replies, "versionsConfirmed", e.versionsConfirmed(e.Now(), answer))
 		return refuse(VersionUnknown, "no vm knows the version of the upstream that began the stream", defaultRetryAfter), false
+	case !e.keepService(e.table(), r, found.Service):
+		return e.refuseService(r, found.Service, "the route has no longer the service that began the stream"), false
 	}
 	r.streamVersion = streamVersion{bound: true, version: found.Version}
 	if id != "" {
@@ -102,12 +107,16 @@
 	ok    bool
 	// asked and replies are the numbers of VMs.
 	asked, replies int
+	// targets are the services that configurations of VMs that replied have chosen since the earliest start of the stream, and targetsKnown is
+	// set if one of these VMs knows all configurations since then.
+	targets      []string
+	targetsKnown bool
 	// knownAt is the time up to which all versions are known to this VM or to one that replied.
 	knownAt time.Time
 }
 
 // findStream returns the stream that an attempt of a caller began, or a zero Stream. If no VM knows the attempt, the stream has the
-// only version that has served, if there was only one. Other VMs are asked first, since this one may not know yet of a version that
+// only service that can have begun it, and the only version that has served, if there was only one. Other VMs are asked first, since this one may not know yet of a version that
 // has joined. While sessions are missing, they are asked again as sessions open.
 func (e *Edge) findStream(ctx context.Context, r *request, id string) (version.Stream, streamAnswer) {
 	if id != "" {
@@ -117,12 +126,12 @@
 	}
 	for {
 		opened := e.queries.nextSession()
-		answer := e.askStream(ctx, id, r.service.Name)
+		answer := e.askStream(ctx, r, id)
 		if answer.ok {
 			return answer.found, answer
 		}
 		now := e.Now()
-		if only, ok := e.Watcher.Versions.Only(r.service.Name, earliestStart(now, r.route)); ok && e.versionsConfirmed(now, answer) {
+		if only, ok := e.Watcher.Versions.Only(r.service.Name, earliestStart(now, r.route)); ok && e.versionsConfirmed(now, answer) && e.serviceCertain(now, r, answer) {
 			return version.Stream{Service: r.service.Name, Version: only}, answer
 		}
 		if !e.Fleet.MissesSessions(now) {
@@ -136,12 +145,16 @@
 	}
 }
 
-// askStream asks other VMs for the version of a stream, until one has it. The versions that they know are added to what this VM knows.
-func (e *Edge) askStream(ctx context.Context, id, service string) streamAnswer {
+// askStream asks other VMs for the service and the version of a stream, until one has it. The versions that they know are added to what this VM knows.
+func (e *Edge) askStream(ctx context.Context, r *request, id string) streamAnswer {
+	now := e.Now()
 	replies := make(chan vmwire.StreamReply, maxStreamReplies)
 	e.queries.mu.Lock()
 	e.queries.last++
-	query := &vmwire.StreamQuery{ID: e.queries.last, RequestID: id, Service: service}
+	query := &vmwire.StreamQuery{
+		ID: e.queries.last, RequestID: id, Service: r.service.Name, Host: r.host, Path: r.path, Key: r.splitKey(),
+		TargetsAge: vmwire.AgeOf(now, e.targetsSince(now, r.route)),
+	}
 	e.queries.pending[query.ID] = replies
 	e.queries.mu.Unlock()
 	defer func() {
@@ -158,7 +171,8 @@
 			return a
 		case reply := <-replies:
 			a.replies++
-			a.knownAt = latest(a.knownAt, e.mergeReply(service, reply))
+			a.knownAt = latest(a.knownAt, e.mergeReply(r.service.Name, reply))
+			a.targets, a.targetsKnown = append(a.targets, reply.Targets...), a.targetsKnown || reply.TargetsKnown
 			a.found, a.ok = version.Stream{Service: reply.Service, Version: reply.Version}, reply.Found
 		}
 	}
@@ -218,6 +232,7 @@
 	found, ok := e.Streams.Find(now, m.RequestID)
 	reply := &vmwire.StreamReply{ID: m.ID, Found: ok && m.RequestID != "", Service: found.Service, Version: found.Version}
 	reply.KnownAge = vmwire.AgeOf(now, e.Watcher.FreshAt())
+	e.addTargets(now, m, reply)
 	for _, k := range e.Watcher.Versions.Knowledge(now) {
 		if k.Service == m.Service {
 			reply.Seen = toSeenVersions(now, k.Seen)
--- a/event/edge.go
+++ b/event/edge.go
@@ -21,6 +21,7 @@
 	PathLost              = New(1929, slog.LevelError, "no path to the upstreams of a service", "Check the network of the VM if other VMs of the region still reach the upstreams; it sends its requests through them.")
 	PathReturned          = New(1930, slog.LevelInfo, "path to the upstreams of a service returned", "none")
 	StreamVersionUnknown  = New(1931, slog.LevelInfo, "stream cannot be resumed: the version that began it is unknown", "None after all VMs were lost while several software versions of a service served.")
+	StreamServiceUnknown  = New(1943, slog.LevelInfo, "stream cannot be resumed: its service is unknown or no longer that of the route", "None after the split of a route has changed. Otherwise check whether the VMs have one configuration.")
 	UpstreamLeaving       = New(1932, slog.LevelInfo, "upstream announced that it leaves", "none")
 	UpstreamHeldBack      = New(1933, slog.LevelInfo, "upstream wants no requests for a time", "none")
 	UpstreamUnexpected    = New(1961, slog.LevelWarn, "upstream sent bytes that belong to no request", "Check the upstream if the event repeats for it: it answers requests twice, or sends bytes that are no response.")
--- a/route/config.go
+++ b/route/config.go
@@ -51,6 +51,9 @@
 	return r.Kind == Safe || r.Kind == Streaming && r.Resumable
 }
 
+// KeepsService reports whether all attempts at one request must run at the same service, since each goes on where another one stopped.
+func (r *Route) KeepsService() bool { return r.Kind == Streaming && r.Resumable }
+
 // Target is a service with its weight in a route's split.
 type Target struct {
 	Service string
--- /dev/null
+++ b/route/past.go
@@ -0,0 +1,77 @@
+package route
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// pastRetention is the time for which the routes of earlier configurations are kept. It exceeds the timeouts of routes.
+	pastRetention = 2 * time.Minute
+	// maxPast bounds the number of earlier configurations whose routes are kept.
+	maxPast = 64
+)
+
+// pastRoutes are the routes of an earlier configuration.
+type pastRoutes struct {
+	byHost routeIndex
+	// until is the time at which the next configuration replaced them.
+	until time.Time
+}
+
+// recordPast keeps the routes of the previous configuration, which may be nil, and of those before it.
+func (t *Table) recordPast(now time.Time, previous *Table) {
+	if previous == nil {
+		t.pastSince = now
+		return
+	}
+	t.past, t.pastSince = previous.past, previous.pastSince
+	if !sameTargets(previous.Config.Routes, t.Config.Routes) {
+		t.past = append([]pastRoutes{{byHost: previous.byHost, until: now}}, t.past...)
+	}
+	for i, past := range t.past {
+		if i == maxPast || now.Sub(past.until) > pastRetention {
+			t.past, t.pastSince = t.past[:i], past.until
+			break
+		}
+	}
+}
+
+// sameTargets reports whether two lists of routes select the same service for each request.
+func sameTargets(a, b []Route) bool {
+	return slices.EqualFunc(a, b, func(a, b Route) bool {
+		return a.Host == b.Host && a.Prefix == b.Prefix && a.KeepsService() == b.KeepsService() && slices.Equal(a.Split, b.Split)
+	})
+}
+
+// MarkFirst records that no configuration was in force before that of the table.
+func (t *Table) MarkFirst() { t.past, t.pastSince = nil, time.Time{} }
+
+// TargetsSince returns the services, each once, that resumable streams of a host and path with a key were sent to under the configurations
+// that have been in force since a time. complete is set if all of these configurations are known.
+func (t *Table) TargetsSince(since time.Time, host, path, key string) (services []string, complete bool) {
+	services = t.byHost.appendTargets(nil, host, path, key)
+	for _, past := range t.past {
+		if past.until.Before(since) {
+			break
+		}
+		services = past.byHost.appendTargets(services, host, path, key)
+	}
+	return services, !t.pastSince.After(since)
+}
+
+// appendTargets appends the services to which requests with a key are sent, unless the list has them. Where a route distributes requests
+// by another key, these are all of its services.
+func (x routeIndex) appendTargets(services []string, host, path, key string) []string {
+	r := x.match(host, path)
+	if r == nil {
+		return services
+	}
+	for _, target := range r.Split {
+		selected := !r.KeepsService() || target.Service == r.target(key)
+		if selected && !slices.Contains(services, target.Service) {
+			services = append(services, target.Service)
+		}
+	}
+	return services
+}
--- a/route/table.go
+++ b/route/table.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"slices"
 	"strings"
+	"time"
 )
 
 // KeyHash identifies a key without revealing it.
@@ -20,20 +21,24 @@
 // Table is an immutable configuration with lookup indexes.
 type Table struct {
 	Config     *Config
-	byHost     map[string][]*Route
+	byHost     routeIndex
 	byKey      map[KeyHash]*Workspace
 	services   map[string]*Service
 	workspaces map[string]*Workspace
 	// splitSince holds the version of the configuration since which a route has its present split, by name. It is the version of the first
 	// known configuration if no earlier one is known.
 	splitSince map[string]uint64
+	// past holds the routes of earlier configurations, the latest first. All that were in force since pastSince are known; it is zero if no
+	// earlier configuration has existed.
+	past      []pastRoutes
+	pastSince time.Time
 }
 
 // New builds the table of a configuration.
 func New(c *Config) *Table {
 	t := &Table{
 		Config:     c,
-		byHost:     map[string][]*Route{},
+		byHost:     routeIndex{},
 		byKey:      map[KeyHash]*Workspace{},
 		services:   map[string]*Service{},
 		workspaces: map[string]*Workspace{},
@@ -45,9 +50,7 @@
 		t.byHost[host] = append(t.byHost[host], r)
 		t.splitSince[r.Name] = c.Version
 	}
-	for _, routes := range t.byHost {
-		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
-	}
+	t.byHost.sort()
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = &c.Services[i]
 	}
@@ -61,9 +64,11 @@
 	return t
 }
 
-// NewAfter builds the table of a configuration that replaces an earlier one, which may be nil.
-func NewAfter(previous *Table, c *Config) *Table {
+// NewAfter builds the table of a configuration that replaces an earlier one now. Without an earlier one, those that were in force before
+// are unknown.
+func NewAfter(now time.Time, previous *Table, c *Config) *Table {
 	t := New(c)
+	t.recordPast(now, previous)
 	if previous == nil {
 		return t
 	}
@@ -84,11 +89,22 @@
 func (t *Table) SplitSince(r *Route) uint64 { return t.splitSince[r.Name] }
 
 // Match returns the host's route with the longest matching path prefix, or nil.
-func (t *Table) Match(host, path string) *Route {
+func (t *Table) Match(host, path string) *Route { return t.byHost.match(host, path) }
+
+// routeIndex holds routes by host, those with longer prefixes first.
+type routeIndex map[string][]*Route
+
+func (x routeIndex) sort() {
+	for _, routes := range x {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+}
+
+func (x routeIndex) match(host, path string) *Route {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
 		host = host[:i]
 	}
-	for _, r := range t.byHost[strings.ToLower(host)] {
+	for _, r := range x[strings.ToLower(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r
 		}
@@ -109,26 +125,34 @@
 // Workspace returns the workspace with the given name, or nil.
 func (t *Table) Workspace(name string) *Workspace { return t.workspaces[name] }
 
-// Target returns the service that runs a request. All VMs with the same configuration choose the same
-// service.
-func (t *Table) Target(r *Route, requestID string) *Service {
+// Target returns the service that runs the requests with a key, by which a route with several services distributes them. All VMs with
+// the same configuration choose the same service.
+func (t *Table) Target(r *Route, key string) *Service { return t.services[r.target(key)] }
+
+// target returns the name of the service that runs the requests with a key, empty if there is none.
+func (r *Route) target(key string) string {
 	total := 0
 	for _, target := range r.Split {
 		total += target.Weight
 	}
 	if total == 0 {
-		return nil
+		return ""
 	}
 	h := fnv.New32a()
-	_, _ = h.Write([]byte(requestID))
+	_, _ = h.Write([]byte(key))
 	point := int(h.Sum32() % uint32(total))
 	for _, target := range r.Split {
 		if point < target.Weight {
-			return t.services[target.Service]
+			return target.Service
 		}
 		point -= target.Weight
 	}
-	return nil
+	return ""
+}
+
+// Allows reports whether requests of the route may run at a service.
+func (r *Route) Allows(service string) bool {
+	return slices.ContainsFunc(r.Split, func(t Target) bool { return t.Service == service && t.Weight > 0 })
 }
 
 // Allowed reports whether a region may run requests of the route and the workspace, which may be nil.
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"testing"
+	"time"
 )
 
 func testTable() *Table {
@@ -80,12 +81,12 @@
 	}{
 		{split(3, s), 3}, {split(4, s), 3}, {split(5, s, u), 5}, {split(7, s, u), 5}, {split(8, s, Target{Service: "u", Weight: 2}), 8}, {split(9, s), 9},
 	} {
-		table = NewAfter(table, c.config)
+		table = NewAfter(time.Time{}, table, c.config)
 		if since := table.SplitSince(&c.config.Routes[0]); since != c.want {
 			t.Errorf("configuration %d: the split is that of %d, want %d", c.config.Version, since, c.want)
 		}
 	}
-	added := NewAfter(table, &Config{Version: 12, Routes: []Route{{Name: "c"}}})
+	added := NewAfter(time.Time{}, table, &Config{Version: 12, Routes: []Route{{Name: "c"}}})
 	if since := added.SplitSince(&added.Config.Routes[0]); since != 12 {
 		t.Errorf("the split of a new route is that of configuration %d, want 12", since)
 	}
--- a/source/source.go
+++ b/source/source.go
@@ -326,7 +326,7 @@
 	switch {
 	case item.Key == platform.ConfigKey:
 		if !item.Deleted {
-			s.AcceptConfig(item.Value)
+			s.AcceptConfigItem(item)
 		}
 	case strings.HasPrefix(item.Key, platform.EvacuatePrefix):
 		domain := strings.TrimPrefix(item.Key, platform.EvacuatePrefix)
@@ -339,10 +339,13 @@
 
 // AcceptConfig activates a configuration if its version is higher than that of the active one. A store or another
 // VM that serves an older state therefore never reverts the configuration.
-func (s *Watcher) AcceptConfig(value []byte) {
+func (s *Watcher) AcceptConfig(value []byte) { s.AcceptConfigItem(platform.Item{Value: value}) }
+
+// AcceptConfigItem is AcceptConfig for an item of the store. If its key was created with it, the configuration is the first one.
+func (s *Watcher) AcceptConfigItem(item platform.Item) {
 	s.acceptMu.Lock()
 	defer s.acceptMu.Unlock()
-	c, err := platform.DecodeConfig(value)
+	c, err := platform.DecodeConfig(item.Value)
 	if err != nil {
 		event.ConfigRejected.Log(s.Log, "error", err.Error())
 		return
@@ -354,9 +357,12 @@
 		}
 		return
 	}
-	t := route.NewAfter(old, c)
+	t := route.NewAfter(s.Now(), old, c)
+	if old == nil && item.Created != 0 && item.Created == item.Revision {
+		t.MarkFirst()
+	}
 	s.table.Store(t)
-	s.latestConfig = value
+	s.latestConfig = item.Value
 	event.ConfigAccepted.Log(s.Log, "version", c.Version, "routes", len(c.Routes), "workspaces", len(c.Workspaces))
 	s.OnConfig(t)
 	if s.accepted != nil {
--- a/standin/store.go
+++ b/standin/store.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"encoding/json"
 	"maps"
 	"net/http"
@@ -30,7 +31,9 @@
 type storeItem struct {
 	value    string
 	revision uint64
-	deleted  bool
+	// created is the revision at which the key was created, zero if it is deleted.
+	created uint64
+	deleted bool
 }
 
 // Keys returns the keys that the copy holds.
@@ -60,6 +63,9 @@
 	defer s.mu.Unlock()
 	s.revision++
 	item.revision = s.revision
+	if !item.deleted {
+		item.created = cmp.Or(s.items[key].created, s.revision)
+	}
 	s.items[key] = item
 	s.wake()
 }
@@ -166,7 +172,7 @@
 		case item.deleted:
 			a.page = append(a.page, map[string]any{"key": key, "revision": item.revision, "deleted": true})
 		default:
-			a.page = append(a.page, map[string]any{"key": key, "revision": item.revision, "value": []byte(view(item.value))})
+			a.page = append(a.page, map[string]any{"key": key, "revision": item.revision, "created": item.created, "value": []byte(view(item.value))})
 		}
 	}
 	return a, s.changed
--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -85,6 +85,8 @@
 	// VersionBound means that the stream may go on at upstreams of the software version Version only.
 	VersionBound bool
 	Version      string
+	// Service is the service that the sender has chosen. A stream that has begun may go on at this service only.
+	Service string
 }
 
 // Chunk is a part of an answer, carried in a Data frame from the VM that runs the request.
@@ -101,6 +103,8 @@
 	Version      string
 	// RunRequest asks the VM that forwarded the request for a RunGrant of that many runs. Nothing else is set then.
 	RunRequest int32
+	// Service is the service that answers. It is set with Status.
+	Service string
 }
 
 // RunGrant allows the VM that runs a forwarded request to run it, including earlier attempts, at Runs upstreams. It is carried in a
@@ -428,6 +432,8 @@
 	Value    []byte `msg:"Value,limit=262144"`
 	Revision uint64
 	Deleted  bool
+	// Created is the revision at which the key was created, zero if it is unknown.
+	Created uint64
 }
 
 // StoreQuery requests the changes of the store from a VM that reaches it. ID is returned in the reply.
--- a/vmwire/schema_gen.go
+++ b/vmwire/schema_gen.go
@@ -76,8 +76,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
 	}
 	z.Start, err = dc.ReadInt64()
@@ -151,13 +151,18 @@
 		err = msgp.WrapError(err, "RunRequest")
 		return
 	}
+	z.Service, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Chunk) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 8
-	err = en.Append(0x98)
+	// array header, size 9
+	err = en.Append(0x99)
 	if err != nil {
 		return
 	}
@@ -213,14 +218,19 @@
 		err = msgp.WrapError(err, "RunRequest")
 		return
 	}
+	err = en.WriteString(z.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Chunk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 8
-	o = append(o, 0x98)
+	// array header, size 9
+	o = append(o, 0x99)
 	o = msgp.AppendInt64(o, z.Start)
 	o = msgp.AppendInt64(o, z.End)
 	o = msgp.AppendInt32(o, z.Status)
@@ -233,6 +243,7 @@
 	o = msgp.AppendBool(o, z.VersionKnown)
 	o = msgp.AppendString(o, z.Version)
 	o = msgp.AppendInt32(o, z.RunRequest)
+	o = msgp.AppendString(o, z.Service)
 	return
 }
 
@@ -244,8 +255,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
 	}
 	z.Start, bts, err = msgp.ReadInt64Bytes(bts)
@@ -332,6 +343,11 @@
 		err = msgp.WrapError(err, "RunRequest")
 		return
 	}
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
 	o = bts
 	return
 }
@@ -345,7 +361,7 @@
 			s += msgp.StringPrefixSize + len(za0001) + msgp.StringPrefixSize + len(za0002)
 		}
 	}
-	s += msgp.BytesPrefixSize + len(z.Data) + msgp.BoolSize + msgp.StringPrefixSize + len(z.Version) + msgp.Int32Size
+	s += msgp.BytesPrefixSize + len(z.Data) + msgp.BoolSize + msgp.StringPrefixSize + len(z.Version) + msgp.Int32Size + msgp.StringPrefixSize + len(z.Service)
 	return
 }
 
@@ -2822,8 +2838,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 25 {
-		err = msgp.ArrayError{Wanted: 25, Got: zb0001}
+	if zb0001 != 26 {
+		err = msgp.ArrayError{Wanted: 26, Got: zb0001}
 		return
 	}
 	z.RequestID, err = dc.ReadString()
@@ -2979,13 +2995,18 @@
 		err = msgp.WrapError(err, "Version")
 		return
 	}
+	z.Service, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Open) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 25
-	err = en.Append(0xdc, 0x0, 0x19)
+	// array header, size 26
+	err = en.Append(0xdc, 0x0, 0x1a)
 	if err != nil {
 		return
 	}
@@ -3126,14 +3147,19 @@
 		err = msgp.WrapError(err, "Version")
 		return
 	}
+	err = en.WriteString(z.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Open) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 25
-	o = append(o, 0xdc, 0x0, 0x19)
+	// array header, size 26
+	o = append(o, 0xdc, 0x0, 0x1a)
 	o = msgp.AppendString(o, z.RequestID)
 	o = msgp.AppendString(o, z.OriginSlot)
 	o = msgp.AppendString(o, z.OriginRegion)
@@ -3163,6 +3189,7 @@
 	o = msgp.AppendBool(o, z.Switchover)
 	o = msgp.AppendBool(o, z.VersionBound)
 	o = msgp.AppendString(o, z.Version)
+	o = msgp.AppendString(o, z.Service)
 	return
 }
 
@@ -3174,8 +3201,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 25 {
-		err = msgp.ArrayError{Wanted: 25, Got: zb0001}
+	if zb0001 != 26 {
+		err = msgp.ArrayError{Wanted: 26, Got: zb0001}
 		return
 	}
 	z.RequestID, bts, err = msgp.ReadStringBytes(bts)
@@ -3331,6 +3358,11 @@
 		err = msgp.WrapError(err, "Version")
 		return
 	}
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
 	o = bts
 	return
 }
@@ -3344,7 +3376,7 @@
 			s += msgp.StringPrefixSize + len(za0001) + msgp.StringPrefixSize + len(za0002)
 		}
 	}
-	s += msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.StringPrefixSize + len(z.IdempotencyKey) + msgp.Int64Size + msgp.Int32Size + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize + msgp.StringPrefixSize + len(z.Version)
+	s += msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.StringPrefixSize + len(z.IdempotencyKey) + msgp.Int64Size + msgp.Int32Size + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize + msgp.StringPrefixSize + len(z.Version) + msgp.StringPrefixSize + len(z.Service)
 	return
 }
 
@@ -5366,8 +5398,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.Key, err = dc.ReadString()
@@ -5393,13 +5425,18 @@
 		err = msgp.WrapError(err, "Deleted")
 		return
 	}
+	z.Created, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Created")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *StoreItem) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 4
-	err = en.Append(0x94)
+	// array header, size 5
+	err = en.Append(0x95)
 	if err != nil {
 		return
 	}
@@ -5423,18 +5460,24 @@
 		err = msgp.WrapError(err, "Deleted")
 		return
 	}
+	err = en.WriteUint64(z.Created)
+	if err != nil {
+		err = msgp.WrapError(err, "Created")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *StoreItem) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendString(o, z.Key)
 	o = msgp.AppendBytes(o, z.Value)
 	o = msgp.AppendUint64(o, z.Revision)
 	o = msgp.AppendBool(o, z.Deleted)
+	o = msgp.AppendUint64(o, z.Created)
 	return
 }
 
@@ -5446,8 +5489,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.Key, bts, err = msgp.ReadStringBytes(bts)
@@ -5486,13 +5529,18 @@
 		err = msgp.WrapError(err, "Deleted")
 		return
 	}
+	z.Created, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Created")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *StoreItem) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Key) + msgp.BytesPrefixSize + len(z.Value) + msgp.Uint64Size + msgp.BoolSize
+	s = 1 + msgp.StringPrefixSize + len(z.Key) + msgp.BytesPrefixSize + len(z.Value) + msgp.Uint64Size + msgp.BoolSize + msgp.Uint64Size
 	return
 }
 
--- a/vmwire/versions.go
+++ b/vmwire/versions.go
@@ -18,13 +18,20 @@
 	Version   string
 }
 
-// StreamQuery asks for the version of the stream of a service that an attempt of a caller began, and for the versions that have served.
+// StreamQuery asks for the service and the version of the stream that an attempt of a caller began, for the versions that have served a
+// service, and for the services that the stream may have begun at.
 // ID is returned in the reply.
 type StreamQuery struct {
 	ID uint64
 	// RequestID identifies the attempt. It is empty if the caller has not named one.
 	RequestID string
 	Service   string
+	// Host and Path are those of the request, and Key is the key by which the services of its route are chosen. TargetsAge is the age of the
+	// moment since which the sender asks for the services.
+	Host       string
+	Path       string
+	Key        string
+	TargetsAge Age
 }
 
 // StreamReply is the reply to StreamQuery.
@@ -36,6 +43,10 @@
 	// Seen are the versions of the service that the sender knows of, up to the moment with the age KnownAge.
 	Seen     []SeenVersion
 	KnownAge Age
+	// Targets are the services that the configurations of the sender have chosen for such a request since the moment in the query. TargetsKnown
+	// is set if the sender knows all configurations since then.
+	Targets      []string
+	TargetsKnown bool
 }
 
 // VersionKnowledge is what the sender knows of the software versions that have served.
--- a/vmwire/versions_gen.go
+++ b/vmwire/versions_gen.go
@@ -435,8 +435,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	z.ID, err = dc.ReadUint64()
@@ -454,13 +454,33 @@
 		err = msgp.WrapError(err, "Service")
 		return
 	}
+	z.Host, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Host")
+		return
+	}
+	z.Path, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Path")
+		return
+	}
+	z.Key, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	err = z.TargetsAge.DecodeMsg(dc)
+	if err != nil {
+		err = msgp.WrapError(err, "TargetsAge")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z StreamQuery) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 3
-	err = en.Append(0x93)
+func (z *StreamQuery) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 7
+	err = en.Append(0x97)
 	if err != nil {
 		return
 	}
@@ -479,17 +499,45 @@
 		err = msgp.WrapError(err, "Service")
 		return
 	}
+	err = en.WriteString(z.Host)
+	if err != nil {
+		err = msgp.WrapError(err, "Host")
+		return
+	}
+	err = en.WriteString(z.Path)
+	if err != nil {
+		err = msgp.WrapError(err, "Path")
+		return
+	}
+	err = en.WriteString(z.Key)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	err = z.TargetsAge.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "TargetsAge")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z StreamQuery) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *StreamQuery) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 7
+	o = append(o, 0x97)
 	o = msgp.AppendUint64(o, z.ID)
 	o = msgp.AppendString(o, z.RequestID)
 	o = msgp.AppendString(o, z.Service)
+	o = msgp.AppendString(o, z.Host)
+	o = msgp.AppendString(o, z.Path)
+	o = msgp.AppendString(o, z.Key)
+	o, err = z.TargetsAge.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "TargetsAge")
+		return
+	}
 	return
 }
 
@@ -501,8 +549,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
@@ -520,13 +568,33 @@
 		err = msgp.WrapError(err, "Service")
 		return
 	}
+	z.Host, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Host")
+		return
+	}
+	z.Path, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Path")
+		return
+	}
+	z.Key, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	bts, err = z.TargetsAge.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "TargetsAge")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z StreamQuery) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.RequestID) + msgp.StringPrefixSize + len(z.Service)
+func (z *StreamQuery) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.RequestID) + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Host) + msgp.StringPrefixSize + len(z.Path) + msgp.StringPrefixSize + len(z.Key) + z.TargetsAge.Msgsize()
 	return
 }
 
@@ -542,8 +610,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.ID, err = dc.ReadUint64()
@@ -612,13 +680,40 @@
 		err = msgp.WrapError(err, "KnownAge")
 		return
 	}
+	var zb0004 uint32
+	zb0004, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Targets")
+		return
+	}
+	if zb0004 > z405979c1limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Targets) >= int(zb0004) {
+		z.Targets = (z.Targets)[:zb0004]
+	} else {
+		z.Targets = make([]string, zb0004)
+	}
+	for za0002 := range z.Targets {
+		z.Targets[za0002], err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err, "Targets", za0002)
+			return
+		}
+	}
+	z.TargetsKnown, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "TargetsKnown")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *StreamReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 6
-	err = en.Append(0x96)
+	// array header, size 8
+	err = en.Append(0x98)
 	if err != nil {
 		return
 	}
@@ -669,14 +764,31 @@
 		err = msgp.WrapError(err, "KnownAge")
 		return
 	}
+	err = en.WriteArrayHeader(uint32(len(z.Targets)))
+	if err != nil {
+		err = msgp.WrapError(err, "Targets")
+		return
+	}
+	for za0002 := range z.Targets {
+		err = en.WriteString(z.Targets[za0002])
+		if err != nil {
+			err = msgp.WrapError(err, "Targets", za0002)
+			return
+		}
+	}
+	err = en.WriteBool(z.TargetsKnown)
+	if err != nil {
+		err = msgp.WrapError(err, "TargetsKnown")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *StreamReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 6
-	o = append(o, 0x96)
+	// array header, size 8
+	o = append(o, 0x98)
 	o = msgp.AppendUint64(o, z.ID)
 	o = msgp.AppendBool(o, z.Found)
 	o = msgp.AppendString(o, z.Service)
@@ -697,6 +809,11 @@
 		err = msgp.WrapError(err, "KnownAge")
 		return
 	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Targets)))
+	for za0002 := range z.Targets {
+		o = msgp.AppendString(o, z.Targets[za0002])
+	}
+	o = msgp.AppendBool(o, z.TargetsKnown)
 	return
 }
 
@@ -708,8 +825,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
@@ -774,6 +891,33 @@
 		err = msgp.WrapError(err, "KnownAge")
 		return
 	}
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Targets")
+		return
+	}
+	if zb0004 > z405979c1limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Targets) >= int(zb0004) {
+		z.Targets = (z.Targets)[:zb0004]
+	} else {
+		z.Targets = make([]string, zb0004)
+	}
+	for za0002 := range z.Targets {
+		z.Targets[za0002], bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Targets", za0002)
+			return
+		}
+	}
+	z.TargetsKnown, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "TargetsKnown")
+		return
+	}
 	o = bts
 	return
 }
@@ -784,7 +928,11 @@
 	for za0001 := range z.Seen {
 		s += 1 + msgp.StringPrefixSize + len(z.Seen[za0001].Version) + z.Seen[za0001].Age.Msgsize()
 	}
-	s += z.KnownAge.Msgsize()
+	s += z.KnownAge.Msgsize() + msgp.ArrayHeaderSize
+	for za0002 := range z.Targets {
+		s += msgp.StringPrefixSize + len(z.Targets[za0002])
+	}
+	s += msgp.BoolSize
 	return
 }
 
