edge: let a stream go on at the service that began it only

What callers saw: on a resumable route with several services, a stream that its caller or another VM resumed could go on at another service: events of two runs in one stream. Or it was refused although its own service could go on.

Causes: * Without Resumes, the service was the hash of the new attempt's own id. * With Resumes, the hash of the earlier id was taken under the present weights. A stream that was known to belong to another service was refused, and one that no VM knew was bound to the only version of the service that the present split selects. * A VM that got a begun stream from another one computed the service from its own configuration, and checked the version only. * The VM of the caller took a stream that another VM with a newer configuration had begun at another service for one of its own choice.

Change: the service is a part of the identity of a stream. Line 1944 says where the service that began a stream replaced the one that the split selects.

TestStreamKeepsServiceOfOtherVM fails without adoptService in the same way.

--- a/edge/streamservice.go
+++ b/edge/streamservice.go
@@ -45,9 +45,10 @@
 	return refuse(VersionUnknown, detail, defaultRetryAfter)
 }
 
-// adoptService sets the service of a request to the one at which another VM runs it. The other VM has a newer configuration if it differs.
+// adoptService sets the service of a request to the one at which another VM runs it. It differs if the configuration of the other VM is
+// newer and does not allow the service that this VM has chosen.
 func (e *Edge) adoptService(r *request, name string) {
-	if name == r.service.Name {
+	if name == "" || name == r.service.Name {
 		return
 	}
 	r.service = e.service(name)
--- a/edge/streamservice_test.go
+++ b/edge/streamservice_test.go
@@ -240,3 +240,69 @@
 		})
 	}
 }
+
+// Guards against an answer that the VM of its caller continues at the service that it has chosen, although another VM with a newer
+// configuration has begun it at the one that this configuration allows.
+func TestStreamKeepsServiceOfOtherVM(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t, "north", "south")
+	w.publishSplit(1, "plain 1")
+	cut := make(chan struct{})
+	endFirst := sync.OnceFunc(func() { close(cut) })
+	w.addServiceStreamer("first", "engine", "south", cut)
+	t.Cleanup(endFirst) // An upstream's server waits for its handlers.
+	w.registerUpstream("closed", "plain", "south", "127.0.0.1:1")
+	v, south := w.startVM("vm1", "north", true), w.startVM("vm2", "south", true)
+	w.waitForMembership()
+	south.Watcher.AcceptConfig([]byte(configJSON(2, splitRouteJSON("engine 1"))))
+	w.waitFor("the south reports a wait", func() bool {
+		_, _, ok := v.Fleet.ExpectedWait(v.Now(), "south", "plain", 0)
+		return ok && south.knowsUpstreams("engine", 1)
+	})
+	resp, err := http.DefaultClient.Do(v.request(t, "/a/", "x", extraHeaders{platform.HeaderDeadline: "8000"}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	w.addServiceStreamer("other", "plain", "north", nil)
+	w.addServiceStreamer("second", "engine", "north", nil)
+	w.waitFor("the upstreams are known", func() bool { return v.knowsUpstreams("plain", 2) && v.knowsUpstreams("engine", 2) })
+	endFirst()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || strings.Count(string(body), "written by engine") != streamLength {
+		t.Errorf("error %v, answer %q", err, body)
+	}
+}
+
+// Guards against streams whose distribution over the services of a split does not follow the weights, as long as they differ in their
+// workspace, path or body, and against attempts at one stream that get different services.
+func TestDistinctStreamsFollowWeights(t *testing.T) {
+	w := newTestCluster(t, "north")
+	w.publishSplit(1, "plain 90, engine 10")
+	v := w.startVM("vm1", "north", true)
+	const streams = 5000
+	for name, identify := range map[string]func(r *request, i int){
+		"path": func(r *request, i int) { r.target = fmt.Sprintf("/a/%d", i) },
+		"body": func(r *request, i int) { r.body = fmt.Append(nil, i) },
+	} {
+		counts := map[string]int{}
+		for i := range streams {
+			var services []string
+			for range 2 {
+				r := &request{id: fmt.Sprint("id-", nextID.Add(1)), target: "/a/", host: "h", header: http.Header{}, route: v.table().Match("h", "/a/")}
+				identify(r, i)
+				if out, ok := v.prepare(v.table(), r); !ok {
+					t.Fatal(out)
+				}
+				services = append(services, r.service.Name)
+			}
+			if services[0] != services[1] {
+				t.Fatalf("two attempts at stream %d are sent to %v", i, services)
+			}
+			counts[services[0]]++
+		}
+		if n := counts["engine"]; n < streams*8/100 || n > streams*12/100 {
+			t.Errorf("distinct by %s: the service of weight 10 in 100 received %d of %d streams", name, n, streams)
+		}
+	}
+}
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -64,7 +64,7 @@
 	r.resumedByCaller = true
 	ctx, cancel := context.WithTimeout(ctx, sessionWait)
 	defer cancel()
-	id := r.header.Get(platform.HeaderResumes)
+	id, selected := r.header.Get(platform.HeaderResumes), r.service.Name
 	found, answer := e.findStream(ctx, r, id)
 	switch {
 	case found.Service == "" && !e.serviceCertain(e.Now(), r, answer):
@@ -76,6 +76,9 @@
 	case !e.keepService(e.table(), r, found.Service):
 		return e.refuseService(r, found.Service, "the route has no longer the service that began the stream"), false
 	}
+	if r.service.Name != selected {
+		event.StreamServiceKept.Log(e.Log, "request", r.id, "resumes", id, "route", r.route.Name, "service", r.service.Name, "selected", selected)
+	}
 	r.streamVersion = streamVersion{bound: true, version: found.Version}
 	if id != "" {
 		e.Streams.Begin(e.Now(), id, found)
--- a/event/edge.go
+++ b/event/edge.go
@@ -22,6 +22,7 @@
 	PathReturned          = New(1930, slog.LevelInfo, "path to the upstreams of a service returned", "none")
 	StreamVersionUnknown  = New(1931, slog.LevelInfo, "stream cannot be resumed: the version that began it is unknown", "None after all VMs were lost while several software versions of a service served.")
 	StreamServiceUnknown  = New(1943, slog.LevelInfo, "stream cannot be resumed: its service is unknown or no longer that of the route", "None after the split of a route has changed. Otherwise check whether the VMs have one configuration.")
+	StreamServiceKept     = New(1944, slog.LevelInfo, "stream resumed at the service that began it, although its route would now send it to another one", "none")
 	UpstreamLeaving       = New(1932, slog.LevelInfo, "upstream announced that it leaves", "none")
 	UpstreamHeldBack      = New(1933, slog.LevelInfo, "upstream wants no requests for a time", "none")
 	UpstreamUnexpected    = New(1961, slog.LevelWarn, "upstream sent bytes that belong to no request", "Check the upstream if the event repeats for it: it answers requests twice, or sends bytes that are no response.")
