edge: hand over what VMs know of earlier configurations

Cause: a VM that has started knows of no earlier configuration, and those that knew were gone when it had to ask.

Change: VersionKnowledge, which VMs exchange at the start of a session, says since when and under which configurations the routes have chosen the same services. A VM whose first configuration is one of these takes that over.

--- a/edge/streamservice_test.go
+++ b/edge/streamservice_test.go
@@ -138,6 +138,18 @@
 		w.waitForServices()
 		return v
 	}
+	replaceAll := func(w *testCluster) *testVM {
+		first := w.vms
+		v := w.startVM("vm9", "north", true)
+		w.waitForMembership()
+		w.waitForServices()
+		for _, old := range first {
+			old.cancel()
+		}
+		// Until then, the VM takes itself for cut off.
+		w.waitFor("the others are not heard", func() bool { return !v.Fleet.SeenSince(v.Now().Add(-v.maxStateAge())) })
+		return v
+	}
 	same := func(w *testCluster) *testVM { return w.vms[0] }
 	other := func(w *testCluster) *testVM { return w.vms[1] }
 	started := func(w *testCluster) *testVM {
@@ -157,6 +169,7 @@
 		"at the same VM":                     {before: halves, vm: same, minNamed: streams, minUnnamed: streams},
 		"at another VM":                      {before: halves, vm: other, minNamed: streams, minUnnamed: streams},
 		"at a VM that started":               {before: halves, vm: started, minNamed: streams, minUnnamed: streams},
+		"all VMs replaced":                   {before: halves, after: halves, vm: replaceAll, minNamed: streams, minUnnamed: streams},
 		"weights changed":                    {before: halves, after: "plain 30, engine 70", vm: same, minNamed: streams, minUnnamed: streams / 2},
 		"weights changed, another VM":        {before: halves, after: "plain 30, engine 70", vm: other, minNamed: streams, minUnnamed: streams / 2},
 		"weights changed, VM that started":   {before: halves, after: "plain 30, engine 70", vm: started, minNamed: streams, minUnnamed: streams / 2},
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -9,6 +9,7 @@
 	"parsleyhatch/event"
 	"parsleyhatch/fleet"
 	"parsleyhatch/platform"
+	"parsleyhatch/route"
 	"parsleyhatch/version"
 	"parsleyhatch/vm"
 	"parsleyhatch/vmwire"
@@ -253,22 +254,34 @@
 	}
 }
 
-// sendVersions sends what this VM knows of the versions of all services to a VM with which a session has opened.
+// sendVersions sends what this VM knows of the versions of all services, and of earlier configurations, to a VM with which a session has opened.
 func (e *Edge) sendVersions(s *vm.Session) {
 	now := e.Now()
 	m := &vmwire.VersionKnowledge{}
+	if t := e.table(); t != nil {
+		u := t.Unchanged()
+		m.UnchangedFrom, m.UnchangedTo = u.From, u.To
+		m.UnchangedAge, m.First = vmwire.AgeOf(now, u.Since), u.Since.IsZero()
+	}
 	for _, k := range e.Watcher.Versions.Knowledge(now) {
 		m.Services = append(m.Services, vmwire.ServiceVersions{
 			Service: k.Service, KnownAge: vmwire.AgeOf(now, k.Since), Versions: toSeenVersions(now, k.Seen),
 		})
 	}
-	if len(m.Services) > 0 {
+	if len(m.Services) > 0 || m.UnchangedTo > 0 {
 		s.SendControl(vmwire.KindVersionKnowledge, m)
 	}
 }
 
-// receiveVersions adds what another VM knows of the versions of services.
+// receiveVersions adds what another VM knows of the versions of services and of earlier configurations.
 func (e *Edge) receiveVersions(now time.Time, m *vmwire.VersionKnowledge) {
+	if m.UnchangedTo > 0 {
+		u := route.Unchanged{From: m.UnchangedFrom, To: m.UnchangedTo}
+		if !m.First {
+			u.Since = now.Add(-m.UnchangedAge.Duration())
+		}
+		e.Watcher.ExtendPast(u)
+	}
 	for _, service := range m.Services {
 		since := service.KnownAge.Moment(now)
 		if since.IsZero() {
--- a/route/past.go
+++ b/route/past.go
@@ -23,15 +23,19 @@
 func (t *Table) recordPast(now time.Time, previous *Table) {
 	if previous == nil {
 		t.pastSince = now
+		t.firstVersion, t.unchangedFrom = t.Config.Version, t.Config.Version
 		return
 	}
 	t.past, t.pastSince = previous.past, previous.pastSince
+	t.firstVersion, t.unchangedFrom = previous.firstVersion, previous.unchangedFrom
 	if !sameTargets(previous.Config.Routes, t.Config.Routes) {
 		t.past = append([]pastRoutes{{byHost: previous.byHost, until: now}}, t.past...)
+		t.unchangedFrom = t.Config.Version
 	}
 	for i, past := range t.past {
 		if i == maxPast || now.Sub(past.until) > pastRetention {
 			t.past, t.pastSince = t.past[:i], past.until
+			t.firstVersion = 0
 			break
 		}
 	}
@@ -47,6 +51,32 @@
 // MarkFirst records that no configuration was in force before that of the table.
 func (t *Table) MarkFirst() { t.past, t.pastSince = nil, time.Time{} }
 
+// Unchanged states that the routes of all configurations from version From to To choose the same services, and that nothing else has been in
+// force since a time, which is zero if no earlier configuration has existed.
+type Unchanged struct {
+	From, To uint64
+	Since    time.Time
+}
+
+// Unchanged returns what the table knows of the time before, for other VMs.
+func (t *Table) Unchanged() Unchanged {
+	u := Unchanged{From: t.unchangedFrom, To: t.Config.Version, Since: t.pastSince}
+	if len(t.past) > 0 {
+		u.Since = t.past[0].until
+	}
+	return u
+}
+
+// Extend returns the table with what another VM knows of the time before the first configuration that this table knows.
+func (t *Table) Extend(u Unchanged) *Table {
+	if u.From > t.firstVersion || t.firstVersion > u.To || !u.Since.Before(t.pastSince) {
+		return t
+	}
+	extended := *t
+	extended.pastSince, extended.firstVersion = u.Since, u.From
+	return &extended
+}
+
 // TargetsSince returns the services, each once, that resumable streams of a host and path with a key were sent to under the configurations
 // that have been in force since a time. complete is set if all of these configurations are known.
 func (t *Table) TargetsSince(since time.Time, host, path, key string) (services []string, complete bool) {
--- a/route/past_test.go
+++ b/route/past_test.go
@@ -52,3 +52,40 @@
 		})
 	}
 }
+
+// Guards against knowledge of another VM that is lost, so that VMs which replaced all earlier ones refuse streams, and against knowledge of
+// other configurations that is taken for that of the present ones.
+func TestExtend(t *testing.T) {
+	start := time.Unix(1000, 0)
+	routes := func(service string) []Route {
+		return []Route{{Name: "a", Host: "h", Prefix: "/a/", Kind: Streaming, Resumable: true, Split: []Target{{Service: service, Weight: 1}}}}
+	}
+	since := start.Add(-time.Hour)
+	for name, c := range map[string]struct {
+		unchanged Unchanged
+		known     bool
+	}{
+		"same configuration":        {Unchanged{From: 5, To: 5, Since: since}, true},
+		"same routes":               {Unchanged{From: 2, To: 7, Since: since}, true},
+		"first configuration":       {Unchanged{From: 1, To: 5}, true},
+		"later configuration":       {Unchanged{From: 6, To: 7, Since: since}, false},
+		"earlier configuration":     {Unchanged{From: 1, To: 4, Since: since}, false},
+		"not known so far back":     {Unchanged{From: 5, To: 5, Since: since.Add(time.Second)}, false},
+		"knows less than the table": {Unchanged{From: 5, To: 5, Since: start.Add(time.Second)}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := NewAfter(start, nil, &Config{Version: 5, Routes: routes("s")}).Extend(c.unchanged)
+			table = NewAfter(start.Add(time.Second), table, &Config{Version: 6, Routes: routes("s")})
+			if _, known := table.TargetsSince(since, "h", "/a/", "key"); known != c.known {
+				t.Errorf("known %v, want %v", known, c.known)
+			}
+			if got := table.Unchanged(); c.known && (got.From != 5 || got.To != 6 || !got.Since.Equal(c.unchanged.Since)) {
+				t.Errorf("passes on %+v", got)
+			}
+			moved := NewAfter(start.Add(2*time.Second), table, &Config{Version: 8, Routes: routes("u")}).Unchanged()
+			if want := (Unchanged{From: 8, To: 8, Since: start.Add(2 * time.Second)}); moved != want {
+				t.Errorf("after a change it passes on %+v, want %+v", moved, want)
+			}
+		})
+	}
+}
--- a/route/table.go
+++ b/route/table.go
@@ -32,6 +32,9 @@
 	// earlier configuration has existed.
 	past      []pastRoutes
 	pastSince time.Time
+	// firstVersion is the version of the configuration at pastSince, zero if its routes are no longer kept. unchangedFrom is the version since
+	// which the routes choose the same services.
+	firstVersion, unchangedFrom uint64
 }
 
 // New builds the table of a configuration.
--- a/source/source.go
+++ b/source/source.go
@@ -74,6 +74,8 @@
 	accepted chan struct{}
 	// latestConfig is the value from which the active configuration was decoded. It is guarded by acceptMu.
 	latestConfig []byte
+	// unchanged holds what other VMs said of earlier configurations before this VM had one. It is guarded by acceptMu.
+	unchanged []route.Unchanged
 
 	// History answers store reads of other VMs.
 	History History
@@ -361,6 +363,10 @@
 	if old == nil && item.Created != 0 && item.Created == item.Revision {
 		t.MarkFirst()
 	}
+	for _, u := range s.unchanged {
+		t = t.Extend(u)
+	}
+	s.unchanged = nil
 	s.table.Store(t)
 	s.latestConfig = item.Value
 	event.ConfigAccepted.Log(s.Log, "version", c.Version, "routes", len(c.Routes), "workspaces", len(c.Workspaces))
@@ -371,6 +377,22 @@
 	}
 }
 
+// maxUnchanged bounds what is kept of other VMs before the first configuration.
+const maxUnchanged = 64
+
+// ExtendPast adds what another VM knows of earlier configurations.
+func (s *Watcher) ExtendPast(u route.Unchanged) {
+	s.acceptMu.Lock()
+	defer s.acceptMu.Unlock()
+	if t := s.table.Load(); t != nil {
+		s.table.Store(t.Extend(u))
+		return
+	}
+	if len(s.unchanged) < maxUnchanged {
+		s.unchanged = append(s.unchanged, u)
+	}
+}
+
 // WaitForVersion waits until the active configuration has at least a version or ctx ends. It returns the active
 // configuration, or nil if there is none.
 func (s *Watcher) WaitForVersion(ctx context.Context, version uint64) *route.Table {
--- a/vmwire/versions.go
+++ b/vmwire/versions.go
@@ -49,9 +49,15 @@
 	TargetsKnown bool
 }
 
-// VersionKnowledge is what the sender knows of the software versions that have served.
+// VersionKnowledge is what the sender knows of the software versions that have served, and of earlier configurations.
 type VersionKnowledge struct {
 	Services []ServiceVersions
+	// The routes of all configurations from UnchangedFrom to UnchangedTo choose the same services. They have been in force for UnchangedAge, or
+	// since ever if First is set. Without a configuration, UnchangedTo is zero.
+	UnchangedFrom uint64
+	UnchangedTo   uint64
+	UnchangedAge  Age
+	First         bool
 }
 
 // ServiceVersions are the software versions of a service.
--- a/vmwire/versions_gen.go
+++ b/vmwire/versions_gen.go
@@ -1133,8 +1133,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -1159,13 +1159,33 @@
 			return
 		}
 	}
+	z.UnchangedFrom, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "UnchangedFrom")
+		return
+	}
+	z.UnchangedTo, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "UnchangedTo")
+		return
+	}
+	err = z.UnchangedAge.DecodeMsg(dc)
+	if err != nil {
+		err = msgp.WrapError(err, "UnchangedAge")
+		return
+	}
+	z.First, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "First")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *VersionKnowledge) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 1
-	err = en.Append(0x91)
+	// array header, size 5
+	err = en.Append(0x95)
 	if err != nil {
 		return
 	}
@@ -1181,14 +1201,34 @@
 			return
 		}
 	}
+	err = en.WriteUint64(z.UnchangedFrom)
+	if err != nil {
+		err = msgp.WrapError(err, "UnchangedFrom")
+		return
+	}
+	err = en.WriteUint64(z.UnchangedTo)
+	if err != nil {
+		err = msgp.WrapError(err, "UnchangedTo")
+		return
+	}
+	err = z.UnchangedAge.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "UnchangedAge")
+		return
+	}
+	err = en.WriteBool(z.First)
+	if err != nil {
+		err = msgp.WrapError(err, "First")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *VersionKnowledge) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 1
-	o = append(o, 0x91)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Services)))
 	for za0001 := range z.Services {
 		o, err = z.Services[za0001].MarshalMsg(o)
@@ -1197,6 +1237,14 @@
 			return
 		}
 	}
+	o = msgp.AppendUint64(o, z.UnchangedFrom)
+	o = msgp.AppendUint64(o, z.UnchangedTo)
+	o, err = z.UnchangedAge.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "UnchangedAge")
+		return
+	}
+	o = msgp.AppendBool(o, z.First)
 	return
 }
 
@@ -1208,8 +1256,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -1234,6 +1282,26 @@
 			return
 		}
 	}
+	z.UnchangedFrom, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "UnchangedFrom")
+		return
+	}
+	z.UnchangedTo, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "UnchangedTo")
+		return
+	}
+	bts, err = z.UnchangedAge.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "UnchangedAge")
+		return
+	}
+	z.First, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "First")
+		return
+	}
 	o = bts
 	return
 }
@@ -1244,5 +1312,6 @@
 	for za0001 := range z.Services {
 		s += z.Services[za0001].Msgsize()
 	}
+	s += msgp.Uint64Size + msgp.Uint64Size + z.UnchangedAge.Msgsize() + msgp.BoolSize
 	return
 }
