edge: refuse unknown streams of split routes beside VMs of another program

What callers would see: while VMs are replaced by those of a program with another protocol, a stream of a route with several services that began at an old VM and that its caller resumes at a new one could go on at another service. The old program chooses the service by the id of the attempt, the new one by workspace, path and body, and they open no session to ask each other.

Change: a VM that refuses a session because of the protocol counts all services of the route as possible for streams that can have begun until then, and says so to the VMs that ask it. Streams that are known go on; routes with one service are not touched.

A real older program was not run. TestOtherProtocolIsRefused (vm) covers the notice.

The case "all VMs restarted" failed once with -race (0 of 16 named streams went on): the new VM had still heard the ones that were ending, got no reply and took itself for cut off.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -62,6 +62,9 @@
 	reportScheduled atomic.Bool
 	// leavingSince is the time of SIGTERM in nanoseconds since boot, zero before.
 	leavingSince atomic.Int64
+	// otherProtocolAt is the latest time, in nanoseconds since boot, at which a VM that speaks another protocol was refused a session, zero
+	// before.
+	otherProtocolAt atomic.Int64
 }
 
 // keyFreshnessShare is the maximum age of the known state of the store, as a share of the revocation bound. The rest of the
--- a/edge/new.go
+++ b/edge/new.go
@@ -70,6 +70,7 @@
 	}
 	endpoint := vm.NewInsecureEndpoint(identity, log)
 	endpoint.OnStream = e.ServeForwarded
+	endpoint.OnOtherProtocol = e.recordOtherProtocol
 	e.Fleet = fleet.New(now, endpoint, s.PeerListen, s.CallerListen, s.Seeds)
 	e.Fleet.Now = clock.Now
 	e.pausedRecently = e.Fleet.PausedRecently
--- a/edge/streamservice.go
+++ b/edge/streamservice.go
@@ -66,7 +66,7 @@
 // serviceCertain reports whether a stream that no VM knows can have begun at the chosen service only: all configurations since its
 // earliest start have chosen it, at this VM and at those that were asked.
 func (e *Edge) serviceCertain(now time.Time, r *request, a streamAnswer) bool {
-	targets, known := e.table().TargetsSince(e.targetsSince(now, r.route), r.host, r.path, r.splitKey())
+	targets, known := e.possibleTargets(e.targetsSince(now, r.route), r.host, r.path, r.splitKey())
 	for _, target := range append(targets, a.targets...) {
 		if target != r.service.Name {
 			return false
@@ -77,7 +77,27 @@
 
 // addTargets adds the services that the configurations of this VM have chosen to the reply to a question for a stream.
 func (e *Edge) addTargets(now time.Time, m *vmwire.StreamQuery, reply *vmwire.StreamReply) {
-	if t := e.table(); t != nil {
-		reply.Targets, reply.TargetsKnown = t.TargetsSince(m.TargetsAge.Moment(now), m.Host, m.Path, m.Key)
+	reply.Targets, reply.TargetsKnown = e.possibleTargets(m.TargetsAge.Moment(now), m.Host, m.Path, m.Key)
+}
+
+// possibleTargets returns the services at which a resumable stream may have begun since a time, as far as this VM knows. known is set if it
+// knows all configurations since then.
+func (e *Edge) possibleTargets(since time.Time, host, path, key string) (services []string, known bool) {
+	t := e.table()
+	if t == nil {
+		return nil, false
+	}
+	services, known = t.TargetsSince(since, host, path, key)
+	r := t.Match(host, path)
+	if r == nil || time.Unix(0, e.otherProtocolAt.Load()).Before(since) {
+		return services, known
 	}
+	// VMs with another protocol may choose services by another key, and cannot be asked.
+	for _, target := range r.Split {
+		services = append(services, target.Service)
+	}
+	return services, known
 }
+
+// recordOtherProtocol records that there is a VM that speaks another protocol, as while VMs are replaced by those of another program.
+func (e *Edge) recordOtherProtocol(uint32) { e.otherProtocolAt.Store(e.Now().UnixNano()) }
--- a/edge/streamservice_test.go
+++ b/edge/streamservice_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"parsleyhatch/platform"
+	"parsleyhatch/vmwire"
 )
 
 // newServiceCluster starts a cluster of VMs in one region with an upstream of each of two services, whose events name the service.
@@ -39,6 +40,12 @@
 	}
 }
 
+// waitUntilAlone waits until the VM has not heard others that have ended for so long that it no longer takes itself for cut off.
+func (v *testVM) waitUntilAlone(w *testCluster) {
+	w.t.Helper()
+	w.waitFor("the others are not heard", func() bool { return !v.Fleet.SeenSince(v.Now().Add(-v.maxStateAge())) })
+}
+
 // publishSplit publishes a configuration with one resumable route, whose split is given as "service weight, service weight".
 func (w *testCluster) publishSplit(version int, split string) {
 	w.publishConfig(version, splitRouteJSON(split))
@@ -136,6 +143,7 @@
 		w.vms = nil
 		v := w.startVM("vm9", "north", true)
 		w.waitForServices()
+		v.waitUntilAlone(w)
 		return v
 	}
 	replaceAll := func(w *testCluster) *testVM {
@@ -146,10 +154,13 @@
 		for _, old := range first {
 			old.cancel()
 		}
-		// Until then, the VM takes itself for cut off.
-		w.waitFor("the others are not heard", func() bool { return !v.Fleet.SeenSince(v.Now().Add(-v.maxStateAge())) })
+		v.waitUntilAlone(w)
 		return v
 	}
+	otherProtocol := func(w *testCluster) *testVM {
+		w.vms[1].recordOtherProtocol(vmwire.Protocol - 1)
+		return w.vms[0]
+	}
 	same := func(w *testCluster) *testVM { return w.vms[0] }
 	other := func(w *testCluster) *testVM { return w.vms[1] }
 	started := func(w *testCluster) *testVM {
@@ -165,19 +176,23 @@
 		vm    func(w *testCluster) *testVM
 		// minNamed and minUnnamed are the numbers of streams that must go on.
 		minNamed, minUnnamed int
+		// refused is set if none may go on where the least number is zero.
+		refused bool
 	}{
 		"at the same VM":                     {before: halves, vm: same, minNamed: streams, minUnnamed: streams},
 		"at another VM":                      {before: halves, vm: other, minNamed: streams, minUnnamed: streams},
 		"at a VM that started":               {before: halves, vm: started, minNamed: streams, minUnnamed: streams},
+		"another VM met an older program":    {before: halves, vm: otherProtocol, minNamed: streams, refused: true},
+		"older program, one service":         {before: "plain 1", vm: otherProtocol, minNamed: streams, minUnnamed: streams},
 		"all VMs replaced":                   {before: halves, after: halves, vm: replaceAll, minNamed: streams, minUnnamed: streams},
 		"weights changed":                    {before: halves, after: "plain 30, engine 70", vm: same, minNamed: streams, minUnnamed: streams / 2},
 		"weights changed, another VM":        {before: halves, after: "plain 30, engine 70", vm: other, minNamed: streams, minUnnamed: streams / 2},
 		"weights changed, VM that started":   {before: halves, after: "plain 30, engine 70", vm: started, minNamed: streams, minUnnamed: streams / 2},
-		"moved to the other service":         {before: "plain 1", after: "engine 1", vm: same},
+		"moved to the other service":         {before: "plain 1", after: "engine 1", vm: same, refused: true},
 		"service added":                      {before: "plain 1", after: halves, vm: other, minNamed: streams, minUnnamed: 1},
 		"service left":                       {before: halves, after: "engine 1", vm: other, minNamed: 1, minUnnamed: 1},
 		"all VMs restarted":                  {before: halves, vm: restartAll, minNamed: streams, minUnnamed: streams},
-		"all VMs restarted, weights changed": {before: halves, after: "plain 30, engine 70", vm: restartAll},
+		"all VMs restarted, weights changed": {before: halves, after: "plain 30, engine 70", vm: restartAll, refused: true},
 		"all VMs restarted, one service":     {before: "plain 1", vm: restartAll, minNamed: streams, minUnnamed: streams},
 	} {
 		for _, named := range []bool{true, false} {
@@ -195,8 +210,8 @@
 				if named {
 					least = c.minNamed
 				}
-				if n := c.vm(w).resumeStreams(t, interrupted, named); n < least {
-					t.Errorf("%d of %d streams went on, want at least %d", n, streams, least)
+				if n := c.vm(w).resumeStreams(t, interrupted, named); n < least || n > 0 && least == 0 && c.refused {
+					t.Errorf("%d of %d streams went on, want at least %d, or none if refused: %v", n, streams, least, c.refused)
 				}
 			})
 		}
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -120,8 +120,8 @@
 }
 
 // findStream returns the stream that an attempt of a caller began, or a zero Stream. If no VM knows the attempt, the stream has the
-// only service that can have begun it, and the only version that has served, if there was only one. Other VMs are asked first, since this one may not know yet of a version that
-// has joined. While sessions are missing, they are asked again as sessions open.
+// only service that can have begun it, and the only version that has served, if there was only one. Other VMs are asked first, since this
+// one may not know yet of a version that has joined. While sessions are missing, they are asked again as sessions open.
 func (e *Edge) findStream(ctx context.Context, r *request, id string) (version.Stream, streamAnswer) {
 	if id != "" {
 		if found, ok := e.Streams.Find(e.Now(), id); ok {
@@ -149,7 +149,8 @@
 	}
 }
 
-// askStream asks other VMs for the service and the version of a stream, until one has it. The versions that they know are added to what this VM knows.
+// askStream asks other VMs for the service and the version of a stream, until one has it. The versions that they know are added to what
+// this VM knows.
 func (e *Edge) askStream(ctx context.Context, r *request, id string) streamAnswer {
 	now := e.Now()
 	replies := make(chan vmwire.StreamReply, maxStreamReplies)
--- a/vm/endpoint.go
+++ b/vm/endpoint.go
@@ -29,6 +29,8 @@
 	// OnSessionOpened is called when a session opens and OnSessionClosed when it ends. They must not block.
 	OnSessionOpened func(s *Session)
 	OnSessionClosed func(s *Session, reason error)
+	// OnOtherProtocol, if set, is called when a VM that speaks another protocol is refused a session. It must not block.
+	OnOtherProtocol func(protocol uint32)
 	// SentSameRegion and SentOtherRegions count what was sent to VMs of this region and of other regions.
 	SentSameRegion, SentOtherRegions SentCounts
 
--- a/vm/session.go
+++ b/vm/session.go
@@ -115,6 +115,9 @@
 		return err
 	}
 	if peer.Protocol != vmwire.Protocol {
+		if s.endpoint.OnOtherProtocol != nil {
+			s.endpoint.OnOtherProtocol(peer.Protocol)
+		}
 		return fmt.Errorf("peer %q speaks protocol %d, want %d", peer.Slot, peer.Protocol, vmwire.Protocol)
 	}
 	s.Peer = identityFromHello(peer)
--- a/vm/session_test.go
+++ b/vm/session_test.go
@@ -1,6 +1,7 @@
 package vm
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -57,6 +58,23 @@
 	_ = st.SendEnd(ctx, &vmwire.End{Ran: "ran"})
 }
 
+// Guards against a session with a VM that speaks another protocol, and against one that is refused without notice.
+func TestOtherProtocolIsRefused(t *testing.T) {
+	e := NewInsecureEndpoint(Identity{Slot: "a", Incarnation: 1}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	var met uint32
+	e.OnOtherProtocol = func(protocol uint32) { met = protocol }
+	conn, peer := net.Pipe()
+	go func() {
+		_, _ = ReadFrame(bufio.NewReader(peer))
+		body, _ := (&vmwire.Hello{Protocol: vmwire.Protocol - 1, Slot: "b"}).MarshalMsg(nil)
+		frame, _ := appendFrame(nil, &vmwire.Frame{Kind: vmwire.KindHello, Body: body})
+		_, _ = peer.Write(frame)
+	}()
+	if _, err := newSession(t.Context(), e, conn, true); err == nil || met != vmwire.Protocol-1 {
+		t.Errorf("error %v, met protocol %d", err, met)
+	}
+}
+
 // Guards against lost, repeated or reordered data on a stream that carries more than one window, and against a
 // stream that blocks others because nobody reads it.
 func TestStreamsAreIndependent(t *testing.T) {
