--- a/source/source.go
+++ b/source/source.go
@@ -74,6 +74,8 @@
 	accepted chan struct{}
 	// latestConfig is the value from which the active configuration was decoded. It is guarded by acceptMu.
 	latestConfig []byte
+	// unchanged holds what other VMs said of earlier configurations before this VM had one. It is guarded by acceptMu.
+	unchanged []route.Unchanged
 
 	// History answers store reads of other VMs.
 	History History
@@ -326,7 +328,7 @@
 	switch {
 	case item.Key == platform.ConfigKey:
 		if !item.Deleted {
-			s.AcceptConfig(item.Value)
+			s.AcceptConfigItem(item)
 		}
 	case strings.HasPrefix(item.Key, platform.EvacuatePrefix):
 		domain := strings.TrimPrefix(item.Key, platform.EvacuatePrefix)
@@ -339,10 +341,13 @@
 
 // AcceptConfig activates a configuration if its version is higher than that of the active one. A store or another
 // VM that serves an older state therefore never reverts the configuration.
-func (s *Watcher) AcceptConfig(value []byte) {
+func (s *Watcher) AcceptConfig(value []byte) { s.AcceptConfigItem(platform.Item{Value: value}) }
+
+// AcceptConfigItem is AcceptConfig for an item of the store. If its key was created with it, the configuration is the first one.
+func (s *Watcher) AcceptConfigItem(item platform.Item) {
 	s.acceptMu.Lock()
 	defer s.acceptMu.Unlock()
-	c, err := platform.DecodeConfig(value)
+	c, err := platform.DecodeConfig(item.Value)
 	if err != nil {
 		event.ConfigRejected.Log(s.Log, "error", err.Error())
 		return
@@ -354,9 +359,16 @@
 		}
 		return
 	}
-	t := route.NewAfter(old, c)
+	t := route.NewAfter(s.Now(), old, c)
+	if old == nil && item.Created != 0 && item.Created == item.Revision {
+		t.MarkFirst()
+	}
+	for _, u := range s.unchanged {
+		t = t.Extend(u)
+	}
+	s.unchanged = nil
 	s.table.Store(t)
-	s.latestConfig = value
+	s.latestConfig = item.Value
 	event.ConfigAccepted.Log(s.Log, "version", c.Version, "routes", len(c.Routes), "workspaces", len(c.Workspaces))
 	s.OnConfig(t)
 	if s.accepted != nil {
@@ -365,6 +377,22 @@
 	}
 }
 
+// maxUnchanged bounds what is kept of other VMs before the first configuration.
+const maxUnchanged = 64
+
+// ExtendPast adds what another VM knows of earlier configurations.
+func (s *Watcher) ExtendPast(u route.Unchanged) {
+	s.acceptMu.Lock()
+	defer s.acceptMu.Unlock()
+	if t := s.table.Load(); t != nil {
+		s.table.Store(t.Extend(u))
+		return
+	}
+	if len(s.unchanged) < maxUnchanged {
+		s.unchanged = append(s.unchanged, u)
+	}
+}
+
 // WaitForVersion waits until the active configuration has at least a version or ctx ends. It returns the active
 // configuration, or nil if there is none.
 func (s *Watcher) WaitForVersion(ctx context.Context, version uint64) *route.Table {
