edge: report streams to other VMs after a split has changed

Callers that named the attempt that they resumed were refused after the loss of its VM if the split of the route had changed: no other VM knew the stream, and its service could no longer be derived.

While the split stays, no message is needed, as any VM derives the service. After a change, VMs report the streams that may still run and those that begin until no stream of the time before can, as they do when a second version joins.

--- a/edge/new.go
+++ b/edge/new.go
@@ -68,7 +68,10 @@
 		Local:        func(domain string) bool { return s.Regions[domain] == s.Region },
 		Region:       func(domain string) string { return s.Regions[domain] },
 		WatchTimeout: time.Duration(watchShare * float64(s.Bounds.RevocationDelay)),
-		OnConfig:     func(t *route.Table) { e.Quota.Configure(clock.Now(), t.Config.Workspaces) },
+		OnConfig: func(t *route.Table) {
+			e.Quota.Configure(clock.Now(), t.Config.Workspaces)
+			e.scheduleReports()
+		},
 	}
 	endpoint := vm.NewInsecureEndpoint(identity, log)
 	endpoint.OnStream = e.ServeForwarded
--- a/edge/streamreport.go
+++ b/edge/streamreport.go
@@ -48,18 +48,33 @@
 		return
 	}
 	e.Streams.Begin(now, r.id, stream)
-	if _, only := e.Watcher.Versions.Only(r.service.Name, earliestStart(now, r.route)); !only && e.reportScheduled.CompareAndSwap(false, true) {
+	if e.needsReports(r.service.Name, earliestStart(now, r.route)) {
+		e.scheduleReports()
+	}
+}
+
+// scheduleReports reports the streams that begin within reportDelay together.
+func (e *Edge) scheduleReports() {
+	if e.reportScheduled.CompareAndSwap(false, true) {
 		time.AfterFunc(reportDelay, e.reportCollectedStreams)
 	}
 }
 
+// needsReports reports whether other VMs cannot derive where the streams of a service that began since a time go on: several versions have
+// served it, or the split of its route has changed. Otherwise they know the version from the registrations and the service from the split.
+func (e *Edge) needsReports(service string, since time.Time) bool {
+	_, only := e.Watcher.Versions.Only(service, since)
+	t := e.table()
+	return !only || t != nil && t.SplitChanged(since, service)
+}
+
 // reportCollectedStreams reports the streams that began within reportDelay.
 func (e *Edge) reportCollectedStreams() {
 	e.reportScheduled.Store(false)
 	e.reportAllStreams()
 }
 
-// reportAllStreams reports the streams that no other VM was notified of, of the services of which several versions serve.
+// reportAllStreams reports the streams that no other VM was notified of, of the services that need it.
 func (e *Edge) reportAllStreams() { e.reportServices(e.reportStreams) }
 
 // handOverStreams reports all streams that callers may still resume, before this VM ends. Once another version has joined, other VMs can no
@@ -91,10 +106,9 @@
 	return a
 }
 
-// reportStreams reports the streams of a service that began since a time if several versions have served it since then. While one
-// version serves, no other VM needs to know: all derive it from the registrations.
+// reportStreams reports the streams of a service that began since a time if other VMs need to know of them.
 func (e *Edge) reportStreams(now time.Time, service string, since time.Time) {
-	if _, only := e.Watcher.Versions.Only(service, since); !only {
+	if e.needsReports(service, since) {
 		e.sendUnreported(now, service, since)
 	}
 }
--- a/edge/streamservice_test.go
+++ b/edge/streamservice_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"parsleyhatch/platform"
 	"parsleyhatch/vmwire"
@@ -157,6 +158,11 @@
 		v.waitUntilAlone(w)
 		return v
 	}
+	lost := func(w *testCluster) *testVM {
+		time.Sleep(10 * reportDelay) // Until then, no other VM knows the streams.
+		w.vms[0].cancel()
+		return w.vms[1]
+	}
 	otherProtocol := func(w *testCluster) *testVM {
 		w.vms[1].recordOtherProtocol(vmwire.Protocol - 1)
 		return w.vms[0]
@@ -188,6 +194,7 @@
 		"weights changed":                    {before: halves, after: "plain 30, engine 70", vm: same, minNamed: streams, minUnnamed: streams / 2},
 		"weights changed, another VM":        {before: halves, after: "plain 30, engine 70", vm: other, minNamed: streams, minUnnamed: streams / 2},
 		"weights changed, VM that started":   {before: halves, after: "plain 30, engine 70", vm: started, minNamed: streams, minUnnamed: streams / 2},
+		"weights changed, VM lost":           {before: halves, after: "plain 30, engine 70", vm: lost, minNamed: streams, minUnnamed: 0},
 		"moved to the other service":         {before: "plain 1", after: "engine 1", vm: same, refused: true},
 		"service added":                      {before: "plain 1", after: halves, vm: other, minNamed: streams, minUnnamed: 1},
 		"service left":                       {before: halves, after: "engine 1", vm: other, minNamed: 1, minUnnamed: 1},
--- a/route/past.go
+++ b/route/past.go
@@ -90,6 +90,26 @@
 	return services, !t.pastSince.After(since)
 }
 
+// SplitChanged reports whether a resumable route that a service belongs to has had another split since a time.
+func (t *Table) SplitChanged(since time.Time, service string) bool {
+	for i := range t.Config.Routes {
+		r := &t.Config.Routes[i]
+		if !r.KeepsService() {
+			continue
+		}
+		for _, past := range t.past {
+			if past.until.Before(since) {
+				break
+			}
+			before := past.byHost.match(r.Host, r.Prefix)
+			if before != nil && !slices.Equal(before.Split, r.Split) && (r.Allows(service) || before.Allows(service)) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // appendTargets appends the services to which requests with a key are sent, unless the list has them. Where a route distributes requests
 // by another key, these are all of its services.
 func (x routeIndex) appendTargets(services []string, host, path, key string) []string {
