soak: links pass on how connections end

A link closed both of its connections regularly whenever one of them ended. So a VM saw a regular end where its upstream had reset the connection, and also behind data that the link had discarded: no network delivers a FIN behind lost data. An answer without a length and chunks was cut so without a mark, by the soak and not by the upstream.

--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"os"
 	"sync"
@@ -242,14 +241,17 @@
 	}
 }
 
-// runCopy copies the data of one direction and applies the current fault.
-func (p *proxy) runCopy(to io.Writer, from io.Reader, rewrite rewriteFunc, toClient bool, done chan<- struct{}) {
+// runCopy copies the data of one direction and applies the current fault. It passes on how the direction ends.
+func (p *proxy) runCopy(to, from net.Conn, rewrite rewriteFunc, toClient bool, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
 	buf := make([]byte, 16<<10)
 	stalled := false
 	for {
 		n, err := from.Read(buf)
 		if err != nil {
+			if tcp, ok := to.(*net.TCPConn); ok && (stalled || errors.Is(err, syscall.ECONNRESET)) {
+				_ = tcp.SetLinger(0) // A reset is passed on as one, and a FIN never arrives behind data that was lost.
+			}
 			return
 		}
 		switch fault := p.fault.Load(); {
--- /dev/null
+++ b/soak/proxyend_test.go
@@ -0,0 +1,51 @@
+package soak
+
+import (
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+)
+
+// Guards against links that turn the reset of an upstream into a regular end, or that end regularly behind data that they lost.
+func TestLinksPassOnHowConnectionsEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		reset bool
+		fault int32
+		want  error
+	}{
+		"end":             {false, linkNormal, nil},
+		"reset":           {true, linkNormal, syscall.ECONNRESET},
+		"end behind loss": {false, linkDropsAll, syscall.ECONNRESET},
+	} {
+		target, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = target.Close() }()
+		p, err := newProxy(target.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer p.close()
+		client, err := net.Dial("tcp", p.address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = client.Close() }()
+		server, err := target.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.fault.Store(c.fault)
+		_, _ = io.WriteString(server, "x")
+		if c.reset {
+			_ = server.(*net.TCPConn).SetLinger(0)
+		}
+		_ = server.Close()
+		if _, err := io.Copy(io.Discard, client); !errors.Is(err, c.want) {
+			t.Errorf("%s: %v, want %v", name, err, c.want)
+		}
+	}
+}
