soak: count the rows of raw answers, and draw CR LF in profile raw

A third of the streams of raw upstreams end their lines with CR and LF, which event streams allow. The log of a run counts the runs of each framing and end, with the disorder of the streams that ended with it. Twice as many callers, so that more streams are under way when an upstream is killed.

--- a/soak/history.go
+++ b/soak/history.go
@@ -55,8 +55,8 @@
 	// execution had according to the request.
 	fault     int32
 	lastEvent string
-	// answer describes the answer that a raw upstream has drawn.
-	answer string
+	// answer describes the answer that a raw upstream has drawn, and row its framing and end.
+	answer, row string
 }
 
 // response is the response to a request as the caller received it.
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -122,7 +122,7 @@
 		faults = append(faults, planBursts(rand.New(rand.NewPCG(seed, 20)), duration)...)
 	case ProfileSignals:
 		faults = append(planFaults(seed, duration), planSignals(rand.New(rand.NewPCG(seed, 22)), duration)...)
-	case ProfileRaw, ProfileUnmarked, ProfileCRLF:
+	case ProfileRaw, ProfileUnmarked:
 		faults = planKinds(rand.New(rand.NewPCG(seed, 23)), rawFaultKinds, meanRawFaultInterval, duration)
 		cuts := fault{kind: faultCutAnswers, start: time.Second, duration: duration - faultFreeTime - time.Second}
 		faults = append(faults, cuts)
--- a/soak/profile.go
+++ b/soak/profile.go
@@ -29,15 +29,13 @@
 	// ProfileRaw is a load of upstreams in processes of their own, which are killed and which cut answers of all framings, with
 	// faults of VMs and links.
 	ProfileRaw Profile = "raw"
-	// ProfileUnmarked is ProfileRaw with answers that are cut so that nothing marks it: they have neither a length nor chunks, and
+	// ProfileUnmarked is ProfileRaw with streams that are cut so that nothing marks it: they have neither a length nor chunks, and
 	// end with FIN between two events although their upstream lives.
 	ProfileUnmarked Profile = "unmarked"
-	// ProfileCRLF is ProfileRaw with events a third of which end their lines with CR and LF.
-	ProfileCRLF Profile = "crlf"
 )
 
 // Profiles are all profiles.
-var Profiles = []Profile{ProfileLight, ProfileHeavy, ProfileStops, ProfileRetries, ProfileSignals, ProfileRaw, ProfileUnmarked, ProfileCRLF}
+var Profiles = []Profile{ProfileLight, ProfileHeavy, ProfileStops, ProfileRetries, ProfileSignals, ProfileRaw, ProfileUnmarked}
 
 // load describes what callers send and how upstreams respond while no fault acts.
 type load struct {
@@ -58,8 +56,6 @@
 	slots int
 	// raw says that upstreams are processes that write their answers to TCP connections themselves.
 	raw bool
-	// crlf says that some raw upstreams end the lines of events with CR and LF.
-	crlf bool
 }
 
 const (
@@ -90,9 +86,8 @@
 		light.callers, light.interval, light.eventsPerWrite = 48, 5*time.Millisecond, light.events
 	case ProfileSignals:
 		light.callers, light.interval, light.workEvery, light.slots = 40, 250*time.Millisecond, 10, 4
-	case ProfileRaw, ProfileUnmarked, ProfileCRLF:
-		light.callers, light.deadline, light.events, light.longEvery, light.raw = 16, 5*time.Second, 12, 24, true
-		light.crlf = p == ProfileCRLF
+	case ProfileRaw, ProfileUnmarked:
+		light.callers, light.deadline, light.events, light.longEvery, light.raw = 32, 5*time.Second, 12, 24, true
 	}
 	return light
 }
--- a/soak/rawanswer.go
+++ b/soak/rawanswer.go
@@ -87,9 +87,12 @@
 	longBefore int
 }
 
+// row names the framing and the end.
+func (a *rawAnswer) row() string { return framingNames[a.framing] + ", " + endingNames[a.end] }
+
 // String names the draw.
 func (a *rawAnswer) String() string {
-	text := fmt.Sprintf("%s, %s, %s", framingNames[a.framing], endingNames[a.end], pieceNames[a.pieces])
+	text := a.row() + ", " + pieceNames[a.pieces]
 	if a.style.crlf {
 		text += ", CR LF"
 	}
@@ -97,28 +100,25 @@
 }
 
 // drawAnswer draws an answer. A body that is no stream has no parts of its own, so that no end with FIN tells that one without a
-// length was cut, wherever that is.
-func drawAnswer(rng *rand.Rand, l *load, allowed rawEnds, stream bool) rawAnswer {
+// length was cut, wherever that is; only streams are cut so.
+func drawAnswer(rng *rand.Rand, allowed rawEnds, stream bool) rawAnswer {
 	a := rawAnswer{
 		stream: stream, framing: framing(rng.IntN(int(framings))), pieces: pieces(rng.IntN(int(pieceKinds))), closes: rng.IntN(8) == 0,
-		style: eventStyle{crlf: rng.IntN(3) == 0 && l.crlf, idLast: rng.IntN(3) == 0, comments: rng.IntN(4) == 0},
+		style: eventStyle{crlf: rng.IntN(3) == 0, idLast: rng.IntN(3) == 0, comments: rng.IntN(4) == 0},
 		cutAt: rng.Float64(), position: rng.Float64(), perChunk: 1 + rng.IntN(maxGroup), pause: eventPause, longBefore: -1,
 	}
 	end, cut, pauses, long := ending(1+rng.IntN(int(endings)-1)), rng.Float64() < cutShare, rng.Float64(), rng.IntN(maxGroup)
 	if allowed.Cut && cut {
 		a.end = end
 	}
-	if a.framing == framingNone && !allowed.Unmarked {
+	if a.framing == framingNone {
 		switch {
-		case a.end == endFINAfterEvent:
+		case a.end == endFINAfterEvent && !(allowed.Unmarked && stream):
 			a.end = endResetAfterEvent
 		case a.end == endFINInsideEvent && !stream:
 			a.end = endResetInsideEvent
 		}
 	}
-	if a.framing == framingNone && !stream {
-		a.pieces = piecesHeadWithEvent
-	}
 	switch {
 	case pauses < noPauseShare:
 		a.pause = 0
--- a/soak/rawanswer_test.go
+++ b/soak/rawanswer_test.go
@@ -10,12 +10,12 @@
 
 // Guards against a row of the table of answers that plays another framing or end than it names, or that no seed draws.
 func TestRawAnswersAreWhatTheyName(t *testing.T) {
-	l := loadOf(ProfileCRLF)
+	l := loadOf(ProfileRaw)
 	u := &rawUpstream{settings: rawSettings{ID: "u", Service: service, Version: "v1"}, load: l}
 	drawn := map[[3]int]bool{}
 	for seed := range uint64(2000) {
 		rng := rand.New(rand.NewPCG(seed, 1))
-		a := drawAnswer(rng, &l, rawEnds{Cut: true, Unmarked: true}, true)
+		a := drawAnswer(rng, rawEnds{Cut: true, Unmarked: true}, true)
 		w := u.encode(&a, "id-1", "2")
 		length := a.length(&w)
 		var sent bytes.Buffer
@@ -53,14 +53,13 @@
 // Guards against an answer without a mark of its cut that is drawn although the plan does not allow it, and against cuts in the time
 // without faults.
 func TestUnmarkedCutsNeedLeave(t *testing.T) {
-	l := loadOf(ProfileRaw)
 	for seed := range uint64(2000) {
 		for _, stream := range []bool{true, false} {
-			a := drawAnswer(rand.New(rand.NewPCG(seed, 1)), &l, rawEnds{Cut: true}, stream)
+			a := drawAnswer(rand.New(rand.NewPCG(seed, 1)), rawEnds{Cut: true}, stream)
 			if a.framing == framingNone && (a.end == endFINAfterEvent || a.end == endFINInsideEvent && !stream) {
 				t.Fatalf("stream %v: %s", stream, &a)
 			}
-			if a := drawAnswer(rand.New(rand.NewPCG(seed, 1)), &l, rawEnds{Unmarked: true}, stream); a.end != endWhole {
+			if a := drawAnswer(rand.New(rand.NewPCG(seed, 1)), rawEnds{Unmarked: true}, stream); a.end != endWhole {
 				t.Fatalf("no cuts allowed: %s", &a)
 			}
 		}
--- a/soak/rawprocess.go
+++ b/soak/rawprocess.go
@@ -81,7 +81,7 @@
 		case r.Start != nil:
 			open[r.Start.Run] = h.recordExecution(execution{
 				id: r.Start.ID, upstream: id, vm: h.vmAt(r.Start.From), startedAt: r.Start.At, workspace: r.Start.Workspace,
-				keyPresent: r.Start.KeyPresent, unmodified: r.Start.Unmodified, lastEvent: r.Start.LastEvent, answer: r.Start.Answer,
+				keyPresent: r.Start.KeyPresent, unmodified: r.Start.Unmodified, lastEvent: r.Start.LastEvent, answer: r.Start.Answer, row: r.Start.Row,
 			})
 		case r.End != nil:
 			if end := open[r.End.Run]; end != nil {
--- a/soak/rawupstream.go
+++ b/soak/rawupstream.go
@@ -58,8 +58,9 @@
 	KeyPresent bool   `json:"keyPresent"`
 	Unmodified bool   `json:"unmodified"`
 	LastEvent  string `json:"lastEvent"`
-	// Answer describes the answer that was drawn.
+	// Answer describes the answer that was drawn, and Row its framing and end.
 	Answer string `json:"answer"`
+	Row    string `json:"row"`
 }
 
 // rawRunEnd is the end of an execution.
@@ -148,13 +149,13 @@
 	}
 	lastEvent := r.Header.Get(platform.HeaderLastEventID)
 	rng := u.newRand(came.ID, lastEvent)
-	answer := drawAnswer(rng, &u.load, *u.ends.Load(), r.URL.Path == "/"+string(kindStream)+"/")
+	answer := drawAnswer(rng, *u.ends.Load(), r.URL.Path == "/"+string(kindStream)+"/")
 	wire := u.encode(&answer, came.ID, lastEvent)
 	send := answer.length(&wire)
 	run := u.runs.Add(1)
 	u.report(rawReport{Start: &rawRunStart{
 		rawArrival: rawArrival{ID: came.ID, From: came.From, At: time.Now()}, Run: run, Workspace: r.Header.Get(platform.HeaderWorkspace),
-		KeyPresent: r.Header.Get(platform.HeaderAPIKey) != "", LastEvent: lastEvent, Answer: answer.String(),
+		KeyPresent: r.Header.Get(platform.HeaderAPIKey) != "", LastEvent: lastEvent, Answer: answer.String(), Row: answer.row(),
 		Unmodified: r.Method == http.MethodPost && body == u.load.requestBody(came.ID) && r.URL.RawQuery == "q="+came.ID,
 	}})
 	err := writeSegments(c, wire.data, answer.segments(rng, &wire, send))
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -155,6 +155,9 @@
 	for _, v := range found {
 		_, _ = fmt.Fprintf(s.log, "violation %s\n", v)
 	}
+	if s.load.raw {
+		writeRows(s.log, s.history.answerRows())
+	}
 	r.Violations = summarize(found)
 	return r
 }
