soak: a link that resets its connections resets both sides

A link closed the sides of its connections one after the other, and the first one let the copying goroutine close the second one with FIN. It also passed on a reset as FIN if it came while the link connected or wrote.

--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -187,13 +187,20 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0) // Makes Close send a reset.
-		}
+		resetOnClose(c) // Holds for the Close of runConnection, too, which follows the first one below.
+	}
+	for c := range p.conns {
 		_ = c.Close()
 	}
 }
 
+// resetOnClose makes Close send a reset.
+func resetOnClose(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // Fails only if the connection is closed.
+	}
+}
+
 func (p *proxy) runAccept(listener net.Listener) {
 	for {
 		c, err := listener.Accept()
@@ -211,6 +218,7 @@
 func (p *proxy) runConnection(clientConn net.Conn) {
 	targetConn, err := p.dialer.Dial("tcp", p.target)
 	if err != nil {
+		resetOnClose(clientConn)
 		_ = clientConn.Close()
 		return
 	}
@@ -249,8 +257,8 @@
 	for {
 		n, err := from.Read(buf)
 		if err != nil {
-			if tcp, ok := to.(*net.TCPConn); ok && (stalled || errors.Is(err, syscall.ECONNRESET)) {
-				_ = tcp.SetLinger(0) // A reset is passed on as one, and a FIN never arrives behind data that was lost.
+			if stalled || errors.Is(err, syscall.ECONNRESET) {
+				resetOnClose(to) // A reset is passed on as one, and a FIN never arrives behind data that was lost.
 			}
 			return
 		}
@@ -265,6 +273,7 @@
 		}
 		rewrite(buf[:n], toClient)
 		if _, err := to.Write(buf[:n]); err != nil {
+			resetOnClose(from)
 			return
 		}
 	}
--- a/soak/proxyend_test.go
+++ b/soak/proxyend_test.go
@@ -18,6 +18,7 @@
 		"end":             {false, linkNormal, nil},
 		"reset":           {true, linkNormal, syscall.ECONNRESET},
 		"end behind loss": {false, linkDropsAll, syscall.ECONNRESET},
+		"reset by link":   {false, linkReset, syscall.ECONNRESET},
 	} {
 		target, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -38,14 +39,30 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		p.fault.Store(c.fault)
-		_, _ = io.WriteString(server, "x")
-		if c.reset {
-			_ = server.(*net.TCPConn).SetLinger(0)
+		if c.fault == linkReset {
+			if _, err := io.ReadFull(server, send(t, client)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		p.setFault(c.fault)
+		if c.fault != linkReset {
+			_, _ = io.WriteString(server, "x")
+			if c.reset {
+				_ = server.(*net.TCPConn).SetLinger(0)
+			}
+			_ = server.Close()
 		}
-		_ = server.Close()
 		if _, err := io.Copy(io.Discard, client); !errors.Is(err, c.want) {
 			t.Errorf("%s: %v, want %v", name, err, c.want)
 		}
 	}
 }
+
+// send writes a byte to a connection and returns a buffer for it.
+func send(t *testing.T, c net.Conn) []byte {
+	t.Helper()
+	if _, err := io.WriteString(c, "x"); err != nil {
+		t.Fatal(err)
+	}
+	return make([]byte, 1)
+}
