edge: ask other VMs for streams of forwarded attempts that may have been lost

A caller got events of two software versions in one stream (ORDER). It had sent its request to north-1, which forwarded it to south-0. There u4 of v1 answered it whole, but the link between the VMs discarded the answer. North-1 left that path and began the stream at u8 of v2. u8 broke off, and the caller resumed at south-0, which still held v1 for the attempt and asked nobody.

Class: what a VM knows of an attempt taken for what the caller has got of it. A VM now keeps streams of forwarded attempts apart. It asks the other VMs first, tells them nothing of it, and uses it only if all asked VMs replied that they know nothing.

--- a/edge/streamreport.go
+++ b/edge/streamreport.go
@@ -44,7 +44,8 @@
 	r.streamVersion = streamVersion{bound: true, version: v}
 	now, stream := e.Now(), version.Stream{Service: r.service.Name, Version: v}
 	if r.forwarded {
-		e.Streams.Add(now, r.id, stream) // The VM that the caller is connected to reports it.
+		// Its events may be lost, and the VM that the caller is connected to may begin the stream elsewhere. That VM reports it.
+		e.Streams.AddForwarded(now, r.id, stream)
 		return
 	}
 	e.Streams.Begin(now, r.id, stream)
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -122,6 +122,9 @@
 			return answer.found, answer
 		}
 		now := e.Now()
+		if found, ok := e.Streams.FindForwarded(now, id); ok && answer.replies == answer.asked && !e.Fleet.MissesSessions(now) {
+			return found, answer
+		}
 		if only, ok := e.Watcher.Versions.Only(r.service.Name, earliestStart(now, r.route)); ok && e.versionsConfirmed(now, answer) {
 			return version.Stream{Service: r.service.Name, Version: only}, answer
 		}
--- a/edge/versions_test.go
+++ b/edge/versions_test.go
@@ -332,3 +332,28 @@
 		})
 	}
 }
+
+// Guards against a stream that goes on at the version of a forwarded attempt none of whose events have arrived: the link between the VMs
+// had failed, and the VM that the caller is connected to began the stream at another version.
+func TestCallerResumesAtVMOfLostAttempt(t *testing.T) {
+	for name, resumedAt := range map[string]int{"at the VM that ran the lost attempt": 1, "at a third VM": 2} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newVersionCluster(t)
+			w.addVersion("old", "v1", "north", nil)
+			w.addVersion("new", "v2", "north", nil)
+			first, other := w.startVM("vm1", "north", true), w.startVM("vm2", "south", true)
+			w.startVM("vm3", "north", true)
+			w.waitForMembership()
+			w.waitForUpstreams(2)
+			config := other.table().Config
+			lost := &request{id: "earlier", forwarded: true, route: &config.Routes[0], service: &config.Services[0]}
+			other.streamBegan(lost, "v1")
+			first.Streams.Begin(first.Now(), "earlier", version.Stream{Service: "plain", Version: "v2"})
+			status, body := w.vms[resumedAt].resumeStream(t, "earlier", 3)
+			if status != http.StatusOK || strings.Contains(body, "v1") {
+				t.Errorf("a stream of v2 goes on with %d %q", status, body)
+			}
+		})
+	}
+}
--- a/version/streams.go
+++ b/version/streams.go
@@ -28,7 +28,9 @@
 	mu sync.Mutex
 	// recent holds the streams that were added since rotatedAt, and older those of the Lifetime before.
 	recent, older map[string]Stream
-	rotatedAt     time.Time
+	// forwarded and olderForwarded are the same for attempts that another VM forwarded.
+	forwarded, olderForwarded map[string]Stream
+	rotatedAt                 time.Time
 	// unreported and reported hold the streams that began at this VM, by service in the order of their start. Other VMs have been notified
 	// of those in reported.
 	unreported, reported map[string][]StartedStream
@@ -41,6 +43,7 @@
 func NewStreams(now time.Time, lifetime time.Duration) *Streams {
 	return &Streams{
 		Lifetime: lifetime, recent: map[string]Stream{}, older: map[string]Stream{}, rotatedAt: now,
+		forwarded: map[string]Stream{}, olderForwarded: map[string]Stream{},
 		unreported: map[string][]StartedStream{}, reported: map[string][]StartedStream{},
 	}
 }
@@ -53,6 +56,14 @@
 	s.recent[id] = stream
 }
 
+// AddForwarded records a stream of an attempt that another VM forwarded. Only that VM knows whether it is the stream that the caller has.
+func (s *Streams) AddForwarded(now time.Time, id string, stream Stream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rotate(now)
+	s.forwarded[id] = stream
+}
+
 // Begin records a stream that began at this VM.
 func (s *Streams) Begin(now time.Time, id string, stream Stream) {
 	s.Add(now, id, stream)
@@ -105,14 +116,27 @@
 	return found, ok
 }
 
+// FindForwarded returns a stream of an attempt that another VM forwarded.
+func (s *Streams) FindForwarded(now time.Time, id string) (Stream, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rotate(now)
+	if found, ok := s.forwarded[id]; ok {
+		return found, true
+	}
+	found, ok := s.olderForwarded[id]
+	return found, ok
+}
+
 // rotate starts a new generation of streams if the recent one is old or full.
 func (s *Streams) rotate(now time.Time) {
-	if now.Sub(s.rotatedAt) < s.Lifetime && len(s.recent) < maxStreams {
+	if now.Sub(s.rotatedAt) < s.Lifetime && max(len(s.recent), len(s.forwarded)) < maxStreams {
 		return
 	}
 	s.older, s.recent = s.recent, map[string]Stream{}
+	s.olderForwarded, s.forwarded = s.forwarded, map[string]Stream{}
 	if now.Sub(s.rotatedAt) >= 2*s.Lifetime {
-		s.older = map[string]Stream{}
+		s.older, s.olderForwarded = map[string]Stream{}, map[string]Stream{}
 	}
 	for _, lists := range []map[string][]StartedStream{s.unreported, s.reported} {
 		for service, list := range lists {
