--- a/soak/short_test.go
+++ b/soak/short_test.go
@@ -59,7 +59,7 @@
 // Guards against streams with events missing, twice, of two runs or in part, or that end too early, with upstreams that are killed
 // and that use all framings, ends and pieces of answers.
 func TestRawSoak(t *testing.T) {
-	regression{soak.ProfileRaw, 2, shortLength, "it has not failed with this plan"}.play(t)
+	regression{soak.ProfileRaw, 2, shortLength, "answers without a length of killed upstreams counted as complete"}.play(t)
 }
 
 func (r regression) play(t *testing.T) {
