--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"os"
 	"sync"
@@ -188,13 +187,20 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0) // Makes Close send a reset.
-		}
+		resetOnClose(c) // Holds for the Close of runConnection, too, which follows the first one below.
+	}
+	for c := range p.conns {
 		_ = c.Close()
 	}
 }
 
+// resetOnClose makes Close send a reset.
+func resetOnClose(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // Fails only if the connection is closed.
+	}
+}
+
 func (p *proxy) runAccept(listener net.Listener) {
 	for {
 		c, err := listener.Accept()
@@ -212,6 +218,7 @@
 func (p *proxy) runConnection(clientConn net.Conn) {
 	targetConn, err := p.dialer.Dial("tcp", p.target)
 	if err != nil {
+		resetOnClose(clientConn)
 		_ = clientConn.Close()
 		return
 	}
@@ -242,14 +249,17 @@
 	}
 }
 
-// runCopy copies the data of one direction and applies the current fault.
-func (p *proxy) runCopy(to io.Writer, from io.Reader, rewrite rewriteFunc, toClient bool, done chan<- struct{}) {
+// runCopy copies the data of one direction and applies the current fault. It passes on how the direction ends.
+func (p *proxy) runCopy(to, from net.Conn, rewrite rewriteFunc, toClient bool, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
 	buf := make([]byte, 16<<10)
 	stalled := false
 	for {
 		n, err := from.Read(buf)
 		if err != nil {
+			if stalled || errors.Is(err, syscall.ECONNRESET) {
+				resetOnClose(to) // A reset is passed on as one, and a FIN never arrives behind data that was lost.
+			}
 			return
 		}
 		switch fault := p.fault.Load(); {
@@ -263,6 +273,7 @@
 		}
 		rewrite(buf[:n], toClient)
 		if _, err := to.Write(buf[:n]); err != nil {
+			resetOnClose(from)
 			return
 		}
 	}
