--- a/soak/caller.go
+++ b/soak/caller.go
@@ -34,6 +34,8 @@
 	}()
 	ctx, cancel := context.WithTimeout(context.Background(), sent.deadline+responseGracePeriod)
 	defer cancel()
+	idle := newIdleTimer(sent.patience, cancel)
+	defer func() { got.abandoned = idle.stop() }()
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/"+string(sent.kind)+"/?q="+sent.id, nil)
 	if err != nil {
 		got.err = err.Error()
@@ -47,6 +49,8 @@
 	r.Header.Set(platform.HeaderDeadline, strconv.FormatInt(sent.deadline.Milliseconds(), 10))
 	if sent.resumes != "" {
 		r.Header.Set(platform.HeaderResumes, sent.resumes)
+	}
+	if sent.lastEvent != 0 {
 		r.Header.Set(platform.HeaderLastEventID, strconv.Itoa(sent.lastEvent))
 	}
 	resp, err := client.Do(r)
@@ -55,7 +59,8 @@
 		return got
 	}
 	defer func() { _ = resp.Body.Close() }()
-	got.status = resp.StatusCode
+	got.status, got.retryAfter = resp.StatusCode, platform.ParseRetryAfter(resp.Header)
+	resp.Body = idle.watch(resp.Body)
 	got.readBody(sent, l, resp)
 	return got
 }
@@ -117,9 +122,12 @@
 	got.verified = stamped
 	lines := bufio.NewScanner(resp.Body)
 	open := false // The last event lacks its end.
+	version, foreign := "", 0
 	for lines.Scan() {
-		if lines.Text() == "" {
+		if lines.Text() == "" && open {
 			open = false
+			got.addVersion(version)
+			got.foreign += foreign
 		}
 		if text, ok := strings.CutPrefix(lines.Text(), "id: "); ok {
 			n, err := strconv.Atoi(text)
@@ -127,13 +135,13 @@
 				n = -1
 			}
 			got.events = append(got.events, n)
-			open = true
+			open, version, foreign = true, "", 0
 		}
-		if text, ok := strings.CutPrefix(lines.Text(), "version: "); ok && !slices.Contains(got.versions, text) {
-			got.versions = append(got.versions, text)
+		if text, ok := strings.CutPrefix(lines.Text(), "version: "); ok {
+			version = text
 		}
 		if text, ok := strings.CutPrefix(lines.Text(), "data: "); ok && text != l.eventData(sent.id, got.lastReceived()) {
-			got.verified = false
+			got.verified, foreign = false, 1
 		}
 	}
 	if open {
@@ -146,6 +154,13 @@
 	got.complete = true
 }
 
+// addVersion adds the version that an event names.
+func (got *response) addVersion(version string) {
+	if !slices.Contains(got.versions, version) {
+		got.versions = append(got.versions, version)
+	}
+}
+
 // lastReceived returns the id of the last event, zero if there is none.
 func (got *response) lastReceived() int {
 	if len(got.events) == 0 {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -72,6 +72,12 @@
 		return s.disturbVM(f, v)
 	case faultPeerLink, faultLateAnswer, faultEventOrder, faultBurst:
 		s.applyHeavyFault(f, v)
+	case faultCallerLink:
+		s.disturbCallers(f, v)
+	case faultSplit:
+		s.changeSplit(f)
+	case faultRollout:
+		return s.rollOut(f)
 	case faultBrittle:
 		s.makeBrittle(f)
 	case faultRetryAfter:
@@ -258,7 +264,7 @@
 	s.disturbFor(f.duration, partUpstreams)
 	s.erase(platform.UpstreamPrefix + u.id)
 	u.shutDown()
-	return s.addUpstream(u.region)
+	return s.addUpstream(u.region, u.service)
 }
 
 // drainUpstream registers an upstream as draining.
@@ -273,7 +279,7 @@
 func (s *soak) replaceUpstream(f fault, after time.Duration, leave func(u *registeredUpstream)) error {
 	u := s.pickUpstream(f.target)
 	s.removeUpstream(u)
-	if err := s.addUpstream(u.region); err != nil {
+	if err := s.addUpstream(u.region, u.service); err != nil {
 		return err
 	}
 	leave(u)
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -34,6 +34,9 @@
 	faultRetryAfter        faultKind = "upstreams refuse with Retry-After"
 	faultCut               faultKind = "vms cut from all upstreams"
 	faultRegionWithout     faultKind = "region without upstreams, the others fail partly"
+	faultCallerLink        faultKind = "link between callers and a vm"
+	faultSplit             faultKind = "split of a route changes"
+	faultRollout           faultKind = "software version of a service changes"
 )
 
 var faultKinds = []faultKind{
@@ -113,6 +116,8 @@
 		faults = append(faults, planBursts(rand.New(rand.NewPCG(seed, 20)), duration)...)
 	case ProfileSignals:
 		faults = append(planFaults(seed, duration), planSignals(rand.New(rand.NewPCG(seed, 22)), duration)...)
+	case ProfileCallers:
+		faults = planCallers(seed, duration)
 	default:
 		faults = planFaults(seed, duration)
 	}
--- a/soak/process.go
+++ b/soak/process.go
@@ -38,6 +38,8 @@
 	storeLink *proxy
 	// peerLink is the link through which the other VMs reach this one.
 	peerLink *proxy
+	// callerLink is the link through which callers that resume their streams reach the VM.
+	callerLink *proxy
 	// upstreamLinks are the VM's links to all upstreams, gone ones among them. hangingCuts and refusingCuts count the cuts that
 	// let these links hang and that refuse new connections. The soak's mu guards them.
 	upstreamLinks []*proxy
--- a/soak/profile.go
+++ b/soak/profile.go
@@ -26,10 +26,13 @@
 	// ProfileSignals is a load that upstreams with few slots barely carry, with the faults of ProfileLight and upstreams that say
 	// what they bear.
 	ProfileSignals Profile = "signals"
+	// ProfileCallers is a load of streams that their callers resume until they are complete, on a route that is split between two
+	// services, while the split, the software versions and the links of callers change.
+	ProfileCallers Profile = "callers"
 )
 
 // Profiles are all profiles.
-var Profiles = []Profile{ProfileLight, ProfileHeavy, ProfileStops, ProfileRetries, ProfileSignals}
+var Profiles = []Profile{ProfileLight, ProfileHeavy, ProfileStops, ProfileRetries, ProfileSignals, ProfileCallers}
 
 // load describes what callers send and how upstreams respond while no fault acts.
 type load struct {
@@ -48,6 +51,8 @@
 	workEvery uint32
 	// slots is the number of requests that an upstream runs at once, zero if it runs all that it gets.
 	slots int
+	// split means that the route of streams is split between two services, and that all callers resume their streams.
+	split bool
 }
 
 const (
@@ -76,6 +81,8 @@
 	switch p {
 	case ProfileRetries:
 		light.callers, light.interval, light.eventsPerWrite = 48, 5*time.Millisecond, light.events
+	case ProfileCallers:
+		light.callers, light.events, light.split = 32, 48, true
 	case ProfileSignals:
 		light.callers, light.interval, light.workEvery, light.slots = 40, 250*time.Millisecond, 10, 4
 	}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -23,6 +23,10 @@
 	linkDropsResponses
 	// linkReset resets all open connections once.
 	linkReset
+	// linkDropsRequests discards the data to the target and leaves the connections open.
+	linkDropsRequests
+	// linkSilent holds all data back until the fault ends.
+	linkSilent
 )
 
 const (
@@ -53,6 +57,8 @@
 	cuts *atomic.Int32
 	// newRewrite, if set, returns a function that changes the data of a connection in place.
 	newRewrite func() rewriteFunc
+	// holdsCloses means that the end of a connection does not pass a direction whose data is discarded or held back.
+	holdsCloses bool
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -216,14 +222,14 @@
 		return
 	}
 	p.trackConnections(clientConn, targetConn, true)
-	done := make(chan struct{}, 2)
+	done := make(chan bool, 2)
 	rewrite := func([]byte, bool) {}
 	if p.newRewrite != nil {
 		rewrite = p.newRewrite()
 	}
 	go p.runCopy(targetConn, clientConn, rewrite, false, done)
 	go p.runCopy(clientConn, targetConn, rewrite, true, done)
-	<-done
+	p.awaitClose(<-done)
 	_ = clientConn.Close()
 	_ = targetConn.Close()
 	<-done
@@ -242,9 +248,36 @@
 	}
 }
 
-// runCopy copies the data of one direction and applies the current fault.
-func (p *proxy) runCopy(to io.Writer, from io.Reader, rewrite rewriteFunc, toClient bool, done chan<- struct{}) {
-	defer func() { done <- struct{}{} }()
+// drops reports whether a fault discards the data of a direction.
+func drops(fault int32, toClient bool) bool {
+	switch fault {
+	case linkDropsAll:
+		return true
+	case linkDropsResponses:
+		return toClient
+	case linkDropsRequests:
+		return !toClient
+	}
+	return false
+}
+
+// awaitClose waits until the end of a connection may pass in a direction.
+func (p *proxy) awaitClose(toClient bool) {
+	for p.holdsCloses && (p.fault.Load() == linkSilent || drops(p.fault.Load(), toClient)) {
+		time.Sleep(hangPollInterval)
+	}
+}
+
+// awaitData waits while the link holds data back.
+func (p *proxy) awaitData() {
+	for p.fault.Load() == linkSilent {
+		time.Sleep(hangPollInterval)
+	}
+}
+
+// runCopy copies the data of one direction and applies the current fault. At the end it sends the direction.
+func (p *proxy) runCopy(to io.Writer, from io.Reader, rewrite rewriteFunc, toClient bool, done chan<- bool) {
+	defer func() { done <- toClient }()
 	buf := make([]byte, 16<<10)
 	stalled := false
 	for {
@@ -253,8 +286,10 @@
 			return
 		}
 		switch fault := p.fault.Load(); {
-		case p.cuts != nil && p.cuts.Load() > 0 || fault == linkDropsAll || fault == linkDropsResponses && toClient:
+		case p.cuts != nil && p.cuts.Load() > 0 || drops(fault, toClient):
 			stalled = true
+		case fault == linkSilent:
+			p.awaitData()
 		case fault == linkDelayed:
 			time.Sleep(linkDelay)
 		}
--- /dev/null
+++ b/soak/rollout.go
@@ -0,0 +1,155 @@
+package soak
+
+import (
+	"fmt"
+	"time"
+
+	"parsleyhatch/platform"
+)
+
+// otherService is the second service of the route of streams if it is split.
+const otherService = "helper"
+
+const (
+	// softwareVersions is the number of software versions of a service, which follow each other in a circle.
+	softwareVersions = 3
+	// leavingTime is the time from the end of its registration until an upstream stops.
+	leavingTime = 1500 * time.Millisecond
+)
+
+// leaveForm is the way in which an upstream of an old software version leaves.
+type leaveForm int
+
+const (
+	// leavesDraining is registered as draining before it stops.
+	leavesDraining leaveForm = iota
+	// leavesUnregistered ends its registration before it stops.
+	leavesUnregistered
+	// leavesAtOnce ends its registration and stops.
+	leavesAtOnce
+	leaveForms
+)
+
+// splitTarget is a service with its share of the requests of a route.
+type splitTarget struct {
+	Service string `json:"service"`
+	Weight  int    `json:"weight"`
+}
+
+// splits are the splits of the route of streams. The last two move the route to one of the services.
+var splits = [][]splitTarget{
+	{{service, 50}, {otherService, 50}},
+	{{service, 85}, {otherService, 15}},
+	{{service, 20}, {otherService, 80}},
+	{{otherService, 40}, {service, 60}},
+	{{service, 100}},
+	{{otherService, 100}},
+}
+
+// services returns the services of the run.
+func (l *load) services() []string {
+	if l.split {
+		return []string{service, otherService}
+	}
+	return []string{service}
+}
+
+// originOf names a service and a software version of it. The versions of all services have the same names.
+func originOf(service, version string) string { return service + "/" + version }
+
+// splitRoute sets the targets of the route of streams. A route with one target names it as its service.
+func (s *soak) splitRoute(routes []routeConfig) {
+	for i := range routes {
+		if routes[i].Name != string(kindStream) || len(s.split) == 0 {
+			continue
+		}
+		routes[i].Service = s.split[0].Service
+		if len(s.split) > 1 {
+			routes[i].Service, routes[i].Split = "", s.split
+		}
+	}
+}
+
+// changeSplit changes the split of the route of streams. After the duration of the fault, every other variant restores the split of before.
+func (s *soak) changeSplit(f fault) {
+	restores := f.target%2 == 0
+	before := s.setSplit(splits[f.variant%len(splits)])
+	if restores {
+		time.Sleep(f.duration)
+		s.setSplit(before)
+	}
+}
+
+// setSplit publishes a configuration with a split, and returns the one of before.
+func (s *soak) setSplit(split []splitTarget) (before []splitTarget) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before, s.split = s.split, split
+	s.publishConfig()
+	_, _ = fmt.Fprintf(s.log, "configuration %d splits streams as %v\n", s.version, split)
+	return before
+}
+
+// versionOf returns the software version of a new upstream. The caller holds mu.
+func (s *soak) versionOf(service string, born int64) string {
+	if !s.load.split {
+		return softwareVersion(born)
+	}
+	return fmt.Sprintf("v%d", 1+s.releases[service]%softwareVersions)
+}
+
+// rollOut adds upstreams of the next software version of a service, in one region or in both, and after the duration of the fault lets
+// those leave that they replace.
+func (s *soak) rollOut(f fault) error {
+	service := s.load.services()[f.target%len(s.load.services())]
+	old := s.beginRollout(service, f.target/2%(len(regions)+1))
+	for _, u := range old {
+		if err := s.addUpstream(u.region, service); err != nil {
+			return err
+		}
+		s.removeFromFaults(u)
+	}
+	s.disturbFor(f.duration, partUpstreams)
+	end := s.history.startDisturbance(partUpstreams)
+	defer end()
+	for _, u := range old {
+		s.leave(u, leaveForm(f.variant)%leaveForms)
+	}
+	time.Sleep(leavingTime)
+	for _, u := range old {
+		s.erase(platform.UpstreamPrefix + u.id)
+		u.shutDown()
+	}
+	return nil
+}
+
+// beginRollout returns the upstreams of a service that the next software version replaces: those of one region, or of both if the region
+// is no index.
+func (s *soak) beginRollout(service string, region int) []*registeredUpstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.releases[service]++
+	var old []*registeredUpstream
+	for _, u := range s.upstreams {
+		if u.service == service && !u.replaced && (region >= len(regions) || u.region == regions[region]) {
+			u.replaced = true
+			old = append(old, u)
+		}
+	}
+	_, _ = fmt.Fprintf(s.log, "version %s replaces %d upstreams of %s\n", s.versionOf(service, 0), len(old), service)
+	return old
+}
+
+// leave begins the end of an upstream.
+func (s *soak) leave(u *registeredUpstream, form leaveForm) {
+	s.history.endServing(u.id)
+	switch form {
+	case leavesDraining:
+		s.drainUpstream(u)
+	case leavesUnregistered:
+		s.erase(platform.UpstreamPrefix + u.id)
+	case leavesAtOnce:
+		s.erase(platform.UpstreamPrefix + u.id)
+		u.close()
+	}
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -13,6 +13,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,7 +43,7 @@
 	retryWindow: 10 * time.Second, retryRatio: 0.2, retrySlack: 60,
 	lost:        lostBounds{grace: terminationGracePeriod, after: time.Second, reload: 3 * time.Second, early: 3 * time.Second},
 	limitSettle: time.Second, limitWindow: 4 * time.Second, limitOverage: 1.5, limitSlack: 5,
-	responseSlack: time.Second, successRate: 0.95,
+	resumeSettle: time.Second, responseSlack: time.Second, successRate: 0.95,
 }
 
 // Settings configure a soak.
@@ -90,6 +91,10 @@
 	keys      []string
 	version   int
 	lastBorn  int64
+	// split holds the targets of the route of streams if it is split, and releases the number of times that the software version of
+	// each service has changed.
+	split    []splitTarget
+	releases map[string]int
 }
 
 // registeredUpstream is an upstream with the links through which VMs reach it.
@@ -99,6 +104,8 @@
 	links  []*proxy
 	region string
 	born   int64
+	// replaced means that upstreams of another software version have taken its place.
+	replaced bool
 }
 
 // lockedWriter serializes the writes of several processes.
@@ -116,7 +123,7 @@
 
 // Run runs a soak and returns its report.
 func Run(ctx context.Context, settings Settings) (Report, error) {
-	s := &soak{Settings: settings, load: loadOf(settings.Profile), history: newHistory(), store: standin.NewStore(), written: map[string]string{}, log: &lockedWriter{w: settings.Log}}
+	s := &soak{Settings: settings, load: loadOf(settings.Profile), history: newHistory(), store: standin.NewStore(), written: map[string]string{}, releases: map[string]int{}, log: &lockedWriter{w: settings.Log}}
 	defer s.close()
 	if err := s.start(); err != nil {
 		return Report{}, err
@@ -125,6 +132,10 @@
 	defer cancel()
 	var running sync.WaitGroup
 	for i := range s.load.callers {
+		if s.load.split {
+			running.Go(func() { s.runStreamCaller(ctx, i) })
+			continue
+		}
 		running.Go(func() { s.runCaller(ctx, i) })
 	}
 	faults := planProfile(settings.Profile, settings.Seed, settings.Length)
@@ -184,14 +195,17 @@
 	for i, key := range s.keys {
 		s.history.workspaces[key] = fmt.Sprintf("workspace-%d", i+1)
 	}
+	if s.load.split {
+		s.split = splits[0]
+	}
 	s.publishConfig()
 	seeds, err := s.addVMs(listener.Addr().String())
 	if err != nil {
 		return err
 	}
 	for _, region := range regions {
-		for range upstreamsPerRegion {
-			if err := s.addUpstream(region); err != nil {
+		for i := range upstreamsPerRegion * len(s.load.services()) {
+			if err := s.addUpstream(region, s.load.services()[i/upstreamsPerRegion]); err != nil {
 				return err
 			}
 		}
@@ -238,8 +252,10 @@
 	if v.storeLink, err = newProxyFrom(v.ip, "127.0.0.1:0", store, nil); err != nil {
 		return err
 	}
-	v.peerLink, err = newProxyAt(address, v.peerAddress, func() rewriteFunc { return s.peerRewrite(v) })
-	return err
+	if v.peerLink, err = newProxyAt(address, v.peerAddress, func() rewriteFunc { return s.peerRewrite(v) }); err != nil || !s.load.split {
+		return err
+	}
+	return v.openCallerLink()
 }
 
 // rewriteAddresses replaces the addresses of VMs by those of the links to them, which have the same length.
@@ -257,6 +273,7 @@
 		v.kill()
 		v.storeLink.close()
 		v.peerLink.close()
+		v.closeCallerLink()
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -271,12 +288,12 @@
 // softwareVersion returns the version of the n-th upstream. Two versions serve side by side in each region.
 func softwareVersion(n int64) string { return fmt.Sprintf("v%d", 1+n%3/2) }
 
-// addUpstream starts an upstream and registers it.
-func (s *soak) addUpstream(region string) error {
+// addUpstream starts an upstream of a service and registers it.
+func (s *soak) addUpstream(region, service string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastBorn++
-	u, err := newUpstream(fmt.Sprintf("u%d", s.lastBorn), softwareVersion(s.lastBorn), s.load, s.history)
+	u, err := newUpstream(fmt.Sprintf("u%d", s.lastBorn), s.versionOf(service, s.lastBorn), s.load, s.history)
 	if err != nil {
 		return err
 	}
@@ -284,6 +301,7 @@
 	if err := s.linkUpstream(x); err != nil {
 		return err
 	}
+	x.service = service
 	x.room.onCrash = func(refused []string) { go s.runOverloadCrash(x, refused) }
 	s.upstreams = append(s.upstreams, x)
 	s.history.mu.Lock()
@@ -294,9 +312,13 @@
 }
 
 func (s *soak) registerUpstream(u *registeredUpstream, state string) {
+	s.history.endServing(u.id)
+	if state == "ready" {
+		s.history.beginServing(u.id, originOf(u.service, u.version))
+	}
 	s.write(platform.UpstreamPrefix+u.id, fmt.Sprintf(
 		`{"service":%q,"address":%q,"zone":%q,"slots":%d,"state":%q,"born":%d,"version":%q}`,
-		service, u.sharedAddress(), u.region+"-a", cmp.Or(s.load.slots, slotsOfUnbounded), state, u.born, u.version))
+		u.service, u.sharedAddress(), u.region+"-a", cmp.Or(s.load.slots, slotsOfUnbounded), state, u.born, u.version))
 }
 
 // write writes a value to the store, and erase deletes one. Both remember what the store must hold after a restore.
@@ -316,14 +338,15 @@
 
 // removeUpstream removes an upstream from the list, so that faults don't pick it.
 func (s *soak) removeUpstream(u *registeredUpstream) {
+	s.history.endServing(u.id)
+	s.removeFromFaults(u)
+}
+
+// removeFromFaults removes an upstream that goes on serving from the list.
+func (s *soak) removeFromFaults(u *registeredUpstream) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i, x := range s.upstreams {
-		if x == u {
-			s.upstreams = append(s.upstreams[:i], s.upstreams[i+1:]...)
-			return
-		}
-	}
+	s.upstreams = slices.DeleteFunc(s.upstreams, func(x *registeredUpstream) bool { return x == u })
 }
 
 // pickUpstream returns the upstream at an index modulo the number of upstreams.
@@ -358,6 +381,8 @@
 	Service       string  `json:"service"`
 	MaxAttempts   int     `json:"max_attempts"`
 	Resumable     bool    `json:"resumable"`
+	// Split replaces Service if it is not empty.
+	Split []splitTarget `json:"traffic_split,omitempty"`
 }
 
 // publishConfig writes the configuration to the store. The caller holds mu, except during startup.
@@ -374,8 +399,13 @@
 			TimeoutMillis: float64(s.load.deadline.Milliseconds()), TargetMillis: 1000, MaxAttempts: maxAttempts, Resumable: name == kindStream,
 		})
 	}
+	s.splitRoute(routes)
+	var services []map[string]string
+	for _, name := range s.load.services() {
+		services = append(services, map[string]string{"name": name})
+	}
 	text, err := json.Marshal(map[string]any{
-		"version": s.version, "routes": routes, "services": []map[string]string{{"name": service}}, "tenants": list,
+		"version": s.version, "routes": routes, "services": services, "tenants": list,
 	})
 	if err != nil {
 		panic(err) // Unreachable: all values above can be encoded.
--- /dev/null
+++ b/soak/streamcaller.go
@@ -0,0 +1,90 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+)
+
+const (
+	// streamPatience is the time without an answer or an event after which a caller resumes its stream at another VM, and streamTime the
+	// time from the first attempt after which it sends no more.
+	streamPatience = 600 * time.Millisecond
+	streamTime     = 6 * time.Second
+	// attemptPause is the least pause between two attempts, and maxRetryShare the share of the time left for which a caller obeys
+	// Retry-After.
+	attemptPause  = 50 * time.Millisecond
+	maxRetryShare = 1.0 / 3
+)
+
+// callerStream is a stream of a caller, over all attempts.
+type callerStream struct {
+	// id is the id of the first attempt, and begunBy that of the attempt that brought the first event, empty before.
+	id, begunBy string
+	// named means that the caller names begunBy when it resumes the stream.
+	named bool
+	// last is the last event that the caller has.
+	last int
+	// giveUpAt is the time after which the caller sends no more attempts.
+	giveUpAt time.Time
+}
+
+// runStreamCaller requests streams until ctx ends.
+func (s *soak) runStreamCaller(ctx context.Context, caller int) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true}}
+	defer client.CloseIdleConnections()
+	rng := s.newRand(uint64(caller) + 100)
+	for n := 0; ctx.Err() == nil; n++ {
+		stream := callerStream{
+			id: fmt.Sprintf("%d-%d-%d", s.Seed, caller, n), named: rng.IntN(2) == 0, giveUpAt: time.Now().Add(streamTime),
+		}
+		s.callStream(ctx, client, rng, &stream)
+		time.Sleep(s.load.interval)
+	}
+}
+
+// callStream requests a stream and resumes it, each time at another VM, until the caller has all of it.
+func (s *soak) callStream(ctx context.Context, client *http.Client, rng *rand.Rand, stream *callerStream) {
+	vm := rng.IntN(len(s.vms))
+	for n := 0; ctx.Err() == nil && time.Now().Before(stream.giveUpAt); n++ {
+		key, _ := s.pickKey(rng.IntN(1 << 20))
+		sent := stream.attempt(n, key, s.vms[vm].name, s.load.deadline)
+		got := sendRequest(client, s.history, &s.load, s.vms[vm].callerLink.address(), sent)
+		if got.status == http.StatusOK && got.complete {
+			return
+		}
+		stream.receive(&got)
+		client.CloseIdleConnections() // The next attempt opens a connection.
+		vm = (vm + 1 + rng.IntN(len(s.vms)-1)) % len(s.vms)
+		left := time.Duration(maxRetryShare * float64(time.Until(stream.giveUpAt)))
+		time.Sleep(max(attemptPause, min(got.retryAfter, left)))
+	}
+}
+
+// attempt returns the n-th attempt of the stream.
+func (c *callerStream) attempt(n int, key, vm string, deadline time.Duration) request {
+	sent := request{
+		id: c.id, kind: kindStream, key: key, vm: vm, sentAt: time.Now(), deadline: deadline,
+		stream: c.id, lastEvent: c.last, patience: streamPatience,
+	}
+	if n > 0 {
+		sent.id = fmt.Sprintf("%s-r%d", c.id, n)
+	}
+	if c.named {
+		sent.resumes = c.begunBy
+	}
+	return sent
+}
+
+// receive takes over what an attempt brought.
+func (c *callerStream) receive(got *response) {
+	if len(got.events) == 0 {
+		return
+	}
+	if c.begunBy == "" {
+		c.begunBy = got.id
+	}
+	c.last = got.lastReceived()
+}
--- /dev/null
+++ b/soak/streamcheck.go
@@ -0,0 +1,144 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+const (
+	// minResumptions is the number of resumed streams from which the share of those that go on is checked, and minResumedShare the
+	// least part of the share of new streams that begin.
+	minResumptions  = 12
+	minResumedShare = 0.5
+)
+
+// servingTime is a time in which an upstream is registered as ready. end is zero while it lasts.
+type servingTime struct {
+	upstream, origin string
+	start, end       time.Time
+}
+
+func (h *history) beginServing(upstream, origin string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.serving = append(h.serving, &servingTime{upstream: upstream, origin: origin, start: time.Now()})
+}
+
+func (h *history) endServing(upstream string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, s := range h.serving {
+		if s.upstream == upstream && s.end.IsZero() {
+			s.end = time.Now()
+		}
+	}
+}
+
+// servesBetween reports whether one upstream of a service and version serves all the time between from and to.
+func (h *history) servesBetween(from, to time.Time, origin string) bool {
+	return slices.ContainsFunc(h.serving, func(s *servingTime) bool {
+		return s.origin == origin && !s.start.After(from) && (s.end.IsZero() || !s.end.Before(to))
+	})
+}
+
+// attemptsByStream returns the attempts of each stream that its caller resumes until it is complete, in the order in which they were sent.
+func (h *history) attemptsByStream() map[string][]request {
+	streams := map[string][]request{}
+	for _, r := range h.requests {
+		if r.stream != "" {
+			streams[r.stream] = append(streams[r.stream], r)
+		}
+	}
+	for _, attempts := range streams {
+		slices.SortFunc(attempts, func(a, b request) int { return a.sentAt.Compare(b.sentAt) })
+	}
+	return streams
+}
+
+// checkStreamOrigins finds the attempts from which on the stream of a caller holds events of another service or software version, or of
+// another request.
+func checkStreamOrigins(h *history, _ bounds) []violation {
+	var found []violation
+	for _, attempts := range h.attemptsByStream() {
+		var origins []string
+		for _, r := range attempts {
+			got := h.responses[r.id]
+			for _, origin := range got.versions {
+				if slices.Contains(origins, origin) {
+					continue
+				}
+				if origins = append(origins, origin); len(origins) > 1 {
+					found = append(found, violation{id: r.id, detail: fmt.Sprintf(
+						"after event %d from %s at vm %s, %s: events of %v%s", r.lastEvent, origins[0], r.vm, nameOfResumption(r), origins, describeExecutions(h.executions[r.id]))})
+				}
+			}
+			if got.foreign > 0 {
+				found = append(found, violation{id: r.id, detail: fmt.Sprintf("%d events of another request", got.foreign)})
+			}
+		}
+	}
+	return found
+}
+
+// nameOfResumption says how a caller resumes its stream.
+func nameOfResumption(r request) string {
+	switch {
+	case r.resumes != "":
+		return "resumes " + r.resumes
+	case r.lastEvent > 0:
+		return "resumes without a name"
+	}
+	return "new"
+}
+
+// attemptCount counts attempts, and those of them that brought an event or a regular end.
+type attemptCount struct{ sent, served int }
+
+func (c *attemptCount) add(got response) {
+	c.sent++
+	if got.status == 200 && (len(got.events) > 0 || got.complete) {
+		c.served++
+	}
+}
+
+func (c attemptCount) share() float64 { return float64(c.served) / float64(max(1, c.sent)) }
+
+// resumptions counts attempts at undisturbed VMs: those that begin streams, and those that resume streams whose service and version
+// serve, with and without the name of the first attempt.
+type resumptions struct{ begin, named, unnamed attemptCount }
+
+func (h *history) countResumptions(b bounds) resumptions {
+	var n resumptions
+	for _, attempts := range h.attemptsByStream() {
+		origin := ""
+		for _, r := range attempts {
+			got, ok := h.responses[r.id]
+			undisturbed := ok && !h.disturbedBetween(r.sentAt.Add(-b.resumeSettle), got.receivedAt, r.vm)
+			switch {
+			case !undisturbed:
+			case r.lastEvent == 0:
+				n.begin.add(got)
+			case !h.servesBetween(r.sentAt.Add(-b.resumeSettle), got.receivedAt, origin):
+			case r.resumes != "":
+				n.named.add(got)
+			default:
+				n.unnamed.add(got)
+			}
+			if origin == "" && len(got.versions) > 0 {
+				origin = got.versions[0]
+			}
+		}
+	}
+	return n
+}
+
+// checkResumptions compares the share of resumed streams that go on with that of new streams that begin. Resumed streams whose callers
+// name no attempt don't count: nothing says which service and version began them.
+func checkResumptions(h *history, b bounds) []violation {
+	n := h.countResumptions(b)
+	if n.named.sent < minResumptions || n.named.share() >= minResumedShare*n.begin.share() {
+		return nil
+	}
+	return []violation{{id: "many", detail: fmt.Sprintf("%d of %d resumed streams go on, and %d of %d new ones begin", n.named.served, n.named.sent, n.begin.served, n.begin.sent)}}
+}
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -51,7 +51,7 @@
 
 // upstreamServer simulates an upstream and records each execution in the history.
 type upstreamServer struct {
-	id string
+	id, service string
 	// version is the software version, which each event of a stream names.
 	version   string
 	history   *history
@@ -226,7 +226,7 @@
 }
 
 func (u *upstreamServer) event(id string, n int) string {
-	return fmt.Sprintf("id: %d\nversion: %s\ndata: %s\n\n", n, u.version, u.load.eventData(id, n))
+	return fmt.Sprintf("id: %d\nversion: %s\ndata: %s\n\n", n, originOf(u.service, u.version), u.load.eventData(id, n))
 }
 
 // requestBody returns the body of the request with an id, and responseBody that of the response to it.
