--- a/operator/soak.go
+++ b/operator/soak.go
@@ -102,6 +102,9 @@
 	}
 	fmt.Fprintf(w, "seed %d: %d requests, %d served, %d runs, %d faults, %d retries of %d allowed: promises %s\n",
 		seed, r.Requests, r.Succeeded, r.Executions, r.Faults, r.Retries.Retries, r.Retries.Allowed, verdict)
+	if r.Streams != "" {
+		fmt.Fprintf(w, "  streams: %s\n", r.Streams)
+	}
 	for _, v := range r.Violations {
 		fmt.Fprintf(w, "  %s\n", v)
 	}
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -26,7 +26,7 @@
 func sendRequest(client *http.Client, h *history, l *load, address string, sent request) (got response) {
 	h.recordRequest(sent)
 	got = response{id: sent.id, lastEvent: l.events}
-	body := l.requestBody(sent.id)
+	body := l.requestBody(sent.contentID())
 	sending := newSlowReader(body, l.bodyTime(sent.id))
 	defer func() {
 		got.receivedAt, got.sentWholeAt = time.Now(), sending.endedAt()
@@ -36,7 +36,7 @@
 	defer cancel()
 	idle := newIdleTimer(sent.patience, cancel)
 	defer func() { got.abandoned = idle.stop() }()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/"+string(sent.kind)+"/?q="+sent.id, nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/"+string(sent.kind)+"/?q="+sent.contentID(), nil)
 	if err != nil {
 		got.err = err.Error()
 		return got
--- a/soak/callersplan.go
+++ b/soak/callersplan.go
@@ -5,16 +5,21 @@
 	"time"
 )
 
-// callerFaultKinds are planned for ProfileCallers, besides rollouts.
-var callerFaultKinds = []faultKind{
-	faultCallerLink, faultCallerLink, faultCallerLink, faultSplit, faultSplit, faultKillVM, faultFreezeVM, faultPeerLink, faultUpstreamCrash,
+// callerFaults are the kinds of faults of ProfileCallers, each group with the mean time between the starts of two of its faults. The
+// groups are planned apart, so that each plan has some of each.
+var callerFaults = []struct {
+	kinds        []faultKind
+	meanInterval time.Duration
+}{
+	{[]faultKind{faultCallerLink}, 600 * time.Millisecond},
+	{[]faultKind{faultSplit}, 1200 * time.Millisecond},
+	{[]faultKind{faultKillVM, faultFreezeVM, faultStopVM, faultPeerLink, faultUpstreamCrash}, 1500 * time.Millisecond},
+	{[]faultKind{faultRollout}, 3 * time.Second},
 }
 
 const (
-	// meanCallerFaultInterval is the mean time between the starts of two faults of callerFaultKinds, and meanRolloutInterval that
-	// between two rollouts.
-	meanCallerFaultInterval = 450 * time.Millisecond
-	meanRolloutInterval     = 1500 * time.Millisecond
+	// minFault is the shortest fault of ProfileCallers.
+	minFault = 200 * time.Millisecond
 	// restartTime is the time for which a VM is down that starts while a software version changes.
 	restartTime = 500 * time.Millisecond
 	// companionTime is the time for which a VM is frozen, or has lost the others, while a software version changes, and companionLead
@@ -25,12 +30,19 @@
 
 // planCallers returns the faults of ProfileCallers, in no order.
 func planCallers(seed uint64, duration time.Duration) []fault {
-	faults := planKinds(rand.New(rand.NewPCG(seed, 23)), callerFaultKinds, meanCallerFaultInterval, duration)
-	rng := rand.New(rand.NewPCG(seed, 24))
-	for _, f := range planKinds(rng, []faultKind{faultRollout}, meanRolloutInterval, duration) {
-		faults = append(faults, f)
-		if c := companionOf(rng, f); c.kind != "" && c.start+c.duration <= duration-faultFreeTime {
-			faults = append(faults, c)
+	var faults []fault
+	last := duration - faultFreeTime
+	for i, group := range callerFaults {
+		rng := rand.New(rand.NewPCG(seed, 23+uint64(i)))
+		for _, f := range planKinds(rng, group.kinds, group.meanInterval, duration+maxFaultExtension) {
+			f.duration = min(f.duration, last-f.start)
+			if f.duration < minFault {
+				continue
+			}
+			faults = append(faults, f)
+			if c := companionOf(rng, f); f.kind == faultRollout && c.kind != "" && c.start+c.duration <= last {
+				faults = append(faults, c)
+			}
 		}
 	}
 	return faults
--- a/soak/profile.go
+++ b/soak/profile.go
@@ -82,7 +82,7 @@
 	case ProfileRetries:
 		light.callers, light.interval, light.eventsPerWrite = 48, 5*time.Millisecond, light.events
 	case ProfileCallers:
-		light.callers, light.events, light.split = 32, 48, true
+		light.callers, light.deadline, light.events, light.split = 32, 4*time.Second, 48, true
 	case ProfileSignals:
 		light.callers, light.interval, light.workEvery, light.slots = 40, 250*time.Millisecond, 10, 4
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -66,6 +66,8 @@
 	Succeeded int
 	// Retries is the window in which the retry budget was used most.
 	Retries RetryPeak
+	// Streams describes the streams that callers resume, empty if they don't.
+	Streams string
 	// Violations describes the first few violations of each invariant, with their total number.
 	Violations []string
 }
@@ -155,6 +157,10 @@
 			r.Succeeded++
 		}
 	}
+	if s.load.split {
+		r.Streams = s.history.countStreams(defaultBounds)
+		s.history.describeResumptions(s.log)
+	}
 	for _, v := range found {
 		_, _ = fmt.Fprintf(s.log, "violation %s\n", v)
 	}
--- a/soak/streamcaller.go
+++ b/soak/streamcaller.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	// streamPatience is the time without an answer or an event after which a caller resumes its stream at another VM, and streamTime the
-	// time from the first attempt after which it sends no more.
+	// streamPatience is the time without an answer or an event after which a caller resumes its stream at another VM, and
+	// minAttemptTime the time until the deadline of a stream from which on it sends no more attempts.
 	streamPatience = 600 * time.Millisecond
-	streamTime     = 6 * time.Second
+	minAttemptTime = 300 * time.Millisecond
 	// attemptPause is the least pause between two attempts, and maxRetryShare the share of the time left for which a caller obeys
 	// Retry-After.
 	attemptPause  = 50 * time.Millisecond
@@ -27,8 +27,8 @@
 	named bool
 	// last is the last event that the caller has.
 	last int
-	// giveUpAt is the time after which the caller sends no more attempts.
-	giveUpAt time.Time
+	// deadline is that of all attempts.
+	deadline time.Time
 }
 
 // runStreamCaller requests streams until ctx ends.
@@ -38,7 +38,7 @@
 	rng := s.newRand(uint64(caller) + 100)
 	for n := 0; ctx.Err() == nil; n++ {
 		stream := callerStream{
-			id: fmt.Sprintf("%d-%d-%d", s.Seed, caller, n), named: rng.IntN(2) == 0, giveUpAt: time.Now().Add(streamTime),
+			id: fmt.Sprintf("%d-%d-%d", s.Seed, caller, n), named: rng.IntN(2) == 0, deadline: time.Now().Add(s.load.deadline),
 		}
 		s.callStream(ctx, client, rng, &stream)
 		time.Sleep(s.load.interval)
@@ -48,9 +48,9 @@
 // callStream requests a stream and resumes it, each time at another VM, until the caller has all of it.
 func (s *soak) callStream(ctx context.Context, client *http.Client, rng *rand.Rand, stream *callerStream) {
 	vm := rng.IntN(len(s.vms))
-	for n := 0; ctx.Err() == nil && time.Now().Before(stream.giveUpAt); n++ {
+	for n := 0; ctx.Err() == nil && time.Until(stream.deadline) > minAttemptTime; n++ {
 		key, _ := s.pickKey(rng.IntN(1 << 20))
-		sent := stream.attempt(n, key, s.vms[vm].name, s.load.deadline)
+		sent := stream.attempt(n, key, s.vms[vm].name)
 		got := sendRequest(client, s.history, &s.load, s.vms[vm].callerLink.address(), sent)
 		if got.status == http.StatusOK && got.complete {
 			return
@@ -58,15 +58,15 @@
 		stream.receive(&got)
 		client.CloseIdleConnections() // The next attempt opens a connection.
 		vm = (vm + 1 + rng.IntN(len(s.vms)-1)) % len(s.vms)
-		left := time.Duration(maxRetryShare * float64(time.Until(stream.giveUpAt)))
+		left := time.Duration(maxRetryShare * float64(time.Until(stream.deadline)))
 		time.Sleep(max(attemptPause, min(got.retryAfter, left)))
 	}
 }
 
 // attempt returns the n-th attempt of the stream.
-func (c *callerStream) attempt(n int, key, vm string, deadline time.Duration) request {
+func (c *callerStream) attempt(n int, key, vm string) request {
 	sent := request{
-		id: c.id, kind: kindStream, key: key, vm: vm, sentAt: time.Now(), deadline: deadline,
+		id: c.id, kind: kindStream, key: key, vm: vm, sentAt: time.Now(), deadline: time.Until(c.deadline),
 		stream: c.id, lastEvent: c.last, patience: streamPatience,
 	}
 	if n > 0 {
--- a/soak/streamcheck.go
+++ b/soak/streamcheck.go
@@ -92,53 +92,68 @@
 	return "new"
 }
 
-// attemptCount counts attempts, and those of them that brought an event or a regular end.
-type attemptCount struct{ sent, served int }
+// streamCount counts streams, and those of them of which an attempt brought an event or a regular end.
+type streamCount struct{ sent, served int }
 
-func (c *attemptCount) add(got response) {
-	c.sent++
-	if got.status == 200 && (len(got.events) > 0 || got.complete) {
-		c.served++
-	}
-}
+func (c streamCount) share() float64 { return float64(c.served) / float64(max(1, c.sent)) }
+
+// String gives the count.
+func (c streamCount) String() string { return fmt.Sprintf("%d of %d", c.served, c.sent) }
 
-func (c attemptCount) share() float64 { return float64(c.served) / float64(max(1, c.sent)) }
+// resumptions counts streams by what their attempts at undisturbed VMs bring: those that begin, and those that their callers resume, with
+// and without the name of the first attempt, while their service and version serve. Those whose service and version don't serve count as
+// gone. A stream counts once in each of them at most.
+type resumptions struct{ begin, named, unnamed, gone streamCount }
 
-// resumptions counts attempts at undisturbed VMs: those that begin streams, and those that resume streams whose service and version
-// serve, with and without the name of the first attempt.
-type resumptions struct{ begin, named, unnamed attemptCount }
+// String gives all counts.
+func (n resumptions) String() string {
+	return fmt.Sprintf("%v new streams begin; %v resumed with a name go on, %v without one, and %v whose version is gone", n.begin, n.named, n.unnamed, n.gone)
+}
 
 func (h *history) countResumptions(b bounds) resumptions {
 	var n resumptions
 	for _, attempts := range h.attemptsByStream() {
-		origin := ""
+		served, origin := map[*streamCount]bool{}, ""
 		for _, r := range attempts {
 			got, ok := h.responses[r.id]
-			undisturbed := ok && !h.disturbedBetween(r.sentAt.Add(-b.resumeSettle), got.receivedAt, r.vm)
-			switch {
-			case !undisturbed:
-			case r.lastEvent == 0:
-				n.begin.add(got)
-			case !h.servesBetween(r.sentAt.Add(-b.resumeSettle), got.receivedAt, origin):
-			case r.resumes != "":
-				n.named.add(got)
-			default:
-				n.unnamed.add(got)
+			from := r.sentAt.Add(-b.resumeSettle)
+			if ok && !h.disturbedBetween(from, got.receivedAt, r.vm) {
+				count := n.countOf(r, h.servesBetween(from, got.receivedAt, origin))
+				served[count] = served[count] || got.status == 200 && (len(got.events) > 0 || got.complete)
 			}
 			if origin == "" && len(got.versions) > 0 {
 				origin = got.versions[0]
 			}
 		}
+		for count, goesOn := range served {
+			count.sent++
+			if goesOn {
+				count.served++
+			}
+		}
 	}
 	return n
 }
 
-// checkResumptions compares the share of resumed streams that go on with that of new streams that begin. Resumed streams whose callers
-// name no attempt don't count: nothing says which service and version began them.
+// countOf returns the count to which an attempt belongs. served says whether upstreams of the service and version of its stream serve.
+func (n *resumptions) countOf(r request, served bool) *streamCount {
+	switch {
+	case r.lastEvent == 0:
+		return &n.begin
+	case !served:
+		return &n.gone
+	case r.resumes != "":
+		return &n.named
+	}
+	return &n.unnamed
+}
+
+// checkResumptions compares the share of resumed streams that go on with that of new streams that begin.
 func checkResumptions(h *history, b bounds) []violation {
 	n := h.countResumptions(b)
-	if n.named.sent < minResumptions || n.named.share() >= minResumedShare*n.begin.share() {
+	resumed := streamCount{sent: n.named.sent + n.unnamed.sent, served: n.named.served + n.unnamed.served}
+	if resumed.sent < minResumptions || resumed.share() >= minResumedShare*n.begin.share() {
 		return nil
 	}
-	return []violation{{id: "many", detail: fmt.Sprintf("%d of %d resumed streams go on, and %d of %d new ones begin", n.named.served, n.named.sent, n.begin.served, n.begin.sent)}}
+	return []violation{{id: "many", detail: n.String()}}
 }
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -124,9 +124,10 @@
 	}
 	defer u.room.leave()
 	crashes := u.room.crashes.Load()
+	content := u.history.contentID(id)
 	end := u.history.recordExecution(execution{
 		id: id, upstream: u.id, vm: vm, startedAt: time.Now(), leaving: leaving, fault: u.behaviour.Load(), lastEvent: r.Header.Get(platform.HeaderLastEventID), workspace: r.Header.Get(platform.HeaderWorkspace),
-		keyPresent: r.Header.Get(platform.HeaderAPIKey) != "", unmodified: r.Method == http.MethodPost && string(body) == u.load.requestBody(id) && r.URL.RawQuery == "q="+id,
+		keyPresent: r.Header.Get(platform.HeaderAPIKey) != "", unmodified: r.Method == http.MethodPost && string(body) == u.load.requestBody(content) && r.URL.RawQuery == "q="+content,
 	})
 	w.Header().Set(platform.HeaderServerStamp, "stamp-"+id)
 	aborts := true
