soak: play callers that resume streams of a split route at other VMs

No profile of the soak had a route with two services, a split that changes, callers that don't name the attempt that they resume, links between callers and VMs, or software versions that join and leave while streams run.

Change: profile callers. The links of callers are cut (both ways, one way; a close does not pass a cut link), silenced, delayed and reset; the split of the route changes; upstreams of another software version join and those of the old one leave, also while VMs start, are frozen or lose each other. Events name service and version. Two new invariants: all attempts of one stream bring events of one service and version, and of the streams that are resumed while their version serves, at least half the share goes on that new streams begin.

The number of invariants in TestEachInvariantHasFaultyVM grows from 18 to 20, each with a case.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -122,11 +122,11 @@
 	got.verified = stamped
 	lines := bufio.NewScanner(resp.Body)
 	open := false // The last event lacks its end.
-	version, foreign := "", 0
+	service, version, foreign := "", "", 0
 	for lines.Scan() {
 		if lines.Text() == "" && open {
 			open = false
-			got.addVersion(version)
+			got.addVersion(originOf(service, version))
 			got.foreign += foreign
 		}
 		if text, ok := strings.CutPrefix(lines.Text(), "id: "); ok {
@@ -135,7 +135,10 @@
 				n = -1
 			}
 			got.events = append(got.events, n)
-			open, version, foreign = true, "", 0
+			open, service, version, foreign = true, "", "", 0
+		}
+		if text, ok := strings.CutPrefix(lines.Text(), "service: "); ok {
+			service = text
 		}
 		if text, ok := strings.CutPrefix(lines.Text(), "version: "); ok {
 			version = text
@@ -154,7 +157,7 @@
 	got.complete = true
 }
 
-// addVersion adds the version that an event names.
+// addVersion adds the service and software version that an event names.
 func (got *response) addVersion(version string) {
 	if !slices.Contains(got.versions, version) {
 		got.versions = append(got.versions, version)
--- a/soak/history.go
+++ b/soak/history.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"sort"
@@ -37,9 +36,6 @@
 	patience time.Duration
 }
 
-// contentID is the id in the query and the body, which all attempts of a caller at a stream have in common.
-func (r request) contentID() string { return cmp.Or(r.stream, r.id) }
-
 // execution is one run of a request on an upstream, recorded when it starts.
 type execution struct {
 	id       string
@@ -79,7 +75,7 @@
 	// events are the ids of the received events of a stream; lastEvent is the id of the last event that an upstream sends.
 	events    []int
 	lastEvent int
-	// versions are the software versions of the upstreams that the events name, each once.
+	// versions are the services and software versions of the upstreams that the events name, each once.
 	versions []string
 	// foreign is the number of events that were made for another request.
 	foreign int
@@ -159,13 +155,6 @@
 	h.requests[r.id] = r
 }
 
-// contentID returns the id in the query and the body of the request with an id.
-func (h *history) contentID(id string) string {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return cmp.Or(h.requests[id].stream, id)
-}
-
 // recordExecution records the start of an execution. The returned function records its end.
 func (h *history) recordExecution(e execution) (end func(brokeOff bool)) {
 	h.mu.Lock()
--- a/soak/history_test.go
+++ b/soak/history_test.go
@@ -151,6 +151,15 @@
 		{"streams hold events of one software version", kindStream, func(d *vmDouble) {
 			d.changeBody = func(text string) string { return strings.Replace(text, "version: v1", "version: v2", 1) }
 		}},
+		{"callers' streams hold events of one service and software version", kindStream, func(d *vmDouble) {
+			d.history.addResumedStream("a", "worker/v1", "helper/v1")
+		}},
+		{"callers resume while their version serves", kindStream, func(d *vmDouble) {
+			d.history.serving = []*servingTime{{origin: "worker/v1"}}
+			for i := range minResumptions {
+				d.history.addResumedStream(fmt.Sprint("a", i), "worker/v1", "")
+			}
+		}},
 		{"upstreams get what callers sent", kindSafe, func(d *vmDouble) {
 			d.changeHeader = func(h http.Header) { h.Set(platform.HeaderAPIKey, "key") }
 		}},
@@ -296,8 +305,8 @@
 
 // Guards against an invariant that is added without a case in TestViolationsAreReported.
 func TestEachInvariantHasFaultyVM(t *testing.T) {
-	if len(invariants) != 18 {
-		t.Errorf("%d invariants, want 18; add a case for each new one to TestViolationsAreReported", len(invariants))
+	if len(invariants) != 20 {
+		t.Errorf("%d invariants, want 20; add a case for each new one to TestViolationsAreReported", len(invariants))
 	}
 }
 
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -56,7 +56,7 @@
 			}
 		}
 	}
-	for _, p := range []Profile{ProfileRetries, ProfileSignals} {
+	for _, p := range []Profile{ProfileRetries, ProfileSignals, ProfileCallers} {
 		for _, f := range planProfile(p, 1, 2*time.Minute) {
 			seen[f.kind] = true
 			if f.start+f.duration > 2*time.Minute-faultFreeTime {
@@ -64,7 +64,7 @@
 			}
 		}
 	}
-	for _, k := range append(append(slices.Clone(heavyFaultKinds), faultBurst, faultRegionWithout), signalFaultKinds...) {
+	for _, k := range append(append(slices.Clone(heavyFaultKinds), faultBurst, faultRegionWithout, faultCallerLink, faultSplit, faultRollout), signalFaultKinds...) {
 		if !seen[k] {
 			t.Errorf("no plan has %q", k)
 		}
@@ -144,7 +144,8 @@
 		passes bool
 		least  time.Duration
 	}{
-		{linkNormal, true, 0}, {linkDelayed, true, 2 * linkDelay}, {linkDropsAll, false, 0}, {linkDropsResponses, false, 0}, {linkNormal, true, 0},
+		{linkNormal, true, 0}, {linkDelayed, true, 2 * linkDelay}, {linkDropsAll, false, 0}, {linkDropsResponses, false, 0}, {linkDropsRequests, false, 0}, {linkSilent, false, 0},
+		{linkNormal, true, 0},
 	} {
 		p.setFault(c.fault)
 		took, err := roundTrip()
--- a/soak/short_test.go
+++ b/soak/short_test.go
@@ -26,6 +26,8 @@
 	shortLength = 16 * time.Second
 	// signalsLength leaves time to check VMs that were cut from upstreams for a while.
 	signalsLength = 20 * time.Second
+	// callersLength leaves time for some of each fault of the callers' profile.
+	callersLength = 18 * time.Second
 )
 
 // regression is a seed of an earlier failure with its cause.
@@ -56,6 +58,12 @@
 	regression{soak.ProfileSignals, 102, signalsLength, "it has not failed with this plan"}.play(t)
 }
 
+// Guards against streams that go on at another service or software version when their callers resume them, and against callers that cannot
+// resume them.
+func TestCallersSoak(t *testing.T) {
+	regression{soak.ProfileCallers, 2, callersLength, "resumed streams go on at the other service of a split route"}.play(t)
+}
+
 func (r regression) play(t *testing.T) {
 	report, err := soak.Run(context.Background(), soak.Settings{
 		Profile: r.profile, Seed: r.seed, Length: r.length, Program: os.Args[0], SettingsDir: t.TempDir(), Log: io.Discard,
--- a/soak/streamcaller.go
+++ b/soak/streamcaller.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -88,3 +89,13 @@
 	}
 	c.last = got.lastReceived()
 }
+
+// contentID is the id in the query and the body, which all attempts of a caller at a stream have in common.
+func (r request) contentID() string { return cmp.Or(r.stream, r.id) }
+
+// contentID returns the id in the query and the body of the request with an id.
+func (h *history) contentID(id string) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return cmp.Or(h.requests[id].stream, id)
+}
--- /dev/null
+++ b/soak/streamcheck_test.go
@@ -0,0 +1,95 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+)
+
+// addResumedStream records a stream of three events whose caller resumes it after the first one, without a name. The resumption is refused if its origin is
+// empty.
+func (h *history) addResumedStream(id, origin, resumedAt string) {
+	now := time.Now()
+	first := request{id: id, kind: kindStream, stream: id, sentAt: now.Add(-2 * time.Millisecond), deadline: time.Second}
+	second := first
+	second.id, second.lastEvent, second.sentAt = id+"-r1", 1, now.Add(-time.Millisecond)
+	h.recordRequest(first)
+	h.recordRequest(second)
+	h.recordResponse(response{id: id, receivedAt: now, status: http.StatusOK, events: []int{1}, versions: []string{origin}})
+	got := response{id: second.id, receivedAt: now, status: http.StatusServiceUnavailable}
+	if resumedAt != "" {
+		got = response{id: second.id, receivedAt: now, status: http.StatusOK, events: []int{2, 3}, versions: []string{resumedAt}}
+	}
+	h.recordResponse(got)
+}
+
+// Guards against streams of two services or versions that the soak does not see, and against refusals that count although no upstream of the
+// version serves, or the VM is disturbed.
+func TestResumedStreamsAreChecked(t *testing.T) {
+	for name, c := range map[string]struct {
+		resumedAt    string
+		prepare      func(h *history)
+		joined, lost int
+	}{
+		"goes on":         {resumedAt: "worker/v1"},
+		"other service":   {resumedAt: "helper/v1", joined: minResumptions},
+		"other version":   {resumedAt: "worker/v2", joined: minResumptions},
+		"refused":         {lost: 1},
+		"version is gone": {prepare: func(h *history) { h.endServing("u1") }},
+		"vm disturbed":    {prepare: func(h *history) { h.startDisturbance("") }},
+	} {
+		h := newHistory()
+		h.serving = []*servingTime{{upstream: "u1", origin: "worker/v1"}}
+		if c.prepare != nil {
+			c.prepare(h)
+		}
+		for i := range minResumptions {
+			h.addResumedStream(string(rune('a'+i)), "worker/v1", c.resumedAt)
+		}
+		if joined, lost := len(checkStreamOrigins(h, defaultBounds)), len(checkResumptions(h, defaultBounds)); joined != c.joined || lost != c.lost {
+			t.Errorf("%s: %d streams joined and %d reports of lost ones, want %d and %d", name, joined, lost, c.joined, c.lost)
+		}
+	}
+}
+
+// Guards against a VM that learns through a cut link that its caller has gone, and against one that never does.
+func TestCutLinkHoldsClose(t *testing.T) {
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = target.Close() }()
+	link := &proxy{target: target.Addr().String(), holdsCloses: true, conns: map[net.Conn]bool{}}
+	if err := link.listen("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	defer link.close()
+	for _, c := range []struct {
+		fault  int32
+		passes bool
+	}{{linkDropsAll, false}, {linkDropsRequests, false}, {linkSilent, false}, {linkDropsResponses, true}, {linkNormal, true}} {
+		caller, err := net.Dial("tcp", link.address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		vm, err := target.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		link.setFault(c.fault)
+		_ = caller.Close()
+		_ = vm.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+		if _, err := vm.Read(make([]byte, 1)); os.IsTimeout(err) == c.passes {
+			t.Errorf("fault %d: %v, want that the end passes: %v", c.fault, err, c.passes)
+		}
+		link.setFault(linkNormal)
+		_ = vm.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if _, err := vm.Read(make([]byte, 1)); err != io.EOF {
+			t.Errorf("fault %d has ended: %v, want that the connection ends", c.fault, err)
+		}
+		_ = vm.Close()
+	}
+}
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -51,12 +51,12 @@
 
 // upstreamServer simulates an upstream and records each execution in the history.
 type upstreamServer struct {
-	id, service string
-	// version is the software version, which each event of a stream names.
-	version   string
-	history   *history
-	load      load
-	behaviour atomic.Int32
+	id string
+	// service and version are the service and its software version, which each event of a stream names.
+	service, version string
+	history          *history
+	load             load
+	behaviour        atomic.Int32
 	// late selects when the upstream sends second responses, zero for never.
 	late atomic.Int32
 	room room
@@ -227,7 +227,7 @@
 }
 
 func (u *upstreamServer) event(id string, n int) string {
-	return fmt.Sprintf("id: %d\nversion: %s\ndata: %s\n\n", n, originOf(u.service, u.version), u.load.eventData(id, n))
+	return fmt.Sprintf("id: %d\nservice: %s\nversion: %s\ndata: %s\n\n", n, u.service, u.version, u.load.eventData(id, n))
 }
 
 // requestBody returns the body of the request with an id, and responseBody that of the response to it.
