--- a/soak/streamcaller.go
+++ b/soak/streamcaller.go
@@ -24,6 +24,7 @@
 type callerStream struct {
 	// id is the id of the first attempt, and begunBy that of the attempt that brought the first event, empty before.
 	id, begunBy string
+	key         string
 	// named means that the caller names begunBy when it resumes the stream.
 	named bool
 	// last is the last event that the caller has.
@@ -38,8 +39,9 @@
 	defer client.CloseIdleConnections()
 	rng := s.newRand(uint64(caller) + 100)
 	for n := 0; ctx.Err() == nil; n++ {
+		key, _ := s.pickKey(rng.IntN(1 << 20))
 		stream := callerStream{
-			id: fmt.Sprintf("%d-%d-%d", s.Seed, caller, n), named: rng.IntN(2) == 0, deadline: time.Now().Add(s.load.deadline),
+			key: key, id: fmt.Sprintf("%d-%d-%d", s.Seed, caller, n), named: rng.IntN(2) == 0, deadline: time.Now().Add(s.load.deadline),
 		}
 		s.callStream(ctx, client, rng, &stream)
 		time.Sleep(s.load.interval)
@@ -50,8 +52,7 @@
 func (s *soak) callStream(ctx context.Context, client *http.Client, rng *rand.Rand, stream *callerStream) {
 	vm := rng.IntN(len(s.vms))
 	for n := 0; ctx.Err() == nil && time.Until(stream.deadline) > minAttemptTime; n++ {
-		key, _ := s.pickKey(rng.IntN(1 << 20))
-		sent := stream.attempt(n, key, s.vms[vm].name)
+		sent := stream.attempt(n, s.vms[vm].name)
 		got := sendRequest(client, s.history, &s.load, s.vms[vm].callerLink.address(), sent)
 		if got.status == http.StatusOK && got.complete {
 			return
@@ -65,9 +66,9 @@
 }
 
 // attempt returns the n-th attempt of the stream.
-func (c *callerStream) attempt(n int, key, vm string) request {
+func (c *callerStream) attempt(n int, vm string) request {
 	sent := request{
-		id: c.id, kind: kindStream, key: key, vm: vm, sentAt: time.Now(), deadline: time.Until(c.deadline),
+		id: c.id, kind: kindStream, key: c.key, vm: vm, sentAt: time.Now(), deadline: time.Until(c.deadline),
 		stream: c.id, lastEvent: c.last, patience: streamPatience,
 	}
 	if n > 0 {
