soak: let streams end whose route has moved to another service

The check of the share of resumed streams that go on counted streams of a service to which the route no longer leads.

--- a/soak/history.go
+++ b/soak/history.go
@@ -139,6 +139,8 @@
 	vmsByIP map[string]string
 	// serving are the times in which upstreams are registered as ready.
 	serving []*servingTime
+	// splits are the splits of the route of streams.
+	splits []splitTime
 }
 
 func newHistory() *history {
--- a/soak/rollout.go
+++ b/soak/rollout.go
@@ -85,6 +85,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before, s.split = s.split, split
+	s.history.recordSplit(split)
 	s.publishConfig()
 	_, _ = fmt.Fprintf(s.log, "configuration %d splits streams as %v\n", s.version, split)
 	return before
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -203,6 +203,7 @@
 	}
 	if s.load.split {
 		s.split = splits[0]
+		s.history.recordSplit(s.split)
 	}
 	s.publishConfig()
 	seeds, err := s.addVMs(listener.Addr().String())
--- a/soak/streamcheck.go
+++ b/soak/streamcheck.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -35,13 +36,38 @@
 	}
 }
 
-// servesBetween reports whether one upstream of a service and version serves all the time between from and to.
+// servesBetween reports whether the route of streams leads to a service and one upstream of the service and version serves, all the time
+// between from and to. A stream whose route has moved to another service may not go on.
 func (h *history) servesBetween(from, to time.Time, origin string) bool {
-	return slices.ContainsFunc(h.serving, func(s *servingTime) bool {
+	service, _, _ := strings.Cut(origin, "/")
+	return h.routedBetween(from, to, service) && slices.ContainsFunc(h.serving, func(s *servingTime) bool {
 		return s.origin == origin && !s.start.After(from) && (s.end.IsZero() || !s.end.Before(to))
 	})
 }
 
+// splitTime is a split of the route of streams, with the time from which it is in force.
+type splitTime struct {
+	split []splitTarget
+	at    time.Time
+}
+
+func (h *history) recordSplit(split []splitTarget) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.splits = append(h.splits, splitTime{split: split, at: time.Now()})
+}
+
+// routedBetween reports whether the route of streams leads to a service all the time between from and to.
+func (h *history) routedBetween(from, to time.Time, service string) bool {
+	for i, s := range h.splits {
+		over := i+1 < len(h.splits) && !h.splits[i+1].at.After(from)
+		if !over && s.at.Before(to) && !slices.ContainsFunc(s.split, func(t splitTarget) bool { return t.Service == service }) {
+			return false
+		}
+	}
+	return true
+}
+
 // attemptsByStream returns the attempts of each stream that its caller resumes until it is complete, in the order in which they were sent.
 func (h *history) attemptsByStream() map[string][]request {
 	streams := map[string][]request{}
--- a/soak/streamcheck_test.go
+++ b/soak/streamcheck_test.go
@@ -39,7 +39,11 @@
 		"other version":   {resumedAt: "worker/v2", joined: minResumptions},
 		"refused":         {lost: 1},
 		"version is gone": {prepare: func(h *history) { h.endServing("u1") }},
-		"vm disturbed":    {prepare: func(h *history) { h.startDisturbance("") }},
+		"route has moved": {prepare: func(h *history) { h.recordSplit([]splitTarget{{Service: "helper"}}) }},
+		"route has moved back": {prepare: func(h *history) {
+			h.splits = []splitTime{{split: []splitTarget{{Service: "helper"}}}, {split: []splitTarget{{Service: "worker"}}, at: time.Unix(1, 0)}}
+		}, lost: 1},
+		"vm disturbed": {prepare: func(h *history) { h.startDisturbance("") }},
 	} {
 		h := newHistory()
 		h.serving = []*servingTime{{upstream: "u1", origin: "worker/v1"}}
