soak: register upstreams of the profile callers with their start time

VMs derive from the start times since when all software versions are known. With a serial number in their place, a VM that has started again takes it that no version has left in the last ten minutes, which real registrations don't say.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -106,6 +106,9 @@
 	links  []*proxy
 	region string
 	born   int64
+	// startMillis is the start in Unix milliseconds, which the registration names. It is zero if software versions don't change: the
+	// registration names born then.
+	startMillis int64
 	// replaced means that upstreams of another software version have taken its place.
 	replaced bool
 }
@@ -309,6 +312,9 @@
 		return err
 	}
 	x.service = service
+	if s.load.split {
+		x.startMillis = time.Now().UnixMilli()
+	}
 	x.room.onCrash = func(refused []string) { go s.runOverloadCrash(x, refused) }
 	s.upstreams = append(s.upstreams, x)
 	s.history.mu.Lock()
@@ -325,7 +331,7 @@
 	}
 	s.write(platform.UpstreamPrefix+u.id, fmt.Sprintf(
 		`{"service":%q,"address":%q,"zone":%q,"slots":%d,"state":%q,"born":%d,"version":%q}`,
-		u.service, u.sharedAddress(), u.region+"-a", cmp.Or(s.load.slots, slotsOfUnbounded), state, u.born, u.version))
+		u.service, u.sharedAddress(), u.region+"-a", cmp.Or(s.load.slots, slotsOfUnbounded), state, cmp.Or(u.startMillis, u.born), u.version))
 }
 
 // write writes a value to the store, and erase deletes one. Both remember what the store must hold after a restore.
