soak: let some seeds of the callers' profile keep the split or the versions

Callers that don't name what they resume can be told from others only where the split or the versions don't change, so that the plan has such seeds. The upstreams of the start are registered as a minute old: VMs derive from their start since when all versions are known.

--- a/soak/callersplan.go
+++ b/soak/callersplan.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -28,11 +29,26 @@
 	companionLead = 100 * time.Millisecond
 )
 
+// absentFault returns the kind of fault that a seed does without, empty if it has all. In one of four seeds the split of the route never
+// changes, and in another one no software version does: callers need not name what they resume then.
+func absentFault(seed uint64) faultKind {
+	switch seed % 4 {
+	case 1:
+		return faultSplit
+	case 2:
+		return faultRollout
+	}
+	return ""
+}
+
 // planCallers returns the faults of ProfileCallers, in no order.
 func planCallers(seed uint64, duration time.Duration) []fault {
 	var faults []fault
 	last := duration - faultFreeTime
 	for i, group := range callerFaults {
+		if slices.Contains(group.kinds, absentFault(seed)) {
+			continue
+		}
 		rng := rand.New(rand.NewPCG(seed, 23+uint64(i)))
 		for _, f := range planKinds(rng, group.kinds, group.meanInterval, duration+maxFaultExtension) {
 			f.duration = min(f.duration, last-f.start)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -29,6 +29,8 @@
 	vmsPerRegion       = 2
 	// slotsOfUnbounded is the number of slots in the registration of an upstream that runs all requests that it gets.
 	slotsOfUnbounded = 16
+	// firstUpstreamAge is the age of the upstreams at the start of a run.
+	firstUpstreamAge = time.Minute
 	// maxAttempts is the number of upstreams that may run a request.
 	maxAttempts = 2
 )
@@ -97,6 +99,8 @@
 	// each service has changed.
 	split    []splitTarget
 	releases map[string]int
+	// upstreamAge is the age with which upstreams are registered: those at the start of the run have served for a while.
+	upstreamAge time.Duration
 }
 
 // registeredUpstream is an upstream with the links through which VMs reach it.
@@ -213,6 +217,16 @@
 	if err != nil {
 		return err
 	}
+	if err := s.addFirstUpstreams(); err != nil {
+		return err
+	}
+	return s.startVMs(seeds)
+}
+
+// addFirstUpstreams adds the upstreams of all regions and services.
+func (s *soak) addFirstUpstreams() error {
+	s.upstreamAge = firstUpstreamAge
+	defer func() { s.upstreamAge = 0 }()
 	for _, region := range regions {
 		for i := range upstreamsPerRegion * len(s.load.services()) {
 			if err := s.addUpstream(region, s.load.services()[i/upstreamsPerRegion]); err != nil {
@@ -220,7 +234,7 @@
 			}
 		}
 	}
-	return s.startVMs(seeds)
+	return nil
 }
 
 // addVMs adds the VMs, which don't run yet, with the links between them and to the store. It returns the addresses of the seeds.
@@ -313,7 +327,7 @@
 	}
 	x.service = service
 	if s.load.split {
-		x.startMillis = time.Now().UnixMilli()
+		x.startMillis = time.Now().Add(-s.upstreamAge).UnixMilli()
 	}
 	x.room.onCrash = func(refused []string) { go s.runOverloadCrash(x, refused) }
 	s.upstreams = append(s.upstreams, x)
