--- a/soak/short_test.go
+++ b/soak/short_test.go
@@ -61,7 +61,7 @@
 // Guards against streams that go on at another service or software version when their callers resume them, and against callers that cannot
 // resume them.
 func TestCallersSoak(t *testing.T) {
-	regression{soak.ProfileCallers, 8, callersLength, "resumed streams go on at the other service of a split route"}.play(t)
+	regression{soak.ProfileCallers, 7, callersLength, "resumed streams go on at the other service of a split route"}.play(t)
 }
 
 func (r regression) play(t *testing.T) {
