--- a/soak/caller.go
+++ b/soak/caller.go
@@ -23,7 +23,7 @@
 func sendRequest(client *http.Client, h *history, l *load, address string, sent request) (got response) {
 	h.recordRequest(sent)
 	got = response{id: sent.id, lastEvent: l.events}
-	body := l.requestBody(sent.id)
+	body := l.requestBody(sent.contentID())
 	sending := newSlowReader(body, l.bodyTime(sent.id))
 	defer func() {
 		got.receivedAt, got.sentWholeAt = time.Now(), sending.endedAt()
@@ -31,7 +31,9 @@
 	}()
 	ctx, cancel := context.WithTimeout(context.Background(), sent.deadline+responseGracePeriod)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/"+string(sent.kind)+"/?q="+sent.id, nil)
+	idle := newIdleTimer(sent.patience, cancel)
+	defer func() { got.abandoned = idle.stop() }()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/"+string(sent.kind)+"/?q="+sent.contentID(), nil)
 	if err != nil {
 		got.err = err.Error()
 		return got
@@ -44,6 +46,8 @@
 	r.Header.Set(platform.HeaderDeadline, strconv.FormatInt(sent.deadline.Milliseconds(), 10))
 	if sent.resumes != "" {
 		r.Header.Set(platform.HeaderResumes, sent.resumes)
+	}
+	if sent.lastEvent != 0 {
 		r.Header.Set(platform.HeaderLastEventID, strconv.Itoa(sent.lastEvent))
 	}
 	resp, err := client.Do(r)
@@ -52,7 +56,8 @@
 		return got
 	}
 	defer func() { _ = resp.Body.Close() }()
-	got.status = resp.StatusCode
+	got.status, got.retryAfter = resp.StatusCode, platform.ParseRetryAfter(resp.Header)
+	resp.Body = idle.watch(resp.Body)
 	got.readBody(sent, l, resp)
 	return got
 }
--- a/soak/history_test.go
+++ b/soak/history_test.go
@@ -160,6 +160,15 @@
 		{"streams hold whole events of one run", kindStream, func(d *vmDouble) {
 			d.changeBody = func(text string) string { return strings.Replace(text, "version: v1\n", "", 1) }
 		}},
+		{"callers' streams hold events of one service and software version", kindStream, func(d *vmDouble) {
+			d.history.addResumedStream("a", "worker/v1", "helper/v1")
+		}},
+		{"callers resume while their version serves", kindStream, func(d *vmDouble) {
+			d.history.serving = []*servingTime{{origin: "worker/v1"}}
+			for i := range minResumptions {
+				d.history.addResumedStream(fmt.Sprint("a", i), "worker/v1", "")
+			}
+		}},
 		{"upstreams get what callers sent", kindSafe, func(d *vmDouble) {
 			d.changeHeader = func(h http.Header) { h.Set(platform.HeaderAPIKey, "key") }
 		}},
@@ -305,8 +314,8 @@
 
 // Guards against an invariant that is added without a case in TestViolationsAreReported.
 func TestEachInvariantHasFaultyVM(t *testing.T) {
-	if len(invariants) != 19 {
-		t.Errorf("%d invariants, want 19; add a case for each new one to TestViolationsAreReported", len(invariants))
+	if len(invariants) != 21 {
+		t.Errorf("%d invariants, want 21; add a case for each new one to TestViolationsAreReported", len(invariants))
 	}
 }
 
--- a/soak/orderforms.go
+++ b/soak/orderforms.go
@@ -155,6 +155,9 @@
 	whole := len(r.lines) == len(eventLines("", "", "", 0, r.load)) && number != 0 && version != "" && request != ""
 	addOnce(&r.got.versions, version)
 	addOnce(&r.got.services, service)
+	if whole {
+		addOnce(&r.got.origins, originOf(service, version))
+	}
 	fits := data == r.load.eventData(r.sent.id, number)
 	r.got.verified = r.got.verified && fits
 	switch {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -36,6 +36,9 @@
 	faultRegionWithout     faultKind = "region without upstreams, the others fail partly"
 	faultCutAnswers        faultKind = "upstreams cut answers"
 	faultUnmarkedCuts      faultKind = "upstreams cut answers without a mark"
+	faultCallerLink        faultKind = "link between callers and a vm"
+	faultSplit             faultKind = "split of a route changes"
+	faultRollout           faultKind = "software version of a service changes"
 )
 
 var faultKinds = []faultKind{
@@ -130,6 +133,8 @@
 			cuts.kind = faultUnmarkedCuts
 			faults = append(faults, cuts)
 		}
+	case ProfileCallers:
+		faults = planCallers(seed, duration)
 	default:
 		faults = planFaults(seed, duration)
 	}
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -56,15 +56,18 @@
 			}
 		}
 	}
-	for _, p := range []Profile{ProfileRetries, ProfileSignals, ProfileUnmarked} {
-		for _, f := range planProfile(p, 1, 2*time.Minute) {
-			seen[f.kind] = true
-			if f.start+f.duration > 2*time.Minute-faultFreeTime {
-				t.Errorf("profile %s: %s lasts into the fault-free time", p, f.kind)
+	for _, p := range []Profile{ProfileRetries, ProfileSignals, ProfileUnmarked, ProfileCallers} {
+		for seed := range uint64(4) {
+			for _, f := range planProfile(p, seed, 2*time.Minute) {
+				seen[f.kind] = true
+				if f.start+f.duration > 2*time.Minute-faultFreeTime {
+					t.Errorf("profile %s, seed %d: %s lasts into the fault-free time", p, seed, f.kind)
+				}
 			}
 		}
 	}
-	for _, k := range slices.Concat(heavyFaultKinds, signalFaultKinds, rawFaultKinds, []faultKind{faultBurst, faultRegionWithout, faultCutAnswers, faultUnmarkedCuts}) {
+	others := []faultKind{faultBurst, faultRegionWithout, faultCutAnswers, faultUnmarkedCuts, faultCallerLink, faultSplit, faultRollout}
+	for _, k := range slices.Concat(heavyFaultKinds, signalFaultKinds, rawFaultKinds, others) {
 		if !seen[k] {
 			t.Errorf("no plan has %q", k)
 		}
@@ -144,7 +147,8 @@
 		passes bool
 		least  time.Duration
 	}{
-		{linkNormal, true, 0}, {linkDelayed, true, 2 * linkDelay}, {linkDropsAll, false, 0}, {linkDropsResponses, false, 0}, {linkNormal, true, 0},
+		{linkNormal, true, 0}, {linkDelayed, true, 2 * linkDelay}, {linkDropsAll, false, 0}, {linkDropsResponses, false, 0}, {linkDropsRequests, false, 0}, {linkSilent, false, 0},
+		{linkNormal, true, 0},
 	} {
 		p.setFault(c.fault)
 		took, err := roundTrip()
--- a/soak/profile.go
+++ b/soak/profile.go
@@ -32,10 +32,13 @@
 	// ProfileUnmarked is ProfileRaw with streams that are cut so that nothing marks it: they have neither a length nor chunks, and
 	// end with FIN between two events although their upstream lives.
 	ProfileUnmarked Profile = "unmarked"
+	// ProfileCallers is a load of streams that their callers resume until they are complete, on a route that is split between two
+	// services, while the split, the software versions and the links of callers change.
+	ProfileCallers Profile = "callers"
 )
 
 // Profiles are all profiles.
-var Profiles = []Profile{ProfileLight, ProfileHeavy, ProfileStops, ProfileRetries, ProfileSignals, ProfileRaw, ProfileUnmarked}
+var Profiles = []Profile{ProfileLight, ProfileHeavy, ProfileStops, ProfileRetries, ProfileSignals, ProfileRaw, ProfileUnmarked, ProfileCallers}
 
 // load describes what callers send and how upstreams respond while no fault acts.
 type load struct {
@@ -56,6 +59,8 @@
 	slots int
 	// raw says that upstreams are processes that write their answers to TCP connections themselves.
 	raw bool
+	// split means that the route of streams is split between two services, and that all callers resume their streams.
+	split bool
 }
 
 const (
@@ -84,6 +89,8 @@
 	switch p {
 	case ProfileRetries:
 		light.callers, light.interval, light.eventsPerWrite = 48, 5*time.Millisecond, light.events
+	case ProfileCallers:
+		light.callers, light.deadline, light.events, light.split = 32, 4*time.Second, 48, true
 	case ProfileSignals:
 		light.callers, light.interval, light.workEvery, light.slots = 40, 250*time.Millisecond, 10, 4
 	case ProfileRaw, ProfileUnmarked:
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -13,6 +13,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,8 @@
 	vmsPerRegion       = 2
 	// slotsOfUnbounded is the number of slots in the registration of an upstream that runs all requests that it gets.
 	slotsOfUnbounded = 16
+	// firstUpstreamAge is the age of the upstreams at the start of a run.
+	firstUpstreamAge = time.Minute
 	// maxAttempts is the number of upstreams that may run a request.
 	maxAttempts = 2
 )
@@ -42,7 +45,7 @@
 	retryWindow: 10 * time.Second, retryRatio: 0.2, retrySlack: 60,
 	lost:        lostBounds{grace: terminationGracePeriod, after: time.Second, reload: 3 * time.Second, early: 3 * time.Second},
 	limitSettle: time.Second, limitWindow: 4 * time.Second, limitOverage: 1.5, limitSlack: 5,
-	responseSlack: time.Second, successRate: 0.95,
+	resumeSettle: time.Second, responseSlack: time.Second, successRate: 0.95,
 }
 
 // Settings configure a soak.
@@ -65,6 +68,8 @@
 	Succeeded int
 	// Retries is the window in which the retry budget was used most.
 	Retries RetryPeak
+	// Streams describes the streams that callers resume, empty if they don't.
+	Streams string
 	// Violations describes the first few violations of each invariant, with their total number.
 	Violations []string
 	// Order counts the streams with each form of disorder.
@@ -94,6 +99,12 @@
 	lastBorn  int64
 	// rawEnds are the ends that raw upstreams may play.
 	rawEnds rawEnds
+	// split holds the targets of the route of streams if it is split, and releases the number of times that the software version of
+	// each service has changed.
+	split    []splitTarget
+	releases map[string]int
+	// upstreamAge is the age with which upstreams are registered: those at the start of the run have served for a while.
+	upstreamAge time.Duration
 }
 
 // registeredUpstream is an upstream with the links through which VMs reach it.
@@ -103,6 +114,11 @@
 	links  []*proxy
 	region string
 	born   int64
+	// startMillis is the start in Unix milliseconds, which the registration names. It is zero if software versions don't change: the
+	// registration names born then.
+	startMillis int64
+	// replaced means that upstreams of another software version have taken its place.
+	replaced bool
 }
 
 // lockedWriter serializes the writes of several processes.
@@ -120,7 +136,7 @@
 
 // Run runs a soak and returns its report.
 func Run(ctx context.Context, settings Settings) (Report, error) {
-	s := &soak{Settings: settings, load: loadOf(settings.Profile), history: newHistory(), store: standin.NewStore(), written: map[string]string{}, log: &lockedWriter{w: settings.Log}}
+	s := &soak{Settings: settings, load: loadOf(settings.Profile), history: newHistory(), store: standin.NewStore(), written: map[string]string{}, releases: map[string]int{}, log: &lockedWriter{w: settings.Log}}
 	defer s.close()
 	if err := s.start(); err != nil {
 		return Report{}, err
@@ -129,6 +145,10 @@
 	defer cancel()
 	var running sync.WaitGroup
 	for i := range s.load.callers {
+		if s.load.split {
+			running.Go(func() { s.runStreamCaller(ctx, i) })
+			continue
+		}
 		running.Go(func() { s.runCaller(ctx, i) })
 	}
 	faults := planProfile(settings.Profile, settings.Seed, settings.Length)
@@ -152,6 +172,10 @@
 			r.Succeeded++
 		}
 	}
+	if s.load.split {
+		r.Streams = s.history.countStreams(defaultBounds)
+		s.history.describeResumptions(s.log)
+	}
 	for _, v := range found {
 		_, _ = fmt.Fprintf(s.log, "violation %s\n", v)
 	}
@@ -195,19 +219,33 @@
 	for i, key := range s.keys {
 		s.history.workspaces[key] = fmt.Sprintf("workspace-%d", i+1)
 	}
+	if s.load.split {
+		s.split = splits[0]
+		s.history.recordSplit(s.split)
+	}
 	s.publishConfig()
 	seeds, err := s.addVMs(listener.Addr().String())
 	if err != nil {
 		return err
 	}
+	if err := s.addFirstUpstreams(); err != nil {
+		return err
+	}
+	return s.startVMs(seeds)
+}
+
+// addFirstUpstreams adds the upstreams of all regions and services.
+func (s *soak) addFirstUpstreams() error {
+	s.upstreamAge = firstUpstreamAge
+	defer func() { s.upstreamAge = 0 }()
 	for _, region := range regions {
-		for range upstreamsPerRegion {
-			if err := s.addUpstream(region); err != nil {
+		for i := range upstreamsPerRegion * len(s.load.services()) {
+			if err := s.addUpstream(region, s.load.services()[i/upstreamsPerRegion]); err != nil {
 				return err
 			}
 		}
 	}
-	return s.startVMs(seeds)
+	return nil
 }
 
 // addVMs adds the VMs, which don't run yet, with the links between them and to the store. It returns the addresses of the seeds.
@@ -249,8 +287,10 @@
 	if v.storeLink, err = newProxyFrom(v.ip, "127.0.0.1:0", store, nil); err != nil {
 		return err
 	}
-	v.peerLink, err = newProxyAt(address, v.peerAddress, func() rewriteFunc { return s.peerRewrite(v) })
-	return err
+	if v.peerLink, err = newProxyAt(address, v.peerAddress, func() rewriteFunc { return s.peerRewrite(v) }); err != nil || !s.load.split {
+		return err
+	}
+	return v.openCallerLink()
 }
 
 // rewriteAddresses replaces the addresses of VMs by those of the links to them, which have the same length.
@@ -268,6 +308,7 @@
 		v.kill()
 		v.storeLink.close()
 		v.peerLink.close()
+		v.closeCallerLink()
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -282,13 +323,12 @@
 // softwareVersion returns the version of the n-th upstream. Two versions serve side by side in each region.
 func softwareVersion(n int64) string { return fmt.Sprintf("v%d", 1+n%3/2) }
 
-// addUpstream starts an upstream and registers it.
-func (s *soak) addUpstream(region string) error {
+// addUpstream starts an upstream of a service and registers it.
+func (s *soak) addUpstream(region, service string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastBorn++
-	id, version := fmt.Sprintf("u%d", s.lastBorn), softwareVersion(s.lastBorn)
-	u, err := s.startUpstream(id, version)
+	u, err := s.startUpstream(fmt.Sprintf("u%d", s.lastBorn), s.versionOf(service, s.lastBorn))
 	if err != nil {
 		return err
 	}
@@ -296,6 +336,10 @@
 	if err := s.linkUpstream(x); err != nil {
 		return err
 	}
+	x.service = service
+	if s.load.split {
+		x.startMillis = time.Now().Add(-s.upstreamAge).UnixMilli()
+	}
 	x.room.onCrash = func(refused []string) { go s.runOverloadCrash(x, refused) }
 	s.upstreams = append(s.upstreams, x)
 	s.history.mu.Lock()
@@ -314,9 +358,13 @@
 }
 
 func (s *soak) registerUpstream(u *registeredUpstream, state string) {
+	s.history.endServing(u.id)
+	if state == "ready" {
+		s.history.beginServing(u.id, originOf(u.service, u.version))
+	}
 	s.write(platform.UpstreamPrefix+u.id, fmt.Sprintf(
 		`{"service":%q,"address":%q,"zone":%q,"slots":%d,"state":%q,"born":%d,"version":%q}`,
-		service, u.sharedAddress(), u.region+"-a", cmp.Or(s.load.slots, slotsOfUnbounded), state, u.born, u.version))
+		u.service, u.sharedAddress(), u.region+"-a", cmp.Or(s.load.slots, slotsOfUnbounded), state, cmp.Or(u.startMillis, u.born), u.version))
 }
 
 // write writes a value to the store, and erase deletes one. Both remember what the store must hold after a restore.
@@ -336,14 +384,15 @@
 
 // removeUpstream removes an upstream from the list, so that faults don't pick it.
 func (s *soak) removeUpstream(u *registeredUpstream) {
+	s.history.endServing(u.id)
+	s.removeFromFaults(u)
+}
+
+// removeFromFaults removes an upstream that goes on serving from the list.
+func (s *soak) removeFromFaults(u *registeredUpstream) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i, x := range s.upstreams {
-		if x == u {
-			s.upstreams = append(s.upstreams[:i], s.upstreams[i+1:]...)
-			return
-		}
-	}
+	s.upstreams = slices.DeleteFunc(s.upstreams, func(x *registeredUpstream) bool { return x == u })
 }
 
 // pickUpstream returns the upstream at an index modulo the number of upstreams.
@@ -378,6 +427,8 @@
 	Service       string  `json:"service"`
 	MaxAttempts   int     `json:"max_attempts"`
 	Resumable     bool    `json:"resumable"`
+	// Split replaces Service if it is not empty.
+	Split []splitTarget `json:"traffic_split,omitempty"`
 }
 
 // publishConfig writes the configuration to the store. The caller holds mu, except during startup.
@@ -394,8 +445,13 @@
 			TimeoutMillis: float64(s.load.deadline.Milliseconds()), TargetMillis: 1000, MaxAttempts: maxAttempts, Resumable: name == kindStream,
 		})
 	}
+	s.splitRoute(routes)
+	var services []map[string]string
+	for _, name := range s.load.services() {
+		services = append(services, map[string]string{"name": name})
+	}
 	text, err := json.Marshal(map[string]any{
-		"version": s.version, "routes": routes, "services": []map[string]string{{"name": service}}, "tenants": list,
+		"version": s.version, "routes": routes, "services": services, "tenants": list,
 	})
 	if err != nil {
 		panic(err) // Unreachable: all values above can be encoded.
--- /dev/null
+++ b/soak/streamcheck.go
@@ -0,0 +1,185 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// minResumptions is the number of resumed streams from which the share of those that go on is checked, and minResumedShare the
+	// least part of the share of new streams that begin.
+	minResumptions  = 12
+	minResumedShare = 0.5
+)
+
+// servingTime is a time in which an upstream is registered as ready. end is zero while it lasts.
+type servingTime struct {
+	upstream, origin string
+	start, end       time.Time
+}
+
+func (h *history) beginServing(upstream, origin string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.serving = append(h.serving, &servingTime{upstream: upstream, origin: origin, start: time.Now()})
+}
+
+func (h *history) endServing(upstream string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, s := range h.serving {
+		if s.upstream == upstream && s.end.IsZero() {
+			s.end = time.Now()
+		}
+	}
+}
+
+// servesBetween reports whether the route of streams leads to a service and one upstream of the service and version serves, all the time
+// between from and to. A stream whose route has moved to another service may not go on.
+func (h *history) servesBetween(from, to time.Time, origin string) bool {
+	service, _, _ := strings.Cut(origin, "/")
+	return h.routedBetween(from, to, service) && slices.ContainsFunc(h.serving, func(s *servingTime) bool {
+		return s.origin == origin && !s.start.After(from) && (s.end.IsZero() || !s.end.Before(to))
+	})
+}
+
+// splitTime is a split of the route of streams, with the time from which it is in force.
+type splitTime struct {
+	split []splitTarget
+	at    time.Time
+}
+
+func (h *history) recordSplit(split []splitTarget) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.splits = append(h.splits, splitTime{split: split, at: time.Now()})
+}
+
+// routedBetween reports whether the route of streams leads to a service all the time between from and to.
+func (h *history) routedBetween(from, to time.Time, service string) bool {
+	for i, s := range h.splits {
+		over := i+1 < len(h.splits) && !h.splits[i+1].at.After(from)
+		if !over && s.at.Before(to) && !slices.ContainsFunc(s.split, func(t splitTarget) bool { return t.Service == service }) {
+			return false
+		}
+	}
+	return true
+}
+
+// attemptsByStream returns the attempts of each stream that its caller resumes until it is complete, in the order in which they were sent.
+func (h *history) attemptsByStream() map[string][]request {
+	streams := map[string][]request{}
+	for _, r := range h.requests {
+		if r.stream != "" {
+			streams[r.stream] = append(streams[r.stream], r)
+		}
+	}
+	for _, attempts := range streams {
+		slices.SortFunc(attempts, func(a, b request) int { return a.sentAt.Compare(b.sentAt) })
+	}
+	return streams
+}
+
+// checkStreamOrigins finds the attempts from which on the stream of a caller holds events of another service or software version, or of
+// another request.
+func checkStreamOrigins(h *history, _ bounds) []violation {
+	var found []violation
+	for _, attempts := range h.attemptsByStream() {
+		var origins []string
+		for _, r := range attempts {
+			got := h.responses[r.id]
+			for _, origin := range got.origins {
+				if slices.Contains(origins, origin) {
+					continue
+				}
+				if origins = append(origins, origin); len(origins) > 1 {
+					found = append(found, violation{id: r.id, detail: fmt.Sprintf(
+						"after event %d from %s at vm %s, %s: events of %v%s", r.lastEvent, origins[0], r.vm, nameOfResumption(r), origins, describeExecutions(h.executions[r.id]))})
+				}
+			}
+			if got.foreign > 0 {
+				found = append(found, violation{id: r.id, detail: fmt.Sprintf("%d events of another request", got.foreign)})
+			}
+		}
+	}
+	return found
+}
+
+// nameOfResumption says how a caller resumes its stream.
+func nameOfResumption(r request) string {
+	switch {
+	case r.resumes != "":
+		return "resumes " + r.resumes
+	case r.lastEvent > 0:
+		return "resumes without a name"
+	}
+	return "new"
+}
+
+// streamCount counts streams, and those of them of which an attempt brought an event or a regular end.
+type streamCount struct{ sent, served int }
+
+func (c streamCount) share() float64 { return float64(c.served) / float64(max(1, c.sent)) }
+
+// String gives the count.
+func (c streamCount) String() string { return fmt.Sprintf("%d of %d", c.served, c.sent) }
+
+// resumptions counts streams by what their attempts at undisturbed VMs bring: those that begin, and those that their callers resume, with
+// and without the name of the first attempt, while their service and version serve. Those whose service and version don't serve count as
+// gone. A stream counts once in each of them at most.
+type resumptions struct{ begin, named, unnamed, gone streamCount }
+
+// String gives all counts.
+func (n resumptions) String() string {
+	return fmt.Sprintf("%v new streams begin; %v resumed with a name go on, %v without one, and %v whose version is gone", n.begin, n.named, n.unnamed, n.gone)
+}
+
+func (h *history) countResumptions(b bounds) resumptions {
+	var n resumptions
+	for _, attempts := range h.attemptsByStream() {
+		served, origin := map[*streamCount]bool{}, ""
+		for _, r := range attempts {
+			got, ok := h.responses[r.id]
+			from := r.sentAt.Add(-b.resumeSettle)
+			if ok && !h.disturbedBetween(from, got.receivedAt, r.vm) {
+				count := n.countOf(r, h.servesBetween(from, got.receivedAt, origin))
+				served[count] = served[count] || got.status == 200 && (len(got.events) > 0 || got.complete)
+			}
+			if origin == "" && len(got.origins) > 0 {
+				origin = got.origins[0]
+			}
+		}
+		for count, goesOn := range served {
+			count.sent++
+			if goesOn {
+				count.served++
+			}
+		}
+	}
+	return n
+}
+
+// countOf returns the count to which an attempt belongs. served says whether upstreams of the service and version of its stream serve.
+func (n *resumptions) countOf(r request, served bool) *streamCount {
+	switch {
+	case r.lastEvent == 0:
+		return &n.begin
+	case !served:
+		return &n.gone
+	case r.resumes != "":
+		return &n.named
+	}
+	return &n.unnamed
+}
+
+// checkResumptions compares the share of resumed streams that go on with that of new streams that begin.
+func checkResumptions(h *history, b bounds) []violation {
+	n := h.countResumptions(b)
+	resumed := streamCount{sent: n.named.sent + n.unnamed.sent, served: n.named.served + n.unnamed.served}
+	if resumed.sent < minResumptions || resumed.share() >= minResumedShare*n.begin.share() {
+		return nil
+	}
+	return []violation{{id: "many", detail: n.String()}}
+}
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -52,11 +52,11 @@
 // upstreamServer simulates an upstream and records each execution in the history.
 type upstreamServer struct {
 	id string
-	// version is the software version, which each event of a stream names.
-	version   string
-	history   *history
-	load      load
-	behaviour atomic.Int32
+	// service and version are the service and its software version, which each event of a stream names.
+	service, version string
+	history          *history
+	load             load
+	behaviour        atomic.Int32
 	// late selects when the upstream sends second responses, zero for never.
 	late atomic.Int32
 	room room
@@ -135,9 +135,10 @@
 	}
 	defer u.room.leave()
 	crashes := u.room.crashes.Load()
+	content := u.history.contentID(id)
 	end := u.history.recordExecution(execution{
 		id: id, upstream: u.id, vm: vm, startedAt: time.Now(), leaving: leaving, fault: u.behaviour.Load(), lastEvent: r.Header.Get(platform.HeaderLastEventID), workspace: r.Header.Get(platform.HeaderWorkspace),
-		keyPresent: r.Header.Get(platform.HeaderAPIKey) != "", unmodified: r.Method == http.MethodPost && string(body) == u.load.requestBody(id) && r.URL.RawQuery == "q="+id,
+		keyPresent: r.Header.Get(platform.HeaderAPIKey) != "", unmodified: r.Method == http.MethodPost && string(body) == u.load.requestBody(content) && r.URL.RawQuery == "q="+content,
 	})
 	w.Header().Set(platform.HeaderServerStamp, "stamp-"+id)
 	aborts := true
@@ -237,7 +238,7 @@
 }
 
 func (u *upstreamServer) event(id string, n int) string {
-	return eventStyle{}.event(eventLines(service, u.version, id, n, &u.load), n).text
+	return eventStyle{}.event(eventLines(u.service, u.version, id, n, &u.load), n).text
 }
 
 // requestBody returns the body of the request with an id, and responseBody that of the response to it.
