--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -78,7 +78,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for upstream %s: %w", id, err)
 	}
-	u := &upstreamServer{id: id, version: version, load: l, history: h, listener: listener}
+	u := &upstreamServer{id: id, service: service, version: version, load: l, history: h, listener: listener}
 	u.room.slots = l.slots
 	u.server = &http.Server{Handler: u, ConnContext: withLateConn, ConnState: watchIdle}
 	go func() { _ = u.server.Serve(lateListener{listener}) }() // Ends with close.
