--- a/edge/admit.go
+++ b/edge/admit.go
@@ -31,7 +31,7 @@
 	if out, ok := e.routeAndAuthenticate(now, t, r, h.URL.Path); !ok {
 		return out, false
 	}
-	body, out, ok := e.readBody(w, h, t.Config.Limits)
+	body, out, ok := e.readBody(w, h, r, t.Config.Limits)
 	if !ok {
 		return out, false
 	}
@@ -75,11 +75,7 @@
 		return refuse(BadRequest, err.Error(), 0), false
 	}
 	r.prompt = prompt
-	workspace := ""
-	if r.workspace != nil {
-		workspace = r.workspace.Name
-	}
-	r.fingerprint = e.hasher.Fingerprint(workspace+" "+r.target, r.body)
+	r.fingerprint = e.hasher.Fingerprint(r.workspaceName()+" "+r.target, r.body)
 	if out, ok := e.chooseService(t, r); !ok {
 		return out, false
 	}
--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -31,6 +31,10 @@
 	grace time.Duration
 	// retrySlack is the slack of the retry budget of VMs that are started.
 	retrySlack float64
+	// log receives the log of VMs that are started.
+	log io.Writer
+	// memoryBytes is the memory of VMs that are started, zero for the default.
+	memoryBytes int64
 	// storeProxy, if set, is the address at which VMs that are started reach the store.
 	storeProxy *httptest.Server
 	vms        []*testVM
@@ -57,7 +61,7 @@
 		s.server.CloseClientConnections()
 		s.server.Close()
 	})
-	w := &testCluster{t: t, store: s, regions: map[string]string{}, revokeBound: 5 * time.Second, grace: 8 * time.Second, retrySlack: 100_000}
+	w := &testCluster{t: t, store: s, regions: map[string]string{}, log: io.Discard, revokeBound: 5 * time.Second, grace: 8 * time.Second, retrySlack: 100_000}
 	for _, region := range regions {
 		w.regions[region+"-a"] = region
 	}
@@ -78,14 +82,14 @@
 	s := platform.Settings{
 		Name: name, Region: region, FailureDomain: region + "-a", Regions: w.regions,
 		CallerListen: listeners[0].Addr().String(), PeerListen: listeners[1].Addr().String(),
-		Seeds: w.seeds, Store: w.storeAddress(),
+		Seeds: w.seeds, Store: w.storeAddress(), MemoryBytes: w.memoryBytes,
 		Bounds: platform.Bounds{
 			RevocationDelay: w.revokeBound, RetryRatio: 0.2, RetrySlack: w.retrySlack, RetryWindow: 10 * time.Second,
 			WarmUpOverage: 1.5, WarmUpSlack: 3, DirectoryTTL: 5 * time.Second, ShutdownGrace: w.grace,
 		},
 	}
 	w.seeds = append(w.seeds, s.PeerListen)
-	e, err := New(s, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	e, err := New(s, slog.New(slog.NewTextHandler(w.log, nil)))
 	if err != nil {
 		w.t.Fatal(err)
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -48,6 +48,7 @@
 	// pausedRecently reports whether the process was paused until shortly before now.
 	pausedRecently func(now time.Time) bool
 
+	memory     *requestMemory
 	store      *platform.Store
 	storeReads pendingStoreReads
 	forwards   place.SentTokens
@@ -57,6 +58,7 @@
 	catchUp    catchUp
 	reach      reach
 	queries    streamQueries
+	framing    framingHistory
 	stop       stop
 	// reportScheduled is set while streams that began are collected for a report.
 	reportScheduled atomic.Bool
--- a/edge/forwarded.go
+++ b/edge/forwarded.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/hex"
+	"fmt"
 	"net/http"
 	"net/url"
 	"strings"
@@ -31,6 +32,7 @@
 	e.open.Add(1)
 	defer e.open.Add(-1)
 	r := forwardedRequest(&open)
+	defer r.releaseMemory()
 	r.origin = newOrigin(st, r.runs+1)
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
@@ -87,20 +89,38 @@
 	if !route.Allowed(r.route, r.workspace, e.Settings.Region) {
 		return refuse(NoUpstream, "the request must not run in this region", defaultRetryAfter), false
 	}
-	bodyCtx, cancel := context.WithDeadline(ctx, r.deadline)
+	if limit := maxBodyBytes(t.Config.Limits); open.BodyBytes > limit {
+		return refuse(TooLarge, fmt.Sprintf("body above %d bytes", limit), 0), false
+	}
+	if out, ok := e.receiveBody(ctx, st, open, r); !ok {
+		return out, false
+	}
+	return e.prepareForwarded(t, r)
+}
+
+// receiveBody reads the body of a forwarded request.
+func (e *Edge) receiveBody(ctx context.Context, st *vm.Stream, open *vmwire.Open, r *request) (Outcome, bool) {
+	body := e.newBody(r)
+	if err := body.Reserve(open.BodyBytes); err != nil {
+		return e.refuseBody(r, err), false
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
 	defer context.AfterFunc(e.stop.accepting, cancel)()
-	for int64(len(r.body)) < open.BodyBytes {
-		data, end, err := st.Recv(bodyCtx)
+	for int64(body.Len()) < open.BodyBytes {
+		data, end, err := st.Recv(ctx)
 		if err != nil && e.stop.accepting.Err() != nil {
 			return refuseLeaving(defaultRetryAfter), false
 		}
 		if err != nil || end != nil {
 			return refuse(BadRequest, "the body has not arrived", 0), false
 		}
-		r.body = append(r.body, data...)
+		if err := body.Append(data); err != nil {
+			return e.refuseBody(r, err), false
+		}
 	}
-	return e.prepareForwarded(t, r)
+	r.body = body.Bytes()
+	return Outcome{}, true
 }
 
 // configForForwarded returns the active configuration. If the VM that forwarded the request has a newer one, it waits for that,
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -100,11 +100,12 @@
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			return c.DialFunc(ctx, network, address)
 		},
-		MaxIdleConnsPerHost: maxIdlePerUpstream,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
-		ReadBufferSize:      readBufferBytes,
-		WriteBufferSize:     writeBufferBytes,
+		MaxIdleConnsPerHost:    maxIdlePerUpstream,
+		IdleConnTimeout:        30 * time.Second,
+		MaxResponseHeaderBytes: maxHeadBytes,
+		DisableCompression:     true,
+		ReadBufferSize:         readBufferBytes,
+		WriteBufferSize:        writeBufferBytes,
 	}}
 	return c
 }
@@ -219,7 +220,7 @@
 		return &Failure{Kind: failureKind(err), Err: fmt.Errorf("call %s: %w", path, err)}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxControlBytes))
+	data, err := readBody(resp.Body, maxControlBytes)
 	if err != nil {
 		return &Failure{Kind: Broken, Err: fmt.Errorf("call %s: %w", path, err)}
 	}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"hash/maphash"
 	"net"
 	"net/http"
@@ -23,9 +22,6 @@
 	defaultIdleTimeout = 4 * time.Second
 )
 
-// errHeadTooLong means that the heads of the responses to a request exceed maxHeadBytes.
-var errHeadTooLong = errors.New("head of the answer is too long")
-
 // headLimiter bounds the bytes that are read from a connection while response heads are parsed. The parser itself has no
 // limit, so that a head without end would fill the memory.
 type headLimiter struct {
@@ -34,19 +30,24 @@
 	remaining int
 }
 
-// Read reads from the connection, or fails with errHeadTooLong once the limit is reached.
+// Read reads from the connection, or fails with a *LimitError once the limit is reached.
 func (l *headLimiter) Read(b []byte) (int, error) {
 	if !l.limited {
 		return l.Conn.Read(b)
 	}
 	if l.remaining <= 0 {
-		return 0, errHeadTooLong
+		return 0, &LimitError{Limit: LimitHead, MaxBytes: maxHeadBytes}
 	}
 	n, err := l.Conn.Read(b[:min(len(b), l.remaining)])
 	l.remaining -= n
 	return n, err
 }
 
+// limit bounds the bytes that are read until unlimit by maxHeadBytes.
+func (l *headLimiter) limit() { l.limited, l.remaining = true, maxHeadBytes }
+
+func (l *headLimiter) unlimit() { l.limited = false }
+
 // recordingConn is a connection that reports when something was read from it.
 type recordingConn struct {
 	net.Conn
@@ -142,11 +143,6 @@
 	_ = c.Close()
 }
 
-// limitHead bounds the bytes that are read until unlimitHead.
-func (c *conn) limitHead() { c.limiter.limited, c.limiter.remaining = true, maxHeadBytes }
-
-func (c *conn) unlimitHead() { c.limiter.limited = false }
-
 // idleState reports whether the upstream has neither sent data nor closed the connection since the last response, and whether
 // it has sent data. It peeks at the socket without consuming data or blocking.
 func (c *conn) idleState() (idle, unread bool) {
