edge: suspect no request whose error without a length is in doubt

What callers saw: a request of a resumable stream counted as the cause of a crash, and its upstream as failed, although a sound upstream had answered the resumed stream with an error without a length. Such requests are quarantined in the end.

Cause: an answer that is buffered and whose end is only in doubt was handled like one that broke off.

Evidence: TestUnsizedErrorIsNoCrash failed before in 3 of 3 runs with '1 suspected requests, want none', and passes with the change (2 of 2 runs, with the other tests of unsized answers).

--- a/edge/send.go
+++ b/edge/send.go
@@ -201,6 +201,10 @@
 		e.Replicas.Done(e.Now(), pick, replica.RequestCancelled)
 		return fail(UpstreamFailed, errPathLost.Error())
 	}
+	if errors.Is(err, errEndUnconfirmed) {
+		e.Replicas.Done(e.Now(), pick, replica.RequestCancelled)
+		return fail(UpstreamFailed, err.Error())
+	}
 	e.Replicas.Done(e.Now(), pick, replica.Failed)
 	if ctx.Err() != nil {
 		return fail(TimedOut, "the answer was not whole in time")
--- a/edge/unsizedcut_test.go
+++ b/edge/unsizedcut_test.go
@@ -144,3 +144,33 @@
 		t.Errorf("answer %q ends with %v", answer, err)
 	}
 }
+
+// Guards against a request that counts as the cause of a crash because a sound upstream answered its resumed stream with an error without a
+// length.
+func TestUnsizedErrorIsNoCrash(t *testing.T) {
+	w := newTestCluster(t, "north")
+	w.publishConfig(1, routeJSON("a", "streaming", "plain", `,"resumable":true`))
+	handle := func(rw http.ResponseWriter, r *http.Request) {
+		switch {
+		case resumed(r):
+			writeUnsized("text/plain", "no", endClosed)(rw, r)
+		case r.Header.Get("Unsized") != "":
+			writeUnsized("text/event-stream", pieces(1, 3), endClosed)(rw, r)
+		default:
+			writeEvents(rw, 1, 5, true)
+		}
+	}
+	w.addUpstream("u1", "plain", "north", handle)
+	w.addUpstream("u2", "plain", "north", handle)
+	v := w.startVM("vm1", "north", true)
+	w.waitFor("both upstreams are known", func() bool { return v.knowsUpstreams("plain", 2) })
+	for range 2 * minFramedStreams {
+		checkAllEvents(t, v)
+	}
+	if _, _, err := v.read(t, "/a/", extraHeaders{"Unsized": "1"}); err == nil {
+		t.Error("the stream looks complete")
+	}
+	if n := v.Poison.Len(); n != 0 {
+		t.Errorf("%d suspected requests, want none", n)
+	}
+}
