edge: count the time that earlier configurations gave streams

What callers saw: a stream that its caller resumes without naming the attempt that began it, or that no VM knows any more, could go on at another service: a configuration had moved the route, and it or a later one had shortened its timeout.

Cause: the time since which a stream may have begun followed from the present timeout of its route only, so that the configuration that began it did not count. The versions that have served since then were looked up with the same time.

Change: routes of earlier configurations count with their own timeouts, at the VM that is asked, too, and a change of a timeout alone is kept as well.

Evidence: TestShorterTimeoutHidesEarlierService failed before with '7s after the change: certain true, want false' and 'another VM is told of [engine]', and passes with the change, as do the other tests of services that streams keep (-race, one run).

--- a/edge/streamservice.go
+++ b/edge/streamservice.go
@@ -59,14 +59,29 @@
 
 // targetsSince returns the earliest time at which the service of a stream that a caller resumes may have been chosen: another VM may
 // have had an older configuration for a while.
-func (e *Edge) targetsSince(now time.Time, r *route.Route) time.Time {
-	return earliestStart(now, r).Add(-e.maxStateAge())
+func (e *Edge) targetsSince(now time.Time, r *request) time.Time {
+	return e.startedSince(now, earliestStart(now, r.route), r.host, r.path).Add(-e.maxStateAge())
+}
+
+// startedSince returns the earliest time at which a stream may have begun that a caller resumes: at start under the present configuration, or
+// before that under an earlier one that gave streams more time.
+func (e *Edge) startedSince(now, start time.Time, host, path string) time.Time {
+	t := e.table()
+	if t == nil {
+		return start
+	}
+	for _, r := range t.Earlier(host, path) {
+		if s := earliestStart(now, r.Route); !r.Until.Before(s.Add(-e.maxStateAge())) {
+			start = earlier(start, s)
+		}
+	}
+	return start
 }
 
 // serviceCertain reports whether a stream that no VM knows can have begun at the chosen service only: all configurations since its
 // earliest start have chosen it, at this VM and at those that were asked.
 func (e *Edge) serviceCertain(now time.Time, r *request, a streamAnswer) bool {
-	targets, known := e.possibleTargets(e.targetsSince(now, r.route), r.host, r.path, r.splitKey())
+	targets, known := e.possibleTargets(e.targetsSince(now, r), r.host, r.path, r.splitKey())
 	for _, target := range append(targets, a.targets...) {
 		if target != r.service.Name {
 			return false
@@ -77,7 +92,9 @@
 
 // addTargets adds the services that the configurations of this VM have chosen to the reply to a question for a stream.
 func (e *Edge) addTargets(now time.Time, m *vmwire.StreamQuery, reply *vmwire.StreamReply) {
-	reply.Targets, reply.TargetsKnown = e.possibleTargets(m.TargetsAge.Moment(now), m.Host, m.Path, m.Key)
+	// The VM that asks may not know the earlier configurations.
+	since := earlier(m.TargetsAge.Moment(now), e.startedSince(now, now, m.Host, m.Path).Add(-e.maxStateAge()))
+	reply.Targets, reply.TargetsKnown = e.possibleTargets(since, m.Host, m.Path, m.Key)
 }
 
 // possibleTargets returns the services at which a resumable stream may have begun since a time, as far as this VM knows. known is set if it
--- a/edge/streamservice_test.go
+++ b/edge/streamservice_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"parsleyhatch/platform"
 	"parsleyhatch/vmwire"
@@ -334,3 +336,25 @@
 		}
 	}
 }
+
+// Guards against a stream that counts as begun after its service changed, because its route gives streams less time since then.
+func TestShorterTimeoutHidesEarlierService(t *testing.T) {
+	w := newTestCluster(t, "north")
+	w.publishSplit(1, "plain 1")
+	v := w.startVM("vm1", "north", true)
+	const longer, shorter = `"timeout_ms":8000`, `"timeout_ms":100`
+	v.Watcher.AcceptConfig([]byte(configJSON(2, strings.Replace(splitRouteJSON("plain 1"), longer, shorter, 1))))
+	v.Watcher.AcceptConfig([]byte(configJSON(3, strings.Replace(splitRouteJSON("engine 1"), longer, shorter, 1))))
+	table := v.table()
+	r := &request{host: "h", path: "/a/", route: table.Match("h", "/a/"), service: table.Service("engine")}
+	for after, want := range map[time.Duration]bool{7 * time.Second: false, time.Minute: true} {
+		if got := v.serviceCertain(v.Now().Add(after), r, streamAnswer{}); got != want {
+			t.Errorf("%v after the change: certain %v, want %v", after, got, want)
+		}
+	}
+	now, reply := v.Now().Add(7*time.Second), vmwire.StreamReply{}
+	v.addTargets(now, &vmwire.StreamQuery{Host: "h", Path: "/a/", TargetsAge: vmwire.AgeOf(now, now.Add(-time.Second))}, &reply)
+	if !slices.Contains(reply.Targets, "plain") {
+		t.Errorf("another VM is told of %v, want also the earlier service", reply.Targets)
+	}
+}
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -135,7 +135,8 @@
 			return answer.found, answer
 		}
 		now := e.Now()
-		if only, ok := e.Watcher.Versions.Only(r.service.Name, earliestStart(now, r.route)); ok && e.versionsConfirmed(now, answer) && e.serviceCertain(now, r, answer) {
+		since := e.startedSince(now, earliestStart(now, r.route), r.host, r.path)
+		if only, ok := e.Watcher.Versions.Only(r.service.Name, since); ok && e.versionsConfirmed(now, answer) && e.serviceCertain(now, r, answer) {
 			return version.Stream{Service: r.service.Name, Version: only}, answer
 		}
 		if !e.Fleet.MissesSessions(now) {
@@ -158,7 +159,7 @@
 	e.queries.last++
 	query := &vmwire.StreamQuery{
 		ID: e.queries.last, RequestID: id, Service: r.service.Name, Host: r.host, Path: r.path, Key: r.splitKey(),
-		TargetsAge: vmwire.AgeOf(now, e.targetsSince(now, r.route)),
+		TargetsAge: vmwire.AgeOf(now, e.targetsSince(now, r)),
 	}
 	e.queries.pending[query.ID] = replies
 	e.queries.mu.Unlock()
--- a/route/past.go
+++ b/route/past.go
@@ -41,10 +41,11 @@
 	}
 }
 
-// sameTargets reports whether two lists of routes select the same service for each request.
+// sameTargets reports whether two lists of routes select the same service for each request, for the same time.
 func sameTargets(a, b []Route) bool {
 	return slices.EqualFunc(a, b, func(a, b Route) bool {
-		return a.Host == b.Host && a.Prefix == b.Prefix && a.KeepsService() == b.KeepsService() && slices.Equal(a.Split, b.Split)
+		return a.Host == b.Host && a.Prefix == b.Prefix && a.KeepsService() == b.KeepsService() && a.Timeout == b.Timeout &&
+			slices.Equal(a.Split, b.Split)
 	})
 }
 
@@ -90,6 +91,24 @@
 	return services, !t.pastSince.After(since)
 }
 
+// EarlierRoute is a route of an earlier configuration.
+type EarlierRoute struct {
+	*Route
+	// Until is the time at which the next configuration replaced it.
+	Until time.Time
+}
+
+// Earlier returns the routes of a host and path in the earlier configurations that are kept, the latest first.
+func (t *Table) Earlier(host, path string) []EarlierRoute {
+	var routes []EarlierRoute
+	for _, past := range t.past {
+		if r := past.byHost.match(host, path); r != nil {
+			routes = append(routes, EarlierRoute{Route: r, Until: past.until})
+		}
+	}
+	return routes
+}
+
 // appendTargets appends the services to which requests with a key are sent, unless the list has them. Where a route distributes requests
 // by another key, these are all of its services.
 func (x routeIndex) appendTargets(services []string, host, path, key string) []string {
