edge: name the version of all forwarded streams

What callers saw: one answer joined from two software versions.

Cause: a VM names the version of a stream to the VM that forwarded it only if its own configuration lets the stream be resumed. The other one may have an older configuration that does, and then resumed it at any version.

Change: a VM that serves a forwarded stream names its version always.

Evidence: TestStreamOfUnknownVersionIsJoined failed before in 2 of 2 runs: events 1 and 2 were written by v1, 3 to 8 by v2, and the answer ended as complete. It passes with the change, with the other tests of streams (-race, -run 'Stream|Version', one run).

--- a/edge/streamreport.go
+++ b/edge/streamreport.go
@@ -38,7 +38,8 @@
 
 // streamBegan binds a stream to the version of the upstream that sent its first event.
 func (e *Edge) streamBegan(r *request, v string) {
-	if r.streamVersion.bound || !r.route.Resumable {
+	// The VM that forwarded a request may have a configuration in which its stream can be resumed.
+	if r.streamVersion.bound || !r.route.Resumable && !r.forwarded {
 		return
 	}
 	r.streamVersion = streamVersion{bound: true, version: v}
--- a/edge/streamservice_test.go
+++ b/edge/streamservice_test.go
@@ -358,3 +358,32 @@
 		t.Errorf("another VM is told of %v, want also the earlier service", reply.Targets)
 	}
 }
+
+// Guards against an answer that is joined from two versions: the VM that began it does not name the version, since it has a newer
+// configuration in which the route's streams cannot be resumed.
+func TestStreamOfUnknownVersionIsJoined(t *testing.T) {
+	w := newTestCluster(t, "north", "south")
+	w.publishConfig(1, longRouteJSON())
+	cut := make(chan struct{})
+	endFirst := sync.OnceFunc(func() { close(cut) })
+	w.addVersion("first", "v1", "south", cut)
+	t.Cleanup(endFirst) // An upstream's server waits for its handlers.
+	v, south := w.startVM("vm1", "north", true), w.startVM("vm2", "south", true)
+	w.waitForMembership()
+	south.Watcher.AcceptConfig([]byte(configJSON(2, strings.Replace(longRouteJSON(), `"resumable":true`, `"resumable":false`, 1))))
+	w.waitFor("the south reports a wait", func() bool {
+		_, _, ok := v.Fleet.ExpectedWait(v.Now(), "south", "plain", 0)
+		return ok && south.knowsUpstreams("plain", 1)
+	})
+	resp, err := http.DefaultClient.Do(v.request(t, "/a/", "x", extraHeaders{platform.HeaderDeadline: "8000"}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	w.addVersion("second", "v2", "north", nil)
+	w.waitFor("the second upstream is known", func() bool { return v.knowsUpstreams("plain", 2) })
+	endFirst()
+	if body, err := io.ReadAll(resp.Body); err == nil || strings.Contains(string(body), "v2") {
+		t.Errorf("error %v, answer %q", err, body)
+	}
+}
