vm: leave no gap in the numbers of a stream whose frame was not sent

What callers saw: all requests that two VMs exchanged were broken off at once, on a congested link.

Cause: a frame took its number before it waited for a place in the queue of the session. A question for a further run gives up after 500 ms, and the stream then goes on with the next number; the VM that receives it ends the session, since a number is missing.

Change: a frame that was not queued gives back its number and its credit.

Evidence: TestFrameThatIsNotSentLeavesNoGap failed before with 'next frame 1, credit 65525, want 0 and 65536' and passes with the change, as do the tests of the package (-race). That the session ends is by reading receiveData; no run showed it.

--- a/vm/session_test.go
+++ b/vm/session_test.go
@@ -272,3 +272,17 @@
 		t.Error("the session ends although a frame has just arrived")
 	}
 }
+
+// Guards against a session that ends with all its streams, since a frame that a full queue did not take left a gap in the numbers of a stream.
+func TestFrameThatIsNotSentLeavesNoGap(t *testing.T) {
+	s := &Session{writeQueue: make(chan *[]byte), done: make(chan struct{})}
+	st := newStream(s, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := st.SendChunk(ctx, &vmwire.Chunk{RunRequest: 2}); err == nil {
+		t.Fatal("the full queue has taken a frame")
+	}
+	if st.nextSendSeq != 0 || st.credit != WindowBytes {
+		t.Errorf("next frame %d, credit %d, want 0 and %d", st.nextSendSeq, st.credit, WindowBytes)
+	}
+}
--- a/vm/stream.go
+++ b/vm/stream.go
@@ -88,7 +88,20 @@
 		return err
 	}
 	f := vmwire.Frame{Kind: vmwire.KindData, Stream: st.id, Seq: seq, Body: body}
-	return st.session.sendFrame(ctx, &f)
+	if err := st.session.sendFrame(ctx, &f); err != nil {
+		st.returnCredit(int64(len(body)))
+		return err
+	}
+	return nil
+}
+
+// returnCredit gives back n bytes of credit and the latest sequence number, since the frame was not sent. The peer ends a session in which a
+// number is missing.
+func (st *Stream) returnCredit(n int64) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.credit += n
+	st.nextSendSeq--
 }
 
 // reserveCredit waits for n bytes of credit, takes them and returns the next sequence number.
