source: know of configurations that were not read

What callers saw: a stream that its caller resumed went on at another service. The VM that began it had a configuration that moved the route and was replaced soon after; the VM at which it was resumed had read only the ones before and after, as after a watch whose history is gone, or a configuration taken from another VM.

Cause: a VM took all configurations between two that it had read for known, and said so to other VMs.

Change: a configuration that comes with a full read of the store, or from another VM, marks a gap. Streams from before it that no VM knows are refused, unless another VM knows all configurations.

TestSkippedConfigHidesService failed before with 'services [plain] are known' and passes with the change, with the other tests of services that streams keep, and those of route and source.

--- a/edge/streamservice_test.go
+++ b/edge/streamservice_test.go
@@ -387,3 +387,18 @@
 		t.Errorf("error %v, answer %q", err, body)
 	}
 }
+
+// Guards against a stream that goes on at another service at a VM that has not read the configuration which chose the service.
+func TestSkippedConfigHidesService(t *testing.T) {
+	w := newTestCluster(t, "north")
+	w.publishSplit(1, "plain 1")
+	v := w.startVM("vm1", "north", true)
+	since := v.Now()
+	v.Watcher.AcceptConfig([]byte(configJSON(3, splitRouteJSON("plain 1"))))
+	if services, known := v.possibleTargets(since, "h", "/a/", ""); known {
+		t.Errorf("services %v are known, although version 2 was not read", services)
+	}
+	if u := v.table().Unchanged(); u.From != 3 || u.Since.Before(since) {
+		t.Errorf("other VMs are told of %+v", u)
+	}
+}
--- a/route/past.go
+++ b/route/past.go
@@ -34,8 +34,10 @@
 	}
 	for i, past := range t.past {
 		if i == maxPast || now.Sub(past.until) > pastRetention {
-			t.past, t.pastSince = t.past[:i], past.until
-			t.firstVersion = 0
+			t.past = t.past[:i]
+			if past.until.After(t.pastSince) {
+				t.pastSince, t.firstVersion = past.until, 0
+			}
 			break
 		}
 	}
@@ -52,6 +54,12 @@
 // MarkFirst records that no configuration was in force before that of the table.
 func (t *Table) MarkFirst() { t.past, t.pastSince = nil, time.Time{} }
 
+// MarkGap records that configurations may have been in force before that of the table which were not read. It is in force from now on.
+func (t *Table) MarkGap(now time.Time) {
+	t.pastSince = now
+	t.firstVersion, t.unchangedFrom = t.Config.Version, t.Config.Version
+}
+
 // Unchanged states that the routes of all configurations from version From to To choose the same services, and that nothing else has been in
 // force since a time, which is zero if no earlier configuration has existed.
 type Unchanged struct {
@@ -62,7 +70,7 @@
 // Unchanged returns what the table knows of the time before, for other VMs.
 func (t *Table) Unchanged() Unchanged {
 	u := Unchanged{From: t.unchangedFrom, To: t.Config.Version, Since: t.pastSince}
-	if len(t.past) > 0 {
+	if len(t.past) > 0 && t.past[0].until.After(u.Since) {
 		u.Since = t.past[0].until
 	}
 	return u
--- a/source/source.go
+++ b/source/source.go
@@ -328,7 +328,7 @@
 	switch {
 	case item.Key == platform.ConfigKey:
 		if !item.Deleted {
-			s.AcceptConfigItem(item)
+			s.acceptConfig(item, !s.synced)
 		}
 	case strings.HasPrefix(item.Key, platform.EvacuatePrefix):
 		domain := strings.TrimPrefix(item.Key, platform.EvacuatePrefix)
@@ -344,7 +344,10 @@
 func (s *Watcher) AcceptConfig(value []byte) { s.AcceptConfigItem(platform.Item{Value: value}) }
 
 // AcceptConfigItem is AcceptConfig for an item of the store. If its key was created with it, the configuration is the first one.
-func (s *Watcher) AcceptConfigItem(item platform.Item) {
+func (s *Watcher) AcceptConfigItem(item platform.Item) { s.acceptConfig(item, true) }
+
+// acceptConfig is AcceptConfigItem. skipped is set if configurations between the active one and this one may not have been read.
+func (s *Watcher) acceptConfig(item platform.Item, skipped bool) {
 	s.acceptMu.Lock()
 	defer s.acceptMu.Unlock()
 	c, err := platform.DecodeConfig(item.Value)
@@ -363,6 +366,9 @@
 	if old == nil && item.Created != 0 && item.Created == item.Revision {
 		t.MarkFirst()
 	}
+	if old != nil && skipped {
+		t.MarkGap(s.Now())
+	}
 	for _, u := range s.unchanged {
 		t = t.Extend(u)
 	}
