--- a/edge/streamservice_test.go
+++ b/edge/streamservice_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -341,3 +342,69 @@
 		}
 	}
 }
+
+// Guards against a stream that counts as begun after its service changed, because its route gives streams less time since then.
+func TestShorterTimeoutHidesEarlierService(t *testing.T) {
+	w := newTestCluster(t, "north")
+	w.publishSplit(1, "plain 1")
+	v := w.startVM("vm1", "north", true)
+	const longer, shorter = `"timeout_ms":8000`, `"timeout_ms":100`
+	v.Watcher.AcceptConfig([]byte(configJSON(2, strings.Replace(splitRouteJSON("plain 1"), longer, shorter, 1))))
+	v.Watcher.AcceptConfig([]byte(configJSON(3, strings.Replace(splitRouteJSON("engine 1"), longer, shorter, 1))))
+	table := v.table()
+	r := &request{host: "h", path: "/a/", route: table.Match("h", "/a/"), service: table.Service("engine")}
+	for after, want := range map[time.Duration]bool{7 * time.Second: false, time.Minute: true} {
+		if got := v.serviceCertain(v.Now().Add(after), r, streamAnswer{}); got != want {
+			t.Errorf("%v after the change: certain %v, want %v", after, got, want)
+		}
+	}
+	now, reply := v.Now().Add(7*time.Second), vmwire.StreamReply{}
+	v.addTargets(now, &vmwire.StreamQuery{Host: "h", Path: "/a/", TargetsAge: vmwire.AgeOf(now, now.Add(-time.Second))}, &reply)
+	if !slices.Contains(reply.Targets, "plain") {
+		t.Errorf("another VM is told of %v, want also the earlier service", reply.Targets)
+	}
+}
+
+// Guards against an answer that is joined from two versions: the VM that began it does not name the version, since it has a newer
+// configuration in which the route's streams cannot be resumed.
+func TestStreamOfUnknownVersionIsJoined(t *testing.T) {
+	w := newTestCluster(t, "north", "south")
+	w.publishConfig(1, longRouteJSON())
+	cut := make(chan struct{})
+	endFirst := sync.OnceFunc(func() { close(cut) })
+	w.addVersion("first", "v1", "south", cut)
+	t.Cleanup(endFirst) // An upstream's server waits for its handlers.
+	v, south := w.startVM("vm1", "north", true), w.startVM("vm2", "south", true)
+	w.waitForMembership()
+	south.Watcher.AcceptConfig([]byte(configJSON(2, strings.Replace(longRouteJSON(), `"resumable":true`, `"resumable":false`, 1))))
+	w.waitFor("the south reports a wait", func() bool {
+		_, _, ok := v.Fleet.ExpectedWait(v.Now(), "south", "plain", 0)
+		return ok && south.knowsUpstreams("plain", 1)
+	})
+	resp, err := http.DefaultClient.Do(v.request(t, "/a/", "x", extraHeaders{platform.HeaderDeadline: "8000"}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	w.addVersion("second", "v2", "north", nil)
+	w.waitFor("the second upstream is known", func() bool { return v.knowsUpstreams("plain", 2) })
+	endFirst()
+	if body, err := io.ReadAll(resp.Body); err == nil || strings.Contains(string(body), "v2") {
+		t.Errorf("error %v, answer %q", err, body)
+	}
+}
+
+// Guards against a stream that goes on at another service at a VM that has not read the configuration which chose the service.
+func TestSkippedConfigHidesService(t *testing.T) {
+	w := newTestCluster(t, "north")
+	w.publishSplit(1, "plain 1")
+	v := w.startVM("vm1", "north", true)
+	since := v.Now()
+	v.Watcher.AcceptConfig([]byte(configJSON(3, splitRouteJSON("plain 1"))))
+	if services, known := v.possibleTargets(since, "h", "/a/", ""); known {
+		t.Errorf("services %v are known, although version 2 was not read", services)
+	}
+	if u := v.table().Unchanged(); u.From != 3 || u.Since.Before(since) {
+		t.Errorf("other VMs are told of %+v", u)
+	}
+}
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -138,7 +138,8 @@
 		if found, ok := e.Streams.FindForwarded(now, id); ok && answer.replies == answer.asked && !e.Fleet.MissesSessions(now) {
 			return found, answer
 		}
-		if only, ok := e.Watcher.Versions.Only(r.service.Name, earliestStart(now, r.route)); ok && e.versionsConfirmed(now, answer) && e.serviceCertain(now, r, answer) {
+		since := e.startedSince(now, earliestStart(now, r.route), r.host, r.path)
+		if only, ok := e.Watcher.Versions.Only(r.service.Name, since); ok && e.versionsConfirmed(now, answer) && e.serviceCertain(now, r, answer) {
 			return version.Stream{Service: r.service.Name, Version: only}, answer
 		}
 		if !e.Fleet.MissesSessions(now) {
@@ -161,7 +162,7 @@
 	e.queries.last++
 	query := &vmwire.StreamQuery{
 		ID: e.queries.last, RequestID: id, Service: r.service.Name, Host: r.host, Path: r.path, Key: r.splitKey(),
-		TargetsAge: vmwire.AgeOf(now, e.targetsSince(now, r.route)),
+		TargetsAge: vmwire.AgeOf(now, e.targetsSince(now, r)),
 	}
 	e.queries.pending[query.ID] = replies
 	e.queries.mu.Unlock()
--- a/route/past.go
+++ b/route/past.go
@@ -34,23 +34,32 @@
 	}
 	for i, past := range t.past {
 		if i == maxPast || now.Sub(past.until) > pastRetention {
-			t.past, t.pastSince = t.past[:i], past.until
-			t.firstVersion = 0
+			t.past = t.past[:i]
+			if past.until.After(t.pastSince) {
+				t.pastSince, t.firstVersion = past.until, 0
+			}
 			break
 		}
 	}
 }
 
-// sameTargets reports whether two lists of routes select the same service for each request.
+// sameTargets reports whether two lists of routes select the same service for each request, for the same time.
 func sameTargets(a, b []Route) bool {
 	return slices.EqualFunc(a, b, func(a, b Route) bool {
-		return a.Host == b.Host && a.Prefix == b.Prefix && a.KeepsService() == b.KeepsService() && slices.Equal(a.Split, b.Split)
+		return a.Host == b.Host && a.Prefix == b.Prefix && a.KeepsService() == b.KeepsService() && a.Timeout == b.Timeout &&
+			slices.Equal(a.Split, b.Split)
 	})
 }
 
 // MarkFirst records that no configuration was in force before that of the table.
 func (t *Table) MarkFirst() { t.past, t.pastSince = nil, time.Time{} }
 
+// MarkGap records that configurations may have been in force before that of the table which were not read. It is in force from now on.
+func (t *Table) MarkGap(now time.Time) {
+	t.pastSince = now
+	t.firstVersion, t.unchangedFrom = t.Config.Version, t.Config.Version
+}
+
 // Unchanged states that the routes of all configurations from version From to To choose the same services, and that nothing else has been in
 // force since a time, which is zero if no earlier configuration has existed.
 type Unchanged struct {
@@ -61,7 +70,7 @@
 // Unchanged returns what the table knows of the time before, for other VMs.
 func (t *Table) Unchanged() Unchanged {
 	u := Unchanged{From: t.unchangedFrom, To: t.Config.Version, Since: t.pastSince}
-	if len(t.past) > 0 {
+	if len(t.past) > 0 && t.past[0].until.After(u.Since) {
 		u.Since = t.past[0].until
 	}
 	return u
@@ -110,6 +119,24 @@
 	return false
 }
 
+// EarlierRoute is a route of an earlier configuration.
+type EarlierRoute struct {
+	*Route
+	// Until is the time at which the next configuration replaced it.
+	Until time.Time
+}
+
+// Earlier returns the routes of a host and path in the earlier configurations that are kept, the latest first.
+func (t *Table) Earlier(host, path string) []EarlierRoute {
+	var routes []EarlierRoute
+	for _, past := range t.past {
+		if r := past.byHost.match(host, path); r != nil {
+			routes = append(routes, EarlierRoute{Route: r, Until: past.until})
+		}
+	}
+	return routes
+}
+
 // appendTargets appends the services to which requests with a key are sent, unless the list has them. Where a route distributes requests
 // by another key, these are all of its services.
 func (x routeIndex) appendTargets(services []string, host, path, key string) []string {
