memory: let a holder that holds nothing exceed its share

A body of 1.5 MB at a VM with 16 MB got 503 memoryFull for ever, with the advice to retry: it exceeds the share of a workspace, although nothing was held (seen by the review). TestBudgetLimits failed before in its new step.

--- a/memory/budget.go
+++ b/memory/budget.go
@@ -48,7 +48,8 @@
 	if b.used+n > b.limit {
 		return ErrFull
 	}
-	if b.held[holder]+n > int64(b.holderShare*float64(b.limit)) {
+	// What exceeds the share alone could never be held.
+	if b.held[holder] > 0 && b.held[holder]+n > int64(b.holderShare*float64(b.limit)) {
 		return ErrShareFull
 	}
 	b.used += n
--- a/memory/memory_test.go
+++ b/memory/memory_test.go
@@ -43,6 +43,14 @@
 	if !b.IsShort("u1") || b.IsShort("u3") {
 		t.Errorf("short for u1: %v, for u3: %v, want for u1 only", b.IsShort("u1"), b.IsShort("u3"))
 	}
+	second.Release()
+	if err := second.Reserve(limit/2 + 1); !errors.Is(err, ErrFull) {
+		t.Errorf("more than is left: %v", err)
+	}
+	first.Release()
+	if err := second.Reserve(limit/2 + 1); err != nil {
+		t.Errorf("a body above the share of a holder without another one: %v", err)
+	}
 	for _, buffer := range []*Buffer{first, second, third} {
 		buffer.Release()
 		buffer.Release()
