edge: take an empty resumption without a length for the end of its stream

Callers of upstreams that never send a length got all events and then a broken answer when the upstream stopped after them: the VM resumed the stream, and the empty answer of the other upstream, without a length as well, counted as cut off (shown by the review of the check of killed upstreams). A caller that resumed such a stream after its last event got 502.

An empty answer to a resumption confirms the end, if its upstream is still there. HEAD answers have no body to cut off.

TestEmptyResumptionConfirmsEnd failed before in both parts: unexpected EOF after five events, and 502.

--- a/edge/events.go
+++ b/edge/events.go
@@ -116,19 +116,18 @@
 }
 
 // complete reports whether a read error is the end of the complete stream. A stream that ends with its connection and has no
-// event was cut off.
+// event was cut off, unless it goes on after the last event of the caller.
 func (s *eventRelay) complete(err error) bool {
-	return errors.Is(err, io.EOF) && s.pending.Len() == 0 && (s.answer.Framed || s.started)
+	return errors.Is(err, io.EOF) && s.pending.Len() == 0 && (s.answer.Framed || s.started || s.request.goesOn())
 }
 
 // checkEnd returns the error with which a stream has ended that ends between two events: io.EOF if that is the end of the answer.
 func (s *eventRelay) checkEnd() error {
-	err := error(io.EOF)
 	if s.started {
-		err = cmp.Or(s.edge.checkUnsizedEnd(s.request, s.pick, s.answer), err)
-		s.edge.framing.record(s.request.streamKind(), s.answer.Framed)
+		defer s.edge.framing.record(s.request.streamKind(), s.answer.Framed)
 	}
-	return err
+	nothingFollows := !s.started && s.request.goesOn()
+	return cmp.Or(s.edge.checkUnsizedEnd(s.request, s.pick, s.answer, nothingFollows), error(io.EOF))
 }
 
 // sendHead sends the head of the answer unless the caller has one. It is called once there is something to send after it,
--- a/edge/send.go
+++ b/edge/send.go
@@ -158,7 +158,7 @@
 	}()
 	err := e.readAnswer(a, pick.ID, body)
 	if err == nil {
-		err = e.checkUnsizedEnd(r, pick, a)
+		err = e.checkUnsizedEnd(r, pick, a, false)
 	}
 	noMemory := memory.IsFull(err) || errors.Is(err, errAnswerStuck)
 	if noMemory {
@@ -264,7 +264,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			if cutErr := e.checkUnsizedEnd(r, pick, a); cutErr != nil {
+			if cutErr := e.checkUnsizedEnd(r, pick, a, false); cutErr != nil {
 				return fail(UpstreamFailed, cutErr.Error())
 			}
 			result = replica.Answered
--- a/edge/unsized.go
+++ b/edge/unsized.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"sync"
 
 	"parsleyhatch/event"
@@ -21,9 +22,10 @@
 
 // checkUnsizedEnd returns an error if an answer without a length may have ended too early. Nothing in the answer shows that, so
 // the upstream is checked: one that has ended has cut the answer off, unless it was leaving and has closed its listener before its last
-// answers. What is left in doubt is resumed where the route allows it: if nothing follows, the stream was complete.
-func (e *Edge) checkUnsizedEnd(r *request, pick *replica.Pick, a *upstream.Response) error {
-	if a.Framed {
+// answers. What is left in doubt is resumed where the route allows it: if nothing follows, the stream was complete. nothingFollows is set if
+// the answer is such a resumption.
+func (e *Edge) checkUnsizedEnd(r *request, pick *replica.Pick, a *upstream.Response, nothingFollows bool) error {
+	if a.Framed || r.method == http.MethodHead {
 		return nil
 	}
 	probe := probeOf(pick, r.service.Name)
@@ -34,7 +36,7 @@
 	switch {
 	case !reachable && !leaving:
 		err = errUpstreamEnded
-	case (unusual || !reachable) && r.mayResume():
+	case (unusual || !reachable) && r.mayResume() && !nothingFollows:
 		err = errEndUnconfirmed
 	}
 	if err != nil {
@@ -50,6 +52,11 @@
 	return r.headSent && r.route.Kind == route.Streaming && r.route.Resumable && !r.notResumable
 }
 
+// goesOn reports whether an answer goes on after an event that the caller has, so that it may hold none.
+func (r *request) goesOn() bool {
+	return r.route.Kind == route.Streaming && r.route.Resumable && r.lastEventID() != ""
+}
+
 const (
 	// minFramedStreams is the number of framed streams of a kind for each unsized one from which an unsized stream is unusual.
 	minFramedStreams = 20
--- a/edge/unsizedcut_test.go
+++ b/edge/unsizedcut_test.go
@@ -174,3 +174,30 @@
 		t.Errorf("%d suspected requests, want none", n)
 	}
 }
+
+// Guards against a complete stream that is broken off because the upstream that confirms its end sends no length either, and against an error for a
+// caller that resumes a complete stream.
+func TestEmptyResumptionConfirmsEnd(t *testing.T) {
+	w := newTestCluster(t, "north")
+	w.publishConfig(1, routeJSON("a", "streaming", "plain", `,"resumable":true`))
+	for _, id := range []string{"u1", "u2"} {
+		u := w.startUpstream(id, nil)
+		u.handle = func(rw http.ResponseWriter, r *http.Request) {
+			if resumed(r) {
+				writeUnsized("text/event-stream", "", endClosed)(rw, r)
+				return
+			}
+			_ = u.server.Listener.Close() // As a process that stops, without an announcement.
+			writeUnsized("text/event-stream", pieces(1, 5), endClosed)(rw, r)
+		}
+		w.registerUpstream(id, "plain", "north", u.server.Listener.Addr().String())
+	}
+	v := w.startVM("vm1", "north", true)
+	w.waitFor("both upstreams are known", func() bool { return v.knowsUpstreams("plain", 2) })
+	if status, body, err := v.read(t, "/a/", nil); status != http.StatusOK || body != pieces(1, 5) || err != nil {
+		t.Errorf("answer %d %q, error %v, want all five events", status, body, err)
+	}
+	if status, body, err := v.read(t, "/a/", extraHeaders{platform.HeaderLastEventID: "5"}); status != http.StatusOK || body != "" || err != nil {
+		t.Errorf("resumed after the last event: answer %d %q, error %v, want an empty one", status, body, err)
+	}
+}
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -113,7 +113,7 @@
 	if err != nil {
 		return ServiceResponse{}, &Failure{Kind: Broken, Err: fmt.Errorf("read from service: %w", err)}
 	}
-	unsized := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	unsized := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && req.Method != http.MethodHead
 	return ServiceResponse{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body, unsized: unsized}, nil
 }
 
