--- a/soak/streamreport.go
+++ b/soak/streamreport.go
@@ -17,8 +17,6 @@
 
 // countStreams describes the streams that callers resume: how many attempts bring something, and how many streams are joined of two.
 func (h *history) countStreams(b bounds) string {
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	var named, unnamed joinCount
 	for _, attempts := range h.attemptsByStream() {
 		count, origin := &unnamed, ""
@@ -49,8 +47,6 @@
 
 // describeResumptions writes a line for each attempt that resumes a stream.
 func (h *history) describeResumptions(w io.Writer) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	for _, attempts := range h.attemptsByStream() {
 		origin := ""
 		for i, r := range attempts {
