--- a/vmwire/schema.go
+++ b/vmwire/schema.go
@@ -13,7 +13,7 @@
 //msgp:tuple Frame Hello Open Chunk End Window Heartbeat HeartbeatAck SlotView IngressVM ConfigRequest ConfigParts Part
 //msgp:tuple Load UpstreamLoad ModelWait Summary PoolSummary TokenRequest TokenGrant SuspectRequest Handover HandoverRequest HandoverRecord
 //msgp:tuple Presence WorkspaceUsage UpstreamLoads SenderLoad UpstreamSums UpstreamSum ServiceWait KnownVM StoreItem StoreQuery StoreReply
-//msgp:tuple RunGrant PartReport PartCrash PartCompletion UpstreamAnswer
+//msgp:tuple RunGrant PartReport PartCrash PartCompletion
 
 // Age is the time since a moment, in milliseconds. VMs have no common clock, so that messages carry ages instead of times. An age never
 // makes a moment look newer to the receiver than it is to the sender. See age.go.
@@ -493,11 +493,3 @@
 	// Age is the time since the completion.
 	Age Age
 }
-
-// UpstreamAnswer is an answer of an upstream, which shows that it did not crash earlier.
-type UpstreamAnswer struct {
-	Upstream string
-	Born     int64
-	// Age is the time since the answered request was sent.
-	Age Age
-}
--- a/vmwire/upstreams.go
+++ b/vmwire/upstreams.go
@@ -4,7 +4,7 @@
 
 //msgp:limit arrays:4096 maps:256
 
-//msgp:tuple UpstreamLimits UpstreamLimit UpstreamLoss
+//msgp:tuple UpstreamLimits UpstreamLimit UpstreamLoss UpstreamAnswer
 
 // UpstreamLimits shares the limits that upstreams have announced among the VMs of their region.
 type UpstreamLimits struct {
@@ -36,3 +36,11 @@
 	// Age is the time since the first attempt that failed.
 	Age Age
 }
+
+// UpstreamAnswer is an answer of an upstream, which shows that it did not crash earlier.
+type UpstreamAnswer struct {
+	Upstream string
+	Born     int64
+	// Age is the time since the answered request was sent.
+	Age Age
+}
--- a/vmwire/upstreams_gen.go
+++ b/vmwire/upstreams_gen.go
@@ -12,6 +12,117 @@
 	z749af157limitMaps   = 256
 )
 
+// DecodeMsg implements msgp.Decodable
+func (z *UpstreamAnswer) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z749af157limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Upstream, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Upstream")
+		return
+	}
+	z.Born, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "Born")
+		return
+	}
+	err = z.Age.DecodeMsg(dc)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *UpstreamAnswer) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Upstream)
+	if err != nil {
+		err = msgp.WrapError(err, "Upstream")
+		return
+	}
+	err = en.WriteInt64(z.Born)
+	if err != nil {
+		err = msgp.WrapError(err, "Born")
+		return
+	}
+	err = z.Age.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *UpstreamAnswer) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendString(o, z.Upstream)
+	o = msgp.AppendInt64(o, z.Born)
+	o, err = z.Age.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *UpstreamAnswer) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Upstream, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Upstream")
+		return
+	}
+	z.Born, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Born")
+		return
+	}
+	bts, err = z.Age.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *UpstreamAnswer) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Upstream) + msgp.Int64Size + z.Age.Msgsize()
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *UpstreamLimit) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
