--- a/edge/send.go
+++ b/edge/send.go
@@ -207,7 +207,7 @@
 	}
 	e.Replicas.Done(e.Now(), pick, replica.Failed)
 	if ctx.Err() != nil {
-		return fail(TimedOut, "the answer was not whole in time")
+		return fail(TimedOut, "the answer was not complete in time")
 	}
 	e.reportCrash(r, pick, err)
 	return fail(UpstreamFailed, "read answer: "+err.Error())
--- a/edge/streamservice.go
+++ b/edge/streamservice.go
@@ -22,7 +22,7 @@
 		return Outcome{}, true
 	}
 	if r.headSent || r.streamVersion.bound {
-		return e.refuseService(r, r.chosenService, "the route has no longer the service that began the stream"), false
+		return e.refuseService(r, r.chosenService, "the route no longer has the service that began the stream"), false
 	}
 	return Outcome{}, true
 }
--- a/edge/streamservice_test.go
+++ b/edge/streamservice_test.go
@@ -361,7 +361,7 @@
 	now, reply := v.Now().Add(7*time.Second), vmwire.StreamReply{}
 	v.addTargets(now, &vmwire.StreamQuery{Host: "h", Path: "/a/", TargetsAge: vmwire.AgeOf(now, now.Add(-time.Second))}, &reply)
 	if !slices.Contains(reply.Targets, "plain") {
-		t.Errorf("another VM is told of %v, want also the earlier service", reply.Targets)
+		t.Errorf("another VM learns of %v, want also the earlier service", reply.Targets)
 	}
 }
 
@@ -405,6 +405,6 @@
 		t.Errorf("services %v are known, although version 2 was not read", services)
 	}
 	if u := v.table().Unchanged(); u.From != 3 || u.Since.Before(since) {
-		t.Errorf("other VMs are told of %+v", u)
+		t.Errorf("other VMs learn of %+v", u)
 	}
 }
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -75,7 +75,7 @@
 			"replies", answer.replies, "versionsConfirmed", e.versionsConfirmed(e.Now(), answer))
 		return refuse(VersionUnknown, "no vm knows the version of the upstream that began the stream", defaultRetryAfter), false
 	case !e.keepService(e.table(), r, found.Service):
-		return e.refuseService(r, found.Service, "the route has no longer the service that began the stream"), false
+		return e.refuseService(r, found.Service, "the route no longer has the service that began the stream"), false
 	}
 	if r.service.Name != selected {
 		event.StreamServiceKept.Log(e.Log, "request", r.id, "resumes", id, "route", r.route.Name, "service", r.service.Name, "selected", selected)
--- a/soak/history.go
+++ b/soak/history.go
@@ -278,7 +278,7 @@
 	{"answers are whole and an upstream's", "RULES MIXED", checkResponses},
 	{"streams have no gap and no repeat", "RULES ORDER", checkStreamEvents},
 	{"streams hold events of one software version", "RULES ORDER", checkStreamVersions},
-	{"streams hold whole events of one run", "RULES ORDER", checkStreamRuns},
+	{"streams hold complete events of one run", "RULES ORDER", checkStreamRuns},
 	{"callers' streams hold events of one service and software version", "RULES ORDER", checkStreamOrigins},
 	{"callers resume while their version serves", "RULES LOST", checkResumptions},
 	{"upstreams get what callers sent", "RULES UNASKED", checkForwardedRequests},
--- a/soak/history_test.go
+++ b/soak/history_test.go
@@ -151,13 +151,13 @@
 		{"streams hold events of one software version", kindStream, func(d *vmDouble) {
 			d.changeBody = func(text string) string { return strings.Replace(text, "version: v1", "version: v2", 1) }
 		}},
-		{"streams hold whole events of one run", kindStream, func(d *vmDouble) {
+		{"streams hold complete events of one run", kindStream, func(d *vmDouble) {
 			d.changeBody = func(text string) string { return strings.Replace(text, "run: worker id-1", "run: worker id-2", 1) }
 		}},
-		{"streams hold whole events of one run", kindStream, func(d *vmDouble) {
+		{"streams hold complete events of one run", kindStream, func(d *vmDouble) {
 			d.changeBody = func(text string) string { return strings.Replace(text, "run: worker", "run: other", 1) }
 		}},
-		{"streams hold whole events of one run", kindStream, func(d *vmDouble) {
+		{"streams hold complete events of one run", kindStream, func(d *vmDouble) {
 			d.changeBody = func(text string) string { return strings.Replace(text, "version: v1\n", "", 1) }
 		}},
 		{"callers' streams hold events of one service and software version", kindStream, func(d *vmDouble) {
--- a/soak/orderforms.go
+++ b/soak/orderforms.go
@@ -152,16 +152,16 @@
 			data = value
 		}
 	}
-	whole := len(r.lines) == len(eventLines("", "", "", 0, r.load)) && number != 0 && version != "" && request != ""
+	complete := len(r.lines) == len(eventLines("", "", "", 0, r.load)) && number != 0 && version != "" && request != ""
 	addOnce(&r.got.versions, version)
 	addOnce(&r.got.services, service)
-	if whole {
+	if complete {
 		addOnce(&r.got.origins, originOf(service, version))
 	}
 	fits := data == r.load.eventData(r.sent.id, number)
 	r.got.verified = r.got.verified && fits
 	switch {
-	case !whole:
+	case !complete:
 		r.got.parts++
 	case request != r.sent.id:
 		r.got.foreign++
--- a/soak/orderforms_test.go
+++ b/soak/orderforms_test.go
@@ -8,7 +8,7 @@
 		got  response
 		want OrderForms
 	}{
-		"whole":               {response{events: []int{3, 4, 5}, complete: true}, OrderForms{}},
+		"complete":            {response{events: []int{3, 4, 5}, complete: true}, OrderForms{}},
 		"cut":                 {response{events: []int{3}}, OrderForms{}},
 		"refused":             {response{status: 503}, OrderForms{}},
 		"missing":             {response{events: []int{3, 5}, complete: true}, OrderForms{Missing: 1}},
--- a/soak/rawanswer.go
+++ b/soak/rawanswer.go
@@ -25,7 +25,7 @@
 type ending int
 
 const (
-	endWhole ending = iota
+	endComplete ending = iota
 	endFINAfterEvent
 	endResetAfterEvent
 	endFINInsideEvent
@@ -34,7 +34,7 @@
 	endings
 )
 
-var endingNames = [endings]string{"whole", "FIN after whole events", "reset after whole events", "FIN inside an event", "reset inside an event", "FIN inside the head"}
+var endingNames = [endings]string{"complete", "FIN after complete events", "reset after complete events", "FIN inside an event", "reset inside an event", "FIN inside the head"}
 
 func (e ending) resets() bool { return e == endResetAfterEvent || e == endResetInsideEvent }
 
@@ -157,7 +157,7 @@
 	return e
 }
 
-// rawWire is a whole answer in bytes, with the places where it may be cut.
+// rawWire is a complete answer in bytes, with the places where it may be cut.
 type rawWire struct {
 	data    []byte
 	headEnd int
@@ -165,7 +165,7 @@
 	starts, ends []int
 }
 
-// encode encodes the whole answer.
+// encode encodes the complete answer.
 func (a *rawAnswer) encode(head string, events []rawEvent) rawWire {
 	head = strings.TrimSuffix(head, "\r\n") + "\r\n"
 	if a.closes {
@@ -207,14 +207,14 @@
 	return count
 }
 
-// length returns the number of bytes up to the end of the answer. An answer that has no place for its cut ends whole.
+// length returns the number of bytes up to the end of the answer. An answer that has no place for its cut ends complete.
 func (a *rawAnswer) length(w *rawWire) int {
 	count := len(w.ends)
 	switch {
 	case a.end == endFINInsideHead:
 		return 1 + int(a.position*float64(w.headEnd-1))
 	case count == 0:
-		a.end = endWhole
+		a.end = endComplete
 	}
 	event := int(a.cutAt * float64(count))
 	switch a.end {
--- a/soak/rawanswer_test.go
+++ b/soak/rawanswer_test.go
@@ -33,8 +33,8 @@
 		got := response{lastEvent: l.events, status: resp.StatusCode}
 		got.readBody(request{id: "id-1", kind: kindStream, lastEvent: 2}, &l, resp)
 		wholeEvents := a.end != endFINInsideEvent && a.end != endResetInsideEvent
-		if looksWhole := a.end == endWhole || a.framing == framingNone; got.complete != looksWhole || !isConsecutive(2, got.events) ||
-			(a.end == endWhole) != (len(got.events) == l.events-2) || got.complete && (got.parts == 0) != wholeEvents || !got.verified {
+		if looksWhole := a.end == endComplete || a.framing == framingNone; got.complete != looksWhole || !isConsecutive(2, got.events) ||
+			(a.end == endComplete) != (len(got.events) == l.events-2) || got.complete && (got.parts == 0) != wholeEvents || !got.verified {
 			t.Errorf("%s, %+v: events %v, %d parts, complete %v, verified %v", &a, a.style, got.events, got.parts, got.complete, got.verified)
 		}
 	}
@@ -59,7 +59,7 @@
 			if a.framing == framingNone && (a.end == endFINAfterEvent || a.end == endFINInsideEvent && !stream) {
 				t.Fatalf("stream %v: %s", stream, &a)
 			}
-			if a := drawAnswer(rand.New(rand.NewPCG(seed, 1)), rawEnds{Unmarked: true}, stream); a.end != endWhole {
+			if a := drawAnswer(rand.New(rand.NewPCG(seed, 1)), rawEnds{Unmarked: true}, stream); a.end != endComplete {
 				t.Fatalf("no cuts allowed: %s", &a)
 			}
 		}
--- a/soak/rawprocess.go
+++ b/soak/rawprocess.go
@@ -48,7 +48,7 @@
 		return nil, fmt.Errorf("start upstream %s: %w", settings.ID, err)
 	}
 	p.reports = json.NewDecoder(bufio.NewReader(output))
-	p.tell(settings)
+	p.send(settings)
 	var first rawReport
 	if err := p.reports.Decode(&first); err != nil || first.Address == "" {
 		_ = p.command.Process.Kill()
@@ -59,8 +59,8 @@
 	return p, nil
 }
 
-// tell writes a line to the standard input of the process.
-func (p *rawProcess) tell(line any) {
+// send writes a line to the standard input of the process.
+func (p *rawProcess) send(line any) {
 	p.controlMu.Lock()
 	defer p.controlMu.Unlock()
 	_ = json.NewEncoder(p.control).Encode(line) // The process may have been killed.
@@ -108,7 +108,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p.tell(s.rawEnds)
+	p.send(s.rawEnds)
 	return &upstreamServer{id: id, version: version, load: s.load, history: s.history, process: p}, nil
 }
 
@@ -119,7 +119,7 @@
 		defer s.mu.Unlock()
 		change(&s.rawEnds, on)
 		for _, u := range s.upstreams {
-			u.process.tell(s.rawEnds)
+			u.process.send(s.rawEnds)
 		}
 	}
 	set(true)
--- a/soak/rawrows.go
+++ b/soak/rawrows.go
@@ -15,7 +15,7 @@
 	order OrderForms
 }
 
-// answerRows counts the runs of streams by row. A whole answer that broke off nevertheless is that of an upstream that was killed. The
+// answerRows counts the runs of streams by row. A complete answer that broke off nevertheless is that of an upstream that was killed. The
 // caller holds mu.
 func (h *history) answerRows() map[string]rowCounts {
 	rows := map[string]rowCounts{}
@@ -25,7 +25,7 @@
 		}
 		for i, e := range executions {
 			row := e.row
-			if e.brokeOff && strings.HasSuffix(row, endingNames[endWhole]) {
+			if e.brokeOff && strings.HasSuffix(row, endingNames[endComplete]) {
 				row += ", killed"
 			}
 			c := rows[row]
--- a/soak/rawupstream.go
+++ b/soak/rawupstream.go
@@ -28,7 +28,7 @@
 
 // rawEnds is each later line: the ends of answers that a raw upstream may play from now on.
 type rawEnds struct {
-	// Cut allows ends that a VM can tell from the regular end of an answer.
+	// Cut allows ends that a VM can distinguish from the regular end of an answer.
 	Cut bool `json:"cut"`
 	// Unmarked allows the end that it can't: answers with neither a length nor chunks that end with FIN between two events.
 	Unmarked bool `json:"unmarked"`
@@ -159,14 +159,14 @@
 		Unmodified: r.Method == http.MethodPost && body == u.load.requestBody(came.ID) && r.URL.RawQuery == "q="+came.ID,
 	}})
 	err := writeSegments(c, wire.data, answer.segments(rng, &wire, send))
-	u.report(rawReport{End: &rawRunEnd{Run: run, BrokeOff: answer.end != endWhole}})
+	u.report(rawReport{End: &rawRunEnd{Run: run, BrokeOff: answer.end != endComplete}})
 	if err != nil {
 		return false
 	}
 	if answer.end.resets() {
 		_ = c.SetLinger(0) // Makes Close send a reset.
 	}
-	return answer.end == endWhole && answer.framing != framingNone && !answer.closes
+	return answer.end == endComplete && answer.framing != framingNone && !answer.closes
 }
 
 // newRand returns the source of the draws for one answer, which depend on the seed, the upstream and the request only.
@@ -176,7 +176,7 @@
 	return rand.New(rand.NewPCG(u.settings.Seed, sum.Sum64()))
 }
 
-// encode encodes the whole answer to a request.
+// encode encodes the complete answer to a request.
 func (u *rawUpstream) encode(a *rawAnswer, id, lastEvent string) rawWire {
 	fields := "Server-Stamp: stamp-" + id
 	if !a.stream {
