--- a/edge/unsizedcut_test.go
+++ b/edge/unsizedcut_test.go
@@ -127,7 +127,7 @@
 }
 
 // Guards against an incomplete answer that looks complete to a caller that speaks HTTP/1.0, for which an answer ends with its connection.
-func TestBrokenAnswerLooksCompleteToHTTP10(t *testing.T) {
+func TestBrokenAnswerLooksCompleteToOldProtocol(t *testing.T) {
 	w := newTestCluster(t, "north")
 	w.publishConfig(1, routeJSON("a", "streaming", "plain", ""))
 	w.addUpstream("u1", "plain", "north", func(rw http.ResponseWriter, _ *http.Request) { writeEvents(rw, 1, 3, false) })
