upstream: see a reset that the write of the request has taken

What callers saw: an answer without a length that its upstream reset could look complete (a stream that ends early, ORDER; a body cut short). Cause: the kernel reports a reset to one system call. Requests above 4 KB are written in the background; if that write takes ECONNRESET, the reader gets a regular end, which ends an answer without a length. Ruled out: an idle connection's peek comes before the request, and its connection is dropped then. Change: at such an end the result of the write decides; EPIPE means that FIN had come first.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -13,9 +13,6 @@
 )
 
 const (
-	// maxSyncWriteBytes is the size of the largest request that is written before the response is read. A
-	// larger one is written concurrently, since an upstream may respond before it has read all of it.
-	maxSyncWriteBytes = 4 << 10
 	// maxReadResponses bounds the responses that are read for a request. Interim responses and responses to
 	// other requests are skipped.
 	maxReadResponses = 3
@@ -66,7 +63,7 @@
 	body              io.ReadCloser
 	complete          bool
 	malformed         bool
-	writeResult       <-chan error
+	write             *requestWrite
 	stopCloseOnCancel func() bool
 	closed            bool
 	aborted           atomic.Bool
@@ -108,7 +105,7 @@
 }
 
 func (a *Response) exchange(o *Request) error {
-	a.writeResult = a.writeRequest(o.encode())
+	a.write = startWrite(a.conn, o.encode())
 	a.conn.limiter.limit()
 	for range maxReadResponses {
 		resp, err := http.ReadResponse(a.conn.reader, &http.Request{Method: o.Method})
@@ -159,22 +156,6 @@
 	a.body = resp.Body
 }
 
-// writeRequest writes the request and returns the channel that receives the result of the write. Large requests are
-// written in the background.
-func (a *Response) writeRequest(data []byte) <-chan error {
-	written := make(chan error, 1)
-	if len(data) <= maxSyncWriteBytes {
-		_, err := a.conn.Write(data)
-		written <- err
-		return written
-	}
-	go func() {
-		_, err := a.conn.Write(data)
-		written <- err
-	}()
-	return written
-}
-
 // encode returns the request in HTTP/1.1 wire format.
 func (o *Request) encode() []byte {
 	var b bytes.Buffer
@@ -192,6 +173,9 @@
 // Read reads the body. io.EOF means that the body is complete; a truncated response returns another error.
 func (a *Response) Read(b []byte) (int, error) {
 	n, err := a.body.Read(b)
+	if errors.Is(err, io.EOF) && !a.Framed && a.write.wasReset() {
+		err = errResetWhileSending
+	}
 	if errors.Is(err, io.EOF) {
 		a.complete = true
 	}
@@ -241,7 +225,7 @@
 		a.reportUnexpected(TrailingBytes)
 	}
 	idle, keep := idleTimeout(a.Header)
-	if !open || !keep || !a.complete || !a.Framed || !a.requestWritten() || a.conn.reader.Buffered() > 0 {
+	if !open || !keep || !a.complete || !a.Framed || !a.write.succeeded() || a.conn.reader.Buffered() > 0 {
 		a.pool.discard(a.address, a.conn)
 		return
 	}
@@ -249,13 +233,3 @@
 	a.conn.patient.extend = nil
 	a.pool.putIdle(a.address, a.conn, idle)
 }
-
-// requestWritten reports whether the whole request has been written without error.
-func (a *Response) requestWritten() bool {
-	select {
-	case err := <-a.writeResult:
-		return err == nil
-	default:
-		return false
-	}
-}
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -238,6 +238,43 @@
 	}
 }
 
+// Guards against an answer without a length that looks complete because the write of the request's body has taken the error of the reset.
+func TestResetWhileBodyIsSentIsNoEnd(t *testing.T) {
+	const rounds = 20
+	for range rounds {
+		address := rawServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\na part")
+			time.Sleep(10 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0) // The close resets the connection.
+		})
+		o := newOutgoing(address, "1")
+		o.Body = make([]byte, 8<<20)
+		if body, err := doExchange(t, NewPool(time.Now), o); err == nil {
+			t.Fatalf("answer %q without an error", body)
+		}
+	}
+}
+
+// Guards against an answer without a length that counts as reset because its upstream ends the connection before it has read the body.
+func TestUnsizedResponseBeforeBodyIsRead(t *testing.T) {
+	address := rawServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\nearly")
+		_ = c.(*net.TCPConn).CloseWrite()
+		time.Sleep(200 * time.Millisecond)
+	})
+	o := newOutgoing(address, "1")
+	o.Body = make([]byte, 8<<20)
+	if body, err := doExchange(t, NewPool(time.Now), o); err != nil || body != "early" {
+		t.Errorf("answer %q, error %v", body, err)
+	}
+}
+
 // Guards against the rest of a long skipped response that is taken for a response of its own.
 func TestSkippedBodyIsNoResponse(t *testing.T) {
 	for _, bodyBytes := range []int{maxSkippedBodyBytes, maxSkippedBodyBytes + 1, 256 << 10} {
