sequence: doubt the first event of a resumption until its step is known

What callers saw: streams that miss events where they resume at an upstream that goes on too late. Whether the upstreams of the report do so is not known. Cause: a gap was seen only after 20 streams of the kind, or three events of the answer, had shown the step of the ids. Until then, after each start of a VM and each new software version, any first event was taken. Class: nothing known taken for nothing to check. Change: without knowledge the step of the stream so far, of any stream of the kind, or one is assumed. A source that goes on with a larger step is left as before, but if a second one goes on with the same event, both are right and the stream goes on there. Ruled out: exchanging steps between VMs at the start of sessions; it does not cover new versions and low rates.

--- a/edge/eventsource.go
+++ b/edge/eventsource.go
@@ -24,12 +24,10 @@
 func (e *Edge) newEventSource(r *request, upstream, vm string) *eventSource {
 	if r.sequence == nil {
 		r.sequence = sequence.New(r.resumedAfter())
-		if step, ok := e.Steps.Expected(e.Now(), r.streamKind()); ok {
-			r.sequence.Expect(step)
-		}
 	}
+	r.sequence.Expect(e.Steps.Expected(e.Now(), r.streamKind()))
 	resumes := r.headSent && r.sequence.LastID() != ""
-	return &eventSource{edge: e, request: r, upstream: upstream, vm: vm, order: r.sequence.NewSource(resumes)}
+	return &eventSource{edge: e, request: r, upstream: upstream, vm: vm, order: r.sequence.NewSource(upstream+vm, resumes)}
 }
 
 // streamKind returns the kind of streams that number their events like this one.
--- a/sequence/sequence.go
+++ b/sequence/sequence.go
@@ -7,8 +7,12 @@
 	"time"
 )
 
-// minSteps is the number of equal steps between the numbers of events after which a larger step counts as a gap.
-const minSteps = 2
+const (
+	// minSteps is the number of equal steps between the numbers of events after which a larger step counts as a gap.
+	minSteps = 2
+	// usualStep is the step of a stream about which nothing is known.
+	usualStep = 1
+)
 
 // Stream is the position of a caller in its event stream. It is used by one goroutine at a time.
 type Stream struct {
@@ -23,6 +27,12 @@
 	irregular bool
 	// unidentified is set once the caller has an event without an id: no other source can resume the stream after it.
 	unidentified bool
+	// expected is the step that other streams of the kind have had.
+	expected Expectation
+	// doubted is the number with which a source was to go on although it may leave a gap, zero if there was none, and doubtedFrom names
+	// that source.
+	doubted     int64
+	doubtedFrom string
 	// stepReported and irregularReported are set once Report has added the stream to those of its kind.
 	stepReported, irregularReported bool
 }
@@ -36,11 +46,11 @@
 	return s
 }
 
-// Expect sets the step that other streams of the kind have had. It is called before the first event, and has an effect only if the caller
-// has events of an earlier answer.
-func (s *Stream) Expect(step int64) {
-	if s.last >= 0 {
-		s.step, s.steps, s.stepReported = step, minSteps, true
+// Expect sets the step that other streams of the kind have had.
+func (s *Stream) Expect(e Expectation) {
+	s.expected = e
+	if e.Certain && s.last >= 0 && s.steps < minSteps {
+		s.stepReported = true // The stream must not confirm the step by which its events are chosen.
 	}
 }
 
@@ -89,14 +99,19 @@
 // Source is an attempt to get the events of a stream, at one upstream or through one other VM.
 type Source struct {
 	stream *Stream
+	// name tells sources apart.
+	name string
 	// resumes is set if the caller has events from an earlier source in the same answer.
 	resumes bool
 	// joined is set once an event of this source has followed those that the caller has.
 	joined bool
 }
 
-// NewSource returns a source of the stream. resumes is set if the caller has events from an earlier source in the same answer.
-func (s *Stream) NewSource(resumes bool) Source { return Source{stream: s, resumes: resumes} }
+// NewSource returns a source of the stream with the name of its upstream or VM. resumes is set if the caller has events from an earlier
+// source in the same answer.
+func (s *Stream) NewSource(name string, resumes bool) Source {
+	return Source{stream: s, name: name, resumes: resumes}
+}
 
 // Check decides about the next event of the source, which is complete. An event with the verdict Next counts as received. A block that
 // holds comments only has the verdict Next.
@@ -116,7 +131,7 @@
 		if n <= s.stream.last {
 			return Repeated
 		}
-		if !s.joined && s.stream.leavesGap(n) {
+		if !s.joined && s.stream.leavesGap(n, s.name) {
 			return Gap
 		}
 	}
@@ -126,9 +141,37 @@
 	return Next
 }
 
-// leavesGap reports whether events are missing before an event with the number n, which is greater than that of the last one.
-func (s *Stream) leavesGap(n int64) bool {
-	return !s.irregular && s.steps >= minSteps && n-s.last > s.step
+// leavesGap reports whether events are missing before an event with the number n, which is greater than that of the last one, with which
+// a source goes on. Where the step of the stream is not certain, two sources that go on with the same event show that none is missing.
+func (s *Stream) leavesGap(n int64, source string) bool {
+	step := s.nextStep()
+	switch {
+	case step.Irregular || n-s.last <= step.Step:
+		return false
+	case step.Certain:
+		return true
+	case s.doubted == n && s.doubtedFrom != source:
+		return false
+	}
+	s.doubted, s.doubtedFrom = n, source
+	return true
+}
+
+// nextStep returns what is known of the step from the last event to the next one.
+func (s *Stream) nextStep() Expectation {
+	switch {
+	case s.irregular:
+		return Expectation{Irregular: true}
+	case s.steps >= minSteps:
+		return Expectation{Step: s.step, Certain: true}
+	case s.expected.Certain || s.expected.Irregular:
+		return s.expected
+	case s.steps > 0:
+		return Expectation{Step: s.step}
+	case s.expected.Step > 0:
+		return s.expected
+	}
+	return Expectation{Step: usualStep}
 }
 
 // recordStep records the step to an event with the number n.
--- a/sequence/sequence_test.go
+++ b/sequence/sequence_test.go
@@ -28,10 +28,14 @@
 		"wide steps":             {"", []string{"10 20 30", "40", "60"}, []Verdict{next, next, next, next, gap}},
 		"other steps":            {"", []string{"1 2 4", "9"}, []Verdict{next, next, next, next}},
 		"other step once":        {"", []string{"1 3 4 5 6", "9"}, []Verdict{next, next, next, next, next, next}},
-		"one step only":          {"", []string{"1 2", "4"}, []Verdict{next, next, next}},
+		"one step only":          {"", []string{"1 2", "4", "3"}, []Verdict{next, next, gap, next}},
+		"two sources agree":      {"", []string{"1", "4", "4 5"}, []Verdict{next, gap, next, next}},
+		"two sources differ":     {"", []string{"1", "4", "5", "2"}, []Verdict{next, gap, gap, next}},
+		"one wide step":          {"", []string{"10 20", "30 40"}, []Verdict{next, next, next, next}},
 		"steps of two sources":   {"", []string{"1 2", "3", "5"}, []Verdict{next, next, next, gap}},
 		"caller resumes":         {"3", []string{"2 3 4"}, []Verdict{repeated, repeated, next}},
-		"caller resumes late":    {"3", []string{"6 7"}, []Verdict{next, next}},
+		"caller resumes late":    {"3", []string{"6", "4"}, []Verdict{gap, next}},
+		"caller resumes, agreed": {"3", []string{"6", "6 7"}, []Verdict{gap, next, next}},
 		"then a gap":             {"3", []string{"4 5", "7"}, []Verdict{next, next, gap}},
 		"texts":                  {"", []string{"a b a", "c"}, []Verdict{next, next, next, next}},
 		"text, then a number":    {"x", []string{"1 1"}, []Verdict{next, repeated}},
@@ -49,7 +53,7 @@
 			s := New(c.lastID)
 			var got []Verdict
 			for i, ids := range c.sources {
-				source := s.NewSource(i > 0)
+				source := s.NewSource(fmt.Sprint("u", i), i > 0)
 				for id := range strings.FieldsSeq(ids) {
 					got = append(got, source.Check(eventOf(id)))
 				}
@@ -74,14 +78,43 @@
 	return []byte("weight-versions: 3\nid: " + id + "\ndata: id: 1\n\n")
 }
 
+// Guards against a gap that the source confirms which leaves it, and against wide or irregular ids, shown by other streams, that are taken for gaps.
+func TestDoubtedStep(t *testing.T) {
+	for name, c := range map[string]struct {
+		expected Expectation
+		sources  []string
+		want     Verdict
+	}{
+		"nothing known, twice from one source": {Expectation{}, []string{"u1", "u1"}, Gap},
+		"nothing known, from two sources":      {Expectation{}, []string{"u1", "u2"}, Next},
+		"another step shown":                   {Expectation{Step: 3}, []string{"u1"}, Next},
+		"the usual step shown":                 {Expectation{Step: 1}, []string{"u1"}, Gap},
+		"certain":                              {Expectation{Step: 1, Certain: true}, []string{"u1", "u2"}, Gap},
+		"irregular":                            {Expectation{Irregular: true}, []string{"u1"}, Next},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := New("3")
+			s.Expect(c.expected)
+			var got Verdict
+			for _, name := range c.sources {
+				source := s.NewSource(name, true)
+				got = source.Check(eventOf("6"))
+			}
+			if got != c.want {
+				t.Errorf("verdict %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
 // Guards against an upstream that was left and goes on, because the one that took its place refused: a step of its own is no gap.
 func TestFirstSourceGoesOn(t *testing.T) {
 	s := New("")
-	first := s.NewSource(false)
+	first := s.NewSource("u1", false)
 	for _, id := range []string{"1", "2", "3"} {
 		first.Check(eventOf(id))
 	}
-	s.NewSource(true)
+	s.NewSource("u2", true)
 	if v := first.Check(eventOf("6")); v != Next || s.LastID() != "6" {
 		t.Errorf("verdict %v, last event %s", v, s.LastID())
 	}
@@ -96,7 +129,7 @@
 	s, source := New(""), Source{}
 	for i := 0; b.Loop(); i++ {
 		if i%len(events) == 0 {
-			s.last, source = -1, s.NewSource(false)
+			s.last, source = -1, s.NewSource("u1", false)
 		}
 		source.Check(events[i%len(events)])
 	}
@@ -105,7 +138,7 @@
 // Guards against a stream that begins anew after an event with an empty id: no source can go on after it.
 func TestEmptyIDIsNoPosition(t *testing.T) {
 	s := New("")
-	first := s.NewSource(false)
+	first := s.NewSource("u1", false)
 	first.Check(eventOf("1"))
 	first.Check(eventOf("_"))
 	if !s.Unidentified() || s.LastID() != "1" {
--- a/sequence/steps.go
+++ b/sequence/steps.go
@@ -64,15 +64,30 @@
 	c.irregularAt, c.streams = now, 0
 }
 
-// Expected returns the step that all streams of a kind have had recently, and whether enough of them show it.
-func (s *Steps) Expected(now time.Time, k Kind) (int64, bool) {
+// Expectation is what the streams of a kind show of the step between the numbers of their events.
+type Expectation struct {
+	// Step is the step that all of them have had recently, zero if there was none.
+	Step int64
+	// Certain is set if enough of them show it.
+	Certain bool
+	// Irregular is set if their steps differ, so that a step shows no gap.
+	Irregular bool
+}
+
+// Expected returns what the streams of a kind have shown recently.
+func (s *Steps) Expected(now time.Time, k Kind) Expectation {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.kinds[k]
-	if c == nil || c.streams < minStreams || now.Sub(c.lastAt) > s.Lifetime {
-		return 0, false
+	switch {
+	case c == nil:
+		return Expectation{}
+	case !c.irregularAt.IsZero() && now.Sub(c.irregularAt) <= s.Lifetime:
+		return Expectation{Irregular: true}
+	case c.streams == 0 || now.Sub(c.lastAt) > s.Lifetime:
+		return Expectation{}
 	}
-	return c.step, c.irregularAt.IsZero() || now.Sub(c.irregularAt) > s.Lifetime
+	return Expectation{Step: c.step, Certain: c.streams >= minStreams}
 }
 
 // kindOf returns the steps of a kind, and adds it if it is new. To bound the memory, it forgets all kinds if there are too many. The
--- a/sequence/steps_test.go
+++ b/sequence/steps_test.go
@@ -17,22 +17,22 @@
 	for name, c := range map[string]struct {
 		record func(s *Steps)
 		after  time.Duration
-		want   int64
+		want   Expectation
 	}{
-		"none":                       {func(*Steps) {}, 0, 0},
-		"too few":                    {func(s *Steps) { s.Record(now, Kind{Service: "a"}, 1) }, 0, 0},
-		"enough":                     {func(s *Steps) { enough(s, 3) }, 0, 3},
-		"long ago":                   {func(s *Steps) { enough(s, 1) }, lifetime + 1, 0},
-		"another step":               {func(s *Steps) { enough(s, 1); s.Record(now, Kind{Service: "a"}, 2); enough(s, 1) }, 0, 0},
-		"an irregular stream":        {func(s *Steps) { enough(s, 1); s.RecordIrregular(now, Kind{Service: "a"}); enough(s, 1) }, 0, 0},
-		"an irregular stream before": {func(s *Steps) { s.RecordIrregular(now.Add(-lifetime-1), Kind{Service: "a"}); enough(s, 1) }, 0, 1},
-		"of another version":         {func(s *Steps) { enough(s, 1); s.RecordIrregular(now, Kind{Service: "a", Version: "2"}) }, 0, 1},
+		"none":                       {func(*Steps) {}, 0, Expectation{}},
+		"too few":                    {func(s *Steps) { s.Record(now, Kind{Service: "a"}, 1) }, 0, Expectation{Step: 1}},
+		"enough":                     {func(s *Steps) { enough(s, 3) }, 0, Expectation{Step: 3, Certain: true}},
+		"long ago":                   {func(s *Steps) { enough(s, 1) }, lifetime + 1, Expectation{}},
+		"another step":               {func(s *Steps) { enough(s, 1); s.Record(now, Kind{Service: "a"}, 2); enough(s, 1) }, 0, Expectation{Irregular: true}},
+		"an irregular stream":        {func(s *Steps) { enough(s, 1); s.RecordIrregular(now, Kind{Service: "a"}); enough(s, 1) }, 0, Expectation{Irregular: true}},
+		"an irregular stream before": {func(s *Steps) { s.RecordIrregular(now.Add(-lifetime-1), Kind{Service: "a"}); enough(s, 1) }, 0, Expectation{Step: 1, Certain: true}},
+		"of another version":         {func(s *Steps) { enough(s, 1); s.RecordIrregular(now, Kind{Service: "a", Version: "2"}) }, 0, Expectation{Step: 1, Certain: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := NewSteps(lifetime)
 			c.record(s)
-			if step, ok := s.Expected(now.Add(c.after), Kind{Service: "a"}); step != c.want && ok || ok != (c.want != 0) {
-				t.Errorf("step %d, %v, want %d", step, ok, c.want)
+			if got := s.Expected(now.Add(c.after), Kind{Service: "a"}); got != c.want {
+				t.Errorf("%+v, want %+v", got, c.want)
 			}
 		})
 	}
@@ -44,12 +44,12 @@
 	all := NewSteps(time.Minute)
 	for range 2 * minStreams {
 		s := New("3")
-		s.Expect(1)
-		source := s.NewSource(false)
+		s.Expect(Expectation{Step: 1, Certain: true})
+		source := s.NewSource("u1", false)
 		source.Check(eventOf("4"))
 		s.Report(now, all, kind)
 	}
-	if step, ok := all.Expected(now, kind); ok {
-		t.Errorf("step %d is expected", step)
+	if got := all.Expected(now, kind); got != (Expectation{}) {
+		t.Errorf("%+v is expected", got)
 	}
 }
