edge, soak: tell apart why resumed streams are refused

The line for a stream whose service is unknown did not say how many VMs were asked, and neither line whether sessions were missing. The soak counts the streams that callers resume without a name while one software version serves by themselves, since callers name the first attempt only while several do.

No change of logic. go test ./soak -run 'Resum|Callers' and ./edge -run Caller pass.

--- a/edge/streamservice.go
+++ b/edge/streamservice.go
@@ -22,7 +22,7 @@
 		return Outcome{}, true
 	}
 	if r.headSent || r.streamVersion.bound {
-		return e.refuseService(r, r.chosenService, "the route no longer has the service that began the stream"), false
+		return e.refuseService(r, r.chosenService, streamAnswer{}, "the route no longer has the service that began the stream"), false
 	}
 	return Outcome{}, true
 }
@@ -37,11 +37,13 @@
 	return true
 }
 
-// refuseService refuses a stream that cannot go on at the service that began it, which is empty if it is unknown.
-func (e *Edge) refuseService(r *request, began, detail string) Outcome {
+// refuseService refuses a stream that cannot go on at the service that began it, which is empty if it is unknown. The answer is that of the
+// other VMs, if they were asked.
+func (e *Edge) refuseService(r *request, began string, a streamAnswer, detail string) Outcome {
 	e.Metrics.AddCounter("streams_service_unknown", 1)
 	event.StreamServiceUnknown.Log(e.Log, "request", r.id, "resumes", r.header.Get(platform.HeaderResumes), "route", r.route.Name,
-		"service", began, "selected", r.service.Name, "forwarded", r.forwarded)
+		"service", began, "selected", r.service.Name, "forwarded", r.forwarded, "asked", a.asked, "replies", a.replies,
+		"missesSessions", e.Fleet.MissesSessions(e.Now()))
 	return refuse(VersionUnknown, detail, defaultRetryAfter)
 }
 
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -69,13 +69,13 @@
 	found, answer := e.findStream(ctx, r, id)
 	switch {
 	case found.Service == "" && !e.serviceCertain(e.Now(), r, answer):
-		return e.refuseService(r, "", "no vm knows the service that began the stream"), false
+		return e.refuseService(r, "", answer, "no vm knows the service that began the stream"), false
 	case found.Service == "":
 		event.StreamVersionUnknown.Log(e.Log, "request", r.id, "resumes", id, "service", r.service.Name, "asked", answer.asked,
-			"replies", answer.replies, "versionsConfirmed", e.versionsConfirmed(e.Now(), answer))
+			"replies", answer.replies, "missesSessions", e.Fleet.MissesSessions(e.Now()), "versionsConfirmed", e.versionsConfirmed(e.Now(), answer))
 		return refuse(VersionUnknown, "no vm knows the version of the upstream that began the stream", defaultRetryAfter), false
 	case !e.keepService(e.table(), r, found.Service):
-		return e.refuseService(r, found.Service, "the route no longer has the service that began the stream"), false
+		return e.refuseService(r, found.Service, answer, "the route no longer has the service that began the stream"), false
 	}
 	if r.service.Name != selected {
 		event.StreamServiceKept.Log(e.Log, "request", r.id, "resumes", id, "route", r.route.Name, "service", r.service.Name, "selected", selected)
--- a/soak/streamcheck.go
+++ b/soak/streamcheck.go
@@ -45,6 +45,18 @@
 	})
 }
 
+// versionsBetween returns the number of versions of the service of an origin that have served at some time between from and to.
+func (h *history) versionsBetween(from, to time.Time, origin string) int {
+	service, _, _ := strings.Cut(origin, "/")
+	versions := map[string]bool{}
+	for _, s := range h.serving {
+		if strings.HasPrefix(s.origin, service+"/") && s.start.Before(to) && (s.end.IsZero() || s.end.After(from)) {
+			versions[s.origin] = true
+		}
+	}
+	return len(versions)
+}
+
 // splitTime is a split of the route of streams, with the time from which it is in force.
 type splitTime struct {
 	split []splitTarget
@@ -127,13 +139,14 @@
 func (c streamCount) String() string { return fmt.Sprintf("%d of %d", c.served, c.sent) }
 
 // resumptions counts streams by what their attempts at undisturbed VMs bring: those that begin, and those that their callers resume, with
-// and without the name of the first attempt, while their service and version serve. Those whose service and version don't serve count as
-// gone. A stream counts once in each of them at most.
-type resumptions struct{ begin, named, unnamed, gone streamCount }
+// and without the name of the first attempt, while their service and version serve. Of those without a name, sole counts the ones whose
+// service has had one version since they began, and those whose service and version don't serve count as gone. A stream counts once in each of them at most.
+type resumptions struct{ begin, named, unnamed, sole, gone streamCount }
 
 // String gives all counts.
 func (n resumptions) String() string {
-	return fmt.Sprintf("%v new streams begin; %v resumed with a name go on, %v without one, and %v whose version is gone", n.begin, n.named, n.unnamed, n.gone)
+	return fmt.Sprintf("%v new streams begin; %v resumed with a name go on, %v without one (%v while one version serves), and %v whose version is gone",
+		n.begin, n.named, n.unnamed, n.sole, n.gone)
 }
 
 func (h *history) countResumptions(b bounds) resumptions {
@@ -144,8 +157,12 @@
 			got, ok := h.responses[r.id]
 			from := r.sentAt.Add(-b.resumeSettle)
 			if ok && !h.disturbedBetween(from, got.receivedAt, r.vm) {
+				goesOn := got.status == 200 && (len(got.events) > 0 || got.complete)
 				count := n.countOf(r, h.servesBetween(from, got.receivedAt, origin))
-				served[count] = served[count] || got.status == 200 && (len(got.events) > 0 || got.complete)
+				served[count] = served[count] || goesOn
+				if count == &n.unnamed && h.versionsBetween(attempts[0].sentAt, got.receivedAt, origin) == 1 {
+					served[&n.sole] = served[&n.sole] || goesOn
+				}
 			}
 			if origin == "" && len(got.origins) > 0 {
 				origin = got.origins[0]
--- a/soak/streamcheck_test.go
+++ b/soak/streamcheck_test.go
@@ -59,6 +59,30 @@
 	}
 }
 
+// Guards against unnamed resumptions that count as made while one version serves although another one has served since the stream began, and
+// the reverse.
+func TestResumptionsAreCountedByVersions(t *testing.T) {
+	other := servingTime{upstream: "u2", origin: "worker/v2"}
+	left, otherService := other, other
+	left.end, otherService.origin = time.Unix(1, 0), "helper/v2"
+	for name, c := range map[string]struct {
+		serving servingTime
+		sole    int
+	}{
+		"second version":        {serving: other},
+		"second version left":   {serving: left, sole: 1},
+		"other service's":       {serving: otherService, sole: 1},
+		"second upstream of v1": {serving: servingTime{upstream: "u2", origin: "worker/v1"}, sole: 1},
+	} {
+		h := newHistory()
+		h.serving = []*servingTime{{upstream: "u1", origin: "worker/v1"}, &c.serving}
+		h.addResumedStream("a", "worker/v1", "worker/v1")
+		if n := h.countResumptions(defaultBounds); n.unnamed.served != 1 || n.sole.served != c.sole {
+			t.Errorf("%s: %v, want %d while one version serves", name, n, c.sole)
+		}
+	}
+}
+
 // Guards against a VM that learns through a cut link that its caller has gone, and against one that never does.
 func TestCutLinkHoldsClose(t *testing.T) {
 	target, err := net.Listen("tcp", "127.0.0.1:0")
