fleet: list the processes of other VMs that may have started streams

A VM that was lost, is frozen or cut off may have started a stream that no other VM knows of. Nothing uses it yet. go test ./fleet passes.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -67,6 +67,8 @@
 	members    map[string]*Member
 	sessions   map[string][]*vm.Session
 	candidates map[string]*candidate
+	// processes holds the processes of other VMs from which presences have come, by incarnation.
+	processes map[uint64]*process
 	// ownPresence is the latest presence of this VM.
 	ownPresence *vmwire.Presence
 	// lastSumsAt is the time of the latest sums of another collector.
@@ -89,6 +91,7 @@
 	f := &Fleet{
 		Endpoint: e, Address: address, CallerAddress: callerAddress, Log: e.Log, startedAt: now,
 		members: map[string]*Member{}, sessions: map[string][]*vm.Session{}, candidates: map[string]*candidate{},
+		processes: map[uint64]*process{},
 	}
 	f.AddSeeds(now, seeds)
 	e.OnSessionOpened, e.OnSessionClosed, e.OnControl = f.addSession, f.removeSession, f.handleControl
--- a/fleet/presence.go
+++ b/fleet/presence.go
@@ -179,6 +179,7 @@
 		event.MemberReturned.Log(f.Log, "vm", s.Peer.Slot, "region", s.Peer.Region)
 	}
 	m.apply(now, p)
+	f.recordProcess(now, s.Peer)
 	if c := f.candidates[m.Address]; c != nil {
 		c.slot, c.region, c.lastSeenAt = s.Peer.Slot, s.Peer.Region, now
 	} else if m.Address != "" {
