edge: resume a stream without a name if all equal requests agree

A caller names the attempt that began its stream only while several software versions serve. Otherwise the stream was refused as versionUnknown for the lifetime of streams after its part of the split had changed, although the VM that began it has it in its table, by an id that nobody names.

VMs keep the service and version of each stream by the content of its request. A VM asks all others for streams of equal requests, if they are at most 32, and for the processes that they know. The stream goes on if all of these streams began at one service and version, and each process that may have started one has replied or has handed over its streams before a planned end.

Tests: TestUnnamedStreamGoesOnAtItsService (six of its cases) and TestEqualStreamsAreNotJoined fail without the change, and four cases of TestCallerResumesAtItsService whose least numbers are raised. Each guard was taken out once, and each time a case failed.

--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -38,6 +38,8 @@
 	// storeProxy, if set, is the address at which VMs that are started reach the store.
 	storeProxy *httptest.Server
 	vms        []*testVM
+	// vmAge is the time for which VMs count as running when they start.
+	vmAge time.Duration
 }
 
 // testVM is a VM of a test cluster.
@@ -93,6 +95,7 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
+	e.startedAt = e.startedAt.Add(-w.vmAge)
 	ctx, cancel := context.WithCancel(context.Background())
 	go e.Fleet.Run(ctx, listeners[1])
 	go e.Watcher.Run(ctx)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -40,6 +40,7 @@
 	Poison   *poison.Table
 	Parts    *poison.Parts
 	Streams  *version.Streams
+	Origins  *version.Origins
 	Steps    *sequence.Steps
 	Metrics  *metrics.Metrics
 	// ConnLimiter enforces the time limits of callers' connections.
@@ -64,6 +65,8 @@
 	reportScheduled atomic.Bool
 	// leavingSince is the time of SIGTERM in nanoseconds since boot, zero before.
 	leavingSince atomic.Int64
+	// closing is set once the sessions with other VMs end. No request is accepted any more.
+	closing atomic.Bool
 	// otherProtocolAt is the latest time, in nanoseconds since boot, at which a VM that speaks another protocol was refused a session, zero
 	// before.
 	otherProtocolAt atomic.Int64
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -13,6 +13,7 @@
 	"parsleyhatch/place"
 	"parsleyhatch/route"
 	"parsleyhatch/sequence"
+	"parsleyhatch/version"
 	"parsleyhatch/vm"
 	"parsleyhatch/vmwire"
 )
@@ -241,8 +242,11 @@
 	f.events = isEventStream(int(c.Status), header)
 	f.request.notResumable = !f.events
 	f.edge.adoptService(f.request, c.Service)
-	if c.VersionKnown {
+	switch {
+	case c.VersionKnown:
 		f.edge.streamBegan(f.request, c.Version)
+	case f.events:
+		f.edge.recordOrigin(f.request, version.Stream{}) // At an unknown version.
 	}
 	return asSinkError(f.sink.Head(int(c.Status), header, int(c.End)))
 }
--- a/edge/request.go
+++ b/edge/request.go
@@ -129,11 +129,14 @@
 // and need not name the earlier one, so that the key of a resumable stream is what all its attempts have in common.
 func (r *request) splitKey() string {
 	if r.route.KeepsService() {
-		return hex.EncodeToString(r.fingerprint[:])
+		return r.contentKey()
 	}
 	return r.id
 }
 
+// contentKey returns what all attempts at a request have in common.
+func (r *request) contentKey() string { return hex.EncodeToString(r.fingerprint[:]) }
+
 // hopHeaders are the hop-by-hop headers, which are valid for a single connection.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
--- a/edge/runs_test.go
+++ b/edge/runs_test.go
@@ -139,7 +139,7 @@
 }
 
 // connectFrom opens a session with the VM like another VM, which sends nothing on its own.
-func (v *testVM) connectFrom(t *testing.T, other vm.Identity) *vm.Session {
+func (v *testVM) connectFrom(t testing.TB, other vm.Identity) *vm.Session {
 	t.Helper()
 	endpoint := vm.NewInsecureEndpoint(other, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	s, err := endpoint.Dial(t.Context(), v.Settings.PeerListen)
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -71,7 +71,7 @@
 // refusesNew reports whether the VM is shutting down and accepts no requests any more.
 func (e *Edge) refusesNew(now time.Time) bool {
 	leaving, since := e.isLeaving(now)
-	return leaving && since > e.stop.Accept
+	return leaving && since > e.stop.Accept || e.closing.Load()
 }
 
 // mayStart reports whether an attempt may begin whose first answer is expected after a time: the process must not end before it.
@@ -115,6 +115,10 @@
 // CloseSessions ends the sessions with the other VMs once they have read what this VM has to send, at the latest when ctx ends.
 func (e *Edge) CloseSessions(ctx context.Context) {
 	e.handOverStreams()
+	e.closing.Store(true)
+	if e.OpenRequests() == 0 {
+		e.handOverOrigins(e.Now())
+	}
 	e.Fleet.Drain(ctx)
 }
 
--- a/edge/streamreport.go
+++ b/edge/streamreport.go
@@ -9,6 +9,7 @@
 	"parsleyhatch/replica"
 	"parsleyhatch/route"
 	"parsleyhatch/version"
+	"parsleyhatch/vm"
 	"parsleyhatch/vmwire"
 )
 
@@ -38,6 +39,7 @@
 
 // streamBegan binds a stream to the version of the upstream that sent its first event.
 func (e *Edge) streamBegan(r *request, v string) {
+	e.recordOrigin(r, version.Stream{Service: r.service.Name, Version: v})
 	// The VM that forwarded a request may have a configuration in which its stream can be resumed.
 	if r.streamVersion.bound || !r.route.Resumable && !r.forwarded {
 		return
@@ -137,10 +139,11 @@
 }
 
 // receiveStreams keeps streams that began at another VM.
-func (e *Edge) receiveStreams(now time.Time, m *vmwire.StreamsBegan) {
+func (e *Edge) receiveStreams(now time.Time, peer vm.Identity, m *vmwire.StreamsBegan) {
 	for _, began := range m.Streams {
 		e.Streams.Add(now, began.RequestID, version.Stream{Service: began.Service, Version: began.Version})
 	}
+	e.receiveOrigins(now, peer, m)
 }
 
 // streamHolders chooses the other VMs that keep the versions of the streams of one report.
--- a/edge/streamservice.go
+++ b/edge/streamservice.go
@@ -42,7 +42,7 @@
 func (e *Edge) refuseService(r *request, began string, a streamAnswer, detail string) Outcome {
 	e.Metrics.AddCounter("streams_service_unknown", 1)
 	event.StreamServiceUnknown.Log(e.Log, "request", r.id, "resumes", r.header.Get(platform.HeaderResumes), "route", r.route.Name,
-		"service", began, "selected", r.service.Name, "forwarded", r.forwarded, "asked", a.asked, "replies", a.replies,
+		"service", began, "selected", r.service.Name, "forwarded", r.forwarded, "asked", a.asked, "replies", a.replies, "unknown", a.unknown,
 		"missesSessions", e.Fleet.MissesSessions(e.Now()))
 	return refuse(VersionUnknown, detail, defaultRetryAfter)
 }
--- a/edge/streamservice_test.go
+++ b/edge/streamservice_test.go
@@ -21,9 +21,11 @@
 	for _, service := range []string{"plain", "engine"} {
 		w.addServiceStreamer(service, service, "north", nil)
 	}
+	w.vmAge = time.Hour
 	for _, name := range []string{"vm1", "vm2"} {
 		w.startVM(name, "north", true)
 	}
+	w.vmAge = 0
 	w.waitForMembership()
 	w.waitForServices()
 	return w
@@ -192,12 +194,12 @@
 		"another VM met an older program":    {before: halves, vm: otherProtocol, minNamed: streams, refused: true},
 		"older program, one service":         {before: "plain 1", vm: otherProtocol, minNamed: streams, minUnnamed: streams},
 		"all VMs replaced":                   {before: halves, after: halves, vm: replaceAll, minNamed: streams, minUnnamed: streams},
-		"weights changed":                    {before: halves, after: "plain 30, engine 70", vm: same, minNamed: streams, minUnnamed: streams / 2},
-		"weights changed, another VM":        {before: halves, after: "plain 30, engine 70", vm: other, minNamed: streams, minUnnamed: streams / 2},
-		"weights changed, VM that started":   {before: halves, after: "plain 30, engine 70", vm: started, minNamed: streams, minUnnamed: streams / 2},
+		"weights changed":                    {before: halves, after: "plain 30, engine 70", vm: same, minNamed: streams, minUnnamed: streams},
+		"weights changed, another VM":        {before: halves, after: "plain 30, engine 70", vm: other, minNamed: streams, minUnnamed: streams},
+		"weights changed, VM that started":   {before: halves, after: "plain 30, engine 70", vm: started, minNamed: streams, minUnnamed: streams},
 		"weights changed, VM lost":           {before: halves, after: "plain 30, engine 70", vm: lost, minNamed: streams, minUnnamed: 0},
 		"moved to the other service":         {before: "plain 1", after: "engine 1", vm: same, refused: true},
-		"service added":                      {before: "plain 1", after: halves, vm: other, minNamed: streams, minUnnamed: 1},
+		"service added":                      {before: "plain 1", after: halves, vm: other, minNamed: streams, minUnnamed: streams},
 		"service left":                       {before: halves, after: "engine 1", vm: other, minNamed: 1, minUnnamed: 1},
 		"all VMs restarted":                  {before: halves, vm: restartAll, minNamed: streams, minUnnamed: streams},
 		"all VMs restarted, weights changed": {before: halves, after: "plain 30, engine 70", vm: restartAll, refused: true},
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -31,11 +31,17 @@
 type streamQueries struct {
 	mu      sync.Mutex
 	last    uint64
-	pending map[uint64]chan vmwire.StreamReply
+	pending map[uint64]chan peerReply
 	// opened is closed when the next session opens. It is nil if nobody waits for one.
 	opened chan struct{}
 }
 
+// peerReply is a reply with the VM that sent it.
+type peerReply struct {
+	peer vm.Identity
+	vmwire.StreamReply
+}
+
 // nextSession returns a channel that is closed when the next session opens.
 func (q *streamQueries) nextSession() <-chan struct{} {
 	q.mu.Lock()
@@ -72,7 +78,7 @@
 		return e.refuseService(r, "", answer, "no vm knows the service that began the stream"), false
 	case found.Service == "":
 		event.StreamVersionUnknown.Log(e.Log, "request", r.id, "resumes", id, "service", r.service.Name, "asked", answer.asked,
-			"replies", answer.replies, "missesSessions", e.Fleet.MissesSessions(e.Now()), "versionsConfirmed", e.versionsConfirmed(e.Now(), answer))
+			"replies", answer.replies, "unknown", answer.unknown, "missesSessions", e.Fleet.MissesSessions(e.Now()), "versionsConfirmed", e.versionsConfirmed(e.Now(), answer))
 		return refuse(VersionUnknown, "no vm knows the version of the upstream that began the stream", defaultRetryAfter), false
 	case !e.keepService(e.table(), r, found.Service):
 		return e.refuseService(r, found.Service, answer, "the route no longer has the service that began the stream"), false
@@ -117,6 +123,10 @@
 	targetsKnown bool
 	// knownAt is the time up to which all versions are known to this VM or to one that replied.
 	knownAt time.Time
+	// origins are those of streams of equal requests, if the caller has not named the stream, and unknown is the reason for which they do not
+	// say where the stream began.
+	origins originAnswer
+	unknown string
 }
 
 // findStream returns the stream that an attempt of a caller began, or a zero Stream. If no VM knows the attempt, the stream has the
@@ -142,6 +152,11 @@
 		if only, ok := e.Watcher.Versions.Only(r.service.Name, since); ok && e.versionsConfirmed(now, answer) && e.serviceCertain(now, r, answer) {
 			return version.Stream{Service: r.service.Name, Version: only}, answer
 		}
+		only, unknown := e.onlyOrigin(now, r, &answer)
+		if unknown == "" {
+			return only, answer
+		}
+		answer.unknown = unknown
 		if !e.Fleet.MissesSessions(now) {
 			return version.Stream{}, answer
 		}
@@ -157,12 +172,12 @@
 // this VM knows.
 func (e *Edge) askStream(ctx context.Context, r *request, id string) streamAnswer {
 	now := e.Now()
-	replies := make(chan vmwire.StreamReply, maxStreamReplies)
+	replies := make(chan peerReply, maxStreamReplies)
 	e.queries.mu.Lock()
 	e.queries.last++
 	query := &vmwire.StreamQuery{
 		ID: e.queries.last, RequestID: id, Service: r.service.Name, Host: r.host, Path: r.path, Key: r.splitKey(),
-		TargetsAge: vmwire.AgeOf(now, e.targetsSince(now, r)),
+		TargetsAge: vmwire.AgeOf(now, e.targetsSince(now, r)), StartAge: vmwire.UnknownAge,
 	}
 	e.queries.pending[query.ID] = replies
 	e.queries.mu.Unlock()
@@ -173,14 +188,18 @@
 	}()
 	ctx, cancel := context.WithTimeout(ctx, streamQueryTimeout)
 	defer cancel()
-	a := streamAnswer{knownAt: e.Watcher.FreshAt(), asked: e.sendStreamQuery(query)}
+	a := streamAnswer{knownAt: e.Watcher.FreshAt()}
+	if id != "" || !e.sendOriginQuery(now, r, query, &a) {
+		a.asked = e.sendStreamQuery(query)
+	}
 	for a.replies < a.asked && !a.ok {
 		select {
 		case <-ctx.Done():
 			return a
 		case reply := <-replies:
 			a.replies++
-			a.knownAt = latest(a.knownAt, e.mergeReply(r.service.Name, reply))
+			a.knownAt = latest(a.knownAt, e.mergeReply(r.service.Name, reply.StreamReply))
+			a.origins.add(reply.peer, &reply.StreamReply)
 			a.targets, a.targetsKnown = append(a.targets, reply.Targets...), a.targetsKnown || reply.TargetsKnown
 			a.found, a.ok = version.Stream{Service: reply.Service, Version: reply.Version}, reply.Found
 		}
@@ -242,6 +261,10 @@
 	reply := &vmwire.StreamReply{ID: m.ID, Found: ok && m.RequestID != "", Service: found.Service, Version: found.Version}
 	reply.KnownAge = vmwire.AgeOf(now, e.Watcher.FreshAt())
 	e.addTargets(now, m, reply)
+	if m.StartAge != vmwire.UnknownAge {
+		// The VM that asks may not know earlier configurations that gave streams more time.
+		e.addOrigins(now, e.startedSince(now, m.StartAge.Moment(now), m.Host, m.Path), m.Key, reply)
+	}
 	for _, k := range e.Watcher.Versions.Knowledge(now) {
 		if k.Service == m.Service {
 			reply.Seen = toSeenVersions(now, k.Seen)
@@ -250,11 +273,11 @@
 	s.SendControl(vmwire.KindStreamReply, reply)
 }
 
-func (e *Edge) receiveStreamReply(m vmwire.StreamReply) {
+func (e *Edge) receiveStreamReply(peer vm.Identity, m vmwire.StreamReply) {
 	e.queries.mu.Lock()
 	defer e.queries.mu.Unlock()
 	select {
-	case e.queries.pending[m.ID] <- m:
+	case e.queries.pending[m.ID] <- peerReply{peer, m}:
 	default: // Nobody waits for it any more.
 	}
 }
--- a/vmwire/versions.go
+++ b/vmwire/versions.go
@@ -4,11 +4,14 @@
 
 //msgp:limit arrays:4096 maps:256
 
-//msgp:tuple StreamsBegan StreamBegan StreamQuery StreamReply VersionKnowledge ServiceVersions SeenVersion
+//msgp:tuple StreamsBegan StreamBegan StreamOrigin KeyedOrigin StreamQuery StreamReply VMProcess VersionKnowledge ServiceVersions SeenVersion
 
 // StreamsBegan reports streams to VMs that keep their versions, too.
 type StreamsBegan struct {
 	Streams []StreamBegan
+	// Origins are those that a VM hands over before it ends. Last is set in its last message about them: it starts no stream any more.
+	Origins []KeyedOrigin
+	Last    bool
 }
 
 // StreamBegan is the software version of the upstream that began a stream.
@@ -18,6 +21,18 @@
 	Version   string
 }
 
+// StreamOrigin is a service and a software version at which a stream began.
+type StreamOrigin struct {
+	Service string
+	Version string
+}
+
+// KeyedOrigin is the origin of streams whose requests have a key by their content.
+type KeyedOrigin struct {
+	Key    string
+	Origin StreamOrigin
+}
+
 // StreamQuery asks for the service and the version of the stream that an attempt of a caller began, for the versions that have served a
 // service, and for the services that the stream may have begun at.
 // ID is returned in the reply.
@@ -32,6 +47,9 @@
 	Path       string
 	Key        string
 	TargetsAge Age
+	// StartAge is the age of the earliest moment at which the stream may have begun, if the sender asks all VMs for the origins of streams with
+	// Key, and UnknownAge otherwise.
+	StartAge Age
 }
 
 // StreamReply is the reply to StreamQuery.
@@ -47,6 +65,22 @@
 	// is set if the sender knows all configurations since then.
 	Targets      []string
 	TargetsKnown bool
+	// Origins are those of streams with the key in the query that began at the sender, or at a VM that has handed them over. OriginsKnown is set
+	// if the sender keeps all that began at it since the moment in the query, and RunsSince if it has run since then.
+	Origins      []StreamOrigin
+	OriginsKnown bool
+	RunsSince    bool
+	// Processes are the processes of other VMs that may have run since that moment, as far as the sender knows.
+	Processes []VMProcess
+}
+
+// VMProcess is a process of a VM.
+type VMProcess struct {
+	Slot string
+	// Incarnation is zero if the sender knows the VM from the lists of others only.
+	Incarnation uint64
+	// HandedOver is set if the process has handed over the origins of its streams to the sender.
+	HandedOver bool
 }
 
 // VersionKnowledge is what the sender knows of the software versions that have served, and of earlier configurations.
--- a/vmwire/versions_gen.go
+++ b/vmwire/versions_gen.go
@@ -12,6 +12,144 @@
 	z405979c1limitMaps   = 256
 )
 
+// DecodeMsg implements msgp.Decodable
+func (z *KeyedOrigin) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z405979c1limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Key, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Origin")
+		return
+	}
+	if zb0002 > z405979c1limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0002 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0002}
+		return
+	}
+	z.Origin.Service, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Origin", "Service")
+		return
+	}
+	z.Origin.Version, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Origin", "Version")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *KeyedOrigin) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Key)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Origin.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Origin", "Service")
+		return
+	}
+	err = en.WriteString(z.Origin.Version)
+	if err != nil {
+		err = msgp.WrapError(err, "Origin", "Version")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *KeyedOrigin) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Key)
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Origin.Service)
+	o = msgp.AppendString(o, z.Origin.Version)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *KeyedOrigin) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Key, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Origin")
+		return
+	}
+	if zb0002 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0002}
+		return
+	}
+	z.Origin.Service, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Origin", "Service")
+		return
+	}
+	z.Origin.Version, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Origin", "Version")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *KeyedOrigin) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Key) + 1 + msgp.StringPrefixSize + len(z.Origin.Service) + msgp.StringPrefixSize + len(z.Origin.Version)
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *SeenVersion) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -423,6 +561,97 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *StreamOrigin) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z405979c1limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Service, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	z.Version, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z StreamOrigin) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	err = en.WriteString(z.Version)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z StreamOrigin) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Service)
+	o = msgp.AppendString(o, z.Version)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StreamOrigin) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	z.Version, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z StreamOrigin) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Version)
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *StreamQuery) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -435,8 +664,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.ID, err = dc.ReadUint64()
@@ -474,13 +703,18 @@
 		err = msgp.WrapError(err, "TargetsAge")
 		return
 	}
+	err = z.StartAge.DecodeMsg(dc)
+	if err != nil {
+		err = msgp.WrapError(err, "StartAge")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *StreamQuery) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 7
-	err = en.Append(0x97)
+	// array header, size 8
+	err = en.Append(0x98)
 	if err != nil {
 		return
 	}
@@ -519,14 +753,19 @@
 		err = msgp.WrapError(err, "TargetsAge")
 		return
 	}
+	err = z.StartAge.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "StartAge")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *StreamQuery) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// array header, size 8
+	o = append(o, 0x98)
 	o = msgp.AppendUint64(o, z.ID)
 	o = msgp.AppendString(o, z.RequestID)
 	o = msgp.AppendString(o, z.Service)
@@ -538,6 +777,11 @@
 		err = msgp.WrapError(err, "TargetsAge")
 		return
 	}
+	o, err = z.StartAge.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "StartAge")
+		return
+	}
 	return
 }
 
@@ -549,8 +793,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
@@ -588,13 +832,18 @@
 		err = msgp.WrapError(err, "TargetsAge")
 		return
 	}
+	bts, err = z.StartAge.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "StartAge")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *StreamQuery) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.RequestID) + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Host) + msgp.StringPrefixSize + len(z.Path) + msgp.StringPrefixSize + len(z.Key) + z.TargetsAge.Msgsize()
+	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.RequestID) + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Host) + msgp.StringPrefixSize + len(z.Path) + msgp.StringPrefixSize + len(z.Key) + z.TargetsAge.Msgsize() + z.StartAge.Msgsize()
 	return
 }
 
@@ -610,8 +859,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 12 {
+		err = msgp.ArrayError{Wanted: 12, Got: zb0001}
 		return
 	}
 	z.ID, err = dc.ReadUint64()
@@ -707,39 +956,136 @@
 		err = msgp.WrapError(err, "TargetsKnown")
 		return
 	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *StreamReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 8
-	err = en.Append(0x98)
+	var zb0005 uint32
+	zb0005, err = dc.ReadArrayHeader()
 	if err != nil {
+		err = msgp.WrapError(err, "Origins")
 		return
 	}
-	err = en.WriteUint64(z.ID)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
+	if zb0005 > z405979c1limitArrays {
+		err = msgp.ErrLimitExceeded
 		return
 	}
-	err = en.WriteBool(z.Found)
-	if err != nil {
-		err = msgp.WrapError(err, "Found")
-		return
+	if cap(z.Origins) >= int(zb0005) {
+		z.Origins = (z.Origins)[:zb0005]
+	} else {
+		z.Origins = make([]StreamOrigin, zb0005)
 	}
-	err = en.WriteString(z.Service)
+	for za0003 := range z.Origins {
+		var zb0006 uint32
+		zb0006, err = dc.ReadArrayHeader()
+		if err != nil {
+			err = msgp.WrapError(err, "Origins", za0003)
+			return
+		}
+		if zb0006 > z405979c1limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		if zb0006 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0006}
+			return
+		}
+		z.Origins[za0003].Service, err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err, "Origins", za0003, "Service")
+			return
+		}
+		z.Origins[za0003].Version, err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err, "Origins", za0003, "Version")
+			return
+		}
+	}
+	z.OriginsKnown, err = dc.ReadBool()
 	if err != nil {
-		err = msgp.WrapError(err, "Service")
+		err = msgp.WrapError(err, "OriginsKnown")
 		return
 	}
-	err = en.WriteString(z.Version)
+	z.RunsSince, err = dc.ReadBool()
 	if err != nil {
-		err = msgp.WrapError(err, "Version")
+		err = msgp.WrapError(err, "RunsSince")
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Seen)))
+	var zb0007 uint32
+	zb0007, err = dc.ReadArrayHeader()
 	if err != nil {
-		err = msgp.WrapError(err, "Seen")
+		err = msgp.WrapError(err, "Processes")
+		return
+	}
+	if zb0007 > z405979c1limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Processes) >= int(zb0007) {
+		z.Processes = (z.Processes)[:zb0007]
+	} else {
+		z.Processes = make([]VMProcess, zb0007)
+	}
+	for za0004 := range z.Processes {
+		var zb0008 uint32
+		zb0008, err = dc.ReadArrayHeader()
+		if err != nil {
+			err = msgp.WrapError(err, "Processes", za0004)
+			return
+		}
+		if zb0008 > z405979c1limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		if zb0008 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0008}
+			return
+		}
+		z.Processes[za0004].Slot, err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err, "Processes", za0004, "Slot")
+			return
+		}
+		z.Processes[za0004].Incarnation, err = dc.ReadUint64()
+		if err != nil {
+			err = msgp.WrapError(err, "Processes", za0004, "Incarnation")
+			return
+		}
+		z.Processes[za0004].HandedOver, err = dc.ReadBool()
+		if err != nil {
+			err = msgp.WrapError(err, "Processes", za0004, "HandedOver")
+			return
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *StreamReply) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 12
+	err = en.Append(0x9c)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.ID)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	err = en.WriteBool(z.Found)
+	if err != nil {
+		err = msgp.WrapError(err, "Found")
+		return
+	}
+	err = en.WriteString(z.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	err = en.WriteString(z.Version)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Seen)))
+	if err != nil {
+		err = msgp.WrapError(err, "Seen")
 		return
 	}
 	for za0001 := range z.Seen {
@@ -781,14 +1127,73 @@
 		err = msgp.WrapError(err, "TargetsKnown")
 		return
 	}
+	err = en.WriteArrayHeader(uint32(len(z.Origins)))
+	if err != nil {
+		err = msgp.WrapError(err, "Origins")
+		return
+	}
+	for za0003 := range z.Origins {
+		// array header, size 2
+		err = en.Append(0x92)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Origins[za0003].Service)
+		if err != nil {
+			err = msgp.WrapError(err, "Origins", za0003, "Service")
+			return
+		}
+		err = en.WriteString(z.Origins[za0003].Version)
+		if err != nil {
+			err = msgp.WrapError(err, "Origins", za0003, "Version")
+			return
+		}
+	}
+	err = en.WriteBool(z.OriginsKnown)
+	if err != nil {
+		err = msgp.WrapError(err, "OriginsKnown")
+		return
+	}
+	err = en.WriteBool(z.RunsSince)
+	if err != nil {
+		err = msgp.WrapError(err, "RunsSince")
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Processes)))
+	if err != nil {
+		err = msgp.WrapError(err, "Processes")
+		return
+	}
+	for za0004 := range z.Processes {
+		// array header, size 3
+		err = en.Append(0x93)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Processes[za0004].Slot)
+		if err != nil {
+			err = msgp.WrapError(err, "Processes", za0004, "Slot")
+			return
+		}
+		err = en.WriteUint64(z.Processes[za0004].Incarnation)
+		if err != nil {
+			err = msgp.WrapError(err, "Processes", za0004, "Incarnation")
+			return
+		}
+		err = en.WriteBool(z.Processes[za0004].HandedOver)
+		if err != nil {
+			err = msgp.WrapError(err, "Processes", za0004, "HandedOver")
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *StreamReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 8
-	o = append(o, 0x98)
+	// array header, size 12
+	o = append(o, 0x9c)
 	o = msgp.AppendUint64(o, z.ID)
 	o = msgp.AppendBool(o, z.Found)
 	o = msgp.AppendString(o, z.Service)
@@ -814,6 +1219,23 @@
 		o = msgp.AppendString(o, z.Targets[za0002])
 	}
 	o = msgp.AppendBool(o, z.TargetsKnown)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Origins)))
+	for za0003 := range z.Origins {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Origins[za0003].Service)
+		o = msgp.AppendString(o, z.Origins[za0003].Version)
+	}
+	o = msgp.AppendBool(o, z.OriginsKnown)
+	o = msgp.AppendBool(o, z.RunsSince)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Processes)))
+	for za0004 := range z.Processes {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendString(o, z.Processes[za0004].Slot)
+		o = msgp.AppendUint64(o, z.Processes[za0004].Incarnation)
+		o = msgp.AppendBool(o, z.Processes[za0004].HandedOver)
+	}
 	return
 }
 
@@ -825,8 +1247,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 12 {
+		err = msgp.ArrayError{Wanted: 12, Got: zb0001}
 		return
 	}
 	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
@@ -918,6 +1340,95 @@
 		err = msgp.WrapError(err, "TargetsKnown")
 		return
 	}
+	var zb0005 uint32
+	zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Origins")
+		return
+	}
+	if zb0005 > z405979c1limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Origins) >= int(zb0005) {
+		z.Origins = (z.Origins)[:zb0005]
+	} else {
+		z.Origins = make([]StreamOrigin, zb0005)
+	}
+	for za0003 := range z.Origins {
+		var zb0006 uint32
+		zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Origins", za0003)
+			return
+		}
+		if zb0006 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0006}
+			return
+		}
+		z.Origins[za0003].Service, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Origins", za0003, "Service")
+			return
+		}
+		z.Origins[za0003].Version, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Origins", za0003, "Version")
+			return
+		}
+	}
+	z.OriginsKnown, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "OriginsKnown")
+		return
+	}
+	z.RunsSince, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "RunsSince")
+		return
+	}
+	var zb0007 uint32
+	zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Processes")
+		return
+	}
+	if zb0007 > z405979c1limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Processes) >= int(zb0007) {
+		z.Processes = (z.Processes)[:zb0007]
+	} else {
+		z.Processes = make([]VMProcess, zb0007)
+	}
+	for za0004 := range z.Processes {
+		var zb0008 uint32
+		zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Processes", za0004)
+			return
+		}
+		if zb0008 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0008}
+			return
+		}
+		z.Processes[za0004].Slot, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Processes", za0004, "Slot")
+			return
+		}
+		z.Processes[za0004].Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Processes", za0004, "Incarnation")
+			return
+		}
+		z.Processes[za0004].HandedOver, bts, err = msgp.ReadBoolBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Processes", za0004, "HandedOver")
+			return
+		}
+	}
 	o = bts
 	return
 }
@@ -932,7 +1443,14 @@
 	for za0002 := range z.Targets {
 		s += msgp.StringPrefixSize + len(z.Targets[za0002])
 	}
-	s += msgp.BoolSize
+	s += msgp.BoolSize + msgp.ArrayHeaderSize
+	for za0003 := range z.Origins {
+		s += 1 + msgp.StringPrefixSize + len(z.Origins[za0003].Service) + msgp.StringPrefixSize + len(z.Origins[za0003].Version)
+	}
+	s += msgp.BoolSize + msgp.BoolSize + msgp.ArrayHeaderSize
+	for za0004 := range z.Processes {
+		s += 1 + msgp.StringPrefixSize + len(z.Processes[za0004].Slot) + msgp.Uint64Size + msgp.BoolSize
+	}
 	return
 }
 
@@ -948,8 +1466,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -998,13 +1516,40 @@
 			return
 		}
 	}
+	var zb0004 uint32
+	zb0004, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Origins")
+		return
+	}
+	if zb0004 > z405979c1limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Origins) >= int(zb0004) {
+		z.Origins = (z.Origins)[:zb0004]
+	} else {
+		z.Origins = make([]KeyedOrigin, zb0004)
+	}
+	for za0002 := range z.Origins {
+		err = z.Origins[za0002].DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Origins", za0002)
+			return
+		}
+	}
+	z.Last, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Last")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *StreamsBegan) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 1
-	err = en.Append(0x91)
+	// array header, size 3
+	err = en.Append(0x93)
 	if err != nil {
 		return
 	}
@@ -1035,14 +1580,31 @@
 			return
 		}
 	}
+	err = en.WriteArrayHeader(uint32(len(z.Origins)))
+	if err != nil {
+		err = msgp.WrapError(err, "Origins")
+		return
+	}
+	for za0002 := range z.Origins {
+		err = z.Origins[za0002].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Origins", za0002)
+			return
+		}
+	}
+	err = en.WriteBool(z.Last)
+	if err != nil {
+		err = msgp.WrapError(err, "Last")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *StreamsBegan) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 1
-	o = append(o, 0x91)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Streams)))
 	for za0001 := range z.Streams {
 		// array header, size 3
@@ -1051,6 +1613,15 @@
 		o = msgp.AppendString(o, z.Streams[za0001].Service)
 		o = msgp.AppendString(o, z.Streams[za0001].Version)
 	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Origins)))
+	for za0002 := range z.Origins {
+		o, err = z.Origins[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Origins", za0002)
+			return
+		}
+	}
+	o = msgp.AppendBool(o, z.Last)
 	return
 }
 
@@ -1062,8 +1633,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -1108,6 +1679,33 @@
 			return
 		}
 	}
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Origins")
+		return
+	}
+	if zb0004 > z405979c1limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Origins) >= int(zb0004) {
+		z.Origins = (z.Origins)[:zb0004]
+	} else {
+		z.Origins = make([]KeyedOrigin, zb0004)
+	}
+	for za0002 := range z.Origins {
+		bts, err = z.Origins[za0002].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Origins", za0002)
+			return
+		}
+	}
+	z.Last, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Last")
+		return
+	}
 	o = bts
 	return
 }
@@ -1118,6 +1716,118 @@
 	for za0001 := range z.Streams {
 		s += 1 + msgp.StringPrefixSize + len(z.Streams[za0001].RequestID) + msgp.StringPrefixSize + len(z.Streams[za0001].Service) + msgp.StringPrefixSize + len(z.Streams[za0001].Version)
 	}
+	s += msgp.ArrayHeaderSize
+	for za0002 := range z.Origins {
+		s += z.Origins[za0002].Msgsize()
+	}
+	s += msgp.BoolSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *VMProcess) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z405979c1limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Slot, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Slot")
+		return
+	}
+	z.Incarnation, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Incarnation")
+		return
+	}
+	z.HandedOver, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "HandedOver")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z VMProcess) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Slot)
+	if err != nil {
+		err = msgp.WrapError(err, "Slot")
+		return
+	}
+	err = en.WriteUint64(z.Incarnation)
+	if err != nil {
+		err = msgp.WrapError(err, "Incarnation")
+		return
+	}
+	err = en.WriteBool(z.HandedOver)
+	if err != nil {
+		err = msgp.WrapError(err, "HandedOver")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z VMProcess) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendString(o, z.Slot)
+	o = msgp.AppendUint64(o, z.Incarnation)
+	o = msgp.AppendBool(o, z.HandedOver)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *VMProcess) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Slot, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Slot")
+		return
+	}
+	z.Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Incarnation")
+		return
+	}
+	z.HandedOver, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "HandedOver")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z VMProcess) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Slot) + msgp.Uint64Size + msgp.BoolSize
 	return
 }
 
