--- a/edge/eventsource.go
+++ b/edge/eventsource.go
@@ -56,7 +56,7 @@
 	// errStreamGap and errNotContinued report that an upstream or another VM does not continue the stream. What it sends must not reach
 	// the caller.
 	errStreamGap    = errors.New("events are missing where the stream resumes")
-	errNotContinued = errors.New("the stream resumes with an event without an id")
+	errNotContinued = errors.New("the events do not go on after the last one of the stream")
 )
 
 // next returns those of the complete blocks that the caller does not have yet; it reuses the slice for them. They count as received, since
@@ -80,6 +80,7 @@
 			s.recordGap(block)
 			return blocks[:kept], errStreamGap
 		case sequence.Foreign:
+			s.recordForeign(block)
 			return blocks[:kept], errNotContinued
 		}
 		start += len(block)
@@ -109,6 +110,11 @@
 	s.log(event.StreamGap, block)
 }
 
+func (s *eventSource) recordForeign(block []byte) {
+	s.edge.Metrics.AddCounter("streams_not_resumed", 1)
+	s.log(event.StreamNotResumed, block)
+}
+
 func (s *eventSource) log(ev event.Event, block []byte) {
 	r := s.request
 	id, _ := sequence.ID(block)
