sequence: join no second run by dropping the events before its next one

What callers would see: a stream whose first events are of one run and whose later ones are of another (ORDER). Cause: an event that the caller had was dropped by its number, whatever it held, and the run that sent it counted as the stream from its next event on. Class: a position in a text taken for the text. Change: a source that begins before the last event must send that event as the caller has it. Where the caller resumes, the VM does not know it, and a source that begins earlier is left. Sources that have gone on once are judged by their numbers as before. Before: edge TestSecondRunIsJoined failed in all 16 cases; after, it passes.

--- a/edge/script_test.go
+++ b/edge/script_test.go
@@ -110,7 +110,7 @@
 
 // play answers an attempt with the tokens of its script:
 //
-//	3       the event 3
+//	3 *3    the event 3, or that of a run with another text
 //	+ = <   the event after, at or before the latest one
 //	>       the event after the next one, if a VM can know that one is missing; otherwise the next one
 //	/4      the next event with a pause after four bytes
@@ -145,6 +145,9 @@
 			time.Sleep(minStallTimeout + 200*time.Millisecond)
 		case '-':
 			write("data: text\n\n")
+		case '*':
+			last = n
+			write(otherPieces(n, n))
 		case ':':
 			write(":\n\n")
 		case '/':
@@ -186,3 +189,8 @@
 	}
 	return b.String()
 }
+
+// otherPieces returns the events from first to last of a run with another text.
+func otherPieces(first, last int) string {
+	return strings.ReplaceAll(pieces(first, last), "piece", "other")
+}
--- a/sequence/sequence.go
+++ b/sequence/sequence.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"hash/maphash"
 	"time"
 )
 
@@ -20,6 +21,9 @@
 	lastID []byte
 	// last is the number of that event, negative if there is none or its id is not a number.
 	last int64
+	// lastContent is the hash of that event, valid if the event has passed through this stream.
+	lastContent  uint64
+	contentKnown bool
 	// step is the difference between the numbers of successive events, and steps how often it was seen in a row.
 	step  int64
 	steps int
@@ -92,7 +96,7 @@
 	Repeated
 	// Gap means that the source resumes the stream too late: events are missing.
 	Gap
-	// Foreign means that the source resumes the stream with an event without an id, which is no event of the stream.
+	// Foreign means that the event belongs to no run that goes on after the last event: it has no id, or its run begins earlier and differs.
 	Foreign
 )
 
@@ -103,14 +107,18 @@
 	name string
 	// resumes is set if the caller has events from an earlier source in the same answer.
 	resumes bool
+	// goesOn is set if the caller had an event when the source began, so that the source was asked to go on after it.
+	goesOn bool
 	// joined is set once an event of this source has followed those that the caller has.
 	joined bool
+	// unverified is set while the source has sent earlier events than the last one, so that its run may be another one.
+	unverified bool
 }
 
 // NewSource returns a source of the stream with the name of its upstream or VM. resumes is set if the caller has events from an earlier
 // source in the same answer.
 func (s *Stream) NewSource(name string, resumes bool) Source {
-	return Source{stream: s, name: name, resumes: resumes}
+	return Source{stream: s, name: name, resumes: resumes, goesOn: len(s.lastID) > 0}
 }
 
 // Check decides about the next event of the source, which is complete. An event with the verdict Next counts as received. A block that
@@ -129,7 +137,10 @@
 	n := number(id)
 	if n >= 0 && s.stream.last >= 0 {
 		if n <= s.stream.last {
-			return Repeated
+			return s.checkRepeated(n, event)
+		}
+		if !s.joined && s.unverified {
+			return Foreign
 		}
 		if !s.joined && s.stream.leavesGap(n, s.name) {
 			return Gap
@@ -138,9 +149,28 @@
 	s.joined = true
 	s.stream.recordStep(n)
 	s.stream.setLast(id)
+	s.stream.lastContent, s.stream.contentKnown = contentOf(event), true
 	return Next
 }
 
+// checkRepeated decides about an event that the caller has. A source that begins before the last event has started a run of its own, which
+// goes on as the stream only if that event is the same in both.
+func (s *Source) checkRepeated(n int64, event []byte) Verdict {
+	switch {
+	case s.joined || !s.goesOn:
+		return Repeated
+	case !s.stream.contentKnown:
+		return Foreign
+	case n < s.stream.last:
+		s.unverified = true
+	case contentOf(event) != s.stream.lastContent:
+		return Foreign
+	default:
+		s.unverified = false
+	}
+	return Repeated
+}
+
 // leavesGap reports whether events are missing before an event with the number n, which is greater than that of the last one, with which
 // a source goes on. Where the step of the stream is not certain, two sources that go on with the same event show that none is missing.
 func (s *Stream) leavesGap(n int64, source string) bool {
@@ -207,6 +237,11 @@
 	return id, found
 }
 
+var contentSeed = maphash.MakeSeed()
+
+// contentOf returns the hash of an event.
+func contentOf(event []byte) uint64 { return maphash.Bytes(contentSeed, event) }
+
 // HasEvent reports whether complete blocks of a stream hold an event and not only comments.
 func HasEvent(blocks []byte) bool {
 	for len(blocks) > 0 {
