soak: tell the runs of one request apart

Cause: each event of a stream named service, version and request, so that two runs of one attempt looked the same. Change: each event names its run, unique over a soak also if an upstream starts again under its id, and the Last-Event-Id that the run received. The reader notes each change of run within an answer; a caller that resumes takes the run of its last event with it. A new check, and a count of its own among the forms of disorder, finds runs that did not begin after the last event of the caller. A run that goes on after its caller has opened a new connection is no change. Upstreams that play faultEventOrder go on too early or too late although they were asked for the right event: their events name the event that was asked for, so that they count as missing or repeated as before and never as joined; a VM that asks for another event counts as joined whatever its upstream does. The description of a violation names runs in place of upstreams.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -156,7 +156,7 @@
 			v = s.vms[rng.IntN(len(s.vms))]
 			resumption := sent
 			resumption.id, resumption.vm, resumption.sentAt = sent.id+"-r", v.name, time.Now()
-			resumption.resumes, resumption.lastEvent = sent.id, got.lastReceived()
+			resumption.resumes, resumption.lastEvent, resumption.lastRun = sent.id, got.lastReceived(), got.lastRun(sent)
 			sendRequest(client, s.history, &s.load, v.callerAddress, resumption)
 		}
 		time.Sleep(s.load.interval)
--- a/soak/history.go
+++ b/soak/history.go
@@ -8,16 +8,6 @@
 	"time"
 )
 
-// requestKind says whether a request may run more than once.
-type requestKind string
-
-const (
-	kindSafe   requestKind = "safe"
-	kindUnsafe requestKind = "unsafe"
-	// kindStream is a resumable stream of events.
-	kindStream requestKind = "stream"
-)
-
 // request is a request as a caller sent it.
 type request struct {
 	id       string
@@ -30,6 +20,8 @@
 	// caller has of it.
 	resumes   string
 	lastEvent int
+	// lastRun is the run of that event.
+	lastRun streamRun
 	// stream is the id of the first attempt of a caller that resumes its stream until it is complete, empty for other callers.
 	stream string
 	// patience is the time without an answer or an event after which the caller gives up the attempt, zero for the deadline.
@@ -40,6 +32,8 @@
 type execution struct {
 	id       string
 	upstream string
+	// run is the name of the execution, which the events of a stream state.
+	run string
 	// vm is the VM that sent the request to the upstream.
 	vm        string
 	startedAt time.Time
@@ -85,6 +79,8 @@
 	// parts that of events that are not whole.
 	services       []string
 	foreign, parts int
+	// runChanges are the changes of the run that made the events, the first run among them unless the caller has its events already.
+	runChanges []runChange
 	// retryAfter is the time after which the caller may send the request again.
 	retryAfter time.Duration
 	// abandoned means that the caller gave the attempt up.
@@ -279,6 +275,7 @@
 	{"streams have no gap and no repeat", "RULES ORDER", checkStreamEvents},
 	{"streams hold events of one software version", "RULES ORDER", checkStreamVersions},
 	{"streams hold complete events of one run", "RULES ORDER", checkStreamRuns},
+	{"runs go on after the last event of the caller", "RULES ORDER", checkRunChanges},
 	{"callers' streams hold events of one service and software version", "RULES ORDER", checkStreamOrigins},
 	{"callers resume while their version serves", "RULES LOST", checkResumptions},
 	{"upstreams get what callers sent", "RULES UNASKED", checkForwardedRequests},
--- a/soak/history_test.go
+++ b/soak/history_test.go
@@ -160,6 +160,9 @@
 		{"streams hold complete events of one run", kindStream, func(d *vmDouble) {
 			d.changeBody = func(text string) string { return strings.Replace(text, "version: v1\n", "", 1) }
 		}},
+		{"runs go on after the last event of the caller", kindStream, func(d *vmDouble) {
+			d.changeBody = func(text string) string { return strings.Replace(text, " 0\ndata", " 1\ndata", 1) }
+		}},
 		{"callers' streams hold events of one service and software version", kindStream, func(d *vmDouble) {
 			d.history.addResumedStream("a", "worker/v1", "helper/v1")
 		}},
@@ -314,8 +317,8 @@
 
 // Guards against an invariant that is added without a case in TestViolationsAreReported.
 func TestEachInvariantHasFaultyVM(t *testing.T) {
-	if len(invariants) != 21 {
-		t.Errorf("%d invariants, want 21; add a case for each new one to TestViolationsAreReported", len(invariants))
+	if len(invariants) != 22 {
+		t.Errorf("%d invariants, want 22; add a case for each new one to TestViolationsAreReported", len(invariants))
 	}
 }
 
--- a/soak/orderforms.go
+++ b/soak/orderforms.go
@@ -13,8 +13,9 @@
 type OrderForms struct {
 	// Missing counts streams in which an event is missing, and Repeated those in which one comes twice or goes back.
 	Missing, Repeated int
-	// Joined counts streams with events of two software versions, services or requests.
-	Joined int
+	// Joined counts streams with events of two software versions, services or requests, and JoinedRuns those in which a run goes on that
+	// did not begin after the last event that the caller had.
+	Joined, JoinedRuns int
 	// EndedEarly counts streams that end as complete before their last event.
 	EndedEarly int
 	// Partial counts streams with a part of an event before other events or before an end as complete.
@@ -23,13 +24,15 @@
 
 // String describes the counts.
 func (f OrderForms) String() string {
-	return fmt.Sprintf("%d missing, %d repeated, %d joined, %d ended early, %d partial", f.Missing, f.Repeated, f.Joined, f.EndedEarly, f.Partial)
+	return fmt.Sprintf("%d missing, %d repeated, %d joined, %d joined of two runs, %d ended early, %d partial",
+		f.Missing, f.Repeated, f.Joined, f.JoinedRuns, f.EndedEarly, f.Partial)
 }
 
 func (f *OrderForms) add(g OrderForms) {
 	f.Missing += g.Missing
 	f.Repeated += g.Repeated
 	f.Joined += g.Joined
+	f.JoinedRuns += g.JoinedRuns
 	f.EndedEarly += g.EndedEarly
 	f.Partial += g.Partial
 }
@@ -67,6 +70,9 @@
 	if got.foreign > 0 || countDistinct(got.versions, begun.versions) > 1 || countDistinct(got.services, begun.services) > 1 {
 		f.Joined = 1
 	}
+	if len(got.joinedRuns()) > 0 {
+		f.JoinedRuns = 1
+	}
 	if got.parts > 0 {
 		f.Partial = 1
 	}
@@ -94,11 +100,6 @@
 	return found
 }
 
-// eventLines returns the lines of an event, the first one with its id. They name the run that the event belongs to.
-func eventLines(service, version, id string, n int, l *load) []string {
-	return []string{fmt.Sprintf("id: %d", n), "version: " + version, fmt.Sprintf("run: %s %s", service, id), "data: " + l.eventData(id, n)}
-}
-
 // eventReader reads the events of a response.
 type eventReader struct {
 	sent request
@@ -133,7 +134,9 @@
 	if len(r.lines) == 0 {
 		return
 	}
-	number, request, service, version, data := 0, "", "", "", ""
+	number, version, data := 0, "", ""
+	var run streamRun
+	had := r.lastEvent()
 	for _, line := range r.lines {
 		name, value, _ := strings.Cut(line, ": ")
 		switch name {
@@ -147,23 +150,25 @@
 		case "version":
 			version = value
 		case "run":
-			service, request, _ = strings.Cut(value, " ")
+			run = parseStreamRun(value)
 		case "data":
 			data = value
 		}
 	}
-	complete := len(r.lines) == len(eventLines("", "", "", 0, r.load)) && number != 0 && version != "" && request != ""
+	run.version = version
+	complete := len(r.lines) == len(run.eventLines(0, r.load)) && number != 0 && version != "" && run.name != ""
 	addOnce(&r.got.versions, version)
-	addOnce(&r.got.services, service)
+	addOnce(&r.got.services, run.service)
 	if complete {
-		addOnce(&r.got.origins, originOf(service, version))
+		addOnce(&r.got.origins, originOf(run.service, version))
 	}
+	r.noteRun(run, had)
 	fits := data == r.load.eventData(r.sent.id, number)
 	r.got.verified = r.got.verified && fits
 	switch {
 	case !complete:
 		r.got.parts++
-	case request != r.sent.id:
+	case run.request != r.sent.id:
 		r.got.foreign++
 	case !fits:
 		r.got.parts++
--- a/soak/profile_test.go
+++ b/soak/profile_test.go
@@ -193,7 +193,7 @@
 	for behaviour, want := range map[int32]string{
 		respondsNormally: "[3 4 5 6]", repeatsEvents: "[3 3 4 5 6]", resumesEarly: "[1 2 3 4 5 6]", resumesLate: "[5 6]",
 	} {
-		u := &upstreamServer{id: "u", version: "v1", load: l, history: newHistory()}
+		u := &upstreamServer{id: "u", version: "v1", load: l, runs: newRunNames("u", time.Now()), history: newHistory()}
 		u.behaviour.Store(behaviour)
 		r := httptest.NewRequest(http.MethodPost, "/stream/?q=a", strings.NewReader(l.requestBody("a")))
 		r.Header.Set(platform.HeaderRequestID, "a")
--- a/soak/rawanswer_test.go
+++ b/soak/rawanswer_test.go
@@ -16,7 +16,7 @@
 	for seed := range uint64(2000) {
 		rng := rand.New(rand.NewPCG(seed, 1))
 		a := drawAnswer(rng, rawEnds{Cut: true, Unmarked: true}, true)
-		w := u.encode(&a, "id-1", "2")
+		w := u.encode(&a, &streamRun{service: service, version: "v1", request: "id-1", name: "u.1", after: 2})
 		length := a.length(&w)
 		var sent bytes.Buffer
 		if err := writeSegments(&sent, w.data, withoutPauses(a.segments(rng, &w, length))); err != nil || !bytes.Equal(sent.Bytes(), w.data[:length]) {
@@ -34,7 +34,7 @@
 		got.readBody(request{id: "id-1", kind: kindStream, lastEvent: 2}, &l, resp)
 		wholeEvents := a.end != endFINInsideEvent && a.end != endResetInsideEvent
 		if looksWhole := a.end == endComplete || a.framing == framingNone; got.complete != looksWhole || !isConsecutive(2, got.events) ||
-			(a.end == endComplete) != (len(got.events) == l.events-2) || got.complete && (got.parts == 0) != wholeEvents || !got.verified {
+			(a.end == endComplete) != (len(got.events) == l.events-2) || got.complete && (got.parts == 0) != wholeEvents || !got.verified || len(got.joinedRuns()) > 0 {
 			t.Errorf("%s, %+v: events %v, %d parts, complete %v, verified %v", &a, a.style, got.events, got.parts, got.complete, got.verified)
 		}
 	}
--- a/soak/rawprocess.go
+++ b/soak/rawprocess.go
@@ -69,7 +69,7 @@
 // run records what the process reports until it ends. Executions that are open then broke off.
 func (p *rawProcess) run(id string, h *history) {
 	defer close(p.exited)
-	open := map[int64]func(brokeOff bool){}
+	open := map[string]func(brokeOff bool){}
 	for {
 		var r rawReport
 		if p.reports.Decode(&r) != nil {
@@ -80,7 +80,7 @@
 			h.recordArrival(arrival{id: r.Arrival.ID, upstream: id, vm: h.vmAt(r.Arrival.From), at: r.Arrival.At})
 		case r.Start != nil:
 			open[r.Start.Run] = h.recordExecution(execution{
-				id: r.Start.ID, upstream: id, vm: h.vmAt(r.Start.From), startedAt: r.Start.At, workspace: r.Start.Workspace,
+				id: r.Start.ID, upstream: id, run: r.Start.Run, vm: h.vmAt(r.Start.From), startedAt: r.Start.At, workspace: r.Start.Workspace,
 				keyPresent: r.Start.KeyPresent, unmodified: r.Start.Unmodified, lastEvent: r.Start.LastEvent, answer: r.Start.Answer, row: r.Start.Row,
 			})
 		case r.End != nil:
--- a/soak/rawupstream.go
+++ b/soak/rawupstream.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"cmp"
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
@@ -50,10 +49,10 @@
 	At   time.Time `json:"at"`
 }
 
-// rawRunStart is the start of an execution, with a number that is unique in the process.
+// rawRunStart is the start of an execution, with its name.
 type rawRunStart struct {
 	rawArrival
-	Run        int64  `json:"run"`
+	Run        string `json:"run"`
 	Workspace  string `json:"workspace"`
 	KeyPresent bool   `json:"keyPresent"`
 	Unmodified bool   `json:"unmodified"`
@@ -65,8 +64,8 @@
 
 // rawRunEnd is the end of an execution.
 type rawRunEnd struct {
-	Run      int64 `json:"run"`
-	BrokeOff bool  `json:"brokeOff"`
+	Run      string `json:"run"`
+	BrokeOff bool   `json:"brokeOff"`
 }
 
 // rawUpstream is an upstream in a process of its own that writes its answers to TCP connections byte by byte, in all framings, pieces
@@ -75,7 +74,7 @@
 	settings rawSettings
 	load     load
 	ends     atomic.Pointer[rawEnds]
-	runs     atomic.Int64
+	runs     *runNames
 
 	// outMu guards out.
 	outMu sync.Mutex
@@ -89,7 +88,7 @@
 	if err := control.Decode(&u.settings); err != nil {
 		return fmt.Errorf("read settings: %w", err)
 	}
-	u.load = loadOf(u.settings.Profile)
+	u.load, u.runs = loadOf(u.settings.Profile), newRunNames(u.settings.ID, time.Now())
 	u.ends.Store(&rawEnds{})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -150,16 +149,16 @@
 	lastEvent := r.Header.Get(platform.HeaderLastEventID)
 	rng := u.newRand(came.ID, lastEvent)
 	answer := drawAnswer(rng, *u.ends.Load(), r.URL.Path == "/"+string(kindStream)+"/")
-	wire := u.encode(&answer, came.ID, lastEvent)
+	run := streamRun{service: u.settings.Service, version: u.settings.Version, request: came.ID, name: u.runs.next(), after: parseLastEventID(lastEvent)}
+	wire := u.encode(&answer, &run)
 	send := answer.length(&wire)
-	run := u.runs.Add(1)
 	u.report(rawReport{Start: &rawRunStart{
-		rawArrival: rawArrival{ID: came.ID, From: came.From, At: time.Now()}, Run: run, Workspace: r.Header.Get(platform.HeaderWorkspace),
+		rawArrival: rawArrival{ID: came.ID, From: came.From, At: time.Now()}, Run: run.name, Workspace: r.Header.Get(platform.HeaderWorkspace),
 		KeyPresent: r.Header.Get(platform.HeaderAPIKey) != "", LastEvent: lastEvent, Answer: answer.String(), Row: answer.row(),
 		Unmodified: r.Method == http.MethodPost && body == u.load.requestBody(came.ID) && r.URL.RawQuery == "q="+came.ID,
 	}})
 	err := writeSegments(c, wire.data, answer.segments(rng, &wire, send))
-	u.report(rawReport{End: &rawRunEnd{Run: run, BrokeOff: answer.end != endComplete}})
+	u.report(rawReport{End: &rawRunEnd{Run: run.name, BrokeOff: answer.end != endComplete}})
 	if err != nil {
 		return false
 	}
@@ -176,19 +175,17 @@
 	return rand.New(rand.NewPCG(u.settings.Seed, sum.Sum64()))
 }
 
-// encode encodes the complete answer to a request.
-func (u *rawUpstream) encode(a *rawAnswer, id, lastEvent string) rawWire {
-	fields := "Server-Stamp: stamp-" + id
+// encode encodes the complete answer of a run.
+func (u *rawUpstream) encode(a *rawAnswer, run *streamRun) rawWire {
+	fields := "Server-Stamp: stamp-" + run.request
 	if !a.stream {
-		return a.encode(head("200 OK", id, fields), []rawEvent{{text: responseBody(id)}})
+		return a.encode(head("200 OK", run.request, fields), []rawEvent{{text: responseBody(run.request)}})
 	}
-	last := 0
-	_, _ = fmt.Sscan(cmp.Or(lastEvent, "0"), &last)
 	var events []rawEvent
-	for n := last + 1; n <= u.load.events; n++ {
-		events = append(events, a.style.event(eventLines(u.settings.Service, u.settings.Version, id, n, &u.load), n))
+	for n := run.after + 1; n <= u.load.events; n++ {
+		events = append(events, a.style.event(run.eventLines(n, &u.load), n))
 	}
-	return a.encode(head("200 OK", id, fields+"\r\nContent-Type: text/event-stream"), events)
+	return a.encode(head("200 OK", run.request, fields+"\r\nContent-Type: text/event-stream"), events)
 }
 
 // writeSegments writes the data in segments, each after its pause.
--- a/soak/streamcaller.go
+++ b/soak/streamcaller.go
@@ -27,8 +27,9 @@
 	key         string
 	// named means that the caller names begunBy when it resumes the stream.
 	named bool
-	// last is the last event that the caller has.
-	last int
+	// last is the last event that the caller has, and lastRun the run of that event.
+	last    int
+	lastRun streamRun
 	// deadline is that of all attempts.
 	deadline time.Time
 }
@@ -57,7 +58,7 @@
 		if got.status == http.StatusOK && got.complete {
 			return
 		}
-		stream.receive(&got)
+		stream.receive(sent, &got)
 		client.CloseIdleConnections() // The next attempt opens a connection.
 		vm = (vm + 1 + rng.IntN(len(s.vms)-1)) % len(s.vms)
 		left := time.Duration(maxRetryShare * float64(time.Until(stream.deadline)))
@@ -69,7 +70,7 @@
 func (c *callerStream) attempt(n int, vm string) request {
 	sent := request{
 		id: c.id, kind: kindStream, key: c.key, vm: vm, sentAt: time.Now(), deadline: time.Until(c.deadline),
-		stream: c.id, lastEvent: c.last, patience: streamPatience,
+		stream: c.id, lastEvent: c.last, lastRun: c.lastRun, patience: streamPatience,
 	}
 	if n > 0 {
 		sent.id = fmt.Sprintf("%s-r%d", c.id, n)
@@ -81,14 +82,14 @@
 }
 
 // receive takes over what an attempt brought.
-func (c *callerStream) receive(got *response) {
+func (c *callerStream) receive(sent request, got *response) {
 	if len(got.events) == 0 {
 		return
 	}
 	if c.begunBy == "" {
 		c.begunBy = got.id
 	}
-	c.last = got.lastReceived()
+	c.last, c.lastRun = got.lastReceived(), got.lastRun(sent)
 }
 
 // contentID is the id in the query and the body, which all attempts of a caller at a stream have in common.
--- a/soak/streams.go
+++ b/soak/streams.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 )
@@ -43,11 +44,11 @@
 	return "in order"
 }
 
-// describeExecutions names the upstreams that ran a stream, with the event after which they began and their faults.
+// describeExecutions names the runs of a stream, with the event after which they began and their faults.
 func describeExecutions(executions []execution) string {
 	text := ""
 	for _, e := range executions {
-		text += fmt.Sprintf(", %s", e.upstream)
+		text += fmt.Sprintf(", %s", cmp.Or(e.run, e.upstream))
 		if e.lastEvent != "" {
 			text += " after " + e.lastEvent
 		}
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -56,6 +56,7 @@
 	service, version string
 	history          *history
 	load             load
+	runs             *runNames
 	behaviour        atomic.Int32
 	// late selects when the upstream sends second responses, zero for never.
 	late atomic.Int32
@@ -78,7 +79,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for upstream %s: %w", id, err)
 	}
-	u := &upstreamServer{id: id, service: service, version: version, load: l, history: h, listener: listener}
+	u := &upstreamServer{id: id, service: service, version: version, load: l, runs: newRunNames(id, time.Now()), history: h, listener: listener}
 	u.room.slots = l.slots
 	u.server = &http.Server{Handler: u, ConnContext: withLateConn, ConnState: watchIdle}
 	go func() { _ = u.server.Serve(lateListener{listener}) }() // Ends with close.
@@ -136,14 +137,15 @@
 	defer u.room.leave()
 	crashes := u.room.crashes.Load()
 	content := u.history.contentID(id)
+	run := streamRun{service: u.service, version: u.version, request: id, name: u.runs.next(), after: parseLastEventID(r.Header.Get(platform.HeaderLastEventID))}
 	end := u.history.recordExecution(execution{
-		id: id, upstream: u.id, vm: vm, startedAt: time.Now(), leaving: leaving, fault: u.behaviour.Load(), lastEvent: r.Header.Get(platform.HeaderLastEventID), workspace: r.Header.Get(platform.HeaderWorkspace),
+		id: id, upstream: u.id, run: run.name, vm: vm, startedAt: time.Now(), leaving: leaving, fault: u.behaviour.Load(), lastEvent: r.Header.Get(platform.HeaderLastEventID), workspace: r.Header.Get(platform.HeaderWorkspace),
 		keyPresent: r.Header.Get(platform.HeaderAPIKey) != "", unmodified: r.Method == http.MethodPost && string(body) == u.load.requestBody(content) && r.URL.RawQuery == "q="+content,
 	})
 	w.Header().Set(platform.HeaderServerStamp, "stamp-"+id)
 	aborts := true
 	defer func() { end(aborts || u.closed.Load() || u.room.crashes.Load() > crashes) }()
-	u.respond(w, r, id)
+	u.respond(w, r, &run)
 	aborts = false
 }
 
@@ -157,7 +159,8 @@
 	w.Header().Set(platform.HeaderRateLimit, strconv.FormatFloat(limit, 'f', -1, 64))
 }
 
-func (u *upstreamServer) respond(w http.ResponseWriter, r *http.Request, id string) {
+func (u *upstreamServer) respond(w http.ResponseWriter, r *http.Request, run *streamRun) {
+	id := run.request
 	time.Sleep(u.load.workTime(id))
 	if u.fails(id) {
 		w.WriteHeader(http.StatusInternalServerError)
@@ -175,7 +178,7 @@
 	if r.URL.Path != "/"+string(kindStream)+"/" {
 		_, _ = io.WriteString(w, responseBody(id)) // The VM may have closed the connection.
 	} else {
-		u.stream(w, r, id)
+		u.stream(w, run)
 	}
 	u.planLateAnswer(r.Context(), id)
 }
@@ -192,16 +195,16 @@
 	return u.late.Load() > 0 && isOneOf(id, "fail", 2)
 }
 
-func (u *upstreamServer) stream(w http.ResponseWriter, r *http.Request, id string) {
+func (u *upstreamServer) stream(w http.ResponseWriter, run *streamRun) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	var text strings.Builder
-	for n := u.firstEvent(r); n <= u.load.events; n++ {
+	for n := u.firstEvent(run.after); n <= u.load.events; n++ {
 		if u.behaviour.Load() == abortsConnections && n == u.load.events/2 {
-			u.breakOff(w, text.String()+u.event(id, n))
+			u.breakOff(w, text.String()+u.event(run, n))
 		}
-		text.WriteString(u.event(id, n))
+		text.WriteString(u.event(run, n))
 		if u.behaviour.Load() == repeatsEvents && n == u.load.events/2 {
-			text.WriteString(u.event(id, n))
+			text.WriteString(u.event(run, n))
 		}
 		if n%u.load.eventsPerWrite != 0 && n < u.load.events {
 			continue
@@ -224,10 +227,8 @@
 	panic(http.ErrAbortHandler)
 }
 
-// firstEvent returns the number of the first event to send. Without the header, the stream begins with event 1.
-func (u *upstreamServer) firstEvent(r *http.Request) int {
-	last := 0
-	_, _ = fmt.Sscan(r.Header.Get(platform.HeaderLastEventID), &last)
+// firstEvent returns the number of the first event to send after the last one that the VM names, zero if it names none.
+func (u *upstreamServer) firstEvent(last int) int {
 	switch behaviour := u.behaviour.Load(); {
 	case behaviour == resumesEarly && last >= resumeError:
 		last -= resumeError
@@ -237,8 +238,8 @@
 	return last + 1
 }
 
-func (u *upstreamServer) event(id string, n int) string {
-	return eventStyle{}.event(eventLines(u.service, u.version, id, n, &u.load), n).text
+func (u *upstreamServer) event(run *streamRun, n int) string {
+	return eventStyle{}.event(run.eventLines(n, &u.load), n).text
 }
 
 // requestBody returns the body of the request with an id, and responseBody that of the response to it.
