edge: hand over the streams that a VM keeps for VMs that no longer run

What callers saw: streams that they resume are refused as versionUnknown (LOST) while two software versions serve. Those that keep a stream never handed it over, and leaving VMs, which run for 8 s, were neither notified nor asked. Change: a VM that stops hands over what it keeps for VMs that no longer run. Leaving VMs of the region keep streams and are asked. Before: edge TestStreamOutlivesRestartOfAllVMs failed in both cases.

--- a/edge/stop.go
+++ b/edge/stop.go
@@ -103,6 +103,7 @@
 	e.Fleet.BroadcastPresence()
 	e.Streams.ForgetReports() // The VMs to which streams were reported may have stopped before this one.
 	e.handOverStreams()
+	e.handOverOrphans()
 }
 
 // EndRequests ends the requests that are still open. Their answers say whether they may have run; begun streams are reported and break off,
@@ -115,6 +116,7 @@
 // CloseSessions ends the sessions with the other VMs once they have read what this VM has to send, at the latest when ctx ends.
 func (e *Edge) CloseSessions(ctx context.Context) {
 	e.handOverStreams()
+	e.handOverOrphans()
 	e.Fleet.Drain(ctx)
 }
 
--- a/edge/storeread.go
+++ b/edge/storeread.go
@@ -206,7 +206,7 @@
 	case vmwire.KindStreamsBegan:
 		var m vmwire.StreamsBegan
 		if err = vm.Decode(f, &m); err == nil {
-			e.receiveStreams(e.Now(), &m)
+			e.receiveStreams(e.Now(), s.Peer, &m)
 		}
 	case vmwire.KindStreamQuery:
 		var m vmwire.StreamQuery
--- a/edge/streamreport.go
+++ b/edge/streamreport.go
@@ -9,6 +9,7 @@
 	"parsleyhatch/replica"
 	"parsleyhatch/route"
 	"parsleyhatch/version"
+	"parsleyhatch/vm"
 	"parsleyhatch/vmwire"
 )
 
@@ -83,6 +84,14 @@
 // longer derive the versions of those that began while one served.
 func (e *Edge) handOverStreams() { e.reportServices(e.sendUnreported) }
 
+// handOverOrphans reports the streams that this VM keeps for others that no longer run. If VMs are restarted in turn, each of those that
+// keep a stream ends.
+func (e *Edge) handOverOrphans() {
+	e.reportServices(func(now time.Time, service string, since time.Time) {
+		e.sendStreams(now, service, e.Streams.Orphans(service, since, func(p version.Process) bool { return e.Fleet.Runs(p.Slot, p.Incarnation) }))
+	})
+}
+
 // reportServices calls report for each service, with the earliest start of the streams that callers may still resume.
 func (e *Edge) reportServices(report func(now time.Time, service string, since time.Time)) {
 	t := e.table()
@@ -118,13 +127,17 @@
 // sendUnreported notifies other VMs of the streams of a service that began at this VM since a time, so that callers can resume them
 // after the loss of this VM. Without a connected VM, they stay unreported.
 func (e *Edge) sendUnreported(now time.Time, service string, since time.Time) {
-	holders := e.newStreamHolders(now)
-	if !holders.connected {
-		return
+	if e.newStreamHolders(now).connected {
+		e.sendStreams(now, service, e.Streams.TakeUnreported(service, since))
 	}
+}
+
+// sendStreams sends streams of a service to the VMs that are to keep them.
+func (e *Edge) sendStreams(now time.Time, service string, streams []version.StartedStream) {
+	holders := e.newStreamHolders(now)
 	reports := map[string][]vmwire.StreamBegan{}
-	for _, began := range e.Streams.TakeUnreported(service, since) {
-		m := vmwire.StreamBegan{RequestID: began.ID, Service: service, Version: began.Version}
+	for _, began := range streams {
+		m := vmwire.StreamBegan{RequestID: began.ID, Service: service, Version: began.Version, Age: vmwire.AgeOf(now, began.At)}
 		for _, slot := range holders.of(began.ID) {
 			reports[slot] = append(reports[slot], m)
 		}
@@ -137,9 +150,13 @@
 }
 
 // receiveStreams keeps streams that began at another VM.
-func (e *Edge) receiveStreams(now time.Time, m *vmwire.StreamsBegan) {
+func (e *Edge) receiveStreams(now time.Time, peer vm.Identity, m *vmwire.StreamsBegan) {
+	from := version.Process{Slot: peer.Slot, Incarnation: peer.Incarnation}
 	for _, began := range m.Streams {
-		e.Streams.Add(now, began.RequestID, version.Stream{Service: began.Service, Version: began.Version})
+		started := version.StartedStream{
+			ID: began.RequestID, Stream: version.Stream{Service: began.Service, Version: began.Version}, At: began.Age.Moment(now),
+		}
+		e.Streams.Keep(now, version.KeptStream{StartedStream: started, From: from})
 	}
 }
 
@@ -147,16 +164,19 @@
 type streamHolders struct {
 	edge *Edge
 	now  time.Time
-	// connected is set if this VM has a session with a ready VM, and otherRegions are the other regions for which that holds.
+	// connected is set if this VM has a session with a VM that can keep streams, and otherRegions are the other regions with a ready one.
 	connected    bool
 	otherRegions []string
+	// stopping are the VMs of this region that are leaving. They keep streams until they end, and then hand them over.
+	stopping []fleet.Member
 	// members holds the responsive VMs of the regions that were looked up.
 	members map[string][]fleet.Member
 }
 
 func (e *Edge) newStreamHolders(now time.Time) *streamHolders {
 	regions := e.Fleet.ConnectedRegions(now)
-	h := &streamHolders{edge: e, now: now, connected: len(regions) > 0, members: map[string][]fleet.Member{}}
+	h := &streamHolders{edge: e, now: now, stopping: e.Fleet.StoppingMembers(now, e.Settings.Region), members: map[string][]fleet.Member{}}
+	h.connected = len(regions) > 0 || len(h.stopping) > 0
 	h.otherRegions = slices.DeleteFunc(regions, func(region string) bool { return region == e.Settings.Region })
 	return h
 }
@@ -164,6 +184,7 @@
 // of returns the VMs that keep the version of a stream: some of this region, and some of other regions.
 func (h *streamHolders) of(id string) []string {
 	slots := rendezvousVMs(h.responsiveMembers(h.edge.Settings.Region), id, maxLocalHolders)
+	slots = append(slots, rendezvousVMs(h.stopping, id, maxLocalHolders-len(slots))...)
 	for _, region := range rendezvousOrder(h.otherRegions, id, func(region string) string { return region }, remoteHolderRegions) {
 		slots = append(slots, rendezvousVMs(h.responsiveMembers(region), id, remoteHolders)...)
 	}
--- a/edge/streamreport_test.go
+++ b/edge/streamreport_test.go
@@ -142,6 +142,39 @@
 	})
 }
 
+// Guards against a stream that is refused after its VM was killed and each VM that kept it was restarted, one after the other.
+func TestStreamOutlivesRestartOfAllVMs(t *testing.T) {
+	for name, leaving := range map[string]bool{"the holder leaves after the loss": false, "the holder is leaving when the stream begins": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newVersionCluster(t)
+			w.addVersion("old", "v1", "north", nil)
+			w.addVersion("new", "v2", "north", nil)
+			first, holder := w.startVM("vm1", "north", true), w.startVM("vm2", "north", true)
+			w.waitForMembership()
+			if leaving {
+				holder.BeginShutdown(holder.Now())
+				w.waitFor("the stop is known", func() bool { return len(first.Fleet.ConnectedMembers(first.Now(), "north")) == 0 })
+			}
+			id, _ := first.readPart(t, 3, nil)
+			w.waitFor("the other VM keeps the stream", func() bool {
+				_, kept := holder.Streams.Find(holder.Now(), id)
+				return kept
+			})
+			first.cancel()
+			holder.waitForNoSession(t, "north")
+			restarted := w.startVM("vm1", "north", true)
+			w.waitFor("the restarted VM is connected", func() bool { return len(holder.Fleet.ConnectedMembers(holder.Now(), "north")) == 1 })
+			holder.BeginShutdown(holder.Now())
+			holder.CloseSessions(t.Context())
+			w.waitFor("the restarted VM keeps the stream", func() bool {
+				_, kept := restarted.Streams.Find(restarted.Now(), id)
+				return kept
+			})
+		})
+	}
+}
+
 // Guards against a report of more streams than a message may hold, which would end the session and lose all of them.
 func TestManyStreamsAreReported(t *testing.T) {
 	const streams = 6000
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -201,7 +201,9 @@
 // which this one has sessions. It returns their number.
 func (e *Edge) sendStreamQuery(query *vmwire.StreamQuery) int {
 	asked := e.Fleet.SendToOtherRegions(vmwire.KindStreamQuery, query)
-	for _, m := range longestRunning(e.Fleet.ConnectedMembers(e.Now(), e.Settings.Region), query.RequestID) {
+	now, region := e.Now(), e.Settings.Region
+	local := append(e.Fleet.ConnectedMembers(now, region), e.Fleet.StoppingMembers(now, region)...)
+	for _, m := range longestRunning(local, query.RequestID) {
 		if e.Fleet.SendTo(m.Slot, vmwire.KindStreamQuery, query) {
 			asked++
 		}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -25,6 +25,27 @@
 	return slices.DeleteFunc(f.ReadyMembers(now, region), func(m Member) bool { return !m.DisconnectedAt.IsZero() })
 }
 
+// StoppingMembers returns the members of a region that are leaving and with which this VM has a session, sorted by name. Their processes
+// still answer other VMs.
+func (f *Fleet) StoppingMembers(now time.Time, region string) []Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []Member
+	for _, m := range f.members {
+		if m.Region == region && m.Leaving && m.Alive(now) && m.DisconnectedAt.IsZero() {
+			list = append(list, *m)
+		}
+	}
+	slices.SortFunc(list, func(a, b Member) int { return strings.Compare(a.Slot, b.Slot) })
+	return list
+}
+
+// Runs reports whether this VM has a session with a process of another one.
+func (f *Fleet) Runs(slot string, incarnation uint64) bool {
+	s := f.session(slot)
+	return s != nil && s.Peer.Incarnation == incarnation
+}
+
 // ResponsiveMembers returns the connected members of a region whose latest presence is not overdue, or all of them if each one's is. A VM
 // that was cut off stays connected for some seconds.
 func (f *Fleet) ResponsiveMembers(now time.Time, region string) []Member {
--- a/version/streams.go
+++ b/version/streams.go
@@ -34,6 +34,21 @@
 	// unreported and reported hold the streams that began at this VM, by service in the order of their start. Other VMs have been notified
 	// of those in reported.
 	unreported, reported map[string][]StartedStream
+	// kept holds the streams that other VMs have reported, by service in the order of their arrival.
+	kept map[string][]KeptStream
+}
+
+// KeptStream is a stream that another VM has reported.
+type KeptStream struct {
+	StartedStream
+	// From is the VM that has reported it.
+	From Process
+}
+
+// Process is the process of a VM: its slot and the number that tells the processes of a slot apart.
+type Process struct {
+	Slot        string
+	Incarnation uint64
 }
 
 // maxStreams bounds the streams of one lifetime, and those of a service that began at this VM, and so the memory for them.
@@ -44,7 +59,7 @@
 	return &Streams{
 		Lifetime: lifetime, recent: map[string]Stream{}, older: map[string]Stream{}, rotatedAt: now,
 		forwarded: map[string]Stream{}, olderForwarded: map[string]Stream{},
-		unreported: map[string][]StartedStream{}, reported: map[string][]StartedStream{},
+		unreported: map[string][]StartedStream{}, reported: map[string][]StartedStream{}, kept: map[string][]KeptStream{},
 	}
 }
 
@@ -56,6 +71,31 @@
 	s.recent[id] = stream
 }
 
+// Keep records a stream that another VM has reported.
+func (s *Streams) Keep(now time.Time, k KeptStream) {
+	s.Add(now, k.ID, k.Stream)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.kept[k.Service] = appendLatest(s.kept[k.Service], k)
+}
+
+// Orphans returns the streams of a service that began since a time and that were reported by VMs that no longer run.
+func (s *Streams) Orphans(service string, since time.Time, runs func(Process) bool) []StartedStream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	running := map[Process]bool{}
+	var orphans []StartedStream
+	for _, k := range s.kept[service] {
+		if _, known := running[k.From]; !known {
+			running[k.From] = runs(k.From)
+		}
+		if !running[k.From] && !k.At.Before(since) {
+			orphans = append(orphans, k.StartedStream)
+		}
+	}
+	return orphans
+}
+
 // AddForwarded records a stream of an attempt that another VM forwarded. Only that VM knows whether it is the stream that the caller has.
 func (s *Streams) AddForwarded(now time.Time, id string, stream Stream) {
 	s.mu.Lock()
@@ -94,7 +134,7 @@
 }
 
 // appendLatest appends streams to a list, and drops the first ones if there are more than maxStreams.
-func appendLatest(list []StartedStream, added ...StartedStream) []StartedStream {
+func appendLatest[T any](list []T, added ...T) []T {
 	list = append(list, added...)
 	return list[max(0, len(list)-maxStreams):]
 }
@@ -143,5 +183,8 @@
 			lists[service] = startedSince(list, s.rotatedAt)
 		}
 	}
+	for service, list := range s.kept {
+		s.kept[service] = slices.DeleteFunc(list, func(k KeptStream) bool { return k.At.Before(s.rotatedAt) })
+	}
 	s.rotatedAt = now
 }
--- a/vmwire/versions.go
+++ b/vmwire/versions.go
@@ -16,6 +16,8 @@
 	RequestID string
 	Service   string
 	Version   string
+	// Age is the time since the stream began.
+	Age Age
 }
 
 // StreamQuery asks for the service and the version of the stream that an attempt of a caller began, for the versions that have served a
--- a/vmwire/versions_gen.go
+++ b/vmwire/versions_gen.go
@@ -328,8 +328,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.RequestID, err = dc.ReadString()
@@ -347,13 +347,18 @@
 		err = msgp.WrapError(err, "Version")
 		return
 	}
+	err = z.Age.DecodeMsg(dc)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z StreamBegan) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 3
-	err = en.Append(0x93)
+func (z *StreamBegan) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
 		return
 	}
@@ -372,17 +377,27 @@
 		err = msgp.WrapError(err, "Version")
 		return
 	}
+	err = z.Age.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z StreamBegan) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *StreamBegan) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendString(o, z.RequestID)
 	o = msgp.AppendString(o, z.Service)
 	o = msgp.AppendString(o, z.Version)
+	o, err = z.Age.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
 	return
 }
 
@@ -394,8 +409,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.RequestID, bts, err = msgp.ReadStringBytes(bts)
@@ -413,13 +428,18 @@
 		err = msgp.WrapError(err, "Version")
 		return
 	}
+	bts, err = z.Age.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z StreamBegan) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.RequestID) + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Version)
+func (z *StreamBegan) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.RequestID) + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Version) + z.Age.Msgsize()
 	return
 }
 
@@ -968,35 +988,11 @@
 		z.Streams = make([]StreamBegan, zb0002)
 	}
 	for za0001 := range z.Streams {
-		var zb0003 uint32
-		zb0003, err = dc.ReadArrayHeader()
+		err = z.Streams[za0001].DecodeMsg(dc)
 		if err != nil {
 			err = msgp.WrapError(err, "Streams", za0001)
 			return
 		}
-		if zb0003 > z405979c1limitArrays {
-			err = msgp.ErrLimitExceeded
-			return
-		}
-		if zb0003 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-			return
-		}
-		z.Streams[za0001].RequestID, err = dc.ReadString()
-		if err != nil {
-			err = msgp.WrapError(err, "Streams", za0001, "RequestID")
-			return
-		}
-		z.Streams[za0001].Service, err = dc.ReadString()
-		if err != nil {
-			err = msgp.WrapError(err, "Streams", za0001, "Service")
-			return
-		}
-		z.Streams[za0001].Version, err = dc.ReadString()
-		if err != nil {
-			err = msgp.WrapError(err, "Streams", za0001, "Version")
-			return
-		}
 	}
 	return
 }
@@ -1014,24 +1010,9 @@
 		return
 	}
 	for za0001 := range z.Streams {
-		// array header, size 3
-		err = en.Append(0x93)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Streams[za0001].RequestID)
-		if err != nil {
-			err = msgp.WrapError(err, "Streams", za0001, "RequestID")
-			return
-		}
-		err = en.WriteString(z.Streams[za0001].Service)
-		if err != nil {
-			err = msgp.WrapError(err, "Streams", za0001, "Service")
-			return
-		}
-		err = en.WriteString(z.Streams[za0001].Version)
+		err = z.Streams[za0001].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Streams", za0001, "Version")
+			err = msgp.WrapError(err, "Streams", za0001)
 			return
 		}
 	}
@@ -1045,11 +1026,11 @@
 	o = append(o, 0x91)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Streams)))
 	for za0001 := range z.Streams {
-		// array header, size 3
-		o = append(o, 0x93)
-		o = msgp.AppendString(o, z.Streams[za0001].RequestID)
-		o = msgp.AppendString(o, z.Streams[za0001].Service)
-		o = msgp.AppendString(o, z.Streams[za0001].Version)
+		o, err = z.Streams[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Streams", za0001)
+			return
+		}
 	}
 	return
 }
@@ -1082,31 +1063,11 @@
 		z.Streams = make([]StreamBegan, zb0002)
 	}
 	for za0001 := range z.Streams {
-		var zb0003 uint32
-		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		bts, err = z.Streams[za0001].UnmarshalMsg(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Streams", za0001)
 			return
 		}
-		if zb0003 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-			return
-		}
-		z.Streams[za0001].RequestID, bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Streams", za0001, "RequestID")
-			return
-		}
-		z.Streams[za0001].Service, bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Streams", za0001, "Service")
-			return
-		}
-		z.Streams[za0001].Version, bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Streams", za0001, "Version")
-			return
-		}
 	}
 	o = bts
 	return
@@ -1116,7 +1077,7 @@
 func (z *StreamsBegan) Msgsize() (s int) {
 	s = 1 + msgp.ArrayHeaderSize
 	for za0001 := range z.Streams {
-		s += 1 + msgp.StringPrefixSize + len(z.Streams[za0001].RequestID) + msgp.StringPrefixSize + len(z.Streams[za0001].Service) + msgp.StringPrefixSize + len(z.Streams[za0001].Version)
+		s += z.Streams[za0001].Msgsize()
 	}
 	return
 }
