edge: report streams again before a stopping VM ends its requests

Cause: what began since SIGTERM was reported at once, to VMs that ended or were killed in the 7 s of the grace; before the end only what had not been reported was sent. Change: all streams that callers may still resume are reported again before open requests are ended. Before: edge TestStreamOutlivesHolderThatEndsInGrace failed.

--- a/edge/stop.go
+++ b/edge/stop.go
@@ -109,6 +109,7 @@
 // EndRequests ends the requests that are still open. Their answers say whether they may have run; begun streams are reported and break off,
 // so that their callers resume them elsewhere.
 func (e *Edge) EndRequests() {
+	e.Streams.ForgetReports() // The VMs to which streams were reported since SIGTERM may have ended, too.
 	e.handOverStreams()
 	e.stop.endOpen()
 }
--- a/edge/streamreport_test.go
+++ b/edge/streamreport_test.go
@@ -142,6 +142,31 @@
 	})
 }
 
+// Guards against a stream that is refused after its VM ended, because the VM to which it was reported since SIGTERM had ended before.
+func TestStreamOutlivesHolderThatEndsInGrace(t *testing.T) {
+	t.Parallel()
+	w := newVersionCluster(t)
+	w.addVersion("old", "v1", "north", nil)
+	w.addVersion("new", "v2", "north", nil)
+	first, holder := w.startVM("vm1", "north", true), w.startVM("vm2", "north", true)
+	w.waitForMembership()
+	first.BeginShutdown(first.Now())
+	id, _ := first.readPart(t, 3, nil)
+	w.waitFor("the other VM keeps the stream", func() bool {
+		_, kept := holder.Streams.Find(holder.Now(), id)
+		return kept
+	})
+	holder.cancel()
+	first.waitForNoSession(t, "north")
+	restarted := w.startVM("vm2", "north", true)
+	w.waitFor("the other VM is connected again", func() bool { return len(first.Fleet.ConnectedMembers(first.Now(), "north")) == 1 })
+	first.EndRequests()
+	w.waitFor("the restarted VM keeps the stream", func() bool {
+		_, kept := restarted.Streams.Find(restarted.Now(), id)
+		return kept
+	})
+}
+
 // Guards against a stream that is refused after its VM was killed and each VM that kept it was restarted, one after the other.
 func TestStreamOutlivesRestartOfAllVMs(t *testing.T) {
 	for name, leaving := range map[string]bool{"the holder leaves after the loss": false, "the holder is leaving when the stream begins": true} {
