soak: send streams that may not be resumed

Change: all profiles whose callers send the three kinds of requests in turn send a fourth one, a stream on a route that is not resumable with max_attempts 1. Callers never resume it. It may run once at most, as an unsafe request, and must not have run if it is refused; a run that follows another one in its answer is joined, also if it begins after the last event. It may break off; it may not look complete before its last event. The message about a request that ran twice names the runs.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -33,7 +33,7 @@
 	defer cancel()
 	idle := newIdleTimer(sent.patience, cancel)
 	defer func() { got.abandoned = idle.stop() }()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/"+string(sent.kind)+"/?q="+sent.contentID(), nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+sent.kind.path()+"?q="+sent.contentID(), nil)
 	if err != nil {
 		got.err = err.Error()
 		return got
@@ -107,7 +107,7 @@
 // readBody reads the response body and checks that it belongs to the request.
 func (got *response) readBody(sent request, l *load, resp *http.Response) {
 	stamped := resp.Header.Get(platform.HeaderServerStamp) == "stamp-"+sent.id
-	if sent.kind != kindStream || resp.StatusCode != http.StatusOK {
+	if !sent.kind.isStream() || resp.StatusCode != http.StatusOK {
 		body, err := io.ReadAll(resp.Body)
 		if err != nil {
 			got.err = err.Error()
@@ -133,9 +133,6 @@
 	return got.events[len(got.events)-1]
 }
 
-// requestKindFor returns the kind of the n-th request of a caller.
-func requestKindFor(n int) requestKind { return []requestKind{kindSafe, kindUnsafe, kindStream}[n%3] }
-
 // runCaller sends requests until ctx ends.
 func (s *soak) runCaller(ctx context.Context, caller int) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true}}
--- a/soak/history.go
+++ b/soak/history.go
@@ -311,8 +311,8 @@
 func checkUnsafeRunsOnce(h *history, _ bounds) []violation {
 	var found []violation
 	for id, executions := range h.executions {
-		if req, ok := h.requests[id]; ok && req.kind == kindUnsafe && len(executions) > 1 {
-			found = append(found, violation{id: id, detail: fmt.Sprintf("ran %d times", len(executions))})
+		if req, ok := h.requests[id]; ok && req.kind.runsOnce() && len(executions) > 1 {
+			found = append(found, violation{id: id, detail: fmt.Sprintf("ran %d times%s", len(executions), describeExecutions(executions))})
 		}
 	}
 	return found
@@ -325,8 +325,8 @@
 		for _, e := range executions {
 			upstreams[e.upstream] = true
 		}
-		if len(upstreams) > maxAttempts {
-			found = append(found, violation{id: id, detail: fmt.Sprintf("ran at %d upstreams, want %d at most", len(upstreams), maxAttempts)})
+		if most := h.requests[id].kind.maxAttempts(); len(upstreams) > most {
+			found = append(found, violation{id: id, detail: fmt.Sprintf("ran at %d upstreams, want %d at most", len(upstreams), most)})
 		}
 	}
 	return found
@@ -335,7 +335,7 @@
 func checkRefusedNotRun(h *history, _ bounds) []violation {
 	var found []violation
 	for id, r := range h.responses {
-		if (r.status == 429 || r.status == 503) && len(h.executions[id]) > 0 && h.requests[id].kind == kindUnsafe {
+		if (r.status == 429 || r.status == 503) && len(h.executions[id]) > 0 && h.requests[id].kind.runsOnce() {
 			found = append(found, violation{id: id, detail: fmt.Sprintf("answered %d although it ran", r.status)})
 		}
 	}
--- a/soak/history_test.go
+++ b/soak/history_test.go
@@ -119,6 +119,9 @@
 				return false
 			}
 		}},
+		{"unsafe runs once", kindUnresumable, func(d *vmDouble) {
+			d.history.recordExecution(execution{id: "id-1", upstream: "u1", workspace: "workspace", unmodified: true})
+		}},
 		{"requests run at few upstreams", kindSafe, func(d *vmDouble) {
 			for _, upstream := range []string{"u2", "u3"} {
 				d.history.recordExecution(execution{id: "id-1", upstream: upstream, workspace: "workspace", unmodified: true})
@@ -163,6 +166,11 @@
 		{"runs go on after the last event of the caller", kindStream, func(d *vmDouble) {
 			d.changeBody = func(text string) string { return strings.Replace(text, " 0\ndata", " 1\ndata", 1) }
 		}},
+		{"runs go on after the last event of the caller", kindUnresumable, func(d *vmDouble) {
+			d.changeBody = func(text string) string {
+				return text[:len(text)/2] + strings.ReplaceAll(text[len(text)/2:], " 0\ndata", "x 4\ndata")
+			}
+		}},
 		{"callers' streams hold events of one service and software version", kindStream, func(d *vmDouble) {
 			d.history.addResumedStream("a", "worker/v1", "helper/v1")
 		}},
@@ -307,7 +315,7 @@
 	d := newVMDouble(t)
 	d.history.drainingSince["u2"] = time.Now().Add(-time.Second)
 	d.history.keyWithdrawnAt["other"] = time.Now().Add(-time.Second)
-	for i, k := range []requestKind{kindSafe, kindUnsafe, kindStream} {
+	for i, k := range requestKinds {
 		d.send(k, fmt.Sprint("id-", i))
 	}
 	for _, v := range d.history.check(testBounds) {
--- a/soak/orderforms.go
+++ b/soak/orderforms.go
@@ -14,7 +14,7 @@
 	// Missing counts streams in which an event is missing, and Repeated those in which one comes twice or goes back.
 	Missing, Repeated int
 	// Joined counts streams with events of two software versions, services or requests, and JoinedRuns those in which a run goes on that
-	// did not begin after the last event that the caller had.
+	// did not begin after the last event that the caller had, or that follows another one in a stream that may not be resumed.
 	Joined, JoinedRuns int
 	// EndedEarly counts streams that end as complete before their last event.
 	EndedEarly int
@@ -50,7 +50,7 @@
 func (h *history) orderFormsOf(id string) OrderForms {
 	var f OrderForms
 	sent, got := h.requests[id], h.responses[id]
-	if sent.kind != kindStream || got.status != 200 {
+	if !sent.kind.isStream() || got.status != 200 {
 		return f
 	}
 	last := sent.lastEvent
@@ -70,7 +70,7 @@
 	if got.foreign > 0 || countDistinct(got.versions, begun.versions) > 1 || countDistinct(got.services, begun.services) > 1 {
 		f.Joined = 1
 	}
-	if len(got.joinedRuns()) > 0 {
+	if len(got.joinedRuns(sent.kind)) > 0 {
 		f.JoinedRuns = 1
 	}
 	if got.parts > 0 {
@@ -91,7 +91,7 @@
 	for id, got := range h.responses {
 		sent := h.requests[id]
 		services := countDistinct(got.services, h.responses[sent.resumes].services)
-		if sent.kind != kindStream || got.foreign == 0 && got.parts == 0 && services <= 1 {
+		if !sent.kind.isStream() || got.foreign == 0 && got.parts == 0 && services <= 1 {
 			continue
 		}
 		found = append(found, violation{id: id, detail: fmt.Sprintf(
--- a/soak/rawanswer_test.go
+++ b/soak/rawanswer_test.go
@@ -34,7 +34,7 @@
 		got.readBody(request{id: "id-1", kind: kindStream, lastEvent: 2}, &l, resp)
 		wholeEvents := a.end != endFINInsideEvent && a.end != endResetInsideEvent
 		if looksWhole := a.end == endComplete || a.framing == framingNone; got.complete != looksWhole || !isConsecutive(2, got.events) ||
-			(a.end == endComplete) != (len(got.events) == l.events-2) || got.complete && (got.parts == 0) != wholeEvents || !got.verified || len(got.joinedRuns()) > 0 {
+			(a.end == endComplete) != (len(got.events) == l.events-2) || got.complete && (got.parts == 0) != wholeEvents || !got.verified || len(got.joinedRuns(kindStream)) > 0 {
 			t.Errorf("%s, %+v: events %v, %d parts, complete %v, verified %v", &a, a.style, got.events, got.parts, got.complete, got.verified)
 		}
 	}
--- a/soak/rawrows.go
+++ b/soak/rawrows.go
@@ -20,7 +20,7 @@
 func (h *history) answerRows() map[string]rowCounts {
 	rows := map[string]rowCounts{}
 	for id, executions := range h.executions {
-		if h.requests[id].kind != kindStream {
+		if !h.requests[id].kind.isStream() {
 			continue
 		}
 		for i, e := range executions {
--- a/soak/rawupstream.go
+++ b/soak/rawupstream.go
@@ -148,7 +148,7 @@
 	}
 	lastEvent := r.Header.Get(platform.HeaderLastEventID)
 	rng := u.newRand(came.ID, lastEvent)
-	answer := drawAnswer(rng, *u.ends.Load(), r.URL.Path == "/"+string(kindStream)+"/")
+	answer := drawAnswer(rng, *u.ends.Load(), isStreamPath(r.URL.Path))
 	run := streamRun{service: u.settings.Service, version: u.settings.Version, request: came.ID, name: u.runs.next(), after: parseLastEventID(lastEvent)}
 	wire := u.encode(&answer, &run)
 	send := answer.length(&wire)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -31,7 +31,7 @@
 	slotsOfUnbounded = 16
 	// firstUpstreamAge is the age of the upstreams at the start of a run.
 	firstUpstreamAge = time.Minute
-	// maxAttempts is the number of upstreams that may run a request.
+	// maxAttempts is the number of upstreams that may run a request, other than one that may not be resumed.
 	maxAttempts = 2
 )
 
@@ -439,11 +439,8 @@
 		list = append(list, workspaceConfig{Name: s.history.workspaces[key], Keys: []string{key}})
 	}
 	var routes []routeConfig
-	for name, kind := range map[requestKind]string{kindSafe: "safe", kindUnsafe: "unsafe", kindStream: "streaming"} {
-		routes = append(routes, routeConfig{
-			Name: string(name), Host: host, Prefix: "/" + string(name) + "/", Kind: kind, Service: service,
-			TimeoutMillis: float64(s.load.deadline.Milliseconds()), TargetMillis: 1000, MaxAttempts: maxAttempts, Resumable: name == kindStream,
-		})
+	for _, kind := range requestKinds {
+		routes = append(routes, kind.route(&s.load))
 	}
 	s.splitRoute(routes)
 	var services []map[string]string
--- a/soak/streamruns.go
+++ b/soak/streamruns.go
@@ -64,12 +64,15 @@
 	had int
 }
 
-// joins reports whether events of two runs are joined: the later run did not begin after the last event that the caller had.
-func (c *runChange) joins() bool { return c.to.after != c.had }
+// joins reports whether events of two runs are joined: the later run did not begin after the last event that the caller had, or the stream may
+// not be resumed.
+func (c *runChange) joins(kind requestKind) bool {
+	return c.to.after != c.had || kind == kindUnresumable && c.had > 0
+}
 
 // String describes the change.
 func (c *runChange) String() string {
-	return fmt.Sprintf("run %s began after event %d, the caller had %d of run %q", c.to.name, c.to.after, c.had, c.from.name)
+	return fmt.Sprintf("run %s began after event %d, the caller had %d, of run %q", c.to.name, c.to.after, c.had, c.from.name)
 }
 
 // lastEvent returns the last event that the caller has.
@@ -96,21 +99,22 @@
 }
 
 // joinedRuns returns the changes at which events of two runs are joined.
-func (got *response) joinedRuns() []runChange {
+func (got *response) joinedRuns(kind requestKind) []runChange {
 	var joined []runChange
 	for _, c := range got.runChanges {
-		if c.joins() {
+		if c.joins(kind) {
 			joined = append(joined, c)
 		}
 	}
 	return joined
 }
 
-// checkRunChanges finds answers in which a run goes on that did not begin after the last event that the caller had.
+// checkRunChanges finds answers in which a run goes on that did not begin after the last event that the caller had, and streams that
+// go on although they may not be resumed.
 func checkRunChanges(h *history, _ bounds) []violation {
 	var found []violation
 	for id, got := range h.responses {
-		for _, c := range got.joinedRuns() {
+		for _, c := range got.joinedRuns(h.requests[id].kind) {
 			found = append(found, violation{id: id, detail: c.String() + describeExecutions(h.executions[id])})
 		}
 	}
--- a/soak/streamruns_test.go
+++ b/soak/streamruns_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"io"
 	"net/http"
 	"strings"
@@ -17,6 +18,7 @@
 	early, anew := second, second
 	early.after, anew.after = 2, 0
 	for name, c := range map[string]struct {
+		kind requestKind
 		// had and hadFrom are the last event of the attempt before and its run.
 		had     int
 		hadFrom streamRun
@@ -35,13 +37,16 @@
 		"resumed by the caller from begin":    {had: 3, hadFrom: first, runs: []streamRun{anew}, joined: 1},
 		"the same run after a new connection": {had: 3, hadFrom: first, runs: []streamRun{first, first}},
 		"begins after an event":               {runs: []streamRun{second}, joined: 1},
+		"one run, unresumable":                {kind: kindUnresumable, runs: []streamRun{first, first}},
+		"goes on, unresumable":                {kind: kindUnresumable, runs: []streamRun{first, first, first, second}, joined: 1},
+		"begins after an event, unresumable":  {kind: kindUnresumable, runs: []streamRun{second}, joined: 1},
 	} {
 		var text strings.Builder
 		for i, run := range c.runs {
 			run.service, run.version, run.request = service, "v1", "a"
 			text.WriteString(strings.Join(run.eventLines(c.had+i+1, &l), "\n") + "\n\n")
 		}
-		sent, got := request{id: "a", kind: kindStream, lastEvent: c.had, lastRun: c.hadFrom}, response{status: http.StatusOK}
+		sent, got := request{id: "a", kind: cmp.Or(c.kind, kindStream), lastEvent: c.had, lastRun: c.hadFrom}, response{id: "a", status: http.StatusOK}
 		got.readBody(sent, &l, &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(text.String()))})
 		h := newHistory()
 		h.recordRequest(sent)
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -175,10 +175,10 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
-	if r.URL.Path != "/"+string(kindStream)+"/" {
-		_, _ = io.WriteString(w, responseBody(id)) // The VM may have closed the connection.
-	} else {
+	if isStreamPath(r.URL.Path) {
 		u.stream(w, run)
+	} else {
+		_, _ = io.WriteString(w, responseBody(id)) // The VM may have closed the connection.
 	}
 	u.planLateAnswer(r.Context(), id)
 }
