soak: check that a VM does not go back to an older configuration

The version of the configuration that a VM obeys is one that callers can see and that must only grow within the lifetime of its process (rollback_slack_ms); the soak checked only that withdrawn keys stop within their bound.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -345,7 +345,7 @@
 	s.keys = activeKeys
 	s.publishConfig()
 	s.history.mu.Lock()
-	s.history.keyWithdrawnAt[old] = time.Now()
+	s.history.keyWithdrawnAt[old], s.history.keySuccessors[old] = time.Now(), newKey
 	s.history.mu.Unlock()
 	s.keys = all
 	s.mu.Unlock()
--- a/soak/history.go
+++ b/soak/history.go
@@ -119,6 +119,8 @@
 	disturbances []*disturbance
 	// keyWithdrawnAt maps withdrawn keys to the time of their withdrawal.
 	keyWithdrawnAt map[string]time.Time
+	// keySuccessors maps withdrawn keys to the keys that the same version of the configuration adds.
+	keySuccessors map[string]string
 	// drainingSince maps draining upstreams to the time at which they were registered as draining.
 	drainingSince map[string]time.Time
 	// limitedArrivals are the requests that arrived at upstreams while they announced a rate limit, in the order of arrival.
@@ -148,7 +150,7 @@
 func newHistory() *history {
 	return &history{
 		requests: map[string]request{}, executions: map[string][]execution{}, responses: map[string]response{},
-		keyWithdrawnAt: map[string]time.Time{}, drainingSince: map[string]time.Time{}, workspaces: map[string]string{}, regions: map[string]string{},
+		keyWithdrawnAt: map[string]time.Time{}, keySuccessors: map[string]string{}, drainingSince: map[string]time.Time{}, workspaces: map[string]string{}, regions: map[string]string{},
 		vmsByIP: map[string]string{},
 	}
 }
@@ -230,6 +232,8 @@
 	// revoke is the longest time for which a withdrawn key works, drain the longest time for which a draining upstream
 	// receives requests, and settle the time after a disturbance until the other bounds hold again.
 	revoke, drain, settle time.Duration
+	// rollback is the time after the first effect of a version of the configuration at a VM from which the VM may not obey an older one.
+	rollback time.Duration
 	// limitSettle is the time after the first announcement of a rate limit from which it holds. In each limitWindow an
 	// upstream may get limitOverage times what the limit allows, and limitSlack requests.
 	limitSettle, limitWindow time.Duration
@@ -280,6 +284,7 @@
 	{"callers resume while their version serves", "RULES LOST", checkResumptions},
 	{"upstreams get what callers sent", "RULES UNASKED", checkForwardedRequests},
 	{"withdrawn keys stop working", "RULES CONFIG, strict_revoke", checkWithdrawnKeys},
+	{"vms obey no older configuration again", "RULES CONFIG, rollback_slack_ms", checkRollback},
 	{"leaving upstreams get nothing new", "RULES DRAIN", checkDraining},
 	{"upstreams that say that they leave get nothing new", "RULES DRAIN, Server-Leaving", checkLeaving},
 	{"upstreams that want nothing get nothing", "RULES BUDGET, Retry-After", checkHoldBacks},
@@ -372,18 +377,6 @@
 	return found
 }
 
-func checkWithdrawnKeys(h *history, b bounds) []violation {
-	var found []violation
-	for id, executions := range h.executions {
-		req := h.requests[id]
-		withdrawnAt, ok := h.keyWithdrawnAt[req.key]
-		if ok && req.sentAt.After(withdrawnAt.Add(b.revoke)) {
-			found = append(found, violation{id: id, detail: fmt.Sprintf("ran %d times, sent %v after its key was withdrawn", len(executions), req.sentAt.Sub(withdrawnAt))})
-		}
-	}
-	return found
-}
-
 func checkDraining(h *history, b bounds) []violation {
 	var found []violation
 	for id, executions := range h.executions {
--- a/soak/history_test.go
+++ b/soak/history_test.go
@@ -94,7 +94,7 @@
 }
 
 var testBounds = bounds{
-	revoke: 50 * time.Millisecond, drain: 50 * time.Millisecond, settle: time.Millisecond,
+	revoke: 50 * time.Millisecond, drain: 50 * time.Millisecond, settle: time.Millisecond, rollback: 10 * time.Millisecond,
 	limitSettle: time.Millisecond, limitWindow: time.Second, limitOverage: 1, limitSlack: 2,
 	retryWindow: time.Second, retryRatio: 0.2, retrySlack: 10,
 	cutServedShare: 2.0 / 3, cutFailures: 3,
@@ -195,6 +195,13 @@
 		{"withdrawn keys stop working", kindSafe, func(d *vmDouble) {
 			d.history.keyWithdrawnAt["key"] = time.Now().Add(-time.Second)
 		}},
+		{"vms obey no older configuration again", kindSafe, func(d *vmDouble) {
+			d.history.keySuccessors["key"], d.history.workspaces["key-2"] = "key-2", "workspace"
+			d.history.recordRequest(request{id: "id-0", kind: kindSafe, key: "key-2", vm: "vm", sentAt: time.Now(), deadline: time.Second})
+			d.history.recordExecution(execution{id: "id-0", upstream: "u1", workspace: "workspace", unmodified: true, startedAt: time.Now()})
+			d.history.recordResponse(response{id: "id-0", receivedAt: time.Now(), status: http.StatusBadGateway})
+			time.Sleep(2 * testBounds.rollback)
+		}},
 		{"leaving upstreams get nothing new", kindSafe, func(d *vmDouble) {
 			d.history.drainingSince["u1"] = time.Now().Add(-time.Second)
 		}},
@@ -325,8 +332,8 @@
 
 // Guards against an invariant that is added without a case in TestViolationsAreReported.
 func TestEachInvariantHasFaultyVM(t *testing.T) {
-	if len(invariants) != 22 {
-		t.Errorf("%d invariants, want 22; add a case for each new one to TestViolationsAreReported", len(invariants))
+	if len(invariants) != 23 {
+		t.Errorf("%d invariants, want 23; add a case for each new one to TestViolationsAreReported", len(invariants))
 	}
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -39,7 +39,7 @@
 
 // defaultBounds are the documented bounds; revoke is the bounds.revoke_ms that writeSettings sets.
 var defaultBounds = bounds{
-	revoke: 5 * time.Second, drain: 3 * time.Second, settle: contactTime,
+	revoke: 5 * time.Second, drain: 3 * time.Second, settle: contactTime, rollback: 250 * time.Millisecond,
 	brittleCrashes: 2, brittleCrashShare: 0.1, holdBackAfter: 500 * time.Millisecond, holdBackRequests: 2,
 	cutServedShare: 2.0 / 3, cutFailures: 10, cutFailureShare: 0.02,
 	retryWindow: 10 * time.Second, retryRatio: 0.2, retrySlack: 60,
