--- a/soak/orderforms.go
+++ b/soak/orderforms.go
@@ -162,7 +162,7 @@
 	if complete {
 		addOnce(&r.got.origins, originOf(run.service, version))
 	}
-	r.noteRun(run, had)
+	r.recordRun(run, had)
 	fits := data == r.load.eventData(r.sent.id, number)
 	r.got.verified = r.got.verified && fits
 	switch {
--- a/soak/streamruns.go
+++ b/soak/streamruns.go
@@ -83,8 +83,8 @@
 	return r.got.lastReceived()
 }
 
-// noteRun records the run of an event, before which the caller had another one, if the run has changed.
-func (r *eventReader) noteRun(run streamRun, had int) {
+// recordRun records the run of an event, before which the caller had another one, if the run has changed.
+func (r *eventReader) recordRun(run streamRun, had int) {
 	if before := r.got.lastRun(r.sent); run.name != "" && run.name != before.name {
 		r.got.runChanges = append(r.got.runChanges, runChange{from: before, to: run, had: had})
 	}
--- a/soak/streamruns_test.go
+++ b/soak/streamruns_test.go
@@ -15,8 +15,8 @@
 	l := loadOf(ProfileLight)
 	first, second := streamRun{name: "u1.1"}, streamRun{name: "u2.1"}
 	second.after = 3
-	early, anew := second, second
-	early.after, anew.after = 2, 0
+	early, restarted := second, second
+	early.after, restarted.after = 2, 0
 	for name, c := range map[string]struct {
 		kind requestKind
 		// had and hadFrom are the last event of the attempt before and its run.
@@ -29,12 +29,12 @@
 		"one run":                             {runs: []streamRun{first, first, first}},
 		"goes on":                             {runs: []streamRun{first, first, first, second, second}},
 		"began one event earlier":             {runs: []streamRun{first, first, first, early, early}, joined: 1},
-		"began at the first event":            {runs: []streamRun{first, first, first, anew}, joined: 1},
+		"began at the first event":            {runs: []streamRun{first, first, first, restarted}, joined: 1},
 		"began after a later event":           {runs: []streamRun{first, first, second}, joined: 1},
 		"back to the first run":               {runs: []streamRun{first, first, first, second, first}, joined: 1},
 		"resumed by the caller":               {had: 3, hadFrom: first, runs: []streamRun{second, second}},
 		"resumed by the caller too early":     {had: 3, hadFrom: first, runs: []streamRun{early, early}, joined: 1},
-		"resumed by the caller from begin":    {had: 3, hadFrom: first, runs: []streamRun{anew}, joined: 1},
+		"resumed by the caller, first event":  {had: 3, hadFrom: first, runs: []streamRun{restarted}, joined: 1},
 		"the same run after a new connection": {had: 3, hadFrom: first, runs: []streamRun{first, first}},
 		"begins after an event":               {runs: []streamRun{second}, joined: 1},
 		"one run, unresumable":                {kind: kindUnresumable, runs: []streamRun{first, first}},
