edge: take the end of a run before the caller's last event for no end

What callers would see: a stream that ends as complete before its last event (ORDER). Shown by a test only. Cause: drops the events of a run that begins again until the last event of the caller, which must be the same. A run that ends before it was never compared, and the end of its answer counted as the end of the stream. Class: a position taken for the text.

--- a/edge/events.go
+++ b/edge/events.go
@@ -126,6 +126,9 @@
 	if s.started {
 		defer s.edge.framing.record(s.request.streamKind(), s.answer.Framed)
 	}
+	if err := s.source.checkEnd(); err != nil {
+		return err
+	}
 	nothingFollows := !s.started && s.request.goesOn()
 	return cmp.Or(s.edge.checkUnsizedEnd(s.request, s.pick, s.answer, nothingFollows), error(io.EOF))
 }
--- a/edge/eventsource.go
+++ b/edge/eventsource.go
@@ -89,6 +89,15 @@
 	return blocks[:kept], nil
 }
 
+// checkEnd returns an error if the source has ended before the last event of the caller: its run is not that of the stream.
+func (s *eventSource) checkEnd() error {
+	if !s.order.EndsEarly() {
+		return nil
+	}
+	s.recordForeign(nil)
+	return errNotContinued
+}
+
 // reportStep adds the stream to those of its kind. It is called once the head was sent, since the version of the stream is known then.
 func (s *eventSource) reportStep() {
 	if s.request.sequence.Unreported() {
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -136,6 +136,8 @@
 			return f.lose(VMLost, "vm "+slot+": "+err.Error())
 		case end != nil && f.pending.Len() > 0 && Reason(end.Code) == Answered:
 			return f.lose(VMLost, "vm "+slot+": the stream ends inside an event")
+		case end != nil && Reason(end.Code) == Answered && f.source.checkEnd() != nil:
+			return f.lose(VMLost, "vm "+slot+": "+errNotContinued.Error())
 		case end != nil:
 			return e.outcomeOfEnd(r, slot, end)
 		}
--- a/edge/secondrun_test.go
+++ b/edge/secondrun_test.go
@@ -15,6 +15,8 @@
 		"one event too early":                   {"", []string{"1 2 3 |", "*3 *4 *5 *6 *7 *8 ."}, 1},
 		"without the last event":                {"", []string{"1 2 3 |", "*1 *2 *4 *5 *6 *7 *8 ."}, 1},
 		"after a silence":                       {"", []string{"1 2 3 ~ |", "*3 *4 *5 *6 *7 *8 ."}, 1},
+		"ends before the last event":            {"", []string{"1 2 3 4 5 !10", "*1 *2 *3 ."}, 1},
+		"ends early with the same text":         {"", []string{"1 2 3 4 5 !10", "1 2 3 ."}, 1},
 		"all but the last attempt":              {"", []string{"1 2 |", "*1 *2 *3 |", "*2 *3 *4 *5 *6 *7 *8 ."}, 1},
 		"the caller resumes":                    {"3", []string{"*1 *2 *3 *4 *5 *6 *7 *8 ."}, 4},
 		"the caller resumes, one event early":   {"3", []string{"*3 *4 *5 *6 *7 *8 ."}, 4},
--- a/sequence/sequence.go
+++ b/sequence/sequence.go
@@ -171,6 +171,9 @@
 	return Repeated
 }
 
+// EndsEarly reports whether the source has sent only events before the last one, so that its end is not that of the stream.
+func (s *Source) EndsEarly() bool { return s.unverified }
+
 // leavesGap reports whether events are missing before an event with the number n, which is greater than that of the last one, with which
 // a source goes on. Where the step of the stream is not certain, two sources that go on with the same event show that none is missing.
 func (s *Stream) leavesGap(n int64, source string) bool {
