upstream: take no engine's run that begins before the offset for the answer

What callers would see, on the own protocol: an answer joined of two runs of engines, or a VM whose process ends. Shown by tests only. Cause: chunks before the offset at which an answer resumes were dropped by their numbers, so that an engine that begins again was joined from its next chunk on. An empty last chunk below the offset was passed on: a VM that runs the request found its chunks out of order (event 9004) and panicked, which ends its process. Class: as in, a number taken for what it numbers. Change: the first chunk of an answer must begin at the offset, and a last chunk must be at it; otherwise the attempt has failed (Mismatched), as for gaps. What one answer repeats is dropped as before.

--- a/proof/answers_test.go
+++ b/proof/answers_test.go
@@ -186,6 +186,8 @@
 		sendEvent(w, id, i+1, i+2, tokens[i+1])
 	case "overlapping":
 		sendEvent(w, id, i-1, i+1, tokens[i-1]+tokens[i])
+	case "low end":
+		sendEvent(w, id, i-1, i-1, "")
 	case "early end":
 		_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
 	case "no id":
@@ -199,7 +201,7 @@
 	_, _ = fmt.Fprintf(w, "id: %s:%d:%d\ndata: %s\n\n", id, start, end, data)
 }
 
-var engineFaults = []string{"repeated", "late", "crossed", "skipped", "overlapping", "early end", "no id"}
+var engineFaults = []string{"repeated", "late", "crossed", "skipped", "overlapping", "low end", "early end", "no id"}
 
 // Guards against chunks of a faulty engine that reach a caller late, twice, out of order, or in the
 // answer to another request.
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -44,8 +44,10 @@
 	PromptTokens int64
 
 	// idPrefix is "<request id>:", which must be the prefix of each event id.
-	idPrefix      []byte
-	nextOffset    int64
+	idPrefix   []byte
+	nextOffset int64
+	// joined is set once a chunk has begun at the offset at which the answer resumes.
+	joined        bool
 	body          io.ReadCloser
 	reader        *bufio.Reader
 	stallTimeout  time.Duration
@@ -127,8 +129,8 @@
 	_ = s.body.Close()
 }
 
-// Next returns the next chunk, and io.EOF after the last one. Repeated chunks are skipped. Chunks of another
-// request and gaps return a Mismatched failure. The chunk's Data is valid until the next call.
+// Next returns the next chunk, and io.EOF after the last one. Chunks that this answer repeats are skipped. Chunks of another
+// request, gaps, and chunks of a run that began before the offset return a Mismatched failure. The chunk's Data is valid until the next call.
 func (s *Stream) Next() (Chunk, error) {
 	for {
 		if err := s.readEvent(); err != nil {
@@ -144,10 +146,10 @@
 		if failure != nil {
 			return Chunk{}, failure
 		}
-		if c.End <= s.nextOffset && c.Start < c.End {
+		if c.Start < s.nextOffset {
 			continue // A repeated chunk.
 		}
-		s.nextOffset = c.End
+		s.nextOffset, s.joined = c.End, true
 		s.lastChunkRead = c.Start == c.End
 		return c, nil
 	}
@@ -166,7 +168,8 @@
 	if err1 != nil || err2 != nil || end < start {
 		return Chunk{}, &Failure{Kind: Mismatched, Err: fmt.Errorf("chunk %q has no valid offsets", id)}
 	}
-	if start > s.nextOffset || (start < s.nextOffset && end > s.nextOffset) {
+	repeated := s.joined && start < end && end <= s.nextOffset
+	if start != s.nextOffset && !repeated {
 		return Chunk{}, &Failure{Kind: Mismatched, Err: fmt.Errorf("chunk %q does not continue at %d", id, s.nextOffset)}
 	}
 	return Chunk{Start: start, End: end, Data: data}, nil
