sequence: draw no conclusion for other streams from a gap on which two sources agree

What callers would see: as in, streams that miss events, for a minute at a time, where the upstreams of a kind all go on too late. Shown by tests only. Cause: where nothing is known of the step, the first event on which two sources agree is taken. The step to it counted like one inside an answer: with the next event the steps of the stream differed, and the whole kind counted as irregular, so that no gap of any of its streams was seen for a minute. Change: such a step is not counted. Two upstreams that go on too late by the same number of events, on the first stream of a kind, still pass.

--- a/sequence/sequence.go
+++ b/sequence/sequence.go
@@ -207,9 +207,10 @@
 	return Expectation{Step: usualStep}
 }
 
-// recordStep records the step to an event with the number n.
+// recordStep records the step to an event with the number n. A step that was taken since two sources agree shows nothing of the ids, since
+// both may be faulty.
 func (s *Stream) recordStep(n int64) {
-	if n < 0 || s.last < 0 {
+	if n < 0 || s.last < 0 || n == s.doubted {
 		return
 	}
 	step := n - s.last
--- a/sequence/sequence_test.go
+++ b/sequence/sequence_test.go
@@ -31,6 +31,8 @@
 		"one step only":          {"", []string{"1 2", "4", "3"}, []Verdict{next, next, gap, next}},
 		"two sources agree":      {"", []string{"1", "4", "4 5"}, []Verdict{next, gap, next, next}},
 		"two sources differ":     {"", []string{"1", "4", "5", "2"}, []Verdict{next, gap, gap, next}},
+		"agreed, then a gap":     {"", []string{"1 2", "5", "5 6 7", "10"}, []Verdict{next, next, gap, next, next, next, gap}},
+		"resumed, agreed, a gap": {"3", []string{"6", "6 7 8", "11"}, []Verdict{gap, next, next, next, gap}},
 		"one wide step":          {"", []string{"10 20", "30 40"}, []Verdict{next, next, next, next}},
 		"steps of two sources":   {"", []string{"1 2", "3", "5"}, []Verdict{next, next, next, gap}},
 		"caller resumes":         {"3", []string{"2", "3", "4 4 5"}, []Verdict{foreign, foreign, next, repeated, next}},
--- a/sequence/steps_test.go
+++ b/sequence/steps_test.go
@@ -53,3 +53,18 @@
 		t.Errorf("%+v is expected", got)
 	}
 }
+
+// Guards against gaps that reach the callers of all streams of a kind once two faulty upstreams have agreed on one.
+func TestAgreedGapIsNoStepOfKind(t *testing.T) {
+	now, kind := time.Now(), Kind{Service: "a"}
+	all, s := NewSteps(time.Minute), New("3")
+	first, second := s.NewSource("u1", false), s.NewSource("u2", false)
+	first.Check(eventOf("6"))
+	for _, id := range []string{"6", "7", "8"} {
+		second.Check(eventOf(id))
+	}
+	s.Report(now, all, kind)
+	if got, want := all.Expected(now, kind), (Expectation{Step: 1}); got != want {
+		t.Errorf("%+v is expected, want %+v", got, want)
+	}
+}
