edge: let no source go on after an event without an id, also if the next event is refused

What callers would see: a part of a stream twice (ORDER), where a caller resumes, and its upstream sends an event without an id and, in the same read, one that is refused as a gap or another run. Shown by a test only. Cause: that the caller has an event without an id was noted only if all events of the read were passed on. Before: edge TestNoSourceGoesOnAfterEventWithoutID failed; after, it passes, and so does go test ./edge -run 'EventsOut|SecondRun|Order'.

--- a/edge/eventsource.go
+++ b/edge/eventsource.go
@@ -65,6 +65,13 @@
 	if s.request.route.Kind != route.Streaming {
 		return blocks, nil
 	}
+	events, err := s.check(blocks)
+	s.request.notResumable = s.request.notResumable || s.request.sequence.Unidentified()
+	return events, err
+}
+
+// check is next without its effect on the request.
+func (s *eventSource) check(blocks []byte) ([]byte, error) {
 	kept := 0
 	for start := 0; start < len(blocks); {
 		block := sequence.FirstBlock(blocks[start:])
@@ -85,7 +92,6 @@
 		}
 		start += len(block)
 	}
-	s.request.notResumable = s.request.notResumable || s.request.sequence.Unidentified()
 	return blocks[:kept], nil
 }
 
--- a/edge/eventsource_test.go
+++ b/edge/eventsource_test.go
@@ -44,3 +44,20 @@
 		}
 	}
 }
+
+// Guards against an event without an id that the caller gets twice: no source can go on after it, also if the next event of the same read is
+// refused.
+func TestNoSourceGoesOnAfterEventWithoutID(t *testing.T) {
+	m := metrics.New("vm1", "north")
+	defer func() { _ = m.Close() }()
+	e := &Edge{Log: slog.New(slog.DiscardHandler), Metrics: m, Steps: sequence.NewSteps(streamLifetime), Now: clock.Now}
+	r := &request{
+		id: "r1", lastEvent: "3", route: &route.Route{Kind: route.Streaming, Resumable: true}, service: &route.Service{Name: "plain"},
+		header: http.Header{},
+	}
+	const unidentified = "data: text\n\n"
+	got, err := e.newEventSource(r, "u1", "").next([]byte(unidentified + pieces(2, 2)))
+	if string(got) != unidentified || err == nil || !r.notResumable {
+		t.Errorf("events %q, error %v, no other source may go on: %v", got, err, r.notResumable)
+	}
+}
