--- a/soak/soak.go
+++ b/soak/soak.go
@@ -31,7 +31,7 @@
 	slotsOfUnbounded = 16
 	// firstUpstreamAge is the age of the upstreams at the start of a run.
 	firstUpstreamAge = time.Minute
-	// maxAttempts is the number of upstreams that may run a request.
+	// maxAttempts is the number of upstreams that may run a request, other than one that may not be resumed.
 	maxAttempts = 2
 )
 
@@ -39,7 +39,7 @@
 
 // defaultBounds are the documented bounds; revoke is the bounds.revoke_ms that writeSettings sets.
 var defaultBounds = bounds{
-	revoke: 5 * time.Second, drain: 3 * time.Second, settle: contactTime,
+	revoke: 5 * time.Second, drain: 3 * time.Second, settle: contactTime, rollback: 250 * time.Millisecond,
 	brittleCrashes: 2, brittleCrashShare: 0.1, holdBackAfter: 500 * time.Millisecond, holdBackRequests: 2,
 	cutServedShare: 2.0 / 3, cutFailures: 10, cutFailureShare: 0.02,
 	retryWindow: 10 * time.Second, retryRatio: 0.2, retrySlack: 60,
@@ -439,11 +439,8 @@
 		list = append(list, workspaceConfig{Name: s.history.workspaces[key], Keys: []string{key}})
 	}
 	var routes []routeConfig
-	for name, kind := range map[requestKind]string{kindSafe: "safe", kindUnsafe: "unsafe", kindStream: "streaming"} {
-		routes = append(routes, routeConfig{
-			Name: string(name), Host: host, Prefix: "/" + string(name) + "/", Kind: kind, Service: service,
-			TimeoutMillis: float64(s.load.deadline.Milliseconds()), TargetMillis: 1000, MaxAttempts: maxAttempts, Resumable: name == kindStream,
-		})
+	for _, kind := range requestKinds {
+		routes = append(routes, kind.route(&s.load))
 	}
 	s.splitRoute(routes)
 	var services []map[string]string
--- a/vmwire/versions.go
+++ b/vmwire/versions.go
@@ -19,6 +19,8 @@
 	RequestID string
 	Service   string
 	Version   string
+	// Age is the time since the stream began.
+	Age Age
 }
 
 // StreamOrigin is a service and a software version at which a stream began.
--- a/vmwire/versions_gen.go
+++ b/vmwire/versions_gen.go
@@ -466,8 +466,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.RequestID, err = dc.ReadString()
@@ -485,13 +485,18 @@
 		err = msgp.WrapError(err, "Version")
 		return
 	}
+	err = z.Age.DecodeMsg(dc)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z StreamBegan) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 3
-	err = en.Append(0x93)
+func (z *StreamBegan) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
 		return
 	}
@@ -510,17 +515,27 @@
 		err = msgp.WrapError(err, "Version")
 		return
 	}
+	err = z.Age.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z StreamBegan) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *StreamBegan) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendString(o, z.RequestID)
 	o = msgp.AppendString(o, z.Service)
 	o = msgp.AppendString(o, z.Version)
+	o, err = z.Age.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
 	return
 }
 
@@ -532,8 +547,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.RequestID, bts, err = msgp.ReadStringBytes(bts)
@@ -551,13 +566,18 @@
 		err = msgp.WrapError(err, "Version")
 		return
 	}
+	bts, err = z.Age.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z StreamBegan) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.RequestID) + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Version)
+func (z *StreamBegan) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.RequestID) + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Version) + z.Age.Msgsize()
 	return
 }
 
@@ -1486,50 +1506,26 @@
 		z.Streams = make([]StreamBegan, zb0002)
 	}
 	for za0001 := range z.Streams {
-		var zb0003 uint32
-		zb0003, err = dc.ReadArrayHeader()
+		err = z.Streams[za0001].DecodeMsg(dc)
 		if err != nil {
 			err = msgp.WrapError(err, "Streams", za0001)
 			return
 		}
-		if zb0003 > z405979c1limitArrays {
-			err = msgp.ErrLimitExceeded
-			return
-		}
-		if zb0003 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-			return
-		}
-		z.Streams[za0001].RequestID, err = dc.ReadString()
-		if err != nil {
-			err = msgp.WrapError(err, "Streams", za0001, "RequestID")
-			return
-		}
-		z.Streams[za0001].Service, err = dc.ReadString()
-		if err != nil {
-			err = msgp.WrapError(err, "Streams", za0001, "Service")
-			return
-		}
-		z.Streams[za0001].Version, err = dc.ReadString()
-		if err != nil {
-			err = msgp.WrapError(err, "Streams", za0001, "Version")
-			return
-		}
 	}
-	var zb0004 uint32
-	zb0004, err = dc.ReadArrayHeader()
+	var zb0003 uint32
+	zb0003, err = dc.ReadArrayHeader()
 	if err != nil {
 		err = msgp.WrapError(err, "Origins")
 		return
 	}
-	if zb0004 > z405979c1limitArrays {
+	if zb0003 > z405979c1limitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Origins) >= int(zb0004) {
-		z.Origins = (z.Origins)[:zb0004]
+	if cap(z.Origins) >= int(zb0003) {
+		z.Origins = (z.Origins)[:zb0003]
 	} else {
-		z.Origins = make([]KeyedOrigin, zb0004)
+		z.Origins = make([]KeyedOrigin, zb0003)
 	}
 	for za0002 := range z.Origins {
 		err = z.Origins[za0002].DecodeMsg(dc)
@@ -1559,24 +1555,9 @@
 		return
 	}
 	for za0001 := range z.Streams {
-		// array header, size 3
-		err = en.Append(0x93)
+		err = z.Streams[za0001].EncodeMsg(en)
 		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Streams[za0001].RequestID)
-		if err != nil {
-			err = msgp.WrapError(err, "Streams", za0001, "RequestID")
-			return
-		}
-		err = en.WriteString(z.Streams[za0001].Service)
-		if err != nil {
-			err = msgp.WrapError(err, "Streams", za0001, "Service")
-			return
-		}
-		err = en.WriteString(z.Streams[za0001].Version)
-		if err != nil {
-			err = msgp.WrapError(err, "Streams", za0001, "Version")
+			err = msgp.WrapError(err, "Streams", za0001)
 			return
 		}
 	}
@@ -1607,11 +1588,11 @@
 	o = append(o, 0x93)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Streams)))
 	for za0001 := range z.Streams {
-		// array header, size 3
-		o = append(o, 0x93)
-		o = msgp.AppendString(o, z.Streams[za0001].RequestID)
-		o = msgp.AppendString(o, z.Streams[za0001].Service)
-		o = msgp.AppendString(o, z.Streams[za0001].Version)
+		o, err = z.Streams[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Streams", za0001)
+			return
+		}
 	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Origins)))
 	for za0002 := range z.Origins {
@@ -1653,46 +1634,26 @@
 		z.Streams = make([]StreamBegan, zb0002)
 	}
 	for za0001 := range z.Streams {
-		var zb0003 uint32
-		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		bts, err = z.Streams[za0001].UnmarshalMsg(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Streams", za0001)
 			return
 		}
-		if zb0003 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-			return
-		}
-		z.Streams[za0001].RequestID, bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Streams", za0001, "RequestID")
-			return
-		}
-		z.Streams[za0001].Service, bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Streams", za0001, "Service")
-			return
-		}
-		z.Streams[za0001].Version, bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Streams", za0001, "Version")
-			return
-		}
 	}
-	var zb0004 uint32
-	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Origins")
 		return
 	}
-	if zb0004 > z405979c1limitArrays {
+	if zb0003 > z405979c1limitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Origins) >= int(zb0004) {
-		z.Origins = (z.Origins)[:zb0004]
+	if cap(z.Origins) >= int(zb0003) {
+		z.Origins = (z.Origins)[:zb0003]
 	} else {
-		z.Origins = make([]KeyedOrigin, zb0004)
+		z.Origins = make([]KeyedOrigin, zb0003)
 	}
 	for za0002 := range z.Origins {
 		bts, err = z.Origins[za0002].UnmarshalMsg(bts)
@@ -1714,7 +1675,7 @@
 func (z *StreamsBegan) Msgsize() (s int) {
 	s = 1 + msgp.ArrayHeaderSize
 	for za0001 := range z.Streams {
-		s += 1 + msgp.StringPrefixSize + len(z.Streams[za0001].RequestID) + msgp.StringPrefixSize + len(z.Streams[za0001].Service) + msgp.StringPrefixSize + len(z.Streams[za0001].Version)
+		s += z.Streams[za0001].Msgsize()
 	}
 	s += msgp.ArrayHeaderSize
 	for za0002 := range z.Origins {
