--- a/edge/forward.go
+++ b/edge/forward.go
@@ -248,7 +248,7 @@
 	case c.VersionKnown:
 		f.edge.streamBegan(f.request, c.Version)
 	case f.events:
-		f.edge.recordOrigin(f.request, version.Stream{}) // At an unknown version.
+		f.edge.recordStreamOrigin(f.request, version.Stream{}) // At an unknown version.
 	}
 	return asSinkError(f.sink.Head(int(c.Status), header, int(c.End)))
 }
--- a/edge/streamorigins.go
+++ b/edge/streamorigins.go
@@ -63,8 +63,8 @@
 	return ""
 }
 
-// recordOrigin records the origin of a stream that this VM passes to its caller. The VM that forwarded a request records its stream itself.
-func (e *Edge) recordOrigin(r *request, stream version.Stream) {
+// recordStreamOrigin records the origin of a stream that this VM passes to its caller. The VM that forwarded a request records its stream itself.
+func (e *Edge) recordStreamOrigin(r *request, stream version.Stream) {
 	if !r.forwarded {
 		e.Origins.Add(e.Now(), r.contentKey(), stream)
 	}
@@ -83,9 +83,9 @@
 	return true
 }
 
-// onlyOrigin returns the service and the version at which all streams of requests equal to r began, or the reason for which it is not
+// onlyStreamOrigin returns the service and the version at which all streams of requests equal to r began, or the reason for which it is not
 // known.
-func (e *Edge) onlyOrigin(now time.Time, r *request, a *streamAnswer) (version.Stream, string) {
+func (e *Edge) onlyStreamOrigin(now time.Time, r *request, a *streamAnswer) (version.Stream, string) {
 	o := a.origins
 	if !o.asked {
 		return version.Stream{}, "vms not asked"
--- a/edge/streamreport.go
+++ b/edge/streamreport.go
@@ -39,7 +39,7 @@
 
 // streamBegan binds a stream to the version of the upstream that sent its first event.
 func (e *Edge) streamBegan(r *request, v string) {
-	e.recordOrigin(r, version.Stream{Service: r.service.Name, Version: v})
+	e.recordStreamOrigin(r, version.Stream{Service: r.service.Name, Version: v})
 	// The VM that forwarded a request may have a configuration in which its stream can be resumed.
 	if r.streamVersion.bound || !r.route.Resumable && !r.forwarded {
 		return
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -152,7 +152,7 @@
 		if only, ok := e.Watcher.Versions.Only(r.service.Name, since); ok && e.versionsConfirmed(now, answer) && e.serviceCertain(now, r, answer) {
 			return version.Stream{Service: r.service.Name, Version: only}, answer
 		}
-		only, unknown := e.onlyOrigin(now, r, &answer)
+		only, unknown := e.onlyStreamOrigin(now, r, &answer)
 		if unknown == "" {
 			return only, answer
 		}
