edge: test a VM that stops with an open request, and equal streams of unknown versions

Without the check for open requests, or without the refusal of new ones, the case of the open request fails.

--- a/edge/streamorigins_test.go
+++ b/edge/streamorigins_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"parsleyhatch/platform"
+	"parsleyhatch/route"
+	"parsleyhatch/version"
 	"parsleyhatch/vm"
 	"parsleyhatch/vmwire"
 )
@@ -24,6 +26,16 @@
 	v.cancel()
 }
 
+// waitForNoSessions waits until no other VM has a session with a VM that has ended. Until then it replies, or a query waits for its reply.
+func (w *testCluster) waitForNoSessions(v *testVM) {
+	w.t.Helper()
+	for _, other := range w.vms {
+		w.waitFor("the sessions have ended", func() bool {
+			return other == v || !other.Fleet.Runs(v.Settings.Name, v.Fleet.Endpoint.Self.Incarnation)
+		})
+	}
+}
+
 // Guards against a stream without a name that is refused although each process that may have begun it says at which service it did, and
 // against one that goes on although a process that is lost may have begun it elsewhere. All streams began before the split of their route
 // changed, so that the service that it selects says nothing.
@@ -36,16 +48,38 @@
 			return resume(w)
 		}
 	}
-	stops := func(w *testCluster, v *testVM) { v.endAsPlanned(w.t) }
-	isLost := func(_ *testCluster, v *testVM) { v.cancel() }
-	startsAgain := func(w *testCluster, v *testVM) {
+	stops := func(w *testCluster, v *testVM) {
+		v.endAsPlanned(w.t)
+		w.waitForNoSessions(v)
+	}
+	isLost := func(w *testCluster, v *testVM) {
 		v.cancel()
+		w.waitForNoSessions(v)
+	}
+	startsAgain := func(w *testCluster, v *testVM) {
+		isLost(w, v)
 		w.startVM(v.Settings.Name, "north", true)
 	}
 	startsAfterStop := func(w *testCluster, v *testVM) {
 		stops(w, v)
 		w.startVM(v.Settings.Name, "north", true)
 	}
+	stopsWithOpenRequest := func(w *testCluster, v *testVM) {
+		v.open.Add(1)
+		v.CloseSessions(w.t.Context())
+		if status, body, _ := v.read(w.t, "/a/0", nil); !strings.Contains(body, string(Leaving)) {
+			w.t.Errorf("a VM whose sessions have ended answers %d %q", status, body)
+		}
+		v.cancel()
+		w.waitForNoSessions(v)
+	}
+	passesUnknownVersion := func(_ *testCluster, v *testVM) {
+		workspace := v.table().Authenticate(route.HashKey("secret")).Name
+		for i := range streams {
+			r := &request{fingerprint: v.hasher.Fingerprint(fmt.Sprintf("%s /a/%d", workspace, i), []byte("x"))}
+			v.recordStreamOrigin(r, version.Stream{})
+		}
+	}
 	meetsOldProgram := func(_ *testCluster, v *testVM) { v.recordOtherProtocol(vmwire.Protocol - 1) }
 	connects := func(w *testCluster, v *testVM) {
 		v.connectFrom(w.t, vm.Identity{Slot: "silent", Region: "north", Incarnation: 1})
@@ -94,6 +128,8 @@
 		"a VM that has just connected does not reply": {ends(0, connects, at(0)), false},
 		"equal requests after all VMs were lost":      {allLost, false},
 		"a VM does not reply":                         {ends(0, isSilent, at(0)), false},
+		"its VM has stopped with a request open":      {ends(0, stopsWithOpenRequest, at(1)), false},
+		"an equal one at an unknown version":          {ends(1, passesUnknownVersion, at(0)), false},
 		"another VM met an older program":             {ends(1, meetsOldProgram, at(0)), false},
 		"equal requests at another service":           {ends(1, serveEqual, at(0)), false},
 		"equal requests, at a third VM":               {ends(1, serveEqual, at(2)), false},
