edge: bind no stream to the version of an upstream that may have restarted

What callers would see: a stream joined of two software versions (ORDER). An upstream starts again in place with another version, and its registration names the earlier one until it is renewed; a stream that begins there was bound to the registered version and went on at another upstream of that version. Cause: that the version of an upstream is in doubt for 5 s after its return was used for streams that resume there, not for those that begin there. Class: an identity of a process read from a record of its predecessor. Change: whether the upstream is in doubt is decided when the request is sent. Such a stream has no version until the upstream's is certain, which a health answer shows at once where it had not restarted; callers that resume it before are refused as not run. Not covered: a stream that passed through another VM stays without a version; an upstream whose old process still answers beside the new one.

--- a/edge/events.go
+++ b/edge/events.go
@@ -141,7 +141,7 @@
 		return nil
 	}
 	s.request.headSent = true
-	s.edge.streamBegan(s.request, s.pick.Version)
+	s.edge.streamBeganAt(s.request, s.pick)
 	if err := s.sink.Head(s.answer.Status, endToEnd(s.answer.Header), -1); err != nil {
 		s.sinkFailed = true
 		return err
--- a/edge/region.go
+++ b/edge/region.go
@@ -47,6 +47,7 @@
 
 // bestRegion compares the regions that may run the request. A forwarded request stays in this region.
 func (e *Edge) bestRegion(now time.Time, r *request) (place.Choice, bool) {
+	e.settleVersion(now, r)
 	var regions []place.Region
 	if here, ok := e.localRegion(now, r); ok {
 		regions = append(regions, here)
--- a/edge/send.go
+++ b/edge/send.go
@@ -55,6 +55,7 @@
 		Header: header, Body: r.body,
 		OnSend: func() {
 			header.Set(platform.HeaderDeadline, r.deadlineHeader(time.Now())) // Opening the connection took a part of the time.
+			pick.VersionDoubted = e.Replicas.IsDoubted(e.Now(), pick.ID)
 			r.switchover.sent()
 		},
 	})
--- a/edge/streamreport.go
+++ b/edge/streamreport.go
@@ -31,12 +31,6 @@
 	maxReportedStreams = 512
 )
 
-// streamVersion is the software version that a stream is bound to.
-type streamVersion struct {
-	bound   bool
-	version string
-}
-
 // streamBegan binds a stream to the version of the upstream that sent its first event.
 func (e *Edge) streamBegan(r *request, v string) {
 	// The VM that forwarded a request may have a configuration in which its stream can be resumed.
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -70,7 +70,7 @@
 	switch {
 	case found.Service == "" && !e.serviceCertain(e.Now(), r, answer):
 		return e.refuseService(r, "", "no vm knows the service that began the stream"), false
-	case found.Service == "":
+	case found.Service == "" || found.Version == version.Uncertain:
 		event.StreamVersionUnknown.Log(e.Log, "request", r.id, "resumes", id, "service", r.service.Name, "asked", answer.asked,
 			"replies", answer.replies, "versionsConfirmed", e.versionsConfirmed(e.Now(), answer))
 		return refuse(VersionUnknown, "no vm knows the version of the upstream that began the stream", defaultRetryAfter), false
--- a/replica/choose.go
+++ b/replica/choose.go
@@ -47,8 +47,9 @@
 	Address string
 	// Born is the start time of the upstream, see Registration.
 	Born int64
-	// Version is the version of the upstream's software, see Registration.
-	Version string
+	// Version is the version of the upstream's software, see Registration. VersionDoubted is set when the request is sent, see Table.IsDoubted.
+	Version        string
+	VersionDoubted bool
 	// UncachedTokens is the number of prompt tokens that are not cached at the upstream and must be processed.
 	UncachedTokens int64
 	// FirstToken is the expected time to the first token, without penalties.
--- a/replica/upstream.go
+++ b/replica/upstream.go
@@ -161,6 +161,27 @@
 	return now.Sub(r.doubtedAt) < registrationDelay
 }
 
+// IsDoubted reports whether a request that is sent to an upstream now may reach another process, with another software version, than its
+// registration says.
+func (t *Table) IsDoubted(now time.Time, id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.upstreams[id]
+	return r != nil && (r.isDoubted(now) || !r.unreachableSince.IsZero())
+}
+
+// CertainVersion returns the software version of an upstream that was doubted. It reports false while it is, and once the upstream is not
+// registered any more.
+func (t *Table) CertainVersion(now time.Time, id string) (string, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.upstreams[id]
+	if r == nil || r.isDoubted(now) || !r.unreachableSince.IsZero() {
+		return "", false
+	}
+	return r.Version, true
+}
+
 func (r *upstreamState) isCold(now time.Time) bool {
 	return now.Before(r.coldUntil) || now.Before(r.assumedColdUntil)
 }
--- a/version/streams.go
+++ b/version/streams.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// Uncertain is the version of a stream whose upstream may have started again with another version than its registration says. No upstream
+// has it.
+const Uncertain = "\x00"
+
 // Stream is the version at which a stream of a service began.
 type Stream struct {
 	Service string
