edge: take no end before an event that an earlier source had begun

What callers would see: a stream that ends as complete before its last event (ORDER), where an upstream breaks off inside an event and the next one, which resumes too late, has nothing to send. Shown by a test only. Cause: a resumption that brings nothing counts as the end, whatever the source before it had shown. Class: nothing known taken for nothing to check. Change: a part of an event with a number above the last one shows that the stream goes on. Not covered: sources that break off between events, callers that resume, and what another VM had seen of the event.

--- a/edge/eventsource.go
+++ b/edge/eventsource.go
@@ -66,6 +66,7 @@
 		return blocks, nil
 	}
 	events, err := s.check(blocks)
+	s.request.eventBegun = s.request.eventBegun && !sequence.HasEvent(events)
 	s.request.notResumable = s.request.notResumable || s.request.sequence.Unidentified()
 	return events, err
 }
@@ -95,13 +96,18 @@
 	return blocks[:kept], nil
 }
 
-// checkEnd returns an error if the source has ended before the last event of the caller: its run is not that of the stream.
+// checkEnd returns an error if the source has ended before the last event of the caller, so that its run is not that of the stream, or before
+// the event that another one had begun.
 func (s *eventSource) checkEnd() error {
-	if !s.order.EndsEarly() {
-		return nil
+	switch {
+	case s.order.EndsEarly():
+		s.recordForeign(nil)
+		return errNotContinued
+	case s.request.eventBegun:
+		s.recordGap(nil)
+		return errStreamGap
 	}
-	s.recordForeign(nil)
-	return errNotContinued
+	return nil
 }
 
 // reportStep adds the stream to those of its kind. It is called once the head was sent, since the version of the stream is known then.
--- a/edge/ordersteps_test.go
+++ b/edge/ordersteps_test.go
@@ -82,3 +82,24 @@
 		})
 	}
 }
+
+// Guards against a stream that looks complete because the upstream at which it resumes sends nothing, although the one before had begun
+// the next event.
+func TestNothingFollowsPartOfEvent(t *testing.T) {
+	w := newScriptedCluster(t)
+	for name, attempts := range map[string][]string{
+		"breaks off":     {"1 2 3 !10", "."},
+		"twice":          {"1 2 3 !10", ".", "."},
+		"then goes on":   {"1 2 3 !10", "4 5 6 7 !10", "."},
+		"between events": {"1 2 3 4 5 6 7 8 |", "."},
+	} {
+		for _, route := range []string{"a", "b"} {
+			t.Run(name+" on route "+route, func(t *testing.T) {
+				t.Parallel()
+				if body, err := w.read(t, route, "", attempts); body != pieces(1, lastScripted) || err != nil {
+					t.Errorf("answer %q, error %v", body, err)
+				}
+			})
+		}
+	}
+}
--- a/sequence/sequence.go
+++ b/sequence/sequence.go
@@ -82,6 +82,12 @@
 // LastID returns the id of the last event that the caller has, empty if it has none.
 func (s *Stream) LastID() string { return string(s.lastID) }
 
+// IsAhead reports whether a part of an event shows that the event comes after the last one that the caller has.
+func (s *Stream) IsAhead(part []byte) bool {
+	id, ok := ID(part)
+	return ok && number(id) > s.last // The number is that of the event, or smaller if the part ends inside it.
+}
+
 // Unidentified reports whether the caller has an event without an id.
 func (s *Stream) Unidentified() bool { return s.unidentified }
 
--- a/sequence/sequence_test.go
+++ b/sequence/sequence_test.go
@@ -152,3 +152,16 @@
 		t.Errorf("last event %q, unidentified %v", s.LastID(), s.Unidentified())
 	}
 }
+
+// Guards against an end that is refused because a source had sent a part of an event that the caller has, or bytes that are no event.
+func TestPartOfEventIsAhead(t *testing.T) {
+	s := New("12")
+	for part, want := range map[string]bool{
+		"": false, "id": false, "id: 1": false, "id: 12\nda": false, "id: 13": true, "id: 13\nda": true, "weight-versions: 2\nid: 14\n": true, ": 13": false,
+		"data: id": false, "id: x": false, "bytes": false,
+	} {
+		if got := s.IsAhead([]byte(part)); got != want {
+			t.Errorf("%q is ahead: %v, want %v", part, got, want)
+		}
+	}
+}
