sequence: doubt no wide step that another VM has compared

What callers saw in a test: a stream with wide ids that they resume through another VM (a route with homes elsewhere) is cut after each VM start, in all attempts: the VM of the upstreams passes the event on which two of them agree, and the VM of the caller doubts it once more, with no second VM to compare. False refusal since. Change: where the step is not certain, an event from another VM is not doubted. That VM has doubted it, too, and knows of two upstreams or of the step. What is certain here still decides. Before: edge TestWideStepOfFirstStreamIsNoGap, now also on the route b, failed where the caller resumes; after, it passes, and so do go test -race ./sequence and go test ./edge -run 'Order|Resum|Runs|Forward|Step' and -run 'WideStep|Gap|EventsOut|SecondRun|NothingFollows'.

--- a/edge/eventsource.go
+++ b/edge/eventsource.go
@@ -27,7 +27,9 @@
 	}
 	r.sequence.Expect(e.Steps.Expected(e.Now(), r.streamKind()))
 	resumes := r.headSent && r.sequence.LastID() != ""
-	return &eventSource{edge: e, request: r, upstream: upstream, vm: vm, order: r.sequence.NewSource(upstream+vm, resumes)}
+	s := &eventSource{edge: e, request: r, upstream: upstream, vm: vm, order: r.sequence.NewSource(upstream+vm, resumes)}
+	s.order.Checked = vm != ""
+	return s
 }
 
 // streamKind returns the kind of streams that number their events like this one.
--- a/sequence/sequence.go
+++ b/sequence/sequence.go
@@ -108,6 +108,9 @@
 
 // Source is an attempt to get the events of a stream, at one upstream or through one other VM.
 type Source struct {
+	// Checked is set if the source is another VM, which has compared what its upstreams send.
+	Checked bool
+
 	stream *Stream
 	// name tells sources apart.
 	name string
@@ -148,7 +151,7 @@
 		if !s.joined && s.unverified {
 			return Foreign
 		}
-		if !s.joined && s.stream.leavesGap(n, s.name) {
+		if !s.joined && s.leavesGap(n) {
 			return Gap
 		}
 	}
@@ -181,19 +184,18 @@
 func (s *Source) EndsEarly() bool { return s.unverified }
 
 // leavesGap reports whether events are missing before an event with the number n, which is greater than that of the last one, with which
-// a source goes on. Where the step of the stream is not certain, two sources that go on with the same event show that none is missing.
-func (s *Stream) leavesGap(n int64, source string) bool {
-	step := s.nextStep()
+// the source goes on. Where the step of the stream is not certain, two sources that go on with the same event show that none is missing.
+func (s *Source) leavesGap(n int64) bool {
+	step := s.stream.nextStep()
 	switch {
-	case step.Irregular || n-s.last <= step.Step:
+	case step.Irregular || n-s.stream.last <= step.Step:
 		return false
 	case step.Certain:
 		return true
-	case s.doubted == n && s.doubtedFrom != source:
-		return false
 	}
-	s.doubted, s.doubtedFrom = n, source
-	return true
+	agreed := s.Checked || s.stream.doubted == n && s.stream.doubtedFrom != s.name
+	s.stream.doubted, s.stream.doubtedFrom = n, s.name
+	return !agreed
 }
 
 // nextStep returns what is known of the step from the last event to the next one.
