--- a/edge/ordersteps_test.go
+++ b/edge/ordersteps_test.go
@@ -69,16 +69,39 @@
 		"after the first event": {"", []string{"2 !10", "4 6 |", "4 6 8 ."}, []int{2, 4, 6, 8}},
 		"the caller resumes":    {"2", []string{"4 6 8 .", "4 6 8 ."}, []int{4, 6, 8}},
 	} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			var want strings.Builder
-			for _, n := range c.want {
-				want.WriteString(pieces(n, n))
-			}
-			w := newScriptedCluster(t)
-			if body, err := w.read(t, "a", c.lastEvent, c.attempts); body != want.String() || err != nil {
-				t.Errorf("answer %q, error %v", body, err)
-			}
-		})
+		for _, route := range []string{"a", "b"} {
+			t.Run(name+" on route "+route, func(t *testing.T) {
+				t.Parallel()
+				var want strings.Builder
+				for _, n := range c.want {
+					want.WriteString(pieces(n, n))
+				}
+				w := newScriptedCluster(t)
+				if body, err := w.read(t, route, c.lastEvent, c.attempts); body != want.String() || err != nil {
+					t.Errorf("answer %q, error %v", body, err)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a stream that looks complete because the upstream at which it resumes sends nothing, although the one before had begun
+// the next event.
+func TestNothingFollowsPartOfEvent(t *testing.T) {
+	w := newScriptedCluster(t)
+	for name, attempts := range map[string][]string{
+		"breaks off":     {"1 2 3 !10", "."},
+		"twice":          {"1 2 3 !10", ".", "."},
+		"then goes on":   {"1 2 3 !10", "4 5 6 7 !10", "."},
+		"between events": {"1 2 3 4 5 6 7 8 |", "."},
+	} {
+		for _, route := range []string{"a", "b"} {
+			t.Run(name+" on route "+route, func(t *testing.T) {
+				t.Parallel()
+				if body, err := w.read(t, route, "", attempts); body != pieces(1, lastScripted) || err != nil {
+					t.Errorf("answer %q, error %v", body, err)
+				}
+			})
+		}
 	}
 }
