--- a/edge/eventsource.go
+++ b/edge/eventsource.go
@@ -65,6 +65,13 @@
 	if s.request.route.Kind != route.Streaming {
 		return blocks, nil
 	}
+	events, err := s.check(blocks)
+	s.request.notResumable = s.request.notResumable || s.request.sequence.Unidentified()
+	return events, err
+}
+
+// check is next without its effect on the request.
+func (s *eventSource) check(blocks []byte) ([]byte, error) {
 	kept := 0
 	for start := 0; start < len(blocks); {
 		block := sequence.FirstBlock(blocks[start:])
@@ -85,10 +92,18 @@
 		}
 		start += len(block)
 	}
-	s.request.notResumable = s.request.notResumable || s.request.sequence.Unidentified()
 	return blocks[:kept], nil
 }
 
+// checkEnd returns an error if the source has ended before the last event of the caller: its run is not that of the stream.
+func (s *eventSource) checkEnd() error {
+	if !s.order.EndsEarly() {
+		return nil
+	}
+	s.recordForeign(nil)
+	return errNotContinued
+}
+
 // reportStep adds the stream to those of its kind. It is called once the head was sent, since the version of the stream is known then.
 func (s *eventSource) reportStep() {
 	if s.request.sequence.Unreported() {
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -70,7 +70,7 @@
 	switch {
 	case found.Service == "" && !e.serviceCertain(e.Now(), r, answer):
 		return e.refuseService(r, "", "no vm knows the service that began the stream"), false
-	case found.Service == "":
+	case found.Service == "" || found.Version == version.Uncertain:
 		event.StreamVersionUnknown.Log(e.Log, "request", r.id, "resumes", id, "service", r.service.Name, "asked", answer.asked,
 			"replies", answer.replies, "versionsConfirmed", e.versionsConfirmed(e.Now(), answer))
 		return refuse(VersionUnknown, "no vm knows the version of the upstream that began the stream", defaultRetryAfter), false
@@ -201,7 +201,9 @@
 // which this one has sessions. It returns their number.
 func (e *Edge) sendStreamQuery(query *vmwire.StreamQuery) int {
 	asked := e.Fleet.SendToOtherRegions(vmwire.KindStreamQuery, query)
-	for _, m := range longestRunning(e.Fleet.ConnectedMembers(e.Now(), e.Settings.Region), query.RequestID) {
+	now, region := e.Now(), e.Settings.Region
+	local := append(e.Fleet.ConnectedMembers(now, region), e.Fleet.StoppingMembers(now, region)...)
+	for _, m := range longestRunning(local, query.RequestID) {
 		if e.Fleet.SendTo(m.Slot, vmwire.KindStreamQuery, query) {
 			asked++
 		}
