--- a/edge/streamorigins.go
+++ b/edge/streamorigins.go
@@ -107,7 +107,7 @@
 		return version.Stream{}, "no stream known"
 	}
 	first := o.streams[0]
-	if first.Service == "" || slices.ContainsFunc(o.streams, func(s version.Stream) bool { return s != first }) {
+	if first.Version == version.Uncertain || slices.ContainsFunc(o.streams, func(s version.Stream) bool { return s != first }) {
 		return version.Stream{}, "equal requests at several"
 	}
 	return first, ""
--- a/edge/streamorigins_test.go
+++ b/edge/streamorigins_test.go
@@ -77,7 +77,7 @@
 		workspace := v.table().Authenticate(route.HashKey("secret")).Name
 		for i := range streams {
 			r := &request{fingerprint: v.hasher.Fingerprint(fmt.Sprintf("%s /a/%d", workspace, i), []byte("x"))}
-			v.recordStreamOrigin(r, version.Stream{})
+			v.recordStreamOrigin(r, version.Stream{Service: "plain", Version: version.Uncertain})
 		}
 	}
 	meetsOldProgram := func(_ *testCluster, v *testVM) { v.recordOtherProtocol(vmwire.Protocol - 1) }
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -76,7 +76,7 @@
 	switch {
 	case found.Service == "" && !e.serviceCertain(e.Now(), r, answer):
 		return e.refuseService(r, "", answer, "no vm knows the service that began the stream"), false
-	case found.Service == "":
+	case found.Service == "" || found.Version == version.Uncertain:
 		event.StreamVersionUnknown.Log(e.Log, "request", r.id, "resumes", id, "service", r.service.Name, "asked", answer.asked,
 			"replies", answer.replies, "unknown", answer.unknown, "missesSessions", e.Fleet.MissesSessions(e.Now()), "versionsConfirmed", e.versionsConfirmed(e.Now(), answer))
 		return refuse(VersionUnknown, "no vm knows the version of the upstream that began the stream", defaultRetryAfter), false
