--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -53,6 +53,8 @@
 		{"status-no-admin", "status"},
 		{"status-no-url", "status -admin ftp://127.0.0.1"},
 		{"explain-no-id", "explain -admin 127.0.0.1:1"},
+		{"soak-help", "soak -h"},
+		{"soak-unknown-deployment", "soak -deployment other"},
 		{"unknown-flag", "check -quick x.json"},
 	}
 	golden := goldie.New(t)
--- a/operator/soak.go
+++ b/operator/soak.go
@@ -36,6 +36,7 @@
 	seeds := fs.Int("seeds", 1, "number of seeds to run in sequence")
 	length := fs.Duration("length", 30*time.Second, "length of each run")
 	profile := fs.String("profile", string(soak.ProfileLight), fmt.Sprintf("load and faults: one of %v", soak.Profiles))
+	deployment := fs.String("deployment", soak.DefaultDeployment, fmt.Sprintf("regions, VMs, upstreams, routes and callers: one of %v", soak.DeploymentNames()))
 	vmProgram := fs.String("program", "", "program that runs the VMs (default: this one)")
 	logDir := fs.String("logs", "", "directory for the logs of all runs; if empty, only the logs of failed runs are kept, in a temporary directory")
 	if code, done := parseFlags(fs, e); done {
@@ -47,11 +48,14 @@
 	if !slices.Contains(soak.Profiles, soak.Profile(*profile)) {
 		return failf(e, "soak", exitUsage, "setting profile is %q, want one of %v", *profile, soak.Profiles)
 	}
+	if !slices.Contains(soak.DeploymentNames(), *deployment) {
+		return failf(e, "soak", exitUsage, "setting deployment is %q, want one of %v", *deployment, soak.DeploymentNames())
+	}
 	program, err := findProgram(*vmProgram)
 	if err != nil {
 		return failf(e, "soak", exitFailed, "locate the executable: %v", err)
 	}
-	settings := soak.Settings{Length: *length, Profile: soak.Profile(*profile), Program: program}
+	settings := soak.Settings{Length: *length, Profile: soak.Profile(*profile), Deployment: *deployment, Program: program}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	code := exitOK
@@ -85,7 +89,7 @@
 	if logDir == "" {
 		logDir = dir
 	}
-	path := filepath.Join(logDir, fmt.Sprintf("%s-seed-%d.log", settings.Profile, settings.Seed))
+	path := filepath.Join(logDir, fmt.Sprintf("%s-%s-seed-%d.log", settings.Deployment, settings.Profile, settings.Seed))
 	log, err := os.Create(path)
 	if err != nil {
 		failf(e, "soak", exitFailed, "create the log file: %v", err)
--- /dev/null
+++ b/soak/call.go
@@ -0,0 +1,103 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"time"
+)
+
+// finalStatuses are the statuses after which callers don't send a request again.
+var finalStatuses = []int{
+	http.StatusOK, http.StatusBadRequest, http.StatusUnauthorized, http.StatusNotFound, http.StatusRequestEntityTooLarge, http.StatusRequestHeaderFieldsTooLarge,
+}
+
+// notRunStatuses are the statuses which promise that a request has not run.
+var notRunStatuses = []int{http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest}
+
+// call is a request of a caller, over all attempts.
+type call struct {
+	// id is the id of the first attempt, and begunBy that of the attempt that brought the first event, empty before.
+	id, begunBy string
+	route       *routeLoad
+	load        *load
+	key         string
+	// vm is the index of the VM of the next attempt.
+	vm  int
+	rng *rand.Rand
+	// named means that the caller names begunBy when it resumes a stream, and joinsAttempts that all attempts have the same content.
+	named, joinsAttempts bool
+	// last is the last event that the caller has.
+	last int
+	// deadline is that of all attempts.
+	deadline time.Time
+}
+
+// runCall sends a request, and sends it again or resumes it at other VMs as far as its kind and its deadline allow. All attempts but the
+// first one open a connection.
+func (s *soak) runCall(ctx context.Context, c *call, client, fresh *http.Client) {
+	for n := 0; n <= c.route.Retries && time.Until(c.deadline) > minAttemptTime; n++ {
+		v := s.vms[c.vm]
+		sent := c.attempt(n, v.name)
+		got := sendRequest(client, s.history, c.load, v.addressForCallers(), sent)
+		if !c.mayRetry(&got) || ctx.Err() != nil {
+			return
+		}
+		c.receive(&got)
+		client = fresh
+		c.vm = (c.vm + 1 + c.rng.IntN(len(s.vms)-1)) % len(s.vms)
+		left := time.Duration(maxRetryShare * float64(time.Until(c.deadline)))
+		time.Sleep(max(attemptPause, min(got.retryAfter, left)))
+	}
+}
+
+// attempt returns the n-th attempt.
+func (c *call) attempt(n int, vm string) request {
+	sent := request{
+		id: c.id, kind: c.route.Kind, key: c.key, vm: vm, sentAt: time.Now(), deadline: time.Until(c.deadline), lastEvent: c.last,
+		patience: c.route.PatienceMillis.duration(),
+	}
+	if c.joinsAttempts && c.route.Kind == kindStream {
+		sent.stream = c.id
+	}
+	if n > 0 {
+		sent.id = fmt.Sprintf("%s-r%d", c.id, n)
+	}
+	if c.named {
+		sent.resumes = c.begunBy
+	}
+	return sent
+}
+
+// mayRetry reports whether a caller sends its request again after an answer. One that may run once only is sent again after the promise
+// that it has not run.
+func (c *call) mayRetry(got *response) bool {
+	if c.route.Kind.runsOnce() {
+		return slices.Contains(notRunStatuses, got.status)
+	}
+	if got.status == http.StatusOK && !got.complete {
+		return true // The response broke off.
+	}
+	return !slices.Contains(finalStatuses, got.status)
+}
+
+// receive takes over the events that an attempt brought.
+func (c *call) receive(got *response) {
+	if len(got.events) == 0 {
+		return
+	}
+	if c.begunBy == "" {
+		c.begunBy = got.id
+	}
+	c.last = got.lastReceived()
+}
+
+// addressForCallers returns the address at which callers reach the VM.
+func (v *vmProcess) addressForCallers() string {
+	if v.callerLink != nil {
+		return v.callerLink.address()
+	}
+	return v.callerAddress
+}
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -40,10 +40,11 @@
 	}
 	// Without GetBody, net/http can't rewind the body and therefore doesn't retry the request.
 	r.Body, r.ContentLength = io.NopCloser(sending), int64(len(body))
-	r.Host = host
+	r.Host = l.host
 	r.Header.Set(platform.HeaderRequestID, sent.id)
 	r.Header.Set(platform.HeaderAPIKey, sent.key)
 	r.Header.Set(platform.HeaderDeadline, strconv.FormatInt(sent.deadline.Milliseconds(), 10))
+	l.prompt.setHeaders(r.Header, sent.kind, sent.contentID())
 	if sent.resumes != "" {
 		r.Header.Set(platform.HeaderResumes, sent.resumes)
 	}
@@ -107,7 +108,7 @@
 // readBody reads the response body and checks that it belongs to the request.
 func (got *response) readBody(sent request, l *load, resp *http.Response) {
 	stamped := resp.Header.Get(platform.HeaderServerStamp) == "stamp-"+sent.id
-	if sent.kind != kindStream || resp.StatusCode != http.StatusOK {
+	if !sent.kind.streams() || resp.StatusCode != http.StatusOK {
 		body, err := io.ReadAll(resp.Body)
 		if err != nil {
 			got.err = err.Error()
--- /dev/null
+++ b/soak/deployment_test.go
@@ -0,0 +1,114 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+)
+
+// service is the service of the default deployment.
+const service = "worker"
+
+var defaultBounds = mustLoad(DefaultDeployment).bounds()
+
+func mustLoad(name string) *deployment {
+	d, err := loadDeployment(name)
+	if err != nil {
+		panic(err)
+	}
+	return d
+}
+
+// Guards against a settings file of a deployment that can't be read or names what it doesn't define, and against a deployment that
+// sends no requests of a kind, or to no VM.
+func TestDeployments(t *testing.T) {
+	for _, name := range DeploymentNames() {
+		d, err := loadDeployment(name)
+		if err != nil {
+			t.Error(err)
+			continue
+		}
+		s := &soak{Settings: Settings{Seed: 1}, deployment: d, load: d.load(ProfileLight)}
+		for i := range d.Regions {
+			for n := range d.Regions[i].VMs {
+				s.vms = append(s.vms, &vmProcess{name: fmt.Sprint(i, n), region: d.Regions[i].Name})
+			}
+		}
+		if !d.hasOwnTraffic() {
+			continue
+		}
+		s.keys = d.Workspaces[0].Keys
+		rng, sent := s.newRand(1), map[requestKind]int{}
+		for n := range 1000 {
+			c := s.newCall(rng, d.Regions[0].Name, n)
+			sent[c.route.Kind]++
+			if s.vms[c.vm].region != d.Regions[0].Name || c.load.deadline <= 0 || c.key == "" {
+				t.Fatalf("%s: call %+v", name, c)
+			}
+		}
+		if len(sent) != len(d.Routes) || sent[kindOnceStream] < 2*sent[kindStream] {
+			t.Errorf("%s: requests %v", name, sent)
+		}
+	}
+}
+
+// Guards against an unknown name that is taken for the default deployment.
+func TestUnknownDeployment(t *testing.T) {
+	if _, err := loadDeployment("other"); !errors.Is(err, ErrUnknownDeployment) {
+		t.Errorf("error %v", err)
+	}
+}
+
+// Guards against traffic that does not move from region to region, or whose period does not repeat.
+func TestRateFollowsLevels(t *testing.T) {
+	r := deploymentRegion{Rate: 10, Levels: []trafficLevel{{0, 2}, {1000, 0.5}}}
+	d := &deployment{RateScale: 0.5, PeriodMillis: 2000}
+	s := &soak{deployment: d, began: time.Unix(1000, 0)}
+	start := s.periodStart()
+	for at, want := range map[time.Duration]float64{0: 10, 999 * time.Millisecond: 10, time.Second: 2.5, 2 * time.Second: 10, 3500 * time.Millisecond: 2.5} {
+		if got := s.rateAt(&r, s.began.Add(d.PeriodMillis.duration()-start+at)); got != want {
+			t.Errorf("rate after %v: %v, want %v", at, got, want)
+		}
+	}
+}
+
+// Guards against a request that is sent again although it may have run, or that is given up although it may run again.
+func TestCallersRetryAsTheKindAllows(t *testing.T) {
+	broken := response{status: 200, events: []int{1}}
+	for kind, want := range map[requestKind]string{
+		kindSafe: "[true true false true]", kindUnsafe: "[true false false false]", kindOnceStream: "[true false false false]", kindStream: "[true true false true]",
+	} {
+		c := call{route: &routeLoad{Kind: kind}}
+		var got []bool
+		for _, r := range []response{{status: 503}, {status: 502}, {status: 401}, broken} {
+			got = append(got, c.mayRetry(&r))
+		}
+		if fmt.Sprint(got) != want {
+			t.Errorf("%s: %v, want %s", kind, got, want)
+		}
+	}
+}
+
+// Guards against requests at a cold upstream that are not counted, or that are counted after it has become warm.
+func TestColdUpstreamIsChecked(t *testing.T) {
+	begin := time.Unix(1000, 0)
+	b := bounds{cold: map[string]coldBounds{"engine": {duration: 3 * time.Second, requests: 2}}}
+	for name, c := range map[string]struct {
+		first, gap time.Duration
+		found      int
+	}{
+		"few in a second":       {time.Second, 600 * time.Millisecond, 0},
+		"many in a second":      {time.Second, 400 * time.Millisecond, 1},
+		"many after it is warm": {3500 * time.Millisecond, 0, 0},
+	} {
+		h := newHistory()
+		h.recordColdStart(coldStart{upstream: "u", service: "engine", at: begin})
+		for i := range 3 {
+			h.recordArrival(arrival{id: fmt.Sprint(i), upstream: "u", at: begin.Add(c.first + time.Duration(i)*c.gap)})
+		}
+		if found := len(checkCold(h, b)); found != c.found {
+			t.Errorf("%s: %d violations, want %d", name, found, c.found)
+		}
+	}
+}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -212,7 +212,8 @@
 // emptyRegion removes the registrations of the upstreams of a region for the duration of the fault. The upstreams of the other
 // regions fail half of the requests meanwhile.
 func (s *soak) emptyRegion(f fault) {
-	empty := regions[f.target%len(regions)]
+	regions := s.deployment.Regions
+	empty := regions[f.target%len(regions)].Name
 	s.misbehave(f.duration, s.someUpstreams(0, 1), func(u *registeredUpstream, on bool) {
 		switch {
 		case u.region != empty:
--- a/soak/history.go
+++ b/soak/history.go
@@ -8,16 +8,6 @@
 	"time"
 )
 
-// requestKind says whether a request may run more than once.
-type requestKind string
-
-const (
-	kindSafe   requestKind = "safe"
-	kindUnsafe requestKind = "unsafe"
-	// kindStream is a resumable stream of events.
-	kindStream requestKind = "stream"
-)
-
 // request is a request as a caller sent it.
 type request struct {
 	id       string
@@ -145,6 +135,8 @@
 	vmsByIP map[string]string
 	// serving are the times in which upstreams are registered as ready.
 	serving []*servingTime
+	// coldStarts are the starts of upstreams that are cold for a time.
+	coldStarts []coldStart
 	// splits are the splits of the route of streams.
 	splits []splitTime
 }
@@ -261,6 +253,9 @@
 	responseSlack time.Duration
 	// successRate is the least share of requests that must succeed after all faults have ended.
 	successRate float64
+	// routes are the bounds of each kind of request, and cold those of each service whose upstreams are cold after their start.
+	routes map[requestKind]routeBounds
+	cold   map[string]coldBounds
 }
 
 // invariant is a rule that holds at all times. reference names the section of the documentation that states it.
@@ -274,6 +269,8 @@
 var invariants = []invariant{
 	{"unsafe runs once", "RULES TWICE", checkUnsafeRunsOnce},
 	{"requests run at few upstreams", "RULES BUDGET, max_attempts", checkRuns},
+	{"requests run in home regions only", "RULES HOME", checkHomes},
+	{"cold upstreams get few requests", "RULES FAILBACK", checkCold},
 	{"refused has not run", "RULES REFUSED", checkRefusedNotRun},
 	{"answers are whole and an upstream's", "RULES MIXED", checkResponses},
 	{"streams have no gap and no repeat", "RULES ORDER", checkStreamEvents},
@@ -314,22 +311,22 @@
 func checkUnsafeRunsOnce(h *history, _ bounds) []violation {
 	var found []violation
 	for id, executions := range h.executions {
-		if req, ok := h.requests[id]; ok && req.kind == kindUnsafe && len(executions) > 1 {
+		if req, ok := h.requests[id]; ok && req.kind.runsOnce() && len(executions) > 1 {
 			found = append(found, violation{id: id, detail: fmt.Sprintf("ran %d times", len(executions))})
 		}
 	}
 	return found
 }
 
-func checkRuns(h *history, _ bounds) []violation {
+func checkRuns(h *history, b bounds) []violation {
 	var found []violation
 	for id, executions := range h.executions {
 		upstreams := map[string]bool{}
 		for _, e := range executions {
 			upstreams[e.upstream] = true
 		}
-		if len(upstreams) > maxAttempts {
-			found = append(found, violation{id: id, detail: fmt.Sprintf("ran at %d upstreams, want %d at most", len(upstreams), maxAttempts)})
+		if most := b.routes[h.requests[id].kind].maxAttempts; len(upstreams) > most {
+			found = append(found, violation{id: id, detail: fmt.Sprintf("ran at %d upstreams, want %d at most", len(upstreams), most)})
 		}
 	}
 	return found
@@ -338,7 +335,7 @@
 func checkRefusedNotRun(h *history, _ bounds) []violation {
 	var found []violation
 	for id, r := range h.responses {
-		if (r.status == 429 || r.status == 503) && len(h.executions[id]) > 0 && h.requests[id].kind == kindUnsafe {
+		if (r.status == 429 || r.status == 503) && len(h.executions[id]) > 0 && h.requests[id].kind.runsOnce() {
 			found = append(found, violation{id: id, detail: fmt.Sprintf("answered %d although it ran", r.status)})
 		}
 	}
--- a/soak/history_test.go
+++ b/soak/history_test.go
@@ -34,6 +34,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	u.service = service
 	d.upstream = u
 	d.server = httptest.NewServer(d)
 	d.history.workspaces["key"], d.history.vmsByIP["127.0.0.1"] = "workspace", "vm"
@@ -101,6 +102,10 @@
 	brittleCrashes: 2, holdBackAfter: 50 * time.Millisecond, holdBackRequests: 2,
 	lost:          lostBounds{grace: time.Second, after: 100 * time.Millisecond, reload: 100 * time.Millisecond, early: 50 * time.Millisecond},
 	responseSlack: 100 * time.Millisecond, successRate: 0.95,
+	routes: map[requestKind]routeBounds{
+		kindSafe: {maxAttempts: 2}, kindUnsafe: {maxAttempts: 2}, kindStream: {maxAttempts: 2}, kindOnceStream: {maxAttempts: 1, homes: []string{"north"}},
+	},
+	cold: map[string]coldBounds{service: {duration: time.Minute, requests: 1}},
 }
 
 // Guards against a check that misses a violation of its invariant, or that another check reports, too: each case makes
@@ -278,6 +283,24 @@
 				panic(http.ErrAbortHandler)
 			}
 		}},
+		{"requests run in home regions only", kindOnceStream, func(d *vmDouble) { d.history.regions["u1"] = "south" }},
+		{"cold upstreams get few requests", kindSafe, func(d *vmDouble) {
+			d.history.recordColdStart(coldStart{upstream: "u1", service: service, at: time.Now()})
+			d.intercept = func(d *vmDouble, _ http.ResponseWriter, r *http.Request) bool {
+				if resp, err := d.forward(r, requestBody(r.Header.Get(platform.HeaderRequestID))); err == nil {
+					_ = resp.Body.Close()
+				}
+				return false
+			}
+		}},
+		{"unsafe runs once", kindOnceStream, func(d *vmDouble) {
+			d.intercept = func(d *vmDouble, _ http.ResponseWriter, r *http.Request) bool {
+				if resp, err := d.forward(r, requestBody(r.Header.Get(platform.HeaderRequestID))); err == nil {
+					_ = resp.Body.Close()
+				}
+				return false
+			}
+		}},
 		{"service returns after faults", kindSafe, func(d *vmDouble) {
 			d.history.startDisturbance("other")()
 			time.Sleep(10 * time.Millisecond)
@@ -314,8 +337,8 @@
 
 // Guards against an invariant that is added without a case in TestViolationsAreReported.
 func TestEachInvariantHasFaultyVM(t *testing.T) {
-	if len(invariants) != 21 {
-		t.Errorf("%d invariants, want 21; add a case for each new one to TestViolationsAreReported", len(invariants))
+	if len(invariants) != 23 {
+		t.Errorf("%d invariants, want 23; add a case for each new one to TestViolationsAreReported", len(invariants))
 	}
 }
 
--- a/soak/link.go
+++ b/soak/link.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"time"
 )
 
 const (
@@ -79,7 +80,7 @@
 // receiver gets the addresses of its own links to upstreams. The VM that opened the connection names itself in its first message.
 func (s *soak) peerRewrite(to *vmProcess) rewriteFunc {
 	var from atomic.Pointer[vmProcess]
-	return func(data []byte, toClient bool) {
+	return func(data []byte, toClient bool) time.Duration {
 		s.rewriteAddresses(data)
 		receiver := to
 		if toClient {
@@ -90,6 +91,10 @@
 		if receiver != nil {
 			s.rewriteLinks(data, receiver)
 		}
+		if client := from.Load(); client != nil && client.region != to.region {
+			return s.deployment.LinkDelayMillis.duration()
+		}
+		return 0
 	}
 }
 
--- a/soak/orderforms.go
+++ b/soak/orderforms.go
@@ -47,7 +47,7 @@
 func (h *history) orderFormsOf(id string) OrderForms {
 	var f OrderForms
 	sent, got := h.requests[id], h.responses[id]
-	if sent.kind != kindStream || got.status != 200 {
+	if !sent.kind.streams() || got.status != 200 {
 		return f
 	}
 	last := sent.lastEvent
@@ -85,7 +85,7 @@
 	for id, got := range h.responses {
 		sent := h.requests[id]
 		services := countDistinct(got.services, h.responses[sent.resumes].services)
-		if sent.kind != kindStream || got.foreign == 0 && got.parts == 0 && services <= 1 {
+		if !sent.kind.streams() || got.foreign == 0 && got.parts == 0 && services <= 1 {
 			continue
 		}
 		found = append(found, violation{id: id, detail: fmt.Sprintf(
--- a/soak/process.go
+++ b/soak/process.go
@@ -19,17 +19,15 @@
 	"parsleyhatch/platform"
 )
 
-const (
-	// terminationGracePeriod is the time from SIGTERM to SIGKILL.
-	terminationGracePeriod = 8 * time.Second
-	// readyTimeout is the time within which a VM must become ready.
-	readyTimeout = 10 * time.Second
-)
+// readyTimeout is the time within which a VM must become ready.
+const readyTimeout = 10 * time.Second
 
 // vmProcess is a VM that runs as a child process.
 type vmProcess struct {
 	name   string
 	region string
+	// deployment states what the VM has of its machine and which bounds hold.
+	deployment *deployment
 	// program is the executable. It finds its settings file at settingsPath through the environment.
 	program      string
 	settingsPath string
@@ -81,19 +79,14 @@
 }
 
 // writeSettings writes the settings file in the platform's format.
-func (v *vmProcess) writeSettings(dir string, regions, seeds []string) error {
+func (v *vmProcess) writeSettings(dir string, seeds []string) error {
 	v.settingsPath = filepath.Join(dir, v.name+".settings")
 	lines := []string{
-		"node_name=" + v.name, "zone=" + v.region + "-a", "region=" + v.region,
+		"node_name=" + v.name, "zone=" + v.deployment.failureDomainOf(v.region), "region=" + v.region,
 		"listen.front=" + v.callerAddress, "listen.ready=" + v.readyAddress, "listen.control=" + v.peerAddress, "listen.directory=" + v.directoryAddress,
 		"platform.address=" + v.storeLink.address(), "seeds=" + strings.Join(seeds, ","),
-		"limits.memory_mb=256", "limits.cpu_share=1", "limits.cores=1", "limits.link_mbps=1000",
-		"bounds.grace_s=8", "bounds.revoke_ms=5000", "bounds.retry_budget_ratio=0.2", "bounds.retry_budget_slack=60",
-		"bounds.budget_window_s=10", "bounds.warmup_overage=1.5", "bounds.warmup_slack=3", "bounds.ttl_max_s=5",
-	}
-	for _, region := range regions {
-		lines = append(lines, "zones."+region+"-a="+region)
 	}
+	lines = append(lines, v.deployment.settings()...)
 	if err := os.WriteFile(v.settingsPath, []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
 		return fmt.Errorf("write settings of vm %s: %w", v.name, err)
 	}
@@ -105,7 +98,10 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	command := exec.Command(v.program, "vm", "-log-level", "info")
-	command.Env = append(os.Environ(), platform.SettingsPathEnv+"="+v.settingsPath, "GOMAXPROCS=2")
+	command.Env = append(os.Environ(), platform.SettingsPathEnv+"="+v.settingsPath, fmt.Sprintf("GOMAXPROCS=%d", v.deployment.VM.Processors))
+	if limit := v.deployment.VM.MemoryLimitMB; limit > 0 {
+		command.Env = append(command.Env, fmt.Sprintf("GOMEMLIMIT=%dMiB", limit))
+	}
 	command.Stdout, command.Stderr = v.log, v.log
 	if err := command.Start(); err != nil {
 		return fmt.Errorf("start vm %s: %w", v.name, err)
@@ -154,7 +150,7 @@
 	v.signal(syscall.SIGTERM)
 	select {
 	case <-exited:
-	case <-time.After(terminationGracePeriod):
+	case <-time.After(v.deployment.Bounds.GraceMillis.duration()):
 		v.kill()
 	}
 }
--- a/soak/profile.go
+++ b/soak/profile.go
@@ -42,6 +42,9 @@
 
 // load describes what callers send and how upstreams respond while no fault acts.
 type load struct {
+	// host is the host of all requests, and routes what each kind of requests has of its own, none if all have the values below.
+	host   string
+	routes []routeLoad
 	// callers is the number of concurrent callers, and interval the pause between two requests of one caller.
 	callers  int
 	interval time.Duration
@@ -49,6 +52,11 @@
 	deadline time.Duration
 	// events is the number of events of a stream. eventsPerWrite of them are written at once, with a pause of eventPause.
 	events, eventsPerWrite int
+	// eventPause replaces the constant of that name if it is not zero. work is the time that an upstream takes before it responds, padding
+	// the number of bytes that each body has beyond its id, and prompt the size of the prompt.
+	eventPause, work time.Duration
+	padding          int
+	prompt           prompt
 	// Of longEvery requests one has a body of longBytes, and of as many events one has data of longBytes. Zero means none.
 	longEvery uint32
 	// slowEvery is the same for requests whose body is sent slowly, for slowBodyTime at most.
@@ -114,7 +122,7 @@
 
 // requestBody returns the body of the request with an id.
 func (l *load) requestBody(id string) string {
-	body := requestBody(id)
+	body := requestBody(id) + strings.Repeat(".", l.padding)
 	if isOneOf(id, "long", l.longEvery) {
 		body += strings.Repeat(".", longBytes)
 	}
@@ -141,7 +149,7 @@
 // workTime returns how long an upstream works on a request before it responds.
 func (l *load) workTime(id string) time.Duration {
 	if !isOneOf(id, "work", l.workEvery) {
-		return 0
+		return l.work
 	}
-	return longWorkTime * time.Duration(1+hashOf(id, "time")%8) / 8
+	return l.work + longWorkTime*time.Duration(1+hashOf(id, "time")%8)/8
 }
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -42,8 +42,8 @@
 
 var errBacklogNotFull = errors.New("connections are answered although the queue is full")
 
-// rewriteFunc changes the data of one direction of a connection in place.
-type rewriteFunc func(data []byte, toClient bool)
+// rewriteFunc changes the data of one direction of a connection in place, and returns its delay.
+type rewriteFunc func(data []byte, toClient bool) (delay time.Duration)
 
 // proxy is a TCP proxy on loopback with fault injection. After it has discarded data of a connection in one direction,
 // it discards all later data of that direction, too: the receiver must not see a stream with a gap.
@@ -56,6 +56,9 @@
 	cuts *atomic.Int32
 	// newRewrite, if set, returns a function that changes the data of a connection in place.
 	newRewrite func() rewriteFunc
+	// delays means that data arrives later than it was sent: by the delay that newRewrite returns, or by delay if there is no newRewrite.
+	delays bool
+	delay  time.Duration
 	// holdsCloses means that the end of a connection does not pass a direction whose data is discarded or held back.
 	holdsCloses bool
 
@@ -230,7 +233,7 @@
 	}
 	p.trackConnections(clientConn, targetConn, true)
 	done := make(chan bool, 2)
-	rewrite := func([]byte, bool) {}
+	rewrite := func([]byte, bool) time.Duration { return p.delay }
 	if p.newRewrite != nil {
 		rewrite = p.newRewrite()
 	}
@@ -285,6 +288,15 @@
 // runCopy copies the data of one direction and applies the current fault. It passes on how the direction ends, and sends the direction.
 func (p *proxy) runCopy(to, from net.Conn, rewrite rewriteFunc, toClient bool, done chan<- bool) {
 	defer func() { done <- toClient }()
+	write := func(data []byte, _ time.Duration) error {
+		_, err := to.Write(data)
+		return err
+	}
+	if p.delays {
+		line := newDelayLine(to)
+		defer line.finish()
+		write = line.write
+	}
 	buf := make([]byte, 16<<10)
 	stalled := false
 	for {
@@ -306,8 +318,8 @@
 		if stalled {
 			continue
 		}
-		rewrite(buf[:n], toClient)
-		if _, err := to.Write(buf[:n]); err != nil {
+		delay := rewrite(buf[:n], toClient)
+		if err := write(buf[:n], delay); err != nil {
 			resetOnClose(from)
 			return
 		}
--- a/soak/rawprocess.go
+++ b/soak/rawprocess.go
@@ -103,8 +103,8 @@
 }
 
 // newRawUpstream starts an upstream in a process of its own.
-func (s *soak) newRawUpstream(id, version string) (*upstreamServer, error) {
-	p, err := startRawProcess(rawSettings{ID: id, Service: service, Version: version, Profile: s.Profile, Seed: s.Seed}, s.history, s.log)
+func (s *soak) newRawUpstream(id, service, version string) (*upstreamServer, error) {
+	p, err := startRawProcess(rawSettings{ID: id, Service: service, Version: version, Profile: s.Profile, Deployment: s.Deployment, Seed: s.Seed}, s.history, s.log)
 	if err != nil {
 		return nil, err
 	}
--- a/soak/rawupstream.go
+++ b/soak/rawupstream.go
@@ -23,7 +23,9 @@
 	Service string  `json:"service"`
 	Version string  `json:"version"`
 	Profile Profile `json:"profile"`
-	Seed    uint64  `json:"seed"`
+	// Deployment is the name of the deployment.
+	Deployment string `json:"deployment"`
+	Seed       uint64 `json:"seed"`
 }
 
 // rawEnds is each later line: the ends of answers that a raw upstream may play from now on.
@@ -89,7 +91,11 @@
 	if err := control.Decode(&u.settings); err != nil {
 		return fmt.Errorf("read settings: %w", err)
 	}
-	u.load = loadOf(u.settings.Profile)
+	d, err := loadDeployment(u.settings.Deployment)
+	if err != nil {
+		return err
+	}
+	u.load = d.load(u.settings.Profile)
 	u.ends.Store(&rawEnds{})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/soak/rollout.go
+++ b/soak/rollout.go
@@ -7,9 +7,6 @@
 	"parsleyhatch/platform"
 )
 
-// otherService is the second service of the route of streams if it is split.
-const otherService = "helper"
-
 const (
 	// softwareVersions is the number of software versions of a service, which follow each other in a circle.
 	softwareVersions = 3
@@ -36,22 +33,17 @@
 	Weight  int    `json:"weight"`
 }
 
-// splits are the splits of the route of streams. The last two move the route to one of the services.
-var splits = [][]splitTarget{
-	{{service, 50}, {otherService, 50}},
-	{{service, 85}, {otherService, 15}},
-	{{service, 20}, {otherService, 80}},
-	{{otherService, 40}, {service, 60}},
-	{{service, 100}},
-	{{otherService, 100}},
-}
-
-// services returns the services of the run.
-func (l *load) services() []string {
-	if l.split {
-		return []string{service, otherService}
+// splits returns the splits of the route of streams. The last two move the route to one of the services.
+func (d *deployment) splits() [][]splitTarget {
+	first, second := d.Split[0].Name, d.Split[1].Name
+	return [][]splitTarget{
+		{{first, 50}, {second, 50}},
+		{{first, 85}, {second, 15}},
+		{{first, 20}, {second, 80}},
+		{{second, 40}, {first, 60}},
+		{{first, 100}},
+		{{second, 100}},
 	}
-	return []string{service}
 }
 
 // originOf names a service and a software version of it. The versions of all services have the same names.
@@ -73,6 +65,7 @@
 // changeSplit changes the split of the route of streams. After the duration of the fault, every other variant restores the split of before.
 func (s *soak) changeSplit(f fault) {
 	restores := f.target%2 == 0
+	splits := s.deployment.splits()
 	before := s.setSplit(splits[f.variant%len(splits)])
 	if restores {
 		time.Sleep(f.duration)
@@ -93,7 +86,7 @@
 
 // versionOf returns the software version of a new upstream. The caller holds mu.
 func (s *soak) versionOf(service string, born int64) string {
-	if !s.load.split {
+	if s.deployment.MixedVersions && !s.load.split {
 		return softwareVersion(born)
 	}
 	return fmt.Sprintf("v%d", 1+s.releases[service]%softwareVersions)
@@ -102,8 +95,9 @@
 // rollOut adds upstreams of the next software version of a service, in one region or in both, and after the duration of the fault lets
 // those leave that they replace.
 func (s *soak) rollOut(f fault) error {
-	service := s.load.services()[f.target%len(s.load.services())]
-	old := s.beginRollout(service, f.target/2%(len(regions)+1))
+	services := s.deployment.services(s.load.split)
+	service := services[f.target%len(services)].Name
+	old := s.beginRollout(service, f.target/2%(len(s.deployment.Regions)+1))
 	for _, u := range old {
 		if err := s.addUpstream(u.region, service); err != nil {
 			return err
@@ -130,6 +124,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.releases[service]++
+	regions := s.deployment.regionNames()
 	var old []*registeredUpstream
 	for _, u := range s.upstreams {
 		if u.service == service && !u.replaced && (region >= len(regions) || u.region == regions[region]) {
--- a/soak/room.go
+++ b/soak/room.go
@@ -23,8 +23,8 @@
 
 // room is the room for requests at an upstream. A brittle one crashes when it refuses too many of them.
 type room struct {
-	// slots is the number of requests that run at once, zero for all.
-	slots int
+	// slots is the number of requests that run at once, zero for all, and queue the number of those that wait for a slot.
+	slots, queue int
 	// inside is the number of requests that run or wait, and running that of those that run.
 	inside, running atomic.Int64
 	// crashes is the number of times that the upstream has crashed.
@@ -78,7 +78,7 @@
 	if r.nothingWaits {
 		return 0
 	}
-	return maxWaiting
+	return r.queue
 }
 
 // refuse counts a refusal. A brittle upstream crashes when it is one too many.
--- /dev/null
+++ b/soak/routebounds.go
@@ -0,0 +1,65 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// routeBounds are the bounds of the requests of a route.
+type routeBounds struct {
+	// maxAttempts is the number of upstreams that may run a request, and homes are the regions in which they are, all if it is empty.
+	maxAttempts int
+	homes       []string
+}
+
+// coldBounds bound the requests to an upstream in any second while it is cold.
+type coldBounds struct {
+	// duration is the time from its start for which an upstream is cold.
+	duration time.Duration
+	requests int
+}
+
+// coldStart is the start of an upstream that is cold for a time.
+type coldStart struct {
+	upstream, service string
+	at                time.Time
+}
+
+func (h *history) recordColdStart(c coldStart) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.coldStarts = append(h.coldStarts, c)
+}
+
+// checkHomes finds requests of a route with home regions that reach an upstream elsewhere.
+func checkHomes(h *history, b bounds) []violation {
+	var found []violation
+	for _, a := range h.arrivals {
+		homes := b.routes[h.requests[a.id].kind].homes
+		if region := h.regions[a.upstream]; len(homes) > 0 && !slices.Contains(homes, region) {
+			found = append(found, violation{id: a.id, detail: fmt.Sprintf("reached upstream %s in region %s, want one of %v", a.upstream, region, homes)})
+		}
+	}
+	return found
+}
+
+// checkCold counts the requests that reach each cold upstream in a second.
+func checkCold(h *history, b bounds) []violation {
+	byUpstream := map[string][]limitedArrival{}
+	for _, a := range h.arrivals {
+		byUpstream[a.upstream] = append(byUpstream[a.upstream], limitedArrival{upstream: a.upstream, at: a.at})
+	}
+	var found []violation
+	for _, c := range h.coldStarts {
+		cold, ok := b.cold[c.service]
+		if !ok {
+			continue
+		}
+		arrivals := slices.DeleteFunc(byUpstream[c.upstream], func(a limitedArrival) bool { return a.at.After(c.at.Add(cold.duration)) })
+		if most := mostInWindow(arrivals, c.at, time.Second); most > cold.requests {
+			found = append(found, violation{id: "many", detail: fmt.Sprintf("%d reached cold upstream %s in a second, allowed %d", most, c.upstream, cold.requests)})
+		}
+	}
+	return found
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -22,38 +21,20 @@
 )
 
 const (
-	host    = "soak.example"
-	service = "worker"
-	// upstreamsPerRegion and vmsPerRegion are the numbers of upstreams and VMs of each region.
-	upstreamsPerRegion = 3
-	vmsPerRegion       = 2
 	// slotsOfUnbounded is the number of slots in the registration of an upstream that runs all requests that it gets.
 	slotsOfUnbounded = 16
 	// firstUpstreamAge is the age of the upstreams at the start of a run.
 	firstUpstreamAge = time.Minute
-	// maxAttempts is the number of upstreams that may run a request.
-	maxAttempts = 2
 )
 
-var regions = []string{"north", "south"}
-
-// defaultBounds are the documented bounds; revoke is the bounds.revoke_ms that writeSettings sets.
-var defaultBounds = bounds{
-	revoke: 5 * time.Second, drain: 3 * time.Second, settle: contactTime,
-	brittleCrashes: 2, brittleCrashShare: 0.1, holdBackAfter: 500 * time.Millisecond, holdBackRequests: 2,
-	cutServedShare: 2.0 / 3, cutFailures: 10, cutFailureShare: 0.02,
-	retryWindow: 10 * time.Second, retryRatio: 0.2, retrySlack: 60,
-	lost:        lostBounds{grace: terminationGracePeriod, after: time.Second, reload: 3 * time.Second, early: 3 * time.Second},
-	limitSettle: time.Second, limitWindow: 4 * time.Second, limitOverage: 1.5, limitSlack: 5,
-	resumeSettle: time.Second, responseSlack: time.Second, successRate: 0.95,
-}
-
 // Settings configure a soak.
 type Settings struct {
 	Seed   uint64
 	Length time.Duration
 	// Profile is ProfileLight if it is empty.
 	Profile Profile
+	// Deployment is the name of a deployment, DefaultDeployment if it is empty.
+	Deployment string
 	// Program is the path of the gateway's executable, and SettingsDir the directory for the settings files of the
 	// VMs.
 	Program, SettingsDir string
@@ -79,6 +60,8 @@
 // soak is one run.
 type soak struct {
 	Settings
+	deployment  *deployment
+	bounds      bounds
 	load        load
 	history     *history
 	store       *standin.Store
@@ -105,6 +88,8 @@
 	releases map[string]int
 	// upstreamAge is the age with which upstreams are registered: those at the start of the run have served for a while.
 	upstreamAge time.Duration
+	// began is the start of the traffic.
+	began time.Time
 }
 
 // registeredUpstream is an upstream with the links through which VMs reach it.
@@ -117,6 +102,8 @@
 	// startMillis is the start in Unix milliseconds, which the registration names. It is zero if software versions don't change: the
 	// registration names born then.
 	startMillis int64
+	// slots is the number of slots that the registration names.
+	slots int
 	// replaced means that upstreams of another software version have taken its place.
 	replaced bool
 }
@@ -136,7 +123,14 @@
 
 // Run runs a soak and returns its report.
 func Run(ctx context.Context, settings Settings) (Report, error) {
-	s := &soak{Settings: settings, load: loadOf(settings.Profile), history: newHistory(), store: standin.NewStore(), written: map[string]string{}, releases: map[string]int{}, log: &lockedWriter{w: settings.Log}}
+	d, err := loadDeployment(settings.Deployment)
+	if err != nil {
+		return Report{}, err
+	}
+	s := &soak{
+		Settings: settings, deployment: d, bounds: d.bounds(), load: d.load(settings.Profile), history: newHistory(),
+		store: standin.NewStore(), written: map[string]string{}, releases: map[string]int{}, log: &lockedWriter{w: settings.Log},
+	}
 	defer s.close()
 	if err := s.start(); err != nil {
 		return Report{}, err
@@ -144,6 +138,22 @@
 	ctx, cancel := context.WithTimeout(ctx, settings.Length)
 	defer cancel()
 	var running sync.WaitGroup
+	s.startCallers(ctx, &running)
+	faults := planProfile(settings.Profile, settings.Seed, settings.Length)
+	s.runFaults(ctx, faults, &running)
+	running.Wait()
+	return s.report(len(faults)), nil
+}
+
+// startCallers starts the callers, which end with ctx.
+func (s *soak) startCallers(ctx context.Context, running *sync.WaitGroup) {
+	s.began = time.Now()
+	if s.deployment.hasOwnTraffic() {
+		for i := range s.deployment.Regions {
+			running.Go(func() { s.runTraffic(ctx, i) })
+		}
+		return
+	}
 	for i := range s.load.callers {
 		if s.load.split {
 			running.Go(func() { s.runStreamCaller(ctx, i) })
@@ -151,18 +161,14 @@
 		}
 		running.Go(func() { s.runCaller(ctx, i) })
 	}
-	faults := planProfile(settings.Profile, settings.Seed, settings.Length)
-	s.runFaults(ctx, faults, &running)
-	running.Wait()
-	return s.report(len(faults)), nil
 }
 
 func (s *soak) report(faults int) Report {
-	found := s.history.check(defaultBounds)
+	found := s.history.check(s.bounds)
 	s.history.mu.Lock() // Upstreams may still record.
 	defer s.history.mu.Unlock()
 	r := Report{
-		Requests: len(s.history.requests), Faults: faults, Retries: s.history.retryPeak(defaultBounds), Order: s.history.orderForms(),
+		Requests: len(s.history.requests), Faults: faults, Retries: s.history.retryPeak(s.bounds), Order: s.history.orderForms(),
 	}
 	for _, executions := range s.history.executions {
 		r.Executions += len(executions)
@@ -172,8 +178,8 @@
 			r.Succeeded++
 		}
 	}
-	if s.load.split {
-		r.Streams = s.history.countStreams(defaultBounds)
+	if s.load.split || s.deployment.hasOwnTraffic() {
+		r.Streams = s.history.countStreams(s.bounds)
 		s.history.describeResumptions(s.log)
 	}
 	for _, v := range found {
@@ -215,12 +221,14 @@
 	}
 	s.storeServer = &http.Server{Handler: http.HandlerFunc(s.serveStore)}
 	go func() { _ = s.storeServer.Serve(listener) }() // Ends with close.
-	s.keys = []string{"key-1", "key-2"}
-	for i, key := range s.keys {
-		s.history.workspaces[key] = fmt.Sprintf("workspace-%d", i+1)
+	for _, w := range s.deployment.Workspaces {
+		for _, key := range w.Keys {
+			s.keys = append(s.keys, key)
+			s.history.workspaces[key] = w.Name
+		}
 	}
 	if s.load.split {
-		s.split = splits[0]
+		s.split = s.deployment.splits()[0]
 		s.history.recordSplit(s.split)
 	}
 	s.publishConfig()
@@ -238,10 +246,12 @@
 func (s *soak) addFirstUpstreams() error {
 	s.upstreamAge = firstUpstreamAge
 	defer func() { s.upstreamAge = 0 }()
-	for _, region := range regions {
-		for i := range upstreamsPerRegion * len(s.load.services()) {
-			if err := s.addUpstream(region, s.load.services()[i/upstreamsPerRegion]); err != nil {
-				return err
+	for _, region := range s.deployment.Regions {
+		for _, service := range s.deployment.services(s.load.split) {
+			for range service.Upstreams[region.Name] {
+				if err := s.addUpstream(region.Name, service.Name); err != nil {
+					return err
+				}
 			}
 		}
 	}
@@ -250,14 +260,14 @@
 
 // addVMs adds the VMs, which don't run yet, with the links between them and to the store. It returns the addresses of the seeds.
 func (s *soak) addVMs(store string) (seeds []string, err error) {
-	for _, region := range regions {
-		for i := range vmsPerRegion {
-			v := &vmProcess{name: fmt.Sprintf("%s-%d", region, i), region: region, program: s.Program, log: s.log}
+	for _, region := range s.deployment.Regions {
+		for i := range region.VMs {
+			v := &vmProcess{name: fmt.Sprintf("%s-%d", region.Name, i), region: region.Name, deployment: s.deployment, program: s.Program, log: s.log}
 			if err := s.addLinks(v, store); err != nil {
 				return nil, err
 			}
 			s.vms = append(s.vms, v)
-			s.history.regions[v.name], s.history.vmsByIP[v.ip] = region, v.name
+			s.history.regions[v.name], s.history.vmsByIP[v.ip] = region.Name, v.name
 			if i == 0 {
 				seeds = append(seeds, v.peerLink.address())
 			}
@@ -269,7 +279,7 @@
 func (s *soak) startVMs(seeds []string) error {
 	var startErr error
 	for _, v := range s.vms {
-		startErr = errors.Join(startErr, v.writeSettings(s.SettingsDir, regions, seeds), v.start())
+		startErr = errors.Join(startErr, v.writeSettings(s.SettingsDir, seeds), v.start())
 	}
 	for _, v := range s.vms {
 		if startErr == nil {
@@ -284,15 +294,28 @@
 func (s *soak) addLinks(v *vmProcess, store string) error {
 	address := v.assignAddresses(len(s.vms))
 	var err error
-	if v.storeLink, err = newProxyFrom(v.ip, "127.0.0.1:0", store, nil); err != nil {
+	delay := s.deployment.LinkDelayMillis.duration()
+	if v.storeLink, err = s.newStoreLink(v, store); err != nil {
 		return err
 	}
-	if v.peerLink, err = newProxyAt(address, v.peerAddress, func() rewriteFunc { return s.peerRewrite(v) }); err != nil || !s.load.split {
+	v.peerLink = &proxy{target: v.peerAddress, newRewrite: func() rewriteFunc { return s.peerRewrite(v) }, delays: delay > 0, conns: map[net.Conn]bool{}}
+	if err := v.peerLink.listen(address); err != nil || !s.load.split {
 		return err
 	}
 	return v.openCallerLink()
 }
 
+// newStoreLink opens the link from a VM to the store, which is in the first region.
+func (s *soak) newStoreLink(v *vmProcess, store string) (*proxy, error) {
+	p := &proxy{target: store, conns: map[net.Conn]bool{}}
+	p.dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(v.ip)}
+	if v.region != s.deployment.Regions[0].Name {
+		p.delay = s.deployment.LinkDelayMillis.duration()
+		p.delays = p.delay > 0
+	}
+	return p, p.listen("127.0.0.1:0")
+}
+
 // rewriteAddresses replaces the addresses of VMs by those of the links to them, which have the same length.
 func (s *soak) rewriteAddresses(data []byte) {
 	for _, v := range s.vms {
@@ -328,7 +351,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastBorn++
-	u, err := s.startUpstream(fmt.Sprintf("u%d", s.lastBorn), s.versionOf(service, s.lastBorn))
+	u, err := s.startUpstream(fmt.Sprintf("u%d", s.lastBorn), service, s.versionOf(service, s.lastBorn))
 	if err != nil {
 		return err
 	}
@@ -337,9 +360,7 @@
 		return err
 	}
 	x.service = service
-	if s.load.split {
-		x.startMillis = time.Now().Add(-s.upstreamAge).UnixMilli()
-	}
+	s.setService(x)
 	x.room.onCrash = func(refused []string) { go s.runOverloadCrash(x, refused) }
 	s.upstreams = append(s.upstreams, x)
 	s.history.mu.Lock()
@@ -350,13 +371,29 @@
 }
 
 // startUpstream starts an upstream, in a process of its own if the load says so.
-func (s *soak) startUpstream(id, version string) (*upstreamServer, error) {
+func (s *soak) startUpstream(id, service, version string) (*upstreamServer, error) {
 	if s.load.raw {
-		return s.newRawUpstream(id, version)
+		return s.newRawUpstream(id, service, version)
 	}
 	return newUpstream(id, version, s.load, s.history)
 }
 
+// setService sets what the service of a new upstream says of its start and of its slots.
+func (s *soak) setService(u *registeredUpstream) {
+	service := s.deployment.service(u.service)
+	start := time.Now().Add(-s.upstreamAge)
+	if s.load.split || service.WarmUpRate > 0 {
+		u.startMillis = start.UnixMilli()
+	}
+	if service.WarmUpRate > 0 {
+		s.history.recordColdStart(coldStart{upstream: u.id, service: u.service, at: start})
+	}
+	u.slots = cmp.Or(s.load.slots, slotsOfUnbounded)
+	if service.Slots > 0 {
+		u.slots, u.room.slots, u.room.queue = service.Slots, service.Slots, service.Queue
+	}
+}
+
 func (s *soak) registerUpstream(u *registeredUpstream, state string) {
 	s.history.endServing(u.id)
 	if state == "ready" {
@@ -364,7 +401,7 @@
 	}
 	s.write(platform.UpstreamPrefix+u.id, fmt.Sprintf(
 		`{"service":%q,"address":%q,"zone":%q,"slots":%d,"state":%q,"born":%d,"version":%q}`,
-		u.service, u.sharedAddress(), u.region+"-a", cmp.Or(s.load.slots, slotsOfUnbounded), state, cmp.Or(u.startMillis, u.born), u.version))
+		u.service, u.sharedAddress(), s.deployment.failureDomainOf(u.region), u.slots, state, cmp.Or(u.startMillis, u.born), u.version))
 }
 
 // write writes a value to the store, and erase deletes one. Both remember what the store must hold after a restore.
@@ -411,50 +448,3 @@
 	}
 	return s.keys[index%len(s.keys)], true
 }
-
-type workspaceConfig struct {
-	Name string   `json:"name"`
-	Keys []string `json:"api_keys"`
-}
-
-type routeConfig struct {
-	Name          string  `json:"name"`
-	Host          string  `json:"host"`
-	Prefix        string  `json:"path_prefix"`
-	Kind          string  `json:"kind"`
-	TimeoutMillis float64 `json:"timeout_ms"`
-	TargetMillis  float64 `json:"target_latency_ms"`
-	Service       string  `json:"service"`
-	MaxAttempts   int     `json:"max_attempts"`
-	Resumable     bool    `json:"resumable"`
-	// Split replaces Service if it is not empty.
-	Split []splitTarget `json:"traffic_split,omitempty"`
-}
-
-// publishConfig writes the configuration to the store. The caller holds mu, except during startup.
-func (s *soak) publishConfig() {
-	s.version++
-	var list []workspaceConfig
-	for _, key := range s.keys {
-		list = append(list, workspaceConfig{Name: s.history.workspaces[key], Keys: []string{key}})
-	}
-	var routes []routeConfig
-	for name, kind := range map[requestKind]string{kindSafe: "safe", kindUnsafe: "unsafe", kindStream: "streaming"} {
-		routes = append(routes, routeConfig{
-			Name: string(name), Host: host, Prefix: "/" + string(name) + "/", Kind: kind, Service: service,
-			TimeoutMillis: float64(s.load.deadline.Milliseconds()), TargetMillis: 1000, MaxAttempts: maxAttempts, Resumable: name == kindStream,
-		})
-	}
-	s.splitRoute(routes)
-	var services []map[string]string
-	for _, name := range s.load.services() {
-		services = append(services, map[string]string{"name": name})
-	}
-	text, err := json.Marshal(map[string]any{
-		"version": s.version, "routes": routes, "services": services, "tenants": list,
-	})
-	if err != nil {
-		panic(err) // Unreachable: all values above can be encoded.
-	}
-	s.write(platform.ConfigKey, string(text))
-}
--- a/soak/streams.go
+++ b/soak/streams.go
@@ -8,7 +8,7 @@
 func checkStreamEvents(h *history, _ bounds) []violation {
 	var found []violation
 	for id, r := range h.responses {
-		if h.requests[id].kind != kindStream || r.status != 200 {
+		if !h.requests[id].kind.streams() || r.status != 200 {
 			continue
 		}
 		switch {
--- /dev/null
+++ b/soak/traffic.go
@@ -0,0 +1,123 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// connectTimeout is the time within which a caller's connection must be established.
+const connectTimeout = time.Second
+
+// rate returns the requests per second of a region at a time since the start of its period.
+func (r *deploymentRegion) rate(sinceStart time.Duration) float64 {
+	factor := 1.0
+	for _, l := range r.Levels {
+		if l.AtMillis.duration() <= sinceStart {
+			factor = l.Factor
+		}
+	}
+	return factor * r.Rate
+}
+
+// periodStart returns the time in the period at which a run begins. It depends on the seed, so that short runs cover all of the period.
+func (s *soak) periodStart() time.Duration {
+	return time.Duration(s.newRand(200).Float64() * float64(s.deployment.PeriodMillis.duration()))
+}
+
+// rateAt returns the requests per second that the callers of a region send at a time.
+func (s *soak) rateAt(r *deploymentRegion, now time.Time) float64 {
+	sinceStart := (s.periodStart() + now.Sub(s.began)) % s.deployment.PeriodMillis.duration()
+	return s.deployment.RateScale * r.rate(sinceStart)
+}
+
+// regionCallers are the callers of a region.
+type regionCallers struct {
+	region  string
+	clients []*http.Client
+	// fresh opens a connection for each request.
+	fresh *http.Client
+}
+
+func newCallerClient(keepsConnections bool) *http.Client {
+	dialer := net.Dialer{Timeout: connectTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, DisableKeepAlives: !keepsConnections, MaxIdleConnsPerHost: 4, DisableCompression: true,
+	}}
+}
+
+func newRegionCallers(r *deploymentRegion) *regionCallers {
+	c := &regionCallers{region: r.Name, fresh: newCallerClient(false)}
+	for range r.Callers {
+		c.clients = append(c.clients, newCallerClient(true))
+	}
+	return c
+}
+
+func (c *regionCallers) close() {
+	for _, client := range c.clients {
+		client.CloseIdleConnections()
+	}
+}
+
+// runTraffic sends the requests of a region, which arrive as a Poisson process, until ctx ends. It waits for the last ones.
+func (s *soak) runTraffic(ctx context.Context, index int) {
+	region := &s.deployment.Regions[index]
+	callers := newRegionCallers(region)
+	defer callers.close()
+	var running sync.WaitGroup
+	defer running.Wait()
+	rng := s.newRand(201 + uint64(index))
+	for n := 0; ; n++ {
+		pause := time.Duration(rng.ExpFloat64() / s.rateAt(region, time.Now()) * float64(time.Second))
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		c := s.newCall(rng, region.Name, n)
+		client := callers.clients[rng.IntN(len(callers.clients))]
+		running.Go(func() { s.runCall(ctx, c, client, callers.fresh) })
+	}
+}
+
+// newCall draws the kind, the key and the VM of a request.
+func (s *soak) newCall(rng *rand.Rand, region string, n int) *call {
+	route := s.drawRoute(rng)
+	key, _ := s.pickKey(rng.IntN(1 << 20))
+	return &call{
+		id: fmt.Sprintf("%d-%s-%d", s.Seed, region, n), route: route, load: s.load.of(route.Kind), key: key, joinsAttempts: !s.load.raw,
+		named: !s.load.split || rng.IntN(2) == 0, vm: s.drawVM(rng, region), rng: rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())),
+		deadline: time.Now().Add(route.DeadlineMillis.duration()),
+	}
+}
+
+// drawRoute draws a route according to the weights.
+func (s *soak) drawRoute(rng *rand.Rand) *routeLoad {
+	total := 0.0
+	for _, r := range s.load.routes {
+		total += r.Weight
+	}
+	at := rng.Float64() * total
+	for i := range s.load.routes {
+		if at -= s.load.routes[i].Weight; at < 0 {
+			return &s.load.routes[i]
+		}
+	}
+	return &s.load.routes[len(s.load.routes)-1]
+}
+
+// drawVM draws a VM of a region.
+func (s *soak) drawVM(rng *rand.Rand, region string) int {
+	var near []int
+	for i, v := range s.vms {
+		if v.region == region {
+			near = append(near, i)
+		}
+	}
+	return near[rng.IntN(len(near))]
+}
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -78,8 +78,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for upstream %s: %w", id, err)
 	}
-	u := &upstreamServer{id: id, service: service, version: version, load: l, history: h, listener: listener}
-	u.room.slots = l.slots
+	u := &upstreamServer{id: id, version: version, load: l, history: h, listener: listener}
+	u.room.slots, u.room.queue = l.slots, maxWaiting
 	u.server = &http.Server{Handler: u, ConnContext: withLateConn, ConnState: watchIdle}
 	go func() { _ = u.server.Serve(lateListener{listener}) }() // Ends with close.
 	return u, nil
@@ -138,7 +138,7 @@
 	content := u.history.contentID(id)
 	end := u.history.recordExecution(execution{
 		id: id, upstream: u.id, vm: vm, startedAt: time.Now(), leaving: leaving, fault: u.behaviour.Load(), lastEvent: r.Header.Get(platform.HeaderLastEventID), workspace: r.Header.Get(platform.HeaderWorkspace),
-		keyPresent: r.Header.Get(platform.HeaderAPIKey) != "", unmodified: r.Method == http.MethodPost && string(body) == u.load.requestBody(content) && r.URL.RawQuery == "q="+content,
+		keyPresent: r.Header.Get(platform.HeaderAPIKey) != "", unmodified: r.Method == http.MethodPost && string(body) == u.load.of(kindOfPath(r.URL.Path)).requestBody(content) && r.URL.RawQuery == "q="+content,
 	})
 	w.Header().Set(platform.HeaderServerStamp, "stamp-"+id)
 	aborts := true
@@ -158,7 +158,7 @@
 }
 
 func (u *upstreamServer) respond(w http.ResponseWriter, r *http.Request, id string) {
-	time.Sleep(u.load.workTime(id))
+	time.Sleep(u.load.of(kindOfPath(r.URL.Path)).workTime(id))
 	if u.fails(id) {
 		w.WriteHeader(http.StatusInternalServerError)
 		u.planLateAnswer(r.Context(), id)
@@ -172,7 +172,7 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
-	if r.URL.Path != "/"+string(kindStream)+"/" {
+	if !kindOfPath(r.URL.Path).streams() {
 		_, _ = io.WriteString(w, responseBody(id)) // The VM may have closed the connection.
 	} else {
 		u.stream(w, r, id)
@@ -194,16 +194,17 @@
 
 func (u *upstreamServer) stream(w http.ResponseWriter, r *http.Request, id string) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	l := u.load.of(kindOfPath(r.URL.Path))
 	var text strings.Builder
-	for n := u.firstEvent(r); n <= u.load.events; n++ {
-		if u.behaviour.Load() == abortsConnections && n == u.load.events/2 {
+	for n := u.firstEvent(r); n <= l.events; n++ {
+		if u.behaviour.Load() == abortsConnections && n == l.events/2 {
 			u.breakOff(w, text.String()+u.event(id, n))
 		}
 		text.WriteString(u.event(id, n))
-		if u.behaviour.Load() == repeatsEvents && n == u.load.events/2 {
+		if u.behaviour.Load() == repeatsEvents && n == l.events/2 {
 			text.WriteString(u.event(id, n))
 		}
-		if n%u.load.eventsPerWrite != 0 && n < u.load.events {
+		if n%l.eventsPerWrite != 0 && n < l.events {
 			continue
 		}
 		if _, err := io.WriteString(w, text.String()); err != nil {
@@ -211,7 +212,7 @@
 		}
 		text.Reset()
 		w.(http.Flusher).Flush()
-		time.Sleep(eventPause)
+		time.Sleep(l.pauseBetweenEvents())
 	}
 }
 
