--- a/soak/call.go
+++ b/soak/call.go
@@ -29,8 +29,9 @@
 	rng *rand.Rand
 	// named means that the caller names begunBy when it resumes a stream, and joinsAttempts that all attempts have the same content.
 	named, joinsAttempts bool
-	// last is the last event that the caller has.
-	last int
+	// last is the last event that the caller has, and lastRun the run of that event.
+	last    int
+	lastRun streamRun
 	// deadline is that of all attempts.
 	deadline time.Time
 }
@@ -45,7 +46,7 @@
 		if !c.mayRetry(&got) || ctx.Err() != nil {
 			return
 		}
-		c.receive(&got)
+		c.receive(sent, &got)
 		client = fresh
 		c.vm = (c.vm + 1 + c.rng.IntN(len(s.vms)-1)) % len(s.vms)
 		left := time.Duration(maxRetryShare * float64(time.Until(c.deadline)))
@@ -56,7 +57,7 @@
 // attempt returns the n-th attempt.
 func (c *call) attempt(n int, vm string) request {
 	sent := request{
-		id: c.id, kind: c.route.Kind, key: c.key, vm: vm, sentAt: time.Now(), deadline: time.Until(c.deadline), lastEvent: c.last,
+		id: c.id, kind: c.route.Kind, key: c.key, vm: vm, sentAt: time.Now(), deadline: time.Until(c.deadline), lastEvent: c.last, lastRun: c.lastRun,
 		patience: c.route.PatienceMillis.duration(),
 	}
 	if c.joinsAttempts && c.route.Kind == kindStream {
@@ -84,14 +85,14 @@
 }
 
 // receive takes over the events that an attempt brought.
-func (c *call) receive(got *response) {
+func (c *call) receive(sent request, got *response) {
 	if len(got.events) == 0 {
 		return
 	}
 	if c.begunBy == "" {
 		c.begunBy = got.id
 	}
-	c.last = got.lastReceived()
+	c.last, c.lastRun = got.lastReceived(), got.lastRun(sent)
 }
 
 // addressForCallers returns the address at which callers reach the VM.
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -33,7 +33,7 @@
 	defer cancel()
 	idle := newIdleTimer(sent.patience, cancel)
 	defer func() { got.abandoned = idle.stop() }()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/"+string(sent.kind)+"/?q="+sent.contentID(), nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+sent.kind.path()+"?q="+sent.contentID(), nil)
 	if err != nil {
 		got.err = err.Error()
 		return got
@@ -108,7 +108,7 @@
 // readBody reads the response body and checks that it belongs to the request.
 func (got *response) readBody(sent request, l *load, resp *http.Response) {
 	stamped := resp.Header.Get(platform.HeaderServerStamp) == "stamp-"+sent.id
-	if !sent.kind.streams() || resp.StatusCode != http.StatusOK {
+	if !sent.kind.isStream() || resp.StatusCode != http.StatusOK {
 		body, err := io.ReadAll(resp.Body)
 		if err != nil {
 			got.err = err.Error()
@@ -157,7 +157,7 @@
 			v = s.vms[rng.IntN(len(s.vms))]
 			resumption := sent
 			resumption.id, resumption.vm, resumption.sentAt = sent.id+"-r", v.name, time.Now()
-			resumption.resumes, resumption.lastEvent = sent.id, got.lastReceived()
+			resumption.resumes, resumption.lastEvent, resumption.lastRun = sent.id, got.lastReceived(), got.lastRun(sent)
 			sendRequest(client, s.history, &s.load, v.callerAddress, resumption)
 		}
 		time.Sleep(s.load.interval)
--- a/soak/configuration.go
+++ b/soak/configuration.go
@@ -57,7 +57,7 @@
 }
 
 // kindNames are the names of the kinds of requests in the configuration.
-var kindNames = map[requestKind]string{kindSafe: "safe", kindUnsafe: "unsafe", kindStream: "streaming", kindOnceStream: "streaming"}
+var kindNames = map[requestKind]string{kindSafe: "safe", kindUnsafe: "unsafe", kindStream: "streaming", kindUnresumable: "streaming"}
 
 // publishConfig writes the configuration to the store. The caller holds mu, except during startup.
 func (s *soak) publishConfig() {
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -47,7 +47,7 @@
 				t.Fatalf("%s: call %+v", name, c)
 			}
 		}
-		if len(sent) != len(d.Routes) || sent[kindOnceStream] < 2*sent[kindStream] {
+		if len(sent) != len(d.Routes) || sent[kindUnresumable] < 2*sent[kindStream] {
 			t.Errorf("%s: requests %v", name, sent)
 		}
 	}
@@ -77,7 +77,7 @@
 func TestCallersRetryAsTheKindAllows(t *testing.T) {
 	broken := response{status: 200, events: []int{1}}
 	for kind, want := range map[requestKind]string{
-		kindSafe: "[true true false true]", kindUnsafe: "[true false false false]", kindOnceStream: "[true false false false]", kindStream: "[true true false true]",
+		kindSafe: "[true true false true]", kindUnsafe: "[true false false false]", kindUnresumable: "[true false false false]", kindStream: "[true true false true]",
 	} {
 		c := call{route: &routeLoad{Kind: kind}}
 		var got []bool
--- a/soak/history_test.go
+++ b/soak/history_test.go
@@ -103,7 +103,7 @@
 	lost:          lostBounds{grace: time.Second, after: 100 * time.Millisecond, reload: 100 * time.Millisecond, early: 50 * time.Millisecond},
 	responseSlack: 100 * time.Millisecond, successRate: 0.95,
 	routes: map[requestKind]routeBounds{
-		kindSafe: {maxAttempts: 2}, kindUnsafe: {maxAttempts: 2}, kindStream: {maxAttempts: 2}, kindOnceStream: {maxAttempts: 1, homes: []string{"north"}},
+		kindSafe: {maxAttempts: 2}, kindUnsafe: {maxAttempts: 2}, kindStream: {maxAttempts: 2}, kindUnresumable: {maxAttempts: 1, homes: []string{"north"}},
 	},
 	cold: map[string]coldBounds{service: {duration: time.Minute, requests: 1}},
 }
@@ -165,6 +165,9 @@
 		{"streams hold complete events of one run", kindStream, func(d *vmDouble) {
 			d.changeBody = func(text string) string { return strings.Replace(text, "version: v1\n", "", 1) }
 		}},
+		{"runs go on after the last event of the caller", kindStream, func(d *vmDouble) {
+			d.changeBody = func(text string) string { return strings.Replace(text, " 0\ndata", " 1\ndata", 1) }
+		}},
 		{"callers' streams hold events of one service and software version", kindStream, func(d *vmDouble) {
 			d.history.addResumedStream("a", "worker/v1", "helper/v1")
 		}},
@@ -283,7 +286,7 @@
 				panic(http.ErrAbortHandler)
 			}
 		}},
-		{"requests run in home regions only", kindOnceStream, func(d *vmDouble) { d.history.regions["u1"] = "south" }},
+		{"requests run in home regions only", kindUnresumable, func(d *vmDouble) { d.history.regions["u1"] = "south" }},
 		{"cold upstreams get few requests", kindSafe, func(d *vmDouble) {
 			d.history.recordColdStart(coldStart{upstream: "u1", service: service, at: time.Now()})
 			d.intercept = func(d *vmDouble, _ http.ResponseWriter, r *http.Request) bool {
@@ -293,7 +296,7 @@
 				return false
 			}
 		}},
-		{"unsafe runs once", kindOnceStream, func(d *vmDouble) {
+		{"unsafe runs once", kindUnresumable, func(d *vmDouble) {
 			d.intercept = func(d *vmDouble, _ http.ResponseWriter, r *http.Request) bool {
 				if resp, err := d.forward(r, requestBody(r.Header.Get(platform.HeaderRequestID))); err == nil {
 					_ = resp.Body.Close()
@@ -337,8 +340,8 @@
 
 // Guards against an invariant that is added without a case in TestViolationsAreReported.
 func TestEachInvariantHasFaultyVM(t *testing.T) {
-	if len(invariants) != 23 {
-		t.Errorf("%d invariants, want 23; add a case for each new one to TestViolationsAreReported", len(invariants))
+	if len(invariants) != 24 {
+		t.Errorf("%d invariants, want 24; add a case for each new one to TestViolationsAreReported", len(invariants))
 	}
 }
 
--- a/soak/requestkind.go
+++ b/soak/requestkind.go
@@ -1,6 +1,6 @@
 package soak
 
-// requestKind says whether a request may run more than once.
+// requestKind says whether a request may run more than once. It is the name and the path of the route of such requests.
 type requestKind string
 
 const (
@@ -8,12 +8,14 @@
 	kindUnsafe requestKind = "unsafe"
 	// kindStream is a resumable stream of events.
 	kindStream requestKind = "stream"
-	// kindOnceStream is a stream of events that may run once only.
-	kindOnceStream requestKind = "onceStream"
+	// kindUnresumable is a stream of events that may not be resumed.
+	kindUnresumable requestKind = "unresumable"
 )
 
-// streams reports whether the response is a stream of events.
-func (k requestKind) streams() bool { return k == kindStream || k == kindOnceStream }
+func (k requestKind) isStream() bool { return k == kindStream || k == kindUnresumable }
 
-// runsOnce reports whether a request may run once only.
-func (k requestKind) runsOnce() bool { return k == kindUnsafe || k == kindOnceStream }
+// runsOnce reports whether a request may run at most once.
+func (k requestKind) runsOnce() bool { return k == kindUnsafe || k == kindUnresumable }
+
+// path is the path of the requests.
+func (k requestKind) path() string { return "/" + string(k) + "/" }
--- a/soak/routebounds.go
+++ b/soak/routebounds.go
@@ -32,6 +32,20 @@
 	h.coldStarts = append(h.coldStarts, c)
 }
 
+func checkRuns(h *history, b bounds) []violation {
+	var found []violation
+	for id, executions := range h.executions {
+		upstreams := map[string]bool{}
+		for _, e := range executions {
+			upstreams[e.upstream] = true
+		}
+		if most := b.routes[h.requests[id].kind].maxAttempts; len(upstreams) > most {
+			found = append(found, violation{id: id, detail: fmt.Sprintf("ran at %d upstreams, want %d at most", len(upstreams), most)})
+		}
+	}
+	return found
+}
+
 // checkHomes finds requests of a route with home regions that reach an upstream elsewhere.
 func checkHomes(h *history, b bounds) []violation {
 	var found []violation
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -394,14 +394,20 @@
 	}
 }
 
+// warmUpLeft returns the number of milliseconds for which an upstream is still cold.
+func (s *soak) warmUpLeft(u *registeredUpstream) int64 {
+	warmUp := int64(s.deployment.service(u.service).WarmUpMillis)
+	return max(0, u.startMillis+warmUp-time.Now().UnixMilli())
+}
+
 func (s *soak) registerUpstream(u *registeredUpstream, state string) {
 	s.history.endServing(u.id)
 	if state == "ready" {
 		s.history.beginServing(u.id, originOf(u.service, u.version))
 	}
 	s.write(platform.UpstreamPrefix+u.id, fmt.Sprintf(
-		`{"service":%q,"address":%q,"zone":%q,"slots":%d,"state":%q,"born":%d,"version":%q}`,
-		u.service, u.sharedAddress(), s.deployment.failureDomainOf(u.region), u.slots, state, cmp.Or(u.startMillis, u.born), u.version))
+		`{"service":%q,"address":%q,"zone":%q,"slots":%d,"state":%q,"born":%d,"version":%q,"warmup_left_ms":%d}`,
+		u.service, u.sharedAddress(), s.deployment.failureDomainOf(u.region), u.slots, state, cmp.Or(u.startMillis, u.born), u.version, s.warmUpLeft(u)))
 }
 
 // write writes a value to the store, and erase deletes one. Both remember what the store must hold after a restore.
--- a/soak/streams.go
+++ b/soak/streams.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 )
@@ -8,7 +9,7 @@
 func checkStreamEvents(h *history, _ bounds) []violation {
 	var found []violation
 	for id, r := range h.responses {
-		if !h.requests[id].kind.streams() || r.status != 200 {
+		if !h.requests[id].kind.isStream() || r.status != 200 {
 			continue
 		}
 		switch {
@@ -43,11 +44,11 @@
 	return "in order"
 }
 
-// describeExecutions names the upstreams that ran a stream, with the event after which they began and their faults.
+// describeExecutions names the runs of a stream, with the event after which they began and their faults.
 func describeExecutions(executions []execution) string {
 	text := ""
 	for _, e := range executions {
-		text += fmt.Sprintf(", %s", e.upstream)
+		text += fmt.Sprintf(", %s", cmp.Or(e.run, e.upstream))
 		if e.lastEvent != "" {
 			text += " after " + e.lastEvent
 		}
