--- a/soak/caller.go
+++ b/soak/caller.go
@@ -134,9 +134,6 @@
 	return got.events[len(got.events)-1]
 }
 
-// requestKindFor returns the kind of the n-th request of a caller.
-func requestKindFor(n int) requestKind { return []requestKind{kindSafe, kindUnsafe, kindStream}[n%3] }
-
 // runCaller sends requests until ctx ends.
 func (s *soak) runCaller(ctx context.Context, caller int) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true}}
--- a/soak/deploymentbounds.go
+++ b/soak/deploymentbounds.go
@@ -6,12 +6,14 @@
 type allowedBounds struct {
 	// GraceMillis is the time from SIGTERM to SIGKILL, RevokeMillis the longest time for which a withdrawn key works, DrainMillis that
 	// for which a draining upstream gets requests, ContactMillis the time after a disturbance until bounds hold again, and
-	// ConfigApplyMillis the time within which a configuration is in force.
+	// ConfigApplyMillis the time within which a configuration is in force. From RollbackMillis after its first effect, a VM may not obey an
+	// older one.
 	GraceMillis       millis `json:"graceMillis"`
 	RevokeMillis      millis `json:"revokeMillis"`
 	DrainMillis       millis `json:"drainMillis"`
 	ContactMillis     millis `json:"contactMillis"`
 	ConfigApplyMillis millis `json:"configApplyMillis"`
+	RollbackMillis    millis `json:"rollbackMillis"`
 	// In each RetryWindowMillis, retries may be RetryRatio times the requests and RetrySlack more.
 	RetryRatio        float64 `json:"retryRatio"`
 	RetryWindowMillis millis  `json:"retryWindowMillis"`
@@ -27,6 +29,7 @@
 	allowed := &d.Bounds
 	b := bounds{
 		revoke: allowed.RevokeMillis.duration(), drain: allowed.DrainMillis.duration(), settle: allowed.ContactMillis.duration(),
+		rollback:       allowed.RollbackMillis.duration(),
 		brittleCrashes: 2, brittleCrashShare: 0.1, holdBackAfter: 500 * time.Millisecond, holdBackRequests: 2,
 		cutServedShare: 2.0 / 3, cutFailures: 10, cutFailureShare: 0.02,
 		retryWindow: allowed.RetryWindowMillis.duration(), retryRatio: allowed.RetryRatio, retrySlack: allowed.RetrySlack,
--- a/soak/orderforms.go
+++ b/soak/orderforms.go
@@ -14,7 +14,7 @@
 	// Missing counts streams in which an event is missing, and Repeated those in which one comes twice or goes back.
 	Missing, Repeated int
 	// Joined counts streams with events of two software versions, services or requests, and JoinedRuns those in which a run goes on that
-	// did not begin after the last event that the caller had.
+	// did not begin after the last event that the caller had, or that follows another one in a stream that may not be resumed.
 	Joined, JoinedRuns int
 	// EndedEarly counts streams that end as complete before their last event.
 	EndedEarly int
@@ -70,7 +70,7 @@
 	if got.foreign > 0 || countDistinct(got.versions, begun.versions) > 1 || countDistinct(got.services, begun.services) > 1 {
 		f.Joined = 1
 	}
-	if len(got.joinedRuns()) > 0 {
+	if len(got.joinedRuns(sent.kind)) > 0 {
 		f.JoinedRuns = 1
 	}
 	if got.parts > 0 {
@@ -162,7 +162,7 @@
 	if complete {
 		addOnce(&r.got.origins, originOf(run.service, version))
 	}
-	r.noteRun(run, had)
+	r.recordRun(run, had)
 	fits := data == r.load.eventData(r.sent.id, number)
 	r.got.verified = r.got.verified && fits
 	switch {
--- a/soak/requestkind.go
+++ b/soak/requestkind.go
@@ -12,6 +12,12 @@
 	kindUnresumable requestKind = "unresumable"
 )
 
+// requestKinds are the kinds of requests that callers send in turn.
+var requestKinds = []requestKind{kindSafe, kindUnsafe, kindStream, kindUnresumable}
+
+// requestKindFor returns the kind of the n-th request of a caller.
+func requestKindFor(n int) requestKind { return requestKinds[n%len(requestKinds)] }
+
 func (k requestKind) isStream() bool { return k == kindStream || k == kindUnresumable }
 
 // runsOnce reports whether a request may run at most once.
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -175,10 +175,10 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
-	if !kind.isStream() {
-		_, _ = io.WriteString(w, responseBody(id)) // The VM may have closed the connection.
-	} else {
+	if kind.isStream() {
 		u.stream(w, run, u.load.of(kind))
+	} else {
+		_, _ = io.WriteString(w, responseBody(id)) // The VM may have closed the connection.
 	}
 	u.planLateAnswer(r.Context(), id)
 }
