soak: check the names of a deployment, and start its period once

Settings of a deployment that name an unknown kind of request or another number of services than a split has failed in the middle of a run.

--- a/soak/call.go
+++ b/soak/call.go
@@ -27,7 +27,8 @@
 	// vm is the index of the VM of the next attempt.
 	vm  int
 	rng *rand.Rand
-	// named means that the caller names begunBy when it resumes a stream, and joinsAttempts that all attempts have the same content.
+	// named means that the caller names begunBy when it resumes a stream, and joinsAttempts that all attempts at a stream have the same
+	// content. Raw upstreams know only the id of an attempt, so that each has its own content there.
 	named, joinsAttempts bool
 	// last is the last event that the caller has, and lastRun the run of that event.
 	last    int
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -138,9 +138,15 @@
 	return d, nil
 }
 
+// splitServices is the number of services of a route that is split.
+const splitServices = 2
+
 // validate finds names without a definition.
 func (d *deployment) validate() error {
 	var errs []error
+	if len(d.Split) != splitServices {
+		errs = append(errs, fmt.Errorf("split has %d services, want %d", len(d.Split), splitServices))
+	}
 	for _, s := range d.services(true) {
 		for region := range s.Upstreams {
 			if !slices.Contains(d.regionNames(), region) {
@@ -149,6 +155,9 @@
 		}
 	}
 	for _, r := range d.Routes {
+		if kindNames[r.Kind] == "" {
+			errs = append(errs, fmt.Errorf("route has unknown kind %q", r.Kind))
+		}
 		if d.service(r.Service) == nil {
 			errs = append(errs, fmt.Errorf("route %s leads to unknown service %q", r.Kind, r.Service))
 		}
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -60,14 +60,30 @@
 	}
 }
 
+// Guards against a name in a settings file that is defined nowhere and is found only in the middle of a run.
+func TestUndefinedNamesAreFound(t *testing.T) {
+	for want, change := range map[string]func(d *deployment){
+		`service worker has upstreams in unknown region "west"`: func(d *deployment) { d.Split[0].Upstreams = map[string]int{"west": 1} },
+		`route safe leads to unknown service "x"`:               func(d *deployment) { d.Routes[0].Service = "x" },
+		`route safe has unknown home region "west"`:             func(d *deployment) { d.Routes[0].HomeRegions = []string{"west"} },
+		`route has unknown kind "x"`:                            func(d *deployment) { d.Routes[0].Kind = "x" },
+		`split has 1 services, want 2`:                          func(d *deployment) { d.Split = d.Split[:1] },
+	} {
+		d := mustLoad(DefaultDeployment)
+		change(d)
+		if err := d.validate(); err == nil || err.Error() != want {
+			t.Errorf("error %v, want %s", err, want)
+		}
+	}
+}
+
 // Guards against traffic that does not move from region to region, or whose period does not repeat.
 func TestRateFollowsLevels(t *testing.T) {
 	r := deploymentRegion{Rate: 10, Levels: []trafficLevel{{0, 2}, {1000, 0.5}}}
 	d := &deployment{RateScale: 0.5, PeriodMillis: 2000}
-	s := &soak{deployment: d, began: time.Unix(1000, 0)}
-	start := s.periodStart()
+	s := &soak{deployment: d, periodBegan: time.Unix(1000, 0)}
 	for at, want := range map[time.Duration]float64{0: 10, 999 * time.Millisecond: 10, time.Second: 2.5, 2 * time.Second: 10, 3500 * time.Millisecond: 2.5} {
-		if got := s.rateAt(&r, s.began.Add(d.PeriodMillis.duration()-start+at)); got != want {
+		if got := s.rateAt(&r, s.periodBegan.Add(at)); got != want {
 			t.Errorf("rate after %v: %v, want %v", at, got, want)
 		}
 	}
--- a/soak/short_test.go
+++ b/soak/short_test.go
@@ -28,6 +28,8 @@
 	signalsLength = 20 * time.Second
 	// callersLength leaves time for some of each fault of the callers' profile.
 	callersLength = 18 * time.Second
+	// deploymentLength leaves time for some faults at more VMs.
+	deploymentLength = 18 * time.Second
 )
 
 // regression is a seed of an earlier failure with its cause.
@@ -70,9 +72,17 @@
 	regression{soak.ProfileCallers, 7, callersLength, "resumed streams go on at the other service of a split route"}.play(t)
 }
 
-func (r regression) play(t *testing.T) {
+// Guards against a deployment of several regions that can't be played, and against requests that leave their home regions or overload cold
+// upstreams there.
+func TestDeploymentSoak(t *testing.T) {
+	regression{soak.ProfileLight, 2, deploymentLength, "it has not failed"}.playOn(t, "keeltransom-reg")
+}
+
+func (r regression) play(t *testing.T) { r.playOn(t, soak.DefaultDeployment) }
+
+func (r regression) playOn(t *testing.T, deployment string) {
 	report, err := soak.Run(context.Background(), soak.Settings{
-		Profile: r.profile, Seed: r.seed, Length: r.length, Program: os.Args[0], SettingsDir: t.TempDir(), Log: io.Discard,
+		Deployment: deployment, Profile: r.profile, Seed: r.seed, Length: r.length, Program: os.Args[0], SettingsDir: t.TempDir(), Log: io.Discard,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -81,7 +91,7 @@
 		t.Error("no request succeeded")
 	}
 	for _, v := range report.Violations {
-		t.Errorf("%s seed %d (%s): %s", r.profile, r.seed, r.cause, v)
+		t.Errorf("%s on %s, seed %d (%s): %s", r.profile, deployment, r.seed, r.cause, v)
 	}
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -88,8 +88,8 @@
 	releases map[string]int
 	// upstreamAge is the age with which upstreams are registered: those at the start of the run have served for a while.
 	upstreamAge time.Duration
-	// began is the start of the traffic.
-	began time.Time
+	// periodBegan is the start of the first period of the deployment's traffic.
+	periodBegan time.Time
 }
 
 // registeredUpstream is an upstream with the links through which VMs reach it.
@@ -147,8 +147,8 @@
 
 // startCallers starts the callers, which end with ctx.
 func (s *soak) startCallers(ctx context.Context, running *sync.WaitGroup) {
-	s.began = time.Now()
 	if s.deployment.hasOwnTraffic() {
+		s.startPeriod(time.Now())
 		for i := range s.deployment.Regions {
 			running.Go(func() { s.runTraffic(ctx, i) })
 		}
--- a/soak/traffic.go
+++ b/soak/traffic.go
@@ -24,20 +24,18 @@
 	return factor * r.Rate
 }
 
-// periodStart returns the time in the period at which a run begins. It depends on the seed, so that short runs cover all of the period.
-func (s *soak) periodStart() time.Duration {
-	return time.Duration(s.newRand(200).Float64() * float64(s.deployment.PeriodMillis.duration()))
+// startPeriod draws the time in the period at which a run begins, so that short runs with different seeds cover all of the period.
+func (s *soak) startPeriod(now time.Time) {
+	s.periodBegan = now.Add(-time.Duration(s.newRand(200).Float64() * float64(s.deployment.PeriodMillis.duration())))
 }
 
 // rateAt returns the requests per second that the callers of a region send at a time.
 func (s *soak) rateAt(r *deploymentRegion, now time.Time) float64 {
-	sinceStart := (s.periodStart() + now.Sub(s.began)) % s.deployment.PeriodMillis.duration()
-	return s.deployment.RateScale * r.rate(sinceStart)
+	return s.deployment.RateScale * r.rate(now.Sub(s.periodBegan)%s.deployment.PeriodMillis.duration())
 }
 
 // regionCallers are the callers of a region.
 type regionCallers struct {
-	region  string
 	clients []*http.Client
 	// fresh opens a connection for each request.
 	fresh *http.Client
@@ -51,7 +49,7 @@
 }
 
 func newRegionCallers(r *deploymentRegion) *regionCallers {
-	c := &regionCallers{region: r.Name, fresh: newCallerClient(false)}
+	c := &regionCallers{fresh: newCallerClient(false)}
 	for range r.Callers {
 		c.clients = append(c.clients, newCallerClient(true))
 	}
