--- a/soak/caller.go
+++ b/soak/caller.go
@@ -40,10 +40,11 @@
 	}
 	// Without GetBody, net/http can't rewind the body and therefore doesn't retry the request.
 	r.Body, r.ContentLength = io.NopCloser(sending), int64(len(body))
-	r.Host = host
+	r.Host = l.host
 	r.Header.Set(platform.HeaderRequestID, sent.id)
 	r.Header.Set(platform.HeaderAPIKey, sent.key)
 	r.Header.Set(platform.HeaderDeadline, strconv.FormatInt(sent.deadline.Milliseconds(), 10))
+	l.prompt.setHeaders(r.Header, sent.kind, sent.contentID())
 	if sent.resumes != "" {
 		r.Header.Set(platform.HeaderResumes, sent.resumes)
 	}
--- a/soak/rawanswer_test.go
+++ b/soak/rawanswer_test.go
@@ -16,7 +16,7 @@
 	for seed := range uint64(2000) {
 		rng := rand.New(rand.NewPCG(seed, 1))
 		a := drawAnswer(rng, rawEnds{Cut: true, Unmarked: true}, true)
-		w := u.encode(&a, &streamRun{service: service, version: "v1", request: "id-1", name: "u.1", after: 2})
+		w := u.encode(&a, &streamRun{service: service, version: "v1", request: "id-1", name: "u.1", after: 2}, &l)
 		length := a.length(&w)
 		var sent bytes.Buffer
 		if err := writeSegments(&sent, w.data, withoutPauses(a.segments(rng, &w, length))); err != nil || !bytes.Equal(sent.Bytes(), w.data[:length]) {
--- a/soak/rawupstream.go
+++ b/soak/rawupstream.go
@@ -22,7 +22,9 @@
 	Service string  `json:"service"`
 	Version string  `json:"version"`
 	Profile Profile `json:"profile"`
-	Seed    uint64  `json:"seed"`
+	// Deployment is the name of the deployment.
+	Deployment string `json:"deployment"`
+	Seed       uint64 `json:"seed"`
 }
 
 // rawEnds is each later line: the ends of answers that a raw upstream may play from now on.
@@ -88,7 +90,11 @@
 	if err := control.Decode(&u.settings); err != nil {
 		return fmt.Errorf("read settings: %w", err)
 	}
-	u.load, u.runs = loadOf(u.settings.Profile), newRunNames(u.settings.ID, time.Now())
+	d, err := loadDeployment(u.settings.Deployment)
+	if err != nil {
+		return err
+	}
+	u.load, u.runs = d.load(u.settings.Profile), newRunNames(u.settings.ID, time.Now())
 	u.ends.Store(&rawEnds{})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -148,14 +154,16 @@
 	}
 	lastEvent := r.Header.Get(platform.HeaderLastEventID)
 	rng := u.newRand(came.ID, lastEvent)
-	answer := drawAnswer(rng, *u.ends.Load(), isStreamPath(r.URL.Path))
+	kind := kindOfPath(r.URL.Path)
+	l := u.load.of(kind)
+	answer := drawAnswer(rng, *u.ends.Load(), kind.isStream())
 	run := streamRun{service: u.settings.Service, version: u.settings.Version, request: came.ID, name: u.runs.next(), after: parseLastEventID(lastEvent)}
-	wire := u.encode(&answer, &run)
+	wire := u.encode(&answer, &run, l)
 	send := answer.length(&wire)
 	u.report(rawReport{Start: &rawRunStart{
 		rawArrival: rawArrival{ID: came.ID, From: came.From, At: time.Now()}, Run: run.name, Workspace: r.Header.Get(platform.HeaderWorkspace),
 		KeyPresent: r.Header.Get(platform.HeaderAPIKey) != "", LastEvent: lastEvent, Answer: answer.String(), Row: answer.row(),
-		Unmodified: r.Method == http.MethodPost && body == u.load.requestBody(came.ID) && r.URL.RawQuery == "q="+came.ID,
+		Unmodified: r.Method == http.MethodPost && body == l.requestBody(came.ID) && r.URL.RawQuery == "q="+came.ID,
 	}})
 	err := writeSegments(c, wire.data, answer.segments(rng, &wire, send))
 	u.report(rawReport{End: &rawRunEnd{Run: run.name, BrokeOff: answer.end != endComplete}})
@@ -176,14 +184,14 @@
 }
 
 // encode encodes the complete answer of a run.
-func (u *rawUpstream) encode(a *rawAnswer, run *streamRun) rawWire {
+func (u *rawUpstream) encode(a *rawAnswer, run *streamRun, l *load) rawWire {
 	fields := "Server-Stamp: stamp-" + run.request
 	if !a.stream {
 		return a.encode(head("200 OK", run.request, fields), []rawEvent{{text: responseBody(run.request)}})
 	}
 	var events []rawEvent
-	for n := run.after + 1; n <= u.load.events; n++ {
-		events = append(events, a.style.event(run.eventLines(n, &u.load), n))
+	for n := run.after + 1; n <= l.events; n++ {
+		events = append(events, a.style.event(run.eventLines(n, l), n))
 	}
 	return a.encode(head("200 OK", run.request, fields+"\r\nContent-Type: text/event-stream"), events)
 }
--- a/soak/requestkind.go
+++ b/soak/requestkind.go
@@ -25,28 +25,3 @@
 
 // path is the path of the requests.
 func (k requestKind) path() string { return "/" + string(k) + "/" }
-
-// isStreamPath reports whether requests with a path are streams.
-func isStreamPath(path string) bool {
-	return path == kindStream.path() || path == kindUnresumable.path()
-}
-
-// maxAttempts returns the number of upstreams that may run a request, which its route sets.
-func (k requestKind) maxAttempts() int {
-	if k == kindUnresumable {
-		return 1
-	}
-	return maxAttempts
-}
-
-// route returns the route of the requests.
-func (k requestKind) route(l *load) routeConfig {
-	kind := string(k)
-	if k.isStream() {
-		kind = "streaming"
-	}
-	return routeConfig{
-		Name: string(k), Host: host, Prefix: k.path(), Kind: kind, Service: service,
-		TimeoutMillis: float64(l.deadline.Milliseconds()), TargetMillis: 1000, MaxAttempts: k.maxAttempts(), Resumable: k == kindStream,
-	}
-}
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -79,8 +79,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for upstream %s: %w", id, err)
 	}
-	u := &upstreamServer{id: id, service: service, version: version, load: l, runs: newRunNames(id, time.Now()), history: h, listener: listener}
-	u.room.slots = l.slots
+	u := &upstreamServer{id: id, version: version, load: l, runs: newRunNames(id, time.Now()), history: h, listener: listener}
+	u.room.slots, u.room.queue = l.slots, maxWaiting
 	u.server = &http.Server{Handler: u, ConnContext: withLateConn, ConnState: watchIdle}
 	go func() { _ = u.server.Serve(lateListener{listener}) }() // Ends with close.
 	return u, nil
@@ -140,7 +140,7 @@
 	run := streamRun{service: u.service, version: u.version, request: id, name: u.runs.next(), after: parseLastEventID(r.Header.Get(platform.HeaderLastEventID))}
 	end := u.history.recordExecution(execution{
 		id: id, upstream: u.id, run: run.name, vm: vm, startedAt: time.Now(), leaving: leaving, fault: u.behaviour.Load(), lastEvent: r.Header.Get(platform.HeaderLastEventID), workspace: r.Header.Get(platform.HeaderWorkspace),
-		keyPresent: r.Header.Get(platform.HeaderAPIKey) != "", unmodified: r.Method == http.MethodPost && string(body) == u.load.requestBody(content) && r.URL.RawQuery == "q="+content,
+		keyPresent: r.Header.Get(platform.HeaderAPIKey) != "", unmodified: r.Method == http.MethodPost && string(body) == u.load.of(kindOfPath(r.URL.Path)).requestBody(content) && r.URL.RawQuery == "q="+content,
 	})
 	w.Header().Set(platform.HeaderServerStamp, "stamp-"+id)
 	aborts := true
@@ -160,8 +160,8 @@
 }
 
 func (u *upstreamServer) respond(w http.ResponseWriter, r *http.Request, run *streamRun) {
-	id := run.request
-	time.Sleep(u.load.workTime(id))
+	id, kind := run.request, kindOfPath(r.URL.Path)
+	time.Sleep(u.load.of(kind).workTime(id))
 	if u.fails(id) {
 		w.WriteHeader(http.StatusInternalServerError)
 		u.planLateAnswer(r.Context(), id)
@@ -175,8 +175,8 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
-	if isStreamPath(r.URL.Path) {
-		u.stream(w, run)
+	if kind.isStream() {
+		u.stream(w, run, u.load.of(kind))
 	} else {
 		_, _ = io.WriteString(w, responseBody(id)) // The VM may have closed the connection.
 	}
@@ -195,18 +195,18 @@
 	return u.late.Load() > 0 && isOneOf(id, "fail", 2)
 }
 
-func (u *upstreamServer) stream(w http.ResponseWriter, run *streamRun) {
+func (u *upstreamServer) stream(w http.ResponseWriter, run *streamRun, l *load) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	var text strings.Builder
-	for n := u.firstEvent(run.after); n <= u.load.events; n++ {
-		if u.behaviour.Load() == abortsConnections && n == u.load.events/2 {
+	for n := u.firstEvent(run.after); n <= l.events; n++ {
+		if u.behaviour.Load() == abortsConnections && n == l.events/2 {
 			u.breakOff(w, text.String()+u.event(run, n))
 		}
 		text.WriteString(u.event(run, n))
-		if u.behaviour.Load() == repeatsEvents && n == u.load.events/2 {
+		if u.behaviour.Load() == repeatsEvents && n == l.events/2 {
 			text.WriteString(u.event(run, n))
 		}
-		if n%u.load.eventsPerWrite != 0 && n < u.load.events {
+		if n%l.eventsPerWrite != 0 && n < l.events {
 			continue
 		}
 		if _, err := io.WriteString(w, text.String()); err != nil {
@@ -214,7 +214,7 @@
 		}
 		text.Reset()
 		w.(http.Flusher).Flush()
-		time.Sleep(eventPause)
+		time.Sleep(l.pauseBetweenEvents())
 	}
 }
 
