sequence: let no agreement of two sources outweigh a step that was shown

What callers would see: streams that miss events where all upstreams resume too late by the same number of events, although the stream or its kind had shown a step before. Cause: took any event on which two sources agree. Change: agreement counts only where no step is known at all.

--- a/sequence/sequence.go
+++ b/sequence/sequence.go
@@ -184,7 +184,8 @@
 func (s *Source) EndsEarly() bool { return s.unverified }
 
 // leavesGap reports whether events are missing before an event with the number n, which is greater than that of the last one, with which
-// the source goes on. Where the step of the stream is not certain, two sources that go on with the same event show that none is missing.
+// the source goes on. Where neither the stream nor its kind has shown a step, two sources that go on with the same event show that none is
+// missing.
 func (s *Source) leavesGap(n int64) bool {
 	step := s.stream.nextStep()
 	switch {
@@ -193,7 +194,8 @@
 	case step.Certain:
 		return true
 	}
-	agreed := s.Checked || s.stream.doubted == n && s.stream.doubtedFrom != s.name
+	shown := s.stream.steps > 0 || s.stream.expected.Step > 0
+	agreed := s.Checked || !shown && s.stream.doubted == n && s.stream.doubtedFrom != s.name
 	s.stream.doubted, s.stream.doubtedFrom = n, s.name
 	return !agreed
 }
