--- a/soak/caller.go
+++ b/soak/caller.go
@@ -142,23 +142,23 @@
 	defer client.CloseIdleConnections()
 	rng := s.newRand(uint64(caller) + 100)
 	for n := 0; ctx.Err() == nil; n++ {
-		v := s.vms[rng.IntN(len(s.vms))]
-		key, ok := s.pickKey(rng.IntN(1 << 20))
+		v := s.pickVM(rng.IntN(len(s.vms)))
+		key, ok := s.pickKey(s.callerBehaviour.keyIndex(rng.IntN(1 << 20)))
 		if !ok {
 			continue
 		}
 		sent := request{
 			id: fmt.Sprintf("%d-%d-%d", s.Seed, caller, n), kind: requestKindFor(n), key: key, vm: v.name,
-			sentAt: time.Now(), deadline: s.load.deadline,
+			sentAt: time.Now(), deadline: s.load.deadline, patience: s.callerBehaviour.patience(),
 		}
-		got := sendRequest(client, s.history, &s.load, v.callerAddress, sent)
+		got := s.sendAndRepeat(client, v, sent)
 		if sent.kind == kindStream && !got.complete && len(got.events) > 0 {
-			v = s.vms[rng.IntN(len(s.vms))]
+			v = s.pickVM(rng.IntN(len(s.vms)))
 			resumption := sent
 			resumption.id, resumption.vm, resumption.sentAt = sent.id+"-r", v.name, time.Now()
 			resumption.resumes, resumption.lastEvent = sent.id, got.lastReceived()
-			sendRequest(client, s.history, &s.load, v.callerAddress, resumption)
+			sendRequest(client, s.history, &s.load, v.addressForCallers(), resumption)
 		}
-		time.Sleep(s.load.interval)
+		time.Sleep(s.callerBehaviour.pause(s.load.interval))
 	}
 }
--- /dev/null
+++ b/soak/callerfaults.go
@@ -0,0 +1,89 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// partCallers is the part that stands for what callers do.
+const partCallers = "callers"
+
+const (
+	// callerRepeats is the number of times that a refused caller repeats its request at once.
+	callerRepeats = 3
+	// hotPauseDivisor is by how much the pauses of callers are shorter while one workspace sends many times its usual.
+	hotPauseDivisor = 4
+)
+
+// leaveTimes are the times without an answer after which callers leave.
+var leaveTimes = []time.Duration{20 * time.Millisecond, 100 * time.Millisecond, 400 * time.Millisecond}
+
+// callerBehaviour is what callers that send requests of all kinds do while faults act on them.
+type callerBehaviour struct {
+	// leaveAfter is the time without an answer in nanoseconds after which callers leave, zero if they stay.
+	leaveAfter atomic.Int64
+	// repeating and hot count the faults in which callers repeat at once and in which one workspace sends most requests.
+	repeating, hot atomic.Int32
+}
+
+// changeCallers changes the behaviour of callers for the duration of the fault.
+func (s *soak) changeCallers(f fault) {
+	behaviour := &s.callerBehaviour
+	switch f.kind {
+	case faultCallersLeave:
+		behaviour.leaveAfter.Store(int64(leaveTimes[f.variant%len(leaveTimes)]))
+		defer behaviour.leaveAfter.Store(0)
+	case faultCallersRepeat:
+		behaviour.repeating.Add(1)
+		defer behaviour.repeating.Add(-1)
+	default:
+		behaviour.hot.Add(1)
+		defer behaviour.hot.Add(-1)
+	}
+	s.disturbFor(f.duration, partCallers)
+}
+
+// patience returns the time without an answer after which a caller leaves, zero for the deadline.
+func (b *callerBehaviour) patience() time.Duration { return time.Duration(b.leaveAfter.Load()) }
+
+// keyIndex returns the index of the key of a request: the first one while its workspace sends most requests.
+func (b *callerBehaviour) keyIndex(index int) int {
+	if b.hot.Load() > 0 {
+		return 0
+	}
+	return index
+}
+
+// pause returns the pause of a caller between two requests.
+func (b *callerBehaviour) pause(usual time.Duration) time.Duration {
+	if b.hot.Load() > 0 {
+		return usual / hotPauseDivisor
+	}
+	return usual
+}
+
+// sendAndRepeat sends a request. While callers repeat at once, it sends a refused one again with another id, without a pause.
+func (s *soak) sendAndRepeat(client *http.Client, v *vmProcess, sent request) response {
+	got := sendRequest(client, s.history, &s.load, v.addressForCallers(), sent)
+	first := sent.id
+	for i := 0; i < callerRepeats && s.callerBehaviour.repeating.Load() > 0 && isRefusal(got.status); i++ {
+		sent.id, sent.sentAt = fmt.Sprintf("%s-a%d", first, i), time.Now()
+		got = sendRequest(client, s.history, &s.load, v.addressForCallers(), sent)
+	}
+	return got
+}
+
+// isRefusal reports whether a status says that the request has not run.
+func isRefusal(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
+// addressForCallers is the address at which callers reach the VM.
+func (v *vmProcess) addressForCallers() string {
+	if v.callerLink != nil {
+		return v.callerLink.address()
+	}
+	return v.callerAddress
+}
--- a/soak/callerlink.go
+++ b/soak/callerlink.go
@@ -14,7 +14,8 @@
 
 // openCallerLink opens the link between callers and the VM.
 func (v *vmProcess) openCallerLink() error {
-	v.callerLink = &proxy{target: v.callerAddress, holdsCloses: true, conns: map[net.Conn]bool{}}
+	hasNoPower := func([]byte, bool) bool { return v.dark.Load() }
+	v.callerLink = &proxy{target: v.callerAddress, holdsCloses: true, conns: map[net.Conn]bool{}, newRewrite: func() rewriteFunc { return hasNoPower }}
 	return v.callerLink.listen("127.0.0.1:0")
 }
 
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -58,7 +58,7 @@
 
 // applyFault injects one fault, waits for its duration and reverts it.
 func (s *soak) applyFault(f fault, vmLocks []sync.Mutex) error {
-	index := f.target % len(s.vms)
+	index := s.presentIndex(f.target)
 	v := s.vms[index]
 	_, _ = fmt.Fprintf(s.log, "fault %s: vm %s, %v long, variant %d\n", f.kind, v.name, f.duration, f.variant)
 	switch f.kind {
@@ -66,8 +66,8 @@
 		lock := &vmLocks[index%len(vmLocks)]
 		lock.Lock()
 		defer lock.Unlock()
-		if s.Profile == ProfileStops && time.Now().After(s.faultsEnd) {
-			return nil // Earlier stops have taken their whole grace period.
+		if s.stopsFaults() || v.absent.Load() {
+			return nil
 		}
 		return s.disturbVM(f, v)
 	case faultPeerLink, faultLateAnswer, faultEventOrder, faultBurst:
@@ -130,10 +130,17 @@
 		u.limit.Store(0)
 	case faultStoreRestore:
 		s.restoreStore(f)
+	default:
+		return s.applyTrouble(f, v, vmLocks)
 	}
 	return nil
 }
 
+// stopsFaults reports whether the time of faults is over, since earlier faults of VMs have taken their whole grace period.
+func (s *soak) stopsFaults() bool {
+	return (s.Profile == ProfileStops || s.Profile == ProfileTroubles) && time.Now().After(s.faultsEnd)
+}
+
 // disturbFor records a disturbance of the part and waits for its duration.
 func (s *soak) disturbFor(duration time.Duration, part string) {
 	end := s.history.startDisturbance(part)
@@ -217,6 +224,7 @@
 		switch {
 		case u.region != empty:
 			setBehaviour(failsPartly)(u, on)
+		case !s.isListed(u):
 		case on:
 			s.erase(platform.UpstreamPrefix + u.id)
 		default:
--- a/soak/history.go
+++ b/soak/history.go
@@ -141,6 +141,10 @@
 	workspaces map[string]string
 	// regions maps VMs and upstreams to their regions.
 	regions map[string]string
+	// services maps upstreams to their services.
+	services map[string]string
+	// lateBodies are the bodies that upstreams read after they had refused their requests.
+	lateBodies []lateBody
 	// vmsByIP maps the IPs from which VMs reach upstreams to the VMs.
 	vmsByIP map[string]string
 	// serving are the times in which upstreams are registered as ready.
@@ -153,7 +157,7 @@
 	return &history{
 		requests: map[string]request{}, executions: map[string][]execution{}, responses: map[string]response{},
 		keyWithdrawnAt: map[string]time.Time{}, drainingSince: map[string]time.Time{}, workspaces: map[string]string{}, regions: map[string]string{},
-		vmsByIP: map[string]string{},
+		vmsByIP: map[string]string{}, services: map[string]string{},
 	}
 }
 
@@ -282,6 +286,9 @@
 	{"callers' streams hold events of one service and software version", "RULES ORDER", checkStreamOrigins},
 	{"callers resume while their version serves", "RULES LOST", checkResumptions},
 	{"upstreams get what callers sent", "RULES UNASKED", checkForwardedRequests},
+	{"requests run at a service of their route", "RULES ROUTE", checkServices},
+	{"refused requests keep their bodies", "RULES UNASKED, a replica may answer before it has read a long body", checkLateBodies},
+	{"upstreams get nothing for callers that left", "RULES GONE", checkGone},
 	{"withdrawn keys stop working", "RULES CONFIG, strict_revoke", checkWithdrawnKeys},
 	{"leaving upstreams get nothing new", "RULES DRAIN", checkDraining},
 	{"upstreams that say that they leave get nothing new", "RULES DRAIN, Server-Leaving", checkLeaving},
--- a/soak/history_test.go
+++ b/soak/history_test.go
@@ -25,6 +25,8 @@
 	changeBody func(text string) string
 	// deadline is that of the requests that are sent to the VM.
 	deadline time.Duration
+	// patience is that of the callers, zero for the deadline.
+	patience time.Duration
 }
 
 func newVMDouble(t *testing.T) *vmDouble {
@@ -83,7 +85,7 @@
 	client := &http.Client{}
 	defer client.CloseIdleConnections()
 	sendRequest(client, d.history, &d.upstream.load, d.server.Listener.Addr().String(), request{
-		id: id, kind: k, key: "key", vm: "vm", sentAt: time.Now(), deadline: d.deadline,
+		id: id, kind: k, key: "key", vm: "vm", sentAt: time.Now(), deadline: d.deadline, patience: d.patience,
 	})
 }
 
@@ -278,6 +280,28 @@
 				panic(http.ErrAbortHandler)
 			}
 		}},
+		{"requests run at a service of their route", kindSafe, func(d *vmDouble) { d.history.services["u1"] = otherService }},
+		{"refused requests keep their bodies", kindSafe, func(d *vmDouble) {
+			d.upstream.behaviour.Store(refusesEarly)
+			d.intercept = func(d *vmDouble, w http.ResponseWriter, r *http.Request) bool {
+				if resp, err := d.forward(r, "other"); err == nil {
+					_ = resp.Body.Close()
+				}
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return true
+			}
+		}},
+		{"upstreams get nothing for callers that left", kindSafe, func(d *vmDouble) {
+			d.patience = 10 * time.Millisecond
+			d.intercept = func(d *vmDouble, _ http.ResponseWriter, r *http.Request) bool {
+				late := arrival{id: r.Header.Get(platform.HeaderRequestID), upstream: "u1", vm: "vm", at: time.Now().Add(time.Minute)}
+				for range goneRequests + 1 {
+					d.history.recordArrival(late)
+				}
+				time.Sleep(10 * d.patience)
+				return true
+			}
+		}},
 		{"service returns after faults", kindSafe, func(d *vmDouble) {
 			d.history.startDisturbance("other")()
 			time.Sleep(10 * time.Millisecond)
@@ -314,8 +338,8 @@
 
 // Guards against an invariant that is added without a case in TestViolationsAreReported.
 func TestEachInvariantHasFaultyVM(t *testing.T) {
-	if len(invariants) != 21 {
-		t.Errorf("%d invariants, want 21; add a case for each new one to TestViolationsAreReported", len(invariants))
+	if len(invariants) != 24 {
+		t.Errorf("%d invariants, want 24; add a case for each new one to TestViolationsAreReported", len(invariants))
 	}
 }
 
--- a/soak/link.go
+++ b/soak/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"net"
 	"net/http"
 	"strconv"
@@ -22,8 +23,9 @@
 // linkUpstream opens the links of all VMs to an upstream.
 func (s *soak) linkUpstream(u *registeredUpstream) error {
 	for _, v := range s.vms {
-		link, err := newProxyFrom(v.ip, net.JoinHostPort(v.linkIP, u.linkPort()), u.address(), &v.hangingCuts)
-		if err != nil {
+		link := &proxy{target: u.address(), cuts: &v.hangingCuts, holdsCloses: s.load.holdsCloses, conns: map[net.Conn]bool{}}
+		link.dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(v.ip)}
+		if err := link.listen(net.JoinHostPort(v.linkIP, u.linkPort())); err != nil {
 			return err
 		}
 		for range v.refusingCuts {
@@ -40,7 +42,9 @@
 }
 
 // linkPort is the port of the links to the upstream, which is the same for all VMs.
-func (u *registeredUpstream) linkPort() string { return strconv.FormatInt(firstLinkPort+u.born, 10) }
+func (u *registeredUpstream) linkPort() string {
+	return strconv.FormatInt(firstLinkPort+cmp.Or(u.portOf, u.born), 10)
+}
 
 // sharedAddress is the upstream's address as it stands in the store.
 func (u *registeredUpstream) sharedAddress() string {
@@ -64,32 +68,46 @@
 
 // serveStore answers a VM with the addresses of its own links to upstreams.
 func (s *soak) serveStore(w http.ResponseWriter, r *http.Request) {
-	ip, _, _ := net.SplitHostPort(r.RemoteAddr)
-	s.store.ServeView(w, r, func(value string) string {
-		for _, v := range s.vms {
-			if v.ip == ip {
-				return strings.ReplaceAll(value, sharedLinkHost, v.linkIP)
-			}
+	v := s.vmAt(r.RemoteAddr)
+	if v == nil {
+		s.store.ServeHTTP(w, r)
+		return
+	}
+	if s.storeFaults.refuse(w, r, v) {
+		return
+	}
+	s.store.ServeView(w, r, func(value string) string { return strings.ReplaceAll(value, sharedLinkHost, v.linkIP) })
+}
+
+// vmAt returns the VM that connects from an address, or nil.
+func (s *soak) vmAt(address string) *vmProcess {
+	ip, _, _ := net.SplitHostPort(address)
+	for _, v := range s.vms {
+		if v.ip == ip {
+			return v
 		}
-		return value
-	})
+	}
+	return nil
 }
 
 // peerRewrite returns the function that changes the data of a connection to a VM. VMs tell each other what the store holds, so the
 // receiver gets the addresses of its own links to upstreams. The VM that opened the connection names itself in its first message.
+// From then on, the direction is cut while the region of its sender is cut from that of its receiver, or one of them has no power.
 func (s *soak) peerRewrite(to *vmProcess) rewriteFunc {
 	var from atomic.Pointer[vmProcess]
-	return func(data []byte, toClient bool) {
+	return func(data []byte, toClient bool) bool {
 		s.rewriteAddresses(data)
-		receiver := to
+		sender, receiver := from.Load(), to
 		if toClient {
-			receiver = from.Load()
-		} else if from.Load() == nil {
-			from.Store(s.firstNamed(data))
+			sender, receiver = to, from.Load()
+		} else if sender == nil {
+			sender = s.firstNamed(data)
+			from.Store(sender)
 		}
 		if receiver != nil {
 			s.rewriteLinks(data, receiver)
 		}
+		return sender != nil && receiver != nil && (sender.dark.Load() || receiver.dark.Load() || s.regionCuts.has(sender.region, receiver.region))
 	}
 }
 
--- /dev/null
+++ b/soak/linkfaults.go
@@ -0,0 +1,147 @@
+package soak
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// partRegions is the part that stands for the links between regions.
+const partRegions = "links between regions"
+
+// regionCuts counts the faults that cut one region from another. The zero value is ready to use.
+type regionCuts struct {
+	mu     sync.RWMutex
+	counts map[[2]string]int
+}
+
+// add changes the number of faults that cut what one region sends to another.
+func (c *regionCuts) add(from, to string, change int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.counts == nil {
+		c.counts = map[[2]string]int{}
+	}
+	c.counts[[2]string{from, to}] += change
+}
+
+// has reports whether what one region sends to another is discarded.
+func (c *regionCuts) has(from, to string) bool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.counts[[2]string{from, to}] > 0
+}
+
+// cutRegions cuts the region of a VM from all others for the duration of the fault: what it sends, what it gets, or both.
+func (s *soak) cutRegions(f fault, v *vmProcess) {
+	change := func(by int) {
+		for _, other := range regions {
+			if other != v.region && f.variant%3 != 0 {
+				s.regionCuts.add(v.region, other, by)
+			}
+			if other != v.region && f.variant%3 != 1 {
+				s.regionCuts.add(other, v.region, by)
+			}
+		}
+	}
+	change(1)
+	s.disturbFor(f.duration, partRegions)
+	change(-1)
+}
+
+// losePackets makes links of the VMs of a region lossy for the duration of the fault: those to other VMs and to the store, those to
+// callers, or those to upstreams.
+func (s *soak) losePackets(f fault, v *vmProcess) {
+	vms := s.presentVMs(v.region)
+	links := s.linksOf(vms, f.variant%3)
+	var ends []func()
+	for _, v := range vms {
+		ends = append(ends, s.history.startDisturbance(v.name))
+	}
+	for _, link := range links {
+		link.setFault(linkLossy)
+	}
+	time.Sleep(f.duration)
+	for _, link := range links {
+		link.fault.CompareAndSwap(linkLossy, linkNormal)
+	}
+	for _, end := range ends {
+		end()
+	}
+}
+
+// linksOf returns the links of VMs to other VMs and to the store, to their callers, or to upstreams.
+func (s *soak) linksOf(vms []*vmProcess, form int) []*proxy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var links []*proxy
+	for _, v := range vms {
+		switch form {
+		case 0:
+			links = append(links, v.peerLink, v.storeLink)
+		case 1:
+			links = append(links, v.callerLink)
+		default:
+			links = append(links, v.upstreamLinks...)
+		}
+	}
+	return links
+}
+
+// Ways in which the store refuses a VM.
+const (
+	storeServes int32 = iota
+	storeIsBusy
+	storeSaysMany
+	storeResets
+	storeIsSilent
+)
+
+// slowStoreTime is the time that a slow store takes for an answer.
+const slowStoreTime = 250 * time.Millisecond
+
+// storeFaults are the faults of the store's answers.
+type storeFaults struct {
+	// slow counts the faults that make the store slow.
+	slow atomic.Int32
+}
+
+// refuse delays the call of a VM if the store is slow, and answers it if the store refuses the VM.
+func (f *storeFaults) refuse(w http.ResponseWriter, r *http.Request, v *vmProcess) (refused bool) {
+	if f.slow.Load() > 0 {
+		time.Sleep(slowStoreTime)
+	}
+	switch v.storeRefusal.Load() {
+	case storeIsBusy:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case storeSaysMany:
+		w.WriteHeader(http.StatusTooManyRequests)
+	case storeResets:
+		panic(http.ErrAbortHandler)
+	case storeIsSilent:
+		for v.storeRefusal.Load() == storeIsSilent && r.Context().Err() == nil {
+			time.Sleep(hangPollInterval)
+		}
+		panic(http.ErrAbortHandler)
+	default:
+		return false
+	}
+	return true
+}
+
+// slowStore makes the store slow for the duration of the fault.
+func (s *soak) slowStore(f fault) {
+	s.storeFaults.slow.Add(1)
+	s.disturbFor(f.duration, partStore)
+	s.storeFaults.slow.Add(-1)
+}
+
+// refuseAtStore lets the store refuse a VM for the duration of the fault, and cuts the calls that wait.
+func (s *soak) refuseAtStore(f fault, v *vmProcess) {
+	refusal := []int32{storeIsBusy, storeSaysMany, storeResets, storeIsSilent}[f.variant%4]
+	v.storeRefusal.Store(refusal)
+	v.storeLink.resetConnections()
+	s.disturbFor(f.duration, v.name)
+	v.storeRefusal.CompareAndSwap(refusal, storeServes)
+}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -135,6 +135,8 @@
 		}
 	case ProfileCallers:
 		faults = planCallers(seed, duration)
+	case ProfileTroubles:
+		faults = planTroubles(seed, duration)
 	default:
 		faults = planFaults(seed, duration)
 	}
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -74,6 +74,31 @@
 	}
 }
 
+// Guards against a fault that docs/soak.md says troubles plans and that no plan of the length of a usual run has, against two plans of
+// one seed that differ, and against faults in the fault-free time.
+func TestTroublesHaveAllFaults(t *testing.T) {
+	const length = 25 * time.Second
+	seen := map[faultKind]bool{}
+	for seed := range uint64(20) {
+		faults := planProfile(ProfileTroubles, seed, length)
+		if !slices.Equal(faults, planProfile(ProfileTroubles, seed, length)) {
+			t.Errorf("seed %d: two plans differ", seed)
+		}
+		for _, f := range faults {
+			seen[f.kind] = true
+			if f.start+f.duration > length-faultFreeTime {
+				t.Errorf("seed %d: %s lasts into the fault-free time", seed, f.kind)
+			}
+		}
+	}
+	ofRawUpstreams := []string{string(faultCutAnswers), string(faultUnmarkedCuts)}
+	for _, kind := range declaredFaults(t) {
+		if seen[faultKind(kind)] == slices.Contains(ofRawUpstreams, kind) {
+			t.Errorf("planned %v: %q", seen[faultKind(kind)], kind)
+		}
+	}
+}
+
 // Guards against a VM that learns an address which leads past the link to a VM, or that learns those of another VM's links to
 // upstreams from that VM.
 func TestLinkReplacesAddresses(t *testing.T) {
--- a/soak/process.go
+++ b/soak/process.go
@@ -45,6 +45,10 @@
 	upstreamLinks []*proxy
 	hangingCuts   atomic.Int32
 	refusingCuts  int
+	// dark means that the machine of the VM has no power, and absent that the VM has not been added yet or was removed for good.
+	dark, absent atomic.Bool
+	// storeRefusal is how the store refuses the VM.
+	storeRefusal atomic.Int32
 
 	callerAddress, readyAddress, peerAddress, directoryAddress string
 	// ip is the VM's IP, from which its requests reach upstreams, and linkIP that of the links to it and of its links to upstreams.
--- a/soak/profile.go
+++ b/soak/profile.go
@@ -35,10 +35,13 @@
 	// ProfileCallers is a load of streams that their callers resume until they are complete, on a route that is split between two
 	// services, while the split, the software versions and the links of callers change.
 	ProfileCallers Profile = "callers"
+	// ProfileTroubles is a load of all kinds of requests on two services, with all faults that upstreams within the soak's process can
+	// play, mixed and in series.
+	ProfileTroubles Profile = "troubles"
 )
 
 // Profiles are all profiles.
-var Profiles = []Profile{ProfileLight, ProfileHeavy, ProfileStops, ProfileRetries, ProfileSignals, ProfileRaw, ProfileUnmarked, ProfileCallers}
+var Profiles = []Profile{ProfileLight, ProfileHeavy, ProfileStops, ProfileRetries, ProfileSignals, ProfileRaw, ProfileUnmarked, ProfileCallers, ProfileTroubles}
 
 // load describes what callers send and how upstreams respond while no fault acts.
 type load struct {
@@ -61,8 +64,17 @@
 	raw bool
 	// split means that the route of streams is split between two services, and that all callers resume their streams.
 	split bool
+	// mixed means that every other caller sends requests of all kinds although the route of streams is split.
+	mixed bool
+	// spareVMs is the number of VMs of each region that are added during the run.
+	spareVMs int
+	// holdsCloses means that the ends of connections to upstreams don't pass a link that is cut.
+	holdsCloses bool
 }
 
+// resumes reports whether a caller resumes its streams until they are complete.
+func (l *load) resumes(caller int) bool { return l.split && !(l.mixed && caller%2 == 1) }
+
 const (
 	// longBytes exceeds the buffers of 16 KiB between a VM and its peers.
 	longBytes    = 20 << 10
@@ -91,6 +103,10 @@
 		light.callers, light.interval, light.eventsPerWrite = 48, 5*time.Millisecond, light.events
 	case ProfileCallers:
 		light.callers, light.deadline, light.events, light.split = 32, 4*time.Second, 48, true
+	case ProfileTroubles:
+		light.callers, light.interval, light.deadline, light.events, light.eventsPerWrite = 40, 30*time.Millisecond, heavyDeadline, 36, 3
+		light.longEvery, light.slowEvery, light.workEvery, light.slots = 12, 24, 24, 16
+		light.split, light.mixed, light.spareVMs, light.holdsCloses = true, true, 1, true
 	case ProfileSignals:
 		light.callers, light.interval, light.workEvery, light.slots = 40, 250*time.Millisecond, 10, 4
 	case ProfileRaw, ProfileUnmarked:
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"sync"
@@ -26,10 +27,16 @@
 	linkDropsRequests
 	// linkSilent holds all data back until the fault ends.
 	linkSilent
+	// linkLossy holds some chunks of data back for a time, as TCP does for lost packets.
+	linkLossy
 )
 
 const (
 	linkDelay = 80 * time.Millisecond
+	// A lossy link holds one of lossyEvery chunks back, each for a time between minRetransmission and maxRetransmission.
+	lossyEvery        = 6
+	minRetransmission = 200 * time.Millisecond
+	maxRetransmission = 900 * time.Millisecond
 	// openBacklog is the number of connections that wait to be accepted at a link without faults, and maxWaitingConnections the
 	// number of attempts within which a queue of length zero is full.
 	openBacklog           = 128
@@ -42,13 +49,12 @@
 
 var errBacklogNotFull = errors.New("connections are answered although the queue is full")
 
-// rewriteFunc changes the data of one direction of a connection in place.
-type rewriteFunc func(data []byte, toClient bool)
+// rewriteFunc changes the data of one direction of a connection in place, and reports whether that direction is cut.
+type rewriteFunc func(data []byte, toClient bool) (cut bool)
 
 // proxy is a TCP proxy on loopback with fault injection. After it has discarded data of a connection in one direction,
 // it discards all later data of that direction, too: the receiver must not see a stream with a gap.
 type proxy struct {
-	target string
 	// dialer connects to the target.
 	dialer net.Dialer
 	fault  atomic.Int32
@@ -60,6 +66,7 @@
 	holdsCloses bool
 
 	mu       sync.Mutex
+	target   string
 	listener net.Listener
 	conns    map[net.Conn]bool
 	// refusing counts the faults that refuse new connections.
@@ -94,6 +101,20 @@
 	return nil
 }
 
+// setTarget sets the address to which later connections lead.
+func (p *proxy) setTarget(target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = target
+}
+
+// targetAddress returns the address to which connections lead.
+func (p *proxy) targetAddress() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.target
+}
+
 func (p *proxy) address() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -222,7 +243,7 @@
 }
 
 func (p *proxy) runConnection(clientConn net.Conn) {
-	targetConn, err := p.dialer.Dial("tcp", p.target)
+	targetConn, err := p.dialer.Dial("tcp", p.targetAddress())
 	if err != nil {
 		resetOnClose(clientConn)
 		_ = clientConn.Close()
@@ -230,13 +251,13 @@
 	}
 	p.trackConnections(clientConn, targetConn, true)
 	done := make(chan bool, 2)
-	rewrite := func([]byte, bool) {}
+	rewrite := func([]byte, bool) bool { return false }
 	if p.newRewrite != nil {
 		rewrite = p.newRewrite()
 	}
 	go p.runCopy(targetConn, clientConn, rewrite, false, done)
 	go p.runCopy(clientConn, targetConn, rewrite, true, done)
-	p.awaitClose(<-done)
+	p.awaitClose(<-done, rewrite)
 	_ = clientConn.Close()
 	_ = targetConn.Close()
 	<-done
@@ -269,12 +290,22 @@
 }
 
 // awaitClose waits until the end of a connection may pass in a direction.
-func (p *proxy) awaitClose(toClient bool) {
-	for p.holdsCloses && (p.fault.Load() == linkSilent || drops(p.fault.Load(), toClient)) {
+func (p *proxy) awaitClose(toClient bool, rewrite rewriteFunc) {
+	for rewrite(nil, toClient) || p.holdsCloses && (p.isCut() || p.fault.Load() == linkSilent || drops(p.fault.Load(), toClient)) {
 		time.Sleep(hangPollInterval)
 	}
 }
 
+// isCut reports whether a fault of all links that share cuts discards the data.
+func (p *proxy) isCut() bool { return p.cuts != nil && p.cuts.Load() > 0 }
+
+// awaitRetransmission waits for some chunks of data as long as a lossy link holds them back.
+func awaitRetransmission() {
+	if rand.IntN(lossyEvery) == 0 {
+		time.Sleep(minRetransmission + rand.N(maxRetransmission-minRetransmission))
+	}
+}
+
 // awaitData waits while the link holds data back.
 func (p *proxy) awaitData() {
 	for p.fault.Load() == linkSilent {
@@ -296,17 +327,21 @@
 			return
 		}
 		switch fault := p.fault.Load(); {
-		case p.cuts != nil && p.cuts.Load() > 0 || drops(fault, toClient):
+		case p.isCut() || drops(fault, toClient):
 			stalled = true
 		case fault == linkSilent:
 			p.awaitData()
 		case fault == linkDelayed:
 			time.Sleep(linkDelay)
+		case fault == linkLossy:
+			awaitRetransmission()
+		}
+		if rewrite(buf[:n], toClient) {
+			stalled = true
 		}
 		if stalled {
 			continue
 		}
-		rewrite(buf[:n], toClient)
 		if _, err := to.Write(buf[:n]); err != nil {
 			resetOnClose(from)
 			return
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -85,6 +85,10 @@
 	storeServer *http.Server
 	vms         []*vmProcess
 	log         *lockedWriter
+	// regionCuts, storeFaults and callerBehaviour are the faults between regions, of the store and of callers.
+	regionCuts      regionCuts
+	storeFaults     storeFaults
+	callerBehaviour callerBehaviour
 	// faultsEnd is the begin of the time without faults.
 	faultsEnd time.Time
 
@@ -117,6 +121,8 @@
 	// startMillis is the start in Unix milliseconds, which the registration names. It is zero if software versions don't change: the
 	// registration names born then.
 	startMillis int64
+	// portOf is the number of the upstream whose ports this one has taken over, zero if it has its own.
+	portOf int64
 	// replaced means that upstreams of another software version have taken its place.
 	replaced bool
 }
@@ -136,7 +142,7 @@
 
 // Run runs a soak and returns its report.
 func Run(ctx context.Context, settings Settings) (Report, error) {
-	s := &soak{Settings: settings, load: loadOf(settings.Profile), history: newHistory(), store: standin.NewStore(), written: map[string]string{}, releases: map[string]int{}, log: &lockedWriter{w: settings.Log}}
+	s := newSoak(settings)
 	defer s.close()
 	if err := s.start(); err != nil {
 		return Report{}, err
@@ -145,7 +151,7 @@
 	defer cancel()
 	var running sync.WaitGroup
 	for i := range s.load.callers {
-		if s.load.split {
+		if s.load.resumes(i) {
 			running.Go(func() { s.runStreamCaller(ctx, i) })
 			continue
 		}
@@ -157,6 +163,13 @@
 	return s.report(len(faults)), nil
 }
 
+func newSoak(settings Settings) *soak {
+	return &soak{
+		Settings: settings, load: loadOf(settings.Profile), history: newHistory(), store: standin.NewStore(), written: map[string]string{},
+		releases: map[string]int{}, log: &lockedWriter{w: settings.Log},
+	}
+}
+
 func (s *soak) report(faults int) Report {
 	found := s.history.check(defaultBounds)
 	s.history.mu.Lock() // Upstreams may still record.
@@ -251,8 +264,9 @@
 // addVMs adds the VMs, which don't run yet, with the links between them and to the store. It returns the addresses of the seeds.
 func (s *soak) addVMs(store string) (seeds []string, err error) {
 	for _, region := range regions {
-		for i := range vmsPerRegion {
+		for i := range vmsPerRegion + s.load.spareVMs {
 			v := &vmProcess{name: fmt.Sprintf("%s-%d", region, i), region: region, program: s.Program, log: s.log}
+			v.absent.Store(i >= vmsPerRegion)
 			if err := s.addLinks(v, store); err != nil {
 				return nil, err
 			}
@@ -269,10 +283,13 @@
 func (s *soak) startVMs(seeds []string) error {
 	var startErr error
 	for _, v := range s.vms {
-		startErr = errors.Join(startErr, v.writeSettings(s.SettingsDir, regions, seeds), v.start())
+		startErr = errors.Join(startErr, v.writeSettings(s.SettingsDir, regions, seeds))
+		if !v.absent.Load() {
+			startErr = errors.Join(startErr, v.start())
+		}
 	}
 	for _, v := range s.vms {
-		if startErr == nil {
+		if startErr == nil && !v.absent.Load() {
 			startErr = v.waitReady()
 		}
 	}
@@ -324,7 +341,10 @@
 func softwareVersion(n int64) string { return fmt.Sprintf("v%d", 1+n%3/2) }
 
 // addUpstream starts an upstream of a service and registers it.
-func (s *soak) addUpstream(region, service string) error {
+func (s *soak) addUpstream(region, service string) error { return s.addUpstreamAt(region, service, 0) }
+
+// addUpstreamAt is addUpstream for an upstream that takes over the ports of an earlier one, or gets its own if portOf is zero.
+func (s *soak) addUpstreamAt(region, service string, portOf int64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastBorn++
@@ -332,7 +352,7 @@
 	if err != nil {
 		return err
 	}
-	x := &registeredUpstream{upstreamServer: u, region: region, born: s.lastBorn}
+	x := &registeredUpstream{upstreamServer: u, region: region, born: s.lastBorn, portOf: portOf}
 	if err := s.linkUpstream(x); err != nil {
 		return err
 	}
@@ -343,7 +363,7 @@
 	x.room.onCrash = func(refused []string) { go s.runOverloadCrash(x, refused) }
 	s.upstreams = append(s.upstreams, x)
 	s.history.mu.Lock()
-	s.history.regions[u.id] = region
+	s.history.regions[u.id], s.history.services[u.id] = region, service
 	s.history.mu.Unlock()
 	s.registerUpstream(x, "ready")
 	return nil
--- a/soak/streamcaller.go
+++ b/soak/streamcaller.go
@@ -50,7 +50,7 @@
 
 // callStream requests a stream and resumes it, each time at another VM, until the caller has all of it.
 func (s *soak) callStream(ctx context.Context, client *http.Client, rng *rand.Rand, stream *callerStream) {
-	vm := rng.IntN(len(s.vms))
+	vm := s.presentIndex(rng.IntN(len(s.vms)))
 	for n := 0; ctx.Err() == nil && time.Until(stream.deadline) > minAttemptTime; n++ {
 		sent := stream.attempt(n, s.vms[vm].name)
 		got := sendRequest(client, s.history, &s.load, s.vms[vm].callerLink.address(), sent)
@@ -59,7 +59,7 @@
 		}
 		stream.receive(&got)
 		client.CloseIdleConnections() // The next attempt opens a connection.
-		vm = (vm + 1 + rng.IntN(len(s.vms)-1)) % len(s.vms)
+		vm = s.presentIndex(vm + 1 + rng.IntN(len(s.vms)-1))
 		left := time.Duration(maxRetryShare * float64(time.Until(stream.deadline)))
 		time.Sleep(max(attemptPause, min(got.retryAfter, left)))
 	}
--- /dev/null
+++ b/soak/troubles_test.go
@@ -0,0 +1,164 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"parsleyhatch/platform"
+)
+
+// Guards against an early refusal that waits for the body, closes the connection, or takes the body for the next request.
+func TestEarlyRefusalKeepsConnection(t *testing.T) {
+	c, u := dialUpstream(t)
+	u.behaviour.Store(refusesEarly)
+	r, id := bufio.NewReader(c), idWith("early")
+	body := requestBody(id)
+	_, _ = fmt.Fprintf(c, "POST /safe/?q=%s HTTP/1.1\r\nHost: x\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", id, platform.HeaderRequestID, id, len(body), body[:3])
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get(platform.HeaderNotExecuted) == "" || resp.Close {
+		t.Fatalf("response %v, error %v", resp, err)
+	}
+	u.behaviour.Store(respondsNormally)
+	_, _ = io.WriteString(c, body[3:])
+	_, _ = fmt.Fprintf(c, "POST /safe/?q=n HTTP/1.1\r\nHost: x\r\n%s: n\r\nContent-Length: %d\r\n\r\n%s", platform.HeaderRequestID, len(requestBody("n")), requestBody("n"))
+	if resp, err = http.ReadResponse(r, nil); err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("next response %v, error %v", resp, err)
+	}
+	if want := []lateBody{{id: id, upstream: "u", same: true, size: len(body)}}; fmt.Sprint(u.history.lateBodies) != fmt.Sprint(want) {
+		t.Errorf("late bodies %v, want %v", u.history.lateBodies, want)
+	}
+	if len(u.history.executions[id]) > 0 {
+		t.Error("the refused request ran")
+	}
+}
+
+// Guards against a lost answer whose request did not run, or of which a part arrives, and against a reset that arrives as a close.
+func TestLostAnswerHasRun(t *testing.T) {
+	for behaviour, wantReset := range map[int32]bool{closesAfterRun: false, resetsAfterRun: true} {
+		c, u := dialUpstream(t)
+		u.behaviour.Store(behaviour)
+		id := idWith("lost")
+		_, _ = fmt.Fprintf(c, "POST /safe/?q=%s HTTP/1.1\r\nHost: x\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", id, platform.HeaderRequestID, id, len(requestBody(id)), requestBody(id))
+		data, err := io.ReadAll(c)
+		if reset := err != nil && strings.Contains(err.Error(), "reset"); len(data) > 0 || reset != wantReset {
+			t.Errorf("behaviour %d: %q, error %v", behaviour, data, err)
+		}
+		u.history.mu.Lock()
+		if len(u.history.executions[id]) != 1 {
+			t.Errorf("behaviour %d: ran %d times", behaviour, len(u.history.executions[id]))
+		}
+		u.history.mu.Unlock()
+	}
+}
+
+// dialUpstream starts an upstream and connects to it.
+func dialUpstream(t *testing.T) (net.Conn, *upstreamServer) {
+	t.Helper()
+	u, err := newUpstream("u", "v1", loadOf(ProfileLight), newHistory())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(u.close)
+	c, err := net.Dial("tcp", u.address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	return c, u
+}
+
+// idWith returns the id of a request that has a property of every other one.
+func idWith(property string) string {
+	for n := 0; ; n++ {
+		if id := fmt.Sprint("id-", n); isOneOf(id, property, 2) {
+			return id
+		}
+	}
+}
+
+// Guards against an upstream that starts again at another address, under another id, or without a later start.
+func TestRestartedUpstreamKeepsItsAddress(t *testing.T) {
+	s := newSoakWithVM(t)
+	if err := s.addUpstream(regions[0], service); err != nil {
+		t.Fatal(err)
+	}
+	u := s.pickUpstream(0)
+	u.close()
+	if err := s.restartUpstream(u); err != nil {
+		t.Fatal(err)
+	}
+	x := s.pickUpstream(0)
+	defer x.shutDown()
+	if x == u || x.id != u.id || x.sharedAddress() != u.sharedAddress() || x.born <= u.born || x.startMillis == 0 {
+		t.Errorf("started again as %+v, before %+v", x, u)
+	}
+	resp, err := http.Post("http://"+x.links[0].address()+"/safe/?q=a", "", strings.NewReader(requestBody("a")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+}
+
+// Guards against an address that still leads to the earlier upstream, or that goes to one of the same service.
+func TestReusedAddressLeadsToOtherService(t *testing.T) {
+	s := newSoakWithVM(t)
+	if err := s.addUpstream(regions[0], service); err != nil {
+		t.Fatal(err)
+	}
+	u := s.pickUpstream(0)
+	if err := s.reuseAddress(fault{variant: 1}); err != nil {
+		t.Fatal(err)
+	}
+	next := s.pickUpstream(0)
+	defer next.shutDown()
+	defer s.pickUpstream(1).shutDown()
+	if next.service != otherService || next.sharedAddress() != u.sharedAddress() {
+		t.Errorf("upstream %s of service %s at %s, want one of %s at %s", next.id, next.service, next.sharedAddress(), otherService, u.sharedAddress())
+	}
+}
+
+// newSoakWithVM returns a soak with the links of one VM that does not run.
+func newSoakWithVM(t *testing.T) *soak {
+	t.Helper()
+	s := newSoak(Settings{Profile: ProfileTroubles, Log: io.Discard})
+	v := &vmProcess{name: "vm", region: regions[0], peerLink: &proxy{}, storeLink: &proxy{}}
+	v.assignAddresses(0)
+	s.vms = []*vmProcess{v}
+	return s
+}
+
+// Guards against a cut between two regions that also discards what the other one sends, or what VMs of one region send to each other.
+func TestRegionCutHasDirection(t *testing.T) {
+	s := newSoakWithVM(t)
+	to, other := s.vms[0], &vmProcess{name: "other", region: regions[1], peerLink: &proxy{}}
+	for _, v := range []*vmProcess{to, other} {
+		link, err := newProxy("127.0.0.1:1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer link.close()
+		v.peerLink = link
+	}
+	other.assignAddresses(1)
+	s.vms = append(s.vms, other)
+	rewrite := s.peerRewrite(to)
+	if rewrite([]byte("I am other"), false) || rewrite(nil, true) {
+		t.Error("cut without a fault")
+	}
+	s.regionCuts.add(regions[1], regions[0], 1)
+	if !rewrite(nil, false) || rewrite(nil, true) {
+		t.Errorf("cut from sender %v, from receiver %v, want the first only", rewrite(nil, false), rewrite(nil, true))
+	}
+	s.regionCuts.add(regions[1], regions[0], -1)
+	other.dark.Store(true)
+	if !rewrite(nil, false) || !rewrite(nil, true) {
+		t.Error("a VM without power sends or receives")
+	}
+}
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -33,6 +33,11 @@
 	// resumesEarly begins a resumed stream with events that the caller has, resumesLate with one after the next.
 	resumesEarly
 	resumesLate
+	// closesAfterRun and resetsAfterRun run half of the requests and end the connection before the answer, with FIN or RST.
+	closesAfterRun
+	resetsAfterRun
+	// refusesEarly refuses half of the requests before it has read their bodies.
+	refusesEarly
 )
 
 // behaviourNames describe the behaviours that a report names.
@@ -107,6 +112,10 @@
 	id := r.Header.Get(platform.HeaderRequestID)
 	vm := u.history.vmOf(r)
 	u.history.recordArrival(arrival{id: id, upstream: u.id, vm: vm, at: time.Now()})
+	if u.behaviour.Load() == refusesEarly && isOneOf(id, "early", 2) {
+		u.refuseEarly(w, r, id)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -159,6 +168,7 @@
 
 func (u *upstreamServer) respond(w http.ResponseWriter, r *http.Request, id string) {
 	time.Sleep(u.load.workTime(id))
+	u.loseAnswer(r.Context(), id)
 	if u.fails(id) {
 		w.WriteHeader(http.StatusInternalServerError)
 		u.planLateAnswer(r.Context(), id)
--- /dev/null
+++ b/soak/upstreamfaults.go
@@ -0,0 +1,170 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"parsleyhatch/platform"
+)
+
+const (
+	// addressReuse is the time after the end of an upstream from which another one may have its address.
+	addressReuse = 2 * time.Second
+	// rebornShare and lostAnswerShare are the shares of the upstreams that crash behind a cut, and that lose answers or refuse early.
+	rebornShare     = 0.2
+	lostAnswerShare = 0.5
+	// flapTime is the time for which an upstream that flaps can, and then can't, be reached.
+	flapTime = 150 * time.Millisecond
+)
+
+// reuseAddress crashes an upstream, or lets it fall silent, and gives its address to one of another service. Every other variant of each
+// form removes the registration of the earlier upstream only after that.
+func (s *soak) reuseAddress(f fault) error {
+	u := s.pickUpstream(f.target)
+	s.removeUpstream(u)
+	endDisturbance := s.history.startDisturbance(partUpstreams)
+	defer endDisturbance()
+	var err error
+	if silent := f.variant%2 == 1; silent {
+		u.setFault(linkDropsAll)
+		err = u.eachLink((*proxy).hang)
+	}
+	u.close()
+	keeps := f.variant/2%2 == 1
+	if !keeps {
+		s.erase(platform.UpstreamPrefix + u.id)
+	}
+	time.Sleep(addressReuse)
+	u.shutDown()
+	u.setFault(linkNormal)
+	services := s.load.services()
+	next := services[(slices.Index(services, u.service)+1)%len(services)]
+	err = errors.Join(err, s.addUpstreamAt(u.region, next, u.number()), s.addUpstream(u.region, u.service))
+	time.Sleep(f.duration)
+	s.erase(platform.UpstreamPrefix + u.id)
+	return err
+}
+
+// crashBehindCut cuts upstreams from all VMs, crashes them, and starts them again with the ids that they had.
+func (s *soak) crashBehindCut(f fault, upstreams []*registeredUpstream) error {
+	var ends []func()
+	var err error
+	for _, u := range upstreams {
+		ends = append(ends, s.history.startDisturbance(partLinkTo(u.id)))
+		s.history.endServing(u.id)
+		err = errors.Join(err, u.eachLink(func(link *proxy) error {
+			link.setFault(linkDropsAll)
+			return link.hang()
+		}))
+	}
+	s.disturbFor(f.duration/2, partUpstreams)
+	for _, u := range upstreams {
+		u.close()
+	}
+	s.disturbFor(f.duration/2, partUpstreams)
+	for i, u := range upstreams {
+		err = errors.Join(err, s.restartUpstream(u), u.eachLink(func(link *proxy) error {
+			link.setFault(linkNormal)
+			link.resetConnections()
+			return link.answer()
+		}))
+		ends[i]()
+	}
+	return err
+}
+
+// restartUpstream starts an upstream again, with its id, address and software version, unless another fault has removed it.
+func (s *soak) restartUpstream(u *registeredUpstream) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	index := slices.Index(s.upstreams, u)
+	if index < 0 {
+		return nil
+	}
+	server, err := s.startUpstream(u.id, u.version)
+	if err != nil {
+		return err
+	}
+	s.lastBorn++
+	x := &registeredUpstream{upstreamServer: server, links: u.links, region: u.region, born: s.lastBorn, portOf: u.number(), startMillis: time.Now().UnixMilli()}
+	x.service, x.replaced = u.service, u.replaced
+	x.room.onCrash = func(refused []string) { go s.runOverloadCrash(x, refused) }
+	for _, link := range x.links {
+		link.setTarget(x.address())
+	}
+	s.upstreams[index] = x
+	s.registerUpstream(x, "ready")
+	return nil
+}
+
+// flap resets the connections to an upstream and refuses new ones, in turns, for the duration of the fault.
+func (s *soak) flap(f fault) error {
+	u := s.pickUpstream(f.target)
+	endDisturbance := s.history.startDisturbance(partUpstreams)
+	defer endDisturbance()
+	endLink := s.history.startDisturbance(partLinkTo(u.id))
+	defer endLink()
+	for end := time.Now().Add(f.duration); time.Now().Before(end); time.Sleep(flapTime) {
+		for _, link := range u.links {
+			link.refuse()
+			link.resetConnections()
+		}
+		time.Sleep(flapTime)
+		if err := u.eachLink((*proxy).accept); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// number is the number from which the ports of the upstream derive.
+func (u *registeredUpstream) number() int64 {
+	if u.portOf != 0 {
+		return u.portOf
+	}
+	return u.born
+}
+
+// eachLink applies a change to the links of all VMs to the upstream.
+func (u *registeredUpstream) eachLink(change func(link *proxy) error) error {
+	var err error
+	for _, link := range u.links {
+		err = errors.Join(err, change(link))
+	}
+	return err
+}
+
+// loseAnswer ends the connection of a request that has run if the upstream loses its answer.
+func (u *upstreamServer) loseAnswer(ctx context.Context, id string) {
+	behaviour := u.behaviour.Load()
+	if behaviour != closesAfterRun && behaviour != resetsAfterRun || !isOneOf(id, "lost", 2) {
+		return
+	}
+	if c, ok := ctx.Value(lateConnKey{}).(*lateConn); ok && behaviour == resetsAfterRun {
+		resetOnClose(c.Conn)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// refuseEarly refuses a request before it has read its body, and reads the body then. The connection stays open.
+func (u *upstreamServer) refuseEarly(w http.ResponseWriter, r *http.Request, id string) {
+	controller := http.NewResponseController(w)
+	if controller.EnableFullDuplex() != nil {
+		return // The VM has closed the connection.
+	}
+	w.Header().Set(platform.HeaderRequestID, id)
+	w.Header().Set(platform.HeaderNotExecuted, "1")
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	if controller.Flush() != nil {
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err == nil {
+		u.history.recordLateBody(lateBody{id: id, upstream: u.id, same: string(body) == u.load.requestBody(u.history.contentID(id)), size: len(body)})
+	}
+}
--- /dev/null
+++ b/soak/vmfaults.go
@@ -0,0 +1,246 @@
+package soak
+
+import (
+	"errors"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// runTime and stopTime are the times for which a slowed VM runs and stands still in turns.
+	runTime  = 10 * time.Millisecond
+	stopTime = 40 * time.Millisecond
+	// reloadGap is the time between two signals to reload in a series.
+	reloadGap = 120 * time.Millisecond
+	// arrivalPollInterval is the interval at which a fault looks for the arrival that it waits for.
+	arrivalPollInterval = time.Millisecond
+	// leaveSettle is the time after the end of a VM that was removed for which callers may still try to reach it.
+	leaveSettle = time.Second
+)
+
+// lockVMs lets no other fault stop or signal the processes of some VMs, until the returned function is called. All faults lock in the order
+// of the VMs.
+func (s *soak) lockVMs(vms []*vmProcess, vmLocks []sync.Mutex) (unlock func()) {
+	var locked []*sync.Mutex
+	for i, v := range s.vms {
+		if slices.Contains(vms, v) {
+			vmLocks[i].Lock()
+			locked = append(locked, &vmLocks[i])
+		}
+	}
+	return func() {
+		for _, lock := range locked {
+			lock.Unlock()
+		}
+	}
+}
+
+// presentVMs returns the VMs in use, of one region or of all if it is empty.
+func (s *soak) presentVMs(region string) []*vmProcess {
+	var vms []*vmProcess
+	for _, v := range s.vms {
+		if !v.absent.Load() && (region == "" || v.region == region) {
+			vms = append(vms, v)
+		}
+	}
+	return vms
+}
+
+// disturbProcesses records a disturbance of the processes of VMs. The returned function records its end.
+func (s *soak) disturbProcesses(start func(part string) (end func()), vms ...*vmProcess) (end func()) {
+	var ends []func()
+	for _, v := range vms {
+		ends = append(ends, start(v.name), start(partProcessOf(v.name)))
+	}
+	return func() {
+		for _, end := range ends {
+			end()
+		}
+	}
+}
+
+// loseVMs kills VMs at the same time and starts them after a pause, when their machines have power again.
+func (s *soak) loseVMs(vms []*vmProcess, pause time.Duration) error {
+	var killing sync.WaitGroup
+	for _, v := range vms {
+		killing.Go(v.kill)
+	}
+	killing.Wait()
+	time.Sleep(pause)
+	var err error
+	for _, v := range vms {
+		if v.dark.Load() {
+			err = errors.Join(err, s.endDark(v))
+		}
+		err = errors.Join(err, v.start())
+	}
+	time.Sleep(signalSetupTime)
+	return err
+}
+
+// loseAllVMs kills all VMs, every other variant right after an upstream got a request, and takes the power of their machines away in half of
+// both forms.
+func (s *soak) loseAllVMs(f fault, vmLocks []sync.Mutex) error {
+	vms := s.presentVMs("")
+	defer s.lockVMs(vms, vmLocks)()
+	if s.stopsFaults() {
+		return nil
+	}
+	vms = s.presentVMs("")
+	if f.variant%2 == 1 {
+		s.history.awaitArrival(f.duration)
+	}
+	defer s.disturbProcesses(s.history.startDisturbance, vms...)()
+	if f.variant/2%2 == 0 {
+		return s.loseVMs(vms, f.duration/2)
+	}
+	return errors.Join(s.beginDark(vms), s.loseVMs(vms, f.duration/2))
+}
+
+// cutPower takes the power of one VM of a region away, or of all of them with their upstreams, and returns it after the duration of the fault.
+func (s *soak) cutPower(f fault, v *vmProcess, vmLocks []sync.Mutex) error {
+	vms, upstreams := []*vmProcess{v}, []*registeredUpstream(nil)
+	if f.variant%2 == 1 {
+		vms, upstreams = s.presentVMs(v.region), s.upstreamsOf(v.region)
+	}
+	defer s.lockVMs(vms, vmLocks)()
+	if s.stopsFaults() {
+		return nil
+	}
+	vms = slices.DeleteFunc(vms, func(v *vmProcess) bool { return v.absent.Load() })
+	defer s.disturbProcesses(s.history.startDisturbance, vms...)()
+	err := s.beginDark(vms)
+	var returning sync.WaitGroup
+	var upstreamErr error
+	if len(upstreams) > 0 {
+		returning.Go(func() { upstreamErr = s.crashBehindCut(f, upstreams) })
+	}
+	err = errors.Join(err, s.loseVMs(vms, f.duration))
+	returning.Wait()
+	return errors.Join(err, upstreamErr)
+}
+
+func (s *soak) upstreamsOf(region string) []*registeredUpstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var upstreams []*registeredUpstream
+	for _, u := range s.upstreams {
+		if u.region == region {
+			upstreams = append(upstreams, u)
+		}
+	}
+	return upstreams
+}
+
+// beginDark silences the links of VMs: nothing that their kernels send as their processes end reaches anyone.
+func (s *soak) beginDark(vms []*vmProcess) error {
+	var err error
+	for _, v := range vms {
+		v.dark.Store(true)
+		err = errors.Join(err, s.beginCut(v, cutHangs), v.peerLink.hang(), v.callerLink.hang())
+	}
+	return err
+}
+
+// endDark ends a beginDark. The connections of before are reset, as the returned machine does.
+func (s *soak) endDark(v *vmProcess) error {
+	v.peerLink.resetConnections()
+	v.callerLink.resetConnections()
+	v.dark.Store(false)
+	return errors.Join(s.endCut(v, cutHangs), v.peerLink.answer(), v.callerLink.answer())
+}
+
+// addVM starts a VM that has not been in use, if there is one. Callers use it when it is ready.
+func (s *soak) addVM(f fault, vmLocks []sync.Mutex) error {
+	for i := range s.vms {
+		index := (f.target + i) % len(s.vms)
+		v := s.vms[index]
+		vmLocks[index].Lock()
+		if v.absent.Load() && !v.hasStarted() {
+			defer vmLocks[index].Unlock()
+			return s.startSpare(v)
+		}
+		vmLocks[index].Unlock()
+	}
+	return nil
+}
+
+func (s *soak) startSpare(v *vmProcess) error {
+	defer s.disturbProcesses(s.history.startPlannedDisturbance, v)()
+	if err := errors.Join(v.start(), v.waitReady()); err != nil {
+		return err
+	}
+	v.absent.Store(false)
+	return nil
+}
+
+// removeVM stops a VM for good, unless it is the last one of its region.
+func (s *soak) removeVM(v *vmProcess, vmLocks []sync.Mutex) {
+	vms := s.presentVMs(v.region)
+	defer s.lockVMs(vms, vmLocks)()
+	if vms = s.presentVMs(v.region); len(vms) < 2 || v.absent.Load() || s.stopsFaults() {
+		return
+	}
+	defer s.disturbProcesses(s.history.startPlannedDisturbance, v)()
+	v.absent.Store(true)
+	s.history.recordPlannedWork(plannedWork{vm: v.name, stop: true})
+	v.stop()
+	time.Sleep(leaveSettle)
+}
+
+// hasStarted reports whether the process was started at least once.
+func (v *vmProcess) hasStarted() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.command != nil
+}
+
+// slowVM stops and continues a VM in short turns for the duration of the fault.
+func (s *soak) slowVM(f fault, v *vmProcess, vmLocks []sync.Mutex) {
+	defer s.lockVMs([]*vmProcess{v}, vmLocks)()
+	if s.stopsFaults() || v.absent.Load() {
+		return
+	}
+	defer s.disturbProcesses(s.history.startDisturbance, v)()
+	for end := time.Now().Add(f.duration); time.Now().Before(end); time.Sleep(runTime) {
+		v.signal(syscall.SIGSTOP)
+		time.Sleep(stopTime)
+		v.signal(syscall.SIGCONT)
+	}
+}
+
+// reloadInSeries tells one VM after the other to reload its settings, for the duration of the fault.
+func (s *soak) reloadInSeries(f fault, vmLocks []sync.Mutex) {
+	begin := time.Now()
+	for i := f.target; time.Since(begin) < f.duration; i++ {
+		s.reload(s.pickVM(i), vmLocks)
+		time.Sleep(reloadGap)
+	}
+}
+
+func (s *soak) reload(v *vmProcess, vmLocks []sync.Mutex) {
+	defer s.lockVMs([]*vmProcess{v}, vmLocks)()
+	if s.stopsFaults() || v.absent.Load() {
+		return
+	}
+	endDisturbance := s.history.startPlannedDisturbance(v.name)
+	defer endDisturbance()
+	s.history.recordPlannedWork(plannedWork{vm: v.name})
+	v.signal(syscall.SIGHUP)
+}
+
+// awaitArrival waits until an upstream gets a request, for a time at most.
+func (h *history) awaitArrival(most time.Duration) {
+	before := h.countArrivals()
+	for end := time.Now().Add(most); time.Now().Before(end) && h.countArrivals() == before; {
+		time.Sleep(arrivalPollInterval)
+	}
+}
+
+func (h *history) countArrivals() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.arrivals)
+}
