--- a/edge/eventsource.go
+++ b/edge/eventsource.go
@@ -56,7 +56,7 @@
 	// errStreamGap and errNotContinued report that an upstream or another VM does not continue the stream. What it sends must not reach
 	// the caller.
 	errStreamGap    = errors.New("events are missing where the stream resumes")
-	errNotContinued = errors.New("the stream resumes with an event without an id")
+	errNotContinued = errors.New("the events do not go on after the last one of the stream")
 )
 
 // next returns those of the complete blocks that the caller does not have yet; it reuses the slice for them. They count as received, since
@@ -65,6 +65,13 @@
 	if s.request.route.Kind != route.Streaming {
 		return blocks, nil
 	}
+	events, err := s.check(blocks)
+	s.request.notResumable = s.request.notResumable || s.request.sequence.Unidentified()
+	return events, err
+}
+
+// check is next without its effect on the request.
+func (s *eventSource) check(blocks []byte) ([]byte, error) {
 	kept := 0
 	for start := 0; start < len(blocks); {
 		block := sequence.FirstBlock(blocks[start:])
@@ -80,14 +87,23 @@
 			s.recordGap(block)
 			return blocks[:kept], errStreamGap
 		case sequence.Foreign:
+			s.recordForeign(block)
 			return blocks[:kept], errNotContinued
 		}
 		start += len(block)
 	}
-	s.request.notResumable = s.request.notResumable || s.request.sequence.Unidentified()
 	return blocks[:kept], nil
 }
 
+// checkEnd returns an error if the source has ended before the last event of the caller: its run is not that of the stream.
+func (s *eventSource) checkEnd() error {
+	if !s.order.EndsEarly() {
+		return nil
+	}
+	s.recordForeign(nil)
+	return errNotContinued
+}
+
 // reportStep adds the stream to those of its kind. It is called once the head was sent, since the version of the stream is known then.
 func (s *eventSource) reportStep() {
 	if s.request.sequence.Unreported() {
@@ -109,6 +125,11 @@
 	s.log(event.StreamGap, block)
 }
 
+func (s *eventSource) recordForeign(block []byte) {
+	s.edge.Metrics.AddCounter("streams_not_resumed", 1)
+	s.log(event.StreamNotResumed, block)
+}
+
 func (s *eventSource) log(ev event.Event, block []byte) {
 	r := s.request
 	id, _ := sequence.ID(block)
--- a/soak/callerfaults.go
+++ b/soak/callerfaults.go
@@ -64,15 +64,16 @@
 	return usual
 }
 
-// sendAndRepeat sends a request. While callers repeat at once, it sends a refused one again with another id, without a pause.
-func (s *soak) sendAndRepeat(client *http.Client, v *vmProcess, sent request) response {
-	got := sendRequest(client, s.history, &s.load, v.addressForCallers(), sent)
+// sendAndRepeat sends a request. While callers repeat at once, it sends a refused one again with another id, without a pause. It returns the
+// last request with its response.
+func (s *soak) sendAndRepeat(client *http.Client, v *vmProcess, sent request) (last request, got response) {
+	got = sendRequest(client, s.history, &s.load, v.addressForCallers(), sent)
 	first := sent.id
 	for i := 0; i < callerRepeats && s.callerBehaviour.repeating.Load() > 0 && isRefusal(got.status); i++ {
 		sent.id, sent.sentAt = fmt.Sprintf("%s-a%d", first, i), time.Now()
 		got = sendRequest(client, s.history, &s.load, v.addressForCallers(), sent)
 	}
-	return got
+	return sent, got
 }
 
 // isRefusal reports whether a status says that the request has not run.
--- a/soak/history_test.go
+++ b/soak/history_test.go
@@ -96,7 +96,7 @@
 }
 
 var testBounds = bounds{
-	revoke: 50 * time.Millisecond, drain: 50 * time.Millisecond, settle: time.Millisecond,
+	revoke: 50 * time.Millisecond, drain: 50 * time.Millisecond, settle: time.Millisecond, rollback: 10 * time.Millisecond,
 	limitSettle: time.Millisecond, limitWindow: time.Second, limitOverage: 1, limitSlack: 2,
 	retryWindow: time.Second, retryRatio: 0.2, retrySlack: 10,
 	cutServedShare: 2.0 / 3, cutFailures: 3,
@@ -121,6 +121,9 @@
 				return false
 			}
 		}},
+		{"unsafe runs once", kindUnresumable, func(d *vmDouble) {
+			d.history.recordExecution(execution{id: "id-1", upstream: "u1", workspace: "workspace", unmodified: true})
+		}},
 		{"requests run at few upstreams", kindSafe, func(d *vmDouble) {
 			for _, upstream := range []string{"u2", "u3"} {
 				d.history.recordExecution(execution{id: "id-1", upstream: upstream, workspace: "workspace", unmodified: true})
@@ -162,6 +165,14 @@
 		{"streams hold complete events of one run", kindStream, func(d *vmDouble) {
 			d.changeBody = func(text string) string { return strings.Replace(text, "version: v1\n", "", 1) }
 		}},
+		{"runs go on after the last event of the caller", kindStream, func(d *vmDouble) {
+			d.changeBody = func(text string) string { return strings.Replace(text, " 0\ndata", " 1\ndata", 1) }
+		}},
+		{"runs go on after the last event of the caller", kindUnresumable, func(d *vmDouble) {
+			d.changeBody = func(text string) string {
+				return text[:len(text)/2] + strings.ReplaceAll(text[len(text)/2:], " 0\ndata", "x 4\ndata")
+			}
+		}},
 		{"callers' streams hold events of one service and software version", kindStream, func(d *vmDouble) {
 			d.history.addResumedStream("a", "worker/v1", "helper/v1")
 		}},
@@ -186,6 +197,13 @@
 		{"withdrawn keys stop working", kindSafe, func(d *vmDouble) {
 			d.history.keyWithdrawnAt["key"] = time.Now().Add(-time.Second)
 		}},
+		{"vms obey no older configuration again", kindSafe, func(d *vmDouble) {
+			d.history.keySuccessors["key"], d.history.workspaces["key-2"] = "key-2", "workspace"
+			d.history.recordRequest(request{id: "id-0", kind: kindSafe, key: "key-2", vm: "vm", sentAt: time.Now(), deadline: time.Second})
+			d.history.recordExecution(execution{id: "id-0", upstream: "u1", workspace: "workspace", unmodified: true, startedAt: time.Now()})
+			d.history.recordResponse(response{id: "id-0", receivedAt: time.Now(), status: http.StatusBadGateway})
+			time.Sleep(2 * testBounds.rollback)
+		}},
 		{"leaving upstreams get nothing new", kindSafe, func(d *vmDouble) {
 			d.history.drainingSince["u1"] = time.Now().Add(-time.Second)
 		}},
@@ -328,7 +346,7 @@
 	d := newVMDouble(t)
 	d.history.drainingSince["u2"] = time.Now().Add(-time.Second)
 	d.history.keyWithdrawnAt["other"] = time.Now().Add(-time.Second)
-	for i, k := range []requestKind{kindSafe, kindUnsafe, kindStream} {
+	for i, k := range requestKinds {
 		d.send(k, fmt.Sprint("id-", i))
 	}
 	for _, v := range d.history.check(testBounds) {
@@ -338,8 +356,8 @@
 
 // Guards against an invariant that is added without a case in TestViolationsAreReported.
 func TestEachInvariantHasFaultyVM(t *testing.T) {
-	if len(invariants) != 24 {
-		t.Errorf("%d invariants, want 24; add a case for each new one to TestViolationsAreReported", len(invariants))
+	if len(invariants) != 26 {
+		t.Errorf("%d invariants, want 26; add a case for each new one to TestViolationsAreReported", len(invariants))
 	}
 }
 
