soak: silence all links of machines without power at the same time

Cause: a link that answers no new connections takes 20 ms and more to set up, and all links of all VMs were set up one after the other before the VMs were killed: over a second for four VMs and twelve upstreams, so that "at once" was not. Change: the open connections fall silent first, then the VMs are killed, and the links stop answering new connections in parallel.

--- a/soak/upstreamfaults.go
+++ b/soak/upstreamfaults.go
@@ -31,7 +31,7 @@
 	var err error
 	if silent := f.variant%2 == 1; silent {
 		u.setFault(linkDropsAll)
-		err = u.eachLink((*proxy).hang)
+		err = hangAll(u.links)
 	}
 	u.close()
 	keeps := f.variant/2%2 == 1
@@ -52,15 +52,14 @@
 // crashBehindCut cuts upstreams from all VMs, crashes them, and starts them again with the ids that they had.
 func (s *soak) crashBehindCut(f fault, upstreams []*registeredUpstream) error {
 	var ends []func()
-	var err error
+	var links []*proxy
 	for _, u := range upstreams {
 		ends = append(ends, s.history.startDisturbance(partLinkTo(u.id)))
 		s.history.endServing(u.id)
-		err = errors.Join(err, u.eachLink(func(link *proxy) error {
-			link.setFault(linkDropsAll)
-			return link.hang()
-		}))
+		u.setFault(linkDropsAll)
+		links = append(links, u.links...)
 	}
+	err := hangAll(links)
 	s.disturbFor(f.duration/2, partUpstreams)
 	for _, u := range upstreams {
 		u.close()
--- a/soak/vmfaults.go
+++ b/soak/vmfaults.go
@@ -61,17 +61,21 @@
 	}
 }
 
-// loseVMs kills VMs at the same time and starts them after a pause, when their machines have power again.
-func (s *soak) loseVMs(vms []*vmProcess, pause time.Duration) error {
+// loseVMs kills VMs at the same time and starts them after a pause. If their machines lose power, their links are silent meanwhile.
+func (s *soak) loseVMs(vms []*vmProcess, power bool, pause time.Duration) error {
+	var links []*proxy
+	if power {
+		links = s.beginDark(vms)
+	}
 	var killing sync.WaitGroup
 	for _, v := range vms {
 		killing.Go(v.kill)
 	}
 	killing.Wait()
+	err := hangAll(links)
 	time.Sleep(pause)
-	var err error
 	for _, v := range vms {
-		if v.dark.Load() {
+		if power {
 			err = errors.Join(err, s.endDark(v))
 		}
 		err = errors.Join(err, v.start())
@@ -93,10 +97,7 @@
 		s.history.awaitArrival(f.duration)
 	}
 	defer s.disturbProcesses(s.history.startDisturbance, vms...)()
-	if f.variant/2%2 == 0 {
-		return s.loseVMs(vms, f.duration/2)
-	}
-	return errors.Join(s.beginDark(vms), s.loseVMs(vms, f.duration/2))
+	return s.loseVMs(vms, f.variant/2%2 == 1, f.duration/2)
 }
 
 // cutPower takes the power of one VM of a region away, or of all of them with their upstreams, and returns it after the duration of the fault.
@@ -111,13 +112,12 @@
 	}
 	vms = slices.DeleteFunc(vms, func(v *vmProcess) bool { return v.absent.Load() })
 	defer s.disturbProcesses(s.history.startDisturbance, vms...)()
-	err := s.beginDark(vms)
 	var returning sync.WaitGroup
 	var upstreamErr error
 	if len(upstreams) > 0 {
 		returning.Go(func() { upstreamErr = s.crashBehindCut(f, upstreams) })
 	}
-	err = errors.Join(err, s.loseVMs(vms, f.duration))
+	err := s.loseVMs(vms, true, f.duration)
 	returning.Wait()
 	return errors.Join(err, upstreamErr)
 }
@@ -134,14 +134,29 @@
 	return upstreams
 }
 
-// beginDark silences the links of VMs: nothing that their kernels send as their processes end reaches anyone.
-func (s *soak) beginDark(vms []*vmProcess) error {
-	var err error
+// beginDark silences the connections of VMs: nothing that their kernels send as their processes end reaches anyone. It returns the links that
+// are to answer no new connections.
+func (s *soak) beginDark(vms []*vmProcess) []*proxy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var links []*proxy
 	for _, v := range vms {
 		v.dark.Store(true)
-		err = errors.Join(err, s.beginCut(v, cutHangs), v.peerLink.hang(), v.callerLink.hang())
+		v.hangingCuts.Add(1)
+		links = append(append(links, v.peerLink, v.callerLink), v.upstreamLinks...)
 	}
-	return err
+	return links
+}
+
+// hangAll makes links answer no new connections, all at the same time: each one takes a while.
+func hangAll(links []*proxy) error {
+	errs := make([]error, len(links))
+	var hanging sync.WaitGroup
+	for i, link := range links {
+		hanging.Go(func() { errs[i] = link.hang() })
+	}
+	hanging.Wait()
+	return errors.Join(errs...)
 }
 
 // endDark ends a beginDark. The connections of before are reset, as the returned machine does.
