soak: end the serving time of upstreams whose registrations are removed

Cause: while a region was without registrations, its upstreams still counted as serving, so that streams of their version that could not be resumed counted as lost. No profile had played this together with callers that resume their streams.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -226,6 +226,7 @@
 			setBehaviour(failsPartly)(u, on)
 		case !s.isListed(u):
 		case on:
+			s.history.endServing(u.id)
 			s.erase(platform.UpstreamPrefix + u.id)
 		default:
 			s.registerUpstream(u, "ready")
