soak: resume the same request in troubles, and break more streams

Change: all attempts at a stream have the same content, callers that resume streams send bodies at once and have a deadline of 4 s, streams take longer, and faults come more often. No check changes.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -24,7 +24,7 @@
 	h.recordRequest(sent)
 	got = response{id: sent.id, lastEvent: l.events}
 	body := l.requestBody(sent.contentID())
-	sending := newSlowReader(body, l.bodyTime(sent.id))
+	sending := newSlowReader(body, sent.bodyTime(l))
 	defer func() {
 		got.receivedAt, got.sentWholeAt = time.Now(), sending.endedAt()
 		h.recordResponse(got)
@@ -125,6 +125,14 @@
 	got.complete = true
 }
 
+// bodyTime returns how long the body of the request is sent.
+func (r request) bodyTime(l *load) time.Duration {
+	if r.atOnce {
+		return 0
+	}
+	return l.bodyTime(r.id)
+}
+
 // lastReceived returns the id of the last event, zero if there is none.
 func (got *response) lastReceived() int {
 	if len(got.events) == 0 {
@@ -148,6 +156,9 @@
 			id: fmt.Sprintf("%d-%d-%d", s.Seed, caller, n), kind: requestKindFor(n), key: key, vm: v.name,
 			sentAt: time.Now(), deadline: s.load.deadline, patience: s.callerBehaviour.patience(),
 		}
+		if s.load.mixed && sent.kind == kindStream {
+			sent.stream = sent.id // The service of a split route follows from what all attempts have in common.
+		}
 		sent, got := s.sendAndRepeat(client, v, sent)
 		if sent.kind == kindStream && !got.complete && len(got.events) > 0 {
 			v = s.pickVM(rng.IntN(len(s.vms)))
--- a/soak/history.go
+++ b/soak/history.go
@@ -24,6 +24,8 @@
 	lastRun streamRun
 	// stream is the id of the first attempt of a caller that resumes its stream until it is complete, empty for other callers.
 	stream string
+	// atOnce means that the body is sent at once, also if the load has slow ones: the caller would leave while it sends.
+	atOnce bool
 	// patience is the time without an answer or an event after which the caller gives up the attempt, zero for the deadline.
 	patience time.Duration
 }
--- a/soak/profile.go
+++ b/soak/profile.go
@@ -104,8 +104,8 @@
 	case ProfileCallers:
 		light.callers, light.deadline, light.events, light.split = 32, 4*time.Second, 48, true
 	case ProfileTroubles:
-		light.callers, light.interval, light.deadline, light.events, light.eventsPerWrite = 40, 30*time.Millisecond, heavyDeadline, 36, 3
-		light.longEvery, light.slowEvery, light.workEvery, light.slots = 12, 24, 24, 16
+		light.callers, light.interval, light.deadline, light.events, light.eventsPerWrite = 40, 30*time.Millisecond, heavyDeadline, 60, 2
+		light.longEvery, light.slowEvery, light.slots = 12, 24, 16
 		light.split, light.mixed, light.spareVMs, light.holdsCloses = true, true, 1, true
 	case ProfileSignals:
 		light.callers, light.interval, light.workEvery, light.slots = 40, 250*time.Millisecond, 10, 4
--- a/soak/streamcaller.go
+++ b/soak/streamcaller.go
@@ -14,6 +14,9 @@
 	// minAttemptTime the time until the deadline of a stream from which on it sends no more attempts.
 	streamPatience = 600 * time.Millisecond
 	minAttemptTime = 300 * time.Millisecond
+	// streamTime bounds the deadline of streams that their callers resume, so that none is older than the last fault once VMs must have
+	// recovered from it.
+	streamTime = 4 * time.Second
 	// attemptPause is the least pause between two attempts, and maxRetryShare the share of the time left for which a caller obeys
 	// Retry-After.
 	attemptPause  = 50 * time.Millisecond
@@ -42,7 +45,7 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		key, _ := s.pickKey(rng.IntN(1 << 20))
 		stream := callerStream{
-			key: key, id: fmt.Sprintf("%d-%d-%d", s.Seed, caller, n), named: rng.IntN(2) == 0, deadline: time.Now().Add(s.load.deadline),
+			key: key, id: fmt.Sprintf("%d-%d-%d", s.Seed, caller, n), named: rng.IntN(2) == 0, deadline: time.Now().Add(min(s.load.deadline, streamTime)),
 		}
 		s.callStream(ctx, client, rng, &stream)
 		time.Sleep(s.load.interval)
@@ -70,7 +73,7 @@
 func (c *callerStream) attempt(n int, vm string) request {
 	sent := request{
 		id: c.id, kind: kindStream, key: c.key, vm: vm, sentAt: time.Now(), deadline: time.Until(c.deadline),
-		stream: c.id, lastEvent: c.last, lastRun: c.lastRun, patience: streamPatience,
+		stream: c.id, lastEvent: c.last, lastRun: c.lastRun, patience: streamPatience, atOnce: true,
 	}
 	if n > 0 {
 		sent.id = fmt.Sprintf("%s-r%d", c.id, n)
--- a/soak/troublesplan.go
+++ b/soak/troublesplan.go
@@ -44,8 +44,8 @@
 const (
 	// meanTroubleInterval, meanEarlierInterval and meanSevereInterval are the mean times between the starts of two faults of
 	// troubleFaultKinds, earlierFaultKinds and severeFaultKinds.
-	meanTroubleInterval = 1200 * time.Millisecond
-	meanEarlierInterval = 1200 * time.Millisecond
+	meanTroubleInterval = 900 * time.Millisecond
+	meanEarlierInterval = 900 * time.Millisecond
 	meanSevereInterval  = 6 * time.Second
 	// One of seriesEvery faults is repeated seriesLength times at the same target, seriesGap after the fault before it began.
 	seriesEvery  = 5
