soak: withdraw keys for good

Cause: callers go on using a withdrawn key for 7 s, and for this time it stands among the keys of the run. A configuration that was published meanwhile for another reason, a change of a split, gave it back to its workspace. No profile had played both. Change: a configuration never holds a withdrawn key. Test: TestWithdrawnKeyStaysWithdrawn failed before.

--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"parsleyhatch/platform"
 )
 
 // Guards against plans that differ for the same seed, faults in the fault-free time, and kinds of faults that never
@@ -74,6 +76,17 @@
 	}
 }
 
+// Guards against a configuration that gives a withdrawn key back while callers go on using it.
+func TestWithdrawnKeyStaysWithdrawn(t *testing.T) {
+	s := newSoak(Settings{Profile: ProfileTroubles, Log: io.Discard})
+	s.keys = []string{"key-1", "key-2"}
+	s.history.keyWithdrawnAt["key-1"] = time.Now()
+	s.publishConfig()
+	if text := s.written[platform.ConfigKey]; strings.Contains(text, "key-1") || !strings.Contains(text, "key-2") {
+		t.Errorf("configuration %s, want key-2 and not key-1", text)
+	}
+}
+
 // Guards against a fault that docs/soak.md says troubles plans and that no plan of the length of a usual run has, against two plans of
 // one seed that differ, and against faults in the fault-free time.
 func TestTroublesHaveAllFaults(t *testing.T) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -456,6 +456,9 @@
 	s.version++
 	var list []workspaceConfig
 	for _, key := range s.keys {
+		if _, withdrawn := s.withdrawnAt(key); withdrawn {
+			continue // Callers go on using it for a while.
+		}
 		list = append(list, workspaceConfig{Name: s.history.workspaces[key], Keys: []string{key}})
 	}
 	var routes []routeConfig
