soak: count no resumption that must not or could not go on

Change: attempts with withdrawn keys, and attempts that ran and got status 500, count neither as new nor as resumed streams. The profile callers, the only other one with this check, plans neither fault. Tests: four rows, two of which say what still counts: 500 without a run, and a refusal after a run.

--- a/soak/streamcheck.go
+++ b/soak/streamcheck.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -143,7 +144,7 @@
 		for _, r := range attempts {
 			got, ok := h.responses[r.id]
 			from := r.sentAt.Add(-b.resumeSettle)
-			if ok && !h.disturbedBetween(from, got.receivedAt, r.vm) {
+			if ok && !h.disturbedBetween(from, got.receivedAt, r.vm) && !h.mayNotGoOn(r, got) {
 				count := n.countOf(r, h.servesBetween(from, got.receivedAt, origin))
 				served[count] = served[count] || got.status == 200 && (len(got.events) > 0 || got.complete)
 			}
@@ -161,6 +162,13 @@
 	return n
 }
 
+// mayNotGoOn reports whether a VM could not let a stream go on: its key is withdrawn, or its upstream answered that it failed.
+func (h *history) mayNotGoOn(r request, got response) bool {
+	_, withdrawn := h.keyWithdrawnAt[r.key]
+	failed := got.status == http.StatusInternalServerError && len(h.executions[r.id]) > 0
+	return withdrawn || failed
+}
+
 // countOf returns the count to which an attempt belongs. served says whether upstreams of the service and version of its stream serve.
 func (n *resumptions) countOf(r request, served bool) *streamCount {
 	switch {
--- a/soak/streamcheck_test.go
+++ b/soak/streamcheck_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,11 @@
 // addResumedStream records a stream of three events whose caller resumes it after the first one, without a name. The resumption is refused if its origin is
 // empty.
 func (h *history) addResumedStream(id, origin, resumedAt string) {
+	h.addStreamEndedWith(http.StatusServiceUnavailable, id, origin, resumedAt)
+}
+
+// addStreamEndedWith is addResumedStream for a resumption that gets a status if it does not go on.
+func (h *history) addStreamEndedWith(status int, id, origin, resumedAt string) {
 	now := time.Now()
 	first := request{id: id, kind: kindStream, stream: id, sentAt: now.Add(-2 * time.Millisecond), deadline: time.Second}
 	second := first
@@ -19,7 +25,7 @@
 	h.recordRequest(first)
 	h.recordRequest(second)
 	h.recordResponse(response{id: id, receivedAt: now, status: http.StatusOK, events: []int{1}, origins: []string{origin}})
-	got := response{id: second.id, receivedAt: now, status: http.StatusServiceUnavailable}
+	got := response{id: second.id, receivedAt: now, status: status}
 	if resumedAt != "" {
 		got = response{id: second.id, receivedAt: now, status: http.StatusOK, events: []int{2, 3}, origins: []string{resumedAt}}
 	}
@@ -27,11 +33,12 @@
 }
 
 // Guards against streams of two services or versions that the soak does not see, and against refusals that count although no upstream of the
-// version serves, or the VM is disturbed.
+// version serves, the VM is disturbed, the key is withdrawn, or the upstream failed.
 func TestResumedStreamsAreChecked(t *testing.T) {
 	for name, c := range map[string]struct {
 		resumedAt    string
 		prepare      func(h *history)
+		status       int
 		joined, lost int
 	}{
 		"goes on":         {resumedAt: "worker/v1"},
@@ -43,7 +50,11 @@
 		"route has moved back": {prepare: func(h *history) {
 			h.splits = []splitTime{{split: []splitTarget{{Service: "helper"}}}, {split: []splitTarget{{Service: "worker"}}, at: time.Unix(1, 0)}}
 		}, lost: 1},
-		"vm disturbed": {prepare: func(h *history) { h.startDisturbance("") }},
+		"key withdrawn":            {prepare: func(h *history) { h.keyWithdrawnAt[""] = time.Now() }},
+		"failed at its upstream":   {status: http.StatusInternalServerError, prepare: runAllResumptions},
+		"failed at no upstream":    {status: http.StatusInternalServerError, lost: 1},
+		"refused after it had run": {prepare: runAllResumptions, lost: 1},
+		"vm disturbed":             {prepare: func(h *history) { h.startDisturbance("") }},
 	} {
 		h := newHistory()
 		h.serving = []*servingTime{{upstream: "u1", origin: "worker/v1"}}
@@ -51,7 +62,7 @@
 			c.prepare(h)
 		}
 		for i := range minResumptions {
-			h.addResumedStream(string(rune('a'+i)), "worker/v1", c.resumedAt)
+			h.addStreamEndedWith(cmp.Or(c.status, http.StatusServiceUnavailable), string(rune('a'+i)), "worker/v1", c.resumedAt)
 		}
 		if joined, lost := len(checkStreamOrigins(h, defaultBounds)), len(checkResumptions(h, defaultBounds)); joined != c.joined || lost != c.lost {
 			t.Errorf("%s: %d streams joined and %d reports of lost ones, want %d and %d", name, joined, lost, c.joined, c.lost)
@@ -59,6 +70,13 @@
 	}
 }
 
+// runAllResumptions records that all resumptions of addResumedStream ran.
+func runAllResumptions(h *history) {
+	for i := range minResumptions {
+		h.recordExecution(execution{id: string(rune('a'+i)) + "-r1"})
+	}
+}
+
 // Guards against a VM that learns through a cut link that its caller has gone, and against one that never does.
 func TestCutLinkHoldsClose(t *testing.T) {
 	target, err := net.Listen("tcp", "127.0.0.1:0")
