--- a/edge/events.go
+++ b/edge/events.go
@@ -61,6 +61,7 @@
 		return fail(UpstreamFailed, "the upstream has sent no event for too long")
 	default:
 		e.Replicas.Done(now, pick, replica.Failed)
+		e.checkEnded(r, pick, err)
 		e.reportCrash(r, pick, err)
 		return fail(UpstreamFailed, "read stream: "+err.Error())
 	}
@@ -140,7 +141,7 @@
 		return nil
 	}
 	s.request.headSent = true
-	s.edge.streamBegan(s.request, s.pick.Version)
+	s.edge.streamBeganAt(s.request, s.pick)
 	if err := s.sink.Head(s.answer.Status, endToEnd(s.answer.Header), -1); err != nil {
 		s.sinkFailed = true
 		return err
--- a/edge/send.go
+++ b/edge/send.go
@@ -55,6 +55,7 @@
 		Header: header, Body: r.body,
 		OnSend: func() {
 			header.Set(platform.HeaderDeadline, r.deadlineHeader(time.Now())) // Opening the connection took a part of the time.
+			pick.VersionDoubted = e.Replicas.IsDoubted(e.Now(), pick.ID)
 			r.switchover.sent()
 		},
 	})
@@ -209,6 +210,7 @@
 	if ctx.Err() != nil {
 		return fail(TimedOut, "the answer was not complete in time")
 	}
+	e.checkEnded(r, pick, err)
 	e.reportCrash(r, pick, err)
 	return fail(UpstreamFailed, "read answer: "+err.Error())
 }
