--- a/soak/caller.go
+++ b/soak/caller.go
@@ -24,7 +24,7 @@
 	h.recordRequest(sent)
 	got = response{id: sent.id, lastEvent: l.events}
 	body := l.requestBody(sent.contentID())
-	sending := newSlowReader(body, l.bodyTime(sent.id))
+	sending := newSlowReader(body, sent.bodyTime(l))
 	defer func() {
 		got.receivedAt, got.sentWholeAt = time.Now(), sending.endedAt()
 		h.recordResponse(got)
@@ -126,6 +126,14 @@
 	got.complete = true
 }
 
+// bodyTime returns how long the body of the request is sent.
+func (r request) bodyTime(l *load) time.Duration {
+	if r.atOnce {
+		return 0
+	}
+	return l.bodyTime(r.id)
+}
+
 // lastReceived returns the id of the last event, zero if there is none.
 func (got *response) lastReceived() int {
 	if len(got.events) == 0 {
@@ -140,23 +148,26 @@
 	defer client.CloseIdleConnections()
 	rng := s.newRand(uint64(caller) + 100)
 	for n := 0; ctx.Err() == nil; n++ {
-		v := s.vms[rng.IntN(len(s.vms))]
-		key, ok := s.pickKey(rng.IntN(1 << 20))
+		v := s.pickVM(rng.IntN(len(s.vms)))
+		key, ok := s.pickKey(s.callerBehaviour.keyIndex(rng.IntN(1 << 20)))
 		if !ok {
 			continue
 		}
 		sent := request{
 			id: fmt.Sprintf("%d-%d-%d", s.Seed, caller, n), kind: requestKindFor(n), key: key, vm: v.name,
-			sentAt: time.Now(), deadline: s.load.deadline,
+			sentAt: time.Now(), deadline: s.load.deadline, patience: s.callerBehaviour.patience(),
+		}
+		if s.load.mixed && sent.kind == kindStream {
+			sent.stream = sent.id // The service of a split route follows from what all attempts have in common.
 		}
-		got := sendRequest(client, s.history, &s.load, v.callerAddress, sent)
+		sent, got := s.sendAndRepeat(client, v, sent)
 		if sent.kind == kindStream && !got.complete && len(got.events) > 0 {
-			v = s.vms[rng.IntN(len(s.vms))]
+			v = s.pickVM(rng.IntN(len(s.vms)))
 			resumption := sent
 			resumption.id, resumption.vm, resumption.sentAt = sent.id+"-r", v.name, time.Now()
 			resumption.resumes, resumption.lastEvent, resumption.lastRun = sent.id, got.lastReceived(), got.lastRun(sent)
-			sendRequest(client, s.history, &s.load, v.callerAddress, resumption)
+			sendRequest(client, s.history, &s.load, v.addressForCallers(), resumption)
 		}
-		time.Sleep(s.load.interval)
+		time.Sleep(s.callerBehaviour.pause(s.load.interval))
 	}
 }
--- a/soak/configuration.go
+++ b/soak/configuration.go
@@ -98,7 +98,10 @@
 		if w.Rate > 0 {
 			c.Unit = "tokens"
 		}
-		c.Keys = slices.DeleteFunc(slices.Clone(s.keys), func(key string) bool { return s.history.workspaces[key] != w.Name })
+		c.Keys = slices.DeleteFunc(slices.Clone(s.keys), func(key string) bool {
+			_, withdrawn := s.withdrawnAt(key) // Callers go on using it for a while.
+			return withdrawn || s.history.workspaces[key] != w.Name
+		})
 		if len(c.Keys) > 0 {
 			configs = append(configs, c)
 		}
--- a/soak/deploymentbounds.go
+++ b/soak/deploymentbounds.go
@@ -41,7 +41,7 @@
 		routes: map[requestKind]routeBounds{}, cold: map[string]coldBounds{},
 	}
 	for _, r := range d.Routes {
-		b.routes[r.Kind] = routeBounds{maxAttempts: r.MaxAttempts, homes: r.HomeRegions}
+		b.routes[r.Kind] = routeBounds{maxAttempts: r.MaxAttempts, homes: r.HomeRegions, service: r.Service}
 	}
 	for _, s := range d.services(true) {
 		if s.WarmUpRate > 0 {
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"parsleyhatch/platform"
 )
 
 // Guards against plans that differ for the same seed, faults in the fault-free time, and kinds of faults that never
@@ -74,6 +76,43 @@
 	}
 }
 
+// Guards against a configuration that gives a withdrawn key back while callers go on using it.
+func TestWithdrawnKeyStaysWithdrawn(t *testing.T) {
+	s := newSoak(Settings{Profile: ProfileTroubles, Log: io.Discard}, mustLoad(DefaultDeployment))
+	s.keys = []string{"key-1", "key-2"}
+	s.history.workspaces["key-1"], s.history.workspaces["key-2"] = "workspace-1", "workspace-2"
+	s.history.keyWithdrawnAt["key-1"] = time.Now()
+	s.publishConfig()
+	if text := s.written[platform.ConfigKey]; strings.Contains(text, "key-1") || !strings.Contains(text, "key-2") {
+		t.Errorf("configuration %s, want key-2 and not key-1", text)
+	}
+}
+
+// Guards against a fault that docs/soak.md says troubles plans and that no plan of the length of a usual run has, against two plans of
+// one seed that differ, and against faults in the fault-free time.
+func TestTroublesHaveAllFaults(t *testing.T) {
+	const length = 25 * time.Second
+	seen := map[faultKind]bool{}
+	for seed := range uint64(20) {
+		faults := planProfile(ProfileTroubles, seed, length)
+		if !slices.Equal(faults, planProfile(ProfileTroubles, seed, length)) {
+			t.Errorf("seed %d: two plans differ", seed)
+		}
+		for _, f := range faults {
+			seen[f.kind] = true
+			if f.start+f.duration > length-faultFreeTime {
+				t.Errorf("seed %d: %s lasts into the fault-free time", seed, f.kind)
+			}
+		}
+	}
+	ofRawUpstreams := []string{string(faultCutAnswers), string(faultUnmarkedCuts)}
+	for _, kind := range declaredFaults(t) {
+		if seen[faultKind(kind)] == slices.Contains(ofRawUpstreams, kind) {
+			t.Errorf("planned %v: %q", seen[faultKind(kind)], kind)
+		}
+	}
+}
+
 // Guards against a VM that learns an address which leads past the link to a VM, or that learns those of another VM's links to
 // upstreams from that VM.
 func TestLinkReplacesAddresses(t *testing.T) {
--- a/soak/routebounds.go
+++ b/soak/routebounds.go
@@ -11,6 +11,8 @@
 	// maxAttempts is the number of upstreams that may run a request, and homes are the regions in which they are, all if it is empty.
 	maxAttempts int
 	homes       []string
+	// service is the one that runs them while the route is not split.
+	service string
 }
 
 // coldBounds bound the requests to an upstream in any second while it is cold.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -68,6 +68,10 @@
 	storeServer *http.Server
 	vms         []*vmProcess
 	log         *lockedWriter
+	// regionCuts, storeFaults and callerBehaviour are the faults between regions, of the store and of callers.
+	regionCuts      regionCuts
+	storeFaults     storeFaults
+	callerBehaviour callerBehaviour
 	// faultsEnd is the begin of the time without faults.
 	faultsEnd time.Time
 
@@ -104,6 +108,8 @@
 	startMillis int64
 	// slots is the number of slots that the registration names.
 	slots int
+	// portOf is the number of the upstream whose ports this one has taken over, zero if it has its own.
+	portOf int64
 	// replaced means that upstreams of another software version have taken its place.
 	replaced bool
 }
@@ -127,10 +133,7 @@
 	if err != nil {
 		return Report{}, err
 	}
-	s := &soak{
-		Settings: settings, deployment: d, bounds: d.bounds(), load: d.load(settings.Profile), history: newHistory(),
-		store: standin.NewStore(), written: map[string]string{}, releases: map[string]int{}, log: &lockedWriter{w: settings.Log},
-	}
+	s := newSoak(settings, d)
 	defer s.close()
 	if err := s.start(); err != nil {
 		return Report{}, err
@@ -155,7 +158,7 @@
 		return
 	}
 	for i := range s.load.callers {
-		if s.load.split {
+		if s.load.resumes(i) {
 			running.Go(func() { s.runStreamCaller(ctx, i) })
 			continue
 		}
@@ -163,6 +166,13 @@
 	}
 }
 
+func newSoak(settings Settings, d *deployment) *soak {
+	return &soak{
+		Settings: settings, deployment: d, bounds: d.bounds(), load: d.load(settings.Profile), history: newHistory(), store: standin.NewStore(),
+		written: map[string]string{}, releases: map[string]int{}, log: &lockedWriter{w: settings.Log},
+	}
+}
+
 func (s *soak) report(faults int) Report {
 	found := s.history.check(s.bounds)
 	s.history.mu.Lock() // Upstreams may still record.
@@ -261,8 +271,9 @@
 // addVMs adds the VMs, which don't run yet, with the links between them and to the store. It returns the addresses of the seeds.
 func (s *soak) addVMs(store string) (seeds []string, err error) {
 	for _, region := range s.deployment.Regions {
-		for i := range region.VMs {
+		for i := range region.VMs + s.load.spareVMs {
 			v := &vmProcess{name: fmt.Sprintf("%s-%d", region.Name, i), region: region.Name, deployment: s.deployment, program: s.Program, log: s.log}
+			v.absent.Store(i >= region.VMs)
 			if err := s.addLinks(v, store); err != nil {
 				return nil, err
 			}
@@ -279,10 +290,13 @@
 func (s *soak) startVMs(seeds []string) error {
 	var startErr error
 	for _, v := range s.vms {
-		startErr = errors.Join(startErr, v.writeSettings(s.SettingsDir, seeds), v.start())
+		startErr = errors.Join(startErr, v.writeSettings(s.SettingsDir, seeds))
+		if !v.absent.Load() {
+			startErr = errors.Join(startErr, v.start())
+		}
 	}
 	for _, v := range s.vms {
-		if startErr == nil {
+		if startErr == nil && !v.absent.Load() {
 			startErr = v.waitReady()
 		}
 	}
@@ -347,7 +361,10 @@
 func softwareVersion(n int64) string { return fmt.Sprintf("v%d", 1+n%3/2) }
 
 // addUpstream starts an upstream of a service and registers it.
-func (s *soak) addUpstream(region, service string) error {
+func (s *soak) addUpstream(region, service string) error { return s.addUpstreamAt(region, service, 0) }
+
+// addUpstreamAt is addUpstream for an upstream that takes over the ports of an earlier one, or gets its own if portOf is zero.
+func (s *soak) addUpstreamAt(region, service string, portOf int64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastBorn++
@@ -355,7 +372,7 @@
 	if err != nil {
 		return err
 	}
-	x := &registeredUpstream{upstreamServer: u, region: region, born: s.lastBorn}
+	x := &registeredUpstream{upstreamServer: u, region: region, born: s.lastBorn, portOf: portOf}
 	if err := s.linkUpstream(x); err != nil {
 		return err
 	}
@@ -364,7 +381,7 @@
 	x.room.onCrash = func(refused []string) { go s.runOverloadCrash(x, refused) }
 	s.upstreams = append(s.upstreams, x)
 	s.history.mu.Lock()
-	s.history.regions[u.id] = region
+	s.history.regions[u.id], s.history.services[u.id] = region, service
 	s.history.mu.Unlock()
 	s.registerUpstream(x, "ready")
 	return nil
