--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -82,13 +82,6 @@
 
 func newProxy(target string) (*proxy, error) { return newProxyAt("127.0.0.1:0", target, nil) }
 
-// newProxyFrom returns a proxy that listens on an address, and whose connections to the target have a source IP.
-func newProxyFrom(source, address, target string, cuts *atomic.Int32) (*proxy, error) {
-	p := &proxy{target: target, cuts: cuts, conns: map[net.Conn]bool{}}
-	p.dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(source)}
-	return p, p.listen(address)
-}
-
 // newProxyAt returns a proxy that listens on an address.
 func newProxyAt(address, target string, newRewrite func() rewriteFunc) (*proxy, error) {
 	p := &proxy{target: target, newRewrite: newRewrite, conns: map[net.Conn]bool{}}
