edge, soak: use usual words in new names and comments

begun, tells and whole in new lines; eventBegun is nextEventSeen now, since it says that a part of the next event has arrived. No behaviour changes.

--- a/edge/events.go
+++ b/edge/events.go
@@ -29,7 +29,7 @@
 	s.pending = e.memory.answers.Buffer(pick.ID)
 	defer s.pending.Release()
 	err := s.run()
-	s.recordBegun(err)
+	s.recordNextEvent(err)
 	now := e.Now()
 	switch {
 	case s.replacement != nil:
@@ -136,12 +136,12 @@
 	return cmp.Or(s.edge.checkUnsizedEnd(s.request, s.pick, s.answer, nothingFollows), error(io.EOF))
 }
 
-// recordBegun records that the upstream has begun an event that the caller does not have, unless its run is not that of the stream.
-func (s *eventRelay) recordBegun(err error) {
+// recordNextEvent records that the upstream has sent a part of an event that the caller does not have, unless its run is not that of the stream.
+func (s *eventRelay) recordNextEvent(err error) {
 	if errors.Is(err, errNotContinued) || errors.Is(err, errStreamGap) || s.request.route.Kind != route.Streaming {
 		return
 	}
-	s.request.eventBegun = s.request.eventBegun || s.request.sequence.IsAhead(s.pending.Bytes())
+	s.request.nextEventSeen = s.request.nextEventSeen || s.request.sequence.IsAhead(s.pending.Bytes())
 }
 
 // sendHead sends the head of the answer unless the caller has one. It is called once there is something to send after it,
--- a/edge/eventsource.go
+++ b/edge/eventsource.go
@@ -68,7 +68,7 @@
 		return blocks, nil
 	}
 	events, err := s.check(blocks)
-	s.request.eventBegun = s.request.eventBegun && !sequence.HasEvent(events)
+	s.request.nextEventSeen = s.request.nextEventSeen && !sequence.HasEvent(events)
 	s.request.notResumable = s.request.notResumable || s.request.sequence.Unidentified()
 	return events, err
 }
@@ -99,13 +99,13 @@
 }
 
 // checkEnd returns an error if the source has ended before the last event of the caller, so that its run is not that of the stream, or before
-// the event that another one had begun.
+// the event of which another one has sent a part.
 func (s *eventSource) checkEnd() error {
 	switch {
 	case s.order.EndsEarly():
 		s.recordForeign(nil)
 		return errNotContinued
-	case s.request.eventBegun:
+	case s.request.nextEventSeen:
 		s.recordGap(nil)
 		return errStreamGap
 	}
--- a/edge/ordersteps_test.go
+++ b/edge/ordersteps_test.go
@@ -85,8 +85,8 @@
 	}
 }
 
-// Guards against a stream that looks complete because the upstream at which it resumes sends nothing, although the one before had begun
-// the next event.
+// Guards against a stream that looks complete because the upstream at which it resumes sends nothing, although the one before had sent
+// a part of the next event.
 func TestNothingFollowsPartOfEvent(t *testing.T) {
 	w := newScriptedCluster(t)
 	for name, attempts := range map[string][]string{
--- a/edge/request.go
+++ b/edge/request.go
@@ -82,8 +82,8 @@
 	// notResumable is set once the caller has a part of an answer that no other upstream can continue: one that is no event stream, or
 	// an event without an id.
 	notResumable bool
-	// eventBegun is set while an upstream has begun an event that the caller does not have: the stream does not end before it.
-	eventBegun bool
+	// nextEventSeen is set while an upstream has sent a part of an event that the caller does not have: the stream does not end before it.
+	nextEventSeen bool
 	// resumedByCaller is set if the caller resumes a stream of an earlier attempt.
 	resumedByCaller bool
 	// streamVersion is the software version of the upstream that sent the first event.
--- a/sequence/sequence.go
+++ b/sequence/sequence.go
@@ -112,7 +112,7 @@
 	Checked bool
 
 	stream *Stream
-	// name tells sources apart.
+	// name identifies the source.
 	name string
 	// resumes is set if the caller has events from an earlier source in the same answer.
 	resumes bool
--- a/soak/streamruns.go
+++ b/soak/streamruns.go
@@ -24,7 +24,7 @@
 	}
 }
 
-// parseStreamRun parses the line of an event that names its run. The result has no name if the line is not whole.
+// parseStreamRun parses the line of an event that names its run. The result has no name if the line is incomplete.
 func parseStreamRun(line string) streamRun {
 	fields := strings.Split(line, " ")
 	if len(fields) != 4 {
--- a/soak/vmfaults.go
+++ b/soak/vmfaults.go
@@ -226,7 +226,7 @@
 	}
 }
 
-// reloadInSeries tells one VM after the other to reload its settings, for the duration of the fault.
+// reloadInSeries makes one VM after the other reload its settings, for the duration of the fault.
 func (s *soak) reloadInSeries(f fault, vmLocks []sync.Mutex) {
 	begin := time.Now()
 	for i := f.target; time.Since(begin) < f.duration; i++ {
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -46,7 +46,7 @@
 	// idPrefix is "<request id>:", which must be the prefix of each event id.
 	idPrefix   []byte
 	nextOffset int64
-	// joined is set once a chunk has begun at the offset at which the answer resumes.
+	// joined is set once a chunk has started at the offset at which the answer resumes.
 	joined        bool
 	body          io.ReadCloser
 	reader        *bufio.Reader
--- a/version/streams.go
+++ b/version/streams.go
@@ -49,7 +49,7 @@
 	From Process
 }
 
-// Process is the process of a VM: its slot and the number that tells the processes of a slot apart.
+// Process is the process of a VM: its slot and the number that differs between the processes of a slot.
 type Process struct {
 	Slot        string
 	Incarnation uint64
--- a/vmwire/versions.go
+++ b/vmwire/versions.go
@@ -49,7 +49,7 @@
 	Path       string
 	Key        string
 	TargetsAge Age
-	// StartAge is the age of the earliest moment at which the stream may have begun, if the sender asks all VMs for the origins of streams with
+	// StartAge is the age of the earliest moment at which the stream may have started, if the sender asks all VMs for the origins of streams with
 	// Key, and UnknownAge otherwise.
 	StartAge Age
 }
