quota: remember what a VM had spent before the configuration was known

Cause: the first report of another VM was dropped where it came before the configuration, so that the second one charged all that this VM had spent since its start. Class: a difference taken from a value that was not kept. Before: TestReportBeforeConfigurationIsNoUse failed (refused for 59 s); after, it passes, and so does go test ./quota with the simulation of the bound.

--- a/quota/peer.go
+++ b/quota/peer.go
@@ -111,16 +111,17 @@
 
 // applyReport charges the amount that was spent since the previous report.
 func (t *Table) applyReport(now time.Time, p *peer, workspace string, spent int64, known bool) {
-	b := t.buckets[workspace]
-	if b == nil {
-		return
-	}
-	t.refillChecked(now, b)
 	u := p.usage[workspace]
 	if u == nil {
 		u = &usage{}
 		p.usage[workspace] = u
 	}
+	b := t.buckets[workspace]
+	if b == nil {
+		u.spent = spent // The configuration is not known yet.
+		return
+	}
+	t.refillChecked(now, b)
 	if known {
 		t.chargeExcess(now, b, p, workspace, u, float64(spent-u.spent))
 	}
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -164,6 +164,21 @@
 	}
 }
 
+// Guards against a VM that refuses requests for seconds after its start, because it charges all that another VM has spent since that one
+// started: the first report came before the configuration.
+func TestReportBeforeConfigurationIsNoUse(t *testing.T) {
+	table := New(start)
+	now := start.Add(100 * time.Millisecond)
+	table.ApplyReports(now, Sender{Name: "early", Settled: true}, map[string]Report{"w": {Spent: 20_000, Level: 1000}})
+	table.Configure(now, []route.Workspace{{Name: "w", Rate: 1000, Burst: 1000}})
+	now = now.Add(100 * time.Millisecond)
+	table.ApplyReports(now, Sender{Name: "later", Settled: true}, map[string]Report{"w": {Spent: 20_000, Level: 1000}})
+	table.ApplyReports(now, Sender{Name: "early"}, map[string]Report{"w": {Spent: 20_100}})
+	if ok, wait := table.Charge(now.Add(200*time.Millisecond), "w", 10); !ok {
+		t.Errorf("refused for %v", wait)
+	}
+}
+
 // Guards against reports that include workspaces that are not in use, and against a charge rate that is still
 // applied after a workspace has become idle.
 func TestIdleWorkspacesNotReported(t *testing.T) {
--- a/soak/short_test.go
+++ b/soak/short_test.go
@@ -41,6 +41,7 @@
 }
 
 var regressions = []regression{
+	{soak.ProfileLight, 1, shortLength, "the first seed; it has not failed"},
 	{soak.ProfileLight, 8, shortLength, "a VM that got a reload while it started ended; TestReloadWhileVMStarts"},
 	{soak.ProfileLight, 41, shortLength, "a VM that was down lost its port to an outgoing connection of the soak, which gives VMs addresses of their own since"},
 	{soak.ProfileHeavy, 65, shortLength, "callers got an event twice that an upstream had sent twice; the seed also has late second responses and links between VMs"},
