--- a/callerconn/room.go
+++ b/callerconn/room.go
@@ -55,6 +55,36 @@
 	return w.room.usage
 }
 
+// Stages is the number of open connections by the stage of their request.
+type Stages struct {
+	// Idle connections have received no part of a request. Header and Body are those from which a part of one has been read, and Serving those
+	// with a complete request, of which Writing have a write that is not taken.
+	Idle, Header, Body, Serving, Writing int
+}
+
+// Stages returns the present stages of the connections.
+func (w *Limiter) Stages() Stages {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var n Stages
+	for c := range w.room.open {
+		switch s := c.state(); {
+		case s.phase == serving:
+			n.Serving++
+			if !s.writingSince.IsZero() {
+				n.Writing++
+			}
+		case s.phase == receiving:
+			n.Body++
+		case s.received > 0:
+			n.Header++
+		default:
+			n.Idle++
+		}
+	}
+	return n
+}
+
 // Listener returns a listener whose connections the limiter bounds.
 func (w *Limiter) Listener(l net.Listener) net.Listener { return limitedListener{l, w} }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -17,6 +17,7 @@
 	"parsleyhatch/place"
 	"parsleyhatch/platform"
 	"parsleyhatch/poison"
+	"parsleyhatch/pollbarrier"
 	"parsleyhatch/quota"
 	"parsleyhatch/replica"
 	"parsleyhatch/retry"
@@ -57,6 +58,9 @@
 	// pausedRecently reports whether the process was paused until shortly before now.
 	pausedRecently func(now time.Time) bool
 
+	// sockets tells when this process has noticed what has arrived at its sockets.
+	sockets *pollbarrier.Barrier
+
 	memory     *requestMemory
 	lengths    *pace.RouteLengths
 	pressures  *contention.Pressures
--- a/edge/new.go
+++ b/edge/new.go
@@ -14,6 +14,7 @@
 	"parsleyhatch/pace"
 	"parsleyhatch/platform"
 	"parsleyhatch/poison"
+	"parsleyhatch/pollbarrier"
 	"parsleyhatch/quota"
 	"parsleyhatch/replica"
 	"parsleyhatch/retry"
@@ -39,7 +40,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("start: %w", err)
 	}
+	sockets, err := pollbarrier.New()
+	if err != nil {
+		return nil, fmt.Errorf("start: %w", err)
+	}
 	e := &Edge{
+		sockets:  sockets,
 		openTime: defaultOpenTime,
 		Settings: s, Log: log, Now: clock.Now, startedAt: now,
 		store:       platform.NewStore(s.Store),
--- a/edge/reach.go
+++ b/edge/reach.go
@@ -25,6 +25,8 @@
 	// has returned, and sweepInterval the minimum time between two such sweeps.
 	sweepSize     = 8
 	sweepInterval = time.Second
+	// maxLoggedDelay bounds the delay of this process that is logged with an upstream that is not reachable.
+	maxLoggedDelay = 2 * time.Second
 )
 
 // errPathLost is the cancellation cause of an attempt whose upstream this VM does not reach any more.
@@ -183,7 +185,7 @@
 	now := e.Now()
 	first, cut := e.Replicas.RecordUnreachable(now, startedAt, p.ID)
 	if first {
-		event.UpstreamUnreachable.Log(e.Log, "upstream", p.ID, "service", p.Service, "error", err.Error())
+		go e.runUnreachableLog(p, err)
 		e.Pool.CloseIdle(p.Address)
 		e.reportLoss(p, startedAt)
 		e.sweep(now, true)
@@ -199,6 +201,13 @@
 	}
 }
 
+// runUnreachableLog logs that no connection to an upstream could be opened, with the time that this process takes to notice what arrives at its
+// sockets: if that is long, a connection may have been opened and not been noticed.
+func (e *Edge) runUnreachableLog(p replica.Probe, err error) {
+	delay := e.sockets.Delay(maxLoggedDelay)
+	event.UpstreamUnreachable.Log(e.Log, "upstream", p.ID, "service", p.Service, "pollDelayMillis", delay.Milliseconds(), "error", err.Error())
+}
+
 // recordReachable records that a connection to an upstream was opened.
 func (e *Edge) recordReachable(p replica.Probe) {
 	now := e.Now()
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -4,6 +4,10 @@
 	"context"
 	"errors"
 	"time"
+
+	"parsleyhatch/event"
+	"parsleyhatch/vm"
+	"parsleyhatch/vmwire"
 )
 
 const (
@@ -102,8 +106,27 @@
 	}
 	e.Fleet.BroadcastPresence()
 	e.Streams.ForgetReports() // The VMs to which streams were reported may have stopped before this one.
+	e.handOver()
+}
+
+// handOver reports the streams that began at this VM, and those that it keeps for VMs that no longer run, and logs how much that was.
+func (e *Edge) handOver() {
+	began := time.Now()
+	messages, bytes := e.sentStreamReports()
 	e.handOverStreams()
 	e.handOverOrphans()
+	messagesAfter, bytesAfter := e.sentStreamReports()
+	event.HandedOver.Log(e.Log, "messages", messagesAfter-messages, "bytes", bytesAfter-bytes, "tookMillis", time.Since(began).Milliseconds())
+}
+
+// sentStreamReports returns the number and the size in bytes of the reports on streams that were queued for other VMs so far.
+func (e *Edge) sentStreamReports() (messages, bytes int64) {
+	endpoint := e.Fleet.Endpoint
+	for _, counts := range []*vm.SentCounts{&endpoint.SentSameRegion, &endpoint.SentOtherRegions} {
+		frames, size := counts.Sent(int(vmwire.KindStreamsBegan))
+		messages, bytes = messages+frames, bytes+size
+	}
+	return messages, bytes
 }
 
 // EndRequests ends the requests that are still open. Their answers say whether they may have run; begun streams are reported and break off,
@@ -116,8 +139,7 @@
 
 // CloseSessions ends the sessions with the other VMs once they have read what this VM has to send, at the latest when ctx ends.
 func (e *Edge) CloseSessions(ctx context.Context) {
-	e.handOverStreams()
-	e.handOverOrphans()
+	e.handOver()
 	e.closing.Store(true)
 	if e.OpenRequests() == 0 {
 		e.handOverOrigins(e.Now())
--- a/event/events.go
+++ b/event/events.go
@@ -12,6 +12,8 @@
 	ProcessPaused = New(1006, slog.LevelWarn, "process paused", "Look for an overloaded host; the VM discarded its tokens.")
 	Superseded    = New(1007, slog.LevelError, "superseded by a newer incarnation", "None if the VM was replaced; otherwise two processes run under one slot name.")
 	RequestsCut   = New(1008, slog.LevelWarn, "requests cut by the end of the vm", "Check how long the requests of the service last: the time between SIGTERM and SIGKILL was too short for these.")
+	HandedOver    = New(1010, slog.LevelInfo, "streams handed over by a vm that stops", "none")
+	Ending        = New(1009, slog.LevelInfo, "vm ends its sessions and connections", "none")
 )
 
 // Events of the configuration.
--- a/operator/vm.go
+++ b/operator/vm.go
@@ -174,8 +174,9 @@
 	go p.runMonitor(ctx, options.settingsPath, options.logWriter, options.signals.reload)
 	select {
 	case <-options.signals.terminate:
+		started := time.Now()
 		p.stop()
-		event.Stopped.Log(log, "open", vm.OpenRequests())
+		p.logStop(event.Stopped, started)
 		return nil
 	case err := <-p.serverErrors:
 		return err
@@ -241,12 +242,20 @@
 	if time.Since(started) >= limit {
 		p.endRequests(started)
 	}
+	p.logStop(event.Ending, started)
 	p.drainSessions(min(maxSessionDrainTime, limit+sessionsEnd-time.Since(started)))
 	ctx, cancel := context.WithTimeout(context.Background(), min(serverEnd, limit+serverEnd-time.Since(started)))
 	defer cancel()
 	_ = p.callers.Shutdown(ctx) // Waits until the last answers are written. What is open then ends with the process.
 }
 
+// logStop logs a step of a planned stop, with the connections of callers that are still open.
+func (p *edgeProcess) logStop(step event.Event, started time.Time) {
+	c := p.edge.ConnLimiter.Stages()
+	step.Log(p.log, "open", p.edge.OpenRequests(), "leavingMillis", time.Since(started).Milliseconds(),
+		"idle", c.Idle, "header", c.Header, "body", c.Body, "serving", c.Serving, "writing", c.Writing)
+}
+
 // endRequests ends the requests that are still open, and waits for their answers.
 func (p *edgeProcess) endRequests(started time.Time) {
 	open := p.edge.OpenRequests()
