--- a/edge/streamreport.go
+++ b/edge/streamreport.go
@@ -25,6 +25,8 @@
 	// beside a cut.
 	remoteHolders       = 2
 	remoteHolderRegions = 2
+	// minLocalCopies is the number of VMs of its region that keep a stream which is handed over below which others keep it as well.
+	minLocalCopies = 2
 	// reportDelay is the time for which streams that began are collected for one message to each VM that keeps them.
 	reportDelay = 50 * time.Millisecond
 	// maxReportedStreams is the number of streams in one message to another VM.
@@ -79,11 +81,19 @@
 // longer derive the versions of those that began while one served.
 func (e *Edge) handOverStreams() { e.reportServices(e.sendUnreported) }
 
-// handOverOrphans reports the streams that this VM keeps for others that no longer run. If VMs are restarted in turn, each of those that
+// handOverOrphans hands over the streams that this VM keeps for others that no longer run. If VMs are restarted in turn, each of those that
 // keep a stream ends.
 func (e *Edge) handOverOrphans() {
 	e.reportServices(func(now time.Time, service string, since time.Time) {
-		e.sendStreams(now, service, e.Streams.Orphans(service, since, func(p version.Process) bool { return e.Fleet.Runs(p.Slot, p.Incarnation) }))
+		runs := func(p version.Process) bool { return e.Fleet.Runs(p.Slot, p.Incarnation) }
+		holders := e.newStreamHolders(now)
+		reports := streamReports{}
+		for _, k := range e.Streams.Orphans(service, since, runs) {
+			m := streamBeganMessage(now, &k.StartedStream)
+			m.HandedOver = true
+			reports.add(m, holders.receivers(&k))
+		}
+		e.sendReports(reports)
 	})
 }
 
@@ -123,20 +133,34 @@
 // after the loss of this VM. Without a connected VM, they stay unreported.
 func (e *Edge) sendUnreported(now time.Time, service string, since time.Time) {
 	if e.newStreamHolders(now).connected {
-		e.sendStreams(now, service, e.Streams.TakeUnreported(service, since))
+		e.sendStreams(now, e.Streams.TakeUnreported(service, since))
 	}
 }
 
 // sendStreams sends streams of a service to the VMs that are to keep them.
-func (e *Edge) sendStreams(now time.Time, service string, streams []version.StartedStream) {
+func (e *Edge) sendStreams(now time.Time, streams []version.StartedStream) {
 	holders := e.newStreamHolders(now)
-	reports := map[string][]vmwire.StreamBegan{}
+	reports := streamReports{}
 	for _, began := range streams {
-		m := vmwire.StreamBegan{RequestID: began.ID, Service: service, Version: began.Version, Age: vmwire.AgeOf(now, began.At)}
-		for _, slot := range holders.of(began.ID) {
-			reports[slot] = append(reports[slot], m)
-		}
+		reports.add(streamBeganMessage(now, &began), holders.of(began.ID))
+	}
+	e.sendReports(reports)
+}
+
+func streamBeganMessage(now time.Time, began *version.StartedStream) vmwire.StreamBegan {
+	return vmwire.StreamBegan{RequestID: began.ID, Service: began.Service, Version: began.Version, Age: vmwire.AgeOf(now, began.At)}
+}
+
+// streamReports holds streams by the VM to which they are to be reported.
+type streamReports map[string][]vmwire.StreamBegan
+
+func (r streamReports) add(m vmwire.StreamBegan, slots []string) {
+	for _, slot := range slots {
+		r[slot] = append(r[slot], m)
 	}
+}
+
+func (e *Edge) sendReports(reports streamReports) {
 	for slot, list := range reports {
 		for part := range slices.Chunk(list, maxReportedStreams) {
 			e.Fleet.SendTo(slot, vmwire.KindStreamsBegan, &vmwire.StreamsBegan{Streams: part})
@@ -151,7 +175,8 @@
 		started := version.StartedStream{
 			ID: began.RequestID, Stream: version.Stream{Service: began.Service, Version: began.Version}, At: began.Age.Moment(now),
 		}
-		e.Streams.Keep(now, version.KeptStream{StartedStream: started, From: from})
+		scarce := began.HandedOver || peer.Region != e.Settings.Region
+		e.Streams.Keep(now, version.KeptStream{StartedStream: started, From: from, KeptAt: now, Scarce: scarce})
 	}
 	e.receiveOrigins(now, peer, m)
 }
@@ -167,6 +192,8 @@
 	stopping []fleet.Member
 	// members holds the responsive VMs of the regions that were looked up.
 	members map[string][]fleet.Member
+	// localKeepers holds the responsive VMs of this region, those that have run longest first.
+	localKeepers []version.Keeper
 }
 
 func (e *Edge) newStreamHolders(now time.Time) *streamHolders {
@@ -181,12 +208,48 @@
 func (h *streamHolders) of(id string) []string {
 	slots := rendezvousVMs(h.responsiveMembers(h.edge.Settings.Region), id, maxLocalHolders)
 	slots = append(slots, rendezvousVMs(h.stopping, id, maxLocalHolders-len(slots))...)
+	return append(slots, h.ofOtherRegions(id)...)
+}
+
+// ofOtherRegions returns the VMs of other regions that keep the version of a stream.
+func (h *streamHolders) ofOtherRegions(id string) []string {
+	var slots []string
 	for _, region := range rendezvousOrder(h.otherRegions, id, func(region string) string { return region }, remoteHolderRegions) {
 		slots = append(slots, rendezvousVMs(h.responsiveMembers(region), id, remoteHolders)...)
 	}
 	return slots
 }
 
+// receivers returns the VMs to which a stream of a VM that no longer runs is handed over. If hardly any VM of this region is left, some of other
+// regions keep it as well.
+func (h *streamHolders) receivers(k *version.KeptStream) []string {
+	slots, copies := k.Receivers(h.keepers(k.ID))
+	if copies < minLocalCopies {
+		slots = append(slots, rendezvousVMs(h.stopping, k.ID, maxLocalHolders-len(slots))...)
+		slots = append(slots, h.ofOtherRegions(k.ID)...)
+	}
+	return slots
+}
+
+// keepers returns the VMs of this region that stay and keep a stream that begins now, in the order in which they are asked for it.
+func (h *streamHolders) keepers(id string) []version.Keeper {
+	if h.localKeepers == nil {
+		h.localKeepers = keepersByAge(h.responsiveMembers(h.edge.Settings.Region))
+	}
+	if len(h.localKeepers) <= maxLocalHolders {
+		return h.localKeepers
+	}
+	return keepersByAge(rendezvousOrder(h.responsiveMembers(h.edge.Settings.Region), id, memberSlot, maxLocalHolders))
+}
+
+func keepersByAge(members []fleet.Member) []version.Keeper {
+	keepers := make([]version.Keeper, 0, len(members))
+	for _, m := range byAge(members) {
+		keepers = append(keepers, version.Keeper{Slot: m.Slot, StartedAt: m.ProcessStartedAt()})
+	}
+	return keepers
+}
+
 func (h *streamHolders) responsiveMembers(region string) []fleet.Member {
 	list, ok := h.members[region]
 	if !ok {
@@ -196,10 +259,18 @@
 	return list
 }
 
+func memberSlot(m fleet.Member) string { return m.Slot }
+
+// byAge sorts VMs, those that have run longest first. Clocks of VMs may differ, which changes only their order.
+func byAge(members []fleet.Member) []fleet.Member {
+	slices.SortStableFunc(members, func(a, b fleet.Member) int { return a.StartedAt.Compare(b.StartedAt) })
+	return members
+}
+
 // rendezvousVMs returns the n VMs that rendezvous hashing orders first for a request.
 func rendezvousVMs(members []fleet.Member, id string, n int) []string {
 	var slots []string
-	for _, m := range rendezvousOrder(members, id, func(m fleet.Member) string { return m.Slot }, n) {
+	for _, m := range rendezvousOrder(members, id, memberSlot, n) {
 		slots = append(slots, m.Slot)
 	}
 	return slots
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -268,11 +267,9 @@
 	return asked
 }
 
-// longestRunning returns up to maxStreamQueries of the VMs that keep a stream if they ran when it started: those that have run longest. Clocks
-// of VMs may differ, which changes only their order.
+// longestRunning returns up to maxStreamQueries of the VMs that keep a stream if they ran when it started: those that have run longest.
 func longestRunning(members []fleet.Member, id string) []fleet.Member {
-	holders := rendezvousOrder(members, id, func(m fleet.Member) string { return m.Slot }, maxLocalHolders)
-	slices.SortStableFunc(holders, func(a, b fleet.Member) int { return a.StartedAt.Compare(b.StartedAt) })
+	holders := byAge(rendezvousOrder(members, id, memberSlot, maxLocalHolders))
 	return holders[:min(maxStreamQueries, len(holders))]
 }
 
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -147,6 +147,9 @@
 	return now.Sub(m.LastPresenceAt) <= memberRetention
 }
 
+// ProcessStartedAt returns when the VM's process started, by the clock of this VM. It is up to the delay of a presence late.
+func (m *Member) ProcessStartedAt() time.Time { return m.LastPresenceAt.Add(-m.Running) }
+
 // timeout returns the time after the latest presence for which a VM of this region counts as alive.
 func (m *Member) timeout() time.Duration {
 	return max(livenessTimeout, livenessIntervals*m.PresenceInterval+tick)
--- a/version/streams.go
+++ b/version/streams.go
@@ -38,15 +38,8 @@
 	// unreported and reported hold the streams that began at this VM, by service in the order of their start. Other VMs have been notified
 	// of those in reported.
 	unreported, reported map[string][]StartedStream
-	// kept holds the streams that other VMs have reported, by service in the order of their arrival.
-	kept map[string][]KeptStream
-}
-
-// KeptStream is a stream that another VM has reported.
-type KeptStream struct {
-	StartedStream
-	// From is the VM that has reported it.
-	From Process
+	// kept holds the streams that other VMs have reported, by service.
+	kept map[string]*keptStreams
 }
 
 // Process is the process of a VM: its slot and the number that differs between the processes of a slot.
@@ -63,7 +56,7 @@
 	return &Streams{
 		Lifetime: lifetime, recent: map[string]Stream{}, older: map[string]Stream{}, rotatedAt: now,
 		forwarded: map[string]Stream{}, olderForwarded: map[string]Stream{},
-		unreported: map[string][]StartedStream{}, reported: map[string][]StartedStream{}, kept: map[string][]KeptStream{},
+		unreported: map[string][]StartedStream{}, reported: map[string][]StartedStream{}, kept: map[string]*keptStreams{},
 	}
 }
 
@@ -80,21 +73,30 @@
 	s.Add(now, k.ID, k.Stream)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.kept[k.Service] = appendLatest(s.kept[k.Service], k)
+	kept := s.kept[k.Service]
+	if kept == nil {
+		kept = &keptStreams{}
+		s.kept[k.Service] = kept
+	}
+	kept.add(k)
 }
 
 // Orphans returns the streams of a service that began since a time and that were reported by VMs that no longer run.
-func (s *Streams) Orphans(service string, since time.Time, runs func(Process) bool) []StartedStream {
+func (s *Streams) Orphans(service string, since time.Time, runs func(Process) bool) []KeptStream {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	kept := s.kept[service]
+	if kept == nil {
+		return nil
+	}
 	running := map[Process]bool{}
-	var orphans []StartedStream
-	for _, k := range s.kept[service] {
+	var orphans []KeptStream
+	for _, k := range kept.list {
 		if _, known := running[k.From]; !known {
 			running[k.From] = runs(k.From)
 		}
 		if !running[k.From] && !k.At.Before(since) {
-			orphans = append(orphans, k.StartedStream)
+			orphans = append(orphans, k)
 		}
 	}
 	return orphans
@@ -187,8 +189,8 @@
 			lists[service] = startedSince(list, s.rotatedAt)
 		}
 	}
-	for service, list := range s.kept {
-		s.kept[service] = slices.DeleteFunc(list, func(k KeptStream) bool { return k.At.Before(s.rotatedAt) })
+	for _, kept := range s.kept {
+		kept.removeBefore(s.rotatedAt)
 	}
 	s.rotatedAt = now
 }
--- a/version/version_test.go
+++ b/version/version_test.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -258,3 +260,47 @@
 		}
 	}
 }
+
+// Guards against streams that no VM keeps any more after VMs were stopped in turn, and against reports to VMs that keep them already.
+func TestReceiversOfHandedOverStreams(t *testing.T) {
+	reported := time.Unix(1000, 0)
+	old, young, restarting := reported.Add(-time.Minute), reported.Add(time.Second), reported.Add(-keeperAge)
+	for name, c := range map[string]struct {
+		scarce bool
+		starts []time.Time
+		want   string
+		copies int
+	}{
+		"all keep it":                      {starts: []time.Time{old, old, old, old, young}, copies: 4},
+		"few keep it":                      {starts: []time.Time{old, old, young, young, young}, want: "23", copies: 4},
+		"it may not have been known":       {starts: []time.Time{old, old, old, restarting}, want: "3", copies: 4},
+		"all have started since":           {starts: []time.Time{young, young, young, young, young}, want: "0123", copies: 4},
+		"it was handed over":               {scarce: true, starts: []time.Time{old, old, old, old, young}, want: "0123", copies: 4},
+		"fewer VMs than copies are wanted": {starts: []time.Time{old, young}, want: "1", copies: 2},
+		"no other VM":                      {},
+	} {
+		var keepers []Keeper
+		for i, at := range c.starts {
+			keepers = append(keepers, Keeper{Slot: strconv.Itoa(i), StartedAt: at})
+		}
+		k := KeptStream{KeptAt: reported, Scarce: c.scarce}
+		receivers, copies := k.Receivers(keepers)
+		if got := strings.Join(receivers, ""); got != c.want || copies != c.copies {
+			t.Errorf("%s: receivers %q, %d copies; want %q, %d", name, got, copies, c.want, c.copies)
+		}
+	}
+}
+
+// Guards against a stream that is kept, and handed over, once for each VM that has reported it.
+func TestStreamIsKeptOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := NewStreams(now, time.Minute)
+	began := StartedStream{ID: "a", Stream: Stream{Service: "s", Version: "v1"}, At: now}
+	for i, scarce := range []bool{false, true, true} {
+		s.Keep(now, KeptStream{StartedStream: began, From: Process{Slot: strconv.Itoa(i)}, KeptAt: now.Add(time.Duration(i)), Scarce: scarce})
+	}
+	orphans := s.Orphans("s", now, func(Process) bool { return false })
+	if len(orphans) != 1 || orphans[0].From.Slot != "0" || orphans[0].Scarce {
+		t.Errorf("streams to hand over: %+v, want the first report", orphans)
+	}
+}
--- a/vmwire/kinds.go
+++ b/vmwire/kinds.go
@@ -1,7 +1,7 @@
 package vmwire
 
 // Protocol is the version of the schema. Sessions with VMs of another version are refused.
-const Protocol = 17
+const Protocol = 18
 
 // Kinds of frames.
 const (
--- a/vmwire/versions.go
+++ b/vmwire/versions.go
@@ -21,6 +21,8 @@
 	Version   string
 	// Age is the time since the stream began.
 	Age Age
+	// HandedOver means that the sender keeps the stream for a VM that no longer runs, and that few VMs keep it.
+	HandedOver bool
 }
 
 // StreamOrigin is a service and a software version at which a stream began.
--- a/vmwire/versions_gen.go
+++ b/vmwire/versions_gen.go
@@ -466,8 +466,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.RequestID, err = dc.ReadString()
@@ -490,13 +490,18 @@
 		err = msgp.WrapError(err, "Age")
 		return
 	}
+	z.HandedOver, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "HandedOver")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *StreamBegan) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 4
-	err = en.Append(0x94)
+	// array header, size 5
+	err = en.Append(0x95)
 	if err != nil {
 		return
 	}
@@ -520,14 +525,19 @@
 		err = msgp.WrapError(err, "Age")
 		return
 	}
+	err = en.WriteBool(z.HandedOver)
+	if err != nil {
+		err = msgp.WrapError(err, "HandedOver")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *StreamBegan) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendString(o, z.RequestID)
 	o = msgp.AppendString(o, z.Service)
 	o = msgp.AppendString(o, z.Version)
@@ -536,6 +546,7 @@
 		err = msgp.WrapError(err, "Age")
 		return
 	}
+	o = msgp.AppendBool(o, z.HandedOver)
 	return
 }
 
@@ -547,8 +558,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.RequestID, bts, err = msgp.ReadStringBytes(bts)
@@ -571,13 +582,18 @@
 		err = msgp.WrapError(err, "Age")
 		return
 	}
+	z.HandedOver, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "HandedOver")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *StreamBegan) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.RequestID) + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Version) + z.Age.Msgsize()
+	s = 1 + msgp.StringPrefixSize + len(z.RequestID) + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Version) + z.Age.Msgsize() + msgp.BoolSize
 	return
 }
 
