--- a/edge/cut_test.go
+++ b/edge/cut_test.go
@@ -26,6 +26,8 @@
 	cutResets
 	// cutRefuses refuses new connections and leaves the open ones alone.
 	cutRefuses
+	// cutNewHangs answers no attempt to connect and leaves the open connections alone.
+	cutNewHangs
 )
 
 // upstreamLink connects one VM with all upstreams and can cut it from them.
@@ -56,7 +58,7 @@
 
 func (l *upstreamLink) dial(ctx context.Context, address string) (net.Conn, error) {
 	switch cutForm(l.form.Load()) {
-	case cutHangs:
+	case cutHangs, cutNewHangs:
 		ctx, cancel := context.WithTimeout(ctx, time.Second)
 		defer cancel()
 		<-ctx.Done()
--- a/edge/events.go
+++ b/edge/events.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"parsleyhatch/memory"
@@ -24,8 +25,8 @@
 var errEventTooLong = &upstream.LimitError{Limit: upstream.LimitEvent, MaxBytes: maxEventBytes}
 
 // relayEventStream relays the events of a stream to the sink, each as soon as it is complete.
-func (e *Edge) relayEventStream(ctx context.Context, r *request, pick *replica.Pick, a *upstream.Response, sink *Sink) Outcome {
-	s := &eventRelay{ctx: ctx, edge: e, request: r, pick: pick, answer: a, sink: sink, source: e.newEventSource(r, pick.ID, "")}
+func (e *Edge) relayEventStream(ctx context.Context, r *request, pick *replica.Pick, a *upstream.Response, watch *pathWatch, sink *Sink) Outcome {
+	s := &eventRelay{ctx: ctx, edge: e, request: r, pick: pick, answer: a, watch: watch, sink: sink, source: e.newEventSource(r, pick.ID, "")}
 	s.pending = e.memory.answers.Buffer(pick.ID)
 	defer s.pending.Release()
 	err := s.run()
@@ -76,6 +77,7 @@
 	request *request
 	pick    *replica.Pick
 	answer  *upstream.Response
+	watch   *pathWatch
 	sink    *Sink
 	source  *eventSource
 	// pending holds the bytes of an incomplete event.
@@ -88,6 +90,8 @@
 	gapEvents int
 	// stall is the state of the wait for the next event.
 	stall stall
+	// pathSuspected is set if this VM has found no path to the upstream since the latest wait for an event began.
+	pathSuspected atomic.Bool
 	// replacement is the outcome of the attempt that has taken the place of this one, nil if there is none.
 	replacement *Outcome
 	// sinkFailed is set if writing to the sink failed, as opposed to reading from the upstream.
@@ -239,6 +243,7 @@
 func (s *eventRelay) recordStart() {
 	if !s.started {
 		s.started = true
+		s.watch.streamBegan(s.suspectPath)
 		s.edge.recordFirstToken(s.request, s.pick)
 	}
 }
--- a/edge/reach.go
+++ b/edge/reach.go
@@ -56,7 +56,8 @@
 	timer      *time.Timer
 
 	mu sync.Mutex
-	// leave ends the attempt. It is nil once the attempt has ended, since its connection may carry another request then.
+	// leave ends the attempt, or makes a stream that has begun look for another upstream. It is nil once the attempt has ended, since its
+	// connection may carry another request then.
 	leave func()
 }
 
@@ -87,6 +88,14 @@
 	}
 }
 
+// streamBegan goes on watching an attempt whose caller has a part of the stream. leave must not end the stream, but may move it: it would be
+// broken off if the path is sound after all and nothing else can go on with it.
+func (w *pathWatch) streamBegan(leave func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leave = leave
+}
+
 // stop ends the watch. It must be called before the response is closed.
 func (w *pathWatch) stop() {
 	w.timer.Stop()
@@ -114,7 +123,7 @@
 	return now.Sub(since) >= pathSilence
 }
 
-// end ends the attempt unless it has ended by itself.
+// end leaves the upstream unless the attempt has ended by itself.
 func (w *pathWatch) end() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -123,7 +132,7 @@
 	}
 }
 
-// leaveLostPaths ends the attempts that may be repeated and wait for silent upstreams from whose service this VM is cut.
+// leaveLostPaths leaves the silent upstreams from whose service this VM is cut, where attempts may be repeated.
 func (e *Edge) leaveLostPaths(now time.Time) {
 	e.reach.mu.Lock()
 	var lost []*pathWatch
--- a/edge/send.go
+++ b/edge/send.go
@@ -66,7 +66,7 @@
 	}
 	e.recordAnswer(pick, a, sentAt)
 	e.recordSignals(pick.ID, pick.Born, a)
-	out := e.handleAnswer(ctx, r, pick, a, sink)
+	out := e.handleAnswer(ctx, r, pick, a, watch, sink)
 	e.recordCompletion(r, a, out)
 	e.recordLength(r, out)
 	return out
@@ -130,7 +130,7 @@
 }
 
 // handleAnswer handles an answer whose response head has arrived.
-func (e *Edge) handleAnswer(ctx context.Context, r *request, pick *replica.Pick, a *upstream.Response, sink *Sink) Outcome {
+func (e *Edge) handleAnswer(ctx context.Context, r *request, pick *replica.Pick, a *upstream.Response, watch *pathWatch, sink *Sink) Outcome {
 	e.applyWarmUp(pick.ID, a)
 	if a.Status == http.StatusMisdirectedRequest || a.Header.Get(platform.HeaderNotExecuted) != "" {
 		return e.handleRefusal(pick, a)
@@ -138,7 +138,7 @@
 	r.runs++
 	if isEventStream(a.Status, a.Header) {
 		r.switchover.accepted()
-		return e.relayEventStream(ctx, r, pick, a, sink)
+		return e.relayEventStream(ctx, r, pick, a, watch, sink)
 	}
 	return e.relayBuffered(ctx, r, pick, a, sink)
 }
--- a/edge/stall.go
+++ b/edge/stall.go
@@ -27,6 +27,8 @@
 	// giveBackShare is the share of callers' patience after which a VM gives a forwarded stream back to the VM that forwarded
 	// it, because only other regions can resume it.
 	giveBackShare = 0.85
+	// lostPathShare is the same for a VM that is cut from the upstream.
+	lostPathShare = 0.5
 	// unreadGrace is the time for reading events that arrived before the deadline. A read fails without a look at them.
 	unreadGrace = 20 * time.Millisecond
 	// overlapTime is the maximum time for which a stalled upstream is kept after the request was sent to another one, which
@@ -66,14 +68,32 @@
 	if s.stall.nextCheckAt.After(at) {
 		at = s.stall.nextCheckAt
 	}
+	if s.pathSuspected.Swap(false) {
+		at = time.Now()
+	}
 	s.answer.SetReadDeadline(at)
 }
 
+// suspectPath makes a stream resume at another upstream if one is expected to go on with it, although the next event is not late. The stream
+// stays where it is otherwise. It may be called while another goroutine reads the answer, but not after its end.
+func (s *eventRelay) suspectPath() {
+	s.pathSuspected.Store(true)
+	s.answer.SetReadDeadline(time.Now())
+}
+
+// isPathLost reports whether this VM is cut from the upstream and nothing has come from it for pathSilence.
+func (s *eventRelay) isPathLost() bool {
+	return s.edge.Replicas.IsCut(s.request.service.Name) && s.watch.isSilent(s.edge.Now())
+}
+
 // waitOrResume decides about a stream whose next event is late. It returns zero if the stream has left this upstream,
 // otherwise the time of the next check: the upstream may only be silent for a while.
 func (s *eventRelay) waitOrResume() time.Time {
 	now := time.Now()
+	lateAt := s.lastEventAt.Add(stallTimeout(s.request.route))
 	switch {
+	case now.Before(lateAt) && !s.isPathLost():
+		s.stall.nextCheckAt = lateAt
 	case s.edge.pausedRecently(s.edge.Now()):
 		// Events that arrived while this process was paused have not been read yet.
 		s.stall.nextCheckAt = now.Add(fleet.PauseSettleTime)
@@ -165,8 +185,11 @@
 
 // givesBack reports whether a forwarded stream returns to the VM that forwarded it.
 func (s *eventRelay) givesBack(now time.Time) bool {
-	patience := giveBackShare * float64(callerPatience(s.request.route))
-	return s.request.returnable && now.Sub(s.lastEventAt) > time.Duration(patience)
+	silent, patience := now.Sub(s.lastEventAt), callerPatience(s.request.route)
+	if s.request.forwarded && silent > time.Duration(lostPathShare*float64(patience)) && s.isPathLost() {
+		return true
+	}
+	return s.request.returnable && silent > time.Duration(giveBackShare*float64(patience))
 }
 
 // reserveResume reports whether a started stream can resume at another upstream without a long wait, and if so
