--- a/edge/handover_test.go
+++ b/edge/handover_test.go
@@ -19,7 +19,7 @@
 // upstreams seem out of reach; and against streams that are lost when all VMs have been replaced.
 func TestVMsStoppedInTurnKeepTheirLinksFree(t *testing.T) {
 	t.Parallel()
-	const vms, streams = 5, 300
+	const vms, streams = 9, 300
 	w := newVersionCluster(t)
 	w.addVersion("old", "v1", "north", nil)
 	w.addVersion("new", "v2", "north", nil)
@@ -39,15 +39,19 @@
 	for _, v := range w.vms[1:] {
 		w.waitFor("the streams are kept", func() bool { return isKept(v, 0) && isKept(v, streams-1) })
 	}
-	most := first.sentReports()
+	perCopy := first.sentReports() / (vms - 1)
 	for _, v := range append([]*testVM{}, w.vms...) {
 		before := v.sentReports()
 		v.BeginShutdown(v.Now())
 		v.CloseSessions(t.Context())
 		v.cancel()
-		// A VM sends each stream to all others at most on SIGTERM and at its end, with a little more about each.
-		if sent := v.sentReports() - before; sent > 3*most {
-			t.Errorf("%s sent %d bytes of reports, at most %d are needed", v.Settings.Name, sent, 3*most)
+		// Six copies of the streams of another VM are enough. They are sent on SIGTERM and at the end, with a little more about each.
+		copies := int64(6)
+		if v == first {
+			copies = vms - 1
+		}
+		if sent, most := v.sentReports()-before, 2*copies*perCopy*5/4; sent > most {
+			t.Errorf("%s sent %d bytes of reports, at most %d are needed", v.Settings.Name, sent, most)
 		}
 		w.startVM("later-"+v.Settings.Name, "north", true)
 		w.vms = w.vms[1:]
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -105,7 +105,6 @@
 		time.AfterFunc(e.stop.Accept, e.stop.refuseNew)
 	}
 	e.Fleet.BroadcastPresence()
-	e.Streams.ForgetReports() // The VMs to which streams were reported may have stopped before this one.
 	e.handOver()
 }
 
@@ -132,7 +131,6 @@
 // EndRequests ends the requests that are still open. Their answers say whether they may have run; begun streams are reported and break off,
 // so that their callers resume them elsewhere.
 func (e *Edge) EndRequests() {
-	e.Streams.ForgetReports() // The VMs to which streams were reported since SIGTERM may have ended, too.
 	e.handOverStreams()
 	e.stop.endOpen()
 }
--- a/edge/streamreport.go
+++ b/edge/streamreport.go
@@ -25,8 +25,12 @@
 	// beside a cut.
 	remoteHolders       = 2
 	remoteHolderRegions = 2
-	// minLocalCopies is the number of VMs of its region that keep a stream which is handed over below which others keep it as well.
+	// minLocalCopies is the number of VMs: if fewer of this region keep a stream that is handed over, it is also sent to leaving VMs and to
+	// other regions.
 	minLocalCopies = 2
+	// sureHolders is the number of VMs of a region with more than maxLocalHolders that were certainly among the holders of a stream when it was
+	// reported. The others may only have become holders since then, as some were stopped.
+	sureHolders = maxLocalHolders / 2
 	// reportDelay is the time for which streams that began are collected for one message to each VM that keeps them.
 	reportDelay = 50 * time.Millisecond
 	// maxReportedStreams is the number of streams in one message to another VM.
@@ -77,9 +81,24 @@
 // reportAllStreams reports the streams that no other VM was notified of, of the services that need it.
 func (e *Edge) reportAllStreams() { e.reportServices(e.reportStreams) }
 
-// handOverStreams reports all streams that callers may still resume, before this VM ends. Once another version has joined, other VMs can no
-// longer derive the versions of those that began while one served.
-func (e *Edge) handOverStreams() { e.reportServices(e.sendUnreported) }
+// handOverStreams reports the streams that callers may still resume to the VMs that may not know them, before this VM ends: once another version
+// has joined, other VMs can no longer derive the versions of those that began while one served, and VMs may have started since a report.
+func (e *Edge) handOverStreams() {
+	e.reportServices(func(now time.Time, service string, since time.Time) {
+		holders := e.newStreamHolders(now)
+		if !holders.connected {
+			return
+		}
+		reports := streamReports{}
+		for _, s := range e.Streams.TakeReported(now, service, since) {
+			reports.add(streamBeganMessage(now, &s.StartedStream), holders.startedSince(s.ID, s.ReportedAt))
+		}
+		for _, s := range e.Streams.TakeUnreported(now, service, since) {
+			reports.add(streamBeganMessage(now, &s), holders.of(s.ID))
+		}
+		e.sendReports(reports)
+	})
+}
 
 // handOverOrphans hands over the streams that this VM keeps for others that no longer run. If VMs are restarted in turn, each of those that
 // keep a stream ends.
@@ -133,7 +152,7 @@
 // after the loss of this VM. Without a connected VM, they stay unreported.
 func (e *Edge) sendUnreported(now time.Time, service string, since time.Time) {
 	if e.newStreamHolders(now).connected {
-		e.sendStreams(now, e.Streams.TakeUnreported(service, since))
+		e.sendStreams(now, e.Streams.TakeUnreported(now, service, since))
 	}
 }
 
@@ -175,8 +194,8 @@
 		started := version.StartedStream{
 			ID: began.RequestID, Stream: version.Stream{Service: began.Service, Version: began.Version}, At: began.Age.Moment(now),
 		}
-		scarce := began.HandedOver || peer.Region != e.Settings.Region
-		e.Streams.Keep(now, version.KeptStream{StartedStream: started, From: from, KeptAt: now, Scarce: scarce})
+		fewCopies := began.HandedOver || peer.Region != e.Settings.Region
+		e.Streams.Keep(now, version.KeptStream{StartedStream: started, From: from, KeptAt: now, FewCopies: fewCopies})
 	}
 	e.receiveOrigins(now, peer, m)
 }
@@ -192,8 +211,8 @@
 	stopping []fleet.Member
 	// members holds the responsive VMs of the regions that were looked up.
 	members map[string][]fleet.Member
-	// localKeepers holds the responsive VMs of this region, those that have run longest first.
-	localKeepers []version.Keeper
+	// localHolders holds the responsive VMs of this region, those that have run longest first.
+	localHolders []version.Holder
 }
 
 func (e *Edge) newStreamHolders(now time.Time) *streamHolders {
@@ -223,7 +242,7 @@
 // receivers returns the VMs to which a stream of a VM that no longer runs is handed over. If hardly any VM of this region is left, some of other
 // regions keep it as well.
 func (h *streamHolders) receivers(k *version.KeptStream) []string {
-	slots, copies := k.Receivers(h.keepers(k.ID))
+	slots, copies := k.Receivers(h.local(k.ID))
 	if copies < minLocalCopies {
 		slots = append(slots, rendezvousVMs(h.stopping, k.ID, maxLocalHolders-len(slots))...)
 		slots = append(slots, h.ofOtherRegions(k.ID)...)
@@ -231,23 +250,35 @@
 	return slots
 }
 
-// keepers returns the VMs of this region that stay and keep a stream that begins now, in the order in which they are asked for it.
-func (h *streamHolders) keepers(id string) []version.Keeper {
-	if h.localKeepers == nil {
-		h.localKeepers = keepersByAge(h.responsiveMembers(h.edge.Settings.Region))
+// local returns the VMs of this region that stay and keep a stream that begins now, in the order in which they are asked for it.
+func (h *streamHolders) local(id string) []version.Holder {
+	if h.localHolders == nil {
+		h.localHolders = holdersByAge(h.responsiveMembers(h.edge.Settings.Region), nil)
 	}
-	if len(h.localKeepers) <= maxLocalHolders {
-		return h.localKeepers
+	if len(h.localHolders) <= maxLocalHolders {
+		return h.localHolders
 	}
-	return keepersByAge(rendezvousOrder(h.responsiveMembers(h.edge.Settings.Region), id, memberSlot, maxLocalHolders))
+	list := rendezvousOrder(h.responsiveMembers(h.edge.Settings.Region), id, memberSlot, maxLocalHolders)
+	return holdersByAge(slices.Clone(list), list[:sureHolders])
 }
 
-func keepersByAge(members []fleet.Member) []version.Keeper {
-	keepers := make([]version.Keeper, 0, len(members))
+// holdersByAge returns VMs that keep streams, those that have run longest first. Those that are not among the sure ones may be new; nil means that
+// all are sure.
+func holdersByAge(members, sure []fleet.Member) []version.Holder {
+	holders := make([]version.Holder, 0, len(members))
 	for _, m := range byAge(members) {
-		keepers = append(keepers, version.Keeper{Slot: m.Slot, StartedAt: m.ProcessStartedAt()})
+		mayBeNew := sure != nil && !slices.ContainsFunc(sure, func(s fleet.Member) bool { return s.Slot == m.Slot })
+		holders = append(holders, version.Holder{Slot: m.Slot, StartedAt: m.ProcessStartedAt(), MayBeNew: mayBeNew})
 	}
-	return keepers
+	return holders
+}
+
+// startedSince returns the VMs among those that keep a stream that may not have got a report of it at a time.
+func (h *streamHolders) startedSince(id string, reportedAt time.Time) []string {
+	return slices.DeleteFunc(h.of(id), func(slot string) bool {
+		m, ok := h.edge.Fleet.Member(slot)
+		return ok && version.RanBefore(m.ProcessStartedAt(), reportedAt)
+	})
 }
 
 func (h *streamHolders) responsiveMembers(region string) []fleet.Member {
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -25,6 +25,17 @@
 	return slices.DeleteFunc(f.ReadyMembers(now, region), func(m Member) bool { return !m.DisconnectedAt.IsZero() })
 }
 
+// Member returns the VM of a slot, if a presence of it has arrived.
+func (f *Fleet) Member(slot string) (Member, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.members[slot]
+	if m == nil {
+		return Member{}, false
+	}
+	return *m, true
+}
+
 // StoppingMembers returns the members of a region that are leaving and with which this VM has a session, sorted by name. Their processes
 // still answer other VMs.
 func (f *Fleet) StoppingMembers(now time.Time, region string) []Member {
--- a/version/kept.go
+++ b/version/kept.go
@@ -12,8 +12,8 @@
 	From Process
 	// KeptAt is the time of the report.
 	KeptAt time.Time
-	// Scarce means that few VMs of this region keep the stream: it began in another region, or was handed over.
-	Scarce bool
+	// FewCopies means that few VMs of this region keep the stream: it began in another region, or was handed over.
+	FewCopies bool
 }
 
 // keptStreams holds the streams of a service that other VMs have reported, each once, in the order of their first report.
@@ -24,14 +24,15 @@
 	dropped   int
 }
 
-// add keeps a stream. A report by the VM that began it replaces one of a VM that has handed it over, not the other way round.
+// add keeps a stream. Only a report by the VM that began it replaces an earlier one: one that hands it over still runs, so that the stream
+// would not be handed over for a while.
 func (s *keptStreams) add(k KeptStream) {
 	if s.positions == nil {
 		s.positions = map[string]int{}
 	}
 	if at, known := s.positions[k.ID]; known {
-		if old := &s.list[at-s.dropped]; old.Scarce || !k.Scarce {
-			*old = k
+		if !k.FewCopies {
+			s.list[at-s.dropped] = k
 		}
 		return
 	}
--- a/version/streams.go
+++ b/version/streams.go
@@ -24,6 +24,13 @@
 	At time.Time
 }
 
+// ReportedStream is a stream that began at this VM, and of which others were notified.
+type ReportedStream struct {
+	StartedStream
+	// ReportedAt is the time of the latest notification.
+	ReportedAt time.Time
+}
+
 // Streams keeps the streams that have begun, by the id of the attempt that brought their first event. It is safe for concurrent use.
 type Streams struct {
 	// Lifetime is the time for which a stream is kept at least.
@@ -37,7 +44,8 @@
 	rotatedAt                 time.Time
 	// unreported and reported hold the streams that began at this VM, by service in the order of their start. Other VMs have been notified
 	// of those in reported.
-	unreported, reported map[string][]StartedStream
+	unreported map[string][]StartedStream
+	reported   map[string][]ReportedStream
 	// kept holds the streams that other VMs have reported, by service.
 	kept map[string]*keptStreams
 }
@@ -56,7 +64,7 @@
 	return &Streams{
 		Lifetime: lifetime, recent: map[string]Stream{}, older: map[string]Stream{}, rotatedAt: now,
 		forwarded: map[string]Stream{}, olderForwarded: map[string]Stream{},
-		unreported: map[string][]StartedStream{}, reported: map[string][]StartedStream{}, kept: map[string]*keptStreams{},
+		unreported: map[string][]StartedStream{}, reported: map[string][]ReportedStream{}, kept: map[string]*keptStreams{},
 	}
 }
 
@@ -118,25 +126,29 @@
 	s.unreported[stream.Service] = appendLatest(s.unreported[stream.Service], StartedStream{ID: id, Stream: stream, At: now})
 }
 
-// TakeUnreported returns the streams of a service that began at this VM since a time, for other VMs. Streams are returned once, unless
-// ForgetReports is called.
-func (s *Streams) TakeUnreported(service string, since time.Time) []StartedStream {
+// TakeUnreported returns the streams of a service that began at this VM since a time and of which other VMs are notified now, each once.
+func (s *Streams) TakeUnreported(now time.Time, service string, since time.Time) []StartedStream {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	taken := startedSince(s.unreported[service], since)
+	taken := slices.DeleteFunc(s.unreported[service], func(b StartedStream) bool { return b.At.Before(since) })
 	delete(s.unreported, service)
-	s.reported[service] = appendLatest(s.reported[service], taken...)
+	for _, began := range taken {
+		s.reported[service] = appendLatest(s.reported[service], ReportedStream{StartedStream: began, ReportedAt: now})
+	}
 	return taken
 }
 
-// ForgetReports lets TakeUnreported return the streams again that it has returned before: the VMs that were notified of them may have ended.
-func (s *Streams) ForgetReports() {
+// TakeReported returns the streams of a service that began at this VM since a time and of which TakeUnreported has returned before. The VMs that
+// have started since their reports are notified of them now.
+func (s *Streams) TakeReported(now time.Time, service string, since time.Time) []ReportedStream {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for service, list := range s.reported {
-		s.unreported[service] = appendLatest(list, s.unreported[service]...)
+	s.reported[service] = slices.DeleteFunc(s.reported[service], func(b ReportedStream) bool { return b.At.Before(since) })
+	taken := slices.Clone(s.reported[service])
+	for i := range s.reported[service] {
+		s.reported[service][i].ReportedAt = now
 	}
-	clear(s.reported)
+	return taken
 }
 
 // appendLatest appends streams to a list, and drops the first ones if there are more than maxStreams.
@@ -145,11 +157,6 @@
 	return list[max(0, len(list)-maxStreams):]
 }
 
-// startedSince removes the streams from a list that began before a time.
-func startedSince(list []StartedStream, since time.Time) []StartedStream {
-	return slices.DeleteFunc(list, func(b StartedStream) bool { return b.At.Before(since) })
-}
-
 // Find returns a stream.
 func (s *Streams) Find(now time.Time, id string) (Stream, bool) {
 	s.mu.Lock()
@@ -184,10 +191,11 @@
 	if now.Sub(s.rotatedAt) >= 2*s.Lifetime {
 		s.older, s.olderForwarded = map[string]Stream{}, map[string]Stream{}
 	}
-	for _, lists := range []map[string][]StartedStream{s.unreported, s.reported} {
-		for service, list := range lists {
-			lists[service] = startedSince(list, s.rotatedAt)
-		}
+	for service, list := range s.unreported {
+		s.unreported[service] = slices.DeleteFunc(list, func(b StartedStream) bool { return b.At.Before(s.rotatedAt) })
+	}
+	for service, list := range s.reported {
+		s.reported[service] = slices.DeleteFunc(list, func(b ReportedStream) bool { return b.At.Before(s.rotatedAt) })
 	}
 	for _, kept := range s.kept {
 		kept.removeBefore(s.rotatedAt)
--- a/version/version_test.go
+++ b/version/version_test.go
@@ -209,16 +209,16 @@
 		{"s", nil},
 		{"t", []StartedStream{{ID: "other", Stream: Stream{Service: "t", Version: "v1"}, At: start.Add(20 * time.Second)}}},
 	} {
-		if taken := s.TakeUnreported(c.service, since); !slices.Equal(taken, c.want) {
+		if taken := s.TakeUnreported(start, c.service, since); !slices.Equal(taken, c.want) {
 			t.Errorf("service %s: %v, want %v", c.service, taken, c.want)
 		}
 	}
-	s.ForgetReports()
-	for range 2 {
-		if taken := s.TakeUnreported("s", since); len(taken) != 1 {
-			t.Errorf("%d streams after the reports are forgotten, want 1", len(taken))
+	for i := range 3 {
+		reportedAt := start.Add(time.Duration(i) * time.Second)
+		taken := s.TakeReported(reportedAt.Add(time.Second), "s", since)
+		if len(taken) != 1 || taken[0].ID != "running" || !taken[0].ReportedAt.Equal(reportedAt) {
+			t.Errorf("streams reported before: %+v, want running at %v", taken, reportedAt)
 		}
-		s.ForgetReports()
 	}
 	for i := range 10 {
 		s.Begin(start.Add(time.Duration(i)*time.Minute), "later", Stream{Service: "s"})
@@ -240,7 +240,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		s.Begin(start, "stream", Stream{Service: "s", Version: "v1"})
-		s.TakeUnreported("s", start)
+		s.TakeUnreported(start, "s", start)
 	}
 }
 
@@ -264,27 +264,27 @@
 // Guards against streams that no VM keeps any more after VMs were stopped in turn, and against reports to VMs that keep them already.
 func TestReceiversOfHandedOverStreams(t *testing.T) {
 	reported := time.Unix(1000, 0)
-	old, young, restarting := reported.Add(-time.Minute), reported.Add(time.Second), reported.Add(-keeperAge)
+	old, young, restarting := reported.Add(-time.Minute), reported.Add(time.Second), reported.Add(-holderAge)
 	for name, c := range map[string]struct {
-		scarce bool
-		starts []time.Time
-		want   string
-		copies int
+		fewCopies bool
+		starts    []time.Time
+		want      string
+		copies    int
 	}{
-		"all keep it":                      {starts: []time.Time{old, old, old, old, young}, copies: 4},
-		"few keep it":                      {starts: []time.Time{old, old, young, young, young}, want: "23", copies: 4},
-		"it may not have been known":       {starts: []time.Time{old, old, old, restarting}, want: "3", copies: 4},
-		"all have started since":           {starts: []time.Time{young, young, young, young, young}, want: "0123", copies: 4},
-		"it was handed over":               {scarce: true, starts: []time.Time{old, old, old, old, young}, want: "0123", copies: 4},
+		"all keep it":                      {starts: []time.Time{old, old, old, old, old, old, young}, copies: 6},
+		"few keep it":                      {starts: []time.Time{old, old, old, old, young, young, young}, want: "45", copies: 6},
+		"it may not have been known":       {starts: []time.Time{old, old, old, old, old, restarting}, want: "5", copies: 6},
+		"all have started since":           {starts: []time.Time{young, young, young, young, young, young, young}, want: "012345", copies: 6},
+		"it was handed over":               {fewCopies: true, starts: []time.Time{old, old, old, old, old, old, young}, want: "012345", copies: 6},
 		"fewer VMs than copies are wanted": {starts: []time.Time{old, young}, want: "1", copies: 2},
 		"no other VM":                      {},
 	} {
-		var keepers []Keeper
+		var holders []Holder
 		for i, at := range c.starts {
-			keepers = append(keepers, Keeper{Slot: strconv.Itoa(i), StartedAt: at})
+			holders = append(holders, Holder{Slot: strconv.Itoa(i), StartedAt: at})
 		}
-		k := KeptStream{KeptAt: reported, Scarce: c.scarce}
-		receivers, copies := k.Receivers(keepers)
+		k := KeptStream{KeptAt: reported, FewCopies: c.fewCopies}
+		receivers, copies := k.Receivers(holders)
 		if got := strings.Join(receivers, ""); got != c.want || copies != c.copies {
 			t.Errorf("%s: receivers %q, %d copies; want %q, %d", name, got, copies, c.want, c.copies)
 		}
@@ -296,11 +296,12 @@
 	now := time.Unix(1000, 0)
 	s := NewStreams(now, time.Minute)
 	began := StartedStream{ID: "a", Stream: Stream{Service: "s", Version: "v1"}, At: now}
-	for i, scarce := range []bool{false, true, true} {
-		s.Keep(now, KeptStream{StartedStream: began, From: Process{Slot: strconv.Itoa(i)}, KeptAt: now.Add(time.Duration(i)), Scarce: scarce})
-	}
-	orphans := s.Orphans("s", now, func(Process) bool { return false })
-	if len(orphans) != 1 || orphans[0].From.Slot != "0" || orphans[0].Scarce {
-		t.Errorf("streams to hand over: %+v, want the first report", orphans)
+	for i, fewCopies := range []bool{true, true, false, true} {
+		s.Keep(now, KeptStream{StartedStream: began, From: Process{Slot: strconv.Itoa(i)}, KeptAt: now.Add(time.Duration(i)), FewCopies: fewCopies})
+		want := []string{"0", "0", "2", "2"}[i]
+		orphans := s.Orphans("s", now, func(Process) bool { return false })
+		if len(orphans) != 1 || orphans[0].From.Slot != want || orphans[0].FewCopies != (i < 2) {
+			t.Errorf("streams to hand over after report %d: %+v, want that of %s", i, orphans, want)
+		}
 	}
 }
