--- a/edge/new.go
+++ b/edge/new.go
@@ -72,6 +72,7 @@
 		pressures:   contention.NewPressures(),
 		reach:       newReach(),
 	}
+	e.Pool.WithTimeout = sockets.WithTimeout
 	e.waiting = e.newWaiting()
 	e.clients.limits = DefaultClientLimits()
 	e.SetMachine(s.MemoryBytes, s.MaxDescriptors)
--- a/edge/reach.go
+++ b/edge/reach.go
@@ -132,19 +132,29 @@
 	}
 }
 
-// leaveLostPaths leaves the silent upstreams from whose service this VM is cut, where attempts may be repeated.
-func (e *Edge) leaveLostPaths(now time.Time) {
+// leaveLostPaths leaves the silent upstreams from whose service this VM is cut, where attempts may be repeated. What has arrived from them and
+// was not read yet counts.
+func (e *Edge) leaveLostPaths() {
+	if len(e.lostPaths()) == 0 {
+		return
+	}
+	_ = e.sockets.Wait(context.Background()) // Fails only if the context ends.
+	for _, w := range e.lostPaths() {
+		w.end()
+	}
+}
+
+func (e *Edge) lostPaths() []*pathWatch {
+	now := e.Now()
 	e.reach.mu.Lock()
+	defer e.reach.mu.Unlock()
 	var lost []*pathWatch
 	for w := range e.reach.watches {
 		if w.repeatable && e.Replicas.IsCut(w.probe.Service) && w.isSilent(now) {
 			lost = append(lost, w)
 		}
 	}
-	e.reach.mu.Unlock()
-	for _, w := range lost {
-		w.end()
-	}
+	return lost
 }
 
 // checkPath connects to an upstream in the background, unless that is being tried already.
@@ -177,7 +187,7 @@
 // open for the given time.
 func (e *Edge) connect(ctx context.Context, p replica.Probe, openTime time.Duration) error {
 	startedAt := e.Now()
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	ctx, cancel := e.sockets.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	if err := e.Pool.Connect(ctx, p.Address, openTime); err != nil {
 		if !upstream.IsClosedAtOnce(err) {
@@ -201,7 +211,7 @@
 	}
 	if cut {
 		event.PathLost.Log(e.Log, "service", p.Service, "sinceMillis", now.Sub(startedAt).Milliseconds())
-		e.leaveLostPaths(now)
+		e.leaveLostPaths()
 		e.Fleet.BroadcastPresence()
 	}
 	select {
@@ -273,7 +283,7 @@
 			ticker.Reset(probeInterval)
 		}
 		now := e.Now()
-		e.leaveLostPaths(now)
+		e.leaveLostPaths()
 		for _, p := range e.Replicas.DueProbes(now, maxProbes) {
 			e.checkPath(p)
 		}
--- a/pollbarrier/pollbarrier.go
+++ b/pollbarrier/pollbarrier.go
@@ -4,12 +4,19 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"sync"
 	"time"
 )
 
+// ErrTimeout is the cancellation cause of a context of WithTimeout whose time has passed.
+var ErrTimeout = errors.New("timed out")
+
+// timeoutSteps is the number of parts of a timeout, each of which ends only once the process has caught up with its sockets.
+const timeoutSteps = 4
+
 // Barrier is a pipe that this process reads like its sockets: a byte that is written to it is read after what arrived at the sockets
 // before. It is safe for concurrent use.
 type Barrier struct {
@@ -108,6 +115,31 @@
 	b.send()
 }
 
+// WithTimeout returns a context that ends with ErrTimeout after a time in which the process has kept up with its sockets: what arrives within it
+// is noticed before it has passed, however long the process waits for the processor.
+func (b *Barrier) WithTimeout(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(parent)
+	go b.runTimeout(ctx, cancel, timeout)
+	return ctx, func() { cancel(nil) }
+}
+
+func (b *Barrier) runTimeout(ctx context.Context, cancel context.CancelCauseFunc, timeout time.Duration) {
+	timer := time.NewTimer(timeout / timeoutSteps)
+	defer timer.Stop()
+	for range timeoutSteps {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		if b.Wait(ctx) != nil {
+			return
+		}
+		timer.Reset(timeout / timeoutSteps)
+	}
+	cancel(ErrTimeout)
+}
+
 // Delay returns the time that the process takes to notice what has arrived at its sockets, at most limit.
 func (b *Barrier) Delay(limit time.Duration) time.Duration {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -26,9 +26,13 @@
 // IsPoolFull reports whether an error means that the connection limit of an upstream is reached.
 func IsPoolFull(err error) bool { return errors.Is(err, errTooManyConnections) }
 
-// connectTimeout bounds an attempt to connect. An upstream is in the region of its VMs, and a lost packet is sent again after a
-// second only.
-const connectTimeout = 500 * time.Millisecond
+const (
+	// connectTimeout bounds an attempt to connect. An upstream is in the region of its VMs, and a lost packet is sent again after a
+	// second only.
+	connectTimeout = 500 * time.Millisecond
+	// maxConnectTime bounds it if the process does not keep up with its sockets.
+	maxConnectTime = 5 * time.Second
+)
 
 // idleCheckInterval is the interval at which expired idle connections are closed.
 const idleCheckInterval = 2 * time.Second
@@ -37,6 +41,8 @@
 type Pool struct {
 	// DialFunc opens a connection. Tests replace it.
 	DialFunc func(ctx context.Context, address string) (net.Conn, error)
+	// WithTimeout bounds attempts to connect. The default is context.WithTimeout.
+	WithTimeout func(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc)
 	// Now returns the current time. Tests replace it.
 	Now func() time.Time
 	// OnUnexpected, if set, is called for bytes that belong to no request, with the id of the request that waits for its response, if
@@ -67,13 +73,14 @@
 
 // NewPool returns an empty pool.
 func NewPool(now func() time.Time) *Pool {
-	dialer := &net.Dialer{Timeout: connectTimeout, KeepAlive: -1}
+	dialer := &net.Dialer{Timeout: maxConnectTime, KeepAlive: -1}
 	return &Pool{
 		DialFunc: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		},
-		Now:   now,
-		hosts: map[string]*hostConns{},
+		WithTimeout: context.WithTimeout,
+		Now:         now,
+		hosts:       map[string]*hostConns{},
 	}
 }
 
@@ -135,9 +142,14 @@
 	if err != nil {
 		return nil, err
 	}
+	ctx, cancel := p.WithTimeout(ctx, connectTimeout)
+	defer cancel()
 	netConn, err := p.DialFunc(ctx, address)
 	if err != nil {
 		p.release(address)
+		if ctx.Err() != nil {
+			err = context.Cause(ctx)
+		}
 		return nil, fmt.Errorf("dial upstream %s: %w", address, err)
 	}
 	c := newConn(netConn, p.Now, func(at time.Time) { h.lastReadAt.Store(at.UnixNano()) })
