--- a/edge/handover_test.go
+++ b/edge/handover_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	"parsleyhatch/version"
 	"parsleyhatch/vmwire"
@@ -60,3 +61,37 @@
 		}
 	}
 }
+
+// Guards against VMs stopped in turn of which each sends the origins of all before it, however old, until the links are full: 31 s pass
+// between two stops, so that only the rows of the VM itself and none of those that it has received are within their lifetime.
+func TestOriginsExpireWhileVMsStopInTurn(t *testing.T) {
+	t.Parallel()
+	const vms, rows, pause = 5, 300, streamLifetime/2 + time.Second
+	w := newVersionCluster(t)
+	for i := range vms {
+		w.startVM(fmt.Sprint("vm", i+1), "north", true)
+	}
+	w.waitForMembership()
+	var limit int64
+	for i, v := range w.vms[:vms-1] {
+		receivers := w.vms[i+1:]
+		now, before := v.Now(), v.sentReports()
+		for n := range rows {
+			v.Origins.Add(now, fmt.Sprint(v.Settings.Name, "-", n), version.Stream{Service: "plain", Version: "v1"})
+		}
+		v.handOverOrigins(now.Add(pause))
+		sent := (v.sentReports() - before) / int64(len(receivers))
+		if i == 0 {
+			limit = sent + sent/10
+		}
+		if sent == 0 || sent > limit {
+			t.Errorf("%s sent %d bytes to each VM, want up to %d", v.Settings.Name, sent, limit)
+		}
+		for _, other := range receivers {
+			w.waitFor("the rows are kept", func() bool {
+				streams, _ := other.Origins.Find(other.Now(), other.Now(), fmt.Sprint(v.Settings.Name, "-", rows-1))
+				return len(streams) == 1
+			})
+		}
+	}
+}
--- a/edge/streamorigins.go
+++ b/edge/streamorigins.go
@@ -127,38 +127,44 @@
 	}
 }
 
-// handOverOrigins sends the origins of all streams that callers may resume to the other VMs. This VM starts no stream any more. A VM that
+// handOverOrigins sends the origins of all streams that callers may resume to the other VMs, received ones included: VMs that have started
+// since do not have them. Their ages go with them, so that they expire although VMs stop in turn. This VM starts no stream any more. A VM that
 // misses the last message counts this process as lost.
 func (e *Edge) handOverOrigins(now time.Time) {
 	processes := e.Fleet.Processes(now)
 	if len(processes) > maxOriginVMs {
 		return
 	}
-	var rows []vmwire.KeyedOrigin
-	for _, s := range e.Origins.All(now) {
-		rows = append(rows, vmwire.KeyedOrigin{Key: s.Key, Origin: vmwire.StreamOrigin{Service: s.Service, Version: s.Version}})
+	all, droppedUntil := e.Origins.All(now)
+	rows := make([]vmwire.KeyedOrigin, 0, len(all))
+	for _, s := range all {
+		origin := vmwire.StreamOrigin{Service: s.Service, Version: s.Version}
+		rows = append(rows, vmwire.KeyedOrigin{Key: s.Key, Origin: origin, Age: vmwire.AgeRoundedDown(now, s.At)})
 	}
+	last := &vmwire.StreamsBegan{Last: true, DroppedAge: vmwire.AgeRoundedDown(now, droppedUntil)}
 	for _, p := range processes {
-		e.sendOrigins(p.Slot, rows)
+		e.sendOrigins(p.Slot, rows, last)
 	}
 }
 
 // sendOrigins hands over origins to one VM.
-func (e *Edge) sendOrigins(slot string, rows []vmwire.KeyedOrigin) {
+func (e *Edge) sendOrigins(slot string, rows []vmwire.KeyedOrigin, last *vmwire.StreamsBegan) {
 	for part := range slices.Chunk(rows, maxReportedStreams) {
 		if !e.Fleet.SendTo(slot, vmwire.KindStreamsBegan, &vmwire.StreamsBegan{Origins: part}) {
 			return
 		}
 	}
-	e.Fleet.SendTo(slot, vmwire.KindStreamsBegan, &vmwire.StreamsBegan{Last: true})
+	e.Fleet.SendTo(slot, vmwire.KindStreamsBegan, last)
 }
 
 // receiveOrigins keeps the origins that another VM hands over.
 func (e *Edge) receiveOrigins(now time.Time, peer vm.Identity, m *vmwire.StreamsBegan) {
 	for _, row := range m.Origins {
-		e.Origins.Add(now, row.Key, version.Stream{Service: row.Origin.Service, Version: row.Origin.Version})
+		stream := version.Stream{Service: row.Origin.Service, Version: row.Origin.Version}
+		e.Origins.Keep(now, version.KeyedStream{Key: row.Key, Stream: stream, At: row.Age.Moment(now)})
 	}
 	if m.Last {
+		e.Origins.RecordDropped(m.DroppedAge.Moment(now))
 		e.Fleet.RecordHandover(now, peer)
 	}
 }
--- a/edge/streamorigins_test.go
+++ b/edge/streamorigins_test.go
@@ -64,6 +64,10 @@
 		stops(w, v)
 		w.startVM(v.Settings.Name, "north", true)
 	}
+	stopsWithRowsDropped := func(w *testCluster, v *testVM) {
+		v.Origins.RecordDropped(v.Now())
+		stops(w, v)
+	}
 	stopsWithOpenRequest := func(w *testCluster, v *testVM) {
 		v.open.Add(1)
 		v.CloseSessions(w.t.Context())
@@ -129,6 +133,7 @@
 		"a VM that has just connected does not reply": {ends(0, connects, at(0)), false},
 		"equal requests after all VMs were lost":      {allLost, false},
 		"a VM does not reply":                         {ends(0, isSilent, at(0)), false},
+		"its VM has stopped, rows were dropped":       {ends(0, stopsWithRowsDropped, at(1)), false},
 		"its VM has stopped with a request open":      {ends(0, stopsWithOpenRequest, at(1)), false},
 		"an equal one at an unknown version":          {ends(1, passesUnknownVersion, at(0)), false},
 		"another VM met an older program":             {ends(1, meetsOldProgram, at(0)), false},
--- a/vmwire/age.go
+++ b/vmwire/age.go
@@ -17,6 +17,14 @@
 	return Age((age + time.Millisecond - 1) / time.Millisecond)
 }
 
+// AgeRoundedDown is AgeOf for state that must not expire early: the receiver takes the moment to be no earlier than it was.
+func AgeRoundedDown(now, moment time.Time) Age {
+	if moment.IsZero() {
+		return UnknownAge
+	}
+	return AgeOf(now, moment.Add(time.Millisecond-1))
+}
+
 // Moment returns the moment that has the age now. It is the zero time if the age is unknown.
 func (a Age) Moment(now time.Time) time.Time {
 	if a < 0 {
--- a/vmwire/age_test.go
+++ b/vmwire/age_test.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Guards against moments that are newer at the receiver than at the sender, and against unknown ones that become known.
+// Guards against moments that are newer at the receiver than at the sender, or earlier if their ages are rounded down, and against unknown ones that become known.
 func TestAge(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	for _, c := range []struct {
@@ -25,6 +25,9 @@
 		if received := age.Moment(now); age != c.age || received.IsZero() != c.moment.IsZero() || received.After(now) {
 			t.Errorf("%s: age %d, want %d, received as %v", c.name, age, c.age, received)
 		}
+		if received := AgeRoundedDown(now, c.moment).Moment(now); received.IsZero() != c.moment.IsZero() || received.Before(c.moment) && c.moment.Before(now) {
+			t.Errorf("%s: received as %v, which is earlier", c.name, received)
+		}
 	}
 	for _, a := range []Age{math.MinInt64, math.MinInt64 / 1_000_000, UnknownAge, math.MaxInt64 / 1_000_000, math.MaxInt64} {
 		if m, d := a.Moment(now), a.Duration(); m.After(now) || d < 0 || d > MaxAge {
--- a/vmwire/versions.go
+++ b/vmwire/versions.go
@@ -12,6 +12,9 @@
 	// Origins are those that a VM hands over before it ends. Last is set in its last message about them: it starts no stream any more.
 	Origins []KeyedOrigin
 	Last    bool
+	// DroppedAge, in the last message, is the age of the time before which streams began whose origins the sender may have dropped. It is
+	// UnknownAge if it has dropped none.
+	DroppedAge Age
 }
 
 // StreamBegan is the software version of the upstream that began a stream.
@@ -35,6 +38,8 @@
 type KeyedOrigin struct {
 	Key    string
 	Origin StreamOrigin
+	// Age is the time since the last of these streams began. An unknown one counts as zero.
+	Age Age
 }
 
 // StreamQuery asks for the service and the version of the stream that an attempt of a caller began, for the versions that have served a
--- a/vmwire/versions_gen.go
+++ b/vmwire/versions_gen.go
@@ -24,8 +24,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.Key, err = dc.ReadString()
@@ -57,13 +57,18 @@
 		err = msgp.WrapError(err, "Origin", "Version")
 		return
 	}
+	err = z.Age.DecodeMsg(dc)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *KeyedOrigin) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 2
-	err = en.Append(0x92)
+	// array header, size 3
+	err = en.Append(0x93)
 	if err != nil {
 		return
 	}
@@ -87,19 +92,29 @@
 		err = msgp.WrapError(err, "Origin", "Version")
 		return
 	}
+	err = z.Age.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *KeyedOrigin) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendString(o, z.Key)
 	// array header, size 2
 	o = append(o, 0x92)
 	o = msgp.AppendString(o, z.Origin.Service)
 	o = msgp.AppendString(o, z.Origin.Version)
+	o, err = z.Age.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
 	return
 }
 
@@ -111,8 +126,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.Key, bts, err = msgp.ReadStringBytes(bts)
@@ -140,13 +155,18 @@
 		err = msgp.WrapError(err, "Origin", "Version")
 		return
 	}
+	bts, err = z.Age.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *KeyedOrigin) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Key) + 1 + msgp.StringPrefixSize + len(z.Origin.Service) + msgp.StringPrefixSize + len(z.Origin.Version)
+	s = 1 + msgp.StringPrefixSize + len(z.Key) + 1 + msgp.StringPrefixSize + len(z.Origin.Service) + msgp.StringPrefixSize + len(z.Origin.Version) + z.Age.Msgsize()
 	return
 }
 
@@ -1502,8 +1522,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -1555,13 +1575,18 @@
 		err = msgp.WrapError(err, "Last")
 		return
 	}
+	err = z.DroppedAge.DecodeMsg(dc)
+	if err != nil {
+		err = msgp.WrapError(err, "DroppedAge")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *StreamsBegan) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 3
-	err = en.Append(0x93)
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
 		return
 	}
@@ -1594,14 +1619,19 @@
 		err = msgp.WrapError(err, "Last")
 		return
 	}
+	err = z.DroppedAge.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "DroppedAge")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *StreamsBegan) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Streams)))
 	for za0001 := range z.Streams {
 		o, err = z.Streams[za0001].MarshalMsg(o)
@@ -1619,6 +1649,11 @@
 		}
 	}
 	o = msgp.AppendBool(o, z.Last)
+	o, err = z.DroppedAge.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "DroppedAge")
+		return
+	}
 	return
 }
 
@@ -1630,8 +1665,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -1683,6 +1718,11 @@
 		err = msgp.WrapError(err, "Last")
 		return
 	}
+	bts, err = z.DroppedAge.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "DroppedAge")
+		return
+	}
 	o = bts
 	return
 }
@@ -1697,7 +1737,7 @@
 	for za0002 := range z.Origins {
 		s += z.Origins[za0002].Msgsize()
 	}
-	s += msgp.BoolSize
+	s += msgp.BoolSize + z.DroppedAge.Msgsize()
 	return
 }
 
