--- a/edge/lostpath_test.go
+++ b/edge/lostpath_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"parsleyhatch/platform"
 	"parsleyhatch/replica"
 )
 
@@ -69,3 +70,49 @@
 		})
 	}
 }
+
+// Guards against a stream that waits at an upstream to which the path is lost, because everywhere else its next event is expected later than the
+// objective of a new stream.
+func TestStreamOnLostPathMovesWhateverTheWait(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t, "north", "south")
+	w.publishConfig(1, strings.Replace(routeJSON("a", "streaming", "plain", `,"resumable":true`), `"target_latency_ms":500`, `"target_latency_ms":1`, 1))
+	v := w.startVM("vm0", "north", true)
+	link := cutLink(v)
+	w.startVM("far", "south", true)
+	w.waitForMembership()
+	began := make(chan struct{}, 1)
+	hang := make(chan struct{})
+	defer close(hang)
+	handle := func(rw http.ResponseWriter, r *http.Request) {
+		if last := r.Header.Get(platform.HeaderLastEventID); last != "" {
+			writeEvents(rw, 3, 5, true)
+			return
+		}
+		writeEvents(rw, 1, 2, true)
+		began <- struct{}{}
+		<-hang
+	}
+	var probes []replica.Probe
+	for i := range 3 {
+		id := fmt.Sprint("u", i)
+		u := w.addUpstream(id, "plain", "north", handle)
+		probes = append(probes, replica.Probe{ID: id, Address: u.server.Listener.Addr().String(), Service: "plain"})
+	}
+	w.waitForUpstreams(len(probes))
+	answers := make(chan string, 1)
+	go func() {
+		status, body, err := v.read(t, "/a/", nil)
+		answers <- fmt.Sprint(status, " ", body, " ", err)
+	}()
+	<-began
+	w.addUpstream("far", "plain", "south", handle)
+	w.waitForUpstreams(len(probes) + 1)
+	link.set(cutHangs)
+	for _, p := range probes {
+		v.checkPath(p)
+	}
+	if answer := <-answers; strings.Count(answer, "data:") != 5 || !strings.HasSuffix(answer, " <nil>") {
+		t.Errorf("answer %q, want the whole stream", answer)
+	}
+}
--- a/edge/stall.go
+++ b/edge/stall.go
@@ -112,7 +112,7 @@
 // reports false if the stream stays here: there is no such upstream, or it did not take the request.
 func (s *eventRelay) resume(now time.Time) bool {
 	r := s.request
-	reserved := s.edge.reserveResume(s.ctx, r)
+	reserved := s.edge.reserveResume(s.ctx, r, s.isPathLost())
 	if !s.stall.logged {
 		s.edge.Replicas.RecordSilence(s.edge.Now(), s.pick)
 	}
@@ -192,9 +192,9 @@
 	return s.request.returnable && silent > time.Duration(giveBackShare*float64(patience))
 }
 
-// reserveResume reports whether a started stream can resume at another upstream without a long wait, and if so
-// counts the attempt in the retry budget.
-func (e *Edge) reserveResume(ctx context.Context, r *request) bool {
+// reserveResume reports whether a started stream can resume at another upstream, without a long wait unless the path to its own is lost, and if
+// so counts the attempt in the retry budget.
+func (e *Edge) reserveResume(ctx context.Context, r *request, pathLost bool) bool {
 	if !e.mayStart(e.Now(), r, 0) {
 		return false
 	}
@@ -206,5 +206,6 @@
 	}
 	now := e.Now()
 	best, ok := e.bestRegion(now, r)
-	return ok && best.Wait <= e.maxExpectedWait(now, r) && e.mayRunAgain(ctx, r) && e.takeRetry(r, causeStalled)
+	inTime := pathLost || best.Wait <= e.maxExpectedWait(now, r)
+	return ok && inTime && e.mayRunAgain(ctx, r) && e.takeRetry(r, causeStalled)
 }
