--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -41,7 +41,7 @@
 type Pool struct {
 	// DialFunc opens a connection. Tests replace it.
 	DialFunc func(ctx context.Context, address string) (net.Conn, error)
-	// WithTimeout bounds attempts to connect. The default is context.WithTimeout.
+	// WithTimeout bounds the attempts to connect of the default DialFunc. The default is context.WithTimeout.
 	WithTimeout func(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc)
 	// Now returns the current time. Tests replace it.
 	Now func() time.Time
@@ -73,15 +73,21 @@
 
 // NewPool returns an empty pool.
 func NewPool(now func() time.Time) *Pool {
+	p := &Pool{WithTimeout: context.WithTimeout, Now: now, hosts: map[string]*hostConns{}}
+	p.DialFunc = p.dialTCP
+	return p
+}
+
+// dialTCP opens a TCP connection within connectTimeout.
+func (p *Pool) dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := p.WithTimeout(ctx, connectTimeout)
+	defer cancel()
 	dialer := &net.Dialer{Timeout: maxConnectTime, KeepAlive: -1}
-	return &Pool{
-		DialFunc: func(ctx context.Context, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp", address)
-		},
-		WithTimeout: context.WithTimeout,
-		Now:         now,
-		hosts:       map[string]*hostConns{},
+	c, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil && ctx.Err() != nil {
+		return nil, context.Cause(ctx)
 	}
+	return c, err
 }
 
 // Stats returns the current counts.
@@ -142,14 +148,9 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := p.WithTimeout(ctx, connectTimeout)
-	defer cancel()
 	netConn, err := p.DialFunc(ctx, address)
 	if err != nil {
 		p.release(address)
-		if ctx.Err() != nil {
-			err = context.Cause(ctx)
-		}
 		return nil, fmt.Errorf("dial upstream %s: %w", address, err)
 	}
 	c := newConn(netConn, p.Now, func(at time.Time) { h.lastReadAt.Store(at.UnixNano()) })
