--- a/standin/faultlink/link.go
+++ b/standin/faultlink/link.go
@@ -84,7 +84,9 @@
 	mu       sync.Mutex
 	target   string
 	listener net.Listener
-	conns    map[net.Conn]bool
+	// paused is received from to wait until runAccept of the listener is outside of Accept. It is closed when runAccept ends.
+	paused chan struct{}
+	conns  map[net.Conn]bool
 	// refusing counts the faults that refuse new connections.
 	refusing int
 	// hanging counts the faults that answer no new connections.
@@ -107,7 +109,8 @@
 		return fmt.Errorf("listen for the link to %s: %w", p.target, err)
 	}
 	p.listener = listener
-	go p.runAccept(listener)
+	p.paused = make(chan struct{})
+	go p.runAccept(listener, p.paused)
 	return nil
 }
 
@@ -190,7 +193,12 @@
 // attempts to connect then.
 func (p *Link) fillBacklog() error {
 	tcp := p.listener.(*net.TCPListener)
-	if err := errors.Join(tcp.SetDeadline(time.Now()), setBacklog(tcp, 0)); err != nil {
+	if err := tcp.SetDeadline(time.Now()); err != nil {
+		return err
+	}
+	// An Accept that passed its check of the deadline before may still take a connection from the queue.
+	<-p.paused
+	if err := setBacklog(tcp, 0); err != nil {
 		return err
 	}
 	for range maxWaitingConnections {
@@ -266,11 +274,17 @@
 	}
 }
 
-func (p *Link) runAccept(listener net.Listener) {
+// runAccept relays the connections of a listener until the listener is closed. Past the deadline of the listener, it accepts none and
+// sends on paused.
+func (p *Link) runAccept(listener net.Listener, paused chan<- struct{}) {
+	defer close(paused)
 	for {
 		c, err := listener.Accept()
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			time.Sleep(hangPollInterval)
+			select {
+			case paused <- struct{}{}:
+			case <-time.After(hangPollInterval):
+			}
 			continue
 		}
 		if err != nil {
