edge: count requests at upstreams only until their answers have arrived

What callers saw: while some 500 callers did not read answers of 4 MB, ordinary requests to the same service were refused as overloaded ("the first answer is expected too late") for 30 s, although the upstream had finished most of those requests.

Cause: an answer that is too long for the buffer, or has no memory, is relayed as the caller reads it, and its request counted as running until the caller had read it or left, also after the deadline, when the connection to the upstream is closed. Buffered answers were not concerned: their requests end before the answer is delivered.

Change: upstreamUse ends the count of a relayed request while its caller does not read, once the rest of the answer has arrived at the VM's socket (checked every 100 ms by Response.IsReceived), or the request has ended. The result is then Answered or RequestCancelled. A request whose upstream still has something to send counts as before.

The set-up of a request in TestStreamEndsWithFailedWrite is now a function, which both tests use.

Answers without a length are counted as before until the deadline.

edge TestDeadlineHoldsAfterWaitForConnection fails on this machine ("0 attempts, want 2"), with and without this change; not traced.

--- a/edge/send.go
+++ b/edge/send.go
@@ -180,7 +180,7 @@
 	}
 	tooLong := noMemory || errors.Is(err, memory.ErrTooLong)
 	if tooLong && !r.headSent {
-		return e.relayUnbuffered(r, pick, a, body, sink)
+		return e.relayUnbuffered(ctx, r, pick, a, body, sink)
 	}
 	if err != nil && !tooLong {
 		return e.handleReadFailure(ctx, r, pick, a, err)
@@ -250,14 +250,14 @@
 
 // relayUnbuffered relays an answer that is too long to be buffered, or for which there is no memory. prefix holds the bytes that were
 // already read.
-func (e *Edge) relayUnbuffered(r *request, pick *replica.Pick, a *upstream.Response, prefix *memory.Buffer, sink *Sink) Outcome {
+func (e *Edge) relayUnbuffered(ctx context.Context, r *request, pick *replica.Pick, a *upstream.Response, prefix *memory.Buffer, sink *Sink) Outcome {
 	r.headSent, r.notResumable = true, true
-	result := replica.Failed
-	defer func() { e.Replicas.Done(e.Now(), pick, result) }()
+	result, use := replica.Failed, e.newUpstreamUse(ctx, pick, a)
+	defer func() { use.end(result) }()
 	if err := sink.Head(a.Status, endToEnd(a.Header), -1); err != nil {
 		return fail(CallerDisconnected, err.Error())
 	}
-	if err := sink.Data(prefix.Bytes(), false); err != nil {
+	if err := use.write(sink, prefix.Bytes()); err != nil {
 		return fail(CallerDisconnected, err.Error())
 	}
 	relayed := prefix.Len()
@@ -270,7 +270,7 @@
 			return fail(UpstreamFailed, "the answer has no end")
 		}
 		if n > 0 {
-			if sinkErr := sink.Data(buf[:n], false); sinkErr != nil {
+			if sinkErr := use.write(sink, buf[:n]); sinkErr != nil {
 				return fail(CallerDisconnected, sinkErr.Error())
 			}
 		}
--- a/edge/sinkfailure_test.go
+++ b/edge/sinkfailure_test.go
@@ -17,16 +17,7 @@
 	for _, name := range []string{"a", "b"} {
 		t.Run("route "+name, func(t *testing.T) {
 			h := w.request(t, name, "", []string{"+ + |", "+ + |"})
-			r := &request{callerRequest: callerRequest{
-				id: h.Header.Get(platform.HeaderRequestID), method: h.Method, target: h.URL.Path, host: h.Host, header: h.Header, body: []byte("x"), arrived: time.Now(),
-			}}
-			r.key, r.hasKey = route.HashKey(h.Header.Get(platform.HeaderAPIKey)), true
-			if out, ok := w.caller.routeAndAuthenticate(w.caller.Now(), w.caller.table(), r, r.target); !ok {
-				t.Fatal(out)
-			}
-			if out, ok := w.caller.prepare(w.caller.table(), r); !ok {
-				t.Fatal(out)
-			}
+			r := w.caller.admitted(t, h, "x")
 			writes := 0
 			sink := &Sink{
 				Head: func(int, http.Header, int) error { return nil },
@@ -44,3 +35,19 @@
 		})
 	}
 }
+
+// admitted returns a request of a caller that may be run.
+func (v *testVM) admitted(t *testing.T, h *http.Request, body string) *request {
+	t.Helper()
+	r := &request{callerRequest: callerRequest{
+		id: h.Header.Get(platform.HeaderRequestID), method: h.Method, target: h.URL.Path, host: h.Host, header: h.Header, body: []byte(body), arrived: time.Now(),
+	}}
+	r.key, r.hasKey = route.HashKey(h.Header.Get(platform.HeaderAPIKey)), true
+	if out, ok := v.routeAndAuthenticate(v.Now(), v.table(), r, r.target); !ok {
+		t.Fatal(out)
+	}
+	if out, ok := v.prepare(v.table(), r); !ok {
+		t.Fatal(out)
+	}
+	return r
+}
--- a/edge/unread_test.go
+++ b/edge/unread_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -125,3 +127,91 @@
 		_, _ = io.Copy(io.Discard, r.Body) // Fails when the VM has closed the connection.
 	}
 }
+
+// Guards against requests that delay others at an upstream because their callers do not read answers for which it has nothing left to do.
+func TestUnreadAnswersDelayNoOthers(t *testing.T) {
+	const requests, length = 3, maxBufferedAnswer + 8<<10
+	for name, c := range map[string]struct {
+		sent    int
+		endsCtx bool
+	}{
+		"the answer has arrived":             {sent: length},
+		"the request ends before it arrives": {sent: maxBufferedAnswer + 1, endsCtx: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newTestCluster(t, "north")
+			w.publishConfig(1, routeJSON("a", "unsafe", "plain", ""))
+			w.addUpstream("u1", "plain", "north", func(rw http.ResponseWriter, r *http.Request) {
+				rw.Header().Set("Content-Length", strconv.Itoa(length))
+				_, _ = io.WriteString(rw, strings.Repeat("x", c.sent)) // The test sees a failure.
+				rw.(http.Flusher).Flush()
+				if c.sent < length {
+					<-r.Context().Done()
+				}
+			})
+			v := w.startVM("vm1", "north", true)
+			w.waitFor("the upstream is known", func() bool { return v.knowsUpstreams("plain", 1) })
+			idle := v.expectedWait(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			callers := startUnreadCallers(ctx, t, v, requests)
+			w.waitFor("all callers are sent a part of their answers", func() bool { return callers.writing.Load() == requests })
+			if c.endsCtx {
+				if wait := v.expectedWait(t); wait <= idle {
+					t.Errorf("the expected wait beside incomplete answers is %v, and %v at an idle upstream", wait, idle)
+				}
+				cancel()
+			}
+			w.waitFor("the requests add nothing to the expected wait", func() bool { return v.expectedWait(t) == idle })
+			callers.read()
+			if n := callers.received.Load(); !c.endsCtx && n != requests*length {
+				t.Errorf("callers received %d bytes of %d answers of %d", n, requests, length)
+			}
+			if wait := v.expectedWait(t); wait != idle {
+				t.Errorf("the expected wait after all requests is %v, and was %v before", wait, idle)
+			}
+		})
+	}
+}
+
+// unreadCallers are callers that read nothing before read is called.
+type unreadCallers struct {
+	reads             chan struct{}
+	running           sync.WaitGroup
+	writing, received atomic.Int64
+}
+
+func startUnreadCallers(ctx context.Context, t *testing.T, v *testVM, requests int) *unreadCallers {
+	c := &unreadCallers{reads: make(chan struct{})}
+	for range requests {
+		r := v.admitted(t, v.request(t, "/a/", "x", nil), "x")
+		var first sync.Once
+		sink := &Sink{
+			Head: func(int, http.Header, int) error { return nil },
+			Data: func(b []byte, _ bool) error {
+				first.Do(func() { c.writing.Add(1) })
+				<-c.reads
+				c.received.Add(int64(len(b)))
+				return nil
+			},
+		}
+		c.running.Go(func() { v.run(ctx, r, sink) })
+	}
+	return c
+}
+
+// read reads all answers to their ends.
+func (c *unreadCallers) read() {
+	close(c.reads)
+	c.running.Wait()
+}
+
+// expectedWait returns the expected time to the answer of a new request.
+func (v *testVM) expectedWait(t *testing.T) time.Duration {
+	t.Helper()
+	pick, ok := v.Replicas.Estimate(v.Now(), v.replicaRequest(v.admitted(t, v.request(t, "/a/", "x", nil), "x")))
+	if !ok {
+		t.Fatal("no upstream is eligible")
+	}
+	return pick.FirstToken
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -64,6 +64,7 @@
 	id                string
 	conn              *conn
 	body              io.ReadCloser
+	readBytes         int64 // the number of bytes of the body that have been read
 	complete          bool
 	malformed         bool
 	write             *requestWrite
@@ -177,6 +178,7 @@
 // Read reads the body. io.EOF means that the body is complete; a truncated response returns another error.
 func (a *Response) Read(b []byte) (int, error) {
 	n, err := a.body.Read(b)
+	a.readBytes += int64(n)
 	if errors.Is(err, io.EOF) && !a.Framed && a.write.wasReset() {
 		err = errResetWhileSending
 	}
