--- a/edge/busyvm_test.go
+++ b/edge/busyvm_test.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"bytes"
 	"fmt"
 	"net/http"
 	"runtime"
@@ -13,24 +12,6 @@
 	"parsleyhatch/platform"
 )
 
-// lockedBuffer is a log that may be read while VMs write to it.
-type lockedBuffer struct {
-	mu   sync.Mutex
-	data bytes.Buffer
-}
-
-func (b *lockedBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.data.Write(p)
-}
-
-func (b *lockedBuffer) count(text string) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return strings.Count(b.data.String(), text)
-}
-
 const (
 	// busyLoops is the number of loops that compete for the one processor of a busy process. Each runs for 10 ms at a time, so that
 	// everything else waits for twice the time within which an upstream has to take a connection.
@@ -59,7 +40,7 @@
 // working on.
 func TestBusyVMKeepsItsUpstreams(t *testing.T) {
 	w := newTestCluster(t, "north")
-	log := &lockedBuffer{}
+	log := &logLines{}
 	w.log = log
 	w.publishConfig(1, strings.Replace(routeJSON("a", "safe", "plain", ""), `"timeout_ms":3000`, `"timeout_ms":20000`, 1))
 	v := w.startVM("vm1", "north", true)
@@ -90,7 +71,7 @@
 			t.Errorf("status %d, want 200", status)
 		}
 	}
-	if n := log.count("no connection to the upstream"); n > 0 {
-		t.Errorf("%d upstreams that take connections counted as out of reach", n)
+	if lines := log.with("no connection to the upstream"); len(lines) > 0 {
+		t.Errorf("upstreams that take connections counted as out of reach: %v", lines)
 	}
 }
--- a/edge/streamreport.go
+++ b/edge/streamreport.go
@@ -179,6 +179,7 @@
 	}
 }
 
+// sendReports sends each VM the streams that it is to keep. A report that the queue of its session does not take is lost.
 func (e *Edge) sendReports(reports streamReports) {
 	for slot, list := range reports {
 		for part := range slices.Chunk(list, maxReportedStreams) {
