--- a/review/_standin2/poison.go
+++ b/review/_standin2/poison.go
@@ -15,6 +15,8 @@
 	maxRetries = 3
 	// copies is the number of requests of a client that repeats its request three more times at once.
 	copies = 4
+	// otherClients is the number of clients that send other requests meanwhile.
+	otherClients = 21
 	// tryPause is the time between two of the first attempts, and maxTries their number.
 	tryPause = 600 * time.Millisecond
 	maxTries = 12
@@ -105,8 +107,8 @@
 	ctx, stop := context.WithCancel(context.Background())
 	var others, copied sync.WaitGroup
 	got := &replies{byID: map[string]reply{}}
-	for _, m := range p.d.machines {
-		others.Go(func() { sendSteadily(ctx, m, got) })
+	for i := range otherClients {
+		others.Go(func() { sendSteadily(ctx, p.d.machines[i%len(p.d.machines)], got) })
 	}
 	time.Sleep(settleTime)
 	began := time.Now()
--- a/review/_standin2/replica.go
+++ b/review/_standin2/replica.go
@@ -22,6 +22,7 @@
 	onCrash func(p *replica, a arrival)
 
 	running  atomic.Int64
+	crashed  sync.Once
 	mu       sync.Mutex
 	server   *http.Server
 	arrivals []arrival
@@ -51,15 +52,20 @@
 
 // crash ends a replica without a word to the store. It is back after restartTime at its address, with a new id.
 func (d *deployment) crash(p *replica) {
-	p.exit()
-	time.AfterFunc(expiryTime, func() { d.store.remove("servers/" + p.id) })
-	time.AfterFunc(restartTime, func() {
-		next := &replica{id: p.id + "x", service: p.service, zone: p.zone, address: p.address, slots: p.slots, work: p.work, onCrash: p.onCrash}
-		next.start()
-		d.store.put("servers/"+next.id, next.registration())
+	p.crashed.Do(func() {
+		p.exit()
+		time.AfterFunc(expiryTime, func() { d.store.remove("servers/" + p.id) })
+		time.AfterFunc(restartTime, func() { d.replace(p) })
 	})
 }
 
+// replace starts a replica at the address of one that has crashed.
+func (d *deployment) replace(p *replica) {
+	next := &replica{id: p.id + "x", service: p.service, zone: p.zone, address: p.address, slots: p.slots, work: p.work, onCrash: p.onCrash}
+	next.start()
+	d.store.put("servers/"+next.id, next.registration())
+}
+
 // start opens the listener of the replica and serves.
 func (p *replica) start() {
 	l, err := net.Listen("tcp", p.address)
