--- a/review/_standin2/configuration.go
+++ b/review/_standin2/configuration.go
@@ -55,8 +55,7 @@
 				address: fmt.Sprintf("%s:%d", d.ip(z+1, firstReplicaHost+n), replicaPort),
 			}
 			prepare(p)
-			p.start()
-			d.store.put("servers/"+p.id, p.registration())
+			d.addReplica(p)
 			list = append(list, p)
 		}
 	}
--- a/review/_standin2/deployment.go
+++ b/review/_standin2/deployment.go
@@ -9,7 +9,9 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -113,6 +115,26 @@
 	store    *store
 	machines []*machine
 	record   *record
+
+	mu sync.Mutex
+	// replicas are all replicas that have been started.
+	replicas []*replica
+}
+
+// addReplica starts a replica and registers it.
+func (d *deployment) addReplica(p *replica) {
+	p.start()
+	d.store.put("servers/"+p.id, p.registration())
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.replicas = append(d.replicas, p)
+}
+
+// allReplicas returns all replicas that have been started.
+func (d *deployment) allReplicas() []*replica {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.replicas)
 }
 
 // newDeployment returns a deployment on addresses whose ports are free, with a store that is running.
--- a/review/_standin2/drain.go
+++ b/review/_standin2/drain.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -29,6 +31,15 @@
 	r.byID[x.id] = x
 }
 
+// inOrder returns the replies in the order in which their requests were sent.
+func (r *replies) inOrder() []reply {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := slices.Collect(maps.Values(r.byID))
+	slices.SortFunc(list, func(a, b reply) int { return a.sentAt.Compare(b.sentAt) })
+	return list
+}
+
 func (r *replies) get(id string) reply {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -82,9 +93,23 @@
 	time.Sleep(time.Second)
 	stop()
 	wait.Wait()
+	d.recordAll(got)
 	return d.judgeDrain(leaving, acked, got)
 }
 
+// recordAll records all requests of clients with their answers, and the replicas that ran them.
+func (d *deployment) recordAll(got *replies) {
+	runs := map[string][]string{}
+	for _, p := range d.allReplicas() {
+		for _, a := range p.runs() {
+			runs[a.id] = append(runs[a.id], a.replica+" at "+d.record.at(a.at))
+		}
+	}
+	for _, r := range got.inOrder() {
+		d.record.add("sent %s, answered %s, run by %v: %s", d.record.at(r.sentAt), d.record.at(r.readAt), runs[r.id], r.String())
+	}
+}
+
 // judgeDrain reports whether requests reached a replica later than drainBound after the store had accepted that it is gone.
 func (d *deployment) judgeDrain(leaving *replica, acked time.Time, got *replies) bool {
 	late, lost := 0, 0
@@ -97,7 +122,7 @@
 		if r.status != http.StatusOK {
 			lost++
 		}
-		d.record.add("reached %s %.3f s after the ack, sent by the client %.3f s after it: %s", leaving.id, a.at.Sub(acked).Seconds(), r.sentAt.Sub(acked).Seconds(), r.String())
+		d.record.add("late: request %s reached %s %.3f s after the ack, answered %d", a.id, leaving.id, a.at.Sub(acked).Seconds(), r.status)
 	}
 	d.record.add("requests that reached %s later than %v after the ack: %d, of these without its answer: %d", leaving.id, drainBound, late, lost)
 	return late > 0
--- a/review/_standin2/poison.go
+++ b/review/_standin2/poison.go
@@ -120,12 +120,16 @@
 	time.Sleep(settleTime)
 	stop()
 	others.Wait()
+	p.d.recordAll(got)
 	p.d.recordLost(began, got)
+	crashed := map[string]bool{}
 	for _, a := range p.crashesSince(began) {
+		crashed[a.replica] = true
 		if a.at.Sub(third) > contactTime {
 			late++
 		}
 	}
+	p.d.record.add("replicas that crashed again: %d", len(crashed))
 	return late
 }
 
--- a/review/_standin2/record.go
+++ b/review/_standin2/record.go
@@ -32,6 +32,9 @@
 	fmt.Fprintf(r.file, "%8.3f  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// at returns a time as seconds since the start.
+func (r *record) at(t time.Time) string { return fmt.Sprintf("%.3f", t.Sub(r.began).Seconds()) }
+
 type connKey struct{}
 
 func withConn(ctx context.Context, c net.Conn) context.Context {
--- a/review/_standin2/replica.go
+++ b/review/_standin2/replica.go
@@ -62,8 +62,7 @@
 // replace starts a replica at the address of one that has crashed.
 func (d *deployment) replace(p *replica) {
 	next := &replica{id: p.id + "x", service: p.service, zone: p.zone, address: p.address, slots: p.slots, work: p.work, onCrash: p.onCrash}
-	next.start()
-	d.store.put("servers/"+next.id, next.registration())
+	d.addReplica(next)
 }
 
 // start opens the listener of the replica and serves.
