--- a/httpresponse/response.go
+++ b/httpresponse/response.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 )
 
 // minStatus and maxStatus bound the status of a response (RFC 9110, section 15).
@@ -14,22 +15,42 @@
 // ErrStatus means that a response has a status that is none, or that switches to another protocol: no request here asks for one.
 var ErrStatus = errors.New("malformed response: invalid status")
 
+// ErrFieldName means that the name of a field is no token. The parser of net/http accepts blanks in names, and does not see that such a field was to
+// say where the body ends.
+var ErrFieldName = errors.New("malformed response: invalid field name")
+
 // Read reads the head of a response to a request with a method. It returns the errors of http.ReadResponse and CheckHead.
 func Read(r *bufio.Reader, method string) (*http.Response, error) {
 	resp, err := http.ReadResponse(r, &http.Request{Method: method})
 	if err != nil {
 		return nil, err
 	}
-	if err := CheckHead(resp.StatusCode); err != nil {
+	if err := CheckHead(resp.StatusCode, resp.Header); err != nil {
 		return nil, err
 	}
 	return resp, nil
 }
 
-// CheckHead returns ErrStatus if the status of a response is invalid.
-func CheckHead(status int) error {
+// CheckHead returns ErrStatus if the status of a response is invalid, and ErrFieldName if the name of a field is.
+func CheckHead(status int, fields http.Header) error {
 	if status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols {
 		return fmt.Errorf("%w: %03d", ErrStatus, status)
 	}
+	for name := range fields {
+		if !isToken(name) {
+			return fmt.Errorf("%w: %.32q", ErrFieldName, name)
+		}
+	}
 	return nil
 }
+
+// isToken reports whether a name is a token (RFC 9110, section 5.6.2).
+func isToken(name string) bool {
+	for _, c := range []byte(name) {
+		isLetter := 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z'
+		if !isLetter && !('0' <= c && c <= '9') && strings.IndexByte("!#$%&'*+-.^_`|~", c) < 0 {
+			return false
+		}
+	}
+	return name != ""
+}
--- a/httpresponse/transport.go
+++ b/httpresponse/transport.go
@@ -6,7 +6,8 @@
 	"net/http/httptrace"
 )
 
-// Transport checks the heads of the responses that another transport reads, and closes the connections of those that fail.
+// Transport checks the heads of the responses that another transport reads, and closes the connections of those that fail. It does not see interim
+// responses: net/http drops them, and does not bound them any more once a hook reads them.
 type Transport struct {
 	Base http.RoundTripper
 }
@@ -19,7 +20,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := CheckHead(resp.StatusCode); err != nil {
+	if err := CheckHead(resp.StatusCode, resp.Header); err != nil {
 		if conn != nil {
 			_ = conn.Close() // What follows may belong to no request.
 		}
--- a/standin/rawanswer/brokenhead.go
+++ b/standin/rawanswer/brokenhead.go
@@ -5,7 +5,7 @@
 	"strings"
 )
 
-// BrokenHead is an answer whose head, or that of an answer before it, breaks the protocol.
+// BrokenHead is an answer whose head, or that of an interim answer before it, breaks the protocol.
 type BrokenHead struct {
 	// Name says what is wrong.
 	Name string
@@ -22,12 +22,29 @@
 	{"status 600", "HTTP/1.1 600 Unknown\r\n{fields}{length}\r\n{body}"},
 	{"status 999", "HTTP/1.1 999 Unknown\r\n{fields}{length}\r\n{body}"},
 	{"unrequested switch of protocols", "HTTP/1.1 101 Switching Protocols\r\n{fields}\r\nHTTP/1.1 200 OK\r\n{fields}{length}\r\n{body}"},
+	{"blank in a name", "HTTP/1.1 200 OK\r\n{fields}X Field: 1\r\n{length}\r\n{body}"},
+	{"blank behind a name", "HTTP/1.1 200 OK\r\n{fields}X-Field : 1\r\n{length}\r\n{body}"},
+	{"blank behind the name of the length", "HTTP/1.1 200 OK\r\n{fields}Content-Length : 1\r\n\r\n{body}"},
+	{"blank behind the name of the encoding", "HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding : chunked\r\n\r\n{chunks}0\r\n\r\n"},
+	{"blank before the first name", "HTTP/1.1 200 OK\r\n X-Field: 1\r\n{fields}{length}\r\n{body}"},
+	{"tab in a name", "HTTP/1.1 200 OK\r\n{fields}X\tField: 1\r\n{length}\r\n{body}"},
+	{"control byte in a name", "HTTP/1.1 200 OK\r\n{fields}X\x01Field: 1\r\n{length}\r\n{body}"},
+	{"carriage return in a name", "HTTP/1.1 200 OK\r\n{fields}X\rField: 1\r\n{length}\r\n{body}"},
+	{"zero byte behind a name", "HTTP/1.1 200 OK\r\n{fields}X-Field\x00: 1\r\n{length}\r\n{body}"},
+	{"byte above ASCII in a name", "HTTP/1.1 200 OK\r\n{fields}X-F\xe9ld: 1\r\n{length}\r\n{body}"},
+	{"no name", "HTTP/1.1 200 OK\r\n{fields}: 1\r\n{length}\r\n{body}"},
 }
 
+// BrokenInterim is a sound answer behind an interim one with a broken head.
+var BrokenInterim = BrokenHead{"blank in a name of an interim answer", "HTTP/1.1 103 Early Hints\r\nX Field: 1\r\n\r\nHTTP/1.1 200 OK\r\n{fields}{length}\r\n{body}"}
+
 // Bytes returns the answer with header lines, each with its line end, and a body.
 func (h BrokenHead) Bytes(fields, body string) string {
-	return strings.NewReplacer("{fields}", fields, "{length}", lengthField(body), "{body}", body).Replace(h.text)
+	return strings.NewReplacer("{fields}", fields, "{length}", lengthField(body), "{chunks}", chunk(body), "{body}", body).Replace(h.text)
 }
 
 // lengthField returns the header line that states the length of a body.
 func lengthField(body string) string { return fmt.Sprintf("Content-Length: %d\r\n", len(body)) }
+
+// chunk returns the body as one chunk.
+func chunk(body string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(body), body) }
--- a/upstream/unexpected_test.go
+++ b/upstream/unexpected_test.go
@@ -48,6 +48,8 @@
 		"head cut short while idle":          {idle: "HTTP/1.1 200 OK\r\nRequ", want: []string{"bytesWhileIdle "}},
 		"body cut short before the next":     {answer: "HTTP/1.1 200 OK\r\nRequest-Id: first\r\nContent-Length: 20\r\n\r\nwrong", want: []string{"skippedResponse second", "malformed second"}},
 		"bytes that are no answer":           {answer: "garbage\r\n\r\n", want: []string{"malformed second"}},
+		"status 000 before the next":         {answer: "HTTP/1.1 000 \r\nRequest-Id: first\r\nContent-Length: 0\r\n\r\n", want: []string{"malformed second"}},
+		"blank in a name before the next":    {answer: "HTTP/1.1 200 OK\r\nRequest-Id : first\r\nContent-Length: 0\r\n\r\n", want: []string{"malformed second"}},
 		"bytes that are no answer when idle": {idle: "garbage", want: []string{"bytesWhileIdle "}},
 	} {
 		// isIdle is closed once the client has read the first response, and sentIdle once the server has sent what comes after it.
