--- a/edge/brokenhead_test.go
+++ b/edge/brokenhead_test.go
@@ -13,8 +13,8 @@
 	"parsleyhatch/standin/rawanswer"
 )
 
-// brokenHeads are all answers with a broken head.
-var brokenHeads = append(slices.Clone(rawanswer.BrokenHeads), rawanswer.BrokenInterim)
+// brokenHeads are all answers with a broken head or trailer.
+var brokenHeads = slices.Concat(rawanswer.BrokenHeads, []rawanswer.BrokenHead{rawanswer.BrokenInterim}, rawanswer.BrokenTrailers)
 
 // brokenHeadUpstreams are upstreams that answer the first attempt of each request with the broken head that its header Broken names, and others as
 // they should.
@@ -71,7 +71,11 @@
 				w.startVM("vm2", "south", true)
 				w.waitForMembership()
 				w.waitFor("the upstreams are known", func() bool { return v.knowsUpstreams("plain", 2) })
-				for i, h := range brokenHeads {
+				heads := brokenHeads
+				if c.kind == "streaming" { // The caller has the events before a trailer.
+					heads = heads[:len(heads)-len(rawanswer.BrokenTrailers)]
+				}
+				for i, h := range heads {
 					status, body, err := w.readUnlessOverloaded(v, fmt.Sprintf("/a/%d", i), extraHeaders{"Broken": h.Name})
 					switch {
 					case c.kind == "unsafe" && status != http.StatusBadGateway:
--- a/httpresponse/response.go
+++ b/httpresponse/response.go
@@ -19,7 +19,8 @@
 // say where the body ends.
 var ErrFieldName = errors.New("malformed response: invalid field name")
 
-// Read reads the head of a response to a request with a method. It returns the errors of http.ReadResponse and CheckHead.
+// Read reads the head of a response to a request with a method. It returns the errors of http.ReadResponse and CheckHead. The body of the response
+// returns ErrFieldName in place of io.EOF if its trailer has an invalid name.
 func Read(r *bufio.Reader, method string) (*http.Response, error) {
 	resp, err := http.ReadResponse(r, &http.Request{Method: method})
 	if err != nil {
@@ -28,6 +29,7 @@
 	if err := CheckHead(resp.StatusCode, resp.Header); err != nil {
 		return nil, err
 	}
+	checkTrailer(resp, func() {})
 	return resp, nil
 }
 
@@ -36,6 +38,10 @@
 	if status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols {
 		return fmt.Errorf("%w: %03d", ErrStatus, status)
 	}
+	return checkNames(fields)
+}
+
+func checkNames(fields http.Header) error {
 	for name := range fields {
 		if !isToken(name) {
 			return fmt.Errorf("%w: %.32q", ErrFieldName, name)
--- a/httpresponse/response_test.go
+++ b/httpresponse/response_test.go
@@ -14,7 +14,7 @@
 
 // Guards against a broken head that is taken for one.
 func TestBrokenHeadsAreRejected(t *testing.T) {
-	for _, h := range append(slices.Clone(rawanswer.BrokenHeads), rawanswer.BrokenInterim) {
+	for _, h := range slices.Concat(rawanswer.BrokenHeads, rawanswer.BrokenTrailers, []rawanswer.BrokenHead{rawanswer.BrokenInterim}) {
 		r := bufio.NewReader(strings.NewReader(h.Bytes("", "body")))
 		resp, err := Read(r, http.MethodGet)
 		for err == nil && resp.StatusCode < http.StatusOK {
--- a/httpresponse/transport.go
+++ b/httpresponse/transport.go
@@ -12,7 +12,7 @@
 	Base http.RoundTripper
 }
 
-// RoundTrip sends a request and returns its response. It returns the errors of the other transport and of CheckHead.
+// RoundTrip sends a request and returns its response. It returns the errors of the other transport and of CheckHead, and its body those of Read.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	var conn net.Conn
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn }}
@@ -20,12 +20,16 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := CheckHead(resp.StatusCode, resp.Header); err != nil {
+	closeConn := func() {
 		if conn != nil {
 			_ = conn.Close() // What follows may belong to no request.
 		}
+	}
+	if err := CheckHead(resp.StatusCode, resp.Header); err != nil {
+		closeConn()
 		_ = resp.Body.Close()
 		return nil, err
 	}
+	checkTrailer(resp, closeConn)
 	return resp, nil
 }
--- a/standin/rawanswer/brokenhead.go
+++ b/standin/rawanswer/brokenhead.go
@@ -5,7 +5,7 @@
 	"strings"
 )
 
-// BrokenHead is an answer whose head, or that of an interim answer before it, breaks the protocol.
+// BrokenHead is an answer whose head or trailer, or the head of an interim answer before it, breaks the protocol.
 type BrokenHead struct {
 	// Name says what is wrong.
 	Name string
@@ -35,6 +35,12 @@
 	{"no name", "HTTP/1.1 200 OK\r\n{fields}: 1\r\n{length}\r\n{body}"},
 }
 
+// BrokenTrailers are answers whose head and body are sound, and whose trailer breaks the protocol.
+var BrokenTrailers = []BrokenHead{
+	{"blank in a name of a trailer", "HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n{chunks}0\r\nX Field: 1\r\n\r\n"},
+	{"control byte in a name of a trailer", "HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n{chunks}0\r\nX\x01Field: 1\r\n\r\n"},
+}
+
 // BrokenInterim is a sound answer behind an interim one with a broken head.
 var BrokenInterim = BrokenHead{"blank in a name of an interim answer", "HTTP/1.1 103 Early Hints\r\nX Field: 1\r\n\r\nHTTP/1.1 200 OK\r\n{fields}{length}\r\n{body}"}
 
--- a/upstream/brokenhead_test.go
+++ b/upstream/brokenhead_test.go
@@ -26,6 +26,9 @@
 		if client == "pool" || client == "plain service" { // Those of net/http do not show interim answers.
 			heads = append(slices.Clone(heads), rawanswer.BrokenInterim)
 		}
+		if client != "engine stream" { // It ends with its last chunk.
+			heads = slices.Concat(heads, rawanswer.BrokenTrailers)
+		}
 		for _, h := range heads {
 			t.Run(client+"/"+h.Name, func(t *testing.T) {
 				t.Parallel()
