--- a/edge/events.go
+++ b/edge/events.go
@@ -145,7 +145,7 @@
 	}
 	err := s.edge.checkUnsizedEnd(s.request, s.pick, s.answer, nothingFollows)
 	before, known := s.request.beforeLast()
-	if !known || errors.Is(err, errUpstreamEnded) {
+	if !known || errors.Is(err, errUpstreamEnded) || errors.Is(err, errResetAfterEnd) {
 		return cmp.Or(err, error(io.EOF))
 	}
 	return s.checkAssumedEnd(before, err == nil && s.started && s.edge.mayAssumeEnd(s.request))
--- a/edge/parts.go
+++ b/edge/parts.go
@@ -130,7 +130,7 @@
 // recordCompletion records that an upstream completed its answer to a request. An answer that only the end of the
 // connection delimits may have been cut by a crash, unless it has events after the first.
 func (e *Edge) recordCompletion(r *request, a *upstream.Response, out Outcome) {
-	if !out.Complete || !a.Framed && r.events < minUnframedEvents || a.Status < http.StatusOK || a.Status >= http.StatusMultipleChoices {
+	if !out.Complete || !a.Framed && r.events < minUnframedEvents || !isSuccess(a.Status) {
 		return
 	}
 	now := e.Now()
--- a/edge/unsized.go
+++ b/edge/unsized.go
@@ -14,10 +14,11 @@
 	"parsleyhatch/upstream"
 )
 
-// errUpstreamEnded and errEndUnconfirmed report that an answer has ended, and may not be complete. Where it has no length, the
+// errUpstreamEnded, errResetAfterEnd and errEndUnconfirmed report that an answer has ended, and may not be complete. Where it has no length, the
 // connection of a process that is killed ends like that of a complete answer.
 var (
 	errUpstreamEnded  = errors.New("the answer has no length, and its upstream has ended")
+	errResetAfterEnd  = errors.New("the answer has no length, and its upstream has reset the connection before it had read the request")
 	errEndUnconfirmed = errors.New("nothing shows that the stream is complete")
 )
 
@@ -42,17 +43,23 @@
 	switch {
 	case !reachable && !leaving:
 		err = errUpstreamEnded
+	case isSuccess(a.Status) && a.WasResetAfterEnd(): // A refusal needs no more of the request.
+		err = errResetAfterEnd
 	case (unusual || !reachable) && r.mayResume() && !nothingFollows, distrusted:
 		err = errEndUnconfirmed
 	}
 	if err != nil {
 		e.Metrics.AddCounter("unsized_answers_in_doubt", 1)
 		event.UnsizedEndDoubted.Log(e.Log, "request", r.id, "upstream", pick.ID, "lastEvent", r.lastEventID(), "reachable", reachable,
-			"leaving", leaving, "unusual", unusual, "distrusted", distrusted, "resumes", r.mayResume())
+			"leaving", leaving, "unusual", unusual, "distrusted", distrusted, "resumes", r.mayResume(), "reset", errors.Is(err, errResetAfterEnd))
 	}
 	return err
 }
 
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
 // takesConnection reports whether an upstream takes a connection that stays open. One that closes it at once may have too many, so that others which
 // stay open show the same. A process that is killed closes them within the time for which a new one must stay open.
 func (e *Edge) takesConnection(p replica.Probe) bool {
--- a/upstream/received.go
+++ b/upstream/received.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"errors"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -33,3 +34,24 @@
 	}
 	return int64(unread)
 }
+
+// WasResetAfterEnd reports whether the upstream has reset the connection after the end of a body without a length. It does so if it ends before it has
+// read the whole request, or because of what arrives after that. It must not be called before Read has returned io.EOF.
+func (a *Response) WasResetAfterEnd() bool {
+	return errors.Is(a.write.err, syscall.EPIPE) || a.conn.wasReset()
+}
+
+// wasReset reports whether the kernel holds an error of the connection, which it reports once. A reset that follows a FIN does not show in a read.
+func (c *conn) wasReset() bool {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	code := 0
+	controlErr := raw.Control(func(fd uintptr) { code, err = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR) })
+	return controlErr == nil && err == nil && code != 0
+}
