--- a/upstream/client.go
+++ b/upstream/client.go
@@ -92,12 +92,14 @@
 	DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 	http *http.Client
+	// resetWait is resetWait except in tests.
+	resetWait time.Duration
 }
 
 // New returns a client that authenticates with the platform's credential.
 func New(credential string) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	c := &Client{Credential: credential, DialFunc: dialer.DialContext}
+	c := &Client{Credential: credential, DialFunc: dialer.DialContext, resetWait: resetWait}
 	c.http = &http.Client{Transport: &httpresponse.Transport{Base: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			return c.DialFunc(ctx, network, address)
--- a/upstream/received.go
+++ b/upstream/received.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -38,12 +39,12 @@
 // WasResetAfterEnd reports whether the upstream has reset the connection after the end of a body without a length. It does so if it ends before it has
 // read the whole request, or because of what arrives after that. It must not be called before Read has returned io.EOF.
 func (a *Response) WasResetAfterEnd() bool {
-	return errors.Is(a.write.err, syscall.EPIPE) || a.conn.wasReset()
+	return errors.Is(a.write.err, syscall.EPIPE) || wasReset(a.conn.Conn)
 }
 
-// wasReset reports whether the kernel holds an error of the connection, which it reports once. A reset that follows a FIN does not show in a read.
-func (c *conn) wasReset() bool {
-	s, ok := c.Conn.(syscall.Conn)
+// wasReset reports whether the kernel holds an error of a connection, which it reports once. A reset that follows a FIN does not show in a read.
+func wasReset(c net.Conn) bool {
+	s, ok := c.(syscall.Conn)
 	if !ok {
 		return false
 	}
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -63,7 +63,7 @@
 	}
 	resp, fail := roundTrip(conn, req)
 	if fail == nil && resp.unsized {
-		fail = c.checkUnsizedEnd(ctx, address)
+		fail = c.checkUnsizedEnd(ctx, address, conn, mayBeUnread(&call, &resp))
 	}
 	if fail != nil {
 		return ServiceResponse{}, fail
@@ -71,17 +71,46 @@
 	return resp, nil
 }
 
+const (
+	// resetWait is the time for which a service that has ended its response is watched for a reset. It follows within a round trip.
+	resetWait = 25 * time.Millisecond
+	// resetCheckInterval is the interval at which it is looked for.
+	resetCheckInterval = time.Millisecond
+)
+
+// mayBeUnread reports whether a response counts only if its service has read the whole request, which it may not have done. A refusal needs no more of
+// it.
+func mayBeUnread(call *ServiceRequest, resp *ServiceResponse) bool {
+	return resp.Status < http.StatusMultipleChoices && len(call.Body) > maxSyncWriteBytes
+}
+
 // checkUnsizedEnd fails if a service that has sent a response without a length accepts no connection any more: the connection of a process that is
-// killed ends like that of a complete response.
-func (c *Client) checkUnsizedEnd(ctx context.Context, address string) *Failure {
+// killed ends like that of a complete response. If the request may be unread, it also fails if a reset of the connection follows.
+func (c *Client) checkUnsizedEnd(ctx context.Context, address string, ended net.Conn, mayBeUnread bool) *Failure {
 	conn, err := c.DialFunc(ctx, "tcp", address)
 	if err != nil {
 		return &Failure{Kind: Broken, Err: fmt.Errorf("service has ended with its response, which has no length: %w", err)}
 	}
 	_ = conn.Close()
+	if mayBeUnread && c.isResetSoon(ended) {
+		return &Failure{Kind: Broken, Err: errResetAfterEnd}
+	}
 	return nil
 }
 
+// errResetAfterEnd means that the reset of a connection followed the end of a response without a length.
+var errResetAfterEnd = errors.New("service has reset the connection before it had read the request; its response has no length")
+
+// isResetSoon reports whether a connection is reset within resetWait.
+func (c *Client) isResetSoon(conn net.Conn) bool {
+	for deadline := time.Now().Add(c.resetWait); !wasReset(conn); time.Sleep(resetCheckInterval) {
+		if time.Now().After(deadline) {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *Client) serviceRequest(ctx context.Context, address string, call ServiceRequest) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
--- a/upstream/service_test.go
+++ b/upstream/service_test.go
@@ -3,8 +3,11 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"testing"
+	"time"
 )
 
 // Guards against interim responses of a plain service that reach the caller as its answer.
@@ -49,3 +52,44 @@
 		}
 	}
 }
+
+// Guards against a part of a response that is taken for a complete one: the service sends it without a length, ends it and resets the connection, since
+// it has not read the request. A refusal needs no more of the request.
+func TestResponseOfServiceBeforeResetIsBroken(t *testing.T) {
+	for name, c := range map[string]struct {
+		status    string
+		bodyBytes int
+		reset     bool
+		broken    bool
+	}{
+		"success, body in the buffers":      {"200 OK", 16 << 10, true, true},
+		"success, body being written":       {"200 OK", 8 << 20, true, true},
+		"success, body read":                {"200 OK", 16 << 10, false, false},
+		"refusal, body in the buffers":      {"413 Content Too Large", 16 << 10, true, false},
+		"success of a request without body": {"200 OK", 0, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := rawServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				if !c.reset {
+					_, _ = io.Copy(io.Discard, req.Body)
+				}
+				fmt.Fprintf(conn, "HTTP/1.1 %s\r\n\r\npart", c.status)
+				_ = conn.(*net.TCPConn).CloseWrite()
+				if c.reset {
+					_ = conn.(*net.TCPConn).SetLinger(0) // The close resets the connection.
+				}
+			})
+			call := ServiceRequest{RequestID: "1", Method: "POST", Path: "/", Body: make([]byte, c.bodyBytes)}
+			client := New("credential")
+			client.resetWait = 300 * time.Millisecond // The reset may be late on a busy machine.
+			resp, f := client.CallOnce(t.Context(), address, call, func() bool { return true })
+			if broken := f != nil && f.Kind == Broken; broken != c.broken || !c.broken && string(resp.Body) != "part" {
+				t.Errorf("answer %d %q, failure %v", resp.Status, resp.Body, f)
+			}
+		})
+	}
+}
