--- a/configserver/client.go
+++ b/configserver/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"parsleyhatch/config"
+	"parsleyhatch/httpresponse"
 )
 
 const (
@@ -43,7 +44,7 @@
 // New returns a client of the service at the base URL.
 func New(baseURL string) *Client {
 	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes}
-	client := &http.Client{Transport: transport}
+	client := &http.Client{Transport: &httpresponse.Transport{Base: transport}}
 	return &Client{BaseURL: baseURL, Do: client.Do}
 }
 
--- a/configserver/client_test.go
+++ b/configserver/client_test.go
@@ -1,11 +1,16 @@
 package configserver
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
+
+	"parsleyhatch/standin/rawanswer"
 )
 
 // Guards against answers of the configuration service that fill the memory, and against a cut answer that is taken for a whole one.
@@ -28,3 +33,17 @@
 		s.Close()
 	}
 }
+
+// Guards against an answer with a broken head that is taken for one of the configuration service.
+func TestBrokenHeadIsNoAnswer(t *testing.T) {
+	for _, h := range slices.Concat(rawanswer.BrokenHeads, rawanswer.BrokenTrailers) {
+		t.Run(h.Name, func(t *testing.T) {
+			t.Parallel()
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { h.Serve(w, "", "[]") }))
+			defer s.Close()
+			if list, err := New(s.URL).VMs(t.Context()); err == nil || errors.Is(err, context.DeadlineExceeded) {
+				t.Errorf("list %v, error %v", list, err)
+			}
+		})
+	}
+}
--- a/edge/brokenhead_test.go
+++ b/edge/brokenhead_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -40,15 +39,9 @@
 		fmt.Fprint(rw, u.body)
 		return
 	}
-	conn, _, err := rw.(http.Hijacker).Hijack()
-	if err != nil {
-		panic(err)
-	}
-	defer func() { _ = conn.Close() }()
 	// The connection carries no other request.
 	fields := fmt.Sprintf("%s: %s\r\n%s: stamp\r\nContent-Type: %s\r\nKeep-Alive: timeout=1\r\n", platform.HeaderRequestID, id, platform.HeaderServerStamp, u.contentType)
-	_, _ = io.WriteString(conn, brokenHeads[head].Bytes(fields, u.broken))
-	_, _ = io.Copy(io.Discard, conn) // Waits until the VM closes the connection.
+	brokenHeads[head].Serve(rw, fields, u.broken)
 }
 
 // Guards against answers with a broken head that callers get as answers, in part or as a whole: with a status below 100, or a field whose name holds
--- a/standin/rawanswer/brokenhead.go
+++ b/standin/rawanswer/brokenhead.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net/http"
 	"strings"
 )
 
@@ -49,6 +51,17 @@
 	return strings.NewReplacer("{fields}", fields, "{length}", lengthField(body), "{chunks}", chunk(body), "{body}", body).Replace(h.text)
 }
 
+// Serve answers a request with header lines and a body, and returns when the client has closed the connection.
+func (h BrokenHead) Serve(w http.ResponseWriter, fields, body string) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return // The client has closed the connection.
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = io.WriteString(conn, h.Bytes(fields, body)) // Fails only then, too.
+	_, _ = io.Copy(io.Discard, conn)
+}
+
 // lengthField returns the header line that states the length of a body.
 func lengthField(body string) string { return fmt.Sprintf("Content-Length: %d\r\n", len(body)) }
 
