--- a/edge/forward.go
+++ b/edge/forward.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"parsleyhatch/fleet"
+	"parsleyhatch/httpresponse"
 	"parsleyhatch/memory"
 	"parsleyhatch/place"
 	"parsleyhatch/route"
@@ -139,6 +140,8 @@
 			return f.lose(VMLost, "vm "+slot+": "+err.Error())
 		case end != nil && f.pending.Len() > 0 && Reason(end.Code) == Answered:
 			return f.lose(VMLost, "vm "+slot+": the stream ends inside an event")
+		case end != nil && Reason(end.Code) == Answered && !r.headSent:
+			return f.lose(VMLost, "vm "+slot+": "+errMissingHead.Error())
 		case end != nil && Reason(end.Code) == Answered && f.source.checkEnd() != nil:
 			return f.lose(VMLost, "vm "+slot+": "+errNotContinued.Error())
 		case end != nil:
@@ -161,8 +164,12 @@
 	return fail(reason, detail)
 }
 
-// errDuplicateHead reports that another VM sent a response head although the caller already has one.
-var errDuplicateHead = errors.New("the other vm sent a second head")
+// Errors of the head that another VM sends. Without one, net/http would send a 200 to the caller.
+var (
+	errDuplicateHead = errors.New("the other vm sent a second head")
+	errMissingHead   = errors.New("the other vm sent no head")
+	errInterimHead   = errors.New("the other vm sent no final status")
+)
 
 // sinkError is an error of the caller's connection, as opposed to one of the other VM.
 type sinkError struct{ err error }
@@ -206,6 +213,9 @@
 	if len(c.Data) == 0 {
 		return nil
 	}
+	if !f.request.headSent {
+		return errMissingHead
+	}
 	if !f.events {
 		return asSinkError(f.sink.Data(c.Data, true))
 	}
@@ -245,6 +255,12 @@
 		return errDuplicateHead
 	}
 	header := splitHeader(c.Header)
+	if c.Status < http.StatusOK {
+		return errInterimHead
+	}
+	if err := httpresponse.CheckHead(int(c.Status), header); err != nil {
+		return err
+	}
 	f.request.headSent = true
 	f.events = isEventStream(int(c.Status), header)
 	f.request.notResumable = !f.events
