--- a/edge/forward.go
+++ b/edge/forward.go
@@ -284,18 +284,19 @@
 func (e *Edge) outcomeOfEnd(r *request, slot string, end *vmwire.End) Outcome {
 	r.destination = slot + "/" + end.Upstream
 	out := Outcome{
-		Reason: Reason(end.Code), Status: int(end.Status), Detail: end.Message,
+		Reason: Reason(end.Code), Status: int(end.Status), Ran: MayHaveRun, Detail: end.Message,
 		RetryAfter: time.Duration(end.RetryAfterMillis) * time.Millisecond,
 	}
 	switch end.Ran {
 	case HasRun.String():
 		out.Ran = HasRun
-	case MayHaveRun.String():
-		out.Ran = MayHaveRun
+	case NotRun.String():
+		out.Ran = NotRun
 	}
 	if out.Reason == CallerDisconnected {
 		out.Reason = VMLost // The other VM took this one for gone, not the caller.
 	}
+	out.Reason = knownReason(out.Reason, out.Ran)
 	out.Complete = out.Reason == Answered
 	if out.Reason == UpstreamRefused && out.Ran == NotRun {
 		r.failedVMs = slices.DeleteFunc(r.failedVMs, func(failed string) bool { return failed == slot })
@@ -304,6 +305,18 @@
 	return out
 }
 
+// knownReason returns the reason of another VM, or the closest one if only a newer build knows it.
+func knownReason(reason Reason, ran Ran) Reason {
+	_, known := statuses[reason]
+	switch {
+	case known || reason == Answered:
+		return reason
+	case ran == NotRun:
+		return NoUpstream
+	}
+	return UpstreamFailed
+}
+
 func splitHeader(joined map[string]string) http.Header {
 	h := make(http.Header, len(joined))
 	for name, values := range joined {
--- a/edge/peeranswer_test.go
+++ b/edge/peeranswer_test.go
@@ -30,6 +30,9 @@
 		"line end in a name":    {[]vmwire.Chunk{{Status: 200, Header: map[string]string{"X\r\nField": "1"}, End: 6}, data}, answered, http.StatusBadGateway},
 		"body without a head":   {[]vmwire.Chunk{data}, answered, http.StatusBadGateway},
 		"neither head nor body": {nil, answered, http.StatusBadGateway},
+		"unknown failure":       {nil, vmwire.End{Code: "fromNewerBuild", Ran: MayHaveRun.String()}, http.StatusBadGateway},
+		"unknown refusal":       {nil, vmwire.End{Code: "fromNewerBuild", Ran: NotRun.String()}, http.StatusServiceUnavailable},
+		"unknown state":         {nil, vmwire.End{Code: string(Overloaded), Ran: "fromNewerBuild"}, http.StatusBadGateway},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
