--- a/edge/forward.go
+++ b/edge/forward.go
@@ -168,7 +168,6 @@
 var (
 	errDuplicateHead = errors.New("the other vm sent a second head")
 	errMissingHead   = errors.New("the other vm sent no head")
-	errInterimHead   = errors.New("the other vm sent no final status")
 )
 
 // sinkError is an error of the caller's connection, as opposed to one of the other VM.
@@ -254,13 +253,10 @@
 	if f.resumed {
 		return errDuplicateHead
 	}
-	header := splitHeader(c.Header)
-	if c.Status < http.StatusOK {
-		return errInterimHead
-	}
-	if err := httpresponse.CheckHead(int(c.Status), header); err != nil {
+	if err := httpresponse.CheckFinalHead(int(c.Status), c.Header); err != nil {
 		return err
 	}
+	header := splitHeader(c.Header)
 	f.request.headSent = true
 	f.events = isEventStream(int(c.Status), header)
 	f.request.notResumable = !f.events
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -55,6 +55,9 @@
 		case err != nil:
 			st.Reset()
 			return forwardLost(ctx, s)
+		case end != nil && Code(end.Code) == OK && !p.started:
+			event.ChunkMismatch.Log(g.Log, "request", r.ID, "peer", s.Peer.Slot)
+			return forwardLost(ctx, s)
 		case end != nil:
 			out := outcomeFromEnd(end)
 			out.Region = s.Peer.Region
@@ -63,7 +66,7 @@
 		}
 		// The stream owns the body, so its data is decoded in place.
 		c := vmwire.Chunk{Data: body[:0]}
-		if _, err := c.UnmarshalMsg(body); err != nil || c.Start != p.next || c.End < c.Start {
+		if _, err := c.UnmarshalMsg(body); err != nil || !p.accepts(&c) {
 			event.ChunkMismatch.Log(g.Log, "request", r.ID, "peer", s.Peer.Slot)
 			st.Reset()
 			return forwardLost(ctx, s)
--- a/gateway/progress.go
+++ b/gateway/progress.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"parsleyhatch/event"
+	"parsleyhatch/httpresponse"
 	"parsleyhatch/vmwire"
 )
 
@@ -36,6 +37,14 @@
 	return true
 }
 
+// accepts reports whether a chunk of another VM goes on with the answer. The first one has its head: net/http would send a 200 without one.
+func (p *progress) accepts(c *vmwire.Chunk) bool {
+	if !p.started && httpresponse.CheckFinalHead(int(c.Status), c.Header) != nil {
+		return false
+	}
+	return c.Start == p.next && c.End >= c.Start
+}
+
 // pass checks a chunk and passes it to the caller. An error means that the caller has disconnected.
 func (p *progress) pass(ctx context.Context, c *vmwire.Chunk) error {
 	if c.Start != p.next || c.End < c.Start {
--- a/httpresponse/response.go
+++ b/httpresponse/response.go
@@ -33,15 +33,23 @@
 	return resp, nil
 }
 
+// CheckFinalHead is CheckHead for a response that must not be an interim one.
+func CheckFinalHead[V any](status int, fields map[string]V) error {
+	if status < http.StatusOK {
+		return fmt.Errorf("%w: %03d", ErrStatus, status)
+	}
+	return CheckHead(status, fields)
+}
+
 // CheckHead returns ErrStatus if the status of a response is invalid, and ErrFieldName if the name of a field is.
-func CheckHead(status int, fields http.Header) error {
+func CheckHead[V any](status int, fields map[string]V) error {
 	if status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols {
 		return fmt.Errorf("%w: %03d", ErrStatus, status)
 	}
 	return checkNames(fields)
 }
 
-func checkNames(fields http.Header) error {
+func checkNames[V any](fields map[string]V) error {
 	for name := range fields {
 		if !isToken(name) {
 			return fmt.Errorf("%w: %.32q", ErrFieldName, name)
--- a/httpresponse/response_test.go
+++ b/httpresponse/response_test.go
@@ -57,7 +57,7 @@
 // Guards against checks that only know what a parser lets through.
 func TestUnparsedHeadIsRejected(t *testing.T) {
 	for _, status := range []int{-1, 0, 99, 101, 600, 1000} {
-		if err := CheckHead(status, nil); !errors.Is(err, ErrStatus) {
+		if err := CheckHead(status, http.Header{}); !errors.Is(err, ErrStatus) {
 			t.Errorf("status %d: %v", status, err)
 		}
 	}
