--- a/edge/brokenhead_test.go
+++ b/edge/brokenhead_test.go
@@ -13,7 +13,7 @@
 )
 
 // brokenHeads are all answers with a broken head or trailer.
-var brokenHeads = slices.Concat(rawanswer.BrokenHeads, []rawanswer.BrokenHead{rawanswer.BrokenInterim}, rawanswer.BrokenTrailers)
+var brokenHeads = slices.Concat(rawanswer.BrokenHeads, rawanswer.HiddenBrokenHeads, rawanswer.BrokenTrailers)
 
 // brokenHeadUpstreams are upstreams that answer the first attempt of each request with the broken head that its header Broken names, and others as
 // they should.
--- a/httpresponse/response.go
+++ b/httpresponse/response.go
@@ -19,13 +19,19 @@
 // say where the body ends.
 var ErrFieldName = errors.New("malformed response: invalid field name")
 
-// Read reads the head of a response to a request with a method. It returns the errors of http.ReadResponse and CheckHead. The body of the response
-// returns ErrFieldName in place of io.EOF if its trailer has an invalid name.
+// Read reads the head of a response to a request with a method. It returns ErrVersion, and the errors of http.ReadResponse and CheckHead. The body
+// of the response returns ErrFieldName in place of io.EOF if its trailer has an invalid name.
 func Read(r *bufio.Reader, method string) (*http.Response, error) {
+	if err := checkEncoding10(r); err != nil {
+		return nil, err
+	}
 	resp, err := http.ReadResponse(r, &http.Request{Method: method})
 	if err != nil {
 		return nil, err
 	}
+	if err := checkVersion(resp); err != nil {
+		return nil, err
+	}
 	if err := CheckHead(resp.StatusCode, resp.Header); err != nil {
 		return nil, err
 	}
--- a/httpresponse/response_test.go
+++ b/httpresponse/response_test.go
@@ -14,7 +14,7 @@
 
 // Guards against a broken head that is taken for one.
 func TestBrokenHeadsAreRejected(t *testing.T) {
-	for _, h := range slices.Concat(rawanswer.BrokenHeads, rawanswer.BrokenTrailers, []rawanswer.BrokenHead{rawanswer.BrokenInterim}) {
+	for _, h := range slices.Concat(rawanswer.BrokenHeads, rawanswer.BrokenTrailers, rawanswer.HiddenBrokenHeads) {
 		r := bufio.NewReader(strings.NewReader(h.Bytes("", "body")))
 		resp, err := Read(r, http.MethodGet)
 		for err == nil && resp.StatusCode < http.StatusOK {
@@ -40,6 +40,10 @@
 		"no reason":                "HTTP/1.1 200\r\n\r\n",
 		"blanks in a value":        "HTTP/1.1 200 OK\r\nX-Field:  a b\tc \r\n\r\n",
 		"folded value":             "HTTP/1.1 200 OK\r\nX-Field: a\r\n b: c\r\n\r\n",
+		"version 1.0":              "HTTP/1.0 200 OK\r\nContent-Length: 1\r\n\r\nx",
+		"version 1.0, no fields":   "HTTP/1.0 200 OK\r\n\r\ntransfer-encoding: chunked\r\n",
+		"version 1.0, long head":   "HTTP/1.0 200 OK\r\nX-Field: " + strings.Repeat("x", 8<<10) + "\r\n\r\nx",
+		"version 1.2":              "HTTP/1.2 200 OK\r\nContent-Length: 1\r\n\r\nx",
 		"all characters of a name": "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: 1\r\n\r\n",
 		"trailer":                  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n1\r\nx\r\n0\r\nX-Sum: a b\r\n\r\n",
 	} {
--- a/httpresponse/transport.go
+++ b/httpresponse/transport.go
@@ -1,6 +1,7 @@
 package httpresponse
 
 import (
+	"cmp"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -12,7 +13,8 @@
 	Base http.RoundTripper
 }
 
-// RoundTrip sends a request and returns its response. It returns the errors of the other transport and of CheckHead, and its body those of Read.
+// RoundTrip sends a request and returns its response. It returns the errors of the other transport and of CheckHead, and ErrVersion. Its body
+// returns those of Read.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	var conn net.Conn
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn }}
@@ -25,7 +27,7 @@
 			_ = conn.Close() // What follows may belong to no request.
 		}
 	}
-	if err := CheckHead(resp.StatusCode, resp.Header); err != nil {
+	if err := cmp.Or(checkVersion(resp), CheckHead(resp.StatusCode, resp.Header)); err != nil {
 		closeConn()
 		_ = resp.Body.Close()
 		return nil, err
--- a/standin/rawanswer/brokenhead.go
+++ b/standin/rawanswer/brokenhead.go
@@ -24,6 +24,8 @@
 	{"status 600", "HTTP/1.1 600 Unknown\r\n{fields}{length}\r\n{body}"},
 	{"status 999", "HTTP/1.1 999 Unknown\r\n{fields}{length}\r\n{body}"},
 	{"unrequested switch of protocols", "HTTP/1.1 101 Switching Protocols\r\n{fields}\r\nHTTP/1.1 200 OK\r\n{fields}{length}\r\n{body}"},
+	{"version 0.9", "HTTP/0.9 200 OK\r\n{fields}{length}\r\n{body}"},
+	{"version 2.0", "HTTP/2.0 200 OK\r\n{fields}{length}\r\n{body}"},
 	{"blank in a name", "HTTP/1.1 200 OK\r\n{fields}X Field: 1\r\n{length}\r\n{body}"},
 	{"blank behind a name", "HTTP/1.1 200 OK\r\n{fields}X-Field : 1\r\n{length}\r\n{body}"},
 	{"blank behind the name of the length", "HTTP/1.1 200 OK\r\n{fields}Content-Length : 1\r\n\r\n{body}"},
@@ -43,8 +45,12 @@
 	{"control byte in a name of a trailer", "HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n{chunks}0\r\nX\x01Field: 1\r\n\r\n"},
 }
 
-// BrokenInterim is a sound answer behind an interim one with a broken head.
-var BrokenInterim = BrokenHead{"blank in a name of an interim answer", "HTTP/1.1 103 Early Hints\r\nX Field: 1\r\n\r\nHTTP/1.1 200 OK\r\n{fields}{length}\r\n{body}"}
+// HiddenBrokenHeads are answers whose fault the client of net/http hides: it drops interim answers, and the encoding of HTTP/1.0.
+var HiddenBrokenHeads = []BrokenHead{
+	{"blank in a name of an interim answer", "HTTP/1.1 103 Early Hints\r\nX Field: 1\r\n\r\nHTTP/1.1 200 OK\r\n{fields}{length}\r\n{body}"},
+	{"chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n{chunks}0\r\n\r\n"},
+	{"chunks and a length in HTTP/1.0", "HTTP/1.0 200 OK\r\n{fields}{length}transfer-encoding: chunked\r\n\r\n{chunks}0\r\n\r\n"},
+}
 
 // Bytes returns the answer with header lines, each with its line end, and a body.
 func (h BrokenHead) Bytes(fields, body string) string {
--- a/upstream/brokenhead_test.go
+++ b/upstream/brokenhead_test.go
@@ -23,8 +23,8 @@
 	bodies := map[string]string{"pool": "answer", "engine stream": "id: 1:0:0\ndata: {}\n\n", "engine control": `{"running":1}`, "plain service": "answer"}
 	for client, call := range callsByClient {
 		heads := rawanswer.BrokenHeads
-		if client == "pool" || client == "plain service" { // Those of net/http do not show interim answers.
-			heads = append(slices.Clone(heads), rawanswer.BrokenInterim)
+		if client == "pool" || client == "plain service" {
+			heads = slices.Concat(heads, rawanswer.HiddenBrokenHeads)
 		}
 		if client != "engine stream" { // It ends with its last chunk.
 			heads = slices.Concat(heads, rawanswer.BrokenTrailers)
