--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -126,6 +127,10 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
+		if hasTwoIDs(resp.Header) {
+			a.reportUnexpected(Malformed)
+			return fmt.Errorf("read answer of upstream %s: %w", o.Address, errTwoIDs)
+		}
 		if resp.Header.Get(HeaderRequestID) == o.ID {
 			a.conn.limiter.unlimit()
 			a.setResponse(resp)
@@ -139,6 +144,14 @@
 	return errResponseMismatch
 }
 
+// errTwoIDs means that a response names several requests, so that it belongs to none.
+var errTwoIDs = errors.New("malformed response: two request ids")
+
+func hasTwoIDs(h http.Header) bool {
+	ids := h.Values(HeaderRequestID)
+	return len(ids) > 0 && slices.ContainsFunc(ids[1:], func(id string) bool { return id != ids[0] })
+}
+
 func (a *Response) reportUnexpected(reason Unexpected) {
 	a.pool.reportUnexpected(a.address, a.id, reason)
 }
--- a/upstream/unexpected_test.go
+++ b/upstream/unexpected_test.go
@@ -50,6 +50,8 @@
 		"bytes that are no answer":           {answer: "garbage\r\n\r\n", want: []string{"malformed second"}},
 		"status 000 before the next":         {answer: "HTTP/1.1 000 \r\nRequest-Id: first\r\nContent-Length: 0\r\n\r\n", want: []string{"malformed second"}},
 		"blank in a name before the next":    {answer: "HTTP/1.1 200 OK\r\nRequest-Id : first\r\nContent-Length: 0\r\n\r\n", want: []string{"malformed second"}},
+		"two ids before the next":            {answer: "HTTP/1.1 200 OK\r\nRequest-Id: first\r\nRequest-Id: second\r\nContent-Length: 5\r\n\r\nwrong", want: []string{"malformed second"}},
+		"two ids, its own first":             {answer: "HTTP/1.1 200 OK\r\nRequest-Id: second\r\nRequest-Id: first\r\nContent-Length: 5\r\n\r\nwrong", want: []string{"malformed second"}},
 		"bytes that are no answer when idle": {idle: "garbage", want: []string{"bytesWhileIdle "}},
 	} {
 		// isIdle is closed once the client has read the first response, and sentIdle once the server has sent what comes after it.
