--- a/edge/brokenhead_test.go
+++ b/edge/brokenhead_test.go
@@ -91,3 +91,31 @@
 	})
 	return status, body, err
 }
+
+// Guards against requests and prompt parts that are quarantined as if they crashed upstreams, because an upstream in trouble, which goes on running,
+// has answered them with bytes that are no answer.
+func TestBrokenHeadIsNoCrash(t *testing.T) {
+	for name, broken := range map[string]string{
+		"head":    rawanswer.BrokenHeads[0].Name,
+		"trailer": rawanswer.BrokenTrailers[0].Name,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newTestCluster(t, "north")
+			w.publishConfig(1, routeJSON("a", "unsafe", "plain", ""))
+			upstreams := &brokenHeadUpstreams{contentType: "text/plain", body: "answer", broken: "broken", attempts: map[string]int{}}
+			w.addUpstream("u1", "plain", "north", upstreams.serve)
+			v := w.startVM("vm1", "north", true)
+			w.waitFor("the upstream is known", func() bool { return v.knowsUpstreams("plain", 1) })
+			prompt := extraHeaders{platform.HeaderPromptPrefix: "aa:100,bb:10", platform.HeaderTokenUsage: "110,5", "Broken": broken}
+			for range 4 {
+				if status, body, err := w.readUnlessOverloaded(v, "/a/", prompt); status != http.StatusBadGateway {
+					t.Errorf("answer %d %q, error %v, want 502", status, body, err)
+				}
+			}
+			if requests, parts := v.Poison.Len(), v.suspectedParts(); requests+parts > 0 {
+				t.Errorf("%d requests and %d parts are suspected of crashes", requests, parts)
+			}
+		})
+	}
+}
--- a/edge/crash.go
+++ b/edge/crash.go
@@ -1,10 +1,12 @@
 package edge
 
 import (
+	"errors"
 	"time"
 
 	"parsleyhatch/poison"
 	"parsleyhatch/replica"
+	"parsleyhatch/upstream"
 )
 
 const (
@@ -26,12 +28,15 @@
 }
 
 // reportCrash handles the failure of an upstream while it ran the request. It counts as a crash at once unless a connection to the
-// upstream remains. That is checked again later.
+// upstream remains. That is checked again later. An upstream whose answer was malformed goes on running.
 func (e *Edge) reportCrash(r *request, pick *replica.Pick, cause error) {
 	e.recordAboveLimit(pick.ID, r.id, cause)
 	now := e.Now()
 	b := brokenAnswer{fingerprint: r.fingerprint, lifetime: lifetimeOf(pick), address: pick.Address, at: now}
 	e.Breaks.Record(now, b.lifetime, b.fingerprint)
+	if errors.Is(cause, upstream.ErrMalformed) {
+		return
+	}
 	if e.Pool.KeepsConnection(b.address, b.at, time.Time{}) {
 		e.undecidedCrashes.Add(1)
 		go e.runCrashChecks(b)
--- a/edge/parts.go
+++ b/edge/parts.go
@@ -112,7 +112,7 @@
 		return false
 	}
 	var limit *upstream.LimitError
-	return !upstream.IsTimeout(err) && !errors.As(err, &limit)
+	return !upstream.IsTimeout(err) && !errors.As(err, &limit) && !errors.Is(err, upstream.ErrMalformed)
 }
 
 func lifetimeOf(pick *replica.Pick) poison.Lifetime {
--- a/httpresponse/response.go
+++ b/httpresponse/response.go
@@ -13,11 +13,11 @@
 const minStatus, maxStatus = 100, 599
 
 // ErrStatus means that a response has a status that is none, or that switches to another protocol: no request here asks for one.
-var ErrStatus = errors.New("malformed response: invalid status")
+var ErrStatus = errors.New("invalid status")
 
 // ErrFieldName means that the name of a field is no token. The parser of net/http accepts blanks in names, and does not see that such a field was to
 // say where the body ends.
-var ErrFieldName = errors.New("malformed response: invalid field name")
+var ErrFieldName = errors.New("invalid field name")
 
 // Read reads the head of a response to a request with a method. It returns ErrVersion, and the errors of http.ReadResponse and CheckHead. The body
 // of the response returns ErrFieldName in place of io.EOF if its trailer has an invalid name.
--- a/httpresponse/version.go
+++ b/httpresponse/version.go
@@ -9,7 +9,7 @@
 )
 
 // ErrVersion means that a response has another version than HTTP/1.x, or one in which it cannot be encoded in chunks as it says.
-var ErrVersion = errors.New("malformed response: invalid version")
+var ErrVersion = errors.New("invalid version")
 
 const version10 = "HTTP/1.0 "
 
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -118,19 +118,15 @@
 	a.conn.limiter.limit()
 	for range maxReadResponses {
 		resp, err := httpresponse.Read(a.conn.reader, o.Method)
-		if a.isMalformed(err) {
-			a.reportUnexpected(Malformed)
+		if err == nil && hasTwoIDs(resp.Header) {
+			err = errTwoIDs
 		}
 		if err != nil {
-			return fmt.Errorf("read answer of upstream %s: %w", o.Address, err)
+			return fmt.Errorf("read answer of upstream %s: %w", o.Address, a.checkMalformed(err))
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if hasTwoIDs(resp.Header) {
-			a.reportUnexpected(Malformed)
-			return fmt.Errorf("read answer of upstream %s: %w", o.Address, errTwoIDs)
-		}
 		if resp.Header.Get(HeaderRequestID) == o.ID {
 			a.conn.limiter.unlimit()
 			a.setResponse(resp)
@@ -145,13 +141,25 @@
 }
 
 // errTwoIDs means that a response names several requests, so that it belongs to none.
-var errTwoIDs = errors.New("malformed response: two request ids")
+var errTwoIDs = errors.New("two request ids")
 
 func hasTwoIDs(h http.Header) bool {
 	ids := h.Values(HeaderRequestID)
 	return len(ids) > 0 && slices.ContainsFunc(ids[1:], func(id string) bool { return id != ids[0] })
 }
 
+// checkMalformed returns the error of a read. One because of what was read is an ErrMalformed, and is reported once.
+func (a *Response) checkMalformed(err error) error {
+	if !a.isMalformed(err) {
+		return err
+	}
+	if !a.malformed {
+		a.malformed = true
+		a.reportUnexpected(Malformed)
+	}
+	return fmt.Errorf("%w: %w", ErrMalformed, err)
+}
+
 func (a *Response) reportUnexpected(reason Unexpected) {
 	a.pool.reportUnexpected(a.address, a.id, reason)
 }
@@ -200,11 +208,7 @@
 	if errors.Is(err, io.EOF) {
 		a.complete = true
 	}
-	if a.isMalformed(err) && !a.malformed {
-		a.malformed = true
-		a.reportUnexpected(Malformed)
-	}
-	return n, err
+	return n, a.checkMalformed(err)
 }
 
 // Drain reads and drops the rest of the body, so that the connection can be reused. A body that is longer than maxBytes or not
--- a/upstream/unexpected.go
+++ b/upstream/unexpected.go
@@ -20,6 +20,9 @@
 	BytesWhileIdle Unexpected = "bytesWhileIdle"
 )
 
+// ErrMalformed means that an attempt failed because of what its upstream sent, and not because the connection ended.
+var ErrMalformed = errors.New("malformed answer")
+
 // reportUnexpected calls OnUnexpected. id is the request that the connection carries, empty if it carries none.
 func (p *Pool) reportUnexpected(address, id string, reason Unexpected) {
 	if p.OnUnexpected != nil {
