--- a/edge/brokenhead_test.go
+++ b/edge/brokenhead_test.go
@@ -93,21 +93,22 @@
 }
 
 // Guards against requests and prompt parts that are quarantined as if they crashed upstreams, because an upstream in trouble, which goes on running,
-// has answered them with bytes that are no answer.
+// has answered them with bytes that are no answer, and against a log that does not say what was wrong with these.
 func TestBrokenHeadIsNoCrash(t *testing.T) {
-	for name, broken := range map[string]string{
-		"head":    rawanswer.BrokenHeads[0].Name,
-		"trailer": rawanswer.BrokenTrailers[0].Name,
+	for name, c := range map[string]struct{ broken, cause string }{
+		"head":    {rawanswer.BrokenHeads[0].Name, "invalid status: 000"},
+		"trailer": {rawanswer.BrokenTrailers[0].Name, `invalid field name: \"X Field`},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			w := newTestCluster(t, "north")
+			w, lines := newTestCluster(t, "north"), &logLines{}
+			w.log = lines
 			w.publishConfig(1, routeJSON("a", "unsafe", "plain", ""))
 			upstreams := &brokenHeadUpstreams{contentType: "text/plain", body: "answer", broken: "broken", attempts: map[string]int{}}
 			w.addUpstream("u1", "plain", "north", upstreams.serve)
 			v := w.startVM("vm1", "north", true)
 			w.waitFor("the upstream is known", func() bool { return v.knowsUpstreams("plain", 1) })
-			prompt := extraHeaders{platform.HeaderPromptPrefix: "aa:100,bb:10", platform.HeaderTokenUsage: "110,5", "Broken": broken}
+			prompt := extraHeaders{platform.HeaderPromptPrefix: "aa:100,bb:10", platform.HeaderTokenUsage: "110,5", "Broken": c.broken}
 			for range 4 {
 				if status, body, err := w.readUnlessOverloaded(v, "/a/", prompt); status != http.StatusBadGateway {
 					t.Errorf("answer %d %q, error %v, want 502", status, body, err)
@@ -116,6 +117,9 @@
 			if requests, parts := v.Poison.Len(), v.suspectedParts(); requests+parts > 0 {
 				t.Errorf("%d requests and %d parts are suspected of crashes", requests, parts)
 			}
+			if n := len(lines.with("event=1961", "reason=malformed", c.cause)); n != 4 {
+				t.Errorf("%d lines name the cause %q, want 4: %q", n, c.cause, lines.with("event=1961"))
+			}
 		})
 	}
 }
--- a/edge/unexpected.go
+++ b/edge/unexpected.go
@@ -2,15 +2,23 @@
 
 import (
 	"errors"
+	"fmt"
 
 	"parsleyhatch/event"
 	"parsleyhatch/upstream"
 )
 
+// maxCauseBytes bounds the description of a malformed answer in the log, which may quote a line of it.
+const maxCauseBytes = 120
+
 // recordUnexpected logs and counts bytes of an upstream that belong to no request.
-func (e *Edge) recordUnexpected(address, request string, reason upstream.Unexpected) {
+func (e *Edge) recordUnexpected(b upstream.UnexpectedBytes) {
 	e.Metrics.AddCounter("unexpected_upstream_bytes", 1)
-	event.UpstreamUnexpected.Log(e.Log, "upstream", address, "reason", string(reason), "request", request)
+	cause := ""
+	if b.Cause != nil {
+		cause = fmt.Sprintf("%.*s", maxCauseBytes, b.Cause.Error())
+	}
+	event.UpstreamUnexpected.Log(e.Log, "upstream", b.Address, "reason", string(b.Reason), "request", b.RequestID, "cause", cause)
 }
 
 // recordAboveLimit logs and counts an answer of an upstream that was ended because it exceeds a limit. Other errors are ignored.
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -132,7 +132,7 @@
 			a.setResponse(resp)
 			return nil
 		}
-		a.reportUnexpected(SkippedResponse)
+		a.reportUnexpected(SkippedResponse, nil)
 		if err := skipBody(resp.Body); err != nil {
 			return fmt.Errorf("skip answer to another request: %w", err)
 		}
@@ -155,13 +155,13 @@
 	}
 	if !a.malformed {
 		a.malformed = true
-		a.reportUnexpected(Malformed)
+		a.reportUnexpected(Malformed, err)
 	}
 	return fmt.Errorf("%w: %w", ErrMalformed, err)
 }
 
-func (a *Response) reportUnexpected(reason Unexpected) {
-	a.pool.reportUnexpected(a.address, a.id, reason)
+func (a *Response) reportUnexpected(reason Unexpected, cause error) {
+	a.pool.reportUnexpected(UnexpectedBytes{Address: a.address, RequestID: a.id, Reason: reason, Cause: cause})
 }
 
 // skipBody reads the body of a response to another request. A longer body than maxSkippedBodyBytes ends the connection:
@@ -253,7 +253,7 @@
 	a.closed = true
 	open := a.stopCloseOnCancel()
 	if a.complete && a.Framed && a.conn.reader.Buffered() > 0 {
-		a.reportUnexpected(TrailingBytes)
+		a.reportUnexpected(TrailingBytes, nil)
 	}
 	idle, keep := idleTimeout(a.Header)
 	if !open || !keep || !a.complete || !a.Framed || !a.write.succeeded() || a.conn.reader.Buffered() > 0 {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -45,9 +45,8 @@
 	WithTimeout func(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc)
 	// Now returns the current time. Tests replace it.
 	Now func() time.Time
-	// OnUnexpected, if set, is called for bytes that belong to no request, with the id of the request that waits for its response, if
-	// there is one. It must not block. It is set before the first request.
-	OnUnexpected func(address, id string, reason Unexpected)
+	// OnUnexpected, if set, is called for bytes that belong to no request. It must not block. It is set before the first request.
+	OnUnexpected func(b UnexpectedBytes)
 
 	mu    sync.Mutex
 	hosts map[string]*hostConns
@@ -232,7 +231,7 @@
 		}
 		idle, unread := c.idleState()
 		if unread {
-			p.reportUnexpected(address, "", BytesWhileIdle)
+			p.reportUnexpected(UnexpectedBytes{Address: address, Reason: BytesWhileIdle})
 		}
 		if p.Now().Before(c.idleUntil) && idle {
 			p.updateStats(func(s *PoolStats) { s.Reused++ })
--- a/upstream/unexpected.go
+++ b/upstream/unexpected.go
@@ -23,10 +23,20 @@
 // ErrMalformed means that an attempt failed because of what its upstream sent, and not because the connection ended.
 var ErrMalformed = errors.New("malformed answer")
 
-// reportUnexpected calls OnUnexpected. id is the request that the connection carries, empty if it carries none.
-func (p *Pool) reportUnexpected(address, id string, reason Unexpected) {
+// UnexpectedBytes describes bytes of an upstream that belong to no request.
+type UnexpectedBytes struct {
+	Address string
+	// RequestID is the request that the connection carries, empty if it carries none.
+	RequestID string
+	Reason    Unexpected
+	// Cause says what is malformed. It is nil for other reasons.
+	Cause error
+}
+
+// reportUnexpected calls OnUnexpected.
+func (p *Pool) reportUnexpected(b UnexpectedBytes) {
 	if p.OnUnexpected != nil {
-		p.OnUnexpected(address, id, reason)
+		p.OnUnexpected(b)
 	}
 }
 
--- a/upstream/unexpected_test.go
+++ b/upstream/unexpected_test.go
@@ -18,10 +18,10 @@
 	entries []string
 }
 
-func (l *unexpectedLog) add(_, id string, reason Unexpected) {
+func (l *unexpectedLog) add(b UnexpectedBytes) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.entries = append(l.entries, string(reason)+" "+id)
+	l.entries = append(l.entries, string(b.Reason)+" "+b.RequestID)
 }
 
 // Guards against bytes that belong to no request and that operators never hear of, and against reports of sound or broken
