--- a/edge/unexpected.go
+++ b/edge/unexpected.go
@@ -8,15 +8,15 @@
 	"parsleyhatch/upstream"
 )
 
-// maxCauseBytes bounds the description of a malformed answer in the log, which may quote a line of it.
-const maxCauseBytes = 120
+// maxCauseLength bounds the description of a malformed answer in the log, in characters. It may quote a line of the answer.
+const maxCauseLength = 120
 
 // recordUnexpected logs and counts bytes of an upstream that belong to no request.
 func (e *Edge) recordUnexpected(b upstream.UnexpectedBytes) {
 	e.Metrics.AddCounter("unexpected_upstream_bytes", 1)
 	cause := ""
 	if b.Cause != nil {
-		cause = fmt.Sprintf("%.*s", maxCauseBytes, b.Cause.Error())
+		cause = fmt.Sprintf("%.*s", maxCauseLength, b.Cause.Error())
 	}
 	event.UpstreamUnexpected.Log(e.Log, "upstream", b.Address, "reason", string(b.Reason), "request", b.RequestID, "cause", cause)
 }
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -92,14 +92,14 @@
 	DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 	http *http.Client
-	// resetWait is resetWait except in tests.
+	// resetWait is the time for which the connection of a response that has ended is watched for a reset. Tests replace it.
 	resetWait time.Duration
 }
 
 // New returns a client that authenticates with the platform's credential.
 func New(credential string) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	c := &Client{Credential: credential, DialFunc: dialer.DialContext, resetWait: resetWait}
+	c := &Client{Credential: credential, DialFunc: dialer.DialContext, resetWait: defaultResetWait}
 	c.http = &http.Client{Transport: &httpresponse.Transport{Base: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			return c.DialFunc(ctx, network, address)
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -72,9 +72,9 @@
 }
 
 const (
-	// resetWait is the time for which a service that has ended its response is watched for a reset. It follows within a round trip.
-	resetWait = 25 * time.Millisecond
-	// resetCheckInterval is the interval at which it is looked for.
+	// defaultResetWait is the time for which the connection of a response that has ended is watched for a reset, which follows within a round trip.
+	defaultResetWait = 25 * time.Millisecond
+	// resetCheckInterval is the interval at which the reset is looked for.
 	resetCheckInterval = time.Millisecond
 )
 
