--- a/edge/brokenhead_test.go
+++ b/edge/brokenhead_test.go
@@ -39,13 +39,13 @@
 		fmt.Fprint(rw, u.body)
 		return
 	}
-	// The connection carries no other request.
+	// The timeout is too short for another request on the connection.
 	fields := fmt.Sprintf("%s: %s\r\n%s: stamp\r\nContent-Type: %s\r\nKeep-Alive: timeout=1\r\n", platform.HeaderRequestID, id, platform.HeaderServerStamp, u.contentType)
 	brokenHeads[head].Serve(rw, fields, u.broken)
 }
 
-// Guards against answers with a broken head that callers get as answers, in part or as a whole: with a status below 100, or a field whose name holds
-// a blank or a control byte. A request that may be repeated is answered by another upstream; one that may not fails.
+// Guards against answers with a broken head that callers get: with an invalid status or version, with a field whose name holds a blank or a control byte,
+// or with chunks in HTTP/1.0. A request that may be repeated is answered by another upstream; one that may not fails.
 func TestBrokenHeadReachesCaller(t *testing.T) {
 	for _, c := range []struct{ kind, options, contentType, body, broken string }{
 		{"safe", "", "text/plain", "answer", "broken"},
