--- a/upstream/service_test.go
+++ b/upstream/service_test.go
@@ -56,17 +56,19 @@
 // Guards against a part of a response that is taken for a complete one: the service sends it without a length, ends it and resets the connection, since
 // it has not read the request. A refusal needs no more of the request.
 func TestResponseOfServiceBeforeResetIsBroken(t *testing.T) {
+	const short, long = 16 << 10, 8 << 20
 	for name, c := range map[string]struct {
-		status    string
-		bodyBytes int
-		reset     bool
-		broken    bool
+		status string
+		// bodyBytes is the length of the request's body, and unread the part of it that the service leaves. All of a short body has been written once
+		// a single byte is left.
+		bodyBytes, unread int64
+		broken            bool
 	}{
-		"success, body in the buffers":      {"200 OK", 16 << 10, true, true},
-		"success, body being written":       {"200 OK", 8 << 20, true, true},
-		"success, body read":                {"200 OK", 16 << 10, false, false},
-		"refusal, body in the buffers":      {"413 Content Too Large", 16 << 10, true, false},
-		"success of a request without body": {"200 OK", 0, false, false},
+		"success, body in the buffers":      {"200 OK", short, 1, true},
+		"success, body being written":       {"200 OK", long, long, true},
+		"success, body read":                {"200 OK", short, 0, false},
+		"refusal, body in the buffers":      {"413 Content Too Large", short, 1, false},
+		"success of a request without body": {"200 OK", 0, 0, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			address := rawServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
@@ -74,12 +76,10 @@
 				if err != nil {
 					return
 				}
-				if !c.reset {
-					_, _ = io.Copy(io.Discard, req.Body)
-				}
+				_, _ = io.CopyN(io.Discard, req.Body, c.bodyBytes-c.unread)
 				fmt.Fprintf(conn, "HTTP/1.1 %s\r\n\r\npart", c.status)
 				_ = conn.(*net.TCPConn).CloseWrite()
-				if c.reset {
+				if c.unread > 0 {
 					_ = conn.(*net.TCPConn).SetLinger(0) // The close resets the connection.
 				}
 			})
