--- a/review/_standin3/replica.go
+++ b/review/_standin3/replica.go
@@ -101,7 +101,7 @@
 	case target != "" && target != r.id:
 		return send(c, "421 Misdirected Request", "Request-Id: "+id+"\r\nNot-Executed: 1\r\n", "not me")
 	}
-	r.note("runs request %s %s %s of tenant %q", id, req.Method, req.URL.Path, req.Header.Get("Tenant"))
+	r.note("runs request %s %s %s of tenant %q", id, req.Method, req.RequestURI, req.Header.Get("Tenant"))
 	stream := strings.Contains(req.URL.Path, "/stream")
 	head := "Request-Id: " + id + "\r\nServer-Stamp: " + r.id + "." + id + "\r\n"
 	if stream {
