Review case 11: a VM that starts again breaks off complete streams

Seen: after a planned stop and start, a VM breaks off streams of sound upstreams that answer without a length, as it has no retry budget yet to confirm their ends (LOST).

--- a/review/_standin3/deployment.go
+++ b/review/_standin3/deployment.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -158,7 +159,9 @@
 	if _, err := d.start([]string{"PARSLEYHATCH_BOOT=" + path}, "target/parsleyhatch", "vm", "-metrics-port", fmt.Sprint(portMetrics)); err != nil {
 		return err
 	}
-	d.vms = append(d.vms, ip)
+	if !slices.Contains(d.vms, ip) {
+		d.vms = append(d.vms, ip)
+	}
 	d.record.note("started vm %s at %s", name, ip)
 	return nil
 }
--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -27,6 +27,7 @@
 	"large-entries":        playLargeEntries,
 	"other-writer":         playOtherWriter,
 	"reborn":               playReborn,
+	"restarted-vm":         playRestartedVM,
 }
 
 func main() {
--- a/review/_standin3/replica.go
+++ b/review/_standin3/replica.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -101,12 +102,16 @@
 	case target != "" && target != r.id:
 		return send(c, "421 Misdirected Request", "Request-Id: "+id+"\r\nNot-Executed: 1\r\n", "not me")
 	}
-	r.note("runs request %s %s %s of tenant %q", id, req.Method, req.RequestURI, req.Header.Get("Tenant"))
+	r.note("runs request %s %s %s of tenant %q, Last-Event-Id %q", id, req.Method, req.RequestURI, req.Header.Get("Tenant"), req.Header.Get("Last-Event-Id"))
 	stream := strings.Contains(req.URL.Path, "/stream")
 	head := "Request-Id: " + id + "\r\nServer-Stamp: " + r.id + "." + id + "\r\n"
 	if stream {
 		head += "Content-Type: text/event-stream\r\n"
 	}
+	after, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
+	if !r.unsized && stream {
+		return r.sendChunks(c, head, id, after)
+	}
 	if !r.unsized {
 		time.Sleep(r.gap * time.Duration(r.pieces))
 		r.note("ends request %s", id)
@@ -115,7 +120,7 @@
 	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sConnection: close\r\n\r\n", head); err != nil {
 		return false
 	}
-	for n := 1; n <= r.pieces; n++ {
+	for n := after + 1; n <= r.pieces; n++ {
 		time.Sleep(r.gap)
 		if _, err := io.WriteString(c, piece(r.prefix, id, n, r.pieces, stream)); err != nil {
 			r.note("request %s: the channel was closed before piece %d", id, n)
@@ -126,6 +131,24 @@
 	return false
 }
 
+// sendChunks answers with a stream in chunks, after the event that the client has, and reports whether the channel is kept.
+func (r *replica) sendChunks(c net.Conn, head, id string, after int) bool {
+	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n", head); err != nil {
+		return false
+	}
+	for n := after + 1; n <= r.pieces; n++ {
+		time.Sleep(r.gap)
+		text := piece(r.prefix, id, n, r.pieces, true)
+		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text); err != nil {
+			r.note("request %s: the channel was closed before piece %d", id, n)
+			return false
+		}
+	}
+	r.note("ends request %s", id)
+	_, err := io.WriteString(c, "0\r\n\r\n")
+	return err == nil
+}
+
 // send writes an answer with a length.
 func send(c net.Conn, status, head, body string) bool {
 	_, err := fmt.Fprintf(c, "HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, head, len(body), body)
