--- a/review/_standin3/otherwriter.go
+++ b/review/_standin3/otherwriter.go
@@ -9,8 +9,12 @@
 	"time"
 )
 
-// foreignRequests is the number of requests after the entries of the other writer were written.
-const foreignRequests = 120
+const (
+	// foreignRequests is the number of requests after the entries of the other writer were written.
+	foreignRequests = 120
+	// requestInterval is the time between two requests. It is below the time of a run, so that all that count as replicas get some.
+	requestInterval = 4 * time.Millisecond
+)
 
 // playOtherWriter writes entries of another writer in which fields are missing, of another type or spelled otherwise. Such an entry names no
 // replica to use. At the addresses that they name, servers of another installation answer.
@@ -75,7 +79,7 @@
 				d.record.note("%s %s: %s: %.80q", method, path, a.String(), a.body)
 			}
 		})
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(requestInterval)
 	}
 	wait.Wait()
 	d.record.note("%d requests were run by replicas, %d by servers that are none", own, foreign)
