--- a/review/_standin3/deployment.go
+++ b/review/_standin3/deployment.go
@@ -30,7 +30,10 @@
 // heartbeat is the interval at which replicas write their entries.
 const heartbeat = 1200 * time.Millisecond
 
-const host = "ficu95.example"
+// networkTries is the number of loopback networks that are tried, and networkStep the distance between two of them.
+const networkTries, networkStep = 20, 7919
+
+const host = "review.example"
 
 // deployment is a small deployment on loopback: the store, VMs and replicas.
 type deployment struct {
@@ -66,11 +69,8 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{
-		dir: dir, network: fmt.Sprintf("127.%d.%d.", 64+os.Getpid()%120, os.Getpid()/120%250),
-		store: newStore(), record: &record{f: f}, entries: map[string]map[string]any{},
-	}
-	l, err := net.Listen("tcp", d.storeAddress())
+	d := &deployment{dir: dir, store: newStore(), record: &record{f: f}, entries: map[string]map[string]any{}}
+	l, err := d.takeNetwork()
 	if err != nil {
 		return nil, err
 	}
@@ -79,6 +79,20 @@
 	return d, nil
 }
 
+// takeNetwork chooses a loopback network that no other run uses, and returns the listener of the store, which holds it.
+func (d *deployment) takeNetwork() (net.Listener, error) {
+	var err error
+	for try := range networkTries {
+		n := os.Getpid() + try*networkStep
+		d.network = fmt.Sprintf("127.%d.%d.", 64+n%120, n/120%250)
+		var l net.Listener
+		if l, err = net.Listen("tcp", d.storeAddress()); err == nil {
+			return l, nil
+		}
+	}
+	return nil, err
+}
+
 func (d *deployment) storeAddress() string { return fmt.Sprintf("%s1:%d", d.network, portStore) }
 
 // close ends all processes and appends what the replicas have recorded.
@@ -297,6 +311,7 @@
 	complete bool
 	err      error
 	sentAt   time.Time
+	endedAt  time.Time
 }
 
 // client is a stand-in of a client that keeps its channels.
@@ -310,9 +325,18 @@
 	return &client{d: d, http: &http.Client{Transport: t}}
 }
 
-// send sends one attempt to a VM.
+// send sends one attempt to a VM, and records it and its answer.
 func (c *client) send(vm, method, path, key string, deadline time.Duration) answer {
 	a := answer{id: newID()}
+	c.d.record.note("client: sends %s %s %s to %s", a.id, method, path, vm)
+	c.exchange(&a, vm, method, path, key, deadline)
+	a.endedAt = time.Now()
+	c.d.record.note("client: %s%s", a.String(), a.cause())
+	return a
+}
+
+// exchange sends an attempt and reads its answer.
+func (c *client) exchange(a *answer, vm, method, path, key string, deadline time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
 	var body io.Reader
@@ -322,7 +346,7 @@
 	req, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s:%d%s", vm, portFront, path), body)
 	if err != nil {
 		a.err = err
-		return a
+		return
 	}
 	req.Host = host
 	req.Header.Set("Request-Id", a.id)
@@ -334,13 +358,12 @@
 	resp, err := c.http.Do(req)
 	if err != nil {
 		a.err = err
-		return a
+		return
 	}
 	defer func() { _ = resp.Body.Close() }()
 	a.status, a.stamped = resp.StatusCode, resp.Header.Get("Server-Stamp") != ""
 	data, err := io.ReadAll(resp.Body)
 	a.body, a.err, a.complete = string(data), err, err == nil
-	return a
 }
 
 func (a *answer) String() string {
@@ -354,6 +377,17 @@
 	return fmt.Sprintf("request %s: status %d, %d bytes, %s", a.id, a.status, len(a.body), end)
 }
 
+// cause returns what ended an answer that is not complete, or the beginning of a refusal.
+func (a *answer) cause() string {
+	switch {
+	case a.err != nil:
+		return ": " + a.err.Error()
+	case a.status != http.StatusOK:
+		return fmt.Sprintf(": %.90q", a.body)
+	}
+	return ""
+}
+
 func newID() string {
 	var b [8]byte
 	_, _ = rand.Read(b[:])
--- a/review/_standin3/largeentries.go
+++ b/review/_standin3/largeentries.go
@@ -29,7 +29,7 @@
 				route("r-keyed", "/key/", "safe", "new", 2000, 2, false),
 			},
 			"services": []any{service("old", 110), service("new", 110)},
-			"limits":   limits, "tenants": []any{tenant("huka270", "i9n73hh2b9wu3fexd9dn")},
+			"limits":   limits, "tenants": []any{tenant("tenant-of-review", "key-of-review")},
 		}
 	}
 	d.putConfig(config(7, "old"))
@@ -66,18 +66,18 @@
 			d.record.note("CONFIG broken: %s, sent %v after the ack, was run by the old service", a.String(), after.Round(time.Millisecond))
 		case strings.HasPrefix(a.body, "new "):
 			moved++
-		default:
-			d.record.note("%s, sent %v after the ack: %.60q", a.String(), after.Round(time.Millisecond), a.body)
 		}
-		b := c.send(d.vms[n%len(d.vms)], http.MethodGet, "/key/x", "i9n73hh2b9wu3fexd9dn", 2*time.Second)
+		b := c.send(d.vms[n%len(d.vms)], http.MethodGet, "/key/x", "key-of-review", 2*time.Second)
 		if b.status == http.StatusOK {
 			keyed++
 		} else {
 			refused++
-			d.record.note("keyed %s, sent %v after the ack: %.80q", b.String(), b.sentAt.Sub(ack).Round(time.Millisecond), b.body)
 		}
 		time.Sleep(200 * time.Millisecond)
 	}
 	d.record.note("public route: %d run by the old service later than %v after the ack, %d by the new one; with a key: %d served, %d not", old, configApply, moved, keyed, refused)
+	if old+moved == 0 {
+		return false, fmt.Errorf("no request was served")
+	}
 	return old > 0, nil
 }
--- a/review/_standin3/leavingreplica.go
+++ b/review/_standin3/leavingreplica.go
@@ -31,7 +31,7 @@
 			route("r-stream", "/stream/", "streaming", "balcao", 4000, 1, false),
 		},
 		"services": []any{service("balcao", 110)},
-		"limits":   limits, "tenants": []any{tenant("huka270", "i9n73hh2b9wu3fexd9dn")},
+		"limits":   limits, "tenants": []any{tenant("tenant-of-review", "key-of-review")},
 	}
 	d.putConfig(config)
 	args := []string{"-pieces", fmt.Sprint(leavingPieces), "-gap", leavingGap.String(), "-unsized"}
@@ -68,7 +68,6 @@
 		}
 		for a := range answers {
 			whole := wholeBody("", a.id, leavingPieces, strings.Contains(a.body, "data:"))
-			d.record.note("client: %s", a.String())
 			if a.status/100 != 2 || !a.complete {
 				continue
 			}
@@ -97,7 +96,7 @@
 			path = "/stream/2f"
 		}
 		vm := d.vms[i/2%len(d.vms)]
-		wait.Go(func() { answers <- c.send(vm, method, path, "i9n73hh2b9wu3fexd9dn", 4*time.Second) })
+		wait.Go(func() { answers <- c.send(vm, method, path, "key-of-review", 4*time.Second) })
 	}
 	d.record.note("round %d: %d requests are sent", round+1, 2*perRound)
 	go func() {
--- a/review/_standin3/otherwriter.go
+++ b/review/_standin3/otherwriter.go
@@ -19,7 +19,7 @@
 // playOtherWriter writes entries of another writer in which fields are missing, of another type or spelled otherwise. Such an entry names no
 // replica to use. At the addresses that they name, servers of another installation answer.
 func playOtherWriter(d *deployment, trouble bool) (bool, error) {
-	const key = "i9n73hh2b9wu3fexd9dn"
+	const key = "key-of-review"
 	d.putConfig(map[string]any{
 		"version": 7,
 		"routes": []any{
@@ -27,7 +27,7 @@
 			route("r-state", "/estado/", "safe", "balcao", 2000, 2, false),
 		},
 		"services": []any{service("balcao", 110)},
-		"limits":   limits, "tenants": []any{tenant("huka270", key)},
+		"limits":   limits, "tenants": []any{tenant("tenant-of-review", key)},
 	})
 	for i := range 2 {
 		if _, err := d.startReplica(i, fmt.Sprintf("i-own%d", i), "balcao", "norte", "-prefix", "own "); err != nil {
@@ -75,8 +75,6 @@
 				d.record.note("ROUTE broken: %s %s: %s, from a server that no entry names: %q", method, path, a.String(), strings.TrimSpace(a.body))
 			case strings.HasPrefix(a.body, "own "):
 				own++
-			default:
-				d.record.note("%s %s: %s: %.80q", method, path, a.String(), a.body)
 			}
 		})
 		time.Sleep(requestInterval)
--- a/review/_standin3/reborn.go
+++ b/review/_standin3/reborn.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// cutReplicas of replicas are behind the cut: a share of 0.2.
-	cutReplicas, replicas = 1, 5
+	// cutReplicas of replicas are behind the cut: a share of 0.1.
+	cutReplicas, replicas = 1, 10
 	// cutTime is the length of the cut. crashAfter and backAfter are the times after its start at which the replica crashes and is back.
 	cutTime, crashAfter, backAfter = 1800 * time.Millisecond, 300 * time.Millisecond, 900 * time.Millisecond
 	// rebornRounds is the number of cuts, and rebornRequests the number of requests that run during each.
@@ -24,7 +24,7 @@
 // under its id. When the cut heals, the end of the channel arrives that the crash has left. Such an answer has ended early and must not look
 // complete.
 func playReborn(d *deployment, trouble bool) (bool, error) {
-	const key = "i9n73hh2b9wu3fexd9dn"
+	const key = "key-of-review"
 	d.putConfig(map[string]any{
 		"version": 7,
 		"routes": []any{
@@ -32,7 +32,7 @@
 			route("r-stream", "/stream/", "streaming", "balcao", 4000, 1, false),
 		},
 		"services": []any{service("balcao", 110)},
-		"limits":   limits, "tenants": []any{tenant("huka270", key)},
+		"limits":   limits, "tenants": []any{tenant("tenant-of-review", key)},
 	})
 	args := []string{"-pieces", fmt.Sprint(leavingPieces), "-gap", leavingGap.String(), "-unsized"}
 	for i := cutReplicas; i < replicas; i++ {
@@ -92,7 +92,6 @@
 		}
 		for a := range answers {
 			whole := wholeBody("", a.id, leavingPieces, strings.Contains(a.body, "data:"))
-			d.record.note("client: %s", a.String())
 			if a.status/100 != 2 || !a.complete {
 				continue
 			}
--- a/review/_standin3/restartedvm.go
+++ b/review/_standin3/restartedvm.go
@@ -10,14 +10,14 @@
 )
 
 const (
-	// streamPieces and streamGap make a stream last 2 s.
+	// streamPieces and streamGap make a stream last 1 s.
 	streamPieces = 10
-	streamGap    = 200 * time.Millisecond
+	streamGap    = 100 * time.Millisecond
 	// streamInterval is the time between two streams at a VM.
 	streamInterval = 100 * time.Millisecond
 	// warmUp is the time for which streams are sent before anything is judged, so that the VMs have run for a while.
 	warmUp = 30 * time.Second
-	// grace is grace_s of the settings, and judged the time after SIGTERM for which requests count, as the rule says.
+	// grace is grace_s of the settings, and judged the time after SIGTERM within which a request that counts is sent and cut.
 	grace, judged = 8 * time.Second, grace + time.Second
 	// restartDelay is the time between the end of a process and its next start.
 	restartDelay = 300 * time.Millisecond
@@ -26,17 +26,19 @@
 // streamCounts counts the streams that one VM has taken from clients, since the time at which they are judged.
 type streamCounts struct {
 	complete, broken, refused int
+	// later counts streams that were broken off after the time that the rule names.
+	later int
 }
 
 // playRestartedVM stops a VM with SIGTERM, and starts it again, while sound replicas answer streams. Two of five replicas answer without a
 // length. A stream that a replica has sent completely must not be broken off.
 func playRestartedVM(d *deployment, trouble bool) (bool, error) {
-	const key = "i9n73hh2b9wu3fexd9dn"
+	const key = "key-of-review"
 	stream := route("r-stream", "/stream/", "streaming", "redator", 15000, 2, false)
 	stream["resumable"] = true
 	d.putConfig(map[string]any{
 		"version": 7, "routes": []any{stream}, "services": []any{service("redator", 370)},
-		"limits": limits, "tenants": []any{tenant("huka270", key)},
+		"limits": limits, "tenants": []any{tenant("tenant-of-review", key)},
 	})
 	args := []string{"-pieces", fmt.Sprint(streamPieces), "-gap", streamGap.String()}
 	for i, more := range [][]string{{"-unsized"}, {"-unsized"}, nil, nil, nil} {
@@ -71,7 +73,7 @@
 					}
 					mu.Lock()
 					defer mu.Unlock()
-					counts.add(d, &a, a.sentAt.Sub(from))
+					counts.add(d, &a, from)
 				})
 			}
 		})
@@ -88,25 +90,27 @@
 		}
 	}
 	streams.Wait()
-	d.record.note("vm 0, streams sent from %s to %s: %d complete, %d refused or not taken, %d broken off", stamp(from), stamp(end), counts.complete, counts.refused, counts.broken)
+	d.record.note("vm 0, streams sent from %s to %s: %d complete, %d refused or not taken, %d broken off within %v, %d later", stamp(from), stamp(end), counts.complete, counts.refused, counts.broken, judged, counts.later)
 	if counts.complete == 0 {
 		return false, fmt.Errorf("no stream was complete")
 	}
 	return counts.broken > 0, nil
 }
 
-// add counts a stream that was sent a time after the start of what is judged. Only those count as broken off of which the client has the last
-// piece: their replica had nothing left to send.
-func (s *streamCounts) add(d *deployment, a *answer, after time.Duration) {
-	whole := wholeBody("", a.id, streamPieces, true)
+// add counts a stream. Only those count as broken off of which the client has the last piece, so that their replica had nothing left to send, and
+// whose channel has ended within the time after SIGTERM at from that the rule names.
+func (s *streamCounts) add(d *deployment, a *answer, from time.Time) {
+	whole := a.status == http.StatusOK && a.body == wholeBody("", a.id, streamPieces, true)
 	switch {
-	case a.status == http.StatusOK && a.complete && a.body == whole:
+	case whole && a.complete:
 		s.complete++
-	case a.status == http.StatusOK && a.body == whole:
+	case whole && a.endedAt.Sub(from) <= judged:
 		s.broken++
-		d.record.note("LOST broken: stream %s, sent %v after SIGTERM, has all pieces and was then broken off: %v", a.id, after.Round(time.Millisecond), a.err)
+		d.record.note("LOST broken: stream %s, sent %v and cut %v after SIGTERM, has all pieces and no end: %v", a.id,
+			a.sentAt.Sub(from).Round(time.Millisecond), a.endedAt.Sub(from).Round(time.Millisecond), a.err)
+	case whole:
+		s.later++
 	default:
 		s.refused++
-		d.record.note("vm 0: %s, sent %v after SIGTERM: %v %.80q", a.String(), after.Round(time.Millisecond), a.err, a.body)
 	}
 }
